--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := papayalink fakes bench tests
+
+.PHONY: all test lint format demo bench clean
+
+all: test
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--no-deps --editable .
+	touch $@
+
+lint: $(VENV)/.installed
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/isort --quiet --check-only $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: $(VENV)/.installed
+	$(BIN)/isort --quiet $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m bench.demo
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench.run
+
+clean:
+	rm -rf $(VENV) build bench/out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and measurements."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside papayalink."""
--- /dev/null
+++ b/papayalink/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each outside interface."""
--- /dev/null
+++ b/papayalink/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The papayalink command-line tool."""
--- /dev/null
+++ b/papayalink/console/__init__.py
@@ -0,0 +1,1 @@
+"""Operator forms whose output is one document."""
--- /dev/null
+++ b/papayalink/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: replication, routing, ranks, limits and retries."""
--- /dev/null
+++ b/papayalink/coordination/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control VMs."""
--- /dev/null
+++ b/papayalink/logs.py
@@ -0,0 +1,34 @@
+"""Logs: one line of key=value pairs for each event."""
+
+import sys
+
+import structlog
+
+
+def configure(process: str, role: str) -> None:
+    """Set up logging for this process.
+
+    Args:
+        process: name of the process, on every line.
+        role: role of the process, on every line.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.add_log_level,
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"],
+                sort_keys=True,
+                bool_as_flag=False,
+            ),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(process=process, role=role)
+
+
+def get_logger(**fields: object) -> structlog.BoundLogger:
+    """Returns: a logger whose lines carry the given fields."""
+    return structlog.get_logger().bind(**fields)
--- /dev/null
+++ b/papayalink/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and wire formats, apart from sockets."""
--- /dev/null
+++ b/papayalink/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The processes, assembled from the layers."""
--- /dev/null
+++ b/papayalink/state/__init__.py
@@ -0,0 +1,1 @@
+"""Documents, ledger, logs and stores."""
--- /dev/null
+++ b/papayalink/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and RPC between processes."""
