Add the configuration document and the messages between processes

Cause: the console, the control members and the other processes need one schema before they are built side by side. Ruled out: a schema library of its own, since msgspec both checks and encodes. Change: state/document.py and protocol/messages.py.

--- /dev/null
+++ b/papayalink/protocol/messages.py
@@ -0,0 +1,221 @@
+"""Messages between the system's own processes."""
+
+import msgspec
+
+from papayalink.protocol import errors
+from papayalink.state import document as documents
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of all messages."""
+
+
+class ErrorReply(Message):
+    """The receiver could not answer.
+
+    Attributes:
+        code: "unavailable", "not_leader", "refused" or "failed".
+        leader: RPC address of the leader, for "not_leader".
+    """
+
+    code: str
+    text: str = ""
+    leader: str = ""
+
+
+class LoadReport(Message, array_like=True):
+    """Load of one upstream as its agent sees it.
+
+    Attributes:
+        running, waiting: requests in flight and queued.
+        waiting_tokens: prompt tokens queued or in prefill.
+        prefill_rate: measured tokens a second.
+        sent_at: agent's clock when sent, seconds.
+    """
+
+    upstream: str
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    prefill_rate: float = 0.0
+    weight_version: str = ""
+    state: str = "up"
+    sent_at: float = 0.0
+
+
+class Demand(Message, array_like=True):
+    """Recent demand of one workspace at one entry."""
+
+    workspace: str
+    tokens_per_s: float = 0.0
+    in_flight: int = 0
+
+
+class Poll(Message):
+    """A process asks for confirmation of its configuration.
+
+    Attributes:
+        incarnation: differs between runs of the same process.
+        version: configuration version held, 0 for none.
+        digest: digest of the document held.
+        load: the agent's report on its upstream.
+        watch: upstreams whose load the process wants.
+        demand: recent demand at an entry.
+    """
+
+    process: str
+    role: str
+    incarnation: str
+    version: int = 0
+    digest: str = ""
+    load: LoadReport | None = None
+    watch: tuple[str, ...] = ()
+    demand: tuple[Demand, ...] = ()
+
+
+class PollReply(Message):
+    """Confirmed configuration.
+
+    Attributes:
+        version: newest committed version.
+        document: the whole document as JSON, when there is no delta.
+        delta: changes since the version of the poll, as JSON.
+        leaving: upstreams that get no new work.
+        loads: reports of the watched upstreams.
+        shares: tokens a second and requests in flight that the entry
+            may admit, for the workspaces of its demand.
+    """
+
+    version: int
+    document: bytes = b""
+    delta: bytes = b""
+    digest: str = ""
+    leaving: tuple[str, ...] = ()
+    loads: tuple[LoadReport, ...] = ()
+    shares: tuple[Demand, ...] = ()
+
+
+class Propose(Message):
+    """One command for the replicated machine, encoded."""
+
+    command: bytes
+
+
+class Outcome(Message):
+    """Encoded result of a committed command."""
+
+    result: bytes
+
+
+class Query(Message):
+    """A quorum-confirmed read: "document", "history", "call", "status"."""
+
+    what: str
+    workspace: str = ""
+    key: str = ""
+
+
+class QueryReply(Message):
+    """Answer to a query, as JSON."""
+
+    body: bytes
+
+
+class Deliver(Message):
+    """Batch of replication messages from one member to another."""
+
+    sender: str
+    batch: bytes
+
+
+class ShareLoads(Message):
+    """Load reports that one control member got since the last batch."""
+
+    sender: str
+    loads: tuple[LoadReport, ...] = ()
+    demand: tuple[tuple[str, tuple[Demand, ...]], ...] = ()
+
+
+class Acknowledge(Message):
+    """The message was taken."""
+
+
+class Order(Message):
+    """The control leader orders a change at an upstream.
+
+    Attributes:
+        fence: fencing number of the order.
+        action: "load_weights", "load_adapter" or "set_role".
+        argument: weight version, adapter or role.
+    """
+
+    upstream: str
+    fence: int
+    action: str
+    argument: str
+
+
+class OrderReply(Message):
+    """Result of an order: "done", "stale" or "failed"."""
+
+    result: str
+    text: str = ""
+
+
+class Lookup(Message):
+    """Asks a store which pieces are published."""
+
+    workspace: str
+    weight_version: str
+    digests: tuple[str, ...]
+
+
+class LookupReply(Message):
+    """One flag for each digest of the lookup."""
+
+    present: tuple[bool, ...]
+
+
+AnyMessage = (
+    ErrorReply
+    | Poll
+    | PollReply
+    | Propose
+    | Outcome
+    | Query
+    | QueryReply
+    | Deliver
+    | ShareLoads
+    | Acknowledge
+    | Order
+    | OrderReply
+    | Lookup
+    | LookupReply
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: Message) -> bytes:
+    """Returns: the message in MessagePack."""
+    return _ENCODER.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Decode one message.
+
+    Raises:
+        errors.MessageInvalid: the bytes are no message of this module.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise errors.MessageInvalid(str(error)) from error
+
+
+def document_of(reply: PollReply) -> documents.Document | None:
+    """Returns: the whole document of a reply, None when it has none."""
+    if not reply.document:
+        return None
+    return documents.decode(reply.document)
--- /dev/null
+++ b/papayalink/state/document.py
@@ -0,0 +1,150 @@
+"""The configuration document: the only way the system changes."""
+
+import hashlib
+
+import msgspec
+
+FORMAT = 1
+
+
+class Rank(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service rank; the document lists the most urgent one first.
+
+    Attributes:
+        ttft_target_ms: time to first token that 95 of 100 requests get.
+        weight: relative share of the capacity beyond the minimum shares.
+        min_share: guaranteed share of served tokens, 0 to 1.
+    """
+
+    name: str
+    ttft_target_ms: int
+    weight: int = 1
+    min_share: float = 0.0
+
+
+class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One customer's workspace.
+
+    Attributes:
+        token_digests: SHA-256 hex digests of the accepted bearer tokens.
+        rank: rank of requests that name none.
+        tokens_per_s: limit over all entries, 0 for none.
+        max_in_flight: limit over all entries, 0 for none.
+        cache_share: guaranteed share of kept cache, 0 to 1.
+    """
+
+    name: str
+    token_digests: tuple[str, ...] = ()
+    rank: str = ""
+    tokens_per_s: int = 0
+    max_in_flight: int = 0
+    cache_share: float = 0.0
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model and the weight version that new requests use."""
+
+    name: str
+    weight_version: str
+    adapters: tuple[str, ...] = ()
+
+
+class Call(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One call of a plain service.
+
+    Attributes:
+        path: exact path, or a prefix when it ends in "/*".
+        protected: the call is not idempotent and runs at most once.
+    """
+
+    method: str
+    path: str
+    protected: bool = False
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A plain service beside the model engines."""
+
+    name: str
+    calls: tuple[Call, ...] = ()
+
+
+class Upstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model engine or plain service replica with its agent.
+
+    Attributes:
+        agent: "IP:PORT" of the agent's HTTP interface.
+        serves: name of a model or of a service.
+        checks_fencing: the upstream refuses orders with old numbers.
+        draining: the upstream gets no new work.
+        max_running: requests that the upstream runs at once.
+    """
+
+    name: str
+    agent: str
+    zone: str
+    serves: str
+    kind: str = "engine"
+    checks_fencing: bool = False
+    draining: bool = False
+    max_running: int = 16
+
+
+class Store(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A store VM of kept KV cache; address is "IP:PORT" of its HTTP."""
+
+    name: str
+    address: str
+    zone: str
+    draining: bool = False
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits that hold for the whole deployment."""
+
+    max_body_bytes: int = 4_194_304
+    max_queue_per_upstream: int = 256
+    ledger_retention_s: int = 604_800
+    max_loading_replicas: int = 2
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole configuration.
+
+    Attributes:
+        format: layout of the document, FORMAT for this one.
+        ranks: most urgent first.
+    """
+
+    format: int = FORMAT
+    ranks: tuple[Rank, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    models: tuple[Model, ...] = ()
+    services: tuple[Service, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    stores: tuple[Store, ...] = ()
+    limits: Limits = Limits()
+
+
+def encode(document: Document) -> bytes:
+    """Returns: the document as canonical JSON, keys in a fixed order."""
+    return msgspec.json.encode(document, order="deterministic")
+
+
+def decode(data: bytes) -> Document:
+    """Decode a document.
+
+    Raises:
+        msgspec.ValidationError: the first wrong field, with its path.
+    """
+    return msgspec.json.decode(data, type=Document)
+
+
+def digest(document: Document) -> str:
+    """Returns: hex digest of the canonical form."""
+    return hashlib.blake2b(encode(document), digest_size=16).hexdigest()
+
+
+def token_digest(token: str) -> str:
+    """Returns: the digest under which a bearer token is listed."""
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/papayalink/state/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the state layer."""
+
+
+class StateError(Exception):
+    """Base of all errors of the state layer."""
