Remove the protocol layer's use of the state layer

Cause: messages.py decoded documents, so a lower layer imported a higher one. Change: the caller decodes the bytes. Conclusion: layers point one way.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from papayalink.protocol import errors
-from papayalink.state import document as documents
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -212,10 +211,3 @@
         return _DECODER.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         raise errors.MessageInvalid(str(error)) from error
-
-
-def document_of(reply: PollReply) -> documents.Document | None:
-    """Returns: the whole document of a reply, None when it has none."""
-    if not reply.document:
-        return None
-    return documents.decode(reply.document)
