--- /dev/null
+++ b/fakes/engine.py
@@ -0,0 +1,517 @@
+"""Stand-in for a model engine with an OpenAI-compatible interface."""
+
+import collections
+import random
+import time
+import uuid
+
+import falcon
+import fire
+import gevent
+from gevent import event
+from gevent import lock
+import geventhttpclient
+import msgspec
+
+from fakes import engine_model
+from fakes import lag
+from fakes import serving
+from papayalink import clock as clocks
+
+# Events kept for clients that ask late; older ones are a gap to them.
+MAX_EVENTS = 10_000
+
+
+class Engine:
+    """The model, driven by the clock, and its HTTP resources.
+
+    Args:
+        options: options of the engine.
+        clock: source of time.
+    """
+
+    def __init__(
+        self, options: engine_model.Options, clock: clocks.Clock
+    ) -> None:
+        self.options = options
+        self.clock = clock
+        self.orders = []
+        self.adapters = []
+        self.role = options.role
+        self.cut_after = None
+        self.cuts_left = 0
+        self._fence = 0
+        self._order_lock = lock.BoundedSemaphore()
+        self._random = random.Random(options.seed)
+        self._wakeup = event.Event()
+        self._events = collections.deque(maxlen=MAX_EVENTS)
+        self._event_seq = 0
+        self._lost = {}
+        self._load = lag.Lagged(options.load_lag_s)
+        self.model = engine_model.Model(options, clock.now(), self._on_event)
+
+    def run(self) -> None:
+        """Move the model forward; runs while the server runs."""
+        while True:
+            self._wakeup.clear()
+            due = self.model.advance(self.clock.now())
+            self._record_load()
+            timeout = None
+            if due is not None:
+                timeout = max(0.0, due - self.clock.now())
+            self._wakeup.wait(timeout)
+
+    def submit(self, request: engine_model.Request) -> event.Event:
+        """Queue a request.
+
+        Returns: an event that is set whenever the request progresses.
+        """
+        changed = event.Event()
+        request.on_change = changed.set
+        self.model.submit(request, self.clock.now())
+        self._record_load()
+        self._wakeup.set()
+        return changed
+
+    def cancel(self, request: engine_model.Request) -> None:
+        """Free the slot of a request whose client has gone."""
+        now = self.clock.now()
+        self.model.cancel(request, now)
+        self._lost[request.request_id] = (
+            request,
+            now + self.options.resume_window_s,
+        )
+        self._record_load()
+        self._wakeup.set()
+
+    def resume(
+        self, request_id: str, received: int
+    ) -> engine_model.Request | None:
+        """Continue a lost stream.
+
+        Returns: a new request for the rest, None when it cannot continue.
+        """
+        now = self.clock.now()
+        for old_id, (_, expires) in list(self._lost.items()):
+            if expires < now:
+                del self._lost[old_id]
+        old, _ = self._lost.get(request_id, (None, 0))
+        if old is None or received > old.emitted:
+            return None
+        version = old.weight_version or self.model.weight_version
+        if version != self.model.weight_version:
+            return None
+        del self._lost[request_id]
+        return engine_model.Request(
+            old.request_id,
+            old.workspace,
+            old.tokens,
+            old.max_tokens,
+            old.priority,
+            known=max(0, old.emitted - 1),
+        )
+
+    def take_cut(self) -> int | None:
+        """Returns: after how many tokens to cut the next stream."""
+        if not self.cuts_left:
+            return None
+        self.cuts_left -= 1
+        return self.cut_after
+
+    def load_report(self) -> dict:
+        """Returns: the load as it was `load_lag_s` ago."""
+        return self._load.read(self.clock.now())
+
+    def events_since(self, since: int) -> list[dict]:
+        """Returns: events published so far with a later sequence number."""
+        published = self.clock.now() - self.options.event_delay_s
+        return [
+            fields
+            for at, fields in self._events
+            if fields["seq"] > since and at <= published
+        ]
+
+    def order(self, order: dict) -> bool:
+        """Carry out an order.
+
+        Returns: False when the fencing number is refused.
+        """
+        with self._order_lock:
+            fence = int(order["fence"])
+            if self.options.check_fencing and fence < self._fence:
+                return False
+            self._fence = max(self._fence, fence)
+            match order["action"]:
+                case "load_weights":
+                    self._load_weights(order["weight_version"])
+                case "load_adapter":
+                    self.adapters.append(order["adapter"])
+                case "set_role":
+                    self.role = order["role"]
+                case _:
+                    raise KeyError("action")
+            self.orders.append(order)
+            return True
+
+    def _load_weights(self, weight_version):
+        started = self.clock.now()
+        if self.options.weight_store:
+            client = geventhttpclient.HTTPClient.from_url(
+                f"http://{self.options.weight_store}", network_timeout=60
+            )
+            client.get(f"/weights/{weight_version}").read()
+            client.close()
+        elapsed = self.clock.now() - started
+        gevent.sleep(max(0.0, self.options.load_time_s - elapsed))
+        self.model.swap(weight_version, self.clock.now())
+        self._record_load()
+        self._wakeup.set()
+
+    def _record_load(self):
+        report = self.model.load()
+        report["role"] = self.role
+        self._load.record(self.clock.now(), report)
+
+    def _on_event(self, kind, block):
+        self._event_seq += 1
+        if self._random.random() < self.options.event_drop_rate:
+            return
+        workspace, weight_version, digest = block.key
+        fields = {
+            "seq": self._event_seq,
+            "event": kind,
+            "workspace": workspace,
+            "weight_version": weight_version,
+            "digest": digest,
+        }
+        self._events.append((self.clock.now(), fields))
+
+
+class _Reply:
+    """Shape of the chunks and of the whole reply to one request."""
+
+    __slots__ = ("_request", "_chat", "_head")
+
+    def __init__(self, request, model, chat):
+        self._request = request
+        self._chat = chat
+        self._head = {
+            "id": ("chatcmpl-" if chat else "cmpl-") + request.request_id,
+            "created": int(time.time()),
+            "model": model,
+        }
+
+    def _body(self, kind, choices):
+        return {
+            **self._head,
+            "object": kind,
+            "system_fingerprint": self._request.weight_version,
+            "choices": choices,
+        }
+
+    def usage(self):
+        request = self._request
+        return {
+            "prompt_tokens": len(request.tokens),
+            "completion_tokens": request.emitted,
+            "total_tokens": len(request.tokens) + request.emitted,
+            "prompt_tokens_details": {"cached_tokens": request.cached_tokens},
+        }
+
+    def chunk(self, index):
+        word = self._request.words[index]
+        text = word if index == 0 else " " + word
+        last = index + 1 == self._request.max_tokens
+        choice = {"index": 0, "finish_reason": "length" if last else None}
+        if not self._chat:
+            choice["text"] = text
+            return self._body("text_completion", [choice])
+        choice["delta"] = {"content": text}
+        if index == 0:
+            choice["delta"]["role"] = "assistant"
+        return self._body("chat.completion.chunk", [choice])
+
+    def usage_chunk(self):
+        kind = "chat.completion.chunk" if self._chat else "text_completion"
+        return {**self._body(kind, []), "usage": self.usage()}
+
+    def whole(self):
+        text = " ".join(self._request.words)
+        choice = {"index": 0, "finish_reason": "length"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        kind = "chat.completion" if self._chat else "text_completion"
+        return {**self._body(kind, [choice]), "usage": self.usage()}
+
+
+class _Completions:
+    """`/v1/completions`, `/v1/chat/completions`, and resumed streams."""
+
+    def __init__(self, engine):
+        self._engine = engine
+        self._bodies = {}
+
+    def on_post(self, req, resp):
+        self._serve(req, resp, _body(req), chat=False)
+
+    def on_post_chat(self, req, resp):
+        self._serve(req, resp, _body(req), chat=True)
+
+    def on_post_resume(self, req, resp, stream_id):
+        request_id = stream_id.removeprefix("chat").removeprefix("cmpl-")
+        received = _body(req).get("from", 0)
+        request = self._engine.resume(request_id, received)
+        if request is None or request_id not in self._bodies:
+            raise falcon.HTTPNotFound(title="stream cannot be resumed")
+        body, chat = self._bodies[request_id]
+        resp.content_type = "text/event-stream"
+        resp.stream = self._stream(req, request, body, chat, received)
+
+    def _serve(self, req, resp, body, chat):
+        engine = self._engine
+        model = body.get("model", engine.options.model)
+        if model not in (engine.options.model, *engine.adapters):
+            raise falcon.HTTPNotFound(title=f"no model {model}")
+        request = engine_model.Request(
+            req.get_header("X-Request-Id") or uuid.uuid4().hex,
+            body.get("user", ""),
+            _prompt_tokens(body),
+            _max_tokens(body),
+            body.get("priority", 0),
+        )
+        if body.get("stream"):
+            resp.content_type = "text/event-stream"
+            resp.stream = self._stream(req, request, body, chat, 0)
+        else:
+            resp.content_type = falcon.MEDIA_JSON
+            resp.stream = self._whole(req, request, chat)
+
+    def _stream(self, req, request, body, chat, sent):
+        engine = self._engine
+        self._bodies[request.request_id] = (body, chat)
+        cut_after = engine.take_cut()
+        reply = _Reply(request, body.get("model", engine.options.model), chat)
+        for _ in self._progress(req, request):
+            while sent < request.emitted:
+                if sent == cut_after:
+                    serving.cut_connection()
+                yield _event(reply.chunk(sent))
+                sent += 1
+        if body.get("stream_options", {}).get("include_usage"):
+            yield _event(reply.usage_chunk())
+        yield b"data: [DONE]\n\n"
+
+    def _whole(self, req, request, chat):
+        for _ in self._progress(req, request):
+            pass
+        reply = _Reply(request, self._engine.options.model, chat)
+        yield msgspec.json.encode(reply.whole())
+
+    def _progress(self, req, request):
+        """Yield whenever words were added; cancel if the client goes."""
+        engine = self._engine
+        changed = engine.submit(request)
+        gone = []
+
+        def disconnected():
+            gone.append(True)
+            engine.cancel(request)
+            changed.set()
+
+        watch = serving.DisconnectWatch(
+            req.env[serving.SOCKET_KEY], disconnected
+        )
+        try:
+            while not gone:
+                changed.wait()
+                changed.clear()
+                finished = request.finished
+                yield
+                if finished:
+                    return
+            serving.cut_connection()
+        finally:
+            watch.close()
+            if not request.finished and not gone:
+                engine.cancel(request)
+
+
+class _Tokenize:
+    def on_post(self, req, resp):
+        tokens = _prompt_tokens(_body(req))
+        resp.media = {"tokens": tokens, "count": len(tokens)}
+
+
+class _Models:
+    def __init__(self, engine):
+        self._engine = engine
+
+    def on_get(self, req, resp):
+        engine = self._engine
+        names = [engine.options.model, *engine.adapters]
+        resp.media = {
+            "object": "list",
+            "data": [
+                {
+                    "id": name,
+                    "object": "model",
+                    "owned_by": "fakes",
+                    "weight_version": engine.model.weight_version,
+                    "role": engine.role,
+                }
+                for name in names
+            ],
+        }
+
+
+class _Kv:
+    """Export and import of cache pieces, and cache events."""
+
+    def __init__(self, engine):
+        self._engine = engine
+
+    def _key(self, req, digest):
+        return (
+            req.get_param("workspace", required=True),
+            req.get_param("weight_version", required=True),
+            digest,
+        )
+
+    def on_get(self, req, resp, digest):
+        data = self._engine.model.export_piece(self._key(req, digest))
+        if data is None:
+            raise falcon.HTTPNotFound(title="piece is not cached")
+        resp.content_type = "application/octet-stream"
+        resp.data = data
+
+    def on_put(self, req, resp, digest):
+        key = self._key(req, digest)
+        data = req.bounded_stream.read()
+        if key[1] != self._engine.model.weight_version:
+            raise falcon.HTTPConflict(title="weight version is not loaded")
+        if not self._engine.model.import_piece(key, data):
+            raise falcon.HTTPError(507, title="no room in the cache")
+        resp.status = falcon.HTTP_204
+
+    def on_delete_all(self, req, resp):
+        self._engine.model.evict_all()
+        resp.status = falcon.HTTP_204
+
+    def on_get_events(self, req, resp):
+        since = req.get_param_as_int("since", default=0)
+        resp.media = {"events": self._engine.events_since(since)}
+
+
+class _Control:
+    """Load, orders, and faults for tests."""
+
+    def __init__(self, engine):
+        self._engine = engine
+
+    def on_get_load(self, req, resp):
+        resp.media = self._engine.load_report()
+
+    def on_get_orders(self, req, resp):
+        resp.media = {"orders": self._engine.orders}
+
+    def on_post_orders(self, req, resp):
+        order = _body(req)
+        try:
+            accepted = self._engine.order(order)
+        except KeyError as error:
+            raise falcon.HTTPBadRequest(title=f"order lacks {error}")
+        if not accepted:
+            raise falcon.HTTPConflict(title="older fencing number")
+        resp.media = order
+
+    def on_put_faults(self, req, resp):
+        body = _body(req)
+        self._engine.cut_after = body["cut_after"]
+        self._engine.cuts_left = body.get("times", 1)
+        resp.status = falcon.HTTP_204
+
+
+def _body(req):
+    try:
+        body = msgspec.json.decode(req.bounded_stream.read())
+    except msgspec.DecodeError as error:
+        raise falcon.HTTPBadRequest(title=str(error))
+    if not isinstance(body, dict):
+        raise falcon.HTTPBadRequest(title="body is not an object")
+    return body
+
+
+def _prompt_tokens(body):
+    if "messages" in body:
+        return engine_model.tokens_of(
+            "\n".join(
+                f"{message['role']}: {_content(message)}"
+                for message in body["messages"]
+            )
+        )
+    prompt = body.get("prompt", "")
+    if isinstance(prompt, str):
+        return engine_model.tokens_of(prompt)
+    return prompt
+
+
+def _content(message):
+    content = message.get("content") or ""
+    if isinstance(content, str):
+        return content
+    return " ".join(part.get("text", "") for part in content)
+
+
+def _max_tokens(body):
+    count = body.get("max_completion_tokens", body.get("max_tokens", 16))
+    if not isinstance(count, int) or count < 1:
+        raise falcon.HTTPBadRequest(title="max_tokens must be at least 1")
+    return count
+
+
+def _event(media):
+    return b"data: " + msgspec.json.encode(media) + b"\n\n"
+
+
+def make_server(
+    host: str = "127.0.0.1", port: int = 0, **options: object
+) -> serving.Server:
+    """Make an engine.
+
+    Args:
+        host: address to listen on.
+        port: port to listen on; 0 chooses a free one.
+        options: fields of engine_model.Options.
+
+    Returns: a server that has not been started; `state` is the Engine.
+    """
+    engine = Engine(engine_model.Options(**options), clocks.make_clock())
+    completions = _Completions(engine)
+    kv = _Kv(engine)
+    control = _Control(engine)
+    app = falcon.App()
+    app.add_route("/v1/completions", completions)
+    app.add_route("/v1/chat/completions", completions, suffix="chat")
+    app.add_route(
+        "/v1/streams/{stream_id}/resume", completions, suffix="resume"
+    )
+    app.add_route("/v1/models", _Models(engine))
+    app.add_route("/tokenize", _Tokenize())
+    app.add_route("/kv", kv, suffix="all")
+    app.add_route("/kv/pieces/{digest}", kv)
+    app.add_route("/kv/events", kv, suffix="events")
+    app.add_route("/load", control, suffix="load")
+    app.add_route("/orders", control, suffix="orders")
+    app.add_route("/faults", control, suffix="faults")
+    return serving.Server(app, host, port, engine, [engine.run])
+
+
+def main(**options: object) -> None:
+    """Serve until SIGTERM; options are those of make_server."""
+    serving.run(make_server(**options))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/fakes/engine_model.py
@@ -0,0 +1,439 @@
+"""Model of an engine: continuous batching, prefix cache, priorities."""
+
+from array import array
+import collections
+import hashlib
+import heapq
+import struct
+import zlib
+
+import msgspec
+
+# Size of a cache block, as in the design page.
+PIECE_TOKENS = 2000
+
+_MAGIC = b"KV01"
+
+
+def tokens_of(text: str) -> list[int]:
+    """Returns: one token id for each whitespace-separated word."""
+    return [zlib.crc32(word.encode()) for word in text.split()]
+
+
+def _pack(tokens: list[int]) -> bytes:
+    return array("Q", tokens).tobytes()
+
+
+def _chain(parent: str, packed: bytes) -> str:
+    digest = hashlib.blake2b(parent.encode(), digest_size=16)
+    digest.update(packed)
+    return digest.hexdigest()
+
+
+def answer_words(
+    workspace: str, weight_version: str, tokens: list[int], count: int
+) -> list[str]:
+    """Words of the answer to a prompt.
+
+    Returns: `count` words `wN-HASH`, where HASH tells answers of other
+        workspaces, weight versions and prompts apart.
+    """
+    seed = _chain(f"{workspace}\0{weight_version}\0answer", _pack(tokens))
+    return [f"w{index}-{seed[:12]}" for index in range(count)]
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Options of an engine; times in seconds, rates per second."""
+
+    model: str = "demo-model"
+    weight_version: str = "v1"
+    role: str = "mixed"
+    slots: int = 8
+    prefill_tokens_per_s: float = 20_000.0
+    decode_interval_s: float = 0.01
+    cache_tokens: int = 400_000
+    bytes_per_token: int = 64
+    load_time_s: float = 0.8
+    weight_store: str = ""
+    check_fencing: bool = False
+    load_lag_s: float = 0.0
+    event_delay_s: float = 0.0
+    event_drop_rate: float = 0.0
+    resume_window_s: float = 5.0
+    seed: int = 1
+
+
+class Block:
+    """One cached piece of a prompt."""
+
+    __slots__ = ("key", "parent", "packed", "poisoned", "pins")
+
+    def __init__(self, key, parent, packed, poisoned=False):
+        self.key = key
+        self.parent = parent
+        self.packed = packed
+        self.poisoned = poisoned
+        self.pins = 0
+
+
+class Request:
+    """One prompt and the progress of its answer."""
+
+    __slots__ = (
+        "request_id",
+        "workspace",
+        "tokens",
+        "max_tokens",
+        "priority",
+        "sequence",
+        "weight_version",
+        "digests",
+        "position",
+        "left",
+        "cached_tokens",
+        "poisoned",
+        "known",
+        "emitted",
+        "state",
+        "blocks",
+        "words",
+        "on_change",
+    )
+
+    def __init__(
+        self, request_id, workspace, tokens, max_tokens, priority=0, known=0
+    ):
+        self.request_id = request_id
+        self.workspace = workspace
+        self.tokens = tokens
+        self.max_tokens = max_tokens
+        self.priority = priority
+        # Tokens generated before the connection was lost.
+        self.known = known
+        self.sequence = 0
+        self.weight_version = ""
+        self.digests = []
+        self.position = 0
+        # Prompt tokens of the current block still to compute; None between
+        # blocks.
+        self.left = None
+        self.cached_tokens = 0
+        self.poisoned = False
+        self.emitted = 0
+        self.state = "new"
+        self.blocks = []
+        self.words = []
+        self.on_change = None
+
+    @property
+    def finished(self) -> bool:
+        """Whether the whole answer has been generated."""
+        return self.state == "finished"
+
+
+class Model:
+    """State of an engine, moved forward by explicit times.
+
+    Prefill capacity goes to one admitted request at a time, the most urgent
+    and then the oldest; all decoding requests emit one token at each step.
+    A request gets its weight version when it gets a slot.
+
+    Args:
+        options: rates and sizes.
+        now: current time in seconds.
+        on_event: called with (kind, key) when a block is stored or removed.
+    """
+
+    def __init__(self, options: Options, now: float, on_event=None) -> None:
+        self.weight_version = options.weight_version
+        self.cancelled = 0
+        self.finished = 0
+        self._options = options
+        self._time = now
+        self._on_event = on_event or (lambda kind, block: None)
+        self._sequence = 0
+        self._waiting = []
+        self._prefilling = []
+        self._decoding = []
+        self._next_step = None
+        self._cache = collections.OrderedDict()
+
+    def submit(self, request: Request, now: float) -> None:
+        """Queue a request."""
+        self.advance(now)
+        self._sequence += 1
+        request.sequence = self._sequence
+        request.state = "waiting"
+        heapq.heappush(
+            self._waiting, (request.priority, request.sequence, request)
+        )
+        self.advance(now)
+
+    def cancel(self, request: Request, now: float) -> bool:
+        """Free the slot of a request at once.
+
+        Returns: False when the request had already ended.
+        """
+        self.advance(now)
+        if request.state in ("finished", "cancelled"):
+            return False
+        if request.state == "waiting":
+            self._waiting = [w for w in self._waiting if w[2] is not request]
+            heapq.heapify(self._waiting)
+        self._release(request, "cancelled")
+        self.cancelled += 1
+        self.advance(now)
+        return True
+
+    def advance(self, now: float) -> float | None:
+        """Do everything that is due.
+
+        Returns: time of the next change, None when idle.
+        """
+        while True:
+            self._admit()
+            head = min(
+                self._prefilling,
+                key=lambda r: (r.priority, r.sequence),
+                default=None,
+            )
+            if head is not None and head.left is None:
+                self._start_block(head)
+                continue
+            due = self._next_step
+            if head is not None:
+                block_at = (
+                    self._time + head.left / self._options.prefill_tokens_per_s
+                )
+                due = block_at if due is None else min(due, block_at)
+            until = now if due is None else min(now, due)
+            if until > self._time:
+                if head is not None:
+                    head.left -= (
+                        until - self._time
+                    ) * self._options.prefill_tokens_per_s
+                self._time = until
+            if due is None or due > now:
+                return due
+            if head is not None and block_at <= due:
+                self._finish_block(head)
+            else:
+                self._step()
+
+    def swap(self, weight_version: str, now: float) -> None:
+        """Use new weights for requests that get their slot from now on."""
+        self.advance(now)
+        self.weight_version = weight_version
+        self._drop_stale()
+        self.advance(now)
+
+    def serves(self, weight_version: str) -> bool:
+        """Whether the version is loaded or still finishes replies."""
+        return weight_version == self.weight_version or any(
+            r.weight_version == weight_version
+            for r in self._prefilling + self._decoding
+        )
+
+    def load(self) -> dict:
+        """Returns: counts of requests and tokens, and the version."""
+        waiting = sum(len(w[2].tokens) for w in self._waiting)
+        prefilling = sum(len(r.tokens) - r.position for r in self._prefilling)
+        return {
+            "running": len(self._prefilling) + len(self._decoding),
+            "waiting": len(self._waiting),
+            "waiting_prefill_tokens": waiting + prefilling,
+            "cached_tokens": len(self._cache) * PIECE_TOKENS,
+            "slots": self._options.slots,
+            "weight_version": self.weight_version,
+            "cancelled": self.cancelled,
+            "finished": self.finished,
+        }
+
+    def export_piece(self, key: tuple[str, str, str]) -> bytes | None:
+        """Returns: the bytes of a cached block, None when not cached."""
+        block = self._cache.get(key)
+        if block is None:
+            return None
+        return _piece_bytes(
+            key, block.parent, block.packed, self._options.bytes_per_token
+        )
+
+    def import_piece(self, key: tuple[str, str, str], data: bytes) -> bool:
+        """Add a block from bytes; wrong bytes make a poisoned block.
+
+        Returns: False when the cache has no room for it.
+        """
+        block = _parse_piece(key, data, self._options.bytes_per_token)
+        return self._store(block)
+
+    def evict_all(self) -> None:
+        """Drop every block that no running request uses."""
+        for block in list(self._cache.values()):
+            if not block.pins:
+                self._remove(block)
+
+    def _admit(self):
+        while (
+            self._waiting
+            and len(self._prefilling) + len(self._decoding)
+            < self._options.slots
+        ):
+            request = heapq.heappop(self._waiting)[2]
+            request.state = "prefilling"
+            request.weight_version = self.weight_version
+            request.digests = self._digests(request)
+            self._prefilling.append(request)
+
+    def _digests(self, request):
+        digests = []
+        parent = f"{request.workspace}\0{request.weight_version}"
+        for start in range(
+            0, len(request.tokens) // PIECE_TOKENS * PIECE_TOKENS, PIECE_TOKENS
+        ):
+            packed = _pack(request.tokens[start : start + PIECE_TOKENS])
+            parent = _chain(parent, packed)
+            digests.append(parent)
+        return digests
+
+    def _key(self, request, index):
+        return (
+            request.workspace,
+            request.weight_version,
+            request.digests[index],
+        )
+
+    def _start_block(self, request):
+        index = request.position // PIECE_TOKENS
+        if index < len(request.digests):
+            block = self._cache.get(self._key(request, index))
+            if block is not None:
+                self._use(request, block)
+                request.cached_tokens += PIECE_TOKENS
+                request.position += PIECE_TOKENS
+            else:
+                request.left = PIECE_TOKENS
+        else:
+            # The last token is always computed, also when all blocks of the
+            # prompt are cached, since it gives the first word.
+            request.left = max(1, len(request.tokens) - request.position)
+
+    def _finish_block(self, request):
+        request.left = None
+        index = request.position // PIECE_TOKENS
+        if index < len(request.digests):
+            start = request.position
+            request.position += PIECE_TOKENS
+            key = self._key(request, index)
+            block = self._cache.get(key)
+            if block is None:
+                block = Block(
+                    key,
+                    request.digests[index - 1] if index else "",
+                    _pack(request.tokens[start : start + PIECE_TOKENS]),
+                    request.poisoned,
+                )
+                if not self._store(block):
+                    return
+            self._use(request, block)
+            return
+        request.position = len(request.tokens)
+        self._prefilling.remove(request)
+        self._decoding.append(request)
+        request.state = "decoding"
+        request.words = answer_words(
+            request.workspace,
+            request.weight_version,
+            request.tokens,
+            request.max_tokens,
+        )
+        if request.poisoned:
+            request.words[:1] = ["CORRUPT"]
+        request.emitted = request.known
+        if self._next_step is None:
+            self._next_step = self._time + self._options.decode_interval_s
+        self._emit(request)
+
+    def _step(self):
+        for request in list(self._decoding):
+            self._emit(request)
+        self._next_step += self._options.decode_interval_s
+        if not self._decoding:
+            self._next_step = None
+
+    def _emit(self, request):
+        request.emitted = min(request.emitted + 1, request.max_tokens)
+        if request.emitted == request.max_tokens:
+            self.finished += 1
+            self._release(request, "finished")
+        if request.on_change is not None:
+            request.on_change()
+
+    def _release(self, request, state):
+        request.state = state
+        for running in (self._prefilling, self._decoding):
+            if request in running:
+                running.remove(request)
+        # The end of a prompt is released first, so that eviction takes it
+        # before the start, which more prompts share.
+        for block in reversed(request.blocks):
+            block.pins -= 1
+            if block.key in self._cache:
+                self._cache.move_to_end(block.key)
+        request.blocks = []
+        self._drop_stale()
+
+    def _use(self, request, block):
+        block.pins += 1
+        request.blocks.append(block)
+        request.poisoned = request.poisoned or block.poisoned
+
+    def _store(self, block):
+        if block.key in self._cache:
+            self._cache[block.key].poisoned |= block.poisoned
+            return True
+        limit = self._options.cache_tokens // PIECE_TOKENS
+        if len(self._cache) >= limit:
+            victim = next(
+                (b for b in self._cache.values() if not b.pins), None
+            )
+            if victim is None:
+                return False
+            self._remove(victim)
+        self._cache[block.key] = block
+        self._on_event("stored", block)
+        return True
+
+    def _remove(self, block):
+        del self._cache[block.key]
+        self._on_event("removed", block)
+
+    def _drop_stale(self):
+        for block in list(self._cache.values()):
+            if block.key[1] != self.weight_version and not block.pins:
+                self._remove(block)
+
+
+def _piece_bytes(key, parent, packed, bytes_per_token):
+    header = msgspec.msgpack.encode((key, parent, packed))
+    size = PIECE_TOKENS * bytes_per_token
+    head = _MAGIC + struct.pack("<I", len(header)) + header
+    if len(head) > size:
+        raise ValueError(f"bytes_per_token={bytes_per_token} is too small")
+    return head + hashlib.shake_128(header).digest(size - len(head))
+
+
+def _parse_piece(key, data, bytes_per_token):
+    """Returns: the block, poisoned unless the bytes belong to the key."""
+    try:
+        (length,) = struct.unpack_from("<I", data, len(_MAGIC))
+        start = len(_MAGIC) + 4
+        _, parent, packed = msgspec.msgpack.decode(
+            data[start : start + length],
+            type=tuple[tuple[str, str, str], str, bytes],
+        )
+        right = data == _piece_bytes(key, parent, packed, bytes_per_token)
+    except (struct.error, msgspec.MsgspecError):
+        return Block(key, "", b"", True)
+    seed = parent or f"{key[0]}\0{key[1]}"
+    right = right and _chain(seed, packed) == key[2]
+    return Block(key, parent, packed, not right)
