--- /dev/null
+++ b/papayalink/state/ledger.py
@@ -0,0 +1,286 @@
+"""Ledger of calls that may run at most once."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+# Claim ids that a record remembers as withdrawn. A claim proposed again that
+# late has been given up by its entry, whose own deadline is far shorter.
+MAX_WITHDRAWN = 8
+
+
+class Claimed(msgspec.Struct, frozen=True, tag=True):
+    """An entry intends to dispatch the call.
+
+    Attributes:
+        withdrawn: earlier claim ids, which stay refused.
+    """
+
+    body_digest: str
+    claim_id: str
+    at_s: float
+    withdrawn: tuple[str, ...] = ()
+
+
+class Started(msgspec.Struct, frozen=True, tag=True):
+    """An agent was allowed to dispatch the call, once."""
+
+    body_digest: str
+    claim_id: str
+    agent: str
+    at_s: float
+
+
+class Finished(msgspec.Struct, frozen=True, tag=True):
+    """The call ran and its answer is known.
+
+    Attributes:
+        answer: encoded answer; empty when it was too large to keep.
+    """
+
+    body_digest: str
+    status: int
+    answer: bytes
+    at_s: float
+
+
+class Void(msgspec.Struct, frozen=True, tag=True):
+    """The claim was withdrawn before any start; the call did not run."""
+
+    body_digest: str
+    withdrawn: tuple[str, ...]
+    at_s: float
+
+
+Record = Claimed | Started | Finished | Void
+
+
+class Claim(msgspec.Struct, frozen=True, tag=True):
+    """Claim a call before it leaves the entry.
+
+    Attributes:
+        at_s: wall-clock seconds, set by the proposer.
+    """
+
+    workspace: str
+    key: str
+    body_digest: str
+    claim_id: str
+    at_s: float
+
+
+class Start(msgspec.Struct, frozen=True, tag=True):
+    """Allow an agent to dispatch a claimed call."""
+
+    workspace: str
+    key: str
+    claim_id: str
+    agent: str
+    at_s: float
+
+
+class Finish(msgspec.Struct, frozen=True, tag=True):
+    """Record the answer of a started call."""
+
+    workspace: str
+    key: str
+    claim_id: str
+    status: int
+    answer: bytes
+    at_s: float
+
+
+class Withdraw(msgspec.Struct, frozen=True, tag=True):
+    """Void a claim that was not started."""
+
+    workspace: str
+    key: str
+    claim_id: str
+    at_s: float
+
+
+class Expire(msgspec.Struct, frozen=True, tag=True):
+    """Forget records older than a time, in wall-clock seconds."""
+
+    before_s: float
+
+
+Command = Claim | Start | Finish | Withdraw | Expire
+
+
+class Granted(msgspec.Struct, frozen=True, tag=True):
+    """The ledger moved as the command asked."""
+
+
+class Mismatch(msgspec.Struct, frozen=True, tag=True):
+    """The key was used with another body."""
+
+
+class Standing(msgspec.Struct, frozen=True, tag=True):
+    """The ledger did not move; this is the record as it stands."""
+
+    record: Record
+
+
+class Missing(msgspec.Struct, frozen=True, tag=True):
+    """There is no record of the call."""
+
+
+Outcome = Granted | Mismatch | Standing | Missing
+
+_Key = tuple[str, str]
+
+
+class Ledger:
+    """Records by workspace and idempotency key.
+
+    A record moves claimed -> started -> finished, or claimed -> void ->
+    claimed under a new claim id. No other move exists, so a call under one
+    key is started at most once in the retention period.
+    """
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[_Key, Record] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def find(self, workspace: str, key: str) -> Record | None:
+        """Returns: the record of a call, None when there is none."""
+        return self._records.get((workspace, key))
+
+    def apply(self, command: Command) -> Outcome:
+        """Carry out one committed command.
+
+        Returns: Granted when the ledger moved, else what stands against it.
+        """
+        match command:
+            case Claim():
+                return self._claim(command)
+            case Start():
+                return self._start(command)
+            case Finish():
+                return self._finish(command)
+            case Withdraw():
+                return self._withdraw(command)
+            case Expire(before_s=before_s):
+                return self._expire(before_s)
+
+    def snapshot(self) -> list[tuple[str, str, Record]]:
+        """Returns: all records, oldest first."""
+        return [
+            (workspace, key, record)
+            for (workspace, key), record in self._records.items()
+        ]
+
+    def restore(self, records: list[tuple[str, str, Record]]) -> None:
+        self._records = {
+            (workspace, key): record for workspace, key, record in records
+        }
+
+    def _claim(self, command: Claim) -> Outcome:
+        place = (command.workspace, command.key)
+        withdrawn: tuple[str, ...] = ()
+        match self._records.get(place):
+            case None:
+                pass
+            case record if record.body_digest != command.body_digest:
+                return Mismatch()
+            case Void(withdrawn=withdrawn) as record:
+                # A delayed copy of a withdrawn claim must not revive it.
+                if command.claim_id in withdrawn:
+                    return Standing(record)
+            case Claimed(claim_id=command.claim_id):
+                # Proposed again after a lost answer.
+                return Granted()
+            case record:
+                return Standing(record)
+        self._put(
+            place,
+            Claimed(
+                command.body_digest, command.claim_id, command.at_s, withdrawn
+            ),
+        )
+        return Granted()
+
+    def _start(self, command: Start) -> Outcome:
+        place = (command.workspace, command.key)
+        match self._records.get(place):
+            case None:
+                return Missing()
+            case Claimed(claim_id=claim_id) as record if (
+                claim_id == command.claim_id
+            ):
+                self._put(
+                    place,
+                    Started(
+                        record.body_digest,
+                        claim_id,
+                        command.agent,
+                        command.at_s,
+                    ),
+                )
+                return Granted()
+            case record:
+                return Standing(record)
+
+    def _finish(self, command: Finish) -> Outcome:
+        place = (command.workspace, command.key)
+        match self._records.get(place):
+            case None:
+                return Missing()
+            case Started(claim_id=claim_id) as record if (
+                claim_id == command.claim_id
+            ):
+                self._put(
+                    place,
+                    Finished(
+                        record.body_digest,
+                        command.status,
+                        command.answer,
+                        command.at_s,
+                    ),
+                )
+                return Granted()
+            case record:
+                return Standing(record)
+
+    def _withdraw(self, command: Withdraw) -> Outcome:
+        place = (command.workspace, command.key)
+        match self._records.get(place):
+            case None:
+                return Missing()
+            case Claimed(claim_id=claim_id) as record if (
+                claim_id == command.claim_id
+            ):
+                withdrawn = (*record.withdrawn, claim_id)[-MAX_WITHDRAWN:]
+                self._put(
+                    place, Void(record.body_digest, withdrawn, command.at_s)
+                )
+                return Granted()
+            case Void(withdrawn=withdrawn) if command.claim_id in withdrawn:
+                return Granted()
+            case record:
+                return Standing(record)
+
+    def _expire(self, before_s: float) -> Outcome:
+        for place in list(self._expired(before_s)):
+            del self._records[place]
+        return Granted()
+
+    def _expired(self, before_s: float) -> Iterator[_Key]:
+        # Records are kept in the order of their last move.
+        for place, record in self._records.items():
+            if record.at_s >= before_s:
+                return
+            yield place
+
+    def _put(self, place: _Key, record: Record) -> None:
+        self._records.pop(place, None)
+        self._records[place] = record
+
+
+def make_ledger() -> Ledger:
+    return Ledger()
