--- /dev/null
+++ b/tests/coordination/test_queueing.py
@@ -0,0 +1,264 @@
+"""Tests of the queue of one agent."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.coordination import errors
+from papayalink.coordination import queueing
+
+RANKS = (
+    queueing.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
+    queueing.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
+)
+OWED = 0.2 + 0.3 / 4
+
+
+def _item(number, workspace="a", rank="urgent", tokens=100, deadline=None):
+    return queueing.Item(str(number), workspace, rank, tokens, deadline)
+
+
+def _serve(queue, count, now=0.0):
+    """Pop and finish up to `count` items; returns them."""
+    served = []
+    for _ in range(count):
+        item = queue.pop(now)
+        if item is None:
+            break
+        queue.finished(item, item.tokens, now)
+        served.append(item)
+    return served
+
+
+@pytest.mark.parametrize(
+    "records, expected",
+    [
+        ([("a", 3.0, 0.5), ("b", 1.0, 0.3)], [0.65, 0.35]),
+        ([("a", 0.0, 0.5), ("b", 0.0, 0.1)], [0.7, 0.3]),
+        ([("a", 1.0, 1.0), ("b", 1.0, 0.0)], [1.0, 0.0]),
+        ([("a", 1.0, 0.7), ("b", 1.0, 0.4)], None),
+        ([("a", 1.0, 0.1), ("a", 1.0, 0.1)], None),
+        ([("a", -1.0, 0.1)], None),
+        ([], None),
+    ],
+)
+def test_owed_shares(records, expected):
+    # Guards against a document that promises more than the whole.
+    ranks = [queueing.Rank(n, 1.0, w, m) for n, w, m in records]
+    if expected is None:
+        with pytest.raises(errors.InvalidRanks):
+            queueing.make_queue(ranks)
+    else:
+        assert queueing.owed_shares(ranks) == pytest.approx(expected)
+
+
+def test_urgent_goes_first_after_other_rank_alone():
+    # Guards against a rank that was just served in full blocking urgent work.
+    queue = queueing.make_queue(RANKS)
+    for number in range(40):
+        queue.push(_item(number, rank="deferrable"), 0.0)
+    _serve(queue, 20)
+    for number in range(100, 105):
+        queue.push(_item(number), 0.0)
+    assert [item.rank for item in _serve(queue, 5)] == ["urgent"] * 5
+
+
+@hypothesis.given(
+    st.lists(st.integers(1, 400), min_size=30, max_size=80),
+    st.lists(st.integers(1, 400), min_size=30, max_size=80),
+    st.integers(0, 20),
+)
+def test_flooded_out_rank_keeps_its_share(urgent, other, head_start):
+    # Guards against starvation of the other rank in a flood of urgent work.
+    queue = queueing.make_queue(RANKS)
+    for number, tokens in enumerate(other):
+        queue.push(_item(f"d{number}", "b", "deferrable", tokens), 0.0)
+    lead = sum(item.tokens for item in _serve(queue, head_start))
+    for number, tokens in enumerate(urgent):
+        queue.push(_item(f"u{number}", "a", "urgent", tokens), 0.0)
+    total, kept = lead, 0
+    # One item of its own may be waiting to be owed in full, and one urgent
+    # item may have been charged since.
+    slack = 400 * (1 + OWED) + 1e-6
+    while queue.depth("urgent") and queue.depth("deferrable"):
+        item = _serve(queue, 1)[0]
+        total += item.tokens
+        kept += item.tokens * (item.rank == "deferrable")
+        # The lead is measured over the tokens of one window.
+        assert kept >= OWED * (total - lead) - OWED * lead - slack
+    # Urgent first: no more than it is owed while urgent work waits.
+    if not queue.depth("deferrable"):
+        return
+    assert kept <= OWED * (total - lead) + slack
+
+
+def test_lead_is_forgotten_after_a_window():
+    # Guards against a long quiet time of urgent work that starves the other
+    # rank for as long afterwards.
+    queue = queueing.make_queue(RANKS, queueing.Bounds(9999, 10**9, 9999))
+    for number in range(3000):
+        queue.push(_item(f"d{number}", "b", "deferrable"), 0.0)
+    for step in range(1000):
+        _serve(queue, 1, step * 0.1)
+    for number in range(1000):
+        queue.push(_item(f"u{number}"), 100.0)
+    served = []
+    for step in range(400):
+        served += _serve(queue, 1, 100.0 + step * 0.1)
+    kept = sum(item.rank == "deferrable" for item in served)
+    assert kept >= OWED * (400 - 2 * 20) - 1
+
+
+@hypothesis.given(
+    st.dictionaries(
+        st.sampled_from("abcdef"),
+        st.lists(st.integers(1, 500), min_size=20, max_size=40),
+        min_size=2,
+    ),
+    st.sampled_from([0.25, 1.0, 3.0]),
+    st.integers(1, 6),
+)
+def test_backlogged_workspaces_share_by_tokens(work, factor, slots):
+    # Guards against a caller that gains by large, many or wrongly estimated
+    # requests: the difference never exceeds a few requests.
+    queue = queueing.make_queue(RANKS)
+    for workspace, sizes in sorted(work.items()):
+        for number, tokens in enumerate(sizes):
+            queue.push(_item(f"{workspace}{number}", workspace), 0.0)
+    served = dict.fromkeys(work, 0)
+    running = []
+    while all(queue._ranks["urgent"].workspaces[name].items for name in work):
+        item = queue.pop(0.0)
+        running.append(item)
+        if len(running) == slots:
+            done = running.pop(0)
+            name, number = done.workspace, int(done.request_id[1:])
+            taken = int(work[name][number] * factor)
+            served[name] += taken
+            queue.finished(done, taken, 0.0)
+            spread = max(served.values()) - min(served.values())
+            assert spread <= (slots + 1) * (500 * max(1, factor) + 100)
+
+
+def test_idle_workspace_builds_up_no_credit():
+    # Guards against a returning caller that holds up those that kept going.
+    queue = queueing.make_queue(RANKS)
+    for number in range(30):
+        queue.push(_item(f"a{number}", "a"), 0.0)
+    queue.push(_item("b0", "b"), 0.0)
+    _serve(queue, 20)
+    for number in range(1, 11):
+        queue.push(_item(f"b{number}", "b"), 0.0)
+    order = "".join(item.workspace for item in _serve(queue, 10))
+    assert order.count("b") <= 6
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["push", "push", "pop", "finish", "remove", "expire"]),
+        st.sampled_from("abc"),
+        st.sampled_from(["urgent", "deferrable"]),
+        st.integers(1, 60),
+        st.sampled_from([None, 1.0, 3.0]),
+    ),
+    max_size=120,
+)
+
+
+@hypothesis.given(OPERATIONS, st.sampled_from([None, 2, 4]))
+def test_each_item_leaves_once_and_bounds_hold(operations, slots):
+    # Guards against lost or doubled requests and against unbounded memory.
+    bounds = queueing.Bounds(6, 150, 4, 100)
+    queue = queueing.make_queue(RANKS, bounds, slots)
+    pushed, left, running = set(), [], []
+    for step, (action, workspace, rank, tokens, wait) in enumerate(operations):
+        now = step * 0.5
+        if action == "push":
+            deadline = None if wait is None else now + wait
+            pushed.add(str(step))
+            outcome = queue.push(
+                _item(step, workspace, rank, tokens, deadline), now
+            )
+            left += outcome.shed
+        elif action == "pop":
+            item = queue.pop(now)
+            if item is not None:
+                assert item.deadline is None or item.deadline > now
+                left.append(item)
+                running.append(item)
+        elif action == "finish" and running:
+            queue.finished(running.pop(0), tokens, now)
+        elif action == "remove" and pushed:
+            removed = queue.remove(sorted(pushed)[step % len(pushed)])
+            left += [removed] if removed else []
+        elif action == "expire":
+            left += queue.take_expired(now)
+        for name in ("urgent", "deferrable"):
+            assert queue.depth(name) <= 6
+            assert queue.queued_tokens(name) <= 150
+    queue.set_slots(None)
+    left += queue.take_expired(1000.0)
+    left += _serve(queue, 100, 1000.0)
+    left += queue.update_ranks([queueing.Rank("new", 1.0)])
+    assert sorted(item.request_id for item in left) == sorted(pushed)
+
+
+@pytest.mark.parametrize(
+    "workspace, accepted, shed",
+    [("small", True, ["6"]), ("large", False, ["new"])],
+)
+def test_sheds_from_the_largest_workspace(workspace, accepted, shed):
+    # Guards against small callers that lose their place in a flood.
+    queue = queueing.make_queue(RANKS, queueing.Bounds(items_per_rank=8))
+    for number in range(7):
+        queue.push(_item(number, "large"), 0.0)
+    queue.push(_item("s", "small"), 0.0)
+    outcome = queue.push(_item("new", workspace), 0.0)
+    assert outcome.accepted is accepted
+    assert [item.request_id for item in outcome.shed] == shed
+
+
+def test_slots_are_held_free_for_urgent_work():
+    # Guards against long requests of the other rank in every slot.
+    queue = queueing.make_queue(RANKS, slots=8)
+    for number in range(3):
+        queue.push(_item(f"u{number}"), 0.0)
+    for item in [queue.pop(0.0) for _ in range(3)]:
+        queue.finished(item, 100, 0.1)
+    for number in range(20):
+        queue.push(_item(f"d{number}", "b", "deferrable"), 0.2)
+    while queue.pop(0.2):
+        pass
+    assert queue.running == 4
+    queue.push(_item("u9"), 0.3)
+    assert queue.pop(0.3).rank == "urgent"
+
+
+@pytest.mark.parametrize(
+    "item, error",
+    [
+        (_item(1), errors.DuplicateRequest),
+        (_item(2), errors.DuplicateRequest),
+        (_item(3, rank="none"), errors.UnknownRank),
+    ],
+)
+def test_push_refuses_wrong_items(item, error):
+    # Guards against two answers under one request id.
+    queue = queueing.make_queue(RANKS)
+    queue.push(_item(1), 0.0)
+    queue.pop(0.0)
+    queue.push(_item(2), 0.0)
+    with pytest.raises(error):
+        queue.push(item, 0.0)
+
+
+def test_fifo_baseline_ignores_rank():
+    # Guards against a baseline that is better or worse than plain FIFO.
+    queue = queueing.FifoQueue(max_items=3)
+    queue.push(_item(1, rank="deferrable"), 0.0)
+    queue.push(_item(2, deadline=1.0), 0.0)
+    queue.push(_item(3), 0.0)
+    assert not queue.push(_item(4), 0.0).accepted
+    assert queue.pop(2.0).request_id == "1"
+    assert queue.pop(2.0).request_id == "3"
+    assert [item.request_id for item in queue.take_expired(2.0)] == ["2"]
