--- /dev/null
+++ b/papayalink/coordination/follower.py
@@ -0,0 +1,168 @@
+"""Task that keeps a process's configuration confirmed."""
+
+from collections.abc import Callable
+import random
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink import clock as clocks
+from papayalink import logs
+from papayalink import timers
+from papayalink.coordination import lease as leases
+from papayalink.protocol import messages
+from papayalink.state import document as documents
+from papayalink.state import errors as state_errors
+from papayalink.state import held
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import rpc
+
+
+class _PollDue(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class Follower:
+    """Polls control members and holds what they confirm.
+
+    Args:
+        identity: (process, role, incarnation) sent with each poll.
+        controls: RPC addresses of the control members.
+        client: calls them.
+        clock: measures the lease.
+        timer_service: delivers the poll ticks.
+        fill: adds load, watched upstreams and demand to a poll.
+    """
+
+    __slots__ = (
+        "_identity",
+        "_controls",
+        "_client",
+        "_clock",
+        "_timers",
+        "_fill",
+        "_held",
+        "_lease",
+        "_inbox",
+        "_reply",
+        "_received_at",
+        "_listeners",
+        "_log",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        identity: tuple[str, str, str],
+        controls: list[str],
+        client: rpc.RpcClient,
+        clock: clocks.Clock,
+        timer_service: timers.TimerService,
+        fill: Callable[[messages.Poll], messages.Poll],
+    ) -> None:
+        self._identity = identity
+        self._controls = list(controls)
+        random.shuffle(self._controls)
+        self._client = client
+        self._clock = clock
+        self._timers = timer_service
+        self._fill = fill
+        self._held = held.make_held_configuration()
+        self._lease = leases.make_lease()
+        self._inbox = queue.Queue()
+        self._reply = messages.PollReply(version=0)
+        self._received_at = 0.0
+        self._listeners: list[Callable[[], None]] = []
+        self._log = logs.get_logger()
+        self._task: gevent.Greenlet | None = None
+
+    @property
+    def version(self) -> int:
+        return self._held.version
+
+    @property
+    def document(self) -> documents.Document:
+        return self._held.document
+
+    @property
+    def reply(self) -> messages.PollReply:
+        """Newest reply: leaving upstreams, loads, shares."""
+        return self._reply
+
+    @property
+    def confirmed(self) -> bool:
+        """The configuration lease is valid, new work may be taken."""
+        return self._lease.valid(self._clock.now())
+
+    @property
+    def lease_left_s(self) -> float:
+        return self._lease.left_s(self._clock.now())
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a function, which must not block, after each reply."""
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        self._timers.every(leases.POLL_PERIOD_S, self._inbox, _PollDue())
+        self._inbox.put(_PollDue())
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.kill()
+
+    def _run(self) -> None:
+        while True:
+            self._inbox.get()
+            while not self._inbox.empty():
+                self._inbox.get()
+            for _ in range(len(self._controls)):
+                if self._poll(self._controls[0]):
+                    break
+                self._controls.append(self._controls.pop(0))
+
+    def _poll(self, address: str) -> bool:
+        process, role, incarnation = self._identity
+        poll = self._fill(
+            messages.Poll(
+                process,
+                role,
+                incarnation,
+                self._held.version,
+                self._held.digest,
+            )
+        )
+        sent_at = self._clock.now()
+        try:
+            reply = self._client.call(
+                address, "Poll", poll, leases.POLL_TIMEOUT_S
+            )
+            changed = self._held.update(
+                reply.version, reply.document, reply.delta, reply.digest
+            )
+        except transport_errors.TransportError as error:
+            self._log.warning("poll_failed", address=address, reason=error)
+            return False
+        except state_errors.StateError as error:
+            self._log.warning("poll_refused", address=address, reason=error)
+            return False
+        self._lease.confirm(sent_at)
+        self._reply = reply
+        if changed:
+            self._log.info("configuration_changed", version=reply.version)
+        for listener in self._listeners:
+            listener()
+        return True
+
+
+def make_follower(
+    identity: tuple[str, str, str],
+    controls: list[str],
+    client: rpc.RpcClient,
+    clock: clocks.Clock,
+    timer_service: timers.TimerService,
+    fill: Callable[[messages.Poll], messages.Poll] = lambda poll: poll,
+) -> Follower:
+    """Returns: a follower that is not yet started."""
+    return Follower(identity, controls, client, clock, timer_service, fill)
