Add piece keys, piece encoding and piece stores

Cause: kept KV cache needs keys that no two workspaces or weight versions share, and stores that never serve a freed or partly written piece. Ruled out: a raw payload in the store with a checksum of its own, since then the bytes would be hashed and framed twice and the importer could not verify them against its key. One arena with reused blocks in memory, since immutable bytes give the same guarantee without a use-after-free to guard. Change: protocol.pieces, state.piece_store (memory, disk, tiered), and from coordination.retention the policy interface, LruPolicy and Occupancy.

--- /dev/null
+++ b/tests/state/test_piece_store.py
@@ -0,0 +1,271 @@
+"""Tests of the piece stores."""
+
+import errno
+import os
+
+import pytest
+
+from papayalink import clock as clocks
+from papayalink.coordination import retention
+from papayalink.protocol import pieces
+from papayalink.state import errors
+from papayalink.state import piece_store
+
+
+def _key(number, workspace="acme"):
+    return pieces.PieceKey(workspace, "v1", f"{number:032x}")
+
+
+def _piece(key, fill=b"k", size=100):
+    return pieces.encode_piece(key, fill * size)
+
+
+PIECE_BYTES = len(_piece(_key(0)))
+
+
+def _make(kind, folder, count, files=None):
+    capacity = count * PIECE_BYTES
+    match kind:
+        case "memory":
+            return piece_store.MemoryPieceStore(capacity)
+        case "disk":
+            return piece_store.DiskPieceStore(folder, capacity, files=files)
+        case "tiered":
+            return piece_store.make_store(
+                folder,
+                capacity,
+                capacity,
+                retention.LruPolicy(),
+                clocks.ManualClock(),
+            )
+
+
+@pytest.fixture(params=["memory", "disk", "tiered"])
+def make(request, tmp_path):
+    return lambda count: _make(request.param, str(tmp_path), count)
+
+
+def test_get_returns_what_was_put(make):
+    store = make(4)
+    store.put(_key(1), _piece(_key(1)))
+    with store.get(_key(1)) as pin:
+        assert pin.data == _piece(_key(1))
+    with pytest.raises(errors.PinReleased):
+        pin.data
+    assert store.contains([_key(1), _key(2)]) == [True, False]
+    assert store.get(_key(2)) is None
+    assert store.usage().pins == 0
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        pieces.PieceKey("other", "v1", _key(1).digest),
+        pieces.PieceKey("acme", "v2", _key(1).digest),
+    ],
+)
+def test_other_workspace_or_version_is_a_miss(make, other):
+    """Guards against an index that looks at the digest alone."""
+    store = make(4)
+    store.put(_key(1), _piece(_key(1)))
+    assert store.get(other) is None
+    with pytest.raises(errors.PieceRejected):
+        store.put(other, _piece(_key(1)))
+    assert store.contains([other]) == [False]
+
+
+def test_generation_tells_publications_apart(make):
+    """Guards against use of a piece that was freed and written again."""
+    store = make(4)
+    store.put(_key(1), _piece(_key(1)))
+    first = store.get(_key(1)).generation
+    assert store.get(_key(1), first) is not None
+    store.drop(_key(1))
+    assert store.get(_key(1), first) is None
+    store.put(_key(1), _piece(_key(1)))
+    assert store.get(_key(1), first) is None
+    assert store.get(_key(1)).generation > first
+
+
+def test_pinned_piece_is_not_evicted(make):
+    """Guards against freeing bytes that a reader still sends."""
+    store = make(2)
+    store.put(_key(1), _piece(_key(1)), value=1)
+    store.put(_key(2), _piece(_key(2)), value=2)
+    pin = store.get(_key(1))
+    store.put(_key(3), _piece(_key(3)), value=3)
+    assert store.contains([_key(1), _key(3)]) == [True, True]
+    # The tiers evict apart, so the disk tier still holds the other piece.
+    is_tiered = isinstance(store, piece_store.TieredPieceStore)
+    assert store.contains([_key(2)]) == [is_tiered]
+    assert pin.data == _piece(_key(1))
+
+
+def test_dropped_pinned_piece_counts_until_released(make):
+    """Guards against memory above capacity while readers are slow."""
+    store = make(2)
+    store.put(_key(1), _piece(_key(1)), value=1)
+    store.put(_key(2), _piece(_key(2)), value=9)
+    pin = store.get(_key(1))
+    assert store.drop(_key(1))
+    assert store.get(_key(1)) is None
+    assert pin.data == _piece(_key(1))
+    if not isinstance(store, piece_store.TieredPieceStore):
+        with pytest.raises(errors.StoreFull):
+            store.put(_key(3), _piece(_key(3)), value=1)
+        pin.release()
+        pin.release()
+    store.put(_key(3), _piece(_key(3)), value=1)
+
+
+@pytest.mark.parametrize(
+    "value, kept", [(0.5, [1, 2]), (1.0, [1, 2]), (1.5, [2, 3])]
+)
+def test_lowest_value_gives_way(make, value, kept):
+    store = make(2)
+    store.put(_key(1), _piece(_key(1)), value=1.0)
+    store.put(_key(2), _piece(_key(2)), value=2.0)
+    if kept == [1, 2]:
+        with pytest.raises(errors.StoreFull):
+            store.put(_key(3), _piece(_key(3)), value=value)
+    else:
+        store.put(_key(3), _piece(_key(3)), value=value)
+    held = [n for n in (1, 2, 3) if store.contains([_key(n)])[0]]
+    assert held == kept
+
+
+def test_piece_larger_than_the_store_is_refused(make):
+    store = make(1)
+    with pytest.raises(errors.StoreFull):
+        store.put(_key(1), _piece(_key(1), size=1000), value=9)
+
+
+def _damage(path, how):
+    data = bytearray(path.read_bytes())
+    match how:
+        case "cut":
+            path.write_bytes(data[:-1])
+        case "changed":
+            data[-1] ^= 1
+            path.write_bytes(data)
+        case "metadata":
+            data[30] ^= 1
+            path.write_bytes(data)
+        case "removed":
+            path.unlink()
+
+
+@pytest.mark.parametrize("restart", [False, True])
+@pytest.mark.parametrize("how", ["cut", "changed", "metadata", "removed"])
+def test_damaged_file_is_a_miss(tmp_path, how, restart):
+    """Guards against serving a file that was damaged or partly written."""
+    store = _make("disk", str(tmp_path), 4)
+    store.put(_key(1), _piece(_key(1)))
+    (path,) = tmp_path.glob("*.piece")
+    _damage(path, how)
+    if restart:
+        store = _make("disk", str(tmp_path), 4)
+    assert store.get(_key(1)) is None
+    assert store.contains([_key(1)]) == [False]
+    assert list(tmp_path.iterdir()) == []
+    assert store.usage().corrupt == (0 if restart and how == "removed" else 1)
+    assert store.usage().used_bytes == 0
+    store.put(_key(1), _piece(_key(1)))
+    assert store.get(_key(1)) is not None
+
+
+def test_file_under_another_name_is_a_miss(tmp_path):
+    """Guards against a file restored or renamed to another key's name."""
+    store = _make("disk", str(tmp_path), 4)
+    for number in (1, 2):
+        store.put(_key(number), _piece(_key(number)))
+    first, second = tmp_path.glob("*.piece")
+    os.replace(first, second)
+    assert [store.get(_key(n)) for n in (1, 2)] == [None, None]
+
+
+def test_restart_rebuilds_the_index(tmp_path):
+    facts = retention.PieceFacts("f", "", 0, 0.25)
+    store = _make("disk", str(tmp_path), 4)
+    store.put(_key(1), _piece(_key(1)), value=1, facts=facts)
+    store.put(_key(2), _piece(_key(2)), value=2)
+    generation = store.get(_key(1)).generation
+    (tmp_path / "left.piece.tmp").write_bytes(b"partly written")
+    store = _make("disk", str(tmp_path), 4)
+    assert store.get(_key(1), generation).data == _piece(_key(1))
+    assert store.describe(_key(1)) == (1, facts)
+    assert not list(tmp_path.glob("*.tmp"))
+    store = _make("disk", str(tmp_path), 1)
+    assert store.contains([_key(1), _key(2)]) == [False, True]
+    assert len(list(tmp_path.iterdir())) == 1
+
+
+class _FullDisk(piece_store.Files):
+    """Disk with room for a number of files."""
+
+    def __init__(self, folder, count, code=errno.ENOSPC):
+        self.folder = folder
+        self.count = count
+        self.code = code
+
+    def write(self, path, parts):
+        super().write(path, parts[:2])
+        if len(os.listdir(self.folder)) > self.count:
+            raise OSError(self.code, os.strerror(self.code))
+        os.remove(path)
+        super().write(path, parts)
+
+
+@pytest.mark.parametrize(
+    "code, value, expected, kept",
+    [
+        (errno.ENOSPC, 3, None, [2, 3]),
+        (errno.EDQUOT, 3, None, [2, 3]),
+        (errno.ENOSPC, 0, errors.StoreFull, [1, 2]),
+        (errno.EIO, 3, errors.StoreFailed, [1, 2]),
+    ],
+)
+def test_full_disk(tmp_path, code, value, expected, kept):
+    """Guards against a partly written piece that becomes visible."""
+    files = _FullDisk(str(tmp_path), 2, code)
+    store = _make("disk", str(tmp_path), 9, files)
+    store.put(_key(1), _piece(_key(1)), value=1)
+    store.put(_key(2), _piece(_key(2)), value=2)
+    if expected:
+        with pytest.raises(expected):
+            store.put(_key(3), _piece(_key(3)), value=value)
+    else:
+        store.put(_key(3), _piece(_key(3)), value=value)
+    assert [n for n in (1, 2, 3) if store.get(_key(n))] == kept
+    assert len(list(tmp_path.iterdir())) == 2
+    assert store.usage().used_bytes == 2 * PIECE_BYTES
+    reopened = _make("disk", str(tmp_path), 9)
+    assert [n for n in (1, 2, 3) if reopened.get(_key(n))] == kept
+
+
+def test_tiers(tmp_path):
+    """Memory holds the most valued, the disk everything."""
+    clock = clocks.ManualClock()
+    store = piece_store.make_store(
+        str(tmp_path),
+        PIECE_BYTES,
+        3 * PIECE_BYTES,
+        retention.LruPolicy(),
+        clock,
+    )
+    keys = [_key(n) for n in range(3)]
+    for key, facts in zip(keys, retention.make_facts(keys)):
+        clock.advance(1)
+        store.lookup([key])
+        store.put(key, _piece(key), facts=facts)
+    usage = store.usage_by_tier()
+    assert (usage["memory"].pieces, usage["disk"].pieces) == (1, 3)
+    clock.advance(1)
+    assert store.lookup([keys[0]]) == [True]
+    store.revalue()
+    on_disk = store.get(keys[0])
+    assert store.get(keys[0]).generation == on_disk.generation
+    assert store.usage_by_tier()["memory"].evicted == 3
+    for key in keys:
+        assert store.drop(key)
+    assert store.contains(keys) == [False] * 3
