--- a/papayalink/protocol/errors.py
+++ b/papayalink/protocol/errors.py
@@ -11,3 +11,7 @@
 
 class Truncated(ProtocolError):
     """A stream stopped without its end."""
+
+
+class PieceInvalid(ProtocolError):
+    """Bytes that are not the whole, unchanged piece of the expected key."""
--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -11,3 +11,19 @@
 
 class DigestMismatch(StateError):
     """A document differs from the one it should be."""
+
+
+class StoreFull(StateError):
+    """A piece was refused: nothing of lower value could make room for it."""
+
+
+class StoreFailed(StateError):
+    """The disk of a piece store failed; the piece was not published."""
+
+
+class PieceRejected(StateError):
+    """The bytes offered to a store are not a valid piece of their key."""
+
+
+class PinReleased(StateError):
+    """A pinned piece was read after its pin was released."""
