--- /dev/null
+++ b/papayalink/coordination/dispatch.py
@@ -0,0 +1,138 @@
+"""Runs an agent's queued requests on its upstream."""
+
+from gevent import event
+import msgspec
+
+from papayalink import clock as clocks
+from papayalink.coordination import queueing
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """The request may run now and holds a slot until it is finished."""
+
+
+class Declined(msgspec.Struct, frozen=True):
+    """The request was not run."""
+
+    reason: str
+    retry_after_s: float = 1.0
+
+
+Grant = Granted | Declined
+
+
+class Dispatcher:
+    """Owns the queue and the slots of one upstream.
+
+    Args:
+        work_queue: decides the order.
+        clock: time of pushes and pops.
+        slots: requests that the upstream runs at once.
+    """
+
+    __slots__ = ("_queue", "_clock", "_slots", "_waiting", "_running", "_held")
+
+    def __init__(
+        self,
+        work_queue: queueing.WorkQueue,
+        clock: clocks.Clock,
+        slots: int,
+    ) -> None:
+        self._queue = work_queue
+        self._clock = clock
+        self._slots = slots
+        self._waiting: dict[str, _Pending] = {}
+        self._running: dict[str, queueing.Item] = {}
+        self._held = False
+
+    @property
+    def waiting(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        return len(self._running)
+
+    @property
+    def tokens(self) -> int:
+        """Expected tokens of all queued and running requests."""
+        queued = (grant.item for grant in self._waiting.values())
+        return sum(item.tokens for item in (*queued, *self._running.values()))
+
+    def set_slots(self, slots: int) -> None:
+        self._slots = slots
+        self._start_next()
+
+    def hold(self) -> None:
+        """Start nothing until release(); what runs goes on."""
+        self._held = True
+
+    def release(self) -> None:
+        self._held = False
+        self._start_next()
+
+    def submit(self, item: queueing.Item) -> event.AsyncResult:
+        """Queue a request.
+
+        Returns: takes a Grant when the request may run or was refused.
+        """
+        grant = _Pending(item)
+        pushed = self._queue.push(item, self._clock.now())
+        if pushed.accepted:
+            self._waiting[item.request_id] = grant
+        else:
+            grant.set(Declined("queue is full"))
+        for shed in pushed.shed:
+            self._decline(shed, "queue is full")
+        self._start_next()
+        return grant
+
+    def finish(self, item: queueing.Item, tokens: int) -> None:
+        """Give back the slot of a request.
+
+        Args:
+            tokens: tokens of service that it took.
+        """
+        if self._running.pop(item.request_id, None) is not None:
+            self._queue.finished(item, tokens, self._clock.now())
+        self._start_next()
+
+    def cancel(self, request_id: str) -> None:
+        """Take a waiting request out of the queue."""
+        if self._queue.remove(request_id) is not None:
+            self._waiting.pop(request_id, None)
+
+    def expire(self) -> None:
+        """Refuse requests whose deadline has passed; called by a timer."""
+        for item in self._queue.take_expired(self._clock.now()):
+            self._decline(item, "deadline passed in the queue")
+
+    def _start_next(self) -> None:
+        while not self._held and len(self._running) < self._slots:
+            item = self._queue.pop(self._clock.now())
+            if item is None:
+                break
+            self._running[item.request_id] = item
+            self._waiting.pop(item.request_id).set(Granted())
+        self.expire()
+
+    def _decline(self, item: queueing.Item, reason: str) -> None:
+        grant = self._waiting.pop(item.request_id, None)
+        if grant is not None:
+            grant.set(Declined(reason))
+
+
+class _Pending(event.AsyncResult):
+    """A grant that is awaited, with the request it is for."""
+
+    __slots__ = ("item",)
+
+    def __init__(self, item: queueing.Item) -> None:
+        super().__init__()
+        self.item = item
+
+
+def make_dispatcher(
+    work_queue: queueing.WorkQueue, clock: clocks.Clock, slots: int
+) -> Dispatcher:
+    return Dispatcher(work_queue, clock, slots)
--- a/papayalink/coordination/errors.py
+++ b/papayalink/coordination/errors.py
@@ -15,3 +15,29 @@
 
 class DuplicateRequest(CoordinationError):
     """A request id is already queued or running."""
+
+
+class ControlUnavailable(CoordinationError):
+    """No control member took the command; it will not be carried out."""
+
+
+class OutcomeUnknown(CoordinationError):
+    """The command may or may not be carried out."""
+
+
+class NoUpstream(CoordinationError):
+    """No upstream took the request; it was not run.
+
+    Args:
+        reason: why the last one did not take it.
+        retry_after_s: seconds after which a repeat may be admitted.
+    """
+
+    def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class AnswerCut(CoordinationError):
+    """An answer stopped before its end."""
--- /dev/null
+++ b/papayalink/coordination/proposer.py
@@ -0,0 +1,108 @@
+"""Sends commands and queries to the control group."""
+
+import random
+
+import gevent
+
+from papayalink import clock as clocks
+from papayalink.coordination import errors
+from papayalink.protocol import messages
+from papayalink.state import machine
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import rpc
+
+# Longer than an election, so that a command outlives the loss of a leader.
+PROPOSE_TIMEOUT_S = 5.0
+_ATTEMPT_TIMEOUT_S = 2.0
+_PAUSE_S = 0.1
+
+
+class Proposer:
+    """Finds the leader and repeats a command until its outcome is known.
+
+    Every command of the machine can be repeated: the second copy of one that
+    was carried out gets an outcome from which the proposer can tell so.
+    """
+
+    __slots__ = ("_controls", "_client", "_clock", "_leader")
+
+    def __init__(
+        self,
+        controls: list[str],
+        client: rpc.RpcClient,
+        clock: clocks.Clock,
+    ) -> None:
+        self._controls = list(controls)
+        self._client = client
+        self._clock = clock
+        self._leader = random.choice(self._controls)
+
+    def propose(
+        self,
+        command: machine.Command,
+        timeout_s: float = PROPOSE_TIMEOUT_S,
+    ) -> machine.Outcome:
+        """Commit a command.
+
+        Returns: the outcome that the machine gave it.
+        Raises:
+            errors.OutcomeUnknown: it may be or become committed.
+            errors.ControlUnavailable: it was never taken.
+        """
+        message = messages.Propose(machine.encode_command(command))
+        reply = self._send("Propose", message, timeout_s)
+        return machine.decode_outcome(reply.result)
+
+    def query(
+        self, query: messages.Query, timeout_s: float = PROPOSE_TIMEOUT_S
+    ) -> bytes:
+        """Read confirmed state, as JSON; raises as propose() does."""
+        return self._send("Query", query, timeout_s).body
+
+    def _send(
+        self, method: str, message: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        deadline = self._clock.now() + timeout_s
+        may_be_taken = False
+        while True:
+            left_s = deadline - self._clock.now()
+            if left_s <= 0:
+                break
+            try:
+                return self._client.call(
+                    self._leader,
+                    method,
+                    message,
+                    min(left_s, _ATTEMPT_TIMEOUT_S),
+                )
+            except transport_errors.RpcRefused as error:
+                may_be_taken |= error.code == "unknown"
+                self._follow(error)
+            except transport_errors.NotConnected:
+                self._try_another()
+            except transport_errors.TransportError:
+                may_be_taken = True
+                self._try_another()
+            gevent.sleep(min(_PAUSE_S, max(0.0, left_s)))
+        if may_be_taken:
+            raise errors.OutcomeUnknown("no outcome from control in time")
+        raise errors.ControlUnavailable("no leader of control in time")
+
+    def _follow(self, error: transport_errors.RpcRefused) -> None:
+        if error.leader and error.leader != self._leader:
+            self._leader = error.leader
+        else:
+            self._try_another()
+
+    def _try_another(self) -> None:
+        place = 0
+        if self._leader in self._controls:
+            place = self._controls.index(self._leader) + 1
+        self._leader = self._controls[place % len(self._controls)]
+
+
+def make_proposer(
+    controls: list[str], client: rpc.RpcClient, clock: clocks.Clock
+) -> Proposer:
+    """Args: controls: RPC addresses of the control members."""
+    return Proposer(controls, client, clock)
--- /dev/null
+++ b/papayalink/protocol/relay.py
@@ -0,0 +1,106 @@
+"""Requests from entry to agent."""
+
+import msgspec
+
+from papayalink.protocol import errors
+
+RELAY_PATH = "/relay"
+CALL_PATH = "/call"
+
+
+class RelayRequest(msgspec.Struct, frozen=True):
+    """One attempt of a model request.
+
+    Attributes:
+        attempt_id: differs between attempts of one request; frames of the
+            answer carry it.
+        request_id: the same in every process the request crosses.
+        rank: name of the service rank.
+        version: configuration version under which the entry admitted it.
+        weight_version: weights that the answer must come from.
+        path: path of the engine's interface.
+        body: the caller's JSON.
+        deadline_s: seconds from its arrival within which it must start.
+        tokens: expected tokens of service, prompt and answer together.
+    """
+
+    attempt_id: str
+    request_id: str
+    workspace: str
+    rank: str
+    version: int
+    model: str
+    weight_version: str
+    path: str
+    body: bytes
+    deadline_s: float
+    tokens: int
+    stream: bool = False
+
+
+class CallRequest(msgspec.Struct, frozen=True):
+    """One call of a plain service.
+
+    Attributes:
+        claim_id: claim in the ledger; empty when the call may be repeated.
+        key: idempotency key of the claim.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    claim_id: str = ""
+    key: str = ""
+
+
+class Answered(msgspec.Struct, frozen=True, tag=True):
+    """The upstream's answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class NotRun(msgspec.Struct, frozen=True, tag=True):
+    """The call did not reach the upstream and never will."""
+
+    reason: str
+
+
+class OutcomeUnknown(msgspec.Struct, frozen=True, tag=True):
+    """The call may have run."""
+
+    reason: str
+
+
+CallReply = Answered | NotRun | OutcomeUnknown
+
+
+def encode(request: RelayRequest | CallRequest | CallReply) -> bytes:
+    return msgspec.msgpack.encode(request)
+
+
+def decode_relay(data: bytes) -> RelayRequest:
+    """Raises: errors.MessageInvalid: the bytes are no relay request."""
+    return _decode(data, RelayRequest)
+
+
+def decode_call(data: bytes) -> CallRequest:
+    """Raises: errors.MessageInvalid: the bytes are no call request."""
+    return _decode(data, CallRequest)
+
+
+def decode_reply(data: bytes) -> CallReply:
+    """Raises: errors.MessageInvalid: the bytes are no reply."""
+    return _decode(data, CallReply)
+
+
+def _decode(data: bytes, kind: type) -> object:
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.MessageInvalid(str(error)) from error
