--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -3,3 +3,7 @@
 
 class StateError(Exception):
     """Base of all errors of the state layer."""
+
+
+class DeltaInvalid(StateError):
+    """Bytes that are no delta of a document."""
--- /dev/null
+++ b/papayalink/state/validation.py
@@ -0,0 +1,426 @@
+"""Validation of a document: one validator for all who need it."""
+
+from collections.abc import Iterator
+import json
+import math
+import re
+
+import msgspec
+from msgspec import inspect
+import result
+
+from papayalink import shape
+from papayalink.state import document as documents
+
+Problem = shape.Problem
+
+# The document of the design size has under 1 MB.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+# A reader corrects no more than this many at once, and outcomes with
+# problems are kept by every control member.
+MAX_PROBLEMS = 200
+
+METHODS = ("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT")
+KINDS = ("engine", "service")
+
+# Rounding when shares such as 0.1 and 0.2 are added up.
+_SHARE_TOLERANCE = 1e-9
+_TYPE = inspect.type_info(documents.Document)
+# Names are used in URLs, file names and log lines.
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+# Callers name models as published, such as "group/model:variant".
+_MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_CALL_PATH = re.compile(r"/(?:[A-Za-z0-9._~!$&'()+,;=:@-]+/?)*(?:(?<=/)\*)?")
+
+# Least and most value of each number; None is no limit.
+_RANGES = {
+    # An answer cannot take less than a millisecond; an hour is no target.
+    (documents.Rank, "ttft_target_ms"): (1, 3_600_000),
+    (documents.Rank, "weight"): (1, 1_000_000),
+    (documents.Rank, "min_share"): (0, 1),
+    (documents.Workspace, "tokens_per_s"): (0, None),
+    (documents.Workspace, "max_in_flight"): (0, None),
+    (documents.Workspace, "cache_share"): (0, 1),
+    (documents.Upstream, "max_running"): (1, 1_000_000),
+    (documents.Limits, "max_body_bytes"): (1, None),
+    (documents.Limits, "max_queue_per_upstream"): (0, None),
+    # A protected call repeated after its record expired runs again, so
+    # records must outlive the retries of a caller.
+    (documents.Limits, "ledger_retention_s"): (60, None),
+    # With 0, a rollout would never finish.
+    (documents.Limits, "max_loading_replicas"): (1, 1_000_000),
+}
+
+
+def validate(
+    data: bytes,
+) -> result.Result[documents.Document, list[Problem]]:
+    """Check a document.
+
+    Args:
+        data: the document as JSON.
+
+    Returns:
+        The document, or all problems: wrong shapes first, then the rest.
+    """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return result.Err(
+            [
+                Problem(
+                    "$",
+                    f"has {len(data)} bytes",
+                    f"give at most {MAX_DOCUMENT_BYTES} bytes",
+                )
+            ]
+        )
+    value, problems = shape.parse(data)
+    if problems:
+        return result.Err(problems)
+    if isinstance(value, dict) and not _is_known_format(value):
+        return result.Err(
+            [
+                Problem(
+                    "$.format",
+                    f"is {shape.describe(value['format'])}",
+                    f"this version reads format {documents.FORMAT}",
+                )
+            ]
+        )
+    document = shape.build(value, _TYPE, "$", problems)
+    if document is not None:
+        for check in _CHECKS:
+            problems.extend(check(document))
+    if problems:
+        return result.Err(_limit(problems))
+    return result.Ok(document)
+
+
+def render(problems: list[Problem]) -> str:
+    """Returns: one line for each problem."""
+    return "".join(f"{problem}\n" for problem in problems)
+
+
+def _is_known_format(value: dict) -> bool:
+    given = value.get("format", documents.FORMAT)
+    return type(given) is int and given == documents.FORMAT
+
+
+def _limit(problems: list[Problem]) -> list[Problem]:
+    if len(problems) <= MAX_PROBLEMS:
+        return problems
+    rest = len(problems) - MAX_PROBLEMS
+    return problems[:MAX_PROBLEMS] + [
+        Problem("$", f"{rest} more problems", "correct the ones above first")
+    ]
+
+
+def _entries(
+    document: documents.Document, section: str
+) -> Iterator[tuple[str, msgspec.Struct]]:
+    for index, entry in enumerate(getattr(document, section) or ()):
+        if entry is not None:
+            yield f"$.{section}[{index}]", entry
+
+
+def _names(document: documents.Document, section: str) -> list[str] | None:
+    """Returns: names that others refer to, None when one is unknown."""
+    entries = getattr(document, section)
+    if entries is None or None in entries:
+        return None
+    names = [entry.name for entry in entries]
+    return None if None in names else names
+
+
+def _quote(value: str) -> str:
+    return json.dumps(value if len(value) <= 80 else value[:77] + "...")
+
+
+def _check_ranges(document: documents.Document) -> Iterator[Problem]:
+    problems = []
+    for (kind, name), (least, most) in _RANGES.items():
+        if kind is documents.Limits:
+            entries = (
+                [("$.limits", document.limits)] if document.limits else []
+            )
+        else:
+            entries = _entries(document, f"{kind.__name__.lower()}s")
+        for path, entry in entries:
+            shape.check_range(
+                getattr(entry, name), least, most, f"{path}.{name}", problems
+            )
+    yield from problems
+
+
+def _check_shares(document: documents.Document) -> Iterator[Problem]:
+    for section, name in (
+        ("ranks", "min_share"),
+        ("workspaces", "cache_share"),
+    ):
+        shares = (
+            getattr(entry, name) for _, entry in _entries(document, section)
+        )
+        # A share out of range is a problem of its own.
+        total = math.fsum(share for share in shares if share and share <= 1)
+        if total > 1 + _SHARE_TOLERANCE:
+            yield Problem(
+                f"$.{section}[*].{name}",
+                f"the shares add up to {total:g}",
+                "reduce them to at most 1 in total",
+            )
+
+
+def _check_names(document: documents.Document) -> Iterator[Problem]:
+    for section in (
+        "ranks",
+        "workspaces",
+        "models",
+        "services",
+        "upstreams",
+        "stores",
+    ):
+        pattern = _MODEL_NAME if section == "models" else _NAME
+        first = {}
+        for path, entry in _entries(document, section):
+            if entry.name is None:
+                continue
+            yield from _check_name(entry.name, pattern, f"{path}.name")
+            if first.setdefault(entry.name, path) != path:
+                yield Problem(
+                    f"{path}.name",
+                    f"{_quote(entry.name)} is also the name of"
+                    f" {first[entry.name]}",
+                    "give each entry its own name",
+                )
+    models = {entry.name: path for path, entry in _entries(document, "models")}
+    for path, entry in _entries(document, "services"):
+        if entry.name is not None and entry.name in models:
+            yield Problem(
+                f"{path}.name",
+                f"{_quote(entry.name)} is also the name of"
+                f" {models[entry.name]}",
+                "give the service or the model another name",
+            )
+
+
+def _check_name(
+    name: str, pattern: re.Pattern, path: str
+) -> Iterator[Problem]:
+    if not pattern.fullmatch(name):
+        marks = "._:/-" if pattern is _MODEL_NAME else "._-"
+        yield Problem(
+            path,
+            f"{_quote(name)} is not a valid name",
+            f"use 1 to 128 letters, digits and {marks}, starting with a"
+            " letter or digit",
+        )
+
+
+def _check_workspaces(document: documents.Document) -> Iterator[Problem]:
+    ranks = _names(document, "ranks")
+    owners = {}
+    for path, entry in _entries(document, "workspaces"):
+        if None not in (entry.rank, ranks) and entry.rank not in ranks:
+            yield Problem(
+                f"{path}.rank",
+                f"there is no rank {_quote(entry.rank)}",
+                _name_one_of(ranks, "rank"),
+            )
+        if entry.token_digests == ():
+            yield Problem(
+                f"{path}.token_digests",
+                "the workspace has no tokens",
+                "add the SHA-256 hex digest of a token",
+            )
+        for index, digest in enumerate(entry.token_digests or ()):
+            if digest is not None:
+                yield from _check_digest(
+                    digest, path, f"{path}.token_digests[{index}]", owners
+                )
+
+
+def _check_digest(
+    digest: str, workspace: str, path: str, owners: dict[str, str]
+) -> Iterator[Problem]:
+    if not _DIGEST.fullmatch(digest):
+        # The value may be a token in clear, so it is not repeated here.
+        yield Problem(
+            path,
+            "is not a SHA-256 digest in lower-case hex",
+            "give the 64 hex digits of the token's SHA-256",
+        )
+    owner = owners.setdefault(digest, workspace)
+    if owner != workspace:
+        yield Problem(
+            path,
+            f"the token also belongs to {owner}",
+            "issue another token for one of the workspaces",
+        )
+
+
+def _check_models(document: documents.Document) -> Iterator[Problem]:
+    for path, entry in _entries(document, "models"):
+        version = entry.weight_version
+        if version is not None:
+            yield from _check_name(
+                version, _MODEL_NAME, f"{path}.weight_version"
+            )
+        seen = set()
+        for index, adapter in enumerate(entry.adapters or ()):
+            if adapter is None:
+                continue
+            place = f"{path}.adapters[{index}]"
+            yield from _check_name(adapter, _MODEL_NAME, place)
+            if adapter in seen:
+                yield Problem(
+                    place, f"{_quote(adapter)} is listed twice", "remove one"
+                )
+            seen.add(adapter)
+
+
+def _check_calls(document: documents.Document) -> Iterator[Problem]:
+    for path, service in _entries(document, "services"):
+        calls = {}
+        for index, call in enumerate(service.calls or ()):
+            if call is None:
+                continue
+            place = f"{path}.calls[{index}]"
+            if call.method is not None and call.method not in METHODS:
+                yield Problem(
+                    f"{place}.method",
+                    f"{_quote(call.method)} is not a method",
+                    f"use one of: {', '.join(METHODS)}",
+                )
+            if call.path is None:
+                continue
+            if not _is_call_path(call.path):
+                yield Problem(
+                    f"{place}.path",
+                    f"{_quote(call.path)} is not a call path",
+                    'give an exact path such as "/orders" or a prefix such'
+                    ' as "/orders/*"; "*" stands only at the end',
+                )
+                continue
+            key = (call.method, call.path)
+            if key in calls:
+                yield Problem(
+                    f"{place}.path",
+                    f"is also the path of {calls[key][0]}",
+                    "remove one of the two calls",
+                )
+            else:
+                calls[key] = (place, call)
+        yield from _check_overlaps(calls)
+
+
+def _is_call_path(path: str) -> bool:
+    if not _CALL_PATH.fullmatch(path):
+        return False
+    # A server that normalises such paths would run another call than the
+    # one whose protection was looked up.
+    return not any(part in (".", "..") for part in path.split("/"))
+
+
+def _check_overlaps(
+    calls: dict[tuple[str, str], tuple[str, documents.Call]],
+) -> Iterator[Problem]:
+    for (method, path), (place, call) in calls.items():
+        stem = path.removesuffix("*")
+        ends = [at + 1 for at, mark in enumerate(stem) if mark == "/"]
+        for end in ends:
+            prefix = stem[:end] + "*"
+            other_place, other = calls.get((method, prefix), (place, call))
+            if call.protected is None or other.protected is None:
+                continue
+            if other.protected != call.protected:
+                yield Problem(
+                    f"{place}.protected",
+                    f"{_quote(path)} overlaps {_quote(prefix)} of"
+                    f" {other_place}, and only one of them is protected",
+                    "give both the same value, or paths that do not overlap",
+                )
+
+
+def _check_upstreams(document: documents.Document) -> Iterator[Problem]:
+    served = {
+        "engine": _names(document, "models"),
+        "service": _names(document, "services"),
+    }
+    for path, entry in _entries(document, "upstreams"):
+        if entry.zone is not None:
+            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+        if entry.kind is not None and entry.kind not in KINDS:
+            yield Problem(
+                f"{path}.kind",
+                f"{_quote(entry.kind)} is not a kind of upstream",
+                'use "engine" or "service"',
+            )
+        elif None not in (entry.kind, entry.serves, *served.values()):
+            yield from _check_serves(entry, path, served)
+
+
+def _check_serves(
+    entry: documents.Upstream, path: str, served: dict[str, list[str]]
+) -> Iterator[Problem]:
+    other = "service" if entry.kind == "engine" else "engine"
+    if entry.serves in served[entry.kind]:
+        return
+    if entry.serves in served[other]:
+        yield Problem(
+            f"{path}.kind",
+            f"{_quote(entry.serves)} is served by upstreams of kind"
+            f' "{other}"',
+            f'set the kind to "{other}"',
+        )
+        return
+    what = "model" if entry.kind == "engine" else "service"
+    yield Problem(
+        f"{path}.serves",
+        f"there is no {what} {_quote(entry.serves)}",
+        _name_one_of(served[entry.kind], what),
+    )
+
+
+def _check_stores(document: documents.Document) -> Iterator[Problem]:
+    for path, entry in _entries(document, "stores"):
+        if entry.zone is not None:
+            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+
+
+def _check_addresses(document: documents.Document) -> Iterator[Problem]:
+    first = {}
+    for section, name in (("upstreams", "agent"), ("stores", "address")):
+        for path, entry in _entries(document, section):
+            address = getattr(entry, name)
+            if address is None:
+                continue
+            problems = []
+            shape.check_address(address, f"{path}.{name}", problems)
+            yield from problems
+            if first.setdefault(address, path) != path:
+                yield Problem(
+                    f"{path}.{name}",
+                    f"{_quote(address)} is also the address of"
+                    f" {first[address]}",
+                    "give each process its own address",
+                )
+
+
+def _name_one_of(names: list[str], what: str) -> str:
+    if not names:
+        return f"add a {what} of that name"
+    listed = ", ".join(names[:8]) + (", ..." if len(names) > 8 else "")
+    return f"name one of: {listed}"
+
+
+_CHECKS = (
+    _check_names,
+    _check_ranges,
+    _check_shares,
+    _check_workspaces,
+    _check_models,
+    _check_calls,
+    _check_upstreams,
+    _check_stores,
+    _check_addresses,
+)
