--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -27,3 +27,5 @@
 
 class PinReleased(StateError):
     """A pinned piece was read after its pin was released."""
+class DeltaInvalid(StateError):
+    """Bytes that are no delta of a document."""
