Add routing by predicted time to first token

Cause: entries choose among replicas whose load reports lag, and all entries hold the same reports. Ruled out: taking the best of all known candidates, since entries with equal reports then choose the same replica; the comparison in virtual time follows. Change: coordination/routing.py with choose (two sampled candidates of the own zone, two of the others, and the best prefix hint), RecentWork, predict_wait, subset by rendezvous hashing, and the baselines RoundRobin and least_loaded. Conclusion: usable by the entry; the subset is as balanced as independent choices allow, without a list of entries.

--- /dev/null
+++ b/papayalink/coordination/routing.py
@@ -0,0 +1,426 @@
+"""Choice of the upstream for a request, by predicted time to first token."""
+
+import collections
+import hashlib
+import itertools
+import random
+from typing import Iterable
+from typing import Mapping
+from typing import Sequence
+
+import msgspec
+
+# Candidates sampled in each of the two groups, own zone and other zones. More
+# of them make entries with the same old reports choose the same upstream.
+CHOICES = 2
+
+# Crossing zones counts as this part of the target, so an upstream elsewhere is
+# chosen only when it gains more; work with time to spare stays in its zone.
+ZONE_PENALTY = 0.03
+
+# Part of a subset taken from the zone of the process while others exist; the
+# rest keeps the model reachable when the zone is lost.
+LOCAL_SHARE = 2 / 3
+
+# A report counts as taken after some work arrived when it is this much younger
+# than the dispatch. One-way delays are below 2 ms; the rest covers the time
+# until the agent has queued the request.
+ARRIVAL_MARGIN_S = 0.02
+
+# Work stays in the ledger at most this long. Reports that stay away longer
+# mean an upstream that is unreachable.
+RECENT_WORK_S = 10.0
+
+
+class Hint(msgspec.Struct, frozen=True):
+    """Expected reuse of a prompt prefix at an upstream.
+
+    Args:
+        reused_tokens: prompt tokens that need no prefill.
+        restore_s: time to bring them into the engine; 0 when they are there.
+    """
+
+    reused_tokens: int = 0
+    restore_s: float = 0.0
+
+
+class Request(msgspec.Struct):
+    """What routing knows of a request.
+
+    Args:
+        request_id: unique request id.
+        rank: index of the rank, 0 is the most urgent.
+        tokens: prompt tokens.
+        target_s: time to first token that the rank is to meet.
+        zone: availability zone of the entry.
+        hints: by upstream, prefixes that an upstream holds.
+        kept: prefix that any upstream could restore from a store.
+    """
+
+    request_id: str
+    rank: int
+    tokens: int
+    target_s: float
+    zone: str
+    hints: Mapping[str, Hint] = {}
+    kept: Hint = Hint()
+
+
+class Candidate(msgspec.Struct):
+    """Last report of one upstream.
+
+    Args:
+        upstream: name.
+        zone: its availability zone.
+        queued_tokens: prompt tokens waiting, by rank, most urgent first.
+        queued_items: requests waiting, by rank.
+        prefill_rate: measured prompt tokens a second.
+        reported_at: when the report was taken, on the clock of the entry.
+        free_slots: requests that can start at once.
+        slot_period_s: mean time between two requests that end, while busy.
+        shares: part of the service that each rank is owed.
+        loads: part of the capacity that each rank took lately.
+        weight: below 1 while the upstream returns gradually; 0: no new work.
+    """
+
+    upstream: str
+    zone: str
+    queued_tokens: tuple[int, ...]
+    queued_items: tuple[int, ...]
+    prefill_rate: float
+    reported_at: float
+    free_slots: int = 0
+    slot_period_s: float = 0.0
+    shares: tuple[float, ...] = ()
+    loads: tuple[float, ...] = ()
+    weight: float = 1.0
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """Chosen upstream.
+
+    Args:
+        upstream: name.
+        wait_s: predicted time until the request starts.
+        ttft_s: predicted time to first token.
+        hint: reuse that the prediction counts on.
+        local: whether the upstream is in the zone of the entry.
+    """
+
+    upstream: str
+    wait_s: float
+    ttft_s: float
+    hint: Hint
+    local: bool
+
+
+class RecentWork:
+    """Work that an entry sent and that reports do not show yet."""
+
+    __slots__ = ("_sent",)
+
+    def __init__(self) -> None:
+        # By upstream, in the order of dispatch: request id to (time, rank,
+        # prompt tokens).
+        self._sent: dict[
+            str, collections.OrderedDict[str, tuple[float, int, int]]
+        ] = {}
+
+    def add(
+        self,
+        upstream: str,
+        request_id: str,
+        rank: int,
+        tokens: int,
+        now: float,
+    ) -> None:
+        """Note a dispatch.
+
+        Args:
+            upstream: where the request was sent.
+            request_id: unique request id.
+            rank: index of its rank.
+            tokens: prompt tokens to prefill, without those reused.
+            now: seconds.
+        """
+        sent = self._sent.setdefault(upstream, collections.OrderedDict())
+        sent[request_id] = (now, rank, tokens)
+        self._drop_before(upstream, now - RECENT_WORK_S)
+
+    def reported(self, upstream: str, reported_at: float) -> None:
+        """Drop the work that a report covers.
+
+        Args:
+            upstream: the reporting upstream.
+            reported_at: when the report was taken, on the clock of the entry.
+        """
+        self._drop_before(upstream, reported_at - ARRIVAL_MARGIN_S)
+
+    def ended(self, upstream: str, request_id: str) -> None:
+        """Drop a request that has its first token, was refused or failed."""
+        sent = self._sent.get(upstream)
+        if sent is not None:
+            sent.pop(request_id, None)
+            if not sent:
+                del self._sent[upstream]
+
+    def pending(self, upstream: str, rank: int, now: float) -> tuple[int, int]:
+        """Work not yet reported of a rank.
+
+        Args:
+            upstream: name.
+            rank: index of the rank.
+            now: seconds.
+
+        Returns:
+            Tokens and requests.
+        """
+        tokens = items = 0
+        for sent_at, its_rank, its_tokens in self._sent.get(
+            upstream, {}
+        ).values():
+            if its_rank == rank and sent_at > now - RECENT_WORK_S:
+                tokens += its_tokens
+                items += 1
+        return tokens, items
+
+    def _drop_before(self, upstream: str, time: float) -> None:
+        sent = self._sent.get(upstream)
+        while sent:
+            request_id, (sent_at, _, _) = next(iter(sent.items()))
+            if sent_at > time:
+                return
+            del sent[request_id]
+        self._sent.pop(upstream, None)
+
+
+def predict_wait(
+    queued_tokens: Sequence[float],
+    rank: int,
+    rate: float,
+    shares: Sequence[float] = (),
+    loads: Sequence[float] = (),
+) -> float:
+    """Time until work queued now starts, with urgent work going first.
+
+    Args:
+        queued_tokens: waiting tokens by rank, most urgent first.
+        rank: index of the rank.
+        rate: tokens a second of the upstream.
+        shares: part that each rank is owed; empty when unknown.
+        loads: part of the capacity taken lately by rank; empty when unknown.
+
+    Returns:
+        Seconds; infinite when the rate is not positive.
+    """
+    if rate <= 0:
+        return float("inf")
+    own = queued_tokens[rank]
+    wait = sum(queued_tokens[: rank + 1]) / rate
+    share = shares[rank] if shares else 0.0
+    # Work of more urgent ranks that is still to come takes its part too, but
+    # not what this rank is owed.
+    left = max(share, 1.0 - sum(loads[:rank]))
+    if left > 0:
+        wait = max(wait, own / (rate * left))
+    if share > 0:
+        wait = min(wait, own / (rate * share))
+    return wait
+
+
+def predict(
+    candidate: Candidate, request: Request, now: float, recent: RecentWork
+) -> Decision:
+    """Predict what a request would meet at an upstream.
+
+    Args:
+        candidate: last report.
+        request: the request.
+        now: seconds.
+        recent: own work not yet reported.
+
+    Returns:
+        The decision for this candidate.
+    """
+    tokens = list(candidate.queued_tokens)
+    items_ahead = -candidate.free_slots
+    for rank in range(request.rank + 1):
+        own_tokens, own_items = recent.pending(candidate.upstream, rank, now)
+        tokens[rank] += own_tokens
+        items_ahead += candidate.queued_items[rank] + own_items
+    rate = candidate.prefill_rate * candidate.weight
+    wait_s = predict_wait(
+        tokens, request.rank, rate, candidate.shares, candidate.loads
+    )
+    if items_ahead >= 0:
+        wait_s = max(wait_s, (items_ahead + 1) * candidate.slot_period_s)
+    hint, work_s = request.kept, float("inf")
+    if rate > 0:
+        # Restoring is a choice: the cheapest of no reuse, the prefix held
+        # there and the kept one counts.
+        work_s, hint = min(
+            (
+                (
+                    option.restore_s
+                    + max(0, request.tokens - option.reused_tokens) / rate,
+                    option,
+                )
+                for option in (
+                    Hint(),
+                    request.kept,
+                    request.hints.get(candidate.upstream, Hint()),
+                )
+            ),
+            key=lambda pair: pair[0],
+        )
+    return Decision(
+        candidate.upstream,
+        wait_s,
+        wait_s + work_s,
+        hint,
+        candidate.zone == request.zone,
+    )
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    request: Request,
+    now: float,
+    rng: random.Random,
+    recent: RecentWork,
+) -> Decision | None:
+    """Choose the upstream with the lowest predicted time to first token.
+
+    Only a few candidates are compared, so that entries with the same reports
+    spread their requests: some of the own zone, some of the others, and the
+    one that holds most of the prompt.
+
+    Args:
+        candidates: upstreams that may take the request.
+        request: the request.
+        now: seconds.
+        rng: source of randomness.
+        recent: own work not yet reported.
+
+    Returns:
+        The decision; None when no candidate takes work.
+    """
+    usable = [one for one in candidates if one.weight > 0]
+    local = [one for one in usable if one.zone == request.zone]
+    remote = [one for one in usable if one.zone != request.zone]
+    few = _sample(local, CHOICES, rng) + _sample(remote, CHOICES, rng)
+    hinted = [one for one in usable if one.upstream in request.hints]
+    if hinted:
+        few.append(
+            max(
+                hinted,
+                key=lambda one: request.hints[one.upstream].reused_tokens,
+            )
+        )
+    penalty_s = ZONE_PENALTY * request.target_s
+    return min(
+        (predict(one, request, now, recent) for one in few),
+        key=lambda decision: (
+            decision.ttft_s > request.target_s,
+            decision.ttft_s + (0.0 if decision.local else penalty_s),
+        ),
+        default=None,
+    )
+
+
+def _sample(
+    candidates: list[Candidate], count: int, rng: random.Random
+) -> list[Candidate]:
+    """Sample without replacement, by weight."""
+    if len(candidates) <= count:
+        return rng.sample(candidates, len(candidates))
+    if all(one.weight == 1.0 for one in candidates):
+        return rng.sample(candidates, count)
+    # The largest of u ** (1 / weight) are a weighted sample.
+    keyed = sorted(
+        candidates,
+        key=lambda one: rng.random() ** (1.0 / one.weight),
+        reverse=True,
+    )
+    return keyed[:count]
+
+
+class RoundRobin:
+    """Baseline: each upstream in turn."""
+
+    __slots__ = ("_turns",)
+
+    def __init__(self) -> None:
+        self._turns = itertools.count()
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        return candidates[next(self._turns) % len(candidates)]
+
+
+def least_loaded(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate:
+    """Baseline: the lowest reported queue, ties at random.
+
+    Args:
+        candidates: upstreams, at least one.
+        rng: source of randomness.
+
+    Returns:
+        The chosen one.
+    """
+    return min(
+        candidates,
+        key=lambda one: (
+            sum(one.queued_tokens) / one.prefill_rate,
+            -one.free_slots,
+            rng.random(),
+        ),
+    )
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A process or an upstream, with its availability zone."""
+
+    name: str
+    zone: str
+
+
+def subset(
+    process: Member, upstreams: Iterable[Member], size: int
+) -> list[Member]:
+    """Upstreams of a model that a process knows.
+
+    Rendezvous hashing: a member that comes or goes changes one place. The own
+    zone comes first, and at least two zones are present when the upstreams
+    have as many and the size allows it.
+
+    Args:
+        process: the process that asks.
+        upstreams: all upstreams of one model.
+        size: most to return.
+
+    Returns:
+        Upstreams of the own zone, then the others, best score first.
+    """
+    by_score = sorted(
+        upstreams, key=lambda one: _score(process, one), reverse=True
+    )
+    local = [one for one in by_score if one.zone == process.zone]
+    remote = [one for one in by_score if one.zone != process.zone]
+    own = max(round(size * LOCAL_SHARE), size - len(remote))
+    local = local[:own]
+    remote = remote[: size - len(local)]
+    chosen = local + remote
+    zones = {one.zone for one in chosen}
+    if len(zones) == 1 and len(chosen) >= 2:
+        other = next((one for one in by_score if one.zone not in zones), None)
+        if other is not None:
+            chosen[-1] = other
+    return chosen
+
+
+def _score(process: Member, upstream: Member) -> bytes:
+    """Score of a pair, the same in every process."""
+    pair = f"{process.name}\0{upstream.name}".encode()
+    return hashlib.blake2b(pair, digest_size=8).digest()
--- /dev/null
+++ b/tests/coordination/test_routing.py
@@ -0,0 +1,207 @@
+"""Tests of routing."""
+
+import collections
+import random
+import statistics
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.coordination import routing
+
+
+def _candidate(name, zone="east", queued=(0, 0), **fields):
+    fields.setdefault("prefill_rate", 1000.0)
+    fields.setdefault("reported_at", 0.0)
+    return routing.Candidate(
+        name, zone, queued, fields.pop("items", (0, 0)), **fields
+    )
+
+
+def _request(rank=0, tokens=500, target_s=1.6, **fields):
+    return routing.Request("r", rank, tokens, target_s, "east", **fields)
+
+
+def _choose(candidates, request, recent=None, seed=1):
+    return routing.choose(
+        candidates,
+        request,
+        5.0,
+        random.Random(seed),
+        recent or routing.RecentWork(),
+    )
+
+
+@pytest.mark.parametrize(
+    "candidates, request_fields, expected",
+    [
+        # The shorter queue wins.
+        ([("a", {"queued": (900, 0)}), ("b", {"queued": (100, 0)})], {}, "b"),
+        # Other work does not count for urgent requests.
+        ([("a", {"queued": (0, 9000)}), ("b", {"queued": (500, 0)})], {}, "a"),
+        # A prefix that is there outweighs a short queue.
+        (
+            [("a", {"queued": (300, 0)}), ("b", {})],
+            {"hints": {"a": routing.Hint(450)}},
+            "a",
+        ),
+        # A slow restore does not.
+        (
+            [("a", {"queued": (300, 0)}), ("b", {})],
+            {"hints": {"a": routing.Hint(450, 0.5)}},
+            "b",
+        ),
+        # The own zone is preferred.
+        ([("a", {"zone": "west"}), ("b", {"queued": (20, 0)})], {}, "b"),
+        # But not at the cost of the target.
+        (
+            [
+                ("a", {"zone": "west", "queued": (1090, 0)}),
+                ("b", {"queued": (1110, 0)}),
+            ],
+            {},
+            "a",
+        ),
+        # Slots that free slowly count.
+        (
+            [
+                ("a", {"items": (2, 0), "slot_period_s": 0.4}),
+                ("b", {"queued": (600, 0)}),
+            ],
+            {},
+            "b",
+        ),
+        # A faster upstream may have the longer queue.
+        (
+            [
+                ("a", {"queued": (900, 0), "prefill_rate": 4000.0}),
+                ("b", {"queued": (400, 0)}),
+            ],
+            {},
+            "a",
+        ),
+        # Weight 0 takes no new work.
+        ([("a", {"weight": 0.0}), ("b", {"queued": (4000, 0)})], {}, "b"),
+        ([("a", {"weight": 0.0})], {}, None),
+    ],
+)
+def test_choose(candidates, request_fields, expected):
+    # Guards against a term missing in the prediction.
+    records = [_candidate(name, **fields) for name, fields in candidates]
+    decision = _choose(records, _request(**request_fields))
+    assert (decision and decision.upstream) == expected
+
+
+def test_recent_work_counts_until_a_later_report():
+    # Guards against herding on a report that lags, and against counting the
+    # same work twice.
+    recent = routing.RecentWork()
+    pair = [_candidate("a"), _candidate("b", queued=(100, 0))]
+    recent.add("a", "1", 0, 400, 4.0)
+    assert _choose(pair, _request(), recent).upstream == "b"
+    recent.reported("a", 4.0)
+    assert recent.pending("a", 0, 5.0) == (400, 1)
+    recent.reported("a", 4.1)
+    assert recent.pending("a", 0, 5.0) == (0, 0)
+    recent.add("a", "2", 0, 400, 4.0)
+    recent.ended("a", "2")
+    assert _choose(pair, _request(), recent).upstream == "a"
+    recent.add("a", "3", 0, 400, 4.0)
+    assert recent.pending("a", 0, 20.0) == (0, 0)
+
+
+def test_equal_reports_spread_requests():
+    # Guards against all entries choosing the same upstream.
+    fleet = [_candidate(f"u{n}", queued=(10 * n, 0)) for n in range(12)]
+    chosen = collections.Counter(
+        _choose(fleet, _request(), seed=seed).upstream for seed in range(600)
+    )
+    assert max(chosen.values()) < 600 / 4
+    returning = [_candidate("slow", weight=0.1)] + fleet
+    chosen = collections.Counter(
+        _choose(returning, _request(), seed=seed).upstream
+        for seed in range(600)
+    )
+    assert chosen["slow"] < 600 / 13 / 2
+
+
+@pytest.mark.parametrize(
+    "queued, rank, shares, loads, expected",
+    [
+        ((1000, 0), 0, (), (), 1.0),
+        ((0, 1000), 0, (), (), 0.0),
+        ((1000, 1000), 1, (), (), 2.0),
+        # The guarantee bounds the wait behind urgent work.
+        ((9000, 100), 1, (0.75, 0.25), (), 0.4),
+        # Urgent work still to come leaves only the guarantee.
+        ((0, 1000), 1, (0.75, 0.25), (1.0, 0.0), 4.0),
+        ((0, 1000), 1, (0.75, 0.25), (0.5, 0.5), 2.0),
+    ],
+)
+def test_predict_wait(queued, rank, shares, loads, expected):
+    # Guards against refusing a rank because of work that does not delay it.
+    wait = routing.predict_wait(queued, rank, 1000.0, shares, loads)
+    assert wait == pytest.approx(expected)
+
+
+def _fleet(zones, each, prefix="u"):
+    return [
+        routing.Member(f"{prefix}{zone}-{number}", f"z{zone}")
+        for zone in range(zones)
+        for number in range(each)
+    ]
+
+
+@pytest.mark.parametrize("zones, each, entries", [(8, 20, 45), (3, 40, 20)])
+def test_subset_is_balanced(zones, each, entries):
+    # Guards against upstreams that few or too many entries know.
+    upstreams = _fleet(zones, each)
+    known = collections.Counter()
+    for process in _fleet(zones, entries, "e"):
+        chosen = routing.subset(process, upstreams, 24)
+        assert len(set(chosen)) == 24
+        assert sum(one.zone == process.zone for one in chosen) == 16
+        known.update(one.name for one in chosen)
+    counts = [known[one.name] for one in upstreams]
+    # Independent choices spread as the square root of the mean at most.
+    mean = statistics.mean(counts)
+    assert statistics.pstdev(counts) < mean**0.5
+    assert mean - 3.5 * mean**0.5 < min(counts)
+    assert max(counts) < mean + 3.5 * mean**0.5
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 30), st.integers(0, 3)), unique=True),
+    st.integers(0, 12),
+)
+def test_subset_spreads_over_zones_and_changes_little(pairs, size):
+    # Guards against an entry that loses its model with one zone, and against
+    # a subset that is shuffled by each change of membership.
+    upstreams = [routing.Member(f"{n}-{z}", f"z{z}") for n, z in pairs]
+    process = routing.Member("e", "z0")
+    chosen = routing.subset(process, upstreams, size)
+    assert len(chosen) == len(set(chosen)) == min(size, len(upstreams))
+    zones = {one.zone for one in upstreams}
+    if size >= 2:
+        assert len({one.zone for one in chosen}) >= min(2, len(zones))
+    if size < 2 or len(zones) < 2:
+        return
+    gone = chosen[0]
+    rest = [one for one in upstreams if one != gone]
+    again = routing.subset(process, rest, size)
+    assert len(set(again) - set(chosen)) <= 2
+
+
+@pytest.mark.parametrize(
+    "queued, expected",
+    [([(500, 0), (100, 0), (300, 0)], "u1"), ([(0, 90), (80, 0)], "u1")],
+)
+def test_baselines(queued, expected):
+    # Guards against baselines that are not the plain ones.
+    fleet = [_candidate(f"u{n}", queued=q) for n, q in enumerate(queued)]
+    chosen = routing.least_loaded(fleet, random.Random(1))
+    assert chosen.upstream == expected
+    turns = routing.RoundRobin()
+    names = [turns.choose(fleet).upstream for _ in range(2 * len(fleet))]
+    assert names == [one.upstream for one in fleet] * 2
