--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -26,20 +26,27 @@
     """Load of one upstream as its agent sees it.
 
     Attributes:
-        running, waiting: requests in flight and queued.
-        waiting_tokens: prompt tokens queued or in prefill.
-        prefill_rate: measured tokens a second.
-        sent_at: agent's clock when sent, seconds.
+        state: "up", "down", "loading" or "leaving".
+        weight_version: weights loaded, "" for a plain service.
+        free_slots: requests that can start at once.
+        waiting: requests queued, by rank, most urgent first.
+        waiting_tokens: tokens queued, by rank.
+        prefill_rate: measured prompt tokens a second.
+        slot_period_s: mean time between two requests that end, while busy.
+        sequence: goes up with each report of an incarnation.
+        age_s: seconds since it was taken.
     """
 
     upstream: str
-    running: int = 0
-    waiting: int = 0
-    waiting_tokens: int = 0
-    prefill_rate: float = 0.0
-    weight_version: str = ""
     state: str = "up"
-    sent_at: float = 0.0
+    weight_version: str = ""
+    free_slots: int = 0
+    waiting: tuple[int, ...] = ()
+    waiting_tokens: tuple[int, ...] = ()
+    prefill_rate: float = 0.0
+    slot_period_s: float = 0.0
+    sequence: int = 0
+    age_s: float = 0.0
 
 
 class Demand(Message, array_like=True):
--- /dev/null
+++ b/papayalink/roles/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside each upstream."""
--- /dev/null
+++ b/papayalink/roles/agent/relaying.py
@@ -0,0 +1,266 @@
+"""Runs model requests on the engine and relays their answers."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+
+import msgspec
+
+from papayalink import clock as clocks
+from papayalink import logs
+from papayalink import metrics as metrics_module
+from papayalink.adapters import engine as engines
+from papayalink.adapters import errors as adapter_errors
+from papayalink.coordination import dispatch
+from papayalink.coordination import queueing
+from papayalink.protocol import frames
+from papayalink.protocol import relay
+from papayalink.roles.agent import upstream as upstream_state
+from papayalink.state import document as documents
+
+
+class Admission:
+    """Decides whether a request may run here now.
+
+    Args:
+        document: configuration in force.
+        confirmed: whether the configuration lease is valid.
+        accepting: whether the upstream takes new work, else the reason.
+    """
+
+    __slots__ = ("_document", "_confirmed", "_refusal", "_engine_state")
+
+    def __init__(
+        self,
+        document: Callable[[], documents.Document],
+        confirmed: Callable[[], bool],
+        refusal: Callable[[], str],
+        engine_state: upstream_state.EngineState,
+    ) -> None:
+        self._document = document
+        self._confirmed = confirmed
+        self._refusal = refusal
+        self._engine_state = engine_state
+
+    def refuse(self, request: relay.RelayRequest) -> str:
+        """Returns: the reason against the request, "" when it may run."""
+        reason = self._refusal()
+        if reason:
+            return reason
+        if not self._confirmed():
+            return "configuration is not confirmed"
+        document = self._document()
+        if not any(
+            workspace.name == request.workspace
+            for workspace in document.workspaces
+        ):
+            return "workspace is not known"
+        if not self._engine_state.up:
+            return "engine is down"
+        wanted = _weight_version(document, request.model)
+        loaded = self._engine_state.weight_version
+        if not loaded or {wanted, request.weight_version} != {loaded}:
+            return "weight version is not loaded"
+        return ""
+
+
+class Relayer:
+    """Queues requests, runs them and yields their frames."""
+
+    __slots__ = (
+        "_engine",
+        "_state",
+        "_dispatcher",
+        "_admission",
+        "_prepare",
+        "_clock",
+        "_metrics",
+        "_log",
+        "_starting",
+    )
+
+    def __init__(
+        self,
+        engine: engines.Engine,
+        engine_state: upstream_state.EngineState,
+        dispatcher: dispatch.Dispatcher,
+        admission: Admission,
+        prepare: Callable[[relay.RelayRequest], None],
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._engine = engine
+        self._state = engine_state
+        self._dispatcher = dispatcher
+        self._admission = admission
+        self._prepare = prepare
+        self._clock = clock
+        self._metrics = metrics
+        self._log = logs.get_logger()
+        self._starting = 0
+
+    @property
+    def starting(self) -> int:
+        """Requests dispatched whose first token has not arrived.
+
+        A swap of weights waits for these: the engine chooses the version of
+        a request when it starts it.
+        """
+        return self._starting
+
+    def answer(
+        self, request: relay.RelayRequest, priority: int
+    ) -> Iterator[bytes]:
+        """Run a request.
+
+        Args:
+            priority: the engine's priority, lower is more urgent.
+        Yields: encoded frames.
+        """
+        refusal = self._admission.refuse(request)
+        if refusal:
+            yield self._refused(request, refusal)
+            return
+        item = queueing.Item(
+            request_id=request.attempt_id,
+            workspace=request.workspace,
+            rank=request.rank,
+            tokens=request.tokens,
+            deadline=self._clock.now() + request.deadline_s,
+        )
+        match self._dispatcher.submit(item).get():
+            case dispatch.Declined(reason=reason, retry_after_s=after_s):
+                yield self._refused(request, reason, after_s)
+                return
+        served = 0
+        try:
+            refusal = self._admission.refuse(request)
+            if refusal:
+                yield self._refused(request, refusal)
+                return
+            for frame in self._run(request, priority):
+                served += 1
+                yield frame
+        finally:
+            tokens = item.tokens if served else 0
+            self._dispatcher.finish(item, tokens)
+
+    def _run(
+        self, request: relay.RelayRequest, priority: int
+    ) -> Iterator[bytes]:
+        with self._start_pending() as started:
+            self._prepare(request)
+            body = _engine_body(request, priority)
+            began = self._clock.now()
+            run = self._stream if request.stream else self._whole
+            for frame in run(request, body):
+                if not started.done:
+                    started.finish()
+                    self._metrics.observe(
+                        "engine_first_token",
+                        self._clock.now() - began,
+                        rank=request.rank,
+                    )
+                yield frame
+
+    def _stream(
+        self, request: relay.RelayRequest, body: bytes
+    ) -> Iterator[bytes]:
+        count = 0
+        try:
+            events = self._engine.stream(
+                request.path, body, request.attempt_id
+            )
+        except adapter_errors.AdapterError as error:
+            # Nothing was sent, or the engine did not accept it.
+            yield self._refused(request, f"engine: {error}")
+            return
+        with contextlib.closing(events):
+            try:
+                for event in events:
+                    yield frames.encode(
+                        frames.Chunk(request.attempt_id, count, event)
+                    )
+                    count += 1
+            except adapter_errors.AdapterError as error:
+                self._log.warning(
+                    "answer_cut",
+                    request_id=request.request_id,
+                    after_chunks=count,
+                    reason=error,
+                )
+                yield frames.encode(
+                    frames.Failed(request.attempt_id, "upstream was cut")
+                )
+                return
+        yield frames.encode(frames.End(request.attempt_id, count))
+
+    def _whole(
+        self, request: relay.RelayRequest, body: bytes
+    ) -> Iterator[bytes]:
+        try:
+            reply = self._engine.complete(
+                request.path, body, request.attempt_id
+            )
+        except adapter_errors.AdapterError as error:
+            yield frames.encode(
+                frames.Failed(request.attempt_id, f"upstream: {error}")
+            )
+            return
+        if reply.status != 200:
+            yield self._refused(request, f"engine answered {reply.status}")
+            return
+        text = reply.body.decode()
+        yield frames.encode(frames.Chunk(request.attempt_id, 0, text))
+        yield frames.encode(frames.End(request.attempt_id, 1))
+
+    def _refused(
+        self,
+        request: relay.RelayRequest,
+        reason: str,
+        retry_after_s: float = 1.0,
+    ) -> bytes:
+        self._metrics.count("refused", reason=reason, rank=request.rank)
+        return frames.encode(
+            frames.Refused(request.attempt_id, reason, retry_after_s)
+        )
+
+    @contextlib.contextmanager
+    def _start_pending(self) -> Iterator["_Start"]:
+        start = _Start(self)
+        try:
+            yield start
+        finally:
+            start.finish()
+
+
+class _Start:
+    """Counts a request as starting until its first frame or its end."""
+
+    __slots__ = ("_relayer", "done")
+
+    def __init__(self, relayer: Relayer) -> None:
+        self._relayer = relayer
+        self.done = False
+        relayer._starting += 1
+
+    def finish(self) -> None:
+        if not self.done:
+            self.done = True
+            self._relayer._starting -= 1
+
+
+def _engine_body(request: relay.RelayRequest, priority: int) -> bytes:
+    body = msgspec.json.decode(request.body)
+    body["user"] = request.workspace
+    body["priority"] = priority
+    # The engine does not know the system's ranks.
+    body.pop("service_tier", None)
+    return msgspec.json.encode(body)
+
+
+def _weight_version(document: documents.Document, model: str) -> str:
+    for entry in document.models:
+        if entry.name == model:
+            return entry.weight_version
+    return ""
--- /dev/null
+++ b/papayalink/roles/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control member: replicated state, polls, console, orders."""
--- /dev/null
+++ b/papayalink/roles/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry that callers reach."""
--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -27,5 +27,7 @@
 
 class PinReleased(StateError):
     """A pinned piece was read after its pin was released."""
+
+
 class DeltaInvalid(StateError):
     """Bytes that are no delta of a document."""
