--- /dev/null
+++ b/papayalink/coordination/log_writer.py
@@ -0,0 +1,154 @@
+"""Writes of a replica: in order, grouped, off the event loop."""
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink.coordination.raft import messages
+from papayalink.state import errors as state_errors
+from papayalink.state import log_entries
+from papayalink.state import log_store
+
+
+class Job(msgspec.Struct):
+    """One write.
+
+    Attributes:
+        write_id: number that the node gave to the write, None for a snapshot
+            that the replica took itself.
+        snapshot: to store first; entries up to its index are released.
+        hard_state: to store, None when it has not changed.
+        entries: to store.
+    """
+
+    write_id: int | None = None
+    snapshot: messages.Snapshot | None = None
+    hard_state: log_entries.HardState | None = None
+    entries: list[log_entries.Entry] = []
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Result of a group of jobs, delivered to the replica's queue.
+
+    Attributes:
+        write_id: last number of the group, None when no job had one.
+        compacted: snapshot the replica took that is now stored.
+        error: None when all jobs are durable.
+    """
+
+    write_id: int | None
+    compacted: messages.Snapshot | None
+    error: state_errors.StateError | None
+
+
+class LogWriter:
+    """Runs jobs one group at a time.
+
+    Args:
+        store: called from one thread of gevent's pool when it blocks.
+        inbox: queue of the replica, which receives Written.
+
+    Jobs that arrive while a group is written form the next group, and share
+    one sync where they hold no snapshot.
+    """
+
+    __slots__ = ("_store", "_inbox", "_waiting", "_running", "_suspended")
+
+    def __init__(
+        self, store: log_store.LogStore, inbox: queue.SimpleQueue
+    ) -> None:
+        self._store = store
+        self._inbox = inbox
+        self._waiting: list[Job] = []
+        self._running: gevent.Greenlet | None = None
+        self._suspended = False
+
+    @property
+    def suspended(self) -> bool:
+        """Whether the last group failed for lack of room on the disk."""
+        return self._suspended
+
+    def submit(self, job: Job) -> None:
+        """Write a job after all earlier ones."""
+        self._waiting.append(job)
+        if not self._suspended:
+            self._start()
+
+    def finished(self, written: Written) -> None:
+        """Continue after a group; the replica calls it for each Written."""
+        self._running = None
+        self._suspended = written.error is not None
+        if not self._suspended:
+            self._start()
+
+    def retry(self) -> None:
+        """Repeat the group that failed."""
+        self._start()
+
+    def join(self) -> None:
+        """Wait for the group that is being written."""
+        if self._running is not None:
+            self._running.join()
+
+    def _start(self) -> None:
+        if self._running is None and self._waiting:
+            group = self._waiting
+            self._waiting = []
+            self._running = gevent.spawn(self._write, group)
+
+    def _write(self, group: list[Job]) -> None:
+        error = None
+        try:
+            if self._store.blocking:
+                pool = gevent.get_hub().threadpool
+                pool.apply(_perform, (self._store, group))
+            else:
+                _perform(self._store, group)
+        except state_errors.StateError as failure:
+            error = failure
+            # Every call may be repeated, so the group is as a whole.
+            self._waiting = group + self._waiting
+        numbers = [job.write_id for job in group if job.write_id is not None]
+        own = [
+            job.snapshot
+            for job in group
+            if job.write_id is None and job.snapshot is not None
+        ]
+        self._inbox.put(
+            Written(
+                numbers[-1] if numbers else None,
+                own[-1] if own else None,
+                error,
+            )
+        )
+
+
+def _perform(store: log_store.LogStore, group: list[Job]) -> None:
+    entries: list[log_entries.Entry] = []
+    hard_state = None
+
+    def flush() -> None:
+        nonlocal entries, hard_state
+        if entries or hard_state is not None:
+            store.append(entries, hard_state)
+        entries = []
+        hard_state = None
+
+    for job in group:
+        if job.snapshot is not None:
+            flush()
+            index = job.snapshot.index
+            data = messages.encode_snapshot(job.snapshot)
+            store.save_snapshot(index, job.snapshot.term, data)
+            store.compact(index)
+        entries.extend(job.entries)
+        if job.hard_state is not None:
+            hard_state = job.hard_state
+    flush()
+
+
+def make_log_writer(
+    store: log_store.LogStore, inbox: queue.SimpleQueue
+) -> LogWriter:
+    """Returns: a writer with nothing to write."""
+    return LogWriter(store, inbox)
--- /dev/null
+++ b/papayalink/coordination/raft/log.py
@@ -0,0 +1,191 @@
+"""Log of one member in memory."""
+
+from papayalink.coordination.raft import membership as memberships
+from papayalink.state import log_entries
+
+_MEMBERSHIP = log_entries.EntryKind.MEMBERSHIP
+
+
+class RaftLog:
+    """Entries after a base, with commit and persistence marks.
+
+    Args:
+        base_index: index that the snapshot or an empty log covers.
+        base_term: term of the entry at the base.
+        base_membership: membership as of the base.
+        entries: stored entries after the base.
+
+    The membership in force is the one of the last membership entry, whether
+    it is committed or not.
+    """
+
+    __slots__ = (
+        "base_index",
+        "base_term",
+        "commit",
+        "delivered",
+        "handed",
+        "persisted",
+        "_entries",
+        "_memberships",
+    )
+
+    def __init__(
+        self,
+        base_index: int,
+        base_term: int,
+        base_membership: memberships.Membership,
+        entries: list[log_entries.Entry],
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self.commit = base_index
+        # Last index given to the state machine.
+        self.delivered = base_index
+        # Last index given to the log store, synced or not.
+        self.handed = base_index + len(entries)
+        # Last index that the log store has synced.
+        self.persisted = self.handed
+        self._entries: list[log_entries.Entry] = []
+        self._memberships = [(base_index, base_membership)]
+        for entry in entries:
+            self._push(entry)
+
+    @property
+    def last_index(self) -> int:
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def membership(self) -> memberships.Membership:
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> int:
+        return self._memberships[-1][0]
+
+    def membership_at(self, index: int) -> memberships.Membership:
+        """Returns: the membership as of an index, base or later."""
+        found = self._memberships[0][1]
+        for changed_at, membership in self._memberships:
+            if changed_at <= index:
+                found = membership
+        return found
+
+    def term_at(self, index: int) -> int | None:
+        """Returns: the term at an index, None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def last_at_or_below(self, index: int, term: int) -> int:
+        """Search backwards from an index for a term not above the given one.
+
+        Returns: the greatest such index, the base when there is none.
+        """
+        index = max(min(index, self.last_index), self.base_index)
+        while index > self.base_index and self.term_at(index) > term:
+            index -= 1
+        return index
+
+    def slice(
+        self, first: int, max_entries: int, max_bytes: int
+    ) -> tuple[log_entries.Entry, ...]:
+        """Returns: entries from an index on, within the limits.
+
+        An entry larger than max_bytes is returned alone.
+        """
+        start = first - self.base_index - 1
+        chosen = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def add(self, entry: log_entries.Entry) -> None:
+        """Add an entry at the end."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} leaves a gap")
+        self._push(entry)
+
+    def merge(self, entries: tuple[log_entries.Entry, ...]) -> int | None:
+        """Add a leader's entries; the first follows an entry held.
+
+        Returns: the index from which a conflicting suffix was removed, None
+            when there was no conflict.
+        Raises:
+            ValueError: a committed entry conflicts.
+        """
+        truncated = None
+        for entry in entries:
+            if entry.index <= self.base_index:
+                continue
+            held = self.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self._truncate(entry.index)
+                truncated = entry.index
+            self.add(entry)
+        return truncated
+
+    def take_unwritten(self) -> list[log_entries.Entry]:
+        """Returns: entries not yet given to the log store."""
+        unwritten = self._entries[self.handed - self.base_index :]
+        self.handed = self.last_index
+        return unwritten
+
+    def take_committed(self) -> list[log_entries.Entry]:
+        """Returns: committed entries not yet given to the state machine."""
+        start = self.delivered - self.base_index
+        committed = self._entries[start : self.commit - self.base_index]
+        self.delivered = self.commit
+        return committed
+
+    def compact(self, index: int) -> None:
+        """Forget entries up to an index that was given to the machine."""
+        if not self.base_index < index <= self.delivered:
+            return
+        term = self.term_at(index)
+        membership = self.membership_at(index)
+        del self._entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+        later = [pair for pair in self._memberships if pair[0] > index]
+        self._memberships = [(index, membership), *later]
+        self.handed = max(self.handed, index)
+
+    def reset(
+        self, index: int, term: int, membership: memberships.Membership
+    ) -> None:
+        """Replace everything by a snapshot."""
+        self._entries.clear()
+        self._memberships = [(index, membership)]
+        self.base_index = index
+        self.base_term = term
+        self.commit = index
+        self.delivered = index
+        self.handed = index
+
+    def _push(self, entry: log_entries.Entry) -> None:
+        self._entries.append(entry)
+        if entry.kind == _MEMBERSHIP:
+            changed = memberships.decode(entry.data)
+            self._memberships.append((entry.index, changed))
+
+    def _truncate(self, index: int) -> None:
+        if index <= self.commit:
+            raise ValueError(f"committed entry {index} conflicts")
+        del self._entries[index - self.base_index - 1 :]
+        while self._memberships[-1][0] >= index:
+            self._memberships.pop()
+        self.handed = min(self.handed, index - 1)
+        self.persisted = min(self.persisted, index - 1)
--- /dev/null
+++ b/papayalink/coordination/raft/membership.py
@@ -0,0 +1,125 @@
+"""Members of a group and the changes to them."""
+
+import msgspec
+
+from papayalink.coordination import errors
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One member; a learner receives the log but never votes or counts."""
+
+    member_id: str
+    address: str = ""
+    voter: bool = True
+
+
+class Membership(msgspec.Struct, frozen=True, array_like=True):
+    """All members, and the ids that may not be used again.
+
+    Ids are never reused, because a member that lost its disk no longer knows
+    the votes and acknowledgements that it gave under its old id.
+    """
+
+    members: tuple[Member, ...] = ()
+    removed: tuple[str, ...] = ()
+
+    @property
+    def ids(self) -> tuple[str, ...]:
+        return tuple(member.member_id for member in self.members)
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        return tuple(
+            member.member_id for member in self.members if member.voter
+        )
+
+    @property
+    def quorum(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    def find(self, member_id: str) -> Member | None:
+        """Returns: the member with the id, None when there is none."""
+        for member in self.members:
+            if member.member_id == member_id:
+                return member
+        return None
+
+    def has_quorum(self, ids: set[str]) -> bool:
+        """Returns: whether the ids include a majority of the voters."""
+        voters = self.voters
+        agreeing = sum(voter in ids for voter in voters)
+        return bool(voters) and agreeing >= self.quorum
+
+
+class AddLearner(msgspec.Struct, frozen=True, tag=True):
+    """Add a member that receives the log and does not vote."""
+
+    member_id: str
+    address: str = ""
+
+
+class PromoteLearner(msgspec.Struct, frozen=True, tag=True):
+    """Make a learner that has caught up a voter."""
+
+    member_id: str
+
+
+class RemoveMember(msgspec.Struct, frozen=True, tag=True):
+    """Remove a voter or learner for good."""
+
+    member_id: str
+
+
+Change = AddLearner | PromoteLearner | RemoveMember
+
+_DECODER = msgspec.msgpack.Decoder(Membership)
+
+
+def make_membership(*member_ids: str) -> Membership:
+    """Returns: a membership whose members are all voters."""
+    return Membership(tuple(Member(member_id) for member_id in member_ids))
+
+
+def encode(membership: Membership) -> bytes:
+    """Returns: the data of a membership entry."""
+    return msgspec.msgpack.encode(membership)
+
+
+def decode(data: bytes) -> Membership:
+    """Returns: the membership that encode() was given."""
+    return _DECODER.decode(data)
+
+
+def change(current: Membership, wanted: Change) -> Membership:
+    """Apply one change.
+
+    Returns: the membership after the change.
+    Raises:
+        ChangeRefused: the change does not fit the current members.
+    """
+    member = current.find(wanted.member_id)
+    match wanted:
+        case AddLearner(member_id, address):
+            if member is not None or member_id in current.removed:
+                raise errors.ChangeRefused(f"id {member_id} was used before")
+            learner = Member(member_id, address, False)
+            return Membership((*current.members, learner), current.removed)
+        case PromoteLearner(member_id):
+            if member is None or member.voter:
+                raise errors.ChangeRefused(f"{member_id} is not a learner")
+            promoted = tuple(
+                (
+                    Member(each.member_id, each.address, True)
+                    if each is member
+                    else each
+                )
+                for each in current.members
+            )
+            return Membership(promoted, current.removed)
+        case RemoveMember(member_id):
+            if member is None:
+                raise errors.ChangeRefused(f"{member_id} is not a member")
+            if current.voters == (member_id,):
+                raise errors.ChangeRefused("the last voter cannot leave")
+            rest = tuple(each for each in current.members if each != member)
+            return Membership(rest, (*current.removed, member_id))
--- /dev/null
+++ b/papayalink/coordination/raft/node_state.py
@@ -0,0 +1,259 @@
+"""State of a node, shared by the modules of the core."""
+
+import enum
+import random
+
+import msgspec
+
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import log as logs
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.coordination.raft import progress as progresses
+from papayalink.state import log_entries
+
+
+class Role(enum.Enum):
+    """Role of a member; learners are followers that never campaign."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Write(msgspec.Struct):
+    """A write given to the log store and not yet synced.
+
+    Attributes:
+        write_id: number of the write.
+        index: last entry that is durable once the write is.
+        held: messages that rest on the write.
+    """
+
+    write_id: int
+    index: int
+    held: list[messages.PeerMessage]
+
+
+class PendingRead(msgspec.Struct, frozen=True):
+    """A read at the leader; the sender is the member that asked."""
+
+    sender: str
+    token: int
+
+
+class NodeState:
+    """All state of a node; no method does I/O or reads a clock.
+
+    Args:
+        config: see inputs.Config.
+    """
+
+    __slots__ = (
+        "config",
+        "term",
+        "vote",
+        "role",
+        "leader_id",
+        "log",
+        "snapshot",
+        "progress",
+        "votes",
+        "election_elapsed",
+        "election_timeout",
+        "heartbeat_elapsed",
+        "full",
+        "removed",
+        "reads_waiting",
+        "reads_in_round",
+        "read_round",
+        "read_commit",
+        "forwarded_reads",
+        "writes",
+        "outbox",
+        "ready",
+        "_random",
+        "_dirty",
+        "_held",
+        "_next_write_id",
+    )
+
+    def __init__(self, config: inputs.Config) -> None:
+        self.config = config
+        self.term = config.hard_state.term
+        self.vote = config.hard_state.vote
+        self.role = Role.FOLLOWER
+        self.leader_id: str | None = None
+        self.snapshot = config.snapshot
+        if self.snapshot is None:
+            base = (0, 0, memberships.Membership())
+        else:
+            base = (
+                self.snapshot.index,
+                self.snapshot.term,
+                self.snapshot.membership,
+            )
+        self.log = logs.RaftLog(*base, config.entries)
+        self.progress: dict[str, progresses.Progress] = {}
+        self.votes: dict[str, bool] = {}
+        self.election_elapsed = 0
+        self.heartbeat_elapsed = 0
+        self.full = False
+        self.removed = config.member_id in base[2].removed
+        self.reads_waiting: list[PendingRead] = []
+        self.reads_in_round: list[PendingRead] = []
+        self.read_round = 0
+        self.read_commit = 0
+        # Insertion order, oldest first.
+        self.forwarded_reads: dict[int, None] = {}
+        self.writes: list[Write] = []
+        self.outbox: list[messages.PeerMessage] = []
+        self.ready = inputs.Ready()
+        self._random = random.Random(config.seed)
+        self._dirty = False
+        self._held: list[messages.PeerMessage] = []
+        self._next_write_id = 1
+        self.reset_election_timer()
+
+    @property
+    def member_id(self) -> str:
+        return self.config.member_id
+
+    @property
+    def is_leader(self) -> bool:
+        return self.role is Role.LEADER
+
+    @property
+    def membership(self) -> memberships.Membership:
+        return self.log.membership
+
+    @property
+    def is_voter(self) -> bool:
+        return self.member_id in self.membership.voters
+
+    @property
+    def has_live_leader(self) -> bool:
+        """Whether a leader was heard from within the election timeout."""
+        return (
+            self.leader_id is not None
+            and self.election_elapsed < self.config.election_ticks
+        )
+
+    @property
+    def committed_own_term(self) -> bool:
+        return self.log.term_at(self.log.commit) == self.term
+
+    def reset_election_timer(self) -> None:
+        """Start a new election timeout of a random length."""
+        ticks = self.config.election_ticks
+        self.election_elapsed = 0
+        self.election_timeout = self._random.randint(ticks, 2 * ticks - 1)
+
+    def set_term(self, term: int, vote: str | None) -> None:
+        """Enter a term or vote in it; durable with the next write."""
+        if term != self.term:
+            # What was promised in an older term must not be sent any more.
+            self._held.clear()
+            for write in self.writes:
+                write.held.clear()
+        self.term = term
+        self.vote = vote
+        self._dirty = True
+
+    def become_follower(self, term: int, leader_id: str | None) -> None:
+        """Follow a leader, or wait for one when the id is None."""
+        if term > self.term:
+            self.set_term(term, None)
+        if self.is_leader:
+            self.drop_reads("lost leadership")
+        if self.role is not Role.FOLLOWER:
+            self.reset_election_timer()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+        self.progress.clear()
+        self.votes.clear()
+
+    def drop_reads(self, reason: str) -> None:
+        """Refuse the own reads that wait at this leader."""
+        for read in (*self.reads_waiting, *self.reads_in_round):
+            if read.sender == self.member_id:
+                self.drop(read.token, reason)
+        self.reads_waiting.clear()
+        self.reads_in_round.clear()
+
+    def drop(
+        self,
+        token: int,
+        reason: str,
+        cause: inputs.DropCause = inputs.DropCause.UNAVAILABLE,
+    ) -> None:
+        """Refuse a request of the owner."""
+        self.ready.dropped.append(inputs.Dropped(token, cause, reason))
+
+    def header(self, to: str) -> tuple[str, str, int]:
+        """Returns: the first fields of a message of the current term."""
+        return self.member_id, to, self.term
+
+    def send(self, message: messages.PeerMessage) -> None:
+        """Send a message that rests on no write."""
+        self.outbox.append(message)
+
+    def send_after_write(self, message: messages.PeerMessage) -> None:
+        """Send a message once everything changed so far is durable."""
+        self._held.append(message)
+
+    def append(self, kind: log_entries.EntryKind, data: bytes) -> int:
+        """Append an entry of the current term.
+
+        Returns: its index.
+        """
+        index = self.log.last_index + 1
+        self.log.add(log_entries.Entry(index, self.term, kind, data))
+        return index
+
+    def cap_writes(self, index: int) -> None:
+        """Entries after the index were replaced.
+
+        Writes already under way no longer make those durable.
+        """
+        for write in self.writes:
+            write.index = min(write.index, index)
+
+    def persisted(self, write_id: int) -> list[messages.PeerMessage]:
+        """Record finished writes.
+
+        Returns: the messages that rested on them.
+        """
+        released = []
+        while self.writes and self.writes[0].write_id <= write_id:
+            write = self.writes.pop(0)
+            self.log.persisted = max(self.log.persisted, write.index)
+            released.extend(write.held)
+        return released
+
+    def start_write(self) -> None:
+        """Put unwritten state into the output, and what rests on it aside."""
+        ready = self.ready
+        ready.entries = self.log.take_unwritten()
+        if self._dirty:
+            ready.hard_state = log_entries.HardState(self.term, self.vote)
+        if ready.entries or self._dirty or ready.snapshot is not None:
+            ready.write_id = self._next_write_id
+            self._next_write_id += 1
+            write = Write(ready.write_id, self.log.last_index, [])
+            self.writes.append(write)
+        self._dirty = False
+        if self.writes:
+            self.writes[-1].held.extend(self._held)
+        else:
+            self.outbox.extend(self._held)
+        self._held.clear()
+
+    def take_ready(self) -> inputs.Ready:
+        """Returns: the output collected since the last call."""
+        ready = self.ready
+        ready.messages = self.outbox
+        self.ready = inputs.Ready()
+        self.outbox = []
+        return ready
--- /dev/null
+++ b/papayalink/coordination/raft/replication.py
@@ -0,0 +1,242 @@
+"""Replication of the log, heartbeats and snapshots."""
+
+from papayalink.coordination.raft import messages
+from papayalink.coordination.raft import node_state
+from papayalink.coordination.raft import progress as progresses
+
+_Mode = progresses.Mode
+
+
+def sync_peers(state: node_state.NodeState) -> None:
+    """Track the members in force, and those of an uncommitted change."""
+    current = state.membership.ids
+    committed = state.log.membership_at(state.log.commit).ids
+    wanted = {*current, *committed} - {state.member_id}
+    for peer in sorted(wanted - state.progress.keys()):
+        next_index = state.log.last_index
+        state.progress[peer] = progresses.Progress(next_index, active=True)
+    for peer in state.progress.keys() - wanted:
+        del state.progress[peer]
+
+
+def tick(state: node_state.NodeState) -> None:
+    """Send heartbeats that are due, and give up on lost snapshots."""
+    for progress in state.progress.values():
+        if progress.mode is _Mode.SNAPSHOT:
+            progress.waited_ticks += 1
+            if progress.waited_ticks >= state.config.snapshot_ticks:
+                progress.probe(progress.match + 1)
+    state.heartbeat_elapsed += 1
+    if state.heartbeat_elapsed >= state.config.heartbeat_ticks:
+        broadcast_heartbeat(state)
+
+
+def broadcast_heartbeat(state: node_state.NodeState) -> None:
+    """Send a heartbeat with the current read round to every peer."""
+    state.heartbeat_elapsed = 0
+    for peer, progress in state.progress.items():
+        # The peer's log is known to match only up to progress.match.
+        commit = min(state.log.commit, progress.match)
+        heartbeat = messages.Heartbeat(
+            *state.header(peer), commit, state.read_round
+        )
+        state.send(heartbeat)
+
+
+def send_pending(state: node_state.NodeState) -> None:
+    """Send every peer what it lacks, within its window."""
+    for peer, progress in state.progress.items():
+        _send_pending_to(state, peer, progress)
+
+
+def _send_pending_to(state, peer, progress) -> None:
+    config = state.config
+    log = state.log
+    while progress.wants_message(
+        log.last_index, log.commit, config.window_entries
+    ):
+        prev_index = progress.next_index - 1
+        prev_term = log.term_at(prev_index)
+        if prev_term is None:
+            _send_snapshot(state, peer, progress)
+            return
+        entries = ()
+        if progress.has_room(config.window_entries):
+            entries = log.slice(
+                progress.next_index,
+                config.max_batch_entries,
+                config.max_batch_bytes,
+            )
+        state.send(
+            messages.Append(
+                *state.header(peer), prev_index, prev_term, entries, log.commit
+            )
+        )
+        progress.sent_commit = log.commit
+        progress.nudge = False
+        if progress.mode is _Mode.PROBE:
+            progress.paused = True
+        else:
+            progress.next_index += len(entries)
+
+
+def _send_snapshot(state, peer, progress) -> None:
+    # A peer that does not answer would receive the snapshot for nothing.
+    if not progress.active:
+        progress.probe(progress.next_index)
+        progress.paused = True
+        return
+    snapshot = state.snapshot
+    state.send(messages.InstallSnapshot(*state.header(peer), snapshot))
+    progress.mode = _Mode.SNAPSHOT
+    progress.waited_ticks = 0
+    progress.nudge = False
+    progress.next_index = snapshot.index + 1
+
+
+def advance_commit(state: node_state.NodeState) -> None:
+    """Commit what a quorum of voters holds durably.
+
+    Only an entry of the own term is committed by counting: an entry of an
+    older term held by a quorum may still be replaced by a later leader.
+    """
+    matches = sorted(
+        (
+            (
+                state.log.persisted
+                if voter == state.member_id
+                else state.progress[voter].match
+            )
+            for voter in state.membership.voters
+        ),
+        reverse=True,
+    )
+    if not matches:
+        return
+    index = matches[state.membership.quorum - 1]
+    if index > state.log.commit and state.log.term_at(index) == state.term:
+        state.log.commit = index
+
+
+def on_append(state: node_state.NodeState, message) -> None:
+    """Take a leader's entries into the log."""
+    log = state.log
+    accepted = message.prev_index + len(message.entries)
+    if accepted <= log.commit:
+        # A late message: committed entries are known to match.
+        _acknowledge(state, message.sender, log.commit)
+        return
+    if message.prev_index > log.base_index:
+        held = log.term_at(message.prev_index)
+        if held != message.prev_term:
+            _refuse(state, message)
+            return
+    unwritten = log.last_index - log.persisted
+    if state.full and unwritten >= state.config.window_entries:
+        return
+    truncated = log.merge(message.entries)
+    if truncated is not None:
+        state.cap_writes(truncated - 1)
+    _commit_to(state, min(message.commit, accepted))
+    _acknowledge(state, message.sender, accepted)
+
+
+def on_append_reply(state: node_state.NodeState, message) -> None:
+    """Record what a peer holds."""
+    progress = state.progress.get(message.sender)
+    if progress is not None:
+        progress.active = True
+        progress.acknowledge(message.match, message.accepted)
+
+
+def on_append_refused(state: node_state.NodeState, message) -> None:
+    """Find the next entry at which the logs may match."""
+    progress = state.progress.get(message.sender)
+    if progress is None:
+        return
+    progress.active = True
+    if progress.mode is _Mode.SNAPSHOT or message.prev_index <= progress.match:
+        return
+    if (
+        progress.mode is _Mode.PROBE
+        and message.prev_index != progress.next_index - 1
+    ):
+        return
+    candidate = min(message.hint_index, message.prev_index - 1)
+    progress.accepted = progress.match
+    progress.probe(
+        state.log.last_at_or_below(candidate, message.hint_term) + 1
+        if candidate >= state.log.base_index
+        else candidate + 1
+    )
+
+
+def on_heartbeat(state: node_state.NodeState, message) -> None:
+    """Answer at once: leadership and reads rest on no write here."""
+    _commit_to(state, min(message.commit, state.log.last_index))
+    state.send(
+        messages.HeartbeatReply(
+            *state.header(message.sender), message.read_round
+        )
+    )
+
+
+def on_heartbeat_reply(state: node_state.NodeState, message) -> None:
+    """Record that a peer follows, and look for lost messages."""
+    progress = state.progress.get(message.sender)
+    if progress is None:
+        return
+    progress.active = True
+    progress.paused = False
+    progress.read_round = max(progress.read_round, message.read_round)
+    if progress.match < state.log.last_index:
+        progress.nudge = True
+
+
+def on_install_snapshot(state: node_state.NodeState, message) -> None:
+    """Replace the log by a snapshot, unless it holds as much already."""
+    snapshot = message.snapshot
+    log = state.log
+    if snapshot.index <= log.commit:
+        _acknowledge(state, message.sender, log.commit)
+        return
+    if log.term_at(snapshot.index) == snapshot.term:
+        _commit_to(state, snapshot.index)
+        _acknowledge(state, message.sender, snapshot.index)
+        return
+    state.cap_writes(log.commit)
+    log.persisted = min(log.persisted, log.commit)
+    log.reset(snapshot.index, snapshot.term, snapshot.membership)
+    state.snapshot = snapshot
+    state.ready.snapshot = snapshot
+    _acknowledge(state, message.sender, snapshot.index)
+
+
+def _commit_to(state: node_state.NodeState, index: int) -> None:
+    state.log.commit = max(state.log.commit, index)
+
+
+def _acknowledge(state, leader_id: str, accepted: int) -> None:
+    if not state.full:
+        state.send_after_write(
+            messages.AppendReply(*state.header(leader_id), accepted, accepted)
+        )
+        return
+    # Without room on disk, entries are followed in memory, so that reads
+    # continue to be served; they do not count for the quorum.
+    match = min(accepted, state.log.persisted)
+    state.send(messages.AppendReply(*state.header(leader_id), match, accepted))
+
+
+def _refuse(state, message) -> None:
+    hint = state.log.last_at_or_below(
+        message.prev_index - 1, message.prev_term
+    )
+    state.send(
+        messages.AppendRefused(
+            *state.header(message.sender),
+            message.prev_index,
+            hint,
+            state.log.term_at(hint),
+        )
+    )
--- /dev/null
+++ b/papayalink/coordination/replica.py
@@ -0,0 +1,506 @@
+"""Task that runs one member of the control group."""
+
+from collections.abc import Callable
+import secrets
+from typing import Protocol
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink import logs
+from papayalink import timers
+from papayalink.coordination import errors
+from papayalink.coordination import log_writer
+from papayalink.coordination import waiting
+from papayalink.coordination.raft import core
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import errors as state_errors
+from papayalink.state import log_entries
+from papayalink.state import log_store
+
+# Bounds the time the task works without yielding to other greenlets.
+_MAX_BATCH = 500
+# Peers repeat what is dropped beyond this, which a stalled task cannot use.
+_MAX_INBOX = 20_000
+# Room on a full disk comes from an operator, so it is looked for rarely.
+_FULL_RETRY_S = 1.0
+
+
+class StateMachine(Protocol):
+    """What a replica applies committed commands to."""
+
+    def apply(self, index: int, data: bytes) -> bytes: ...
+
+    def snapshot(self) -> bytes: ...
+
+    def restore(self, data: bytes) -> None: ...
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one replica.
+
+    Attributes:
+        member_id: own id; a member whose disk was lost needs a new one.
+        tick_s: seconds between ticks.
+        election_ticks: shortest election timeout; the longest is below
+            twice as long.
+        heartbeat_ticks: ticks between heartbeats.
+        snapshot_entries: applied entries after which a snapshot is taken.
+        snapshot_bytes: applied bytes after which a snapshot is taken.
+        seed: seed of the election timeouts, None to draw one.
+    """
+
+    member_id: str
+    tick_s: float = 0.05
+    election_ticks: int = 10
+    heartbeat_ticks: int = 2
+    snapshot_entries: int = 1000
+    # A restart reads at most this much besides the snapshot.
+    snapshot_bytes: int = 16 * 1024 * 1024
+    seed: int | None = None
+
+
+class _Tick(msgspec.Struct, frozen=True):
+    pass
+
+
+class _RetryWrite(msgspec.Struct, frozen=True):
+    pass
+
+
+class _Stop(msgspec.Struct, frozen=True):
+    pass
+
+
+class _Deliver(msgspec.Struct, frozen=True):
+    messages: list[messages.PeerMessage]
+
+
+class _Propose(msgspec.Struct, frozen=True):
+    data: bytes
+    waiter: waiting.Waiter
+
+
+class _Change(msgspec.Struct, frozen=True):
+    change: memberships.Change
+    waiter: waiting.Waiter
+
+
+class _Read(msgspec.Struct, frozen=True):
+    waiter: waiting.Waiter
+
+
+class Replica:
+    """One member; its task owns the node, the store and the machine.
+
+    Args:
+        settings: see Settings.
+        node: loaded from the store.
+        store: log store of this member.
+        machine: restored from the stored snapshot.
+        applied: index that the machine was restored to.
+        timer_service: delivers ticks.
+        send: takes a member id and a list of messages; must not block.
+
+    Public methods may be called from any greenlet of the hub.
+    """
+
+    __slots__ = (
+        "_settings",
+        "_node",
+        "_store",
+        "_machine",
+        "_applied",
+        "_timers",
+        "_send",
+        "_inbox",
+        "_writer",
+        "_tokens",
+        "_waiters",
+        "_appended",
+        "_reads",
+        "_snapshot_index",
+        "_bytes_applied",
+        "_snapshot_pending",
+        "_was_leader",
+        "_failure",
+        "_log",
+        "_ticks",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        node: core.Node,
+        store: log_store.LogStore,
+        machine: StateMachine,
+        applied: int,
+        timer_service: timers.TimerService,
+        send: Callable[[str, list[messages.PeerMessage]], None],
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._store = store
+        self._machine = machine
+        self._applied = applied
+        self._timers = timer_service
+        self._send = send
+        self._inbox: queue.SimpleQueue = queue.SimpleQueue()
+        self._writer = log_writer.make_log_writer(store, self._inbox)
+        self._tokens = waiting.make_tokens()
+        # By token until appended, then by index with the entry's term.
+        self._waiters: dict[int, waiting.Waiter] = {}
+        self._appended: dict[int, tuple[int, waiting.Waiter]] = {}
+        self._reads = waiting.Reads(self._tokens)
+        self._snapshot_index = applied
+        self._bytes_applied = 0
+        self._snapshot_pending = False
+        self._was_leader = False
+        self._failure: str | None = None
+        self._log = logs.get_logger(member_id=settings.member_id)
+        self._ticks = timer_service.every(
+            settings.tick_s, self._inbox, _Tick()
+        )
+        self._task = gevent.spawn(self._run)
+
+    @property
+    def is_leader(self) -> bool:
+        return self._failure is None and self._node.is_leader
+
+    @property
+    def leader_id(self) -> str | None:
+        return self._node.leader_id
+
+    @property
+    def membership(self) -> memberships.Membership:
+        """Members in force at this member."""
+        return self._node.membership
+
+    def propose(self, data: bytes, timeout_s: float) -> bytes:
+        """Commit and apply a command.
+
+        Returns: what the machine returned for it.
+        Raises:
+            NotLeader: not run; the error names the leader when known.
+            Unavailable: not run.
+            Unknown: it may have been run, or may be run later.
+        """
+        waiter = waiting.Waiter()
+        self._put(_Propose(data, waiter))
+        return waiter.wait(timeout_s)
+
+    def confirm_read(self, timeout_s: float) -> int:
+        """Wait until all that was committed before the call is applied.
+
+        Returns: the read index, which a quorum confirmed after the call.
+        Raises:
+            Unavailable: no quorum confirmed it within the time.
+        """
+        waiter = waiting.Waiter()
+        self._put(_Read(waiter))
+        return waiter.wait(timeout_s)
+
+    def change_members(
+        self, change: memberships.Change, timeout_s: float = 10.0
+    ) -> None:
+        """Commit one membership change.
+
+        Raises:
+            ChangeRefused: not valid now; nothing was changed.
+            NotLeader: not run.
+            Unavailable: not run.
+            Unknown: it may have taken effect, or may take effect later.
+        """
+        waiter = waiting.Waiter()
+        self._put(_Change(change, waiter))
+        waiter.wait(timeout_s)
+
+    def deliver(self, batch: list[messages.PeerMessage]) -> None:
+        """Hand over messages of peers; does not wait."""
+        if self._failure is None and self._inbox.qsize() < _MAX_INBOX:
+            self._inbox.put(_Deliver(batch))
+
+    def status(self) -> dict:
+        """Returns: plain data about this member, for inspection."""
+        node = self._node
+        return {
+            "member_id": self._settings.member_id,
+            "role": node.role.value,
+            "term": node.term,
+            "leader_id": node.leader_id,
+            "members": msgspec.to_builtins(node.membership.members),
+            "first_index": node.first_index,
+            "last_index": node.last_index,
+            "persisted": node.persisted,
+            "commit": node.commit,
+            "applied": self._applied,
+            "snapshot_index": self._snapshot_index,
+            "match": node.match,
+            "disk_full": node.full,
+            "removed": node.removed,
+            "failure": self._failure,
+        }
+
+    def stop(self) -> None:
+        """Stop the task after the write under way, and close the store."""
+        if self._failure is None:
+            self._inbox.put(_Stop())
+        self._task.join()
+
+    def _put(self, request: _Propose | _Change | _Read) -> None:
+        if self._failure is not None:
+            raise errors.Unavailable(self._failure)
+        self._inbox.put(request)
+
+    def _run(self) -> None:
+        try:
+            while self._failure is None:
+                batch = [self._inbox.get()]
+                while len(batch) < _MAX_BATCH and not self._inbox.empty():
+                    batch.append(self._inbox.get_nowait())
+                self._handle(batch)
+                # A queue that never runs empty would starve other greenlets.
+                gevent.sleep(0)
+        except Exception as error:
+            # A machine that cannot apply a command must not go on with the
+            # next one.
+            self._log.exception("replica failed")
+            self._failure = f"the replica failed: {error!r}"
+        self._ticks.cancel()
+        self._log.info("replica stopped", reason=self._failure)
+        self._fail_waiters()
+        self._writer.join()
+        self._store.close()
+
+    def _handle(self, batch: list) -> None:
+        given: list[inputs.Input] = []
+        ticked = False
+        for message in batch:
+            match message:
+                case _Tick():
+                    # Ticks that piled up while the task was busy must not
+                    # run as a burst into an election.
+                    if not ticked:
+                        given.append(inputs.Tick())
+                        self._reads.tick()
+                    ticked = True
+                case _Deliver(received):
+                    given.extend(inputs.Receive(each) for each in received)
+                case _Propose(data, waiter):
+                    if not waiter.abandoned:
+                        token = self._register(waiter)
+                        given.append(inputs.Propose(data, token))
+                case _Change(change, waiter):
+                    if not waiter.abandoned:
+                        token = self._register(waiter)
+                        given.append(inputs.ChangeMembers(change, token))
+                case _Read(waiter):
+                    self._reads.add(waiter)
+                case log_writer.Written():
+                    self._note_written(message, given)
+                case _RetryWrite():
+                    self._writer.retry()
+                case _Stop():
+                    self._failure = "the replica is stopped"
+                    return
+        read = self._reads.start()
+        if read is not None:
+            given.append(read)
+        self._act(self._node.step(inputs.Batch(given)))
+        while (read := self._reads.start()) is not None:
+            self._act(self._node.step(read))
+
+    def _register(self, waiter: waiting.Waiter) -> int:
+        token = next(self._tokens)
+        self._waiters[token] = waiter
+        return token
+
+    def _note_written(
+        self, written: log_writer.Written, given: list[inputs.Input]
+    ) -> None:
+        self._writer.finished(written)
+        if isinstance(written.error, state_errors.LogFull):
+            self._timers.after(_FULL_RETRY_S, self._inbox, _RetryWrite())
+            if not self._node.full:
+                self._log.warning("disk full", error=str(written.error))
+            given.append(inputs.StorageFull())
+            return
+        if written.error is not None:
+            self._failure = f"the log store failed: {written.error}"
+            return
+        if self._node.full:
+            self._log.info("disk has room again")
+            given.append(inputs.StorageFree())
+        if written.write_id is not None:
+            given.append(inputs.Persisted(written.write_id))
+        if written.compacted is not None:
+            self._snapshot_pending = False
+            given.append(inputs.Compacted(written.compacted))
+
+    def _act(self, ready: inputs.Ready) -> None:
+        for dropped in ready.dropped:
+            self._refuse(dropped)
+        for appended in ready.appended:
+            waiter = self._waiters.pop(appended.token)
+            waiter.appended = True
+            self._appended[appended.index] = (appended.term, waiter)
+        if ready.write_id is not None:
+            self._writer.submit(
+                log_writer.Job(
+                    ready.write_id,
+                    ready.snapshot,
+                    ready.hard_state,
+                    ready.entries,
+                )
+            )
+        self._send_all(ready.messages)
+        if ready.snapshot is not None:
+            self._restore(ready.snapshot)
+        for entry in ready.committed:
+            self._apply(entry)
+        for read in ready.reads:
+            self._reads.confirmed(read)
+        self._reads.applied(self._applied)
+        self._take_snapshot()
+        if self._node.is_leader != self._was_leader:
+            self._was_leader = self._node.is_leader
+            event = "leading" if self._was_leader else "not leading"
+            self._log.info(event, term=self._node.term)
+        if ready.removed:
+            self._failure = "this member was removed"
+
+    def _refuse(self, dropped: inputs.Dropped) -> None:
+        waiter = self._waiters.pop(dropped.token, None)
+        if waiter is None:
+            self._reads.refused(dropped.token)
+            return
+        match dropped.cause:
+            case inputs.DropCause.NOT_LEADER:
+                waiter.fail(errors.NotLeader(self._node.leader_id))
+            case inputs.DropCause.CHANGE_REFUSED:
+                waiter.fail(errors.ChangeRefused(dropped.reason))
+            case inputs.DropCause.UNAVAILABLE:
+                waiter.fail(errors.Unavailable(dropped.reason))
+
+    def _send_all(self, outgoing: list[messages.PeerMessage]) -> None:
+        by_peer: dict[str, list[messages.PeerMessage]] = {}
+        for message in outgoing:
+            by_peer.setdefault(message.to, []).append(message)
+        for peer, batch in by_peer.items():
+            try:
+                self._send(peer, batch)
+            except Exception as error:
+                # The protocol repeats what was lost; the member goes on.
+                self._log.warning("send failed", to=peer, error=repr(error))
+
+    def _apply(self, entry: log_entries.Entry) -> None:
+        outcome = b""
+        if entry.kind == log_entries.EntryKind.COMMAND:
+            outcome = self._machine.apply(entry.index, entry.data)
+        self._applied = entry.index
+        self._bytes_applied += len(entry.data)
+        found = self._appended.pop(entry.index, None)
+        if found is None:
+            return
+        term, waiter = found
+        if term == entry.term:
+            waiter.resolve(outcome)
+        else:
+            # Another leader's entry took its place, so it was never run.
+            waiter.fail(errors.NotLeader(self._node.leader_id))
+
+    def _restore(self, snapshot: messages.Snapshot) -> None:
+        self._machine.restore(snapshot.data)
+        self._applied = snapshot.index
+        self._snapshot_index = snapshot.index
+        self._bytes_applied = 0
+        self._log.info("snapshot received", index=snapshot.index)
+        for index in [
+            each for each in self._appended if each <= self._applied
+        ]:
+            _, waiter = self._appended.pop(index)
+            waiter.fail(errors.Unknown("covered by a received snapshot"))
+
+    def _take_snapshot(self) -> None:
+        due = (
+            self._applied - self._snapshot_index
+            >= self._settings.snapshot_entries
+            or self._bytes_applied >= self._settings.snapshot_bytes
+        )
+        if not due or self._snapshot_pending or self._node.full:
+            return
+        # The writer stores it behind the entries it covers.
+        snapshot = self._node.make_snapshot(
+            self._applied, self._machine.snapshot()
+        )
+        self._snapshot_index = self._applied
+        self._bytes_applied = 0
+        self._snapshot_pending = True
+        self._writer.submit(log_writer.Job(snapshot=snapshot))
+
+    def _fail_waiters(self) -> None:
+        for waiter in (*self._waiters.values(), *self._reads.take_all()):
+            waiter.fail(errors.Unavailable(self._failure))
+        for _, waiter in self._appended.values():
+            waiter.fail(errors.Unknown(self._failure))
+        while not self._inbox.empty():
+            match self._inbox.get_nowait():
+                case _Propose(_, waiter) | _Change(_, waiter) | _Read(waiter):
+                    waiter.fail(errors.Unavailable(self._failure))
+
+
+def make_replica(
+    settings: Settings,
+    store: log_store.LogStore,
+    machine: StateMachine,
+    timer_service: timers.TimerService,
+    send: Callable[[str, list[messages.PeerMessage]], None],
+    bootstrap: memberships.Membership | None = None,
+) -> Replica:
+    """Load a member from its store and start its task.
+
+    Args:
+        settings: see Settings.
+        store: not yet loaded.
+        machine: in its initial state.
+        timer_service: delivers ticks.
+        send: takes a member id and a list of messages; must not block.
+        bootstrap: first members of a new group, the same at each of them;
+            used only when the store is empty. A member that is to join an
+            existing group, or that lost its disk, gets None.
+    Returns: the running replica.
+    Raises:
+        StorageFailed: the store cannot be read, or not be written.
+    """
+    try:
+        stored = store.load()
+        snapshot = None
+        if stored.snapshot is not None:
+            snapshot = messages.decode_snapshot(stored.snapshot.data)
+            machine.restore(snapshot.data)
+        elif bootstrap is not None and not stored.entries:
+            snapshot = messages.Snapshot(0, 0, bootstrap, machine.snapshot())
+            store.save_snapshot(0, 0, messages.encode_snapshot(snapshot))
+    except state_errors.StateError as error:
+        store.close()
+        raise errors.StorageFailed(str(error)) from error
+    seed = settings.seed
+    node = core.make_node(
+        inputs.Config(
+            member_id=settings.member_id,
+            seed=secrets.randbits(64) if seed is None else seed,
+            hard_state=stored.hard_state,
+            snapshot=snapshot,
+            entries=stored.entries,
+            election_ticks=settings.election_ticks,
+            heartbeat_ticks=settings.heartbeat_ticks,
+        )
+    )
+    applied = 0 if snapshot is None else snapshot.index
+    return Replica(
+        settings, node, store, machine, applied, timer_service, send
+    )
--- /dev/null
+++ b/papayalink/coordination/waiting.py
@@ -0,0 +1,148 @@
+"""Requests of greenlets that wait for a replica."""
+
+import itertools
+import secrets
+
+import gevent
+from gevent import event
+
+from papayalink.coordination import errors
+from papayalink.coordination.raft import inputs
+
+# At the default tick 200 ms, well above a round trip between zones.
+_READ_RETRY_TICKS = 4
+
+
+class Waiter:
+    """One waiting greenlet."""
+
+    __slots__ = ("appended", "_result", "_abandoned")
+
+    def __init__(self) -> None:
+        # Whether the log holds the request, so that it may still take effect.
+        self.appended = False
+        self._result = event.AsyncResult()
+        self._abandoned = False
+
+    @property
+    def abandoned(self) -> bool:
+        return self._abandoned
+
+    def resolve(self, value: object) -> None:
+        self._result.set(value)
+
+    def fail(self, error: errors.CoordinationError) -> None:
+        self._result.set_exception(error)
+
+    def wait(self, timeout_s: float) -> object:
+        """Wait for the result.
+
+        Raises:
+            Unknown: time ran out after the request was appended.
+            Unavailable: time ran out before that.
+        """
+        try:
+            return self._result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            if self.appended:
+                raise errors.Unknown(f"no outcome within {timeout_s} s")
+            raise errors.Unavailable(f"not handled within {timeout_s} s")
+        finally:
+            self._abandoned = True
+
+
+def make_tokens() -> itertools.count:
+    """Returns: tokens that do not repeat over restarts."""
+    return itertools.count(secrets.randbits(60))
+
+
+class Reads:
+    """Reads of one replica, of which many share one confirmation.
+
+    One read of the node is under way at a time; greenlets that arrive
+    meanwhile wait for the next one, since the one under way may have been
+    confirmed before they asked.
+
+    Args:
+        tokens: source of tokens.
+    """
+
+    __slots__ = (
+        "_tokens",
+        "_token",
+        "_current",
+        "_next",
+        "_unapplied",
+        "_age_ticks",
+        "_paused",
+    )
+
+    def __init__(self, tokens: itertools.count) -> None:
+        self._tokens = tokens
+        self._token: int | None = None
+        self._current: list[Waiter] = []
+        self._next: list[Waiter] = []
+        self._unapplied: list[tuple[int, list[Waiter]]] = []
+        self._age_ticks = 0
+        self._paused = False
+
+    def add(self, waiter: Waiter) -> None:
+        self._next.append(waiter)
+
+    def start(self) -> inputs.ReadIndex | None:
+        """Returns: the next read of the node, None when none is due."""
+        if self._token is not None or self._paused or not self._next:
+            return None
+        self._token = next(self._tokens)
+        self._current = self._next
+        self._next = []
+        self._age_ticks = 0
+        return inputs.ReadIndex(self._token)
+
+    def tick(self) -> None:
+        """Give up on a read that was lost, and allow refused ones again."""
+        self._paused = False
+        self._age_ticks += 1
+        if self._token is not None and self._age_ticks >= _READ_RETRY_TICKS:
+            self._requeue()
+
+    def refused(self, token: int) -> None:
+        """Repeat a read the node refused, at the next tick."""
+        if token == self._token:
+            self._requeue()
+            self._paused = True
+
+    def confirmed(self, read: inputs.Read) -> None:
+        """Note the index that the waiting reads need to be applied."""
+        if read.token == self._token:
+            self._unapplied.append((read.index, self._current))
+            self._current = []
+            self._token = None
+
+    def applied(self, index: int) -> None:
+        """Answer the reads whose index is applied."""
+        unapplied = []
+        for needed, waiters in self._unapplied:
+            if needed > index:
+                unapplied.append((needed, waiters))
+                continue
+            for waiter in waiters:
+                waiter.resolve(needed)
+        self._unapplied = unapplied
+
+    def take_all(self) -> list[Waiter]:
+        """Returns: all that wait, which then wait no more."""
+        waiters = self._current + self._next
+        for _, group in self._unapplied:
+            waiters.extend(group)
+        self._current = []
+        self._next = []
+        self._unapplied = []
+        self._token = None
+        return waiters
+
+    def _requeue(self) -> None:
+        waiters = self._current + self._next
+        self._next = [each for each in waiters if not each.abandoned]
+        self._current = []
+        self._token = None
--- /dev/null
+++ b/tests/coordination/replica_group.py
@@ -0,0 +1,89 @@
+"""Replicas in one process over an in-memory transport, for tests."""
+
+import gevent
+
+from papayalink import clock as clocks
+from papayalink import timers
+from papayalink.coordination import replica as replicas
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import log_store
+
+
+class ListMachine:
+    """State machine that keeps every command."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, data):
+        self.commands.append(data)
+        return b"%d:%s" % (len(self.commands), data)
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, data):
+        self.commands = data.split(b"\n") if data else []
+
+
+class Group:
+    """Replicas that reach each other unless they are cut off."""
+
+    def __init__(self, make_store=None, **settings):
+        self.timers = timers.make_timer_service(clocks.make_clock())
+        self.replicas = {}
+        self.machines = {}
+        self.stores = {}
+        self.cut_off = set()
+        self._settings = settings
+        self._make_store = make_store or (lambda _: log_store.MemoryLogStore())
+
+    def start(self, member_id, bootstrap=()):
+        store = self.stores.get(member_id) or self._make_store(member_id)
+        if not store.blocking:
+            self.stores[member_id] = store
+        machine = self.machines[member_id] = ListMachine()
+        self.replicas[member_id] = replicas.make_replica(
+            replicas.Settings(
+                member_id=member_id,
+                tick_s=0.005,
+                seed=int.from_bytes(member_id.encode(), "big"),
+                **self._settings,
+            ),
+            store,
+            machine,
+            self.timers,
+            lambda to, batch: self._send(member_id, to, batch),
+            memberships.make_membership(*bootstrap) if bootstrap else None,
+        )
+        return self.replicas[member_id]
+
+    def stop(self, *member_ids):
+        for member_id in member_ids or list(self.replicas):
+            self.replicas.pop(member_id).stop()
+        if not member_ids:
+            self.timers.stop()
+
+    def wait_for(self, condition):
+        """Poll until the condition holds, and return its value."""
+        with gevent.Timeout(20):
+            while not (value := condition()):
+                gevent.sleep(0.005)
+        return value
+
+    def leader(self):
+        def find():
+            reachable = self.replicas.keys() - self.cut_off
+            for member_id in sorted(reachable):
+                if self.replicas[member_id].is_leader:
+                    return self.replicas[member_id]
+            return None
+
+        return self.wait_for(find)
+
+    def _send(self, sender, to, batch):
+        # Encoded and decoded as on the wire.
+        batch = messages.decode(messages.encode(batch))
+        if to in self.replicas and not {sender, to} & self.cut_off:
+            self.replicas[to].deliver(batch)
