--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,274 @@
+"""Starts a whole deployment on loopback, as separate processes."""
+
+import contextlib
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import geventhttpclient
+import msgspec
+
+from papayalink.state import document as documents
+
+HOST = "127.0.0.1"
+TOKEN = "quote-counter-token"
+START_TIMEOUT_S = 20.0
+
+
+class Program:
+    """One process that this deployment started."""
+
+    __slots__ = ("name", "process", "log_path", "addresses")
+
+    def __init__(
+        self,
+        name: str,
+        process: subprocess.Popen,
+        log_path: str,
+        addresses: dict[str, str],
+    ) -> None:
+        self.name = name
+        self.process = process
+        self.log_path = log_path
+        self.addresses = addresses
+
+    def send(self, number: int) -> None:
+        self.process.send_signal(number)
+
+    def stop(self) -> int:
+        """Ask the process to stop and wait. Returns: exit code."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.terminate()
+        return self.process.wait()
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+class Deployment:
+    """Processes, their settings and their addresses.
+
+    Args:
+        folder: for settings, logs and data.
+    """
+
+    def __init__(self, folder: str, zones: tuple[str, ...]) -> None:
+        self.folder = folder
+        self.zones = zones
+        self.programs: dict[str, Program] = {}
+        self.key = secrets.token_hex(32)
+        self.console_token = secrets.token_urlsafe(16)
+        self.controls: dict[str, str] = {}
+        self._settings: dict[str, str] = {}
+
+    def start_fake(self, name: str, module: str, **options: object) -> str:
+        """Start a stand-in. Returns: its address."""
+        address = free_address()
+        command = [sys.executable, "-m", module]
+        command += ["--port", address.partition(":")[2]]
+        for key, value in options.items():
+            command += [f"--{key}", str(value)]
+        self._spawn(name, command, {"listen": address})
+        return address
+
+    def add_controls(self, count: int, **more: object) -> None:
+        """Choose addresses of the control members and start them."""
+        names = [f"control-{number}" for number in range(1, count + 1)]
+        self.controls = {name: free_address() for name in names}
+        for place, name in enumerate(names):
+            self.start(
+                name,
+                role="control",
+                zone=self.zones[place % len(self.zones)],
+                rpc_listen=self.controls[name],
+                data_folder=self._data_folder(name),
+                console_listen=free_address(),
+                console_token=self.console_token,
+                **more,
+            )
+
+    def add_agent(
+        self, upstream: str, zone: str, address: str, kind: str = "engine"
+    ) -> str:
+        """Start an agent. Returns: its address for the document."""
+        listen = free_address()
+        self.start(
+            f"agent-{upstream}",
+            role="agent",
+            zone=zone,
+            listen=listen,
+            rpc_listen=free_address(),
+            upstream=upstream,
+            upstream_address=address,
+            upstream_kind=kind,
+        )
+        return listen
+
+    def add_store(self, name: str, zone: str, **more: object) -> str:
+        """Start a store. Returns: its address for the document."""
+        listen = free_address()
+        self.start(
+            name,
+            role="store",
+            zone=zone,
+            listen=listen,
+            rpc_listen=free_address(),
+            data_folder=self._data_folder(name),
+            memory_bytes=more.pop("memory_bytes", 64_000_000),
+            disk_bytes=more.pop("disk_bytes", 256_000_000),
+            **more,
+        )
+        return listen
+
+    def add_entry(self, name: str, zone: str) -> str:
+        """Start an entry. Returns: the address that callers use."""
+        listen = free_address()
+        self.start(name, role="entry", zone=zone, listen=listen)
+        return listen
+
+    def start(self, name: str, **settings: object) -> Program:
+        """Write a process's settings and start it."""
+        settings.setdefault("inspect_listen", free_address())
+        content = {
+            "name": name,
+            "controls": self.controls,
+            "deployment_key": self.key,
+            **settings,
+        }
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump(content, file, indent=2)
+        self._settings[name] = path
+        addresses = {
+            key: value
+            for key, value in settings.items()
+            if key.endswith("listen")
+        }
+        return self._spawn(name, _daemon_command(path), addresses)
+
+    def restart(self, name: str) -> Program:
+        """Start a process again that has ended, with its settings."""
+        addresses = self.programs[name].addresses
+        return self._spawn(
+            name, _daemon_command(self._settings[name]), addresses
+        )
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop every process. Returns: exit codes by name."""
+        for program in reversed(self.programs.values()):
+            if program.process.poll() is None:
+                program.process.send_signal(signal.SIGCONT)
+                program.process.terminate()
+        return {
+            name: program.process.wait()
+            for name, program in self.programs.items()
+        }
+
+    def dump(self, name: str) -> dict:
+        """Returns: state dump of a process."""
+        address = self.programs[name].addresses["inspect_listen"]
+        return json.loads(http_get(address, "/debug/state"))
+
+    def wait_accepting(self, names: list[str]) -> None:
+        """Wait until processes take work.
+
+        Raises:
+            TimeoutError: one of them does not.
+        """
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for name in names:
+            address = self.programs[name].addresses["inspect_listen"]
+            while not _is_healthy(address):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{name} does not take work")
+                time.sleep(0.05)
+
+    def console_addresses(self) -> list[str]:
+        return [
+            self.programs[name].addresses["console_listen"]
+            for name in self.controls
+        ]
+
+    def _data_folder(self, name: str) -> str:
+        folder = os.path.join(self.folder, name)
+        os.makedirs(folder, exist_ok=True)
+        return folder
+
+    def _spawn(
+        self, name: str, command: list[str], addresses: dict[str, str]
+    ) -> Program:
+        log_path = os.path.join(self.folder, f"{name}.log")
+        with open(log_path, "ab") as log:
+            process = subprocess.Popen(command, stdout=log, stderr=log)
+        program = Program(name, process, log_path, addresses)
+        self.programs[name] = program
+        return program
+
+
+def free_address() -> str:
+    """Returns: "IP:PORT" of a port that is free now."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+def http_get(address: str, path: str) -> bytes:
+    host, _, port = address.rpartition(":")
+    client = geventhttpclient.HTTPClient(host, int(port))
+    try:
+        return client.get(path).read()
+    finally:
+        client.close()
+
+
+def make_deployment(
+    folder: str, zones: tuple[str, ...] = ("korangi", "west-wharf")
+) -> Deployment:
+    return Deployment(folder, zones)
+
+
+def make_document(
+    deployment: Deployment, **sections: object
+) -> documents.Document:
+    """Returns: a document with two ranks and one workspace, and sections."""
+    content = {
+        "ranks": [
+            {"name": "urgent", "ttft_target_ms": 1600, "weight": 4},
+            {
+                "name": "deferrable",
+                "ttft_target_ms": 30000,
+                "min_share": 0.2,
+            },
+        ],
+        "workspaces": [
+            {
+                "name": "quotes",
+                "token_digests": [documents.token_digest(TOKEN)],
+                "rank": "urgent",
+            }
+        ],
+        **sections,
+    }
+    return msgspec.convert(content, documents.Document)
+
+
+def _daemon_command(path: str) -> list[str]:
+    return [sys.executable, "-m", "papayalink.daemon", path]
+
+
+def _is_healthy(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    client = geventhttpclient.HTTPClient(host, int(port))
+    try:
+        return client.get("/healthz").status_code == 200
+    except OSError:
+        return False
+    finally:
+        client.close()
--- a/papayalink/coordination/dispatch.py
+++ b/papayalink/coordination/dispatch.py
@@ -82,8 +82,7 @@
             self._waiting[item.request_id] = grant
         else:
             grant.set(Declined("queue is full"))
-        for shed in pushed.shed:
-            self._decline(shed, "queue is full")
+        self.decline(pushed.shed, "queue is full")
         self._start_next()
         return grant
 
@@ -104,8 +103,13 @@
 
     def expire(self) -> None:
         """Refuse requests whose deadline has passed; called by a timer."""
-        for item in self._queue.take_expired(self._clock.now()):
-            self._decline(item, "deadline passed in the queue")
+        expired = self._queue.take_expired(self._clock.now())
+        self.decline(expired, "deadline passed in the queue")
+
+    def decline(self, items: list[queueing.Item], reason: str) -> None:
+        """Refuse requests that were taken out of the queue."""
+        for item in items:
+            self._decline(item, reason)
 
     def _start_next(self) -> None:
         while not self._held and len(self._running) < self._slots:
--- a/papayalink/coordination/errors.py
+++ b/papayalink/coordination/errors.py
@@ -31,7 +31,6 @@
 
 class StorageFailed(CoordinationError):
     """The log store failed, and the replica has stopped."""
-    """Base of all errors of the coordination layer."""
 
 
 class InvalidRanks(CoordinationError):
@@ -70,3 +69,17 @@
 
 class AnswerCut(CoordinationError):
     """An answer stopped before its end."""
+
+
+class UpstreamRejected(CoordinationError):
+    """The upstream does not accept the request.
+
+    Args:
+        status: HTTP status of its answer.
+        body: its answer.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"upstream answered {status}")
+        self.status = status
+        self.body = body
--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -124,6 +124,7 @@
         Raises:
             errors.NoUpstream: no agent ran the request.
             errors.AnswerCut: an agent took it and was lost.
+            errors.UpstreamRejected: the upstream does not accept it.
         """
         tried: set[str] = set()
         refusal = errors.NoUpstream("no upstream for this model")
@@ -177,6 +178,9 @@
             case frames.Refused(reason=reason, retry_after_s=retry_after_s):
                 response.close()
                 raise errors.NoUpstream(reason, retry_after_s)
+            case frames.Rejected(status=status, body=body):
+                response.close()
+                raise errors.UpstreamRejected(status, body.encode())
             case frames.Failed(reason=reason):
                 response.close()
                 raise errors.AnswerCut(reason)
--- a/papayalink/logs.py
+++ b/papayalink/logs.py
@@ -12,9 +12,14 @@
         process: name of the process, on every line.
         role: role of the process, on every line.
     """
+
+    # Context variables would not reach the greenlets started later.
+    def add_identity(logger: object, method: str, event: dict) -> dict:
+        return {"process": process, "role": role, **event}
+
     structlog.configure(
         processors=[
-            structlog.contextvars.merge_contextvars,
+            add_identity,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.add_log_level,
             structlog.processors.LogfmtRenderer(
@@ -26,7 +31,6 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(process=process, role=role)
 
 
 def get_logger(**fields: object) -> structlog.BoundLogger:
--- a/papayalink/protocol/frames.py
+++ b/papayalink/protocol/frames.py
@@ -40,6 +40,14 @@
     retry_after_s: float = 0.0
 
 
+class Rejected(Frame, tag="x"):
+    """The upstream does not accept the request; its own answer."""
+
+    id: str
+    status: int
+    body: str
+
+
 class Failed(Frame, tag="f"):
     """The answer stopped after it was begun."""
 
@@ -47,7 +55,7 @@
     reason: str
 
 
-AnyFrame = Chunk | End | Refused | Failed
+AnyFrame = Chunk | End | Refused | Rejected | Failed
 
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(AnyFrame)
--- /dev/null
+++ b/papayalink/protocol/piece_paths.py
@@ -0,0 +1,37 @@
+"""Paths and headers of the store's HTTP interface."""
+
+from urllib import parse
+
+from papayalink.protocol import errors
+from papayalink.protocol import pieces
+
+PATH = "/pieces"
+LOOKUP_PATH = "/lookup"
+FACTS_HEADER = "X-Piece-Facts"
+
+
+def make_path(key: pieces.PieceKey) -> str:
+    """Returns: path and query of a piece."""
+    query = parse.urlencode(
+        {
+            "workspace": key.workspace,
+            "weight_version": key.weight_version,
+            "digest": key.digest,
+        }
+    )
+    return f"{PATH}?{query}"
+
+
+def parse_query(query: str) -> pieces.PieceKey:
+    """Returns: the key named by a query.
+
+    Raises:
+        errors.MessageInvalid: a part of the key is missing.
+    """
+    fields = dict(parse.parse_qsl(query))
+    try:
+        return pieces.PieceKey(
+            fields["workspace"], fields["weight_version"], fields["digest"]
+        )
+    except KeyError as error:
+        raise errors.MessageInvalid(f"no {error} in the query") from error
--- /dev/null
+++ b/papayalink/roles/agent/process.py
@@ -0,0 +1,273 @@
+"""The agent process: the only way to its upstream."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink.adapters import engine as engines
+from papayalink.adapters import service as services
+from papayalink.coordination import dispatch
+from papayalink.coordination import follower as followers
+from papayalink.coordination import proposer as proposers
+from papayalink.coordination import queueing
+from papayalink.protocol import errors as protocol_errors
+from papayalink.protocol import messages
+from papayalink.protocol import relay
+from papayalink.roles import node as nodes
+from papayalink.roles import process
+from papayalink.roles.agent import calls
+from papayalink.roles.agent import kept_cache
+from papayalink.roles.agent import pieces_client
+from papayalink.roles.agent import relaying
+from papayalink.roles.agent import upstream as upstream_state
+from papayalink.state import document as documents
+from papayalink.transport import http_client
+from papayalink.transport import http_server
+
+_EXPIRE_PERIOD_S = 0.1
+# A store that sends nothing for this long is treated as lost.
+STORE_TIMEOUT_S = 2.0
+_FALLBACK_RANK = queueing.Rank("default", 60.0)
+
+
+class _ExpireDue(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class AgentProcess(process.Process):
+    """Queues, checks and relays work for one upstream."""
+
+    __slots__ = (
+        "_name",
+        "_follower",
+        "_server",
+        "_stopping",
+        "_inbox",
+        "_queue",
+        "_dispatcher",
+        "_engine_state",
+        "_cache",
+        "_relayer",
+        "_calls",
+        "_sequence",
+    )
+
+    def __init__(self, node: nodes.Node) -> None:
+        super().__init__(node)
+        settings = node.settings
+        self._name = settings.upstream
+        self._stopping = False
+        self._sequence = 0
+        self._inbox = queue.Queue()
+        controls = list(settings.controls.values())
+        self._follower = followers.make_follower(
+            node.identity,
+            controls,
+            node.rpc_client,
+            node.clock,
+            node.timers,
+            self._fill_poll,
+        )
+        self._follower.listen(self._on_configuration)
+        self._queue = queueing.make_queue([_FALLBACK_RANK], slots=1)
+        self._dispatcher = dispatch.make_dispatcher(self._queue, node.clock, 1)
+        self._engine_state = None
+        self._cache = None
+        self._relayer = None
+        self._calls = None
+        if settings.upstream_kind == "engine":
+            self._make_engine_parts(settings.upstream_address)
+        else:
+            self._calls = calls.make_calls(
+                settings.name,
+                services.make_service(settings.upstream_address),
+                proposers.make_proposer(controls, node.rpc_client, node.clock),
+                self._refuse_call,
+                node.clock,
+            )
+        self._server = http_server.make_server(
+            nodes.parse_address(settings.listen),
+            http_server.require_signature(self._serve, node.signer),
+        )
+
+    @property
+    def accepting(self) -> bool:
+        return self._follower.confirmed and not self._refusal()
+
+    def start(self) -> None:
+        if self._engine_state is not None:
+            self._engine_state.start()
+            self._cache.start()
+        self._follower.start()
+        self._node.timers.every(_EXPIRE_PERIOD_S, self._inbox, _ExpireDue())
+        gevent.spawn(self._run)
+        self._server.start()
+
+    def drain(self) -> None:
+        self._stopping = True
+        self._server.stop()
+        self._follower.stop()
+
+    def dump(self) -> dict:
+        state = {
+            "process": self._node.identity,
+            "upstream": self._name,
+            "version": self._follower.version,
+            "lease_left_s": self._follower.lease_left_s,
+            "refusal": self._refusal(),
+            "in_flight": self._server.in_flight,
+            "running": self._dispatcher.running,
+            "waiting": self._dispatcher.waiting,
+        }
+        if self._engine_state is not None:
+            state["engine"] = self._engine_state.dump()
+        return state
+
+    def _make_engine_parts(self, address: str) -> None:
+        engine = engines.make_engine(address)
+        self._engine_state = upstream_state.make_engine_state(
+            engine, self._node.timers
+        )
+        admission = relaying.Admission(
+            lambda: self._follower.document,
+            lambda: self._follower.confirmed,
+            self._refusal,
+            self._engine_state,
+        )
+        client = http_client.make_client(self._node.signer, STORE_TIMEOUT_S)
+        self._cache = kept_cache.make_kept_cache(
+            engine,
+            pieces_client.PiecesClient(client),
+            lambda: self._follower.document,
+            self._engine_state,
+            self._node.clock,
+            self._node.metrics,
+        )
+        self._relayer = relaying.Relayer(
+            engine,
+            self._engine_state,
+            self._dispatcher,
+            admission,
+            self._cache,
+            self._node.clock,
+            self._node.metrics,
+        )
+
+    def _run(self) -> None:
+        while True:
+            self._inbox.get()
+            self._dispatcher.expire()
+
+    def _refusal(self) -> str:
+        """Returns: why the upstream takes no new work, "" if it does."""
+        if self._stopping:
+            return "agent is stopping"
+        if self._name in self._follower.reply.leaving:
+            return "upstream is leaving"
+        own = self._own()
+        if own is None:
+            return "upstream is not in the configuration"
+        if own.draining:
+            return "upstream is draining"
+        return ""
+
+    def _refuse_call(self) -> str:
+        if not self._follower.confirmed:
+            return "configuration is not confirmed"
+        return self._refusal()
+
+    def _own(self) -> documents.Upstream | None:
+        for upstream in self._follower.document.upstreams:
+            if upstream.name == self._name:
+                return upstream
+        return None
+
+    def _on_configuration(self) -> None:
+        own = self._own()
+        document = self._follower.document
+        if own is None or not document.ranks:
+            return
+        ranks = [
+            queueing.Rank(
+                rank.name,
+                rank.ttft_target_ms / 1000,
+                rank.weight,
+                rank.min_share,
+            )
+            for rank in document.ranks
+        ]
+        dropped = self._queue.update_ranks(ranks)
+        self._dispatcher.decline(dropped, "rank was removed")
+        self._queue.set_slots(own.max_running)
+        self._dispatcher.set_slots(own.max_running)
+
+    def _fill_poll(self, poll: messages.Poll) -> messages.Poll:
+        self._sequence += 1
+        ranks = [rank.name for rank in self._follower.document.ranks]
+        own = self._own()
+        slots = own.max_running if own is not None else 0
+        report = messages.LoadReport(
+            upstream=self._name,
+            state=self._state(),
+            free_slots=max(0, slots - self._dispatcher.running),
+            sequence=self._sequence,
+        )
+        if self._engine_state is not None and own is not None:
+            report = msgspec.structs.replace(
+                report,
+                weight_version=self._engine_state.weight_version,
+                waiting=tuple(self._queue.depth(name) for name in ranks),
+                waiting_tokens=tuple(
+                    self._queue.queued_tokens(name) for name in ranks
+                ),
+                prefill_rate=self._engine_state.prefill_rate,
+            )
+        return msgspec.structs.replace(poll, load=report)
+
+    def _state(self) -> str:
+        if self._refusal():
+            return "leaving"
+        if self._engine_state is not None and not self._engine_state.up:
+            return "down"
+        return "up"
+
+    def _serve(
+        self, environ: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        body = environ[http_server.BODY_KEY]
+        try:
+            match environ["PATH_INFO"]:
+                case relay.RELAY_PATH if self._relayer is not None:
+                    request = relay.decode_relay(body)
+                    start_response("200 OK", [("Content-Type", "text/plain")])
+                    return self._relayer.answer(
+                        request, self._priority(request.rank)
+                    )
+                case relay.CALL_PATH if self._calls is not None:
+                    call = relay.decode_call(body)
+                    reply = relay.encode(self._calls.run(call))
+                    return _respond(start_response, "200 OK", reply)
+        except protocol_errors.ProtocolError as error:
+            text = str(error).encode()
+            return _respond(start_response, "400 Bad Request", text)
+        return _respond(start_response, "404 Not Found", b"")
+
+    def _priority(self, rank: str) -> int:
+        for place, known in enumerate(self._follower.document.ranks):
+            if known.name == rank:
+                return place
+        return len(self._follower.document.ranks)
+
+
+def _respond(
+    start_response: Callable, status: str, body: bytes
+) -> list[bytes]:
+    start_response(status, [("Content-Length", str(len(body)))])
+    return [body]
+
+
+def make_process(node: nodes.Node) -> AgentProcess:
+    return AgentProcess(node)
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -15,6 +15,7 @@
 from papayalink.coordination import queueing
 from papayalink.protocol import frames
 from papayalink.protocol import relay
+from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
 
@@ -72,7 +73,7 @@
         "_state",
         "_dispatcher",
         "_admission",
-        "_prepare",
+        "_cache",
         "_clock",
         "_metrics",
         "_log",
@@ -85,7 +86,7 @@
         engine_state: upstream_state.EngineState,
         dispatcher: dispatch.Dispatcher,
         admission: Admission,
-        prepare: Callable[[relay.RelayRequest], None],
+        cache: kept_cache.KeptCache,
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -93,7 +94,7 @@
         self._state = engine_state
         self._dispatcher = dispatcher
         self._admission = admission
-        self._prepare = prepare
+        self._cache = cache
         self._clock = clock
         self._metrics = metrics
         self._log = logs.get_logger()
@@ -149,7 +150,7 @@
         self, request: relay.RelayRequest, priority: int
     ) -> Iterator[bytes]:
         with self._start_pending() as started:
-            self._prepare(request)
+            located = self._cache.restore(request)
             body = _engine_body(request, priority)
             began = self._clock.now()
             run = self._stream if request.stream else self._whole
@@ -162,6 +163,8 @@
                         rank=request.rank,
                     )
                 yield frame
+        if located is not None:
+            self._cache.keep(located)
 
     def _stream(
         self, request: relay.RelayRequest, body: bytes
@@ -182,6 +185,9 @@
                         frames.Chunk(request.attempt_id, count, event)
                     )
                     count += 1
+            except adapter_errors.Rejected as error:
+                yield _rejected(request, error.status, error.body)
+                return
             except adapter_errors.AdapterError as error:
                 self._log.warning(
                     "answer_cut",
@@ -208,7 +214,7 @@
             )
             return
         if reply.status != 200:
-            yield self._refused(request, f"engine answered {reply.status}")
+            yield _rejected(request, reply.status, reply.body)
             return
         text = reply.body.decode()
         yield frames.encode(frames.Chunk(request.attempt_id, 0, text))
@@ -250,6 +256,11 @@
             self._relayer._starting -= 1
 
 
+def _rejected(request: relay.RelayRequest, status: int, body: bytes) -> bytes:
+    text = body.decode(errors="replace")
+    return frames.encode(frames.Rejected(request.attempt_id, status, text))
+
+
 def _engine_body(request: relay.RelayRequest, priority: int) -> bytes:
     body = msgspec.json.decode(request.body)
     body["user"] = request.workspace
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -137,6 +137,11 @@
             ) from error
         except errors.AnswerCut as error:
             raise _Refusal(502, "upstream_failed", str(error)) from error
+        except errors.UpstreamRejected as error:
+            response.status = error.status
+            response.content_type = _JSON
+            response.data = error.body
+            return
         if wanted.stream:
             response.content_type = _EVENTS
             response.set_header("Cache-Control", "no-store")
--- /dev/null
+++ b/papayalink/roles/entry/process.py
@@ -0,0 +1,71 @@
+"""The entry process."""
+
+from papayalink.coordination import follower as followers
+from papayalink.coordination import forwarding
+from papayalink.coordination import proposer as proposers
+from papayalink.coordination import protected
+from papayalink.roles import node as nodes
+from papayalink.roles import process
+from papayalink.roles.entry import callers
+from papayalink.roles.entry import serving
+from papayalink.transport import http_client
+from papayalink.transport import http_server
+
+# Longest silence of an agent: a request may wait in its queue for as long as
+# the least urgent rank's target allows.
+AGENT_TIMEOUT_S = 120.0
+
+
+class EntryProcess(process.Process):
+    """Serves callers; holds no durable state."""
+
+    __slots__ = ("_follower", "_client", "_serving", "_server")
+
+    def __init__(self, node: nodes.Node) -> None:
+        super().__init__(node)
+        controls = list(node.settings.controls.values())
+        self._follower = followers.make_follower(
+            node.identity, controls, node.rpc_client, node.clock, node.timers
+        )
+        self._client = http_client.make_client(node.signer, AGENT_TIMEOUT_S)
+        proposer = proposers.make_proposer(
+            controls, node.rpc_client, node.clock
+        )
+        self._serving = serving.make_serving(
+            self._follower,
+            forwarding.make_forwarder(self._client, node.metrics),
+            self._client,
+            protected.make_protected_calls(proposer, node.clock),
+            node.metrics,
+        )
+        self._server = http_server.make_server(
+            nodes.parse_address(node.settings.listen),
+            callers.make_app(self._serving),
+        )
+
+    @property
+    def accepting(self) -> bool:
+        return self._serving.accepting
+
+    def start(self) -> None:
+        self._follower.start()
+        self._server.start()
+
+    def drain(self) -> None:
+        self._serving.stop_accepting()
+        self._server.stop()
+        self._follower.stop()
+
+    def dump(self) -> dict:
+        return {
+            "process": self._node.identity,
+            "version": self._follower.version,
+            "lease_left_s": self._follower.lease_left_s,
+            "in_flight": self._server.in_flight,
+            "leaving": self._follower.reply.leaving,
+            "loads": self._follower.reply.loads,
+        }
+
+
+def make_process(node: nodes.Node) -> EntryProcess:
+    return EntryProcess(node)
--- /dev/null
+++ b/papayalink/roles/process.py
@@ -0,0 +1,73 @@
+"""Life of a process: start, dump on signal, graceful stop."""
+
+import abc
+import signal
+import sys
+
+import gevent
+from gevent import event
+from gevent import signal as gevent_signal
+
+from papayalink import inspection
+from papayalink.roles import node as nodes
+from papayalink.transport import http_server
+
+
+class Process(abc.ABC):
+    """One running role."""
+
+    __slots__ = ("_node", "_stop_asked", "_inspection")
+
+    def __init__(self, node: nodes.Node) -> None:
+        self._node = node
+        self._stop_asked = event.Event()
+        app = inspection.make_app(
+            self.dump, node.metrics, lambda: self.accepting
+        )
+        self._inspection = http_server.make_server(
+            nodes.parse_address(node.settings.inspect_listen), app
+        )
+
+    @property
+    @abc.abstractmethod
+    def accepting(self) -> bool:
+        """Whether the process takes new work."""
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Open sockets and start tasks."""
+
+    @abc.abstractmethod
+    def drain(self) -> None:
+        """Take no new work and wait until all work in flight is done."""
+
+    @abc.abstractmethod
+    def dump(self) -> dict:
+        """Returns: the state of the process, encodable as JSON."""
+
+    def run(self) -> int:
+        """Run until a signal asks to stop.
+
+        Returns: exit code.
+        """
+        self.start()
+        self._inspection.start()
+        gevent_signal.signal(signal.SIGTERM, self._on_stop)
+        gevent_signal.signal(signal.SIGINT, self._on_stop)
+        gevent_signal.signal(signal.SIGUSR1, self._on_dump)
+        self._node.log.info("started", incarnation=self._node.incarnation)
+        self._stop_asked.wait()
+        self._node.log.info("stopping")
+        self.drain()
+        self._node.log.info("stopped")
+        return 0
+
+    def _on_stop(self, *_: object) -> None:
+        self._stop_asked.set()
+
+    def _on_dump(self, *_: object) -> None:
+        gevent.spawn(self._write_dump)
+
+    def _write_dump(self) -> None:
+        sys.stderr.write(inspection.encode_dump(self.dump()).decode())
+        sys.stderr.flush()
--- /dev/null
+++ b/papayalink/roles/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store of kept KV cache."""
--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -15,6 +15,7 @@
 
 class LogFailed(StateError):
     """A write or sync failed and the store can no longer be trusted."""
+
     """Base of all errors of the state layer."""
 
 
