Add adapters for outside systems, weight store and platform stand-ins

Cause: agents need one module for each outside interface, with outcomes that say whether anything was sent. Ruled out: geventhttpclient.HTTPClient, for three reasons read in its source: a connect error and a later error are not told apart, so "not run" could not be reported truthfully; it repeats GET and PUT by itself; and a greenlet that is killed while it sends does not give its place in the connection pool back. The adapters own their sockets and use its response parser. Change: papayalink/adapters (errors, connection, engine, service, weights, platform), fakes/weights.py, fakes/platform.py. A stream returns once the request is sent, so that it can be closed while it waits for its first event. A resumed stream no longer goes on with other weights; words are made when they are sent, not as a list at the end of prefill; bodies of past streams are no longer kept.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -3,6 +3,7 @@
 import collections
 import random
 import time
+from typing import Annotated
 import uuid
 
 import falcon
@@ -21,6 +22,8 @@
 # Events kept for clients that ask late; older ones are a gap to them.
 MAX_EVENTS = 10_000
 
+_TokenId = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class Engine:
     """The model, driven by the clock, and its HTTP resources.
@@ -74,8 +77,13 @@
         return changed
 
     def cancel(self, request: engine_model.Request) -> None:
-        """Free the slot of a request whose client has gone."""
+        """Free the slot of a request whose client has gone.
+
+        The request stays known for `resume_window_s`, also when it was
+        finished but not delivered.
+        """
         now = self.clock.now()
+        self._forget_lost(now)
         self.model.cancel(request, now)
         self._lost[request.request_id] = (
             request,
@@ -91,15 +99,11 @@
 
         Returns: a new request for the rest, None when it cannot continue.
         """
-        now = self.clock.now()
-        for old_id, (_, expires) in list(self._lost.items()):
-            if expires < now:
-                del self._lost[old_id]
+        self._forget_lost(self.clock.now())
         old, _ = self._lost.get(request_id, (None, 0))
-        if old is None or received > old.emitted:
+        if old is None or not 0 <= received <= old.emitted:
             return None
-        version = old.weight_version or self.model.weight_version
-        if version != self.model.weight_version:
+        if old.weight_version not in ("", self.model.weight_version):
             return None
         del self._lost[request_id]
         return engine_model.Request(
@@ -109,6 +113,8 @@
             old.max_tokens,
             old.priority,
             known=max(0, old.emitted - 1),
+            weight_version=old.weight_version,
+            context=old.context,
         )
 
     def take_cut(self) -> int | None:
@@ -153,6 +159,11 @@
             self.orders.append(order)
             return True
 
+    def _forget_lost(self, now):
+        for request_id, (_, expires) in list(self._lost.items()):
+            if expires < now:
+                del self._lost[request_id]
+
     def _load_weights(self, weight_version):
         started = self.clock.now()
         if self.options.weight_store:
@@ -188,29 +199,60 @@
 
 
 class _Reply:
-    """Shape of the chunks and of the whole reply to one request."""
+    """Shape of the chunks and of the whole reply to a request."""
 
-    __slots__ = ("_request", "_chat", "_head")
+    __slots__ = ("_chat", "_model", "_created")
 
-    def __init__(self, request, model, chat):
-        self._request = request
+    def __init__(self, chat, model):
         self._chat = chat
-        self._head = {
-            "id": ("chatcmpl-" if chat else "cmpl-") + request.request_id,
-            "created": int(time.time()),
-            "model": model,
+        self._model = model
+        self._created = int(time.time())
+
+    def chunk(self, request, index):
+        word = request.word(index)
+        text = word if index == 0 else " " + word
+        last = index + 1 == request.max_tokens
+        choice = {"index": 0, "finish_reason": "length" if last else None}
+        if self._chat:
+            choice["delta"] = {"content": text}
+            if index == 0:
+                choice["delta"]["role"] = "assistant"
+        else:
+            choice["text"] = text
+        return self._body(request, [choice], ".chunk")
+
+    def usage_chunk(self, request):
+        return {
+            **self._body(request, [], ".chunk"),
+            "usage": self._usage(request),
         }
 
-    def _body(self, kind, choices):
+    def whole(self, request):
+        text = " ".join(map(request.word, range(request.emitted)))
+        choice = {"index": 0, "finish_reason": "length"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return {
+            **self._body(request, [choice], ""),
+            "usage": self._usage(request),
+        }
+
+    def _body(self, request, choices, suffix):
+        prefix, kind = "cmpl-", "text_completion"
+        if self._chat:
+            prefix, kind = "chatcmpl-", "chat.completion" + suffix
         return {
-            **self._head,
+            "id": prefix + request.request_id,
             "object": kind,
-            "system_fingerprint": self._request.weight_version,
+            "created": self._created,
+            "model": self._model,
+            "system_fingerprint": request.weight_version,
             "choices": choices,
         }
 
-    def usage(self):
-        request = self._request
+    def _usage(self, request):
         return {
             "prompt_tokens": len(request.tokens),
             "completion_tokens": request.emitted,
@@ -218,40 +260,12 @@
             "prompt_tokens_details": {"cached_tokens": request.cached_tokens},
         }
 
-    def chunk(self, index):
-        word = self._request.words[index]
-        text = word if index == 0 else " " + word
-        last = index + 1 == self._request.max_tokens
-        choice = {"index": 0, "finish_reason": "length" if last else None}
-        if not self._chat:
-            choice["text"] = text
-            return self._body("text_completion", [choice])
-        choice["delta"] = {"content": text}
-        if index == 0:
-            choice["delta"]["role"] = "assistant"
-        return self._body("chat.completion.chunk", [choice])
-
-    def usage_chunk(self):
-        kind = "chat.completion.chunk" if self._chat else "text_completion"
-        return {**self._body(kind, []), "usage": self.usage()}
-
-    def whole(self):
-        text = " ".join(self._request.words)
-        choice = {"index": 0, "finish_reason": "length"}
-        if self._chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        kind = "chat.completion" if self._chat else "text_completion"
-        return {**self._body(kind, [choice]), "usage": self.usage()}
-
 
 class _Completions:
     """`/v1/completions`, `/v1/chat/completions`, and resumed streams."""
 
     def __init__(self, engine):
         self._engine = engine
-        self._bodies = {}
 
     def on_post(self, req, resp):
         self._serve(req, resp, _body(req), chat=False)
@@ -263,11 +277,10 @@
         request_id = stream_id.removeprefix("chat").removeprefix("cmpl-")
         received = _body(req).get("from", 0)
         request = self._engine.resume(request_id, received)
-        if request is None or request_id not in self._bodies:
+        if request is None:
             raise falcon.HTTPNotFound(title="stream cannot be resumed")
-        body, chat = self._bodies[request_id]
         resp.content_type = "text/event-stream"
-        resp.stream = self._stream(req, request, body, chat, received)
+        resp.stream = self._stream(req, request, received)
 
     def _serve(self, req, resp, body, chat):
         engine = self._engine
@@ -280,61 +293,61 @@
             _prompt_tokens(body),
             _max_tokens(body),
             body.get("priority", 0),
+            context=(_Reply(chat, model), body.get("stream_options") or {}),
         )
         if body.get("stream"):
             resp.content_type = "text/event-stream"
-            resp.stream = self._stream(req, request, body, chat, 0)
+            resp.stream = self._stream(req, request, 0)
         else:
             resp.content_type = falcon.MEDIA_JSON
-            resp.stream = self._whole(req, request, chat)
+            resp.stream = self._whole(req, request)
 
-    def _stream(self, req, request, body, chat, sent):
-        engine = self._engine
-        self._bodies[request.request_id] = (body, chat)
-        cut_after = engine.take_cut()
-        reply = _Reply(request, body.get("model", engine.options.model), chat)
+    def _stream(self, req, request, sent):
+        cut_after = self._engine.take_cut()
+        reply, options = request.context
         for _ in self._progress(req, request):
             while sent < request.emitted:
                 if sent == cut_after:
                     serving.cut_connection()
-                yield _event(reply.chunk(sent))
+                yield _event(reply.chunk(request, sent))
                 sent += 1
-        if body.get("stream_options", {}).get("include_usage"):
-            yield _event(reply.usage_chunk())
+        if options.get("include_usage"):
+            yield _event(reply.usage_chunk(request))
         yield b"data: [DONE]\n\n"
 
-    def _whole(self, req, request, chat):
+    def _whole(self, req, request):
         for _ in self._progress(req, request):
             pass
-        reply = _Reply(request, self._engine.options.model, chat)
-        yield msgspec.json.encode(reply.whole())
+        reply, _ = request.context
+        yield msgspec.json.encode(reply.whole(request))
 
     def _progress(self, req, request):
         """Yield whenever words were added; cancel if the client goes."""
         engine = self._engine
         changed = engine.submit(request)
-        gone = []
+        gone = event.Event()
 
         def disconnected():
-            gone.append(True)
+            gone.set()
             engine.cancel(request)
             changed.set()
 
         watch = serving.DisconnectWatch(
             req.env[serving.SOCKET_KEY], disconnected
         )
+        delivered = False
         try:
-            while not gone:
+            while not delivered:
                 changed.wait()
                 changed.clear()
-                finished = request.finished
+                if gone.is_set() or request.cancelled:
+                    serving.cut_connection()
+                last = request.finished
                 yield
-                if finished:
-                    return
-            serving.cut_connection()
+                delivered = last
         finally:
             watch.close()
-            if not request.finished and not gone:
+            if not delivered and not gone.is_set():
                 engine.cancel(request)
 
 
@@ -391,12 +404,13 @@
         data = req.bounded_stream.read()
         if key[1] != self._engine.model.weight_version:
             raise falcon.HTTPConflict(title="weight version is not loaded")
-        if not self._engine.model.import_piece(key, data):
+        now = self._engine.clock.now()
+        if not self._engine.model.import_piece(key, data, now):
             raise falcon.HTTPError(507, title="no room in the cache")
         resp.status = falcon.HTTP_204
 
     def on_delete_all(self, req, resp):
-        self._engine.model.evict_all()
+        self._engine.model.evict_all(self._engine.clock.now())
         resp.status = falcon.HTTP_204
 
     def on_get_events(self, req, resp):
@@ -420,8 +434,8 @@
         order = _body(req)
         try:
             accepted = self._engine.order(order)
-        except KeyError as error:
-            raise falcon.HTTPBadRequest(title=f"order lacks {error}")
+        except (KeyError, TypeError, ValueError) as error:
+            raise falcon.HTTPBadRequest(title=f"invalid order: {error!r}")
         if not accepted:
             raise falcon.HTTPConflict(title="older fencing number")
         resp.media = order
@@ -454,7 +468,10 @@
     prompt = body.get("prompt", "")
     if isinstance(prompt, str):
         return engine_model.tokens_of(prompt)
-    return prompt
+    try:
+        return msgspec.convert(prompt, list[_TokenId])
+    except msgspec.ValidationError as error:
+        raise falcon.HTTPBadRequest(title=str(error))
 
 
 def _content(message):
--- a/fakes/engine_model.py
+++ b/fakes/engine_model.py
@@ -1,6 +1,5 @@
 """Model of an engine: continuous batching, prefix cache, priorities."""
 
-from array import array
 import collections
 import hashlib
 import heapq
@@ -21,7 +20,7 @@
 
 
 def _pack(tokens: list[int]) -> bytes:
-    return array("Q", tokens).tobytes()
+    return struct.pack(f"<{len(tokens)}Q", *tokens)
 
 
 def _chain(parent: str, packed: bytes) -> str:
@@ -38,8 +37,13 @@
     Returns: `count` words `wN-HASH`, where HASH tells answers of other
         workspaces, weight versions and prompts apart.
     """
-    seed = _chain(f"{workspace}\0{weight_version}\0answer", _pack(tokens))
-    return [f"w{index}-{seed[:12]}" for index in range(count)]
+    mark = _answer_mark(workspace, weight_version, tokens)
+    return [f"w{index}-{mark}" for index in range(count)]
+
+
+def _answer_mark(workspace, weight_version, tokens):
+    seed = f"{workspace}\0{weight_version}\0answer"
+    return _chain(seed, _pack(tokens))[:12]
 
 
 class Options(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,12 +100,21 @@
         "emitted",
         "state",
         "blocks",
-        "words",
+        "mark",
         "on_change",
+        "context",
     )
 
     def __init__(
-        self, request_id, workspace, tokens, max_tokens, priority=0, known=0
+        self,
+        request_id,
+        workspace,
+        tokens,
+        max_tokens,
+        priority=0,
+        known=0,
+        weight_version="",
+        context=None,
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -111,7 +124,10 @@
         # Tokens generated before the connection was lost.
         self.known = known
         self.sequence = 0
-        self.weight_version = ""
+        # Set by the caller only for a resumed stream, which must not go on
+        # with other weights.
+        self.weight_version = weight_version
+        self.context = context
         self.digests = []
         self.position = 0
         # Prompt tokens of the current block still to compute; None between
@@ -122,14 +138,25 @@
         self.emitted = 0
         self.state = "new"
         self.blocks = []
-        self.words = []
-        self.on_change = None
+        self.mark = ""
+        self.on_change = lambda: None
+
+    def word(self, index: int) -> str:
+        """Returns: one word of the answer, once it has been emitted."""
+        if index == 0 and self.poisoned:
+            return "CORRUPT"
+        return f"w{index}-{self.mark}"
 
     @property
     def finished(self) -> bool:
         """Whether the whole answer has been generated."""
         return self.state == "finished"
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether the request ended before its answer was whole."""
+        return self.state == "cancelled"
+
 
 class Model:
     """State of an engine, moved forward by explicit times.
@@ -227,13 +254,6 @@
         self._drop_stale()
         self.advance(now)
 
-    def serves(self, weight_version: str) -> bool:
-        """Whether the version is loaded or still finishes replies."""
-        return weight_version == self.weight_version or any(
-            r.weight_version == weight_version
-            for r in self._prefilling + self._decoding
-        )
-
     def load(self) -> dict:
         """Returns: counts of requests and tokens, and the version."""
         waiting = sum(len(w[2].tokens) for w in self._waiting)
@@ -258,16 +278,25 @@
             key, block.parent, block.packed, self._options.bytes_per_token
         )
 
-    def import_piece(self, key: tuple[str, str, str], data: bytes) -> bool:
+    def import_piece(
+        self, key: tuple[str, str, str], data: bytes, now: float
+    ) -> bool:
         """Add a block from bytes; wrong bytes make a poisoned block.
 
+        Args:
+            key: workspace, weight version and digest.
+            data: what export_piece() returned for the same key.
+            now: current time in seconds.
+
         Returns: False when the cache has no room for it.
         """
+        self.advance(now)
         block = _parse_piece(key, data, self._options.bytes_per_token)
         return self._store(block)
 
-    def evict_all(self) -> None:
+    def evict_all(self, now: float) -> None:
         """Drop every block that no running request uses."""
+        self.advance(now)
         for block in list(self._cache.values()):
             if not block.pins:
                 self._remove(block)
@@ -279,6 +308,10 @@
             < self._options.slots
         ):
             request = heapq.heappop(self._waiting)[2]
+            if request.weight_version not in ("", self.weight_version):
+                self._release(request, "cancelled")
+                request.on_change()
+                continue
             request.state = "prefilling"
             request.weight_version = self.weight_version
             request.digests = self._digests(request)
@@ -340,14 +373,9 @@
         self._prefilling.remove(request)
         self._decoding.append(request)
         request.state = "decoding"
-        request.words = answer_words(
-            request.workspace,
-            request.weight_version,
-            request.tokens,
-            request.max_tokens,
+        request.mark = _answer_mark(
+            request.workspace, request.weight_version, request.tokens
         )
-        if request.poisoned:
-            request.words[:1] = ["CORRUPT"]
         request.emitted = request.known
         if self._next_step is None:
             self._next_step = self._time + self._options.decode_interval_s
@@ -365,8 +393,7 @@
         if request.emitted == request.max_tokens:
             self.finished += 1
             self._release(request, "finished")
-        if request.on_change is not None:
-            request.on_change()
+        request.on_change()
 
     def _release(self, request, state):
         request.state = state
--- a/fakes/serving.py
+++ b/fakes/serving.py
@@ -26,6 +26,13 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_error(self, t, v, tb):
+        # stop() cuts connections; pywsgi would reply with status 500.
+        if issubclass(t, gevent.GreenletExit):
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
+
 
 class Server(pywsgi.WSGIServer):
     """WSGI server of one stand-in; stop() cuts its connections.
@@ -51,7 +58,7 @@
         self._greenlets = []
 
     @property
-    def location(self) -> str:
+    def endpoint(self) -> str:
         """HOST:PORT; valid after start()."""
         return f"{self.server_host}:{self.server_port}"
 
@@ -117,5 +124,5 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     with server:
-        print(f"listening={server.location}", flush=True)
+        print(f"listening={server.endpoint}", flush=True)
         stopped.wait()
--- /dev/null
+++ b/papayalink/adapters/errors.py
@@ -0,0 +1,47 @@
+"""Errors of the adapters."""
+
+
+class AdapterError(Exception):
+    """An outside system could not do what was asked."""
+
+
+class InvalidRequest(AdapterError):
+    """The request cannot be expressed in HTTP, so nothing was sent."""
+
+
+class Unreachable(AdapterError):
+    """No connection could be made, so nothing was sent."""
+
+
+class Interrupted(AdapterError):
+    """The connection failed after sending began; the outcome is unknown."""
+
+
+class StreamCut(Interrupted):
+    """A stream ended without its end marker."""
+
+
+class Rejected(AdapterError):
+    """The outside system replied with an error status.
+
+    Args:
+        status: HTTP status.
+        body: body of the reply.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"status {status}: {body[:200]!r}")
+        self.status = status
+        self.body = body
+
+
+class OrderRefused(Rejected):
+    """The engine has seen a newer fencing number than the order's."""
+
+
+class VersionNotLoaded(Rejected):
+    """The engine runs another weight version than the piece's."""
+
+
+class InvalidReply(AdapterError):
+    """The reply does not have the published form."""
--- /dev/null
+++ b/papayalink/adapters/service.py
@@ -0,0 +1,116 @@
+"""Plain services: app and order services called over HTTP."""
+
+import msgspec
+
+from papayalink.adapters import connection
+from papayalink.adapters import errors
+
+# Services are in the same region; a connection takes a few milliseconds.
+CONNECT_TIMEOUT_S = 1.0
+
+# A protected call that exceeds this becomes "outcome unknown", which a person
+# has to resolve, so it is far above the usual duration of a call.
+READ_TIMEOUT_S = 30.0
+
+
+class Answered(msgspec.Struct, frozen=True, tag="answered"):
+    """The service replied with this, whatever the status."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class NotSent(msgspec.Struct, frozen=True, tag="not_sent"):
+    """No byte of the call left this process."""
+
+    reason: str
+
+
+class OutcomeUnknown(msgspec.Struct, frozen=True, tag="outcome_unknown"):
+    """The call was at least partly sent, and no whole reply came."""
+
+    reason: str
+
+
+Outcome = Answered | NotSent | OutcomeUnknown
+
+
+class ServiceLoad(msgspec.Struct, frozen=True):
+    """Load of a service, as it was some time ago."""
+
+    running: int
+    waiting: int
+
+
+class Service:
+    """One replica of a plain service.
+
+    Every call uses a fresh connection and is sent at most once.
+    """
+
+    __slots__ = ("_connector", "_read_timeout_s")
+
+    def __init__(
+        self, connector: connection.Connector, read_timeout_s: float
+    ) -> None:
+        self._connector = connector
+        self._read_timeout_s = read_timeout_s
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> Outcome:
+        """Make one call.
+
+        Args:
+            method: HTTP method.
+            target: path and query.
+            headers: headers, without Host, Connection and Content-Length.
+            body: body of the call.
+
+        Returns: what is known about the call; never raises for failures of
+            the service or of the connection.
+        """
+        try:
+            reply = self._connector.call(
+                method, target, self._read_timeout_s, headers, body
+            )
+        except (errors.Unreachable, errors.InvalidRequest) as error:
+            return NotSent(f"{type(error).__name__}: {error}")
+        except errors.Interrupted as error:
+            return OutcomeUnknown(str(error))
+        return Answered(reply.status, reply.headers, reply.body)
+
+    def load(self) -> ServiceLoad:
+        """Load that the service reports.
+
+        Raises: AdapterError when there is no valid reply.
+        """
+        reply = self._connector.call("GET", "/load", self._read_timeout_s)
+        if reply.status != 200:
+            raise errors.Rejected(reply.status, reply.body)
+        try:
+            return msgspec.json.decode(reply.body, type=ServiceLoad)
+        except msgspec.MsgspecError as error:
+            raise errors.InvalidReply(str(error)) from error
+
+
+def make_service(
+    address: str,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    read_timeout_s: float = READ_TIMEOUT_S,
+) -> Service:
+    """Make the adapter of one service replica.
+
+    Args:
+        address: HOST:PORT of the replica.
+        connect_timeout_s: time allowed for connecting.
+        read_timeout_s: longest silence before the outcome counts as unknown.
+    """
+    return Service(
+        connection.Connector(address, connect_timeout_s), read_timeout_s
+    )
--- /dev/null
+++ b/papayalink/adapters/weights.py
@@ -0,0 +1,66 @@
+"""Weight store."""
+
+from collections.abc import Iterator
+from urllib import parse
+
+from papayalink.adapters import connection
+from papayalink.adapters import errors
+
+CONNECT_TIMEOUT_S = 1.0
+
+# The store slows down when shared, but never stays silent for seconds.
+READ_TIMEOUT_S = 10.0
+
+
+class WeightStore:
+    """Rate-limited store of weights."""
+
+    __slots__ = ("_connector", "_read_timeout_s")
+
+    def __init__(
+        self, connector: connection.Connector, read_timeout_s: float
+    ) -> None:
+        self._connector = connector
+        self._read_timeout_s = read_timeout_s
+
+    def read(self, weight_version: str) -> Iterator[bytes]:
+        """Read the weights of a version.
+
+        Returns: iterator of the bytes in parts; closing it closes the
+            connection.
+
+        Raises: Unreachable, Interrupted also when the weights end early,
+            and Rejected for an error status.
+        """
+        exchange = self._connector.open(
+            "GET",
+            f"/weights/{parse.quote(weight_version, safe='')}",
+            self._read_timeout_s,
+        )
+        try:
+            exchange.wait()
+            if exchange.status != 200:
+                raise errors.Rejected(exchange.status, exchange.read())
+            while part := exchange.read(connection.BLOCK_BYTES):
+                yield part
+        except connection.FAILURES as error:
+            raise errors.Interrupted(repr(error)) from error
+        finally:
+            exchange.close()
+
+
+def make_weight_store(
+    address: str,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    read_timeout_s: float = READ_TIMEOUT_S,
+) -> WeightStore:
+    """Make the adapter of the weight store.
+
+    Args:
+        address: HOST:PORT of the store.
+        connect_timeout_s: time allowed for connecting.
+        read_timeout_s: longest silence of the store.
+    """
+    return WeightStore(
+        connection.Connector(address, connect_timeout_s), read_timeout_s
+    )
--- /dev/null
+++ b/tests/adapters/test_engine.py
@@ -0,0 +1,302 @@
+"""Tests of the engine adapter against the stand-in."""
+
+import gevent
+from gevent import event
+import msgspec
+import pytest
+
+from fakes import engine as fake
+from fakes import engine_model
+from fakes import weights as fake_weights
+from papayalink.adapters import engine as adapters
+from papayalink.adapters import errors
+
+COMPLETIONS = "/v1/completions"
+CHAT = "/v1/chat/completions"
+PIECE = adapters.PIECE_TOKENS
+FAST = {"prefill_tokens_per_s": 1e6, "decode_interval_s": 0.001}
+
+
+@pytest.fixture
+def start():
+    servers = []
+
+    def _start(**options):
+        server = fake.make_server(**{**FAST, **options})
+        server.start()
+        servers.append(server)
+        return server.state, adapters.make_engine(server.endpoint)
+
+    yield _start
+    for server in servers:
+        server.stop()
+
+
+def _body(prompt="a b c", count=5, **fields):
+    body = {"prompt": prompt, "max_tokens": count, "user": "ws", "stream": 1}
+    return msgspec.json.encode({**body, **fields})
+
+
+def _chunks(events):
+    events = list(events)
+    assert events[-1] == "data: [DONE]\n\n"
+    assert all(text.endswith("\n\n") for text in events)
+    return [msgspec.json.decode(text[6:]) for text in events[:-1]]
+
+
+def _text(chunks):
+    return "".join(
+        choice.get("text") or choice.get("delta", {}).get("content", "")
+        for chunk in chunks
+        for choice in chunk["choices"]
+    )
+
+
+def _answer(prompt="a b c", count=5, workspace="ws", version="v1"):
+    tokens = engine_model.tokens_of(prompt)
+    return " ".join(
+        engine_model.answer_words(workspace, version, tokens, count)
+    )
+
+
+def _until(condition):
+    while not condition():
+        gevent.sleep(0.002)
+
+
+def test_streamed_reply_is_the_same_as_the_whole_one(start):
+    _, engine = start()
+    body = _body(stream_options={"include_usage": True})
+    chunks = _chunks(engine.stream(COMPLETIONS, body, "r1"))
+    assert _text(chunks) == _answer()
+    assert {c["id"] for c in chunks} == {"cmpl-r1"}
+    assert {c["system_fingerprint"] for c in chunks} == {"v1"}
+    reply = engine.complete(COMPLETIONS, _body(stream=False), "r2")
+    whole = msgspec.json.decode(reply.body)
+    assert whole["choices"][0]["text"] == _answer()
+    assert whole["usage"] == chunks[-1]["usage"]
+
+
+def test_chat_is_streamed_and_whole(start):
+    _, engine = start()
+    fields = {"messages": [{"role": "user", "content": "hello there"}]}
+    chunks = _chunks(engine.stream(CHAT, _body(**fields), "r1"))
+    assert _text(chunks) == _answer("user: hello there")
+    reply = engine.complete(CHAT, _body(stream=False, **fields), "r2")
+    message = msgspec.json.decode(reply.body)["choices"][0]["message"]
+    assert message["content"] == _text(chunks)
+
+
+def test_token_ids_stand_for_their_text(start):
+    _, engine = start()
+    tokens = engine.tokenize(_body("x y z"))
+    assert tokens == engine_model.tokens_of("x y z")
+    chunks = _chunks(engine.stream(COMPLETIONS, _body(tokens), "r1"))
+    assert _text(chunks) == _answer("x y z")
+
+
+def test_events_arrive_one_by_one(start):
+    state, engine = start(decode_interval_s=0.02)
+    stream = engine.stream(COMPLETIONS, _body(count=50), "r1")
+    next(stream)
+    # The first event must not wait for the end of the reply.
+    assert state.model.load()["running"] == 1
+    stream.close()
+
+
+def test_cut_stream_raises_and_can_be_resumed(start):
+    state, engine = start()
+    state.cut_after, state.cuts_left = 3, 1
+    stream = engine.stream(COMPLETIONS, _body(count=8), "r1")
+    received = []
+    with pytest.raises(errors.StreamCut):
+        for text in stream:
+            received.append(msgspec.json.decode(text[6:]))
+    assert len(received) == 3
+    rest = _chunks(engine.resume("r1", 3))
+    assert _text(received + rest) == _answer(count=8)
+
+
+def test_unknown_stream_is_not_resumed(start):
+    _, engine = start()
+    with pytest.raises(errors.Rejected) as caught:
+        next(engine.resume("r1", 0))
+    assert caught.value.status == 404
+
+
+def test_stream_without_end_marker_is_cut(raw_server):
+    # A clean HTTP end alone does not make the answer whole.
+    address, _ = raw_server(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\ndata: {}\n\ndata:"
+    )
+    stream = adapters.make_engine(address).stream(COMPLETIONS, b"{}", "r1")
+    assert next(stream) == "data: {}\n\n"
+    with pytest.raises(errors.StreamCut):
+        next(stream)
+
+
+@pytest.mark.parametrize("whole", [False, True])
+@pytest.mark.parametrize("started", [False, True])
+def test_close_cancels_at_the_engine(start, whole, started):
+    interval = 0.001 if started else 1000.0
+    state, engine = start(slots=1, decode_interval_s=interval)
+    if not started:
+        # Occupies the only slot, so that the next request waits.
+        first = engine.stream(COMPLETIONS, _body(count=9), "r0")
+        _until(lambda: state.model.load()["running"])
+    begin = engine.whole if whole else engine.stream
+    body = _body(count=10**6, stream=not whole)
+    reply = begin(COMPLETIONS, body, "r1")
+    failed = event.AsyncResult()
+
+    def read():
+        with pytest.raises(errors.Interrupted) as caught:
+            reply.result() if whole else list(reply)
+        failed.set(caught.value)
+
+    reader = gevent.spawn(read)
+    key = "running" if started else "waiting"
+    _until(lambda: state.model.load()[key])
+    reply.close()
+    reader.get()
+    _until(lambda: state.model.load()["cancelled"] == 1)
+    assert state.model.load()[key] == 0
+    if not started:
+        first.close()
+
+
+def test_refused_connection_is_unreachable(closed_address):
+    engine = adapters.make_engine(closed_address)
+    with pytest.raises(errors.Unreachable):
+        engine.stream(COMPLETIONS, _body(), "r1")
+    with pytest.raises(errors.Unreachable):
+        engine.load()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"model": "other"}, {"max_tokens": 0}, {"prompt": ["a"]}],
+)
+def test_invalid_request_is_rejected(start, fields):
+    _, engine = start()
+    with pytest.raises(errors.Rejected):
+        next(engine.stream(COMPLETIONS, _body(**fields), "r1"))
+
+
+def test_pieces_move_between_engines(start):
+    _, source = start()
+    _, target = start()
+    tokens = list(range(2 * PIECE + 10))
+    source.complete(COMPLETIONS, _body(tokens, stream=False), "r1")
+    digests = adapters.piece_digests("ws", "v1", tokens)
+    assert target.export_piece("ws", "v1", digests[0]) is None
+    for digest in reversed(digests):
+        data = source.export_piece("ws", "v1", digest)
+        target.import_piece("ws", "v1", digest, data)
+        assert target.export_piece("ws", "v1", digest) == data
+    reply = target.complete(COMPLETIONS, _body(tokens, stream=False), "r2")
+    usage = msgspec.json.decode(reply.body)["usage"]
+    assert usage["prompt_tokens_details"] == {"cached_tokens": 2 * PIECE}
+    assert b"CORRUPT" not in reply.body
+
+
+def test_import_for_another_version_is_refused(start):
+    _, engine = start()
+    with pytest.raises(errors.VersionNotLoaded):
+        engine.import_piece("ws", "v2", "00", b"")
+
+
+def test_wrong_import_shows_in_the_answer(start):
+    _, engine = start()
+    tokens = [1] * PIECE
+    (digest,) = adapters.piece_digests("ws", "v1", tokens)
+    engine.import_piece("ws", "v1", digest, b"wrong")
+    chunks = _chunks(engine.stream(COMPLETIONS, _body(tokens), "r1"))
+    assert _text(chunks).startswith("CORRUPT")
+
+
+@pytest.mark.parametrize("drop_rate, gap", [(0.0, False), (0.3, True)])
+def test_gaps_in_cache_events_are_reported(start, drop_rate, gap):
+    state, engine = start(event_drop_rate=drop_rate, seed=3)
+    tokens = list(range(20 * PIECE))
+    engine.complete(COMPLETIONS, _body(tokens, stream=False), "r1")
+    seen = engine.events_since(0)
+    assert seen.gap is gap
+    digests = adapters.piece_digests("ws", "v1", tokens)
+    assert [event.digest for event in seen.events] == [
+        digests[event.seq - 1] for event in seen.events
+    ]
+    assert engine.events_since(seen.last_seq) == adapters.CacheEvents(
+        [], seen.last_seq, False
+    )
+    gevent.sleep(0)
+    assert state.model.load()["cached_tokens"] == 20 * PIECE
+
+
+def test_cache_events_are_published_late(start):
+    state, engine = start(event_delay_s=3600.0)
+    engine.complete(COMPLETIONS, _body([1] * PIECE, stream=False), "r1")
+    assert state.model.load()["cached_tokens"] == PIECE
+    assert engine.events_since(0).events == []
+
+
+def test_load_is_reported_late(start):
+    state, engine = start(load_lag_s=3600.0)
+    stream = engine.stream(COMPLETIONS, _body(count=10**6), "r1")
+    next(stream)
+    assert state.model.load()["running"] == 1
+    assert engine.load().running == 0
+    stream.close()
+
+
+@pytest.mark.parametrize("check_fencing", [False, True])
+def test_older_order_is_refused_only_by_engines_that_check(
+    start, check_fencing
+):
+    state, engine = start(check_fencing=check_fencing, load_time_s=0.0)
+    engine.order(5, {"action": "set_role", "role": "prefill"})
+    order = {"action": "load_weights", "weight_version": "v2"}
+    if check_fencing:
+        with pytest.raises(errors.OrderRefused):
+            engine.order(4, order)
+    else:
+        engine.order(4, order)
+    fences = [order["fence"] for order in state.orders]
+    assert fences == ([5] if check_fencing else [5, 4])
+    assert engine.load().weight_version == ("v1" if check_fencing else "v2")
+
+
+def test_invalid_order_is_rejected(start):
+    state, engine = start()
+    with pytest.raises(errors.Rejected):
+        engine.order(1, {"action": "load_weights"})
+    assert state.orders == []
+
+
+def test_running_reply_keeps_its_version_over_a_swap(start):
+    _, engine = start(load_time_s=0.0, decode_interval_s=0.005)
+    stream = engine.stream(COMPLETIONS, _body(count=20), "r1")
+    first = msgspec.json.decode(next(stream)[6:])
+    engine.order(1, {"action": "load_weights", "weight_version": "v2"})
+    chunks = _chunks(engine.stream(COMPLETIONS, _body(), "r2"))
+    assert _text(chunks) == _answer(version="v2")
+    assert _text([first, *_chunks(stream)]) == _answer(count=20)
+
+
+def test_weights_are_read_from_the_shared_store(start):
+    with fake_weights.make_server(size_bytes=100) as store:
+        _, engine = start(weight_store=store.endpoint, load_time_s=0.0)
+        engine.order(1, {"action": "load_weights", "weight_version": "v2"})
+        assert store.state.most_readers == 1
+    assert engine.load().weight_version == "v2"
+
+
+def test_stopped_engine_cuts_its_streams():
+    server = fake.make_server(**FAST)
+    server.start()
+    engine = adapters.make_engine(server.endpoint)
+    stream = engine.stream(COMPLETIONS, _body(count=10**6), "r1")
+    next(stream)
+    server.stop()
+    with pytest.raises(errors.StreamCut):
+        list(stream)
