--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -2,19 +2,6 @@
 
 
 class StateError(Exception):
-    """Base of the errors of the state layer."""
-
-
-class LogCorrupt(StateError):
-    """A stored record that was synced can no longer be read."""
-
-
-class LogFull(StateError):
-    """The disk has no room for the write; nothing of it was kept."""
-
-
-class LogFailed(StateError):
-    """A write or sync failed and the store can no longer be trusted."""
     """Base of all errors of the state layer."""
 
 
@@ -40,5 +27,19 @@
 
 class PinReleased(StateError):
     """A pinned piece was read after its pin was released."""
+
+
 class DeltaInvalid(StateError):
     """Bytes that are no delta of a document."""
+
+
+class LogCorrupt(StateError):
+    """A stored record that was synced can no longer be read."""
+
+
+class LogFull(StateError):
+    """The disk has no room for the write; nothing of it was kept."""
+
+
+class LogFailed(StateError):
+    """A write or sync failed and the store can no longer be trusted."""
