Add admission and fleet-wide limits

Cause: requests that cannot meet the target of their rank are to be refused at once, the largest callers first, and limits of a workspace hold for the fleet without a message for each request. Ruled out: fair shares computed from the full admitted rate. Until something has been refused every caller is within such a share, so the first refusals of a flood would hit small callers as well; 0.8 of the admitted rate is used. Change: coordination/admission.py (Admission, AdmitAll baseline), coordination/limits.py (share_out, share_out_whole, TokenBucket, InFlight, DemandMeter, share_evenly baseline), coordination/windows.py with the windows that queueing.py had and an exponentially fading rate. Figures: in the fluid model of the tests callers below a third of the capacity keep at least 95% of what they offer next to callers that offer 3 to 20 times the capacity, and at least 95% of the capacity is used.

--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from papayalink.coordination import errors
+from papayalink.coordination import windows
 
 # A rank that was served beyond its guarantee keeps at most one window of that
 # lead, so a burst of urgent work shorter than this is not interrupted, and a
@@ -414,9 +415,9 @@
         self._deadlines: list[tuple[float, int, Item]] = []
         self._order = itertools.count()
         self._expired: list[Item] = []
-        self._served = _TwoWindows(GUARANTEE_WINDOW_S)
+        self._served = windows.TwoWindows(GUARANTEE_WINDOW_S)
         self._ranks: dict[str, _RankState] = {}
-        self._peaks: dict[str, _TwoWindows] = {}
+        self._peaks: dict[str, windows.TwoWindows] = {}
         self.update_ranks(ranks)
 
     @property
@@ -454,7 +455,7 @@
             states[rank.name] = state
         self._ranks = states
         self._peaks = {
-            name: self._peaks.get(name) or _TwoWindows(RESERVE_WINDOW_S)
+            name: self._peaks.get(name) or windows.TwoWindows(RESERVE_WINDOW_S)
             for name in states
         }
         return dropped
@@ -666,41 +667,6 @@
         heapq.heapify(self._deadlines)
 
 
-class _TwoWindows:
-    """Value of the current and of the previous window of time."""
-
-    __slots__ = ("_period_s", "_since", "_current", "_previous")
-
-    def __init__(self, period_s: float) -> None:
-        self._period_s = period_s
-        self._since: float | None = None
-        self._current = 0.0
-        self._previous = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        self._turn(now)
-        self._current += amount
-
-    def raise_to(self, value: float, now: float) -> None:
-        self._turn(now)
-        self._current = max(self._current, value)
-
-    def largest(self, now: float) -> float:
-        self._turn(now)
-        return max(self._current, self._previous, 0.0)
-
-    def _turn(self, now: float) -> None:
-        if self._since is None:
-            self._since = now
-        passed = now - self._since
-        if passed < self._period_s:
-            return
-        skipped = passed >= 2 * self._period_s
-        self._previous = 0.0 if skipped else self._current
-        self._current = 0.0
-        self._since = now
-
-
 def make_queue(
     ranks: Iterable[Rank],
     bounds: Bounds = Bounds(),
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,115 @@
+"""Tests of admission."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.coordination import admission
+from papayalink.coordination import errors
+from papayalink.coordination import queueing
+from papayalink.coordination import routing
+
+RANKS = (
+    queueing.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
+    queueing.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
+)
+RATE = 10_000.0
+
+
+def _admission():
+    return admission.Admission(RANKS, random.Random(3))
+
+
+@pytest.mark.parametrize(
+    "rank, ttft_s, expected",
+    [
+        ("urgent", 1.5, None),
+        ("urgent", 1.7, "late"),
+        ("deferrable", 25.0, None),
+        ("deferrable", 31.0, "late"),
+        ("deferrable", float("inf"), "late"),
+    ],
+)
+def test_refuses_what_is_late(rank, ttft_s, expected):
+    # Guards against requests that wait only to be late.
+    gate = _admission()
+    outcome = gate.decide(rank, "a", 100, ttft_s, 0.0)
+    assert getattr(outcome, "reason", None) == expected
+    if expected:
+        assert 1 <= outcome.retry_after_s <= admission.MAX_RETRY_AFTER_S
+    with pytest.raises(errors.UnknownRank):
+        gate.decide("none", "a", 100, ttft_s, 0.0)
+
+
+def _flood(gate, rank, callers, seconds):
+    """Fluid queue of one rank; returns offered and admitted by caller."""
+    index = [one.name for one in RANKS].index(rank)
+    shares = queueing.owed_shares(RANKS)
+    rate = RATE * (1.0 if index == 0 else shares[index])
+    queued = 0.0
+    offered = dict.fromkeys(callers, 0)
+    admitted = dict.fromkeys(callers, 0)
+    step_s = 0.02
+    debts = dict.fromkeys(callers, 0.0)
+    for step in range(int(seconds / step_s)):
+        queued = max(0.0, queued - rate * step_s)
+        for name, load in callers.items():
+            debts[name] += load * rate * step_s
+            while debts[name] >= 500:
+                debts[name] -= 500
+                offered[name] += 500
+                ttft_s = routing.predict_wait(
+                    (queued, 0) if index == 0 else (0, queued),
+                    index,
+                    RATE,
+                    shares,
+                    () if index == 0 else (1.0, 0.0),
+                )
+                outcome = gate.decide(rank, name, 500, ttft_s, step * step_s)
+                if isinstance(outcome, admission.Admitted):
+                    admitted[name] += 500
+                    queued += 500
+    return offered, admitted, queued, rate
+
+
+@pytest.mark.parametrize("rank", ["urgent", "deferrable"])
+@pytest.mark.parametrize(
+    "callers",
+    [
+        {"large": 3.0, "small": 0.1, "other": 0.2},
+        {"large": 10.0, "huge": 20.0, "small": 0.3},
+    ],
+)
+def test_largest_callers_are_refused_first(rank, callers):
+    # Guards against small callers that lose in a flood by a large one, and
+    # against a flood that is refused so eagerly that capacity is idle.
+    offered, admitted, queued, rate = _flood(_admission(), rank, callers, 120)
+    for name, load in callers.items():
+        if load < 0.34:
+            assert admitted[name] >= 0.95 * offered[name]
+    assert sum(admitted.values()) - queued >= 0.95 * rate * 120
+
+
+@hypothesis.given(st.floats(0, 1e7))
+def test_other_work_does_not_refuse_urgent_requests(queued):
+    # Guards against a flood of the other rank that shuts out urgent work, and
+    # against urgent work that shuts out what the other rank is owed.
+    shares = queueing.owed_shares(RANKS)
+    wait_s = routing.predict_wait((1000, queued), 0, RATE, shares)
+    outcome = _admission().decide("urgent", "a", 500, wait_s, 0.0)
+    assert isinstance(outcome, admission.Admitted)
+    wait_s = routing.predict_wait((queued, 1000), 1, RATE, shares, (1.0, 0.0))
+    outcome = _admission().decide("deferrable", "a", 500, wait_s, 0.0)
+    assert isinstance(outcome, admission.Admitted)
+
+
+def test_refused_callers_return_at_different_times():
+    # Guards against callers that were refused together and return together.
+    gate = _admission()
+    delays = {
+        gate.decide("urgent", "a", 100, 31.6, 0.0).retry_after_s
+        for _ in range(50)
+    }
+    assert len(delays) > 8 and min(delays) >= 30
--- /dev/null
+++ b/tests/coordination/test_limits.py
@@ -0,0 +1,116 @@
+"""Tests of fleet-wide limits."""
+
+import math
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.coordination import limits
+
+DEMANDS = st.dictionaries(
+    st.text("abcdefgh", min_size=1, max_size=3),
+    st.floats(0, 1e6),
+    min_size=1,
+    max_size=20,
+)
+
+
+@hypothesis.given(st.floats(0.1, 1e6), DEMANDS, st.integers(0, 300))
+def test_shares_never_exceed_the_limit(limit, demands, silent):
+    # Guards against a fleet that serves more than the limit.
+    floor = limits.floor_share(limit, len(demands) + silent)
+    shares = limits.share_out(limit, demands, silent)
+    total = math.fsum(shares.values()) + floor * silent
+    assert limit * (1 - 1e-6) <= total <= limit * (1 + 1e-12)
+    assert all(share >= floor * (1 - 1e-9) for share in shares.values())
+    # Max-min fair: a share below its demand is the largest there is.
+    largest = max(shares.values())
+    for entry, demand in demands.items():
+        if shares[entry] < demand * (1 - 1e-9):
+            assert shares[entry] >= largest * (1 - 1e-9)
+
+
+@hypothesis.given(st.integers(0, 500), DEMANDS, st.integers(0, 50))
+def test_whole_shares_never_exceed_the_limit(limit, demands, silent):
+    # Guards against rounding that admits more requests than the limit.
+    shares = limits.share_out_whole(limit, demands, silent)
+    floor = int(limits.floor_share(limit, len(demands) + silent))
+    total = sum(shares.values()) + floor * silent
+    assert total == limit
+    assert min(shares.values()) >= 0
+
+
+@pytest.mark.parametrize(
+    "limit, demands, expected",
+    [
+        (100, {"a": 500, "b": 0}, {"a": 95, "b": 5}),
+        (100, {"a": 500, "b": 20}, {"a": 80, "b": 20}),
+        (100, {"a": 50, "b": 50}, {"a": 50, "b": 50}),
+        (100, {"a": 10, "b": 20}, {"a": 45, "b": 55}),
+    ],
+)
+def test_share_out(limit, demands, expected):
+    # Guards against shares that ignore demand.
+    assert limits.share_out(limit, demands) == pytest.approx(expected)
+
+
+def test_even_shares_baseline():
+    # Guards against a baseline that follows demand.
+    assert limits.share_evenly(10, "ab") == {"a": 5, "b": 5}
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.floats(0, 0.5), st.integers(1, 300)),
+        min_size=1,
+        max_size=80,
+    )
+)
+def test_bucket_bounds_the_rate(requests):
+    # Guards against an entry that exceeds its share for long.
+    bucket = limits.TokenBucket(100.0, 0.0)
+    now = taken = 0.0
+    for wait, tokens in requests:
+        now += wait
+        bucket.confirm(100.0, now)
+        delay = bucket.take(tokens, now)
+        if delay is None:
+            taken += tokens
+        else:
+            assert delay >= 0
+        assert taken <= 100.0 * (now + limits.BURST_S) + 300
+
+
+@pytest.mark.parametrize("time, expected", [(2.9, True), (3.0, False)])
+def test_unconfirmed_share_lapses(time, expected):
+    # Guards against an isolated entry that goes on using a share that others
+    # have been given.
+    bucket = limits.TokenBucket(100.0, 0.0)
+    gate = limits.InFlight(2, 0.0)
+    assert (bucket.take(1, time) is None) is expected
+    assert gate.acquire(time) is expected
+    late = time + 3.1
+    assert bucket.take(1, late) == limits.LAPSE_S
+    assert not gate.acquire(late)
+    bucket.confirm(100.0, late)
+    gate.confirm(9, late)
+    assert bucket.take(1, late + 0.1) is None and gate.acquire(late)
+
+
+def test_in_flight_share():
+    # Guards against leaks in the count of requests in flight.
+    gate = limits.InFlight(2, 0.0)
+    assert [gate.acquire(0.1) for _ in range(3)] == [True, True, False]
+    gate.release()
+    gate.confirm(1, 0.2)
+    assert not gate.acquire(0.3) and gate.running == 1
+
+
+def test_demand_fades():
+    # Guards against shares that stay with an entry that lost its callers.
+    meter = limits.DemandMeter()
+    for step in range(100):
+        meter.note("a", 10, step * 0.1)
+    assert meter.report(10.0)["a"] == pytest.approx(100, rel=0.1)
+    assert meter.report(30.0) == {}
