--- /dev/null
+++ b/tests/coordination/test_retry.py
@@ -0,0 +1,103 @@
+"""Tests of retries and hedging."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.coordination import retry
+
+
+def _call(**fields):
+    fields.setdefault("repeatable", True)
+    fields.setdefault("attempts", 1)
+    return retry.Call(started_at=0.0, **fields)
+
+
+@pytest.mark.parametrize(
+    "fields, expected",
+    [
+        ({}, None),
+        ({"repeatable": False}, "not_repeatable"),
+        ({"answered": True}, "answered"),
+        ({"attempts": retry.MAX_ATTEMPTS}, "attempts"),
+        ({"deadline": 10.0}, "deadline"),
+        ({"deadline": 13.0}, None),
+    ],
+)
+def test_decide(fields, expected):
+    # Guards against protected calls that run twice and useless repeats.
+    budget = retry.Budget()
+    outcome = retry.decide(_call(**fields), budget, 10.0, random.Random(1))
+    assert getattr(outcome, "reason", None) == expected
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.floats(0, 1), st.booleans()), max_size=200)
+)
+def test_budget_bounds_repeats(events):
+    # Guards against repeats that multiply the load of a failing fleet.
+    budget = retry.Budget(0.1, 3)
+    now, requests, repeats = 0.0, [], []
+    for wait, first in events:
+        now += wait
+        if first:
+            budget.note_request(now)
+            requests.append(now)
+        elif budget.take(now):
+            repeats.append(now)
+        # The budget remembers one to two windows.
+        recent = sum(at > now - 5.0 for at in repeats)
+        assert recent <= 0.1 * sum(at >= now - 10.0 for at in requests) + 3
+
+
+@pytest.mark.parametrize(
+    "attempts, bound", [(1, 0.05), (2, 0.1), (4, 0.4), (9, 2.0), (5000, 2.0)]
+)
+def test_backoff_has_full_jitter(attempts, bound):
+    # Guards against calls that failed together and return together.
+    rng = random.Random(2)
+    delays = [retry.backoff(attempts, rng) for _ in range(400)]
+    assert 0 <= min(delays) < 0.05 * bound
+    assert 0.95 * bound < max(delays) <= bound
+
+
+def _hedging(samples):
+    hedging = retry.Hedging()
+    for number in range(samples):
+        hedging.note_request(10.0)
+        hedging.note_ttft(0.01 * (number % 100))
+    return hedging
+
+
+@pytest.mark.parametrize(
+    "fields, now, samples, expected",
+    [
+        ({}, 1.0, 200, True),
+        ({}, 0.9, 200, False),
+        ({}, 1.0, 20, False),
+        ({"repeatable": False}, 1.0, 200, False),
+        ({"hedged": True}, 1.0, 200, False),
+        ({"answered": True}, 1.0, 200, False),
+        ({"deadline": 0.99}, 1.0, 200, False),
+    ],
+)
+def test_hedge(fields, now, samples, expected):
+    # Guards against hedges of protected calls and of requests that are not
+    # slow yet.
+    assert _hedging(samples).hedge(_call(**fields), now) is expected
+
+
+def test_hedges_have_a_budget():
+    # Guards against hedges that double the load when everything is slow.
+    hedging = _hedging(200)
+    sent = sum(hedging.hedge(_call(), 12.0) for _ in range(200))
+    assert sent == 11
+
+
+def test_baseline_repeats_at_once():
+    # Guards against a baseline that repeats protected calls.
+    baseline = retry.RetryAlways()
+    assert baseline.decide(_call()) == retry.Retry(retry.BACKOFF_BASE_S)
+    assert isinstance(baseline.decide(_call(repeatable=False)), retry.GiveUp)
