--- /dev/null
+++ b/bench/client.py
@@ -0,0 +1,148 @@
+"""A caller of an entry, for demo, tests and measurements."""
+
+from collections.abc import Iterator
+import json
+import time
+
+import geventhttpclient
+import msgspec
+
+from bench import deployment
+
+
+class Answer(msgspec.Struct):
+    """What a caller got.
+
+    Attributes:
+        complete: the answer came to its regular end.
+        ttft_s: seconds from sending to the first event, None without one.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    complete: bool = True
+    ttft_s: float | None = None
+    gaps_s: list[float] = []
+
+    def json(self) -> dict:
+        return json.loads(self.body)
+
+    def events(self) -> list[dict]:
+        """Returns: the JSON of each server-sent event but the last."""
+        lines = self.body.decode().split("\n\n")
+        return [
+            json.loads(line.removeprefix("data: "))
+            for line in lines
+            if line.startswith("data: {")
+        ]
+
+
+class Caller:
+    """Sends requests of one workspace to one entry.
+
+    Args:
+        address: "IP:PORT" of the entry.
+        token: bearer token of the workspace.
+    """
+
+    __slots__ = ("_client", "_token")
+
+    def __init__(
+        self, address: str, token: str, timeout_s: float = 60.0
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._token = token
+        self._client = geventhttpclient.HTTPClient(
+            host, int(port), concurrency=256, network_timeout=timeout_s
+        )
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        **headers: str,
+    ) -> Answer:
+        """Make a call and read its whole answer."""
+        response = self._open(method, path, body, headers)
+        data = response.read()
+        return Answer(
+            response.status_code,
+            data,
+            dict(response.items()),
+            response.message_complete,
+        )
+
+    def complete(self, **body: object) -> Answer:
+        """Ask for a completion as a whole."""
+        return self.send("POST", "/v1/completions", body)
+
+    def stream(self, limit: int | None = None, **body: object) -> Answer:
+        """Ask for a streamed completion.
+
+        Args:
+            limit: hang up after this many events.
+        """
+        began = time.perf_counter()
+        body = {"stream": True, **body}
+        response = self._open("POST", "/v1/completions", body, {})
+        answer = Answer(response.status_code, b"", dict(response.items()))
+        last = began
+        parts = []
+        for part in _parts(response, answer):
+            now = time.perf_counter()
+            if answer.ttft_s is None:
+                answer.ttft_s = now - began
+            else:
+                answer.gaps_s.append(now - last)
+            last = now
+            parts.append(part)
+            if limit is not None and len(parts) >= limit:
+                answer.complete = False
+                break
+        response.release()
+        answer.body = b"".join(parts)
+        return answer
+
+    def confirm(self, key: str, **body: object) -> Answer:
+        """Confirm a price of the order service, a protected call."""
+        return self.send(
+            "POST",
+            "/services/orders/prices/confirm",
+            body,
+            **{"Idempotency-Key": key},
+        )
+
+    def close(self) -> None:
+        self._client.close()
+
+    def _open(self, method, path, body, headers):
+        data = b"" if body is None else msgspec.json.encode(body)
+        if isinstance(body, bytes):
+            data = body
+        return self._client.request(
+            method,
+            path,
+            data,
+            {
+                "Authorization": f"Bearer {self._token}",
+                "Content-Type": "application/json",
+                **headers,
+            },
+        )
+
+
+def _parts(response, answer: Answer) -> Iterator[bytes]:
+    try:
+        while True:
+            part = response.readline(b"\n\n")
+            if not part:
+                return
+            yield part
+    except (OSError, geventhttpclient.response.HTTPParseError):
+        answer.complete = False
+
+
+def make_caller(address: str, token: str = deployment.TOKEN) -> Caller:
+    return Caller(address, token)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,190 @@
+"""Deployments of the usual shape."""
+
+import geventhttpclient
+import msgspec
+
+from bench import control
+from bench import deployment as deployments
+from papayalink.state import document as documents
+
+MODEL = "counter-1"
+ZONES = ("korangi", "west-wharf", "port-qasim")
+
+
+class Fleet(msgspec.Struct):
+    """A running deployment and what is needed to use it.
+
+    Attributes:
+        entries: addresses that callers use.
+        engines: addresses of the engines by upstream name.
+        orders: address of the order service, "" for none.
+    """
+
+    deployment: deployments.Deployment
+    document: documents.Document
+    entries: list[str]
+    engines: dict[str, str]
+    orders: str
+    proposer: object
+    version: int = 1
+
+    def apply(self, **sections: object) -> object:
+        """Change sections of the document. Returns: the outcome."""
+        changed = msgspec.structs.replace(self.document, **sections)
+        outcome = control.apply(self.proposer, changed, self.version)
+        self.document = changed
+        self.version = getattr(outcome, "version", self.version)
+        return outcome
+
+    def evict(self) -> None:
+        """Empty the prefix caches of all engines."""
+        for address in self.engines.values():
+            request(address, "DELETE", "/kv")
+
+    def executions(self) -> list[dict]:
+        """Returns: what the order service ran."""
+        body = request(self.orders, "GET", "/executions")
+        return msgspec.json.decode(body)["executions"]
+
+
+def request(address: str, method: str, path: str, body: bytes = b"") -> bytes:
+    """Call a stand-in. Returns: the answer's body."""
+    host, _, port = address.rpartition(":")
+    client = geventhttpclient.HTTPClient(host, int(port))
+    headers = {"Content-Type": "application/json"} if body else {}
+    try:
+        return client.request(method, path, body, headers).read()
+    finally:
+        client.close()
+
+
+def start(
+    folder: str,
+    entries: int = 1,
+    engines: int = 1,
+    stores: int = 0,
+    controls: int = 3,
+    orders: bool = False,
+    engine_options: dict[str, object] | None = None,
+    sections: dict[str, object] | None = None,
+    upstream_options: dict[str, object] | None = None,
+) -> Fleet:
+    """Start a deployment and wait until it takes work."""
+    deployment = deployments.make_deployment(folder, ZONES)
+    try:
+        return _start(
+            deployment,
+            entries,
+            engines,
+            stores,
+            controls,
+            orders,
+            {"model": MODEL, **(engine_options or {})},
+            sections or {},
+            upstream_options or {},
+        )
+    except BaseException:
+        deployment.stop_all()
+        raise
+
+
+def _start(
+    deployment,
+    entries,
+    engines,
+    stores,
+    controls,
+    orders,
+    engine_options,
+    sections,
+    upstream_options,
+):
+    engine_addresses = {
+        f"engine-{number}": deployment.start_fake(
+            f"fake-engine-{number}", "fakes.engine", **engine_options
+        )
+        for number in range(1, engines + 1)
+    }
+    order_address = ""
+    if orders:
+        order_address = deployment.start_fake("fake-orders", "fakes.orders")
+    deployment.add_controls(controls)
+    upstreams = [
+        {
+            "name": name,
+            "zone": ZONES[place % len(ZONES)],
+            "serves": MODEL,
+            "agent": deployment.add_agent(
+                name, ZONES[place % len(ZONES)], address
+            ),
+            **upstream_options,
+        }
+        for place, (name, address) in enumerate(engine_addresses.items())
+    ]
+    if orders:
+        agent = deployment.add_agent(
+            "orders-1", ZONES[0], order_address, "service"
+        )
+        upstreams.append(
+            {
+                "name": "orders-1",
+                "zone": ZONES[0],
+                "serves": "orders",
+                "kind": "service",
+                "agent": agent,
+            }
+        )
+    store_entries = [
+        {
+            "name": f"store-{number}",
+            "zone": ZONES[number % len(ZONES)],
+            "address": deployment.add_store(
+                f"store-{number}", ZONES[number % len(ZONES)]
+            ),
+        }
+        for number in range(1, stores + 1)
+    ]
+    entry_addresses = [
+        deployment.add_entry(f"entry-{number}", ZONES[number % len(ZONES)])
+        for number in range(1, entries + 1)
+    ]
+    document = deployments.make_document(
+        deployment,
+        **{
+            "models": [{"name": MODEL, "weight_version": "v1"}],
+            "services": [_order_service()] if orders else [],
+            "upstreams": upstreams,
+            "stores": store_entries,
+            **sections,
+        },
+    )
+    deployment.wait_accepting(list(deployment.controls))
+    proposer = control.make_proposer(deployment)
+    control.apply(proposer, document, 0)
+    deployment.wait_accepting(
+        [
+            name
+            for name in deployment.programs
+            if not name.startswith(("fake-", "control-"))
+        ]
+    )
+    return Fleet(
+        deployment,
+        document,
+        entry_addresses,
+        engine_addresses,
+        order_address,
+        proposer,
+    )
+
+
+def _order_service() -> dict:
+    return {
+        "name": "orders",
+        "calls": [
+            {"method": "POST", "path": "/prices/confirm", "protected": True},
+            {"method": "POST", "path": "/shipments", "protected": True},
+            {"method": "POST", "path": "/charges", "protected": True},
+            {"method": "GET", "path": "/prices/*"},
+        ],
+    }
--- a/papayalink/coordination/follower.py
+++ b/papayalink/coordination/follower.py
@@ -92,8 +92,9 @@
 
     @property
     def confirmed(self) -> bool:
-        """The configuration lease is valid, new work may be taken."""
-        return self._lease.valid(self._clock.now())
+        """A configuration is held and its lease is valid."""
+        now = self._clock.now()
+        return self._held.version > 0 and self._lease.valid(now)
 
     @property
     def lease_left_s(self) -> float:
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -95,7 +95,8 @@
 
     @property
     def accepting(self) -> bool:
-        return self._follower.confirmed and not self._refusal()
+        up = self._engine_state is None or self._engine_state.up
+        return self._follower.confirmed and not self._refusal() and up
 
     def start(self) -> None:
         if self._engine_state is not None:
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -54,7 +54,7 @@
             settings.data_folder,
             settings.memory_bytes,
             settings.disk_bytes,
-            retention.make_policy(),
+            retention.LruPolicy(),
             node.clock,
         )
         self._server = http_server.make_server(
--- a/papayalink/state/errors.py
+++ b/papayalink/state/errors.py
@@ -2,7 +2,7 @@
 
 
 class StateError(Exception):
-    """Base of the errors of the state layer."""
+    """Base of all errors of the state layer."""
 
 
 class LogCorrupt(StateError):
@@ -45,15 +45,3 @@
 
 class DeltaInvalid(StateError):
     """Bytes that are no delta of a document."""
-
-
-class LogCorrupt(StateError):
-    """A stored record that was synced can no longer be read."""
-
-
-class LogFull(StateError):
-    """The disk has no room for the write; nothing of it was kept."""
-
-
-class LogFailed(StateError):
-    """A write or sync failed and the store can no longer be trusted."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over real processes on loopback."""
