Give orders under fencing numbers, mark leaving upstreams, join by identity

Cause: weights, leaving upstreams and members that lost their disk had no owner; a wiped member would have voted again under its old id. Ruled out: bootstrapping whenever the log is empty, since a wiped disk looks like a first start; the members now record the first token of each data folder and turn away any other.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -87,6 +87,7 @@
         document: the whole document as JSON, when there is no delta.
         delta: changes since the version of the poll, as JSON.
         leaving: upstreams that get no new work.
+        fence: newest fencing number of the polling agent's upstream.
         loads: reports of the watched upstreams.
         shares: tokens a second and requests in flight that the entry
             may admit, for the workspaces of its demand.
@@ -97,6 +98,7 @@
     delta: bytes = b""
     digest: str = ""
     leaving: tuple[str, ...] = ()
+    fence: int = 0
     loads: tuple[LoadReport, ...] = ()
     shares: tuple[Demand, ...] = ()
 
@@ -142,6 +144,19 @@
     demand: tuple[tuple[str, tuple[Demand, ...]], ...] = ()
 
 
+class Introduce(Message):
+    """A control member tells its name and the token of its data folder."""
+
+    name: str
+    token: str
+
+
+class Join(Message):
+    """A control member asks the leader to be added to the group."""
+
+    member_id: str
+
+
 class Acknowledge(Message):
     """The message was taken."""
 
@@ -192,6 +207,8 @@
     | QueryReply
     | Deliver
     | ShareLoads
+    | Introduce
+    | Join
     | Acknowledge
     | Order
     | OrderReply
--- a/papayalink/protocol/relay.py
+++ b/papayalink/protocol/relay.py
@@ -6,6 +6,7 @@
 
 RELAY_PATH = "/relay"
 CALL_PATH = "/call"
+ORDER_PATH = "/order"
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -19,6 +19,7 @@
 from papayalink.roles import node as nodes
 from papayalink.roles import process
 from papayalink.roles.agent import calls
+from papayalink.roles.agent import engine_orders
 from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import pieces_client
 from papayalink.roles.agent import relaying
@@ -51,6 +52,7 @@
         "_engine_state",
         "_cache",
         "_relayer",
+        "_orders",
         "_calls",
         "_sequence",
     )
@@ -77,6 +79,7 @@
         self._engine_state = None
         self._cache = None
         self._relayer = None
+        self._orders = None
         self._calls = None
         if settings.upstream_kind == "engine":
             self._make_engine_parts(settings.upstream_address)
@@ -147,7 +150,7 @@
             self._node.clock,
             self._node.metrics,
         )
-        self._relayer = relaying.Relayer(
+        self._relayer = relaying.make_relayer(
             engine,
             self._engine_state,
             self._dispatcher,
@@ -156,6 +159,18 @@
             self._node.clock,
             self._node.metrics,
         )
+        self._orders = engine_orders.EngineOrders(
+            engine,
+            self._engine_state,
+            self._dispatcher,
+            self._relayer,
+            self._known_fence,
+        )
+
+    def _known_fence(self) -> int | None:
+        if not self._follower.confirmed:
+            return None
+        return self._follower.reply.fence
 
     def _run(self) -> None:
         while True:
@@ -247,6 +262,10 @@
                     return self._relayer.answer(
                         request, self._priority(request.rank)
                     )
+                case relay.ORDER_PATH if self._orders is not None:
+                    order = messages.decode(body)
+                    reply = messages.encode(self._orders.carry_out(order))
+                    return _respond(start_response, "200 OK", reply)
                 case relay.CALL_PATH if self._calls is not None:
                     call = relay.decode_call(body)
                     reply = relay.encode(self._calls.run(call))
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -58,10 +58,11 @@
             return "workspace is not known"
         if not self._engine_state.up:
             return "engine is down"
-        wanted = _weight_version(document, request.model)
         loaded = self._engine_state.weight_version
-        if not loaded or {wanted, request.weight_version} != {loaded}:
+        if not loaded or request.weight_version != loaded:
             return "weight version is not loaded"
+        if loaded not in document.versions_of(request.model):
+            return "weight version is not in the configuration"
         return ""
 
 
@@ -270,8 +271,15 @@
     return msgspec.json.encode(body)
 
 
-def _weight_version(document: documents.Document, model: str) -> str:
-    for entry in document.models:
-        if entry.name == model:
-            return entry.weight_version
-    return ""
+def make_relayer(
+    engine: engines.Engine,
+    engine_state: upstream_state.EngineState,
+    dispatcher: dispatch.Dispatcher,
+    admission: Admission,
+    cache: kept_cache.KeptCache,
+    clock: clocks.Clock,
+    metrics: metrics_module.Metrics,
+) -> Relayer:
+    return Relayer(
+        engine, engine_state, dispatcher, admission, cache, clock, metrics
+    )
--- a/papayalink/roles/agent/upstream.py
+++ b/papayalink/roles/agent/upstream.py
@@ -14,6 +14,9 @@
 _MAX_FAILED_CHECKS = 2
 _RATE_SMOOTHING = 0.2
 INITIAL_PREFILL_RATE = 8_000.0
+# Stands for the version while weights are swapped; reports lag and are not
+# believed then.
+_SWAPPING = "-"
 
 
 class _CheckDue(msgspec.Struct):
@@ -72,10 +75,15 @@
     def begin_swap(self) -> None:
         """No weight version is served until end_swap()."""
         self._weight_version = ""
-        self._ordered_version = "?"
+        self._ordered_version = _SWAPPING
 
     def end_swap(self, weight_version: str) -> None:
-        """Args: weight_version: what the engine holds now, "" if unknown."""
+        """Serve a version again.
+
+        Args:
+            weight_version: what the engine holds now, "" if unknown; then
+                its next report counts.
+        """
         self._weight_version = weight_version
         self._ordered_version = weight_version
 
--- /dev/null
+++ b/papayalink/roles/control/identity.py
@@ -0,0 +1,165 @@
+"""Identity of a control member, and how it joins the group.
+
+A member that lost its disk no longer knows its votes. It must not come back
+under its old id, so each data folder has a random token. The members record
+the first token that each of them had, and turn away any other.
+"""
+
+from collections.abc import Callable
+import os
+import secrets
+
+import gevent
+import msgspec
+
+from papayalink import logs
+from papayalink.protocol import messages
+from papayalink.transport import errors
+from papayalink.transport import rpc
+
+_FILE = "identity.json"
+_RETRY_S = 0.5
+
+
+class Content(msgspec.Struct):
+    """What the file holds.
+
+    Attributes:
+        member_id: id in the group.
+        token: differs between data folders.
+        admitted: the member may use its log.
+        tokens: first token of each other member, by name.
+    """
+
+    member_id: str
+    token: str
+    admitted: bool = False
+    tokens: dict[str, str] = {}
+
+
+class Identity:
+    """The file in the data folder.
+
+    Args:
+        folder: data folder.
+        name: name in the settings.
+    """
+
+    __slots__ = ("_path", "_name", "_content")
+
+    def __init__(self, folder: str, name: str) -> None:
+        self._path = os.path.join(folder, _FILE)
+        self._name = name
+        self._content = self._read()
+
+    @property
+    def member_id(self) -> str:
+        return self._content.member_id
+
+    @property
+    def token(self) -> str:
+        return self._content.token
+
+    @property
+    def admitted(self) -> bool:
+        return self._content.admitted
+
+    @property
+    def original(self) -> bool:
+        """The id is the first one of this name."""
+        return self._content.member_id == self._name
+
+    def admit(self) -> None:
+        """Record that every other member knows this token."""
+        self._content.admitted = True
+        self._write()
+
+    def renew(self) -> None:
+        """Take a new id, under which the member joins as a learner."""
+        token = secrets.token_hex(16)
+        self._content = Content(f"{self._name}.{token[:8]}", token, True)
+        self._write()
+
+    def welcome(self, name: str, token: str) -> bool:
+        """Record another member's token.
+
+        Returns: whether it may take part under its first id.
+        """
+        if not self.original:
+            # This member has joined a group that already existed, and its
+            # record of first tokens is not complete.
+            return False
+        known = self._content.tokens.get(name)
+        if known is None:
+            self._content.tokens[name] = token
+            self._write()
+            return True
+        return known == token
+
+    def _read(self) -> Content:
+        try:
+            with open(self._path, "rb") as file:
+                return msgspec.json.decode(file.read(), type=Content)
+        except FileNotFoundError:
+            content = Content(self._name, secrets.token_hex(16))
+        self._content = content
+        self._write()
+        return content
+
+    def _write(self) -> None:
+        os.makedirs(os.path.dirname(self._path), exist_ok=True)
+        temporary = self._path + ".tmp"
+        with open(temporary, "wb") as file:
+            file.write(msgspec.json.encode(self._content))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, self._path)
+        folder = os.open(os.path.dirname(self._path), os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+def introduce(
+    identity: Identity,
+    name: str,
+    others: list[str],
+    client: rpc.RpcClient,
+    stopped: Callable[[], bool],
+) -> None:
+    """Find out under which id this member takes part.
+
+    Waits until every other member has answered: one that is not reached may
+    be the one that knows of an earlier disk.
+
+    Args:
+        others: RPC addresses of all other members.
+        stopped: asked before each round; ends the wait.
+    """
+    log = logs.get_logger()
+    message = messages.Introduce(name, identity.token)
+    waiting = set(others)
+    while waiting and not stopped():
+        for address in sorted(waiting):
+            try:
+                client.call(address, "Introduce", message)
+            except errors.RpcRefused as error:
+                if error.code == "refused":
+                    identity.renew()
+                    log.warning(
+                        "joining_as_learner", member_id=identity.member_id
+                    )
+                    return
+            except errors.TransportError as error:
+                log.info("member_not_reached", address=address, reason=error)
+            else:
+                waiting.discard(address)
+        if waiting:
+            gevent.sleep(_RETRY_S)
+    if not waiting:
+        identity.admit()
+
+
+def make_identity(folder: str, name: str) -> Identity:
+    return Identity(folder, name)
--- a/papayalink/roles/control/peers.py
+++ b/papayalink/roles/control/peers.py
@@ -58,6 +58,10 @@
         if not outbox.full():
             outbox.put_nowait(batch)
 
+    def set_own(self, member_id: str) -> None:
+        """Set the id under which this member takes part."""
+        self._own = member_id
+
     def others(self) -> list[str]:
         """Returns: RPC addresses of all other members."""
         own = name_of(self._own)
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -6,58 +6,67 @@
 from gevent import queue
 import msgspec
 
+from papayalink.adapters import platform as platforms
 from papayalink.coordination import replica as replicas
 from papayalink.coordination.raft import membership
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles import process
+from papayalink.roles.control import identity as identities
 from papayalink.roles.control import loads
 from papayalink.roles.control import peers
 from papayalink.roles.control import service
+from papayalink.roles.control import upkeep
 from papayalink.state import log_store
 from papayalink.state import machine as machines
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import rpc
 
 SHARE_PERIOD_S = 0.5
+JOIN_PERIOD_S = 1.0
 
 
 class _ShareDue(msgspec.Struct):
     """Delivered by the timer service once a period."""
 
 
+class _JoinDue(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
 class ControlProcess(process.Process):
     """One member of the control group."""
 
     __slots__ = (
+        "_identity",
         "_machine",
         "_replica",
         "_peers",
         "_loads",
         "_service",
+        "_upkeep",
         "_rpc_server",
         "_inbox",
+        "_stopping",
     )
 
     def __init__(self, node: nodes.Node) -> None:
         super().__init__(node)
         settings = node.settings
+        self._stopping = False
+        self._identity = identities.make_identity(
+            settings.data_folder, settings.name
+        )
         self._machine = machines.make_machine()
         self._peers = peers.make_peers(
             settings.name, settings.controls, node.rpc_client
         )
         self._loads = loads.make_load_table(node.clock)
         self._inbox = queue.Queue()
-        self._replica = replicas.make_replica(
-            replicas.Settings(member_id=settings.name),
-            log_store.DiskLogStore(os.path.join(settings.data_folder, "log")),
-            self._machine,
-            node.timers,
-            self._peers.send,
-            membership.make_membership(*sorted(settings.controls)),
-        )
+        self._replica: replicas.Replica | None = None
+        self._upkeep: upkeep.Upkeep | None = None
         self._service = service.ControlService(
-            self._replica,
+            self._identity,
             self._machine,
             self._peers,
             self._loads,
@@ -71,21 +80,75 @@
 
     @property
     def accepting(self) -> bool:
-        return self._replica.leader_id is not None
+        return (
+            self._replica is not None and self._replica.leader_id is not None
+        )
 
     def start(self) -> None:
         self._rpc_server.start()
-        self._node.timers.every(SHARE_PERIOD_S, self._inbox, _ShareDue())
-        gevent.spawn(self._run)
+        gevent.spawn(self._take_part)
 
     def drain(self) -> None:
+        self._stopping = True
         self._rpc_server.stop()
-        self._replica.stop()
+        if self._replica is not None:
+            self._replica.stop()
+
+    def _take_part(self) -> None:
+        """Settle this member's id, then run its replica."""
+        settings = self._node.settings
+        log_folder = os.path.join(settings.data_folder, "log")
+        has_log = os.path.isdir(log_folder) and os.listdir(log_folder)
+        identity = self._identity
+        if (identity.admitted and identity.original) and not has_log:
+            identity.renew()
+        elif settings.join and not has_log:
+            identity.renew()
+        elif not identity.admitted:
+            identities.introduce(
+                identity,
+                settings.name,
+                self._peers.others(),
+                self._node.rpc_client,
+                lambda: self._stopping,
+            )
+        if self._stopping:
+            return
+        self._run_replica(log_folder)
+
+    def _run_replica(self, log_folder: str) -> None:
+        settings = self._node.settings
+        first_members = None
+        if self._identity.original:
+            first_members = membership.make_membership(
+                *sorted(settings.controls)
+            )
+        self._peers.set_own(self._identity.member_id)
+        self._replica = replicas.make_replica(
+            replicas.Settings(member_id=self._identity.member_id),
+            log_store.DiskLogStore(log_folder),
+            self._machine,
+            self._node.timers,
+            self._peers.send,
+            first_members,
+        )
+        platform = None
+        if settings.platform_address:
+            platform = platforms.make_platform(settings.platform_address)
+        self._upkeep = upkeep.make_upkeep(
+            self._node, self._replica, self._machine, self._loads, platform
+        )
+        self._service.attach(self._replica, self._upkeep)
+        self._upkeep.start()
+        self._node.timers.every(SHARE_PERIOD_S, self._inbox, _ShareDue())
+        self._node.timers.every(JOIN_PERIOD_S, self._inbox, _JoinDue())
+        gevent.spawn(self._run)
 
     def dump(self) -> dict:
         return {
             "process": self._node.identity,
-            "replica": self._replica.status(),
+            "member_id": self._identity.member_id,
+            "replica": self._replica and self._replica.status(),
             "version": self._machine.configuration.version,
             "calls": len(self._machine.ledger),
             "leaving": self._machine.upstreams.leaving,
@@ -95,14 +158,38 @@
 
     def _run(self) -> None:
         while True:
-            self._inbox.get()
-            reports = self._loads.take_unshared()
-            if reports:
-                message = messages.ShareLoads(
-                    self._node.settings.name, reports
-                )
-                for address in self._peers.others():
-                    gevent.spawn(self._share, address, message)
+            match self._inbox.get():
+                case _ShareDue():
+                    self._share_loads()
+                case _JoinDue():
+                    self._ask_to_join()
+
+    def _ask_to_join(self) -> None:
+        """Ask to be a voter under a new id, until the old one is removed."""
+        own = self._identity.member_id
+        group = self._replica.membership
+        known = group.find(own)
+        names = [peers.name_of(member_id) for member_id in group.ids]
+        if self._identity.original or (
+            known is not None
+            and known.voter
+            and names.count(peers.name_of(own)) == 1
+        ):
+            return
+        for address in self._peers.others():
+            try:
+                self._node.rpc_client.call(address, "Join", messages.Join(own))
+                return
+            except transport_errors.TransportError as error:
+                self._node.log.info("join_not_taken", reason=error)
+
+    def _share_loads(self) -> None:
+        reports = self._loads.take_unshared()
+        if not reports:
+            return
+        message = messages.ShareLoads(self._node.settings.name, reports)
+        for address in self._peers.others():
+            gevent.spawn(self._share, address, message)
 
     def _share(self, address: str, message: messages.ShareLoads) -> None:
         try:
--- a/papayalink/roles/control/service.py
+++ b/papayalink/roles/control/service.py
@@ -9,8 +9,10 @@
 from papayalink.coordination import replica as replicas
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
+from papayalink.roles.control import identity as identities
 from papayalink.roles.control import loads
 from papayalink.roles.control import peers as peers_module
+from papayalink.roles.control import upkeep
 from papayalink.state import machine as machines
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import rpc
@@ -24,22 +26,45 @@
 class ControlService:
     """Answers polls, proposals, queries and messages of other members."""
 
-    __slots__ = ("_replica", "_machine", "_peers", "_loads", "_metrics")
+    __slots__ = (
+        "_identity",
+        "_attached",
+        "_upkeep",
+        "_machine",
+        "_peers",
+        "_loads",
+        "_metrics",
+    )
 
     def __init__(
         self,
-        replica: replicas.Replica,
+        identity: identities.Identity,
         machine: machines.Machine,
         peers: peers_module.Peers,
         load_table: loads.LoadTable,
         metrics: metrics_module.Metrics,
     ) -> None:
-        self._replica = replica
+        self._identity = identity
+        self._attached: replicas.Replica | None = None
+        self._upkeep: upkeep.Upkeep | None = None
         self._machine = machine
         self._peers = peers
         self._loads = load_table
         self._metrics = metrics
 
+    @property
+    def _replica(self) -> replicas.Replica:
+        if self._attached is None:
+            raise transport_errors.RpcRefused(
+                "unavailable", "the member does not take part yet"
+            )
+        return self._attached
+
+    def attach(self, replica: replicas.Replica, duties: upkeep.Upkeep) -> None:
+        """Serve from a replica from now on."""
+        self._attached = replica
+        self._upkeep = duties
+
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
             "Poll": self.poll,
@@ -47,6 +72,8 @@
             "Query": self.query,
             "Deliver": self.deliver,
             "ShareLoads": self.share_loads,
+            "Introduce": self.introduce,
+            "Join": self.join,
         }
 
     def poll(self, poll: messages.Poll) -> messages.PollReply:
@@ -60,6 +87,7 @@
             version=configuration.version,
             digest=configuration.digest,
             leaving=self._machine.upstreams.leaving,
+            fence=self._fence(poll),
             loads=self._loads.select(poll.watch),
         )
         current = poll.version == configuration.version
@@ -106,6 +134,26 @@
         self._loads.merge(message.loads)
         return messages.Acknowledge()
 
+    def introduce(self, message: messages.Introduce) -> messages.Acknowledge:
+        """Record another member's data folder."""
+        if not self._identity.welcome(message.name, message.token):
+            raise transport_errors.RpcRefused(
+                "refused", f"{message.name} had another data folder"
+            )
+        return messages.Acknowledge()
+
+    def join(self, message: messages.Join) -> messages.Acknowledge:
+        """Add a member to the group; only the leader can."""
+        if not self._replica.is_leader:
+            raise self._refusal(errors.NotLeader(self._replica.leader_id))
+        self._upkeep.join(message.member_id)
+        return messages.Acknowledge()
+
+    def _fence(self, poll: messages.Poll) -> int:
+        if poll.load is None:
+            return 0
+        return self._machine.upstreams.fence(poll.load.upstream)
+
     def _confirm(self) -> None:
         try:
             self._replica.confirm_read(CONFIRM_TIMEOUT_S)
--- /dev/null
+++ b/papayalink/roles/control/upkeep.py
@@ -0,0 +1,251 @@
+"""Duties of the control leader."""
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink import logs
+from papayalink.adapters import errors as adapter_errors
+from papayalink.adapters import platform as platforms
+from papayalink.coordination import errors
+from papayalink.coordination import orders
+from papayalink.coordination import replica as replicas
+from papayalink.coordination.raft import membership
+from papayalink.protocol import errors as protocol_errors
+from papayalink.protocol import messages
+from papayalink.protocol import relay
+from papayalink.roles import node as nodes
+from papayalink.roles.control import loads
+from papayalink.roles.control import peers
+from papayalink.state import ledger
+from papayalink.state import machine as machines
+from papayalink.state import upstreams
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import http_client
+
+PERIOD_S = 0.5
+# A new leader first waits for one round of load reports.
+SETTLE_S = 3.0
+EXPIRE_PERIOD_S = 60.0
+_PROPOSE_TIMEOUT_S = 2.0
+# Loading takes about 0.8 s, longer while replicas share the weight store.
+ORDER_TIMEOUT_S = 60.0
+
+
+class _Due(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class _ExpireDue(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class Upkeep:
+    """Runs on every member and acts on the leader only.
+
+    Args:
+        node: shared parts of the process.
+        replica: tells who leads, and commits commands.
+        platform: adapter of the platform's list, if there is one.
+    """
+
+    __slots__ = (
+        "_node",
+        "_replica",
+        "_machine",
+        "_loads",
+        "_platform",
+        "_client",
+        "_inbox",
+        "_sending",
+        "_joining",
+        "_leading_since",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        replica: replicas.Replica,
+        machine: machines.Machine,
+        load_table: loads.LoadTable,
+        platform: platforms.Platform | None,
+    ) -> None:
+        self._node = node
+        self._replica = replica
+        self._machine = machine
+        self._loads = load_table
+        self._platform = platform
+        self._client = http_client.make_client(node.signer, ORDER_TIMEOUT_S)
+        self._inbox = queue.Queue()
+        self._sending: set[str] = set()
+        self._joining: set[str] = set()
+        self._leading_since: float | None = None
+        self._log = logs.get_logger()
+
+    def start(self) -> None:
+        self._node.timers.every(PERIOD_S, self._inbox, _Due())
+        self._node.timers.every(EXPIRE_PERIOD_S, self._inbox, _ExpireDue())
+        gevent.spawn(self._run)
+
+    def join(self, member_id: str) -> None:
+        """Add a member that asked for it, step by step."""
+        self._joining.add(member_id)
+
+    def _run(self) -> None:
+        while True:
+            message = self._inbox.get()
+            if not self._replica.is_leader:
+                self._leading_since = None
+                continue
+            if self._leading_since is None:
+                self._leading_since = self._node.clock.now()
+            try:
+                self._act(message)
+            except errors.CoordinationError as error:
+                self._log.warning("upkeep_interrupted", reason=error)
+
+    def _act(self, message: _Due | _ExpireDue) -> None:
+        match message:
+            case _ExpireDue():
+                limits = self._machine.configuration.document.limits
+                before = self._node.clock.wall() - limits.ledger_retention_s
+                self._propose(ledger.Expire(before))
+            case _Due():
+                for member_id in list(self._joining):
+                    self._admit(member_id)
+                self._watch_platform()
+                self._give_orders()
+
+    def _admit(self, member_id: str) -> None:
+        """Take the next step of a joining member."""
+        group = self._replica.membership
+        known = group.find(member_id)
+        name = peers.name_of(member_id)
+        replaced = [
+            voter
+            for voter in group.ids
+            if peers.name_of(voter) == name and voter != member_id
+        ]
+        if known is None:
+            step = membership.AddLearner(member_id)
+        elif not known.voter:
+            step = membership.PromoteLearner(member_id)
+        elif replaced:
+            step = membership.RemoveMember(replaced[0])
+        else:
+            self._joining.discard(member_id)
+            return
+        try:
+            self._replica.change_members(step)
+            self._log.info("membership_changed", step=repr(step))
+        except errors.ChangeRefused as error:
+            # The learner has not caught up, or another change is under way.
+            self._log.info("membership_change_waits", reason=error)
+
+    def _watch_platform(self) -> None:
+        if self._platform is None:
+            return
+        try:
+            vms = self._platform.list_vms()
+        except adapter_errors.AdapterError as error:
+            self._log.warning("platform_list_failed", reason=error)
+            return
+        states = {}
+        for vm in vms:
+            states[vm.name] = states[vm.address] = vm.state == "leaving"
+        commands = orders.changes_of_leaving(
+            self._machine.configuration.document,
+            states,
+            self._machine.upstreams.leaving_sources,
+        )
+        for command in commands:
+            self._log.info("leaving_changed", command=repr(command))
+            self._propose(command)
+
+    def _give_orders(self) -> None:
+        now = self._node.clock.now()
+        if now - self._leading_since < SETTLE_S:
+            return
+        reports = {
+            report.upstream: report
+            for report in self._loads.select(self._loads.names())
+        }
+        commands = orders.decide(
+            self._machine.configuration.document,
+            reports,
+            self._machine.upstreams.open_orders,
+            self._node.settings.name,
+        )
+        for command in commands:
+            outcome = self._propose(command)
+            if isinstance(outcome, upstreams.Opened):
+                gevent.spawn(self._send, outcome.order)
+        for order in self._machine.upstreams.open_orders:
+            # An order whose agent was not reached is sent again.
+            if order.upstream not in self._sending:
+                gevent.spawn(self._send, order)
+
+    def _send(self, order: upstreams.Order) -> None:
+        if order.upstream in self._sending:
+            return
+        self._sending.add(order.upstream)
+        try:
+            reply = self._call_agent(order)
+            self._log.info("order_answered", order=order, reply=reply)
+            if reply is not None and self._replica.is_leader:
+                self._propose(
+                    upstreams.CloseOrder(
+                        order.upstream, order.fence, reply.result
+                    )
+                )
+        except errors.CoordinationError as error:
+            self._log.warning("order_not_closed", order=order, reason=error)
+        finally:
+            self._sending.discard(order.upstream)
+
+    def _call_agent(
+        self, order: upstreams.Order
+    ) -> messages.OrderReply | None:
+        """Returns: the agent's reply, None when it was not reached."""
+        agent = next(
+            (
+                upstream.agent
+                for upstream in self._machine.configuration.document.upstreams
+                if upstream.name == order.upstream
+            ),
+            None,
+        )
+        if agent is None:
+            return messages.OrderReply("failed", "upstream was removed")
+        message = messages.Order(
+            order.upstream, order.fence, order.action, order.argument
+        )
+        try:
+            answer = self._client.send(
+                agent, "POST", relay.ORDER_PATH, messages.encode(message)
+            )
+            reply = messages.decode(answer.read())
+        except (
+            transport_errors.TransportError,
+            protocol_errors.ProtocolError,
+        ) as error:
+            self._log.warning("order_not_sent", order=order, reason=error)
+            return None
+        return reply if isinstance(reply, messages.OrderReply) else None
+
+    def _propose(self, command: machines.Command) -> machines.Outcome:
+        data = machines.encode_command(command)
+        return machines.decode_outcome(
+            self._replica.propose(data, _PROPOSE_TIMEOUT_S)
+        )
+
+
+def make_upkeep(
+    node: nodes.Node,
+    replica: replicas.Replica,
+    machine: machines.Machine,
+    load_table: loads.LoadTable,
+    platform: platforms.Platform | None,
+) -> Upkeep:
+    return Upkeep(node, replica, machine, load_table, platform)
--- a/papayalink/state/document.py
+++ b/papayalink/state/document.py
@@ -42,10 +42,16 @@
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A model and the weight version that new requests use."""
+    """A model and its weights.
+
+    Attributes:
+        weight_version: what all replicas are to load.
+        previous_version: what replicas may serve until they have loaded it.
+    """
 
     name: str
     weight_version: str
+    previous_version: str = ""
     adapters: tuple[str, ...] = ()
 
 
@@ -125,6 +131,15 @@
     stores: tuple[Store, ...] = ()
     limits: Limits = Limits()
 
+    def versions_of(self, model: str) -> tuple[str, ...]:
+        """Returns: weight versions that may serve a model, target first."""
+        for known in self.models:
+            if known.name == model:
+                if known.previous_version:
+                    return (known.weight_version, known.previous_version)
+                return (known.weight_version,)
+        return ()
+
 
 def encode(document: Document) -> bytes:
     """Returns: the document as canonical JSON, keys in a fixed order."""
--- a/papayalink/state/upstreams.py
+++ b/papayalink/state/upstreams.py
@@ -95,6 +95,11 @@
         """Names of the upstreams that get no new work."""
         return tuple(sorted(self._content.leaving))
 
+    @property
+    def leaving_sources(self) -> dict[str, tuple[str, ...]]:
+        """Who wants each leaving upstream to leave."""
+        return self._content.leaving
+
     @property
     def open_orders(self) -> tuple[Order, ...]:
         return tuple(self._content.open_orders.values())
