--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -73,6 +73,9 @@
         tokens: expected tokens of service, prompt and answer together.
         deadline: time after which the answer is of no use, or None.
         payload: whatever the caller needs to run the request.
+        owed: set by `pop` when the rank was owed the item while more urgent
+            work waited. The engine is to run it at the priority of the most
+            urgent rank; at its own it would hold a slot without progress.
     """
 
     request_id: str
@@ -81,6 +84,7 @@
     tokens: int
     deadline: float | None = None
     payload: Any = None
+    owed: bool = False
 
 
 class Pushed(msgspec.Struct):
@@ -504,6 +508,7 @@
         if state is None:
             return None
         item = state.head()
+        item.owed = self._is_owed(state)
         # Ranks are charged while the item still counts as waiting, so that
         # its own rank earns its share of it.
         self._charge(state, item.tokens, now)
@@ -603,7 +608,7 @@
             return None
         waiting = [state for state in self._ranks.values() if state.depth]
         for state in waiting:
-            if 0 < state.deficit >= state.head().tokens:
+            if self._is_owed(state):
                 return state
         if not waiting:
             return None
@@ -613,6 +618,9 @@
             return None
         return first
 
+    def _is_owed(self, state: _RankState) -> bool:
+        return 0 < state.deficit >= state.head().tokens
+
     def _reserve(self, state: _RankState, now: float) -> int:
         """Slots that a rank leaves free for more urgent ranks."""
         urgent = self._urgent_running(state)
--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -243,17 +243,25 @@
         The decision for this candidate.
     """
     tokens = list(candidate.queued_tokens)
-    items_ahead = -candidate.free_slots
+    items = list(candidate.queued_items)
     for rank in range(request.rank + 1):
         own_tokens, own_items = recent.pending(candidate.upstream, rank, now)
         tokens[rank] += own_tokens
-        items_ahead += candidate.queued_items[rank] + own_items
+        items[rank] += own_items
     rate = candidate.prefill_rate * candidate.weight
     wait_s = predict_wait(
         tokens, request.rank, rate, candidate.shares, candidate.loads
     )
-    if items_ahead >= 0:
-        wait_s = max(wait_s, (items_ahead + 1) * candidate.slot_period_s)
+    ahead = sum(items[: request.rank + 1])
+    if ahead >= candidate.free_slots and candidate.slot_period_s > 0:
+        # Requests that start at once do not wait for a slot.
+        items[0] -= min(items[0], candidate.free_slots)
+        items[request.rank] += 1
+        slot_rate = candidate.weight / candidate.slot_period_s
+        slot_wait_s = predict_wait(
+            items, request.rank, slot_rate, candidate.shares, candidate.loads
+        )
+        wait_s = max(wait_s, slot_wait_s)
     hint, work_s = request.kept, float("inf")
     if rate > 0:
         # Restoring is a choice: the cheapest of no reuse, the prefix held
