Add return-based retention policy and its comparison with LRU

Change: ReturnPolicy with log-spaced return gaps pooled by family, workspace and fleet; bench/retention.py replays a synthetic trace.

--- /dev/null
+++ b/bench/retention.py
@@ -0,0 +1,315 @@
+"""Retention against LRU and restore plans against their baselines.
+
+Runs a seeded synthetic trace in virtual time and prints JSON. Sizes are in
+pieces; the figures say how policies compare, not what a deployment would see.
+"""
+
+import argparse
+import collections
+import json
+import random
+
+import msgspec
+
+from papayalink.coordination import retention
+from papayalink.protocol import pieces
+
+_HOUR_S = 3600.0
+_DAY_S = 24 * _HOUR_S
+_PIECE_BYTES = 64 * 2**20
+
+# A return after this gap has left accelerator memory.
+_LONG_GAP_S = 600.0
+
+# The policies learn during the first days, which are not counted.
+_WARM_UP_S = 4 * _DAY_S
+_DURATION_S = 18 * _DAY_S
+_REVALUE_PERIOD_S = _HOUR_S
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """How the prompts of one application behave.
+
+    Args:
+        weight: share of the workspace's new prompts.
+        returns: probability that a prompt returns once more.
+        median_gap_s: median of the log-normal gap.
+        sigma: standard deviation of the logarithm of the gap.
+        shares_first: whether all prompts start with the same piece.
+        mean_pieces: mean number of pieces of a new prompt.
+    """
+
+    weight: float
+    returns: float
+    median_gap_s: float
+    sigma: float
+    shares_first: bool
+    mean_pieces: float
+
+
+_ONE_OFF = Kind(0.0, 0.0, 1.0, 1.0, False, 6)
+_SORTING = Kind(0.0, 0.03, 2 * _HOUR_S, 1.5, True, 4)
+_CHAT = Kind(0.0, 0.75, 1.5 * _HOUR_S, 1.8, True, 5)
+_CASES = Kind(0.0, 0.85, 20 * _HOUR_S, 1.0, True, 8)
+_DOCUMENTS = Kind(0.0, 0.6, 6 * _HOUR_S, 1.5, False, 10)
+
+
+def _mix(**weights: float) -> list[Kind]:
+    kinds = {
+        "one_off": _ONE_OFF,
+        "sorting": _SORTING,
+        "chat": _CHAT,
+        "cases": _CASES,
+        "documents": _DOCUMENTS,
+    }
+    return [
+        msgspec.structs.replace(kinds[name], weight=weight)
+        for name, weight in weights.items()
+    ]
+
+
+# New prompts an hour and their mix. The large workspaces mostly send prompts
+# that never return.
+_WORKSPACES = {
+    "large-1": (60.0, _mix(one_off=0.5, sorting=0.4, chat=0.1)),
+    "large-2": (40.0, _mix(one_off=0.3, sorting=0.5, cases=0.2)),
+    "large-3": (30.0, _mix(one_off=0.7, documents=0.1, chat=0.2)),
+    "small-1": (2.0, _mix(one_off=0.4, chat=0.6)),
+    "small-2": (2.0, _mix(one_off=0.4, cases=0.6)),
+    "small-3": (2.0, _mix(sorting=0.5, cases=0.5)),
+    "small-4": (1.5, _mix(one_off=0.5, documents=0.5)),
+    "small-5": (1.5, _mix(sorting=0.3, chat=0.4, cases=0.3)),
+    "small-6": (1.0, _mix(one_off=0.6, cases=0.4)),
+    "small-7": (1.0, _mix(documents=1.0)),
+}
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request.
+
+    Args:
+        at: time in seconds.
+        keys: keys of the pieces.
+        facts: facts of the pieces.
+        seen: how many leading pieces this prompt had at its last arrival.
+        gap_s: time since that arrival, 0 for a new prompt.
+    """
+
+    at: float
+    keys: list[pieces.PieceKey]
+    facts: list[retention.PieceFacts]
+    seen: int
+    gap_s: float
+
+
+def make_trace(seed: int, duration_s: float = _DURATION_S) -> list[Arrival]:
+    """Draw a trace.
+
+    Args:
+        seed: seed of the generator.
+        duration_s: length of the trace in virtual seconds.
+    Returns: arrivals in order of time.
+    """
+    draw = random.Random(seed)
+    trace: list[Arrival] = []
+    for workspace, (per_hour, kinds) in _WORKSPACES.items():
+        at = 0.0
+        while True:
+            at += draw.expovariate(per_hour / _HOUR_S)
+            if at >= duration_s:
+                break
+            weights = [kind.weight for kind in kinds]
+            index = draw.choices(range(len(kinds)), weights)[0]
+            trace += _draw_prompt(
+                draw, workspace, f"app-{index}", kinds[index], at, duration_s
+            )
+    trace.sort(key=lambda arrival: arrival.at)
+    return trace
+
+
+def _draw_prompt(
+    draw: random.Random,
+    workspace: str,
+    app: str,
+    kind: Kind,
+    at: float,
+    end: float,
+) -> list[Arrival]:
+    def key(digest: str) -> pieces.PieceKey:
+        return pieces.PieceKey(workspace, "v1", digest)
+
+    name = f"{workspace}/{app}/{draw.getrandbits(64):x}"
+    count = 1 + int(draw.expovariate(1 / kind.mean_pieces))
+    keys = [key(f"{name}/{position}") for position in range(count)]
+    if kind.shares_first:
+        keys.insert(0, key(f"{workspace}/{app}/first"))
+    arrivals = []
+    seen, gap = 0, 0.0
+    while at < end:
+        facts = retention.make_facts(keys)
+        arrivals.append(Arrival(at, list(keys), facts, seen, gap))
+        if draw.random() >= kind.returns:
+            break
+        seen = len(keys)
+        gap = draw.lognormvariate(0, kind.sigma) * kind.median_gap_s
+        at += gap
+        if draw.random() < 0.5:
+            keys.append(key(f"{name}/{len(keys)}"))
+    return arrivals
+
+
+class Clairvoyant(retention.Policy):
+    """Keeps the pieces whose next arrival is nearest; a bound, not a policy.
+
+    Args:
+        trace: the trace that will be replayed.
+    """
+
+    __slots__ = ("_uses",)
+
+    def __init__(self, trace: list[Arrival]) -> None:
+        self._uses: dict[str, collections.deque[float]] = {}
+        for arrival in trace:
+            for key in arrival.keys:
+                uses = self._uses.setdefault(key.digest, collections.deque())
+                uses.append(arrival.at)
+
+    def arrive(self, keys: list[pieces.PieceKey], now: float) -> None:
+        for key in keys:
+            self._uses[key.digest].popleft()
+
+    def value(
+        self,
+        key: pieces.PieceKey,
+        facts: retention.PieceFacts,
+        size_bytes: int,
+        now: float,
+    ) -> float:
+        uses = self._uses[key.digest]
+        return -uses[0] if uses else -float("inf")
+
+    def copies(self, value: float, floor: float) -> int:
+        return 1
+
+
+def replay(
+    trace: list[Arrival],
+    policy: retention.Policy,
+    capacity: int,
+    guaranteed_fraction: float,
+) -> dict[str, object]:
+    """Replay a trace against one store with one policy.
+
+    Args:
+        trace: arrivals in order of time.
+        policy: values the pieces.
+        capacity: capacity of the store in pieces.
+        guaranteed_fraction: see retention.Occupancy.
+    Returns: tokens recomputed on long returns and the share this is of the
+        tokens that those prompts had shown before.
+    """
+    occupancy = retention.Occupancy(
+        capacity * _PIECE_BYTES, guaranteed_fraction
+    )
+    held: dict[pieces.PieceKey, retention.PieceFacts] = {}
+    reusable: collections.Counter[str] = collections.Counter()
+    recomputed: collections.Counter[str] = collections.Counter()
+    revalue_at = 0.0
+    for arrival in trace:
+        now = arrival.at
+        if now >= revalue_at:
+            revalue_at = now + _REVALUE_PERIOD_S
+            for key, facts in held.items():
+                value = policy.value(key, facts, _PIECE_BYTES, now)
+                occupancy.set_value(key, value)
+        prefix = 0
+        while prefix < arrival.seen and arrival.keys[prefix] in held:
+            prefix += 1
+        if arrival.gap_s >= _LONG_GAP_S and now >= _WARM_UP_S:
+            group = arrival.keys[0].workspace.split("-")[0]
+            reusable[group] += arrival.seen
+            recomputed[group] += arrival.seen - prefix
+        policy.arrive(arrival.keys, now)
+        for key, facts in zip(arrival.keys, arrival.facts):
+            value = policy.value(key, facts, _PIECE_BYTES, now)
+            if key in held:
+                occupancy.set_value(key, value)
+                continue
+            victims = occupancy.choose_victims(
+                key, _PIECE_BYTES, value, lambda key: False
+            )
+            if victims is None:
+                continue
+            for victim in victims:
+                occupancy.remove(victim)
+                del held[victim]
+            occupancy.add(key, _PIECE_BYTES, value)
+            held[key] = facts
+    result: dict[str, object] = {}
+    for group in ("large", "small", "all"):
+        counts = [
+            sum(counter.values()) if group == "all" else counter[group]
+            for counter in (recomputed, reusable)
+        ]
+        result[group] = {
+            "recomputed_tokens": counts[0] * pieces.PIECE_TOKENS,
+            "share": round(counts[0] / max(1, counts[1]), 4),
+        }
+    return result
+
+
+def compare_retention(seed: int, capacity: int) -> dict[str, object]:
+    """Replay one trace with each policy.
+
+    Args:
+        seed: seed of the trace.
+        capacity: capacity of the store in pieces.
+    Returns: results by policy, and the ratio of retention to LRU.
+    """
+    trace = make_trace(seed)
+    share = retention.GUARANTEED_FRACTION
+    runs = {
+        "lru": (retention.LruPolicy(), 0.0),
+        "lru_with_shares": (retention.LruPolicy(), share),
+        "retention_without_shares": (retention.ReturnPolicy(), 0.0),
+        "retention": (retention.ReturnPolicy(), share),
+        "clairvoyant": (Clairvoyant(trace), 0.0),
+    }
+    results: dict[str, object] = {
+        "seed": seed,
+        "capacity_pieces": capacity,
+        "prompts": len(trace),
+        "distinct_pieces": len({k for a in trace for k in a.keys}),
+    }
+    for name, (policy, fraction) in runs.items():
+        results[name] = replay(trace, policy, capacity, fraction)
+    results["retention_to_lru"] = {
+        group: round(
+            results["retention"][group]["recomputed_tokens"]
+            / max(1, results["lru"][group]["recomputed_tokens"]),
+            3,
+        )
+        for group in ("large", "small", "all")
+    }
+    return results
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs="*", default=[1, 2])
+    parser.add_argument(
+        "--capacities", type=int, nargs="*", default=[4000, 8000, 16000]
+    )
+    options = parser.parse_args()
+    report = {
+        "retention": [
+            compare_retention(seed, capacity)
+            for seed in options.seeds
+            for capacity in options.capacities
+        ]
+    }
+    print(json.dumps(report, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -1,6 +1,8 @@
 """Retention: which kept pieces are worth their space."""
 
 import abc
+import bisect
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import heapq
@@ -17,6 +19,39 @@
 # Prefill rate assumed for a piece whose engine reported none.
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
 
+# Pieces whose last sighting is remembered, kept or not: 100 to 200 bytes
+# each.
+MAX_TRACKED_PIECES = 500_000
+
+# Share of its value that a second copy keeps: the probability that the first
+# copy is lost while the piece waits to return. A few of some hundred VMs fail
+# each day, and gaps reach days.
+COPY_VALUE = 0.03
+
+# Gaps run from seconds to a month. Two buckets to an octave tell minutes from
+# hours without thinning out the counts.
+_FIRST_EDGE_S = 15.0
+_BUCKETS = 36
+_EDGES_S = [_FIRST_EDGE_S * 2 ** (i / 2) for i in range(_BUCKETS - 1)]
+_WIDTHS_S = [
+    high - low
+    for low, high in zip([0.0, *_EDGES_S], [*_EDGES_S, _EDGES_S[-1] * 2**0.5])
+]
+
+# Before anything was observed, a prompt is as likely to return within one
+# bucket as within the next: gaps have no typical scale.
+_PRIOR_HAZARDS = (0.05,) * _BUCKETS
+
+# A pool counts as much as the larger pool above it after this many pieces.
+_PRIOR_WEIGHT = 6.0
+
+# Prompts that were seen more often than this are pooled.
+_MAX_SIGHTINGS = 8
+
+# Return rates are computed anew after this time or when the counts have grown
+# by a fifth.
+_RATES_AGE_S = 600.0
+
 
 class PieceFacts(msgspec.Struct, frozen=True):
     """What the value of a piece is estimated from.
@@ -26,12 +61,14 @@
         parent: digest of the piece before this one, empty for the first.
         position: index of the piece in its prompt.
         recompute_s: prefill time that the piece saves, seconds.
+        is_copy: whether this is the second copy of a piece.
     """
 
     family: str
     parent: str
     position: int
     recompute_s: float
+    is_copy: bool = False
 
 
 def make_facts(
@@ -82,21 +119,37 @@
         """Returns: the value of a byte of the piece at this time."""
 
     @abc.abstractmethod
-    def copies(self, value: float) -> int:
-        """Returns: on how many stores a piece of this value is kept."""
+    def copies(self, value: float, floor: float) -> int:
+        """Decide on how many stores a piece is kept.
+
+        Args:
+            value: value of the piece.
+            floor: lowest value that a full store holds, 0 while it has room.
+        Returns: 1 or 2.
+        """
 
 
 class LruPolicy(Policy):
-    """Baseline: the piece that was asked for last is worth most."""
+    """Baseline: the piece that was asked for last is worth most.
 
-    __slots__ = ("_last_seen",)
+    Args:
+        max_pieces: pieces whose last arrival is remembered.
+    """
 
-    def __init__(self) -> None:
-        self._last_seen: dict[pieces.PieceKey, float] = {}
+    __slots__ = ("_last_seen", "_max_pieces")
+
+    def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
+        self._last_seen: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._max_pieces = max_pieces
 
     def arrive(self, keys: Sequence[pieces.PieceKey], now: float) -> None:
         for key in keys:
-            self._last_seen[key] = now
+            self._last_seen[key.digest] = now
+            self._last_seen.move_to_end(key.digest)
+        while len(self._last_seen) > self._max_pieces:
+            self._last_seen.popitem(last=False)
 
     def value(
         self,
@@ -105,12 +158,249 @@
         size_bytes: int,
         now: float,
     ) -> float:
-        return self._last_seen.get(key, now)
+        return self._last_seen.get(key.digest, 0.0)
 
-    def copies(self, value: float) -> int:
+    def copies(self, value: float, floor: float) -> int:
         return 1
 
 
+class _Gaps:
+    """Returns by the time since the last sighting, in log-spaced buckets.
+
+    Each bucket counts how many pieces reached it without a return and how
+    many returned within it, so that pieces that have not returned yet count
+    for the time they were watched.
+    """
+
+    __slots__ = ("reached", "returned", "changes")
+
+    def __init__(self) -> None:
+        self.reached = [0.0] * _BUCKETS
+        self.returned = [0.0] * _BUCKETS
+        self.changes = 0
+
+
+class _Cohort:
+    """Pieces of one prompt that were last seen together.
+
+    Attributes:
+        sightings: how often they were seen, up to _MAX_SIGHTINGS.
+        credited: buckets whose reached count includes this cohort.
+        is_open: whether it has neither returned nor expired.
+    """
+
+    __slots__ = (
+        "workspace",
+        "family",
+        "sightings",
+        "seen_at",
+        "credited",
+        "is_open",
+        "digests",
+    )
+
+    def __init__(
+        self, workspace: str, family: str, sightings: int, seen_at: float
+    ) -> None:
+        self.workspace = workspace
+        self.family = family
+        self.sightings = sightings
+        self.seen_at = seen_at
+        self.credited = 0
+        self.is_open = True
+        self.digests: list[str] = []
+
+
+# Workspace and family; None for the whole workspace or the whole fleet.
+_Scope = tuple[str | None, str | None, int]
+
+
+class ReturnPolicy(Policy):
+    """Values a piece by the prefill time it is expected to save.
+
+    The value is recompute time times the rate of returns that a byte buys:
+    the highest ratio, over all times to hold the piece, of its probability to
+    return within that time to the expected time it occupies its space. Return
+    gaps are pooled by prompt family, workspace and fleet; the smaller pool is
+    drawn towards the larger one while it has seen little. They are kept apart
+    by the number of sightings, since a prompt that has returned before is
+    more likely to return again.
+
+    Args:
+        max_pieces: pieces that are watched for returns, kept or not.
+    """
+
+    __slots__ = (
+        "_gaps",
+        "_cohorts",
+        "_max_pieces",
+        "_order",
+        "_due",
+        "_ties",
+        "_rates",
+    )
+
+    def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
+        self._gaps: dict[_Scope, _Gaps] = {}
+        self._cohorts: dict[str, _Cohort] = {}
+        self._max_pieces = max_pieces
+        self._order: collections.deque[_Cohort] = collections.deque()
+        self._due: list[tuple[float, int, _Cohort]] = []
+        self._ties = itertools.count()
+        self._rates: dict[_Scope, tuple[float, int, list[float]]] = {}
+
+    def arrive(self, keys: Sequence[pieces.PieceKey], now: float) -> None:
+        if not keys:
+            return
+        self._credit(now)
+        workspace, family = keys[0].workspace, keys[0].digest
+        created: dict[int, _Cohort] = {}
+        for key in keys:
+            cohort = self._cohorts.get(key.digest)
+            sightings = 1
+            if cohort is not None:
+                if cohort.is_open:
+                    cohort.is_open = False
+                    self._record(cohort, now)
+                sightings = min(cohort.sightings + 1, _MAX_SIGHTINGS)
+            if sightings not in created:
+                created[sightings] = self._open(
+                    workspace, family, sightings, now
+                )
+            created[sightings].digests.append(key.digest)
+            self._cohorts[key.digest] = created[sightings]
+        while len(self._cohorts) > self._max_pieces:
+            self._forget_oldest()
+
+    def value(
+        self,
+        key: pieces.PieceKey,
+        facts: PieceFacts,
+        size_bytes: int,
+        now: float,
+    ) -> float:
+        cohort = self._cohorts.get(key.digest)
+        sightings, age = 1, 0.0
+        if cohort is not None:
+            sightings, age = cohort.sightings, now - cohort.seen_at
+        rates = self._return_rates(key.workspace, facts.family, sightings, now)
+        value = facts.recompute_s * rates[_bucket(age)] / max(1, size_bytes)
+        return value * COPY_VALUE if facts.is_copy else value
+
+    def copies(self, value: float, floor: float) -> int:
+        return 2 if value * COPY_VALUE > floor else 1
+
+    def _open(
+        self, workspace: str, family: str, sightings: int, now: float
+    ) -> _Cohort:
+        cohort = _Cohort(workspace, family, sightings, now)
+        self._order.append(cohort)
+        heapq.heappush(self._due, (now, next(self._ties), cohort))
+        return cohort
+
+    def _scopes(
+        self, workspace: str, family: str, sightings: int
+    ) -> tuple[_Scope, _Scope, _Scope]:
+        return (
+            (None, None, sightings),
+            (workspace, None, sightings),
+            (workspace, family, sightings),
+        )
+
+    def _pools(self, cohort: _Cohort) -> list[_Gaps]:
+        return [
+            self._gaps.setdefault(scope, _Gaps())
+            for scope in self._scopes(
+                cohort.workspace, cohort.family, cohort.sightings
+            )
+        ]
+
+    def _record(self, cohort: _Cohort, now: float) -> None:
+        bucket = _bucket(now - cohort.seen_at)
+        for gaps in self._pools(cohort):
+            for reached in range(cohort.credited, bucket + 1):
+                gaps.reached[reached] += 1
+            gaps.returned[bucket] += 1
+            gaps.changes += 1
+
+    def _credit(self, now: float) -> None:
+        """Count open cohorts in the buckets they have passed."""
+        while self._due and self._due[0][0] <= now:
+            _, _, cohort = heapq.heappop(self._due)
+            if not cohort.is_open:
+                continue
+            # A bucket counts once it has passed: within it the piece may
+            # still return.
+            passed = _bucket(now - cohort.seen_at)
+            if passed > cohort.credited:
+                for gaps in self._pools(cohort):
+                    for reached in range(cohort.credited, passed):
+                        gaps.reached[reached] += 1
+                    gaps.changes += 1
+                cohort.credited = passed
+            if passed < _BUCKETS - 1:
+                due = cohort.seen_at + _EDGES_S[passed]
+                heapq.heappush(self._due, (due, next(self._ties), cohort))
+
+    def _forget_oldest(self) -> None:
+        cohort = self._order.popleft()
+        cohort.is_open = False
+        for digest in cohort.digests:
+            if self._cohorts.get(digest) is cohort:
+                del self._cohorts[digest]
+
+    def _return_rates(
+        self, workspace: str, family: str, sightings: int, now: float
+    ) -> list[float]:
+        """Returns: for each bucket of age the returns per second held."""
+        scopes = self._scopes(workspace, family, sightings)
+        known = [scope for scope in scopes if scope in self._gaps]
+        scope = known[-1] if known else scopes[0]
+        changes = sum(self._gaps[each].changes for each in known[-1:])
+        cached = self._rates.get(scope)
+        if cached is not None:
+            since, seen, rates = cached
+            if now - since < _RATES_AGE_S and changes <= seen * 1.2 + 2:
+                return rates
+        hazards = list(_PRIOR_HAZARDS)
+        for each in known:
+            gaps = self._gaps[each]
+            hazards = [
+                (returned + _PRIOR_WEIGHT * prior) / (reached + _PRIOR_WEIGHT)
+                for returned, reached, prior in zip(
+                    gaps.returned, gaps.reached, hazards
+                )
+            ]
+        rates = _best_rates(hazards)
+        self._rates[scope] = (now, changes, rates)
+        return rates
+
+
+def _bucket(age_s: float) -> int:
+    return bisect.bisect_right(_EDGES_S, age_s)
+
+
+def _best_rates(hazards: Sequence[float]) -> list[float]:
+    """Returns: the best returns per second for a piece in each bucket.
+
+    Args:
+        hazards: probability of a return within each bucket once reached.
+    """
+    rates = []
+    for first in range(_BUCKETS):
+        best = returned = occupied_s = 0.0
+        reached = 1.0
+        for bucket in range(first, _BUCKETS):
+            hazard = hazards[bucket]
+            # A return within a bucket falls in its middle on average.
+            occupied_s += reached * _WIDTHS_S[bucket] * (1 - hazard / 2)
+            returned += reached * hazard
+            reached *= 1 - hazard
+            best = max(best, returned / occupied_s)
+        rates.append(best)
+    return rates
+
+
 class _Holding:
     __slots__ = ("size", "value", "stamp")
 
@@ -203,6 +493,18 @@
         """Returns: the value the piece is held at."""
         return self._holdings[key].value
 
+    def floor(self) -> float:
+        """Returns: the lowest value held, 0 while a tenth is free."""
+        if self.used_bytes < 0.9 * self.capacity_bytes:
+            return 0.0
+        lowest = []
+        for share in self._shares.values():
+            while share.ranks and not self._is_current(share.ranks[0]):
+                heapq.heappop(share.ranks)
+            if share.ranks:
+                lowest.append(share.ranks[0][0])
+        return min(lowest, default=0.0)
+
     def set_value(self, key: pieces.PieceKey, value: float) -> None:
         """Change the value of a held piece."""
         holding = self._holdings[key]
@@ -280,15 +582,17 @@
         ranks = self._shares[workspace].ranks
         while ranks:
             entry = heapq.heappop(ranks)
-            _, stamp, key = entry
-            holding = self._holdings.get(key)
-            if holding is None or holding.stamp != stamp:
+            if not self._is_current(entry):
                 continue
             taken.append(entry)
-            if not is_pinned(key):
+            if not is_pinned(entry[2]):
                 heapq.heappush(heads, entry)
                 return
 
+    def _is_current(self, entry: _Rank) -> bool:
+        holding = self._holdings.get(entry[2])
+        return holding is not None and holding.stamp == entry[1]
+
     def _rank(
         self, share: _Share, key: pieces.PieceKey, holding: _Holding
     ) -> None:
@@ -297,9 +601,6 @@
         # Outdated entries are dropped when they outnumber the current ones.
         if len(share.ranks) > 2 * share.count + 64:
             share.ranks = [
-                entry
-                for entry in share.ranks
-                if entry[2] in self._holdings
-                and self._holdings[entry[2]].stamp == entry[1]
+                entry for entry in share.ranks if self._is_current(entry)
             ]
             heapq.heapify(share.ranks)
