Check bodies of engine requests by schema, report the loaded model

Cause: a request of the wrong form got status 500 from the engine stand-in, and the load, which lags, was the only way to learn the loaded version. Ruled out: checks field by field. Change: msgspec structs for the bodies; Engine.model() in the adapter. Conclusion: wrong requests get status 400.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -22,9 +22,63 @@
 # Events kept for clients that ask late; older ones are a gap to them.
 MAX_EVENTS = 10_000
 
+# Length of an answer whose request does not set it, as vLLM has it.
+DEFAULT_TOKENS = 16
+
 _TokenId = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
+class _Part(msgspec.Struct):
+    text: str = ""
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[_Part] | None = None
+
+    def text(self):
+        if isinstance(self.content, list):
+            return " ".join(part.text for part in self.content)
+        return self.content or ""
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Body(msgspec.Struct):
+    """Body of a completion, a chat completion or a tokenize call."""
+
+    prompt: str | list[_TokenId] = ""
+    messages: list[_Message] = []
+    model: str | None = None
+    user: str | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    max_completion_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    priority: int = 0
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+
+    def tokens(self):
+        if isinstance(self.prompt, list):
+            return self.prompt
+        text = self.prompt
+        if self.messages:
+            text = "\n".join(f"{m.role}: {m.text()}" for m in self.messages)
+        return engine_model.tokens_of(text)
+
+
+class _Resume(msgspec.Struct, rename={"received": "from"}):
+    received: int
+
+
+class _Faults(msgspec.Struct):
+    """Cut the next `times` streams after `cut_after` tokens."""
+
+    cut_after: int
+    times: int = 1
+
+
 class Engine:
     """The model, driven by the clock, and its HTTP resources.
 
@@ -201,9 +255,10 @@
 class _Reply:
     """Shape of the chunks and of the whole reply to a request."""
 
-    __slots__ = ("_chat", "_model", "_created")
+    __slots__ = ("include_usage", "_chat", "_model", "_created")
 
-    def __init__(self, chat, model):
+    def __init__(self, chat, model, include_usage):
+        self.include_usage = include_usage
         self._chat = chat
         self._model = model
         self._created = int(time.time())
@@ -268,14 +323,14 @@
         self._engine = engine
 
     def on_post(self, req, resp):
-        self._serve(req, resp, _body(req), chat=False)
+        self._serve(req, resp, _decode(req, _Body), chat=False)
 
     def on_post_chat(self, req, resp):
-        self._serve(req, resp, _body(req), chat=True)
+        self._serve(req, resp, _decode(req, _Body), chat=True)
 
     def on_post_resume(self, req, resp, stream_id):
         request_id = stream_id.removeprefix("chat").removeprefix("cmpl-")
-        received = _body(req).get("from", 0)
+        received = _decode(req, _Resume).received
         request = self._engine.resume(request_id, received)
         if request is None:
             raise falcon.HTTPNotFound(title="stream cannot be resumed")
@@ -284,18 +339,19 @@
 
     def _serve(self, req, resp, body, chat):
         engine = self._engine
-        model = body.get("model", engine.options.model)
+        model = body.model or engine.options.model
         if model not in (engine.options.model, *engine.adapters):
             raise falcon.HTTPNotFound(title=f"no model {model}")
+        options = body.stream_options or _StreamOptions()
         request = engine_model.Request(
             req.get_header("X-Request-Id") or uuid.uuid4().hex,
-            body.get("user", ""),
-            _prompt_tokens(body),
-            _max_tokens(body),
-            body.get("priority", 0),
-            context=(_Reply(chat, model), body.get("stream_options") or {}),
+            body.user or "",
+            body.tokens(),
+            body.max_completion_tokens or body.max_tokens or DEFAULT_TOKENS,
+            body.priority,
+            context=_Reply(chat, model, options.include_usage),
         )
-        if body.get("stream"):
+        if body.stream:
             resp.content_type = "text/event-stream"
             resp.stream = self._stream(req, request, 0)
         else:
@@ -304,22 +360,21 @@
 
     def _stream(self, req, request, sent):
         cut_after = self._engine.take_cut()
-        reply, options = request.context
+        reply = request.context
         for _ in self._progress(req, request):
             while sent < request.emitted:
                 if sent == cut_after:
                     serving.cut_connection()
                 yield _event(reply.chunk(request, sent))
                 sent += 1
-        if options.get("include_usage"):
+        if reply.include_usage:
             yield _event(reply.usage_chunk(request))
         yield b"data: [DONE]\n\n"
 
     def _whole(self, req, request):
         for _ in self._progress(req, request):
             pass
-        reply, _ = request.context
-        yield msgspec.json.encode(reply.whole(request))
+        yield msgspec.json.encode(request.context.whole(request))
 
     def _progress(self, req, request):
         """Yield whenever words were added; cancel if the client goes."""
@@ -353,7 +408,7 @@
 
 class _Tokenize:
     def on_post(self, req, resp):
-        tokens = _prompt_tokens(_body(req))
+        tokens = _decode(req, _Body).tokens()
         resp.media = {"tokens": tokens, "count": len(tokens)}
 
 
@@ -431,7 +486,7 @@
         resp.media = {"orders": self._engine.orders}
 
     def on_post_orders(self, req, resp):
-        order = _body(req)
+        order = _decode(req, dict)
         try:
             accepted = self._engine.order(order)
         except (KeyError, TypeError, ValueError) as error:
@@ -441,51 +496,17 @@
         resp.media = order
 
     def on_put_faults(self, req, resp):
-        body = _body(req)
-        self._engine.cut_after = body["cut_after"]
-        self._engine.cuts_left = body.get("times", 1)
+        faults = _decode(req, _Faults)
+        self._engine.cut_after = faults.cut_after
+        self._engine.cuts_left = faults.times
         resp.status = falcon.HTTP_204
 
 
-def _body(req):
+def _decode(req, kind):
     try:
-        body = msgspec.json.decode(req.bounded_stream.read())
-    except msgspec.DecodeError as error:
+        return msgspec.json.decode(req.bounded_stream.read(), type=kind)
+    except msgspec.MsgspecError as error:
         raise falcon.HTTPBadRequest(title=str(error))
-    if not isinstance(body, dict):
-        raise falcon.HTTPBadRequest(title="body is not an object")
-    return body
-
-
-def _prompt_tokens(body):
-    if "messages" in body:
-        return engine_model.tokens_of(
-            "\n".join(
-                f"{message['role']}: {_content(message)}"
-                for message in body["messages"]
-            )
-        )
-    prompt = body.get("prompt", "")
-    if isinstance(prompt, str):
-        return engine_model.tokens_of(prompt)
-    try:
-        return msgspec.convert(prompt, list[_TokenId])
-    except msgspec.ValidationError as error:
-        raise falcon.HTTPBadRequest(title=str(error))
-
-
-def _content(message):
-    content = message.get("content") or ""
-    if isinstance(content, str):
-        return content
-    return " ".join(part.get("text", "") for part in content)
-
-
-def _max_tokens(body):
-    count = body.get("max_completion_tokens", body.get("max_tokens", 16))
-    if not isinstance(count, int) or count < 1:
-        raise falcon.HTTPBadRequest(title="max_tokens must be at least 1")
-    return count
 
 
 def _event(media):
--- a/papayalink/adapters/engine.py
+++ b/papayalink/adapters/engine.py
@@ -64,6 +64,18 @@
     slots: int = 0
 
 
+class ModelInfo(msgspec.Struct, frozen=True):
+    """Model and weight version that an engine has loaded now."""
+
+    name: str = msgspec.field(name="id")
+    weight_version: str
+    role: str
+
+
+class _Models(msgspec.Struct):
+    data: list[ModelInfo]
+
+
 class _Tokens(msgspec.Struct):
     tokens: list[int]
 
@@ -318,6 +330,16 @@
         )
         return _decode(_accepted(reply), Load)
 
+    def model(self) -> ModelInfo:
+        """Returns: the loaded model; unlike load(), this does not lag."""
+        reply = self._connector.call_idempotent(
+            "GET", "/v1/models", self._read_timeout_s
+        )
+        models = _decode(_accepted(reply), _Models).data
+        if not models:
+            raise errors.InvalidReply("the engine lists no model")
+        return models[0]
+
     def order(
         self,
         fence: int,
--- a/tests/adapters/test_engine.py
+++ b/tests/adapters/test_engine.py
@@ -33,7 +33,12 @@
 
 
 def _body(prompt="a b c", count=5, **fields):
-    body = {"prompt": prompt, "max_tokens": count, "user": "ws", "stream": 1}
+    body = {
+        "prompt": prompt,
+        "max_tokens": count,
+        "user": "ws",
+        "stream": True,
+    }
     return msgspec.json.encode({**body, **fields})
 
 
@@ -175,7 +180,12 @@
 
 @pytest.mark.parametrize(
     "fields",
-    [{"model": "other"}, {"max_tokens": 0}, {"prompt": ["a"]}],
+    [
+        {"model": "other"},
+        {"max_tokens": 0},
+        {"prompt": ["a"]},
+        {"priority": "x"},
+    ],
 )
 def test_invalid_request_is_rejected(start, fields):
     _, engine = start()
@@ -263,7 +273,9 @@
         engine.order(4, order)
     fences = [order["fence"] for order in state.orders]
     assert fences == ([5] if check_fencing else [5, 4])
-    assert engine.load().weight_version == ("v1" if check_fencing else "v2")
+    assert engine.model() == adapters.ModelInfo(
+        "demo-model", "v1" if check_fencing else "v2", "prefill"
+    )
 
 
 def test_invalid_order_is_rejected(start):
