Route by predicted first token, admit early, share out limits

Cause: the entry chose upstreams at random, retried without a budget and knew no limits. Ruled out: sending every replica's report to every entry, since 640 reports a second exceed 6 KB/s a node; an entry watches 24 replicas of each model and gets their reports with its poll.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -186,10 +186,17 @@
         for name in names:
             address = self.programs[name].addresses["inspect_listen"]
             while not _is_healthy(address):
+                self._require_running(name)
                 if time.monotonic() > deadline:
                     raise TimeoutError(f"{name} does not take work")
                 time.sleep(0.05)
 
+    def _require_running(self, name: str) -> None:
+        program = self.programs[name]
+        if program.process.poll() is not None:
+            with open(program.log_path) as file:
+                raise RuntimeError(f"{name} ended: {file.read()[-2000:]}")
+
     def console_addresses(self) -> list[str]:
         return [
             self.programs[name].addresses["console_listen"]
--- a/papayalink/coordination/errors.py
+++ b/papayalink/coordination/errors.py
@@ -85,3 +85,7 @@
         super().__init__(f"upstream answered {status}")
         self.status = status
         self.body = body
+
+
+class AgentNotReached(NoUpstream):
+    """No connection to the agent was made; the request was not run."""
--- a/papayalink/coordination/follower.py
+++ b/papayalink/coordination/follower.py
@@ -47,6 +47,7 @@
         "_inbox",
         "_reply",
         "_received_at",
+        "_sent_at",
         "_listeners",
         "_log",
         "_task",
@@ -73,6 +74,7 @@
         self._inbox = queue.Queue()
         self._reply = messages.PollReply(version=0)
         self._received_at = 0.0
+        self._sent_at = 0.0
         self._listeners: list[Callable[[], None]] = []
         self._log = logs.get_logger()
         self._task: gevent.Greenlet | None = None
@@ -90,6 +92,16 @@
         """Newest reply: leaving upstreams, loads, shares."""
         return self._reply
 
+    @property
+    def received_at(self) -> float:
+        """Clock seconds at which the newest reply arrived."""
+        return self._received_at
+
+    @property
+    def sent_at(self) -> float:
+        """Clock seconds at which the poll of that reply was sent."""
+        return self._sent_at
+
     @property
     def confirmed(self) -> bool:
         """A configuration is held and its lease is valid."""
@@ -150,6 +162,8 @@
             return False
         self._lease.confirm(sent_at)
         self._reply = reply
+        self._sent_at = sent_at
+        self._received_at = self._clock.now()
         if changed:
             self._log.info("configuration_changed", version=reply.version)
         for listener in self._listeners:
--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -1,25 +1,48 @@
 """Sends a model request to an agent and reads its answer."""
 
-from collections.abc import Callable
+import abc
 from collections.abc import Iterator
 import uuid
 
+import gevent
 import msgspec
 
+from papayalink import clock as clocks
 from papayalink import logs
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
+from papayalink.coordination import selection
 from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import frames
 from papayalink.protocol import relay
-from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import http_client
 
-# Each further attempt adds its own delay to the first token.
-MAX_ATTEMPTS = 3
 
-Choose = Callable[[frozenset[str]], documents.Upstream | None]
+class Attempts(abc.ABC):
+    """Where the attempts of one request go, and what became of them."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def choose(self, tried: frozenset[str]) -> selection.Choice | None:
+        """Choose the upstream of the next attempt."""
+
+    @abc.abstractmethod
+    def answered(self, upstream: str, latency_s: float) -> None:
+        """The first frame arrived."""
+
+    @abc.abstractmethod
+    def refused(self, upstream: str) -> None:
+        """The agent did not take the request."""
+
+    @abc.abstractmethod
+    def failed(self, upstream: str) -> None:
+        """The agent was not reached or was lost."""
+
+    @abc.abstractmethod
+    def retry_delay_s(self, attempts: int) -> float | None:
+        """Returns: seconds until the next attempt, None to give up."""
 
 
 class Answer:
@@ -97,29 +120,26 @@
         metrics: counts attempts and refusals.
     """
 
-    __slots__ = ("_client", "_metrics", "_log")
+    __slots__ = ("_client", "_clock", "_metrics", "_log")
 
     def __init__(
         self,
         client: http_client.HttpClient,
+        clock: clocks.Clock,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._client = client
+        self._clock = clock
         self._metrics = metrics
         self._log = logs.get_logger()
 
-    def open(
-        self,
-        request: relay.RelayRequest,
-        choose: Choose,
-        report: Callable[[str, bool], None] = lambda upstream, ok: None,
-    ) -> Answer:
+    def open(self, request: relay.RelayRequest, attempts: Attempts) -> Answer:
         """Send a request, to another agent when one does not take it.
 
         Args:
-            request: its attempt id is replaced for each attempt.
-            choose: next upstream, given the names already tried.
-            report: told for each attempt whether the agent answered.
+            request: its attempt id and weight version are replaced for each
+                attempt.
+            attempts: chooses upstreams.
         Returns: the answer, from its first frame on.
         Raises:
             errors.NoUpstream: no agent ran the request.
@@ -127,30 +147,47 @@
             errors.UpstreamRejected: the upstream does not accept it.
         """
         tried: set[str] = set()
-        refusal = errors.NoUpstream("no upstream for this model")
-        while len(tried) < MAX_ATTEMPTS:
-            upstream = choose(frozenset(tried))
-            if upstream is None:
-                break
-            tried.add(upstream.name)
+        failure: errors.CoordinationError = errors.NoUpstream(
+            "no upstream takes this model"
+        )
+        while True:
+            choice = attempts.choose(frozenset(tried))
+            if choice is None:
+                raise failure
+            name = choice.upstream.name
+            tried.add(name)
+            began = self._clock.now()
             try:
-                answer = self._attempt(request, upstream)
-            except errors.NoUpstream as error:
-                refusal = error
-                report(upstream.name, error.retry_after_s > 0)
-                self._metrics.count("attempts_refused", reason=error.reason)
-                continue
-            except errors.AnswerCut:
-                report(upstream.name, False)
+                answer = self._attempt(request, choice)
+            except errors.UpstreamRejected:
+                attempts.refused(name)
                 raise
-            report(upstream.name, True)
-            return answer
-        raise refusal
+            except (errors.AnswerCut, errors.AgentNotReached) as error:
+                attempts.failed(name)
+                failure = error
+            except errors.NoUpstream as error:
+                attempts.refused(name)
+                failure = error
+            else:
+                attempts.answered(name, self._clock.now() - began)
+                return answer
+            self._metrics.count(
+                "attempts_failed", reason=type(failure).__name__
+            )
+            delay_s = attempts.retry_delay_s(len(tried))
+            if delay_s is None:
+                raise failure
+            gevent.sleep(delay_s)
 
     def _attempt(
-        self, request: relay.RelayRequest, upstream: documents.Upstream
+        self, request: relay.RelayRequest, choice: selection.Choice
     ) -> Answer:
-        attempt = msgspec.structs.replace(request, attempt_id=uuid.uuid4().hex)
+        upstream = choice.upstream
+        attempt = msgspec.structs.replace(
+            request,
+            attempt_id=uuid.uuid4().hex,
+            weight_version=choice.weight_version,
+        )
         self._log.debug(
             "attempt",
             request_id=request.request_id,
@@ -162,7 +199,7 @@
                 upstream.agent, "POST", relay.RELAY_PATH, relay.encode(attempt)
             )
         except transport_errors.NotConnected as error:
-            raise errors.NoUpstream("agent not reached", 0.0) from error
+            raise errors.AgentNotReached(str(error)) from error
         except transport_errors.TransportError as error:
             raise errors.AnswerCut(str(error)) from error
         if response.status != 200:
@@ -208,6 +245,8 @@
 
 
 def make_forwarder(
-    client: http_client.HttpClient, metrics: metrics_module.Metrics
+    client: http_client.HttpClient,
+    clock: clocks.Clock,
+    metrics: metrics_module.Metrics,
 ) -> Forwarder:
-    return Forwarder(client, metrics)
+    return Forwarder(client, clock, metrics)
--- /dev/null
+++ b/papayalink/coordination/selection.py
@@ -0,0 +1,354 @@
+"""Chooses an upstream for each attempt of a request."""
+
+from collections.abc import Iterable
+import random
+
+import msgspec
+
+from papayalink.coordination import outliers
+from papayalink.coordination import queueing
+from papayalink.coordination import routing
+from papayalink.protocol import messages
+from papayalink.state import document as documents
+
+# Replicas of one model that an entry knows. With all of 640 replicas the
+# reports alone would exceed the 6 KB/s that control may cost a node.
+SUBSET_SIZE = 24
+# Until the first report of a replica arrives.
+_UNKNOWN_PREFILL_RATE = 8_000.0
+_HINTS_PER_WORKSPACE = 512
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """An upstream and what is expected of it.
+
+    Attributes:
+        weight_version: weights that the replica has loaded.
+        ttft_s: predicted time to first token.
+    """
+
+    upstream: documents.Upstream
+    weight_version: str
+    ttft_s: float
+
+
+class Wanted(msgspec.Struct):
+    """A request, as the choice sees it.
+
+    Attributes:
+        family: digest of the start of the prompt, for prefix hints.
+        rank: place of the rank, 0 is the most urgent.
+        tokens: prompt tokens.
+        target_s: time to first token of the rank.
+    """
+
+    request_id: str
+    workspace: str
+    model: str
+    family: str
+    rank: int
+    tokens: int
+    target_s: float
+
+
+class Selection:
+    """What one entry knows of the replicas in its subset.
+
+    Args:
+        name: name of the entry, for its subset.
+        zone: availability zone of the entry.
+        rng: source of randomness.
+    """
+
+    __slots__ = (
+        "_self",
+        "_rng",
+        "_recent",
+        "_outliers",
+        "_reports",
+        "_document",
+        "_subsets",
+        "_leaving",
+        "_shares",
+        "_hints",
+    )
+
+    def __init__(self, name: str, zone: str, rng: random.Random) -> None:
+        self._self = routing.Member(name, zone)
+        self._rng = rng
+        self._recent = routing.RecentWork()
+        self._outliers: dict[str, outliers.Outliers] = {}
+        self._reports: dict[str, tuple[messages.LoadReport, float]] = {}
+        self._document = documents.Document()
+        self._subsets: dict[str, list[documents.Upstream]] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._shares: tuple[float, ...] = ()
+        self._hints: dict[tuple[str, str], tuple[str, int]] = {}
+
+    @property
+    def watched(self) -> tuple[str, ...]:
+        """Upstreams whose reports the entry asks for."""
+        return tuple(
+            upstream.name
+            for subset in self._subsets.values()
+            for upstream in subset
+        )
+
+    def update(
+        self,
+        document: documents.Document,
+        leaving: Iterable[str],
+        reports: Iterable[messages.LoadReport],
+        received_at: float,
+    ) -> None:
+        """Take over a confirmed poll reply.
+
+        Args:
+            received_at: clock seconds at which the reply arrived.
+        """
+        if document is not self._document:
+            self._take_document(document)
+        self._leaving = frozenset(leaving)
+        for report in reports:
+            taken_at = received_at - report.age_s
+            self._take_report(report, taken_at)
+        for name, detection in self._outliers.items():
+            detection.evaluate(
+                [upstream.name for upstream in self._subsets[name]],
+                received_at,
+            )
+
+    def choose(
+        self, wanted: Wanted, tried: frozenset[str], now: float
+    ) -> Choice | None:
+        """Choose a replica of a model, and count the work as sent there.
+
+        Args:
+            tried: upstreams that did not take the request.
+        """
+        usable = {
+            upstream.name: upstream
+            for upstream in self._usable(wanted.model, tried)
+        }
+        versions = {
+            name: version
+            for name in usable
+            if (version := self._version(wanted.model, name))
+        }
+        request = routing.Request(
+            request_id=wanted.request_id,
+            rank=wanted.rank,
+            tokens=wanted.tokens,
+            target_s=wanted.target_s,
+            zone=self._self.zone,
+            hints=self._hints_for(wanted, versions),
+        )
+        decision = routing.choose(
+            [
+                self._candidate(wanted.model, usable[name], now)
+                for name in versions
+            ],
+            request,
+            now,
+            self._rng,
+            self._recent,
+        )
+        if decision is None:
+            return None
+        reused = decision.hint.reused_tokens
+        self._recent.add(
+            decision.upstream,
+            wanted.request_id,
+            wanted.rank,
+            max(0, wanted.tokens - reused),
+            now,
+        )
+        return Choice(
+            usable[decision.upstream],
+            versions[decision.upstream],
+            decision.ttft_s,
+        )
+
+    def choose_service(
+        self, service: str, tried: frozenset[str]
+    ) -> documents.Upstream | None:
+        """Choose a replica of a plain service, the own zone first."""
+        usable = self._usable(service, tried)
+        local = [one for one in usable if one.zone == self._self.zone]
+        pool = local or usable
+        return self._rng.choice(pool) if pool else None
+
+    def answered(
+        self,
+        wanted: Wanted,
+        upstream: str,
+        latency_s: float | None,
+        now: float,
+    ) -> None:
+        """Record how an attempt went.
+
+        Args:
+            latency_s: time to the first token, None when the upstream
+                failed or was not reached.
+        """
+        self._recent.ended(upstream, wanted.request_id)
+        detection = self._outliers.get(wanted.model)
+        if detection is not None:
+            detection.record(upstream, latency_s, now)
+        if latency_s is not None and wanted.family:
+            self._note_prefix(wanted, upstream)
+
+    def refused(self, wanted: Wanted, upstream: str) -> None:
+        """Record that an agent refused an attempt."""
+        self._recent.ended(upstream, wanted.request_id)
+
+    def dump(self, now: float) -> dict:
+        return {
+            "subsets": {
+                model: [upstream.name for upstream in subset]
+                for model, subset in self._subsets.items()
+            },
+            "ejected": {
+                model: detection.ejected(now)
+                for model, detection in self._outliers.items()
+            },
+            "leaving": sorted(self._leaving),
+            "hints": len(self._hints),
+        }
+
+    def _take_document(self, document: documents.Document) -> None:
+        self._document = document
+        by_serves: dict[str, list[documents.Upstream]] = {}
+        for upstream in document.upstreams:
+            by_serves.setdefault(upstream.serves, []).append(upstream)
+        self._subsets = {
+            name: self._subset(some) for name, some in by_serves.items()
+        }
+        models = {model.name for model in document.models}
+        self._outliers = {
+            name: self._outliers.get(name) or outliers.Outliers()
+            for name in self._subsets
+            if name in models
+        }
+        self._shares = tuple(
+            queueing.owed_shares(
+                [
+                    queueing.Rank(
+                        rank.name,
+                        rank.ttft_target_ms / 1000,
+                        rank.weight,
+                        rank.min_share,
+                    )
+                    for rank in document.ranks
+                ]
+            )
+            if document.ranks
+            else ()
+        )
+
+    def _subset(
+        self, upstreams: list[documents.Upstream]
+    ) -> list[documents.Upstream]:
+        by_name = {upstream.name: upstream for upstream in upstreams}
+        members = [routing.Member(one.name, one.zone) for one in upstreams]
+        chosen = routing.subset(self._self, members, SUBSET_SIZE)
+        return [by_name[member.name] for member in chosen]
+
+    def _take_report(
+        self, report: messages.LoadReport, taken_at: float
+    ) -> None:
+        known = self._reports.get(report.upstream)
+        if known is not None and known[0].sequence == report.sequence:
+            return
+        self._reports[report.upstream] = (report, taken_at)
+        self._recent.reported(report.upstream, taken_at)
+
+    def _usable(
+        self, serves: str, tried: frozenset[str]
+    ) -> list[documents.Upstream]:
+        return [
+            upstream
+            for upstream in self._subsets.get(serves, ())
+            if upstream.name not in tried
+            and not upstream.draining
+            and upstream.name not in self._leaving
+            and self._state(upstream.name) == "up"
+        ]
+
+    def _state(self, upstream: str) -> str:
+        known = self._reports.get(upstream)
+        return "up" if known is None else known[0].state
+
+    def _version(self, model: str, upstream: str) -> str:
+        """Returns: the version that a replica may serve, "" for none."""
+        allowed = self._document.versions_of(model)
+        known = self._reports.get(upstream)
+        if known is None:
+            return allowed[0] if allowed else ""
+        loaded = known[0].weight_version
+        return loaded if loaded in allowed else ""
+
+    def _candidate(
+        self, model: str, upstream: documents.Upstream, now: float
+    ) -> routing.Candidate:
+        weight = self._outliers[model].weight(upstream.name, now)
+        known = self._reports.get(upstream.name)
+        ranks = len(self._document.ranks)
+        if known is None:
+            return routing.Candidate(
+                upstream=upstream.name,
+                zone=upstream.zone,
+                queued_tokens=(0,) * ranks,
+                queued_items=(0,) * ranks,
+                prefill_rate=_UNKNOWN_PREFILL_RATE,
+                reported_at=now,
+                free_slots=upstream.max_running,
+                shares=self._shares,
+                weight=weight,
+            )
+        report, taken_at = known
+        return routing.Candidate(
+            upstream=upstream.name,
+            zone=upstream.zone,
+            queued_tokens=_padded(report.waiting_tokens, ranks),
+            queued_items=_padded(report.waiting, ranks),
+            prefill_rate=report.prefill_rate,
+            reported_at=taken_at,
+            free_slots=report.free_slots,
+            slot_period_s=report.slot_period_s,
+            shares=self._shares,
+            weight=weight,
+        )
+
+    def _hints_for(
+        self, wanted: Wanted, versions: dict[str, str]
+    ) -> dict[str, routing.Hint]:
+        known = self._hints.get((wanted.workspace, wanted.family))
+        if known is None or known[0] not in versions:
+            return {}
+        upstream, tokens = known
+        return {upstream: routing.Hint(min(tokens, wanted.tokens))}
+
+    def _note_prefix(self, wanted: Wanted, upstream: str) -> None:
+        key = (wanted.workspace, wanted.family)
+        self._hints.pop(key, None)
+        self._hints[key] = (upstream, wanted.tokens)
+        # The oldest hints are of prompts that the engines evicted long ago.
+        most = _HINTS_PER_WORKSPACE * max(1, len(self._document.workspaces))
+        while len(self._hints) > min(most, _MAX_HINTS):
+            del self._hints[next(iter(self._hints))]
+
+
+# Bounds the memory of an entry to a few megabytes.
+_MAX_HINTS = 20_000
+
+
+def _padded(values: tuple[int, ...], count: int) -> tuple[int, ...]:
+    """Reports of an agent with another document have other ranks."""
+    return (values + (0,) * count)[:count]
+
+
+def make_selection(
+    name: str, zone: str, rng: random.Random | None = None
+) -> Selection:
+    return Selection(name, zone, rng or random.Random())
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -12,6 +12,7 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles import process
+from papayalink.roles.control import demands
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import loads
 from papayalink.roles.control import peers
@@ -43,6 +44,7 @@
         "_replica",
         "_peers",
         "_loads",
+        "_demands",
         "_service",
         "_upkeep",
         "_rpc_server",
@@ -62,6 +64,7 @@
             settings.name, settings.controls, node.rpc_client
         )
         self._loads = loads.make_load_table(node.clock)
+        self._demands = demands.make_demand_table(node.clock)
         self._inbox = queue.Queue()
         self._replica: replicas.Replica | None = None
         self._upkeep: upkeep.Upkeep | None = None
@@ -70,6 +73,7 @@
             self._machine,
             self._peers,
             self._loads,
+            self._demands,
             node.metrics,
         )
         self._rpc_server = rpc.make_server(
@@ -185,9 +189,12 @@
 
     def _share_loads(self) -> None:
         reports = self._loads.take_unshared()
-        if not reports:
+        demand = self._demands.take_unshared()
+        if not reports and not demand:
             return
-        message = messages.ShareLoads(self._node.settings.name, reports)
+        message = messages.ShareLoads(
+            self._node.settings.name, reports, demand
+        )
         for address in self._peers.others():
             gevent.spawn(self._share, address, message)
 
--- a/papayalink/roles/control/service.py
+++ b/papayalink/roles/control/service.py
@@ -9,6 +9,7 @@
 from papayalink.coordination import replica as replicas
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
+from papayalink.roles.control import demands
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import loads
 from papayalink.roles.control import peers as peers_module
@@ -33,6 +34,7 @@
         "_machine",
         "_peers",
         "_loads",
+        "_demands",
         "_metrics",
     )
 
@@ -42,6 +44,7 @@
         machine: machines.Machine,
         peers: peers_module.Peers,
         load_table: loads.LoadTable,
+        demand_table: demands.DemandTable,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._identity = identity
@@ -50,6 +53,7 @@
         self._machine = machine
         self._peers = peers
         self._loads = load_table
+        self._demands = demand_table
         self._metrics = metrics
 
     @property
@@ -80,6 +84,8 @@
         """Confirm a process's configuration, or bring it up to date."""
         if poll.load is not None:
             self._loads.receive(poll.load)
+        if poll.role == "entry":
+            self._demands.receive(poll.process, poll.demand)
         self._confirm()
         configuration = self._machine.configuration
         self._metrics.count("polls", role=poll.role)
@@ -89,6 +95,7 @@
             leaving=self._machine.upstreams.leaving,
             fence=self._fence(poll),
             loads=self._loads.select(poll.watch),
+            shares=self._demands.shares(poll.process, configuration.document),
         )
         current = poll.version == configuration.version
         if current and poll.digest == configuration.digest:
@@ -132,6 +139,8 @@
         self, message: messages.ShareLoads
     ) -> messages.Acknowledge:
         self._loads.merge(message.loads)
+        for entry, demand in message.demand:
+            self._demands.merge(entry, demand)
         return messages.Acknowledge()
 
     def introduce(self, message: messages.Introduce) -> messages.Acknowledge:
--- a/papayalink/roles/entry/process.py
+++ b/papayalink/roles/entry/process.py
@@ -25,17 +25,25 @@
         super().__init__(node)
         controls = list(node.settings.controls.values())
         self._follower = followers.make_follower(
-            node.identity, controls, node.rpc_client, node.clock, node.timers
+            node.identity,
+            controls,
+            node.rpc_client,
+            node.clock,
+            node.timers,
+            lambda poll: self._serving.fill_poll(poll),
         )
         self._client = http_client.make_client(node.signer, AGENT_TIMEOUT_S)
         proposer = proposers.make_proposer(
             controls, node.rpc_client, node.clock
         )
         self._serving = serving.make_serving(
+            node.settings.name,
+            node.settings.zone,
             self._follower,
-            forwarding.make_forwarder(self._client, node.metrics),
+            forwarding.make_forwarder(self._client, node.clock, node.metrics),
             self._client,
             protected.make_protected_calls(proposer, node.clock),
+            node.clock,
             node.metrics,
         )
         self._server = http_server.make_server(
@@ -62,8 +70,8 @@
             "version": self._follower.version,
             "lease_left_s": self._follower.lease_left_s,
             "in_flight": self._server.in_flight,
-            "leaving": self._follower.reply.leaving,
             "loads": self._follower.reply.loads,
+            "selection": self._serving.dump(),
         }
 
 
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -1,23 +1,34 @@
 """Admits callers' requests, chooses upstreams and gathers answers."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import hashlib
 import random
-import uuid
 
 import msgspec
 
+from papayalink import clock as clocks
 from papayalink import metrics as metrics_module
+from papayalink.coordination import admission
+from papayalink.coordination import allowances
 from papayalink.coordination import errors
 from papayalink.coordination import follower as followers
 from papayalink.coordination import forwarding
 from papayalink.coordination import protected
+from papayalink.coordination import queueing
+from papayalink.coordination import retry
+from papayalink.coordination import selection
 from papayalink.protocol import completions
+from papayalink.protocol import messages
 from papayalink.protocol import relay
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import http_client
 
 MAX_CALL_ATTEMPTS = 2
+# A shorter prompt is recomputed within milliseconds, so where it ran before
+# does not matter.
+FAMILY_BYTES = 4_096
 
 
 class ModelUnknown(errors.CoordinationError):
@@ -29,9 +40,13 @@
 
     __slots__ = ("_answer", "_done")
 
-    def __init__(self, answer: forwarding.Answer, done) -> None:
+    def __init__(
+        self,
+        answer: forwarding.Answer,
+        done: Callable[[forwarding.Answer], None],
+    ) -> None:
         self._answer = answer
-        self._done = done
+        self._done: Callable | None = done
 
     def __iter__(self) -> Iterator[str]:
         return iter(self._answer)
@@ -72,14 +87,52 @@
     )
 
 
+class _Attempts(forwarding.Attempts):
+    """Attempts of one model request."""
+
+    __slots__ = ("_serving", "_wanted", "_first", "_call")
+
+    def __init__(
+        self,
+        serving: "Serving",
+        wanted: selection.Wanted,
+        first: selection.Choice,
+        call: retry.Call,
+    ) -> None:
+        self._serving = serving
+        self._wanted = wanted
+        self._first: selection.Choice | None = first
+        self._call = call
+
+    def choose(self, tried: frozenset[str]) -> selection.Choice | None:
+        first, self._first = self._first, None
+        return first or self._serving.choose(self._wanted, tried)
+
+    def answered(self, upstream: str, latency_s: float) -> None:
+        self._serving.record(self._wanted, upstream, latency_s)
+
+    def refused(self, upstream: str) -> None:
+        self._serving.record_refusal(self._wanted, upstream)
+
+    def failed(self, upstream: str) -> None:
+        self._serving.record(self._wanted, upstream, None)
+
+    def retry_delay_s(self, attempts: int) -> float | None:
+        call = msgspec.structs.replace(self._call, attempts=attempts)
+        return self._serving.retry_delay_s(call)
+
+
 class Serving:
     """Serves callers from the configuration in force.
 
     Args:
+        name: name of the entry.
+        zone: its availability zone.
         follower: holds the configuration and its lease.
         forwarder: sends model requests.
         client: sends service calls.
         calls: handles calls that may run at most once.
+        clock: time of decisions.
     """
 
     __slots__ = (
@@ -87,8 +140,13 @@
         "_forwarder",
         "_client",
         "_calls",
+        "_clock",
         "_metrics",
         "_rng",
+        "_selection",
+        "_allowances",
+        "_admission",
+        "_budget",
         "_index",
         "_indexed",
         "_stopping",
@@ -96,21 +154,30 @@
 
     def __init__(
         self,
+        name: str,
+        zone: str,
         follower: followers.Follower,
         forwarder: forwarding.Forwarder,
         client: http_client.HttpClient,
         calls: protected.ProtectedCalls,
+        clock: clocks.Clock,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._follower = follower
         self._forwarder = forwarder
         self._client = client
         self._calls = calls
+        self._clock = clock
         self._metrics = metrics
         self._rng = random.Random()
+        self._selection = selection.make_selection(name, zone, self._rng)
+        self._allowances = allowances.make_allowances()
+        self._admission: admission.Admission | None = None
+        self._budget = retry.Budget()
         self._indexed = follower.document
         self._index = _make_index(self._indexed)
         self._stopping = False
+        follower.listen(self._on_reply)
 
     @property
     def document(self) -> documents.Document:
@@ -167,24 +234,165 @@
         if model is None:
             raise ModelUnknown(wanted.model)
         self._require_confirmed()
+        now = self._clock.now()
+        tokens = wanted.prompt_tokens + wanted.max_tokens
+        allowance = self._allowances.acquire(workspace, tokens, now)
+        if isinstance(allowance, allowances.Exceeded):
+            self._count_refusal(rank, "limit")
+            raise errors.NoUpstream(allowance.reason, allowance.retry_after_s)
+        try:
+            return self._open(
+                request_id, workspace, rank, path, wanted, body, tokens
+            )
+        except BaseException:
+            self._allowances.release(workspace)
+            raise
+
+    def _open(
+        self,
+        request_id: str,
+        workspace: documents.Workspace,
+        rank: str,
+        path: str,
+        wanted: completions.CompletionRequest,
+        body: bytes,
+        tokens: int,
+    ) -> ServedAnswer:
+        index = self._current()
+        target_s = index.ranks[rank].ttft_target_ms / 1000
+        now = self._clock.now()
+        chosen = selection.Wanted(
+            request_id=request_id,
+            workspace=workspace.name,
+            model=wanted.model,
+            family=_family(wanted.prompt_bytes),
+            rank=list(index.ranks).index(rank),
+            tokens=wanted.prompt_tokens,
+            target_s=target_s,
+        )
+        first = self._selection.choose(chosen, frozenset(), now)
+        if first is None:
+            raise errors.NoUpstream("no upstream takes this model")
+        self._admit(chosen, rank, workspace, tokens, first)
+        self._budget.note_request(now)
         request = relay.RelayRequest(
-            attempt_id=uuid.uuid4().hex,
+            attempt_id="",
             request_id=request_id,
             workspace=workspace.name,
             rank=rank,
             version=self._follower.version,
-            model=model.name,
-            weight_version=model.weight_version,
+            model=wanted.model,
+            weight_version="",
             path=path,
             body=body,
-            deadline_s=index.ranks[rank].ttft_target_ms / 1000,
-            tokens=wanted.prompt_tokens + wanted.max_tokens,
+            deadline_s=target_s,
+            tokens=tokens,
             stream=wanted.stream,
         )
+        call = retry.Call(
+            repeatable=True,
+            attempts=0,
+            started_at=now,
+            deadline=now + target_s,
+        )
         answer = self._forwarder.open(
-            request, lambda tried: self._choose(model.name, tried)
+            request, _Attempts(self, chosen, first, call)
+        )
+        self._metrics.observe(
+            "first_token", self._clock.now() - now, rank=rank
+        )
+        return ServedAnswer(
+            answer, lambda answer: self._finish(answer, workspace)
         )
-        return ServedAnswer(answer, None)
+
+    def choose(
+        self, wanted: selection.Wanted, tried: frozenset[str]
+    ) -> selection.Choice | None:
+        """Choose the upstream of a further attempt."""
+        return self._selection.choose(wanted, tried, self._clock.now())
+
+    def record(
+        self,
+        wanted: selection.Wanted,
+        upstream: str,
+        latency_s: float | None,
+    ) -> None:
+        """Record the first token of an attempt, or None for its failure."""
+        self._selection.answered(
+            wanted, upstream, latency_s, self._clock.now()
+        )
+
+    def record_refusal(self, wanted: selection.Wanted, upstream: str) -> None:
+        """Record that an agent did not take an attempt."""
+        self._selection.refused(wanted, upstream)
+
+    def retry_delay_s(self, call: retry.Call) -> float | None:
+        """Returns: seconds until the next attempt, None to give up."""
+        match retry.decide(call, self._budget, self._clock.now(), self._rng):
+            case retry.Retry(delay_s=delay_s):
+                return delay_s
+            case retry.GiveUp():
+                return None
+
+    def fill_poll(self, poll: messages.Poll) -> messages.Poll:
+        """Add what the entry watches and wants to a poll."""
+        return msgspec.structs.replace(
+            poll,
+            watch=self._selection.watched,
+            demand=self._allowances.demand(self._clock.now()),
+        )
+
+    def dump(self) -> dict:
+        return self._selection.dump(self._clock.now())
+
+    def _on_reply(self) -> None:
+        reply = self._follower.reply
+        self._selection.update(
+            self._follower.document,
+            reply.leaving,
+            reply.loads,
+            self._follower.received_at,
+        )
+        self._allowances.confirm(
+            self._follower.document, reply.shares, self._follower.sent_at
+        )
+
+    def _admit(
+        self,
+        wanted: selection.Wanted,
+        rank: str,
+        workspace: documents.Workspace,
+        tokens: int,
+        first: selection.Choice,
+    ) -> None:
+        """Refuse what would miss its target.
+
+        Raises:
+            errors.NoUpstream: the request is refused and was not run.
+        """
+        if self._admission is None:
+            self._admission = admission.Admission(
+                _ranks(self._indexed), self._rng
+            )
+        decision = self._admission.decide(
+            rank, workspace.name, tokens, first.ttft_s, self._clock.now()
+        )
+        if isinstance(decision, admission.Refused):
+            self._selection.refused(wanted, first.upstream.name)
+            self._count_refusal(rank, decision.reason)
+            raise errors.NoUpstream(
+                f"overloaded: {decision.reason}", decision.retry_after_s
+            )
+
+    def _finish(
+        self, answer: forwarding.Answer, workspace: documents.Workspace
+    ) -> None:
+        self._allowances.release(workspace)
+        if answer.dropped:
+            self._metrics.count("frames_dropped", answer.dropped)
+
+    def _count_refusal(self, rank: str, reason: str) -> None:
+        self._metrics.count("refused", rank=rank, reason=reason)
 
     def call(
         self, request: relay.CallRequest, is_protected: bool
@@ -204,7 +412,9 @@
         tried: set[str] = set()
         reason = f"no upstream for service {request.service}"
         while len(tried) < MAX_CALL_ATTEMPTS:
-            upstream = self._choose(request.service, frozenset(tried))
+            upstream = self._selection.choose_service(
+                request.service, frozenset(tried)
+            )
             if upstream is None:
                 break
             tried.add(upstream.name)
@@ -227,18 +437,6 @@
             return reply
         raise errors.NoUpstream(reason)
 
-    def _choose(
-        self, serves: str, tried: frozenset[str]
-    ) -> documents.Upstream | None:
-        candidates = [
-            upstream
-            for upstream in self._current().upstreams.get(serves, ())
-            if upstream.name not in tried
-            and not upstream.draining
-            and upstream.name not in self._follower.reply.leaving
-        ]
-        return self._rng.choice(candidates) if candidates else None
-
     def _require_confirmed(self) -> None:
         if self._stopping:
             raise errors.NoUpstream("entry is stopping")
@@ -250,6 +448,8 @@
         if document is not self._indexed:
             self._index = _make_index(document)
             self._indexed = document
+            if self._admission is not None and document.ranks:
+                self._admission.update_ranks(_ranks(document))
         return self._index
 
 
@@ -259,11 +459,33 @@
     return path == pattern
 
 
+def _family(prompt: bytes) -> str:
+    """Returns: digest of the start of a prompt, "" for a short one."""
+    if len(prompt) < FAMILY_BYTES:
+        return ""
+    start = prompt[:FAMILY_BYTES]
+    return hashlib.blake2b(start, digest_size=16).hexdigest()
+
+
+def _ranks(document: documents.Document) -> list[queueing.Rank]:
+    return [
+        queueing.Rank(
+            rank.name, rank.ttft_target_ms / 1000, rank.weight, rank.min_share
+        )
+        for rank in document.ranks
+    ]
+
+
 def make_serving(
+    name: str,
+    zone: str,
     follower: followers.Follower,
     forwarder: forwarding.Forwarder,
     client: http_client.HttpClient,
     calls: protected.ProtectedCalls,
+    clock: clocks.Clock,
     metrics: metrics_module.Metrics,
 ) -> Serving:
-    return Serving(follower, forwarder, client, calls, metrics)
+    return Serving(
+        name, zone, follower, forwarder, client, calls, clock, metrics
+    )
