Let finished streams be resumed for a few seconds

Change: every stream stays resumable for resume_window_s after its connection ended. Tests no longer depend on how fast the machine is.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -103,7 +103,7 @@
         self._wakeup = event.Event()
         self._events = collections.deque(maxlen=MAX_EVENTS)
         self._event_seq = 0
-        self._lost = {}
+        self._ended = {}
         self._load = lag.Lagged(options.load_lag_s)
         self.model = engine_model.Model(options, clock.now(), self._on_event)
 
@@ -130,16 +130,17 @@
         self._wakeup.set()
         return changed
 
-    def cancel(self, request: engine_model.Request) -> None:
-        """Free the slot of a request whose client has gone.
+    def close(self, request: engine_model.Request) -> None:
+        """Free the slot of a request whose connection has ended.
 
-        The request stays known for `resume_window_s`, also when it was
-        finished but not delivered.
+        The stream can be resumed for `resume_window_s`. That holds for
+        finished ones too, since their last bytes may be lost on the way.
         """
         now = self.clock.now()
-        self._forget_lost(now)
+        self._forget_ended(now)
         self.model.cancel(request, now)
-        self._lost[request.request_id] = (
+        self._ended.pop(request.request_id, None)
+        self._ended[request.request_id] = (
             request,
             now + self.options.resume_window_s,
         )
@@ -149,17 +150,17 @@
     def resume(
         self, request_id: str, received: int
     ) -> engine_model.Request | None:
-        """Continue a lost stream.
+        """Continue a stream that ended a moment ago.
 
         Returns: a new request for the rest, None when it cannot continue.
         """
-        self._forget_lost(self.clock.now())
-        old, _ = self._lost.get(request_id, (None, 0))
+        self._forget_ended(self.clock.now())
+        old, _ = self._ended.get(request_id, (None, 0))
         if old is None or not 0 <= received <= old.emitted:
             return None
         if old.weight_version not in ("", self.model.weight_version):
             return None
-        del self._lost[request_id]
+        del self._ended[request_id]
         return engine_model.Request(
             old.request_id,
             old.workspace,
@@ -213,10 +214,13 @@
             self.orders.append(order)
             return True
 
-    def _forget_lost(self, now):
-        for request_id, (_, expires) in list(self._lost.items()):
-            if expires < now:
-                del self._lost[request_id]
+    def _forget_ended(self, now):
+        # Entries are in the order of their expiry.
+        while self._ended:
+            request_id, (_, expires) = next(iter(self._ended.items()))
+            if expires >= now:
+                return
+            del self._ended[request_id]
 
     def _load_weights(self, weight_version):
         started = self.clock.now()
@@ -384,26 +388,25 @@
 
         def disconnected():
             gone.set()
-            engine.cancel(request)
+            engine.close(request)
             changed.set()
 
         watch = serving.DisconnectWatch(
             req.env[serving.SOCKET_KEY], disconnected
         )
-        delivered = False
+        last = False
         try:
-            while not delivered:
+            while not last:
                 changed.wait()
                 changed.clear()
                 if gone.is_set() or request.cancelled:
                     serving.cut_connection()
                 last = request.finished
                 yield
-                delivered = last
         finally:
             watch.close()
-            if not delivered and not gone.is_set():
-                engine.cancel(request)
+            if not gone.is_set():
+                engine.close(request)
 
 
 class _Tokenize:
--- a/tests/adapters/test_connection.py
+++ b/tests/adapters/test_connection.py
@@ -37,8 +37,10 @@
     address, requests = raw_server(b"", done.wait)
     with pytest.raises(errors.Interrupted):
         _connector(address).call("POST", "/x", 0.05)
-    assert len(requests) == 1
     done.set()
+    while not requests:
+        gevent.sleep(0.005)
+    assert len(requests) == 1
 
 
 def test_kept_connection_that_was_closed_is_replaced(raw_server):
--- a/tests/adapters/test_engine.py
+++ b/tests/adapters/test_engine.py
@@ -101,8 +101,8 @@
 
 
 def test_events_arrive_one_by_one(start):
-    state, engine = start(decode_interval_s=0.02)
-    stream = engine.stream(COMPLETIONS, _body(count=50), "r1")
+    state, engine = start()
+    stream = engine.stream(COMPLETIONS, _body(count=10**6), "r1")
     next(stream)
     # The first event must not wait for the end of the reply.
     assert state.model.load()["running"] == 1
@@ -122,6 +122,13 @@
     assert _text(received + rest) == _answer(count=8)
 
 
+def test_lost_end_of_a_finished_stream_can_be_fetched_again(start):
+    _, engine = start()
+    _chunks(engine.stream(COMPLETIONS, _body(count=8), "r1"))
+    rest = _chunks(engine.resume("r1", 6))
+    assert _text(rest).split() == _answer(count=8).split()[6:]
+
+
 def test_unknown_stream_is_not_resumed(start):
     _, engine = start()
     with pytest.raises(errors.Rejected) as caught:
--- a/tests/adapters/test_service.py
+++ b/tests/adapters/test_service.py
@@ -64,8 +64,10 @@
 
 def test_late_answer_is_unknown(server):
     service = adapters.make_service(server.endpoint, read_timeout_s=0.05)
-    outcome = _charge(service, delay_ms=300)
+    outcome = _charge(service, delay_ms=60_000)
     assert isinstance(outcome, adapters.OutcomeUnknown)
+    while not server.state.executions:
+        gevent.sleep(0.005)
     assert len(server.state.executions) == 1
 
 
@@ -94,11 +96,13 @@
 
 def test_load_counts_running_calls(service):
     assert service.load() == adapters.ServiceLoad(0, 0)
-    call = gevent.spawn(_charge, service, delay_ms=200)
+    call = gevent.spawn(_charge, service, delay_ms=60_000)
     while not service.load().running:
         gevent.sleep(0.005)
-    assert call.get().status == 200
-    assert service.load().running == 0
+    assert service.load() == adapters.ServiceLoad(1, 0)
+    call.kill()
+    _charge(service)
+    assert service.load() == adapters.ServiceLoad(1, 0)
 
 
 def test_outcomes_survive_encoding():
