Measure the configuration and validate faster

Cause: validating a document of the design size (3,300 workspaces, 640 upstreams) took 97 ms of CPU time, in the loop of a control member that also sends heartbeats. The walk that names every fault took half of it. Ruled out: leaving out the search for repeated keys, since the last one wins silently; a longest rising sequence over unchanged entries.

--- a/papayalink/shape.py
+++ b/papayalink/shape.py
@@ -57,6 +57,18 @@
     return None, [Problem("$", text, fix)]
 
 
+def has_repeated_key(data: bytes) -> bool:
+    """Returns: whether an object gives a key twice, for readable JSON."""
+    found = False
+
+    def check(pairs: list[tuple[str, object]]) -> None:
+        nonlocal found
+        found = found or len(dict(pairs)) != len(pairs)
+
+    json.loads(data, object_pairs_hook=check)
+    return found
+
+
 def _make_object(pairs: list[tuple[str, object]]) -> dict:
     made = dict(pairs)
     if len(made) == len(pairs):
@@ -235,10 +247,16 @@
     """Report a number outside least to most, both included."""
     if value is None:
         return
-    if value < least or (most is not None and value > most):
+    if not least <= value <= (MAX_INTEGER if most is None else most):
         wanted = f"{least} or more" if most is None else f"{least} to {most}"
+        if value > MAX_INTEGER:
+            wanted = f"{least} to {MAX_INTEGER if most is None else most}"
         problems.append(
-            Problem(path, f"{value} is out of range", f"give {wanted}")
+            Problem(
+                path,
+                f"{_shorten(str(value))} is out of range",
+                f"give {wanted}",
+            )
         )
 
 
--- a/papayalink/state/changes.py
+++ b/papayalink/state/changes.py
@@ -93,6 +93,16 @@
 
 
 def _touched_names(before: tuple, after: tuple) -> set[str]:
+    # Most changes touch a few neighbours, so equal ends are cut off first.
+    shorter = min(len(before), len(after))
+    start = 0
+    while start < shorter and before[start] == after[start]:
+        start += 1
+    end = 0
+    while end < shorter - start and before[-1 - end] == after[-1 - end]:
+        end += 1
+    before = before[start : len(before) - end]
+    after = after[start : len(after) - end]
     places = {entry.name: at for at, entry in enumerate(before)}
     names = set(places)
     kept = []
--- a/papayalink/state/validation.py
+++ b/papayalink/state/validation.py
@@ -74,20 +74,16 @@
                 )
             ]
         )
-    value, problems = shape.parse(data)
-    if problems:
-        return result.Err(problems)
-    if isinstance(value, dict) and not _is_known_format(value):
-        return result.Err(
-            [
-                Problem(
-                    "$.format",
-                    f"is {shape.describe(value['format'])}",
-                    f"this version reads format {documents.FORMAT}",
-                )
-            ]
-        )
-    document = shape.build(value, _TYPE, "$", problems)
+    document = _decode(data)
+    if document is not None:
+        problems = []
+    else:
+        value, problems = shape.parse(data)
+        if not problems and not _is_known_format(value):
+            problems = [_unknown_format(value["format"])]
+        if problems:
+            return result.Err(problems)
+        document = shape.build(value, _TYPE, "$", problems)
     if document is not None:
         for check in _CHECKS:
             problems.extend(check(document))
@@ -96,16 +92,41 @@
     return result.Ok(document)
 
 
+def _decode(data: bytes) -> documents.Document | None:
+    """Decode a document whose shape is right, as nearly all are.
+
+    The check that names every fault takes ten times as long, and control
+    members validate in the loop that also sends heartbeats.
+    """
+    try:
+        document = documents.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    if document.format != documents.FORMAT or shape.has_repeated_key(data):
+        return None
+    return document
+
+
 def render(problems: list[Problem]) -> str:
     """Returns: one line for each problem."""
     return "".join(f"{problem}\n" for problem in problems)
 
 
-def _is_known_format(value: dict) -> bool:
+def _is_known_format(value: object) -> bool:
+    if not isinstance(value, dict):
+        return True
     given = value.get("format", documents.FORMAT)
     return type(given) is int and given == documents.FORMAT
 
 
+def _unknown_format(given: object) -> Problem:
+    return Problem(
+        "$.format",
+        f"is {shape.describe(given)}",
+        f"this version reads format {documents.FORMAT}",
+    )
+
+
 def _limit(problems: list[Problem]) -> list[Problem]:
     if len(problems) <= MAX_PROBLEMS:
         return problems
