--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -1,12 +1,12 @@
 """The path from caller to upstream and back."""
 
 import json
-import time
 
 import pytest
 
 from bench import client
 from bench import fleet as fleets
+from tests.processes import helpers
 
 FLEET = {
     "engines": 1,
@@ -14,14 +14,6 @@
     "orders": True,
     "engine_options": {"decode_interval_s": 0.01},
 }
-WAIT_S = 10.0
-
-
-def _wait(condition):
-    deadline = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < deadline, "condition was not met in time"
-        time.sleep(0.02)
 
 
 def _load(fleet):
@@ -127,8 +119,10 @@
     caller.stream(
         limit=3, model=fleets.MODEL, prompt="a b", max_tokens=100_000
     )
-    _wait(lambda: _load(fleet)["cancelled"] == before + 1)
-    _wait(lambda: fleet.deployment.dump("agent-engine-1")["running"] == 0)
+    helpers.wait_until(lambda: _load(fleet)["cancelled"] == before + 1)
+    helpers.wait_until(
+        lambda: fleet.deployment.dump("agent-engine-1")["running"] == 0
+    )
 
 
 def test_cut_stream_never_ends_cleanly(fleet, caller):
@@ -145,7 +139,7 @@
     prompt = " ".join(f"r{number}" for number in range(4100))
     request = {"model": fleets.MODEL, "prompt": prompt, "max_tokens": 2}
     first = caller.complete(**request).json()
-    _wait(
+    helpers.wait_until(
         lambda: fleet.deployment.dump("store-1")["usage"]["disk"]["pieces"]
         >= 2
     )
