Keep an order open until reports show it; test upstreams over processes

Cause: the leader closed an order before a report from after it had arrived, decided on the old report, and loaded the same weights 593 times in ten minutes, while the third replica never got its turn. Ruled out: correcting old reports at the leader; entries then still knew no replica to use while the next one loaded, and answered 503. Change: an order stays open for 3 s after it was carried out.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,6 +18,7 @@
         entries: addresses that callers use.
         engines: addresses of the engines by upstream name.
         orders: address of the order service, "" for none.
+        platform: address of the platform's list, "" for none.
     """
 
     deployment: deployments.Deployment
@@ -26,6 +27,7 @@
     engines: dict[str, str]
     orders: str
     proposer: object
+    platform: str = ""
     version: int = 1
 
     def apply(self, **sections: object) -> object:
@@ -41,6 +43,18 @@
         for address in self.engines.values():
             request(address, "DELETE", "/kv")
 
+    def served(self, upstream: str) -> int:
+        """Returns: requests that an agent has run to their first token."""
+        address = self.deployment.programs[f"agent-{upstream}"].addresses[
+            "inspect_listen"
+        ]
+        text = deployments.http_get(address, "/metrics").decode()
+        return sum(
+            int(line.split()[-1])
+            for line in text.splitlines()
+            if "engine_first_token_seconds_count" in line
+        )
+
     def executions(self) -> list[dict]:
         """Returns: what the order service ran."""
         body = request(self.orders, "GET", "/executions")
@@ -65,6 +79,7 @@
     stores: int = 0,
     controls: int = 3,
     orders: bool = False,
+    platform: bool = False,
     engine_options: dict[str, object] | None = None,
     sections: dict[str, object] | None = None,
     upstream_options: dict[str, object] | None = None,
@@ -79,6 +94,7 @@
             stores,
             controls,
             orders,
+            platform,
             {"model": MODEL, **(engine_options or {})},
             sections or {},
             upstream_options or {},
@@ -95,6 +111,7 @@
     stores,
     controls,
     orders,
+    platform,
     engine_options,
     sections,
     upstream_options,
@@ -108,7 +125,14 @@
     order_address = ""
     if orders:
         order_address = deployment.start_fake("fake-orders", "fakes.orders")
-    deployment.add_controls(controls)
+    control_options = {}
+    platform_address = ""
+    if platform:
+        platform_address = deployment.start_fake(
+            "fake-platform", "fakes.platform"
+        )
+        control_options["platform_address"] = platform_address
+    deployment.add_controls(controls, **control_options)
     upstreams = [
         {
             "name": name,
@@ -175,6 +199,7 @@
         engine_addresses,
         order_address,
         proposer,
+        platform_address,
     )
 
 
--- a/papayalink/roles/agent/engine_orders.py
+++ b/papayalink/roles/agent/engine_orders.py
@@ -87,6 +87,9 @@
         if order.fence != self._fence:
             return messages.OrderReply("stale")
         loads_weights = order.action == orders.LOAD_WEIGHTS
+        if loads_weights and self._state.weight_version == order.argument:
+            # The answer to an earlier leader's order was lost.
+            return messages.OrderReply("done")
         if loads_weights:
             self._state.begin_swap()
         loaded = ""
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -28,6 +28,11 @@
 SETTLE_S = 3.0
 EXPIRE_PERIOD_S = 60.0
 _PROPOSE_TIMEOUT_S = 2.0
+# An order stays open until every entry has seen a report from after it: the
+# agent's poll, the exchange between members and the entry's poll take up to
+# 2.5 s. Without this, reports from before a swap had the same weights loaded
+# again, and entries knew no replica to use while the next ones loaded.
+REPORTED_S = 3.0
 # Loading takes about 0.8 s, longer while replicas share the weight store.
 ORDER_TIMEOUT_S = 60.0
 
@@ -193,6 +198,8 @@
         try:
             reply = self._call_agent(order)
             self._log.info("order_answered", order=order, reply=reply)
+            if reply is not None and reply.result == "done":
+                gevent.sleep(REPORTED_S)
             if reply is not None and self._replica.is_leader:
                 self._propose(
                     upstreams.CloseOrder(
