Add process settings

Cause: each process learns its role, addresses and key from one file, and a wrong file must be explained before the process starts. Ruled out: one struct with optional fields for all roles, since a key of another role would pass; permission bits as the test of the data folder, since they do not show a read-only file system. Change: settings.py with one struct a role, checked by shape.py; the name check moves from validation.py to shape.py, which both use. Conclusion: load() returns settings of one role or all problems.

--- /dev/null
+++ b/papayalink/settings.py
@@ -0,0 +1,373 @@
+"""Process settings: one JSON file for each process."""
+
+import json
+import os
+import pathlib
+import tempfile
+
+import msgspec
+from msgspec import inspect
+import result
+
+from papayalink import shape
+
+SettingsProblem = shape.Problem
+
+# HMAC-SHA256 gains nothing from a longer key and loses from a shorter one.
+MIN_KEY_BYTES = 32
+# The token is the only protection of the console against guessing.
+MIN_CONSOLE_TOKEN_LENGTH = 16
+
+UPSTREAM_KINDS = ("engine", "service")
+
+
+class Settings(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    tag_field="role",
+):
+    """Settings of all roles.
+
+    Attributes:
+        name: name of the process, unique in the deployment.
+        listen: "IP:PORT" of HTTP.
+        rpc_listen: "IP:PORT" of RPC.
+        controls: RPC "IP:PORT" of each control member by its name.
+        deployment_key: hex; `load` fills it from deployment_key_file.
+    """
+
+    name: str
+    zone: str
+    region: str
+    listen: str
+    rpc_listen: str
+    controls: dict[str, str]
+    deployment_key: str = ""
+    deployment_key_file: str = ""
+
+    @property
+    def role(self) -> str:
+        """Returns: name of the role."""
+        return self.__struct_config__.tag
+
+    @property
+    def key(self) -> bytes:
+        """Returns: the deployment key."""
+        return bytes.fromhex(self.deployment_key)
+
+    def __repr__(self) -> str:
+        # The fields hold secrets, and a repr may end up in a log.
+        return f"{type(self).__name__}(name={self.name!r})"
+
+
+class Entry(Settings, frozen=True, kw_only=True, tag="entry"):
+    """Settings of an entry."""
+
+
+class Agent(Settings, frozen=True, kw_only=True, tag="agent"):
+    """Settings of an agent.
+
+    Attributes:
+        upstream: name of the upstream in the document.
+        upstream_address: "IP:PORT" of the upstream.
+        upstream_kind: "engine" or "service".
+    """
+
+    upstream: str
+    upstream_address: str
+    upstream_kind: str = "engine"
+
+
+class Store(Settings, frozen=True, kw_only=True, tag="store"):
+    """Settings of a store.
+
+    Attributes:
+        data_folder: where all files are; relative to the settings file.
+        memory_bytes, disk_bytes: room for pieces.
+    """
+
+    data_folder: str
+    memory_bytes: int
+    disk_bytes: int
+
+
+class Control(Settings, frozen=True, kw_only=True, tag="control"):
+    """Settings of a control member.
+
+    Attributes:
+        data_folder: where all files are; relative to the settings file.
+        console_listen: "IP:PORT" of the console.
+        console_token: what operators give as bearer token or password.
+        platform_address: "IP:PORT" of the platform's list, "" for none.
+        weights_address: "IP:PORT" of the weight store, "" for none.
+        join: the member joins a running group.
+    """
+
+    data_folder: str
+    console_listen: str
+    console_token: str
+    platform_address: str = ""
+    weights_address: str = ""
+    join: bool = False
+
+
+ROLES = {
+    kind.__struct_config__.tag: kind for kind in (Entry, Agent, Store, Control)
+}
+
+
+def load(
+    path: str | os.PathLike,
+) -> result.Result[Settings, list[SettingsProblem]]:
+    """Read and check a settings file.
+
+    Returns:
+        The settings of one role, with the key read and the data folder as
+        an absolute path, or all problems.
+    """
+    file = pathlib.Path(path)
+    try:
+        data = file.read_bytes()
+    except OSError as error:
+        return result.Err(
+            [
+                SettingsProblem(
+                    str(file),
+                    f"not readable: {error.strerror}",
+                    "give the path of a settings file that this user can read",
+                )
+            ]
+        )
+    value, problems = shape.parse(data)
+    if problems:
+        return result.Err(problems)
+    kind = _find_role(value, problems)
+    if kind is None:
+        return result.Err(problems)
+    settings = shape.build(value, inspect.type_info(kind), "$", problems)
+    _check_common(settings, problems)
+    match settings:
+        case Agent():
+            _check_agent(settings, problems)
+        case Store():
+            _check_store(settings, problems)
+        case Control():
+            _check_control(settings, problems)
+    settings = _resolve(settings, file.absolute().parent, problems)
+    return result.Err(problems) if problems else result.Ok(settings)
+
+
+def _find_role(
+    value: object, problems: list[SettingsProblem]
+) -> type[Settings] | None:
+    if not isinstance(value, dict):
+        problems.append(
+            SettingsProblem(
+                "$", f"is {shape.describe(value)}", "give one object"
+            )
+        )
+        return None
+    given = value.get("role")
+    if isinstance(given, str) and given in ROLES:
+        return ROLES[given]
+    if "role" not in value:
+        text = "is missing"
+    elif isinstance(given, str):
+        text = f"there is no role {json.dumps(given[:40])}"
+    else:
+        text = f"is {shape.describe(given)}"
+    problems.append(
+        SettingsProblem("$.role", text, f"give one of: {', '.join(ROLES)}")
+    )
+    return None
+
+
+def _check_common(settings: Settings, problems: list) -> None:
+    for field in ("name", "zone", "region"):
+        shape.check_name(getattr(settings, field), f"$.{field}", problems)
+    listening = ["listen", "rpc_listen"]
+    if isinstance(settings, Control):
+        listening.append("console_listen")
+    _check_addresses(settings, listening, problems)
+    controls = settings.controls
+    if controls == {}:
+        problems.append(
+            SettingsProblem(
+                "$.controls",
+                "names no control member",
+                "add the name and RPC address of each member",
+            )
+        )
+    first = {}
+    for name, address in (controls or {}).items():
+        path = shape.join("$.controls", name)
+        shape.check_name(name, path, problems)
+        shape.check_address(address, path, problems)
+        if address is not None and first.setdefault(address, name) != name:
+            problems.append(
+                SettingsProblem(
+                    path,
+                    f"is also the address of {first[address]}",
+                    "give each member its own address",
+                )
+            )
+
+
+def _check_addresses(
+    settings: Settings, fields: list[str], problems: list
+) -> None:
+    first = {}
+    for field in fields:
+        address = getattr(settings, field)
+        if address is None:
+            continue
+        shape.check_address(address, f"$.{field}", problems)
+        if first.setdefault(address, field) != field:
+            problems.append(
+                SettingsProblem(
+                    f"$.{field}",
+                    f"is the same as {first[address]}",
+                    "give another port",
+                )
+            )
+
+
+def _check_agent(settings: Agent, problems: list) -> None:
+    shape.check_name(settings.upstream, "$.upstream", problems)
+    shape.check_address(
+        settings.upstream_address, "$.upstream_address", problems
+    )
+    kind = settings.upstream_kind
+    if kind is not None and kind not in UPSTREAM_KINDS:
+        problems.append(
+            SettingsProblem(
+                "$.upstream_kind",
+                f"{json.dumps(kind[:40])} is not a kind of upstream",
+                'use "engine" or "service"',
+            )
+        )
+
+
+def _check_store(settings: Store, problems: list) -> None:
+    for field in ("memory_bytes", "disk_bytes"):
+        shape.check_range(
+            getattr(settings, field), 1, None, f"$.{field}", problems
+        )
+
+
+def _check_control(settings: Control, problems: list) -> None:
+    for field in ("platform_address", "weights_address"):
+        address = getattr(settings, field)
+        if address:
+            shape.check_address(address, f"$.{field}", problems)
+    token = settings.console_token
+    if token is not None and not (
+        len(token) >= MIN_CONSOLE_TOKEN_LENGTH
+        and token.isascii()
+        and token.isprintable()
+        and " " not in token
+    ):
+        problems.append(
+            SettingsProblem(
+                "$.console_token",
+                "is too short, or has spaces or other than ASCII characters",
+                f"give {MIN_CONSOLE_TOKEN_LENGTH} or more ASCII characters"
+                " without spaces",
+            )
+        )
+    if None in (settings.name, settings.controls, settings.join):
+        return
+    if not settings.join and settings.name not in settings.controls:
+        problems.append(
+            SettingsProblem(
+                "$.controls",
+                f"does not name this member, {settings.name}",
+                "add it, or set join to true for a member that is new",
+            )
+        )
+
+
+def _resolve(
+    settings: Settings, folder: pathlib.Path, problems: list
+) -> Settings:
+    fields = {}
+    if isinstance(settings, (Store, Control)) and settings.data_folder:
+        data_folder = folder / settings.data_folder
+        fields["data_folder"] = str(data_folder)
+        _check_data_folder(data_folder, problems)
+    elif isinstance(settings, (Store, Control)):
+        if settings.data_folder == "":
+            problems.append(
+                SettingsProblem("$.data_folder", "is empty", "name a folder")
+            )
+    if None in (settings.deployment_key, settings.deployment_key_file):
+        return settings
+    fields["deployment_key"] = _read_key(settings, folder, problems)
+    return msgspec.structs.replace(settings, **fields)
+
+
+def _check_data_folder(folder: pathlib.Path, problems: list) -> None:
+    try:
+        # Permissions alone do not tell about a read-only file system.
+        with tempfile.TemporaryFile(dir=folder):
+            return
+    except OSError as error:
+        problems.append(
+            SettingsProblem(
+                "$.data_folder",
+                f"cannot write in {folder}: {error.strerror}",
+                "create the folder and let this user write in it",
+            )
+        )
+
+
+def _read_key(settings: Settings, folder: pathlib.Path, problems: list) -> str:
+    path = "$.deployment_key"
+    key = settings.deployment_key
+    if bool(key) == bool(settings.deployment_key_file):
+        problems.append(
+            SettingsProblem(
+                path,
+                (
+                    "is given besides deployment_key_file"
+                    if key
+                    else "is missing"
+                ),
+                "give either deployment_key or deployment_key_file",
+            )
+        )
+        return key
+    if not key:
+        path = "$.deployment_key_file"
+        file = folder / settings.deployment_key_file
+        try:
+            key = file.read_text(encoding="ascii").strip()
+        except OSError as error:
+            problems.append(
+                SettingsProblem(
+                    path,
+                    f"cannot read {file}: {error.strerror}",
+                    "give the path of a file that this user can read",
+                )
+            )
+            return ""
+        except UnicodeDecodeError:
+            key = ""
+    if not _is_key(key):
+        problems.append(
+            SettingsProblem(
+                path,
+                f"is not a hex key of at least {MIN_KEY_BYTES} bytes",
+                f"give {2 * MIN_KEY_BYTES} or more random hex digits",
+            )
+        )
+    return key
+
+
+def _is_key(key: str) -> bool:
+    try:
+        return len(bytes.fromhex(key)) >= MIN_KEY_BYTES
+    except ValueError:
+        return False
--- a/papayalink/shape.py
+++ b/papayalink/shape.py
@@ -4,6 +4,7 @@
 import ipaddress
 import json
 import math
+import re
 
 import msgspec
 from msgspec import inspect
@@ -12,6 +13,11 @@
 # cannot hold more than 64 bits.
 MAX_INTEGER = 2**53
 
+# Names are used in URLs, file names and log lines.
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+# Callers name models as published, such as "group/model:variant".
+MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
+
 
 class Problem(msgspec.Struct, frozen=True):
     """One problem of a document or settings file.
@@ -260,6 +266,25 @@
         )
 
 
+def check_name(
+    value: str | None,
+    path: str,
+    problems: list[Problem],
+    pattern: re.Pattern = NAME,
+) -> None:
+    """Report a name that does not match NAME or another pattern."""
+    if value is not None and not pattern.fullmatch(value):
+        marks = "._:/-" if pattern is MODEL_NAME else "._-"
+        problems.append(
+            Problem(
+                path,
+                f"{json.dumps(_shorten(value))} is not a valid name",
+                f"use 1 to 128 letters, digits and {marks}, starting with a"
+                " letter or digit",
+            )
+        )
+
+
 def check_address(
     value: str | None, path: str, problems: list[Problem]
 ) -> None:
--- a/papayalink/state/validation.py
+++ b/papayalink/state/validation.py
@@ -26,10 +26,6 @@
 # Rounding when shares such as 0.1 and 0.2 are added up.
 _SHARE_TOLERANCE = 1e-9
 _TYPE = inspect.type_info(documents.Document)
-# Names are used in URLs, file names and log lines.
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
-# Callers name models as published, such as "group/model:variant".
-_MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _CALL_PATH = re.compile(r"/(?:[A-Za-z0-9._~!$&'()+,;=:@-]+/?)*(?:(?<=/)\*)?")
 
@@ -200,7 +196,7 @@
         "upstreams",
         "stores",
     ):
-        pattern = _MODEL_NAME if section == "models" else _NAME
+        pattern = shape.MODEL_NAME if section == "models" else shape.NAME
         first = {}
         for path, entry in _entries(document, section):
             if entry.name is None:
@@ -225,16 +221,11 @@
 
 
 def _check_name(
-    name: str, pattern: re.Pattern, path: str
-) -> Iterator[Problem]:
-    if not pattern.fullmatch(name):
-        marks = "._:/-" if pattern is _MODEL_NAME else "._-"
-        yield Problem(
-            path,
-            f"{_quote(name)} is not a valid name",
-            f"use 1 to 128 letters, digits and {marks}, starting with a"
-            " letter or digit",
-        )
+    name: str | None, pattern: re.Pattern, path: str
+) -> list[Problem]:
+    problems = []
+    shape.check_name(name, path, problems, pattern)
+    return problems
 
 
 def _check_workspaces(document: documents.Document) -> Iterator[Problem]:
@@ -281,17 +272,15 @@
 
 def _check_models(document: documents.Document) -> Iterator[Problem]:
     for path, entry in _entries(document, "models"):
-        version = entry.weight_version
-        if version is not None:
-            yield from _check_name(
-                version, _MODEL_NAME, f"{path}.weight_version"
-            )
+        yield from _check_name(
+            entry.weight_version, shape.MODEL_NAME, f"{path}.weight_version"
+        )
         seen = set()
         for index, adapter in enumerate(entry.adapters or ()):
             if adapter is None:
                 continue
             place = f"{path}.adapters[{index}]"
-            yield from _check_name(adapter, _MODEL_NAME, place)
+            yield from _check_name(adapter, shape.MODEL_NAME, place)
             if adapter in seen:
                 yield Problem(
                     place, f"{_quote(adapter)} is listed twice", "remove one"
@@ -368,8 +357,7 @@
         "service": _names(document, "services"),
     }
     for path, entry in _entries(document, "upstreams"):
-        if entry.zone is not None:
-            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+        yield from _check_name(entry.zone, shape.NAME, f"{path}.zone")
         if entry.kind is not None and entry.kind not in KINDS:
             yield Problem(
                 f"{path}.kind",
@@ -404,8 +392,7 @@
 
 def _check_stores(document: documents.Document) -> Iterator[Problem]:
     for path, entry in _entries(document, "stores"):
-        if entry.zone is not None:
-            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+        yield from _check_name(entry.zone, shape.NAME, f"{path}.zone")
 
 
 def _check_addresses(document: documents.Document) -> Iterator[Problem]:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,160 @@
+"""Tests of process settings."""
+
+import json
+
+import pytest
+
+from papayalink import settings as settings_module
+
+_KEY = "ab" * 32
+_COMMON = {
+    "name": "c1",
+    "zone": "korangi",
+    "region": "south",
+    "listen": "10.0.0.1:80",
+    "rpc_listen": "10.0.0.1:81",
+    "controls": {"c1": "10.0.0.1:81", "c2": "10.0.0.2:81"},
+    "deployment_key": _KEY,
+}
+_ROLES = {
+    "entry": {},
+    "agent": {"upstream": "e1", "upstream_address": "10.0.0.1:8000"},
+    "store": {"data_folder": ".", "memory_bytes": 1, "disk_bytes": 1},
+    "control": {
+        "data_folder": ".",
+        "console_listen": "10.0.0.1:82",
+        "console_token": "0123456789abcdef",
+    },
+}
+
+
+def _load(folder, role, **changes):
+    value = {"role": role} | _COMMON | _ROLES.get(role, {}) | changes
+    value = {key: each for key, each in value.items() if each is not ...}
+    file = folder / "settings.json"
+    file.write_text(json.dumps(value))
+    return settings_module.load(file)
+
+
+@pytest.mark.parametrize("role", list(_ROLES))
+def test_each_role_loads(tmp_path, role):
+    # Guards against a process that starts with another role's settings.
+    loaded = _load(tmp_path, role).unwrap()
+    assert type(loaded) is settings_module.ROLES[role]
+    assert loaded.role == role
+    assert loaded.key == bytes.fromhex(_KEY)
+    assert _KEY not in repr(loaded)
+
+
+def test_key_file_and_folder_are_relative_to_the_file(tmp_path):
+    # Guards against results that depend on the working directory.
+    (tmp_path / "key").write_text(_KEY + "\n")
+    (tmp_path / "data").mkdir()
+    loaded = _load(
+        tmp_path,
+        "control",
+        deployment_key=...,
+        deployment_key_file="key",
+        data_folder="data",
+    ).unwrap()
+    assert loaded.key == bytes.fromhex(_KEY)
+    assert loaded.data_folder == str(tmp_path / "data")
+
+
+@pytest.mark.parametrize(
+    "role, changes, place, part",
+    [
+        ("entri", {}, "$.role", "entry, agent"),
+        (..., {}, "$.role", "missing"),
+        (7, {}, "$.role", "number"),
+        ("entry", {"lisen": 1}, "$.lisen", '"listen"'),
+        ("entry", {"data_folder": "."}, "$.data_folder", "unknown key"),
+        ("entry", {"zone": ...}, "$.zone", "missing"),
+        ("entry", {"zone": ""}, "$.zone", "valid name"),
+        ("entry", {"listen": 80}, "$.listen", "a string"),
+        ("entry", {"listen": "localhost:80"}, "$.listen", "IP:PORT"),
+        ("entry", {"rpc_listen": "10.0.0.1:80"}, "$.rpc_listen", "same"),
+        ("entry", {"controls": {}}, "$.controls", "no control member"),
+        ("entry", {"controls": ["a"]}, "$.controls", "an object"),
+        ("entry", {"controls": {"a": "b"}}, "$.controls.a", "IP:PORT"),
+        (
+            "entry",
+            {"controls": {"a": "10.0.0.1:1", "b": "10.0.0.1:1"}},
+            "$.controls.b",
+            "address of a",
+        ),
+        ("entry", {"deployment_key": "ab"}, "$.deployment_key", "32 bytes"),
+        ("entry", {"deployment_key": ...}, "$.deployment_key", "missing"),
+        (
+            "entry",
+            {"deployment_key_file": "k"},
+            "$.deployment_key",
+            "either",
+        ),
+        (
+            "entry",
+            {"deployment_key": ..., "deployment_key_file": "none"},
+            "$.deployment_key_file",
+            "No such file",
+        ),
+        ("agent", {"upstream": "a b"}, "$.upstream", "valid name"),
+        ("agent", {"upstream_address": "x"}, "$.upstream_address", "IP:PORT"),
+        ("agent", {"upstream_kind": "gpu"}, "$.upstream_kind", "service"),
+        ("store", {"memory_bytes": 0}, "$.memory_bytes", "1 or more"),
+        ("store", {"disk_bytes": 1.5}, "$.disk_bytes", "whole number"),
+        ("store", {"data_folder": "none"}, "$.data_folder", "No such file"),
+        ("store", {"data_folder": ""}, "$.data_folder", "empty"),
+        (
+            "store",
+            {"data_folder": "settings.json"},
+            "$.data_folder",
+            "Not a directory",
+        ),
+        (
+            "control",
+            {"console_listen": "10.0.0.1:80"},
+            "$.console_listen",
+            "another port",
+        ),
+        ("control", {"console_token": "x" * 15}, "$.console_token", "16"),
+        ("control", {"console_token": "x " * 9}, "$.console_token", "spaces"),
+        ("control", {"platform_address": "x"}, "$.platform_address", "IP"),
+        ("control", {"join": "yes"}, "$.join", "true or false"),
+        ("control", {"name": "c3"}, "$.controls", "join"),
+    ],
+)
+def test_one_fault_is_one_line(tmp_path, role, changes, place, part):
+    # Guards against a process that starts with wrong settings, and against
+    # an operator who cannot tell which setting is wrong.
+    (problem,) = _load(tmp_path, role, **changes).unwrap_err()
+    assert problem.path == place
+    assert part in problem.text + problem.fix
+    assert "\n" not in str(problem)
+
+
+def test_several_problems_at_once(tmp_path):
+    # Guards against one restart for each mistake.
+    problems = _load(
+        tmp_path, "store", zone=..., listen="x", disk_bytes=-1, x=1
+    ).unwrap_err()
+    assert [problem.path for problem in problems] == [
+        "$.x",
+        "$.zone",
+        "$.listen",
+        "$.disk_bytes",
+    ]
+
+
+@pytest.mark.parametrize("content", [None, b"{", b"[]", b"\xff"])
+def test_unreadable_file(tmp_path, content):
+    # Guards against a traceback in place of an explanation.
+    file = tmp_path / "settings.json"
+    if content is not None:
+        file.write_bytes(content)
+    (problem,) = settings_module.load(file).unwrap_err()
+    assert problem.path == (str(file) if content is None else "$")
+
+
+def test_new_member_may_be_absent_from_the_list(tmp_path):
+    # Guards against a repair that needs all other members' settings changed.
+    assert _load(tmp_path, "control", name="c3", join=True).is_ok()
