--- a/papayalink/state/configuration.py
+++ b/papayalink/state/configuration.py
@@ -227,7 +227,11 @@
         if problems:
             return Invalid(tuple(problems))
         if command.base_version != self._version:
-            return self._conflict(command.base_version)
+            return make_conflict(
+                command.base_version,
+                self._version,
+                self.history(MAX_HISTORY),
+            )
         match validation.validate(command.document_bytes):
             case result.Err(problems):
                 return Invalid(tuple(problems))
@@ -254,27 +258,6 @@
         )
         return Accepted(self._version, self._digest)
 
-    def _conflict(self, base_version: int) -> Conflict:
-        author = self._history[-1].author if self._history else ""
-        if not 0 <= base_version <= self._version:
-            text = f"there is no version {base_version}\n"
-            return Conflict(self._version, author, text)
-        lines = []
-        kept_from = self._version - len(self._history)
-        if base_version < kept_from:
-            lines.append(f"changes before version {kept_from + 1} not kept")
-        for entry in self._history:
-            if entry.version > base_version:
-                lines.append(f"version {entry.version} by {entry.author}:")
-                lines.extend(
-                    f"  {line}" for line in entry.summary.splitlines()
-                )
-        if len(lines) > MAX_CONFLICT_LINES:
-            # The newest changes are the ones that the operator meets.
-            left_out = len(lines) - MAX_CONFLICT_LINES
-            lines = [f"{left_out} earlier lines left out"] + lines[left_out:]
-        return Conflict(self._version, author, "\n".join(lines) + "\n")
-
     def _combine(self, version: int) -> bytes | None:
         steps = self._version - version
         if steps > len(self._history):
@@ -310,6 +293,35 @@
     return configuration
 
 
+def make_conflict(
+    base_version: int, version: int, history: list[Version]
+) -> Conflict:
+    """Describe what won over a change.
+
+    Args:
+        base_version: version that the change started from.
+        version: current version.
+        history: the last changes, newest first.
+    """
+    author = history[0].author if history else ""
+    if not 0 <= base_version <= version:
+        text = f"there is no version {base_version}\n"
+        return Conflict(version, author, text)
+    lines = []
+    oldest = version - len(history) + 1
+    if base_version + 1 < oldest:
+        lines.append(f"changes before version {oldest} are not kept")
+    for entry in reversed(history):
+        if entry.version > base_version:
+            lines.append(f"version {entry.version} by {entry.author}:")
+            lines.extend(f"  {line}" for line in entry.summary.splitlines())
+    if len(lines) > MAX_CONFLICT_LINES:
+        # The newest changes are the ones that the operator meets.
+        left_out = len(lines) - MAX_CONFLICT_LINES
+        lines = [f"{left_out} earlier lines left out"] + lines[left_out:]
+    return Conflict(version, author, "\n".join(lines) + "\n")
+
+
 def _content(command: ApplyDocument) -> bytes:
     digest = hashlib.blake2b(digest_size=16)
     for part in (
