--- a/papayalink/console/drafts.py
+++ b/papayalink/console/drafts.py
@@ -66,7 +66,8 @@
 
     Fields that a document may leave out are filled with their defaults.
     """
-    return Draft(version, msgspec.to_builtins(documents.decode(document)))
+    filled = documents.encode(documents.decode(document))
+    return Draft(version, msgspec.json.decode(filled))
 
 
 def fields_of(section: str) -> tuple[inspect.Field, ...]:
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command-line tool."""
