Send the draft once on the review page

Ruled out: keeping the draft on the member, which may die in between. Change: one form, whose confirm button posts to another path. Conclusion: a page carries the document once.

--- a/papayalink/console/pages.py
+++ b/papayalink/console/pages.py
@@ -160,14 +160,13 @@
         "review",
         f"<p>Changes since version {draft.base_version}:</p>"
         f"<pre>{escape(shown)}</pre>"
-        '<form method="post" action="/confirm">'
+        # One form for both ways on, since it carries the whole document.
+        '<form method="post" action="/draft">'
         + _hidden_fields(draft, form_token)
         + _hidden("request_id", request_id)
         + '<p><label>Author <input type="text" name="author"'
         + f' value="{escape(author)}"></label></p>'
-        + "<p><button>Confirm</button></p></form>"
-        + '<form method="post" action="/draft">'
-        + _hidden_fields(draft, form_token)
+        + '<p><button formaction="/confirm">Confirm</button></p>'
         + _navigation("review")
         + "</form>",
     )
--- a/tests/console/test_views.py
+++ b/tests/console/test_views.py
@@ -160,6 +160,7 @@
 def test_confirmed_change_is_applied_once(client, backend):
     # Guards against a resend after a lost answer that counts as new.
     page = _review(client, "limits", {"0.max_body_bytes": "5"})
+    assert '<button formaction="/confirm">' in page.text
     fields = _fields(page) | {"author": "ann"}
     backend.fault = errors.Unknown("timed out")
     page = _post(client, "/confirm", fields)
