--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -104,7 +104,6 @@
             role="agent",
             zone=zone,
             listen=listen,
-            rpc_listen=free_address(),
             upstream=upstream,
             upstream_address=address,
             upstream_kind=kind,
@@ -119,7 +118,6 @@
             role="store",
             zone=zone,
             listen=listen,
-            rpc_listen=free_address(),
             data_folder=self._data_folder(name),
             memory_bytes=more.pop("memory_bytes", 64_000_000),
             disk_bytes=more.pop("disk_bytes", 256_000_000),
@@ -138,6 +136,7 @@
         settings.setdefault("inspect_listen", free_address())
         content = {
             "name": name,
+            "region": "sindh",
             "controls": self.controls,
             "deployment_key": self.key,
             **settings,
@@ -154,7 +153,11 @@
         return self._spawn(name, _daemon_command(path), addresses)
 
     def restart(self, name: str) -> Program:
-        """Start a process again that has ended, with its settings."""
+        """Start a process again that has ended, with its settings.
+
+        A data folder that was removed is made anew, empty.
+        """
+        os.makedirs(os.path.join(self.folder, name), exist_ok=True)
         addresses = self.programs[name].addresses
         return self._spawn(
             name, _daemon_command(self._settings[name]), addresses
--- a/papayalink/daemon.py
+++ b/papayalink/daemon.py
@@ -25,7 +25,10 @@
     match settings_module.load(paths[0]):
         case result.Err(problems):
             for problem in problems:
-                print(problem, file=sys.stderr)
+                print(
+                    f"{problem.path}: {problem.text}; {problem.fix}",
+                    file=sys.stderr,
+                )
             return EXIT_USAGE
         case result.Ok(settings):
             return 0 if check_only else _run(settings)
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -7,11 +7,14 @@
 import msgspec
 
 from papayalink.adapters import platform as platforms
+from papayalink.console import application
+from papayalink.coordination import proposer as proposers
 from papayalink.coordination import replica as replicas
 from papayalink.coordination.raft import membership
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles import process
+from papayalink.roles.control import console_backend
 from papayalink.roles.control import demands
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import loads
@@ -21,6 +24,7 @@
 from papayalink.state import log_store
 from papayalink.state import machine as machines
 from papayalink.transport import errors as transport_errors
+from papayalink.transport import http_server
 from papayalink.transport import rpc
 
 SHARE_PERIOD_S = 0.5
@@ -48,6 +52,7 @@
         "_service",
         "_upkeep",
         "_rpc_server",
+        "_console",
         "_inbox",
         "_stopping",
     )
@@ -68,6 +73,7 @@
         self._inbox = queue.Queue()
         self._replica: replicas.Replica | None = None
         self._upkeep: upkeep.Upkeep | None = None
+        self._console: http_server.HttpServer | None = None
         self._service = service.ControlService(
             self._identity,
             self._machine,
@@ -94,6 +100,8 @@
 
     def drain(self) -> None:
         self._stopping = True
+        if self._console is not None:
+            self._console.stop()
         self._rpc_server.stop()
         if self._replica is not None:
             self._replica.stop()
@@ -147,6 +155,27 @@
         self._node.timers.every(SHARE_PERIOD_S, self._inbox, _ShareDue())
         self._node.timers.every(JOIN_PERIOD_S, self._inbox, _JoinDue())
         gevent.spawn(self._run)
+        self._serve_console()
+
+    def _serve_console(self) -> None:
+        settings = self._node.settings
+        backend = console_backend.make_backend(
+            self._replica,
+            self._machine,
+            self._loads,
+            proposers.make_proposer(
+                list(settings.controls.values()),
+                self._node.rpc_client,
+                self._node.clock,
+            ),
+        )
+        self._console = http_server.make_server(
+            nodes.parse_address(settings.console_listen),
+            application.make_application(
+                backend, settings.console_token, self._node.clock
+            ),
+        )
+        self._console.start()
 
     def dump(self) -> dict:
         return {
--- a/papayalink/roles/node.py
+++ b/papayalink/roles/node.py
@@ -34,9 +34,7 @@
         self.clock = clocks.make_clock()
         self.timers = timers.make_timer_service(self.clock)
         self.metrics = metrics_module.make_metrics()
-        self.signer = auth.make_signer(
-            settings_module.deployment_key(settings), self.clock
-        )
+        self.signer = auth.make_signer(settings.key, self.clock)
         self.rpc_client = rpc.make_client(self.signer)
         self.incarnation = uuid.uuid4().hex[:12]
         self.log = logs.get_logger()
