--- a/papayalink/coordination/raft/core.py
+++ b/papayalink/coordination/raft/core.py
@@ -65,6 +65,10 @@
     def last_index(self) -> int:
         return self._state.log.last_index
 
+    @property
+    def last_term(self) -> int:
+        return self._state.log.last_term
+
     @property
     def removed(self) -> bool:
         return self._state.removed
--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -55,7 +55,8 @@
         """Store a snapshot that covers the log up to an index.
 
         Stored entries stay when the one at the index has the given term;
-        otherwise the snapshot replaces them all.
+        otherwise the snapshot replaces them all. A snapshot that is not newer
+        than the stored one changes nothing.
 
         Raises:
             LogFull: the call may be repeated.
@@ -140,6 +141,8 @@
         self._content.add(entries, hard_state)
 
     def save_snapshot(self, index: int, term: int, data: bytes) -> None:
+        if self._snapshot is not None and index <= self._snapshot.index:
+            return
         self._snapshot = log_entries.StoredSnapshot(index, term, data)
         if self._content.term_at(index) != term:
             self._content.entries = []
@@ -250,6 +253,8 @@
 
     def save_snapshot(self, index: int, term: int, data: bytes) -> None:
         self._check_usable()
+        if index <= self._snapshot_index:
+            return
         snapshot = log_entries.StoredSnapshot(index, term, data)
         try:
             segments.write_file(
@@ -260,10 +265,11 @@
             )
         except OSError as error:
             raise self._fail(segments.translate(error)) from error
-        self._snapshot_index = index
         if self._content.term_at(index) != term:
             self._write(_Reset(index))
             self._content.entries = []
+        # Only now, so that a repeated call writes a reset that failed.
+        self._snapshot_index = index
 
     def compact(self, index: int) -> None:
         if index > self._snapshot_index:
--- /dev/null
+++ b/tests/coordination/raft/simulation.py
@@ -0,0 +1,318 @@
+"""A group of nodes in one process whose faults a test controls."""
+
+import copy
+import random
+
+from papayalink.coordination.raft import core
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import log_entries
+from papayalink.state import log_store
+
+_COMMAND = log_entries.EntryKind.COMMAND
+
+
+class Member:
+    """One node with its store; writes are durable only once synced."""
+
+    def __init__(self, member_id, store, seed):
+        self.member_id = member_id
+        self.store = store
+        self.seed = seed
+        self.restarts = 0
+        self.frozen = False
+        self.full = False
+        self.unsynced = []
+        self.node = None
+        self.start()
+
+    def start(self):
+        self.restarts += 1
+        self.unsynced = []
+        loaded = self.store.load()
+        snapshot = None
+        self.commands = []
+        self.applied = 0
+        if loaded.snapshot is not None:
+            snapshot = messages.decode_snapshot(loaded.snapshot.data)
+            self.restore(snapshot)
+        self.node = core.make_node(
+            inputs.Config(
+                member_id=self.member_id,
+                seed=self.seed + self.restarts * 1000,
+                hard_state=loaded.hard_state,
+                snapshot=snapshot,
+                entries=loaded.entries,
+                # Small limits, so that short runs reach them.
+                snapshot_ticks=15,
+                max_batch_entries=3,
+                window_entries=8,
+                promotion_lag=2,
+                trailing_entries=2,
+            )
+        )
+
+    def restore(self, snapshot):
+        self.commands = [each for each in snapshot.data.split(b",") if each]
+        self.applied = snapshot.index
+
+    def sync(self, count):
+        """Make the oldest writes durable; returns the node's output."""
+        done, self.unsynced = self.unsynced[:count], self.unsynced[count:]
+        for ready in done:
+            if ready.snapshot is not None:
+                save_snapshot(self.store, ready.snapshot)
+            self.store.append(ready.entries, ready.hard_state)
+        return self.node.step(inputs.Persisted(done[-1].write_id))
+
+    def take_snapshot(self):
+        """Snapshot the applied state behind the writes; returns output."""
+        data = b",".join(self.commands)
+        snapshot = self.node.make_snapshot(self.applied, data)
+        save_snapshot(self.store, snapshot)
+        return self.node.step(inputs.Compacted(snapshot))
+
+
+def save_snapshot(store, snapshot):
+    data = messages.encode_snapshot(snapshot)
+    store.save_snapshot(snapshot.index, snapshot.term, data)
+    store.compact(snapshot.index)
+
+
+class Simulation:
+    """Members, the messages between them, and the checks.
+
+    Attributes:
+        committed: entry committed at each index by any member.
+        leaders: leader of each term.
+        acknowledged: highest index whose commit any leader reported.
+    """
+
+    def __init__(self, count, seed):
+        self.random = random.Random(seed)
+        self.members = {}
+        self.network = []
+        self.cuts = set()
+        self.committed = {}
+        self.leaders = {}
+        self.acknowledged = 0
+        self.reads = {}
+        self.finished_reads = 0
+        self.commands = 0
+        self.tokens = 0
+        ids = [f"m{number}" for number in range(count)]
+        self.next_id = count
+        membership = memberships.make_membership(*ids)
+        for member_id in ids:
+            store = log_store.MemoryLogStore()
+            first = messages.Snapshot(0, 0, membership, b"")
+            save_snapshot(store, first)
+            self._add(member_id, store)
+
+    def running(self):
+        return [
+            member
+            for member in self.members.values()
+            if member.node is not None and not member.frozen
+        ]
+
+    def step(self, member, given):
+        self.take(member, member.node.step(given))
+
+    def take(self, member, ready):
+        """Do what a node asks for, and check what it reports."""
+        node = member.node
+        if ready.write_id is not None:
+            # The node may change what it shares with its outputs.
+            member.unsynced.append(copy.copy(ready))
+        for message in ready.messages:
+            assert message.sender == member.member_id
+            self.network.append(messages.encode([message]))
+        if node.is_leader:
+            leader = self.leaders.setdefault(node.term, member.member_id)
+            assert leader == member.member_id, "two leaders in one term"
+        if ready.snapshot is not None:
+            member.restore(ready.snapshot)
+            self._check_state(member)
+        for entry in ready.committed:
+            assert entry.index == member.applied + 1, "gap in applied entries"
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, "a committed entry changed"
+            member.applied = entry.index
+            if entry.kind == _COMMAND:
+                member.commands.append(entry.data)
+        if ready.committed and node.is_leader:
+            self.acknowledged = max(self.acknowledged, member.applied)
+        for read in ready.reads:
+            floor = self.reads.pop(read.token)
+            self.finished_reads += 1
+            assert read.index >= floor, "a read misses an acknowledged write"
+
+    def _check_state(self, member):
+        expected = [
+            self.committed[index].data
+            for index in range(1, member.applied + 1)
+            if self.committed[index].kind == _COMMAND
+        ]
+        assert member.commands == expected, "a snapshot differs from the log"
+
+    def propose(self, member):
+        self.commands += 1
+        data = b"c%d" % self.commands
+        self.tokens += 1
+        self.step(member, inputs.Propose(data, self.tokens))
+
+    def read(self, member):
+        self.tokens += 1
+        self.reads[self.tokens] = self.acknowledged
+        self.step(member, inputs.ReadIndex(self.tokens))
+
+    def change(self, member, change):
+        self.tokens += 1
+        self.step(member, inputs.ChangeMembers(change, self.tokens))
+
+    def deliver(self, position, keep=False):
+        """Deliver one message in flight, or a second copy of it."""
+        data = self.network[position]
+        if not keep:
+            del self.network[position]
+        for message in messages.decode(data):
+            to = self.members.get(message.to)
+            if to is None or to.node is None or to.frozen:
+                continue
+            if frozenset((message.sender, message.to)) in self.cuts:
+                continue
+            self.step(to, inputs.Receive(message))
+
+    def snapshot(self, member):
+        if member.applied >= member.node.first_index:
+            self.take(member, member.take_snapshot())
+
+    def admit_member(self):
+        """Remove a member without a disk, add or promote its successor."""
+        leader = self.leader()
+        if leader is None:
+            return
+        known = leader.node.membership
+        learners = sorted(set(known.ids) - set(known.voters))
+        new = sorted(self.members.keys() - {*known.ids, *known.removed})
+        gone = sorted(set(known.ids) - self.members.keys())
+        if learners and learners[0] in self.members:
+            change = memberships.PromoteLearner(learners[0])
+        elif gone:
+            change = memberships.RemoveMember(gone[0])
+        elif new:
+            change = memberships.AddLearner(new[0])
+        else:
+            return
+        self.change(leader, change)
+
+    def set_full(self, member, full):
+        member.full = full
+        self.step(
+            member, inputs.StorageFull() if full else inputs.StorageFree()
+        )
+
+    def kill(self, member):
+        """End a member; writes that were not synced are lost."""
+        member.node = None
+        member.frozen = False
+        member.full = False
+        member.unsynced = []
+
+    def replace(self, member):
+        """Lose a disk, and start an empty member under a new id."""
+        self.kill(member)
+        del self.members[member.member_id]
+        self.next_id += 1
+        return self._add(f"m{self.next_id}", log_store.MemoryLogStore())
+
+    def calm(self, rounds):
+        """Run without faults: ticks, syncs and deliveries in order."""
+        for _ in range(rounds):
+            for member in self.running():
+                self.step(member, inputs.Tick())
+            delivered = 0
+            while self.network or self._sync_all():
+                while self.network:
+                    self.deliver(0)
+                    delivered += 1
+                    assert delivered < 10_000, "messages without end"
+
+    def run(self, rounds, loss, copies, reordering):
+        """Run with load, while messages are lost, copied and reordered.
+
+        Args:
+            rounds: in each of which most members see a tick.
+            loss: share of messages lost.
+            copies: share of messages delivered twice.
+            reordering: share of messages delivered out of order.
+        """
+        chance = self.random.random
+        for _ in range(rounds):
+            for member in self.running():
+                if chance() < 0.8:
+                    self.step(member, inputs.Tick())
+                if chance() < (0.5 if member.node.is_leader else 0.02):
+                    self.propose(member)
+                if chance() < 0.1:
+                    self.read(member)
+                unsynced = len(member.unsynced)
+                if unsynced and not member.full and chance() < 0.7:
+                    count = self.random.randint(1, unsynced)
+                    self.take(member, member.sync(count))
+                if not member.unsynced and chance() < 0.1:
+                    self.snapshot(member)
+            if chance() < 0.1:
+                self.admit_member()
+            for _ in range(self.random.randint(0, 2 * len(self.network))):
+                if not self.network:
+                    break
+                position = 0
+                if chance() < reordering:
+                    position = self.random.randrange(len(self.network))
+                if chance() < loss:
+                    del self.network[position]
+                else:
+                    self.deliver(position, keep=chance() < copies)
+
+    def _sync_all(self):
+        synced = False
+        for member in self.running():
+            if member.unsynced and not member.full:
+                self.take(member, member.sync(len(member.unsynced)))
+                synced = True
+        return synced
+
+    def leader(self):
+        leaders = [each for each in self.running() if each.node.is_leader]
+        return max(leaders, key=lambda each: each.node.term, default=None)
+
+    def has_live_quorum(self):
+        """Whether the newest membership has a majority of its disks."""
+        newest = max(
+            (each.node for each in self.running() if not each.node.removed),
+            key=lambda node: (node.last_term, node.last_index),
+            default=None,
+        )
+        return newest is not None and newest.membership.has_quorum(
+            set(self.members)
+        )
+
+    def check(self):
+        """Check invariants over all members."""
+        for first in self.members.values():
+            assert first.applied <= max(self.committed, default=0)
+        holders = {}
+        for member in self.members.values():
+            loaded = member.store.load()
+            for entry in loaded.entries:
+                key = (entry.index, entry.term)
+                known = holders.setdefault(key, entry)
+                assert known == entry, "logs differ in the same term"
+
+    def _add(self, member_id, store):
+        member = Member(member_id, store, self.random.randrange(1000))
+        self.members[member_id] = member
+        return member
--- /dev/null
+++ b/tests/coordination/raft/test_faults.py
@@ -0,0 +1,160 @@
+"""Random faults against a whole group of nodes."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import membership as memberships
+from tests.coordination.raft import simulation
+
+_NUMBERS = strategies.integers(0, 1000)
+_SHARES = strategies.sampled_from([0.0, 0.05, 0.3])
+
+
+class Group(stateful.RuleBasedStateMachine):
+    """Guards against lost or changed entries, two leaders and stale reads."""
+
+    @stateful.initialize(
+        count=strategies.integers(3, 5), seed=strategies.integers(0, 10**6)
+    )
+    def start(self, count, seed):
+        self.group = simulation.Simulation(count, seed)
+        # Most faults matter only once there is a leader.
+        self.group.calm(30)
+
+    def _pick(self, number, candidates=None):
+        found = self.group.running() if candidates is None else candidates
+        return found[number % len(found)] if found else None
+
+    @stateful.rule(
+        rounds=strategies.integers(5, 40),
+        loss=_SHARES,
+        copies=_SHARES,
+        reordering=_SHARES,
+    )
+    def run_badly(self, rounds, loss, copies, reordering):
+        self.group.run(rounds, loss, copies, reordering)
+
+    @stateful.rule(rounds=strategies.integers(5, 40))
+    def run_well(self, rounds):
+        self.group.run(rounds, 0.0, 0.0, 0.0)
+
+    @stateful.rule(number=_NUMBERS, count=strategies.integers(5, 25))
+    def tick_one(self, number, count):
+        member = self._pick(number)
+        for _ in range(count if member else 0):
+            self.group.step(member, inputs.Tick())
+
+    @stateful.rule(number=_NUMBERS, other=_NUMBERS)
+    def cut(self, number, other):
+        ids = sorted(self.group.members)
+        pair = {ids[number % len(ids)], ids[other % len(ids)]}
+        self.group.cuts.add(frozenset(pair))
+
+    @stateful.rule(number=_NUMBERS)
+    def isolate(self, number):
+        ids = sorted(self.group.members)
+        alone = ids[number % len(ids)]
+        self.group.cuts.update(frozenset((alone, each)) for each in ids)
+
+    @stateful.rule()
+    def heal(self):
+        self.group.cuts.clear()
+
+    @stateful.rule(number=_NUMBERS)
+    def kill(self, number):
+        member = self._pick(number)
+        if member:
+            self.group.kill(member)
+
+    @stateful.rule()
+    def restart(self):
+        for member in self.group.members.values():
+            member.frozen = False
+            if member.node is None:
+                member.start()
+
+    @stateful.rule(rounds=strategies.integers(5, 40))
+    def depose_leader(self, rounds):
+        """Let a leader append what it cannot replicate, then lose it."""
+        leader = self.group.leader()
+        if leader:
+            self.isolate(sorted(self.group.members).index(leader.member_id))
+            for _ in range(3):
+                self.group.propose(leader)
+            self.group.run(rounds, 0.0, 0.0, 0.0)
+
+    @stateful.rule(number=_NUMBERS)
+    def freeze_or_thaw(self, number):
+        member = self._pick(
+            number,
+            [m for m in self.group.members.values() if m.node is not None],
+        )
+        if member:
+            member.frozen = not member.frozen
+
+    @stateful.rule(number=_NUMBERS)
+    def fill_or_free_disk(self, number):
+        member = self._pick(number)
+        if member:
+            self.group.set_full(member, not member.full)
+
+    @stateful.rule(number=_NUMBERS)
+    def lose_disk(self, number):
+        self.group.replace(
+            self._pick(number, list(self.group.members.values()))
+        )
+
+    @stateful.rule(number=_NUMBERS)
+    def remove_member(self, number):
+        leader = self.group.leader()
+        if leader and len(leader.node.membership.voters) > 2:
+            ids = leader.node.membership.ids
+            change = memberships.RemoveMember(ids[number % len(ids)])
+            self.group.change(leader, change)
+
+    @stateful.invariant()
+    def logs_agree(self):
+        if hasattr(self, "group"):
+            self.group.check()
+
+    def teardown(self):
+        if hasattr(self, "group"):
+            self.recover()
+
+    def recover(self):
+        """The group must make progress again once all faults are gone."""
+        group = self.group
+        group.cuts.clear()
+        for member in group.members.values():
+            member.frozen = False
+            if member.node is None:
+                member.start()
+            if member.full:
+                group.set_full(member, False)
+        group.calm(200)
+        leader = group.leader()
+        if leader is None:
+            # Lost disks may have taken a quorum for good.
+            assert not group.has_live_quorum(), "no leader after the faults"
+            return
+        group.propose(leader)
+        reads = group.finished_reads
+        for member in group.running():
+            group.read(member)
+        group.calm(20)
+        last = max(group.committed)
+        assert group.committed[last].data == b"c%d" % group.commands
+        for member_id in leader.node.membership.ids:
+            member = group.members.get(member_id)
+            if member is not None:
+                reads += 1
+                assert member.applied == last, "a member did not catch up"
+        assert group.finished_reads >= reads, "a read was not answered"
+
+
+TestGroup = Group.TestCase
+TestGroup.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=30
+)
