Test the disk log store against cuts, damage and a full disk

Cause: recovery of the disk store was only tested for clean restarts. Damage to the very last record cannot be told from a torn write and is cut.

--- a/tests/coordination/raft/test_faults.py
+++ b/tests/coordination/raft/test_faults.py
@@ -105,6 +105,7 @@
         self.group.replace(
             self._pick(number, list(self.group.members.values()))
         )
+        self.group.run(30, 0.0, 0.0, 0.0)
 
     @stateful.rule(number=_NUMBERS)
     def remove_member(self, number):
@@ -139,6 +140,12 @@
             # Lost disks may have taken a quorum for good.
             assert not group.has_live_quorum(), "no leader after the faults"
             return
+        # Replace the members whose disks were lost: each takes three changes.
+        for _ in range(3 * group.next_id):
+            group.admit_member()
+            group.calm(4)
+        leader = group.leader()
+        assert leader.node.membership.voters == leader.node.membership.ids
         group.propose(leader)
         reads = group.finished_reads
         for member in group.running():
--- a/tests/state/test_log_store.py
+++ b/tests/state/test_log_store.py
@@ -14,15 +14,20 @@
 
 
 class _Files(segments.Files):
-    """File calls with a limited number of bytes, or a failing sync."""
+    """File calls that fail as a test tells them to."""
 
-    __slots__ = ("room", "sync_error")
+    __slots__ = ("room", "sync_error", "writes_left")
 
     def __init__(self):
         self.room = None
         self.sync_error = None
+        self.writes_left = None
 
     def write(self, descriptor, data):
+        if self.writes_left is not None:
+            self.writes_left -= 1
+            if self.writes_left < 0:
+                raise OSError(errno.EIO, "write failed")
         if self.room is not None and len(data) > self.room:
             # A full disk takes the first part of a write.
             super().write(descriptor, data[: self.room])
@@ -87,3 +92,215 @@
     store.append(_entries(3, 1, term=2), None)
     _, loaded = reopen()
     assert loaded.entries == _entries(1, 2) + _entries(3, 1, term=2)
+
+
+def test_snapshot_releases_what_it_covers(reopen):
+    store, _ = reopen()
+    store.append(_entries(1, 10), log_entries.HardState(1, "a"))
+    store.save_snapshot(6, 1, b"state")
+    store.compact(6)
+    _, loaded = reopen()
+    assert loaded.snapshot == log_entries.StoredSnapshot(6, 1, b"state")
+    assert loaded.entries == _entries(7, 4)
+    assert loaded.hard_state == log_entries.HardState(1, "a")
+
+
+def test_received_snapshot_replaces_conflicting_entries(reopen):
+    """Entries of another history must not follow a received snapshot."""
+    store, _ = reopen()
+    store.append(_entries(1, 10), None)
+    store.save_snapshot(6, 2, b"state")
+    store.append(_entries(7, 1, term=2), None)
+    _, loaded = reopen()
+    assert loaded.entries == _entries(7, 1, term=2)
+
+
+def test_repeated_snapshot_keeps_later_entries(reopen):
+    """A repeated save must not take the entries for another history."""
+    store, _ = reopen()
+    store.append(_entries(1, 6), None)
+    for _ in range(2):
+        store.save_snapshot(6, 1, b"state")
+        store.compact(6)
+        store.append(_entries(7, 2), None)
+    _, loaded = reopen()
+    assert loaded.entries == _entries(7, 2)
+
+
+def _segments(folder):
+    return sorted(folder.glob("*.log"))
+
+
+def test_tail_torn_at_any_byte_is_cut(tmp_path):
+    """A record that was not synced is dropped, and no other one."""
+    store, _ = _disk(tmp_path)
+    store.append(_entries(1, 2), log_entries.HardState(1, "a"))
+    (path,) = _segments(tmp_path)
+    before = path.stat().st_size
+    store.append(_entries(3, 1), log_entries.HardState(2, "b"))
+    store.close()
+    whole = path.read_bytes()
+    for length in range(before, len(whole)):
+        path.write_bytes(whole[:length])
+        store, loaded = _disk(tmp_path)
+        assert loaded.entries == _entries(1, 2), length
+        assert loaded.hard_state == log_entries.HardState(1, "a")
+        # What follows must not be mistaken for the rest of the torn record.
+        store.append(_entries(3, 2, term=3), None)
+        store.close()
+        store, loaded = _disk(tmp_path)
+        assert loaded.entries == _entries(1, 2) + _entries(3, 2, term=3)
+        store.close()
+
+
+def test_first_record_torn_at_any_byte(tmp_path):
+    """A process that ends while it creates a file must start again."""
+    store, _ = _disk(tmp_path)
+    store.close()
+    (path,) = _segments(tmp_path)
+    whole = path.read_bytes()
+    for length in range(len(whole)):
+        path.write_bytes(whole[:length])
+        store, loaded = _disk(tmp_path)
+        assert loaded.entries == []
+        store.append(_entries(1, 1), None)
+        store.close()
+        store, loaded = _disk(tmp_path)
+        assert loaded.entries == _entries(1, 1)
+        store.close()
+
+
+def test_any_flipped_byte_before_the_last_record_is_reported(tmp_path):
+    store, _ = _disk(tmp_path)
+    store.append(_entries(1, 2), log_entries.HardState(1, "a"))
+    (path,) = _segments(tmp_path)
+    synced = path.stat().st_size
+    store.append(_entries(3, 1), None)
+    store.close()
+    whole = path.read_bytes()
+    for position in range(synced):
+        damaged = bytearray(whole)
+        damaged[position] ^= 0x40
+        path.write_bytes(damaged)
+        store = log_store.DiskLogStore(tmp_path)
+        with pytest.raises(errors.LogCorrupt):
+            store.load()
+        store.close()
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        pytest.param(
+            lambda folder: _segments(folder)[0].unlink(), id="first-segment"
+        ),
+        pytest.param(
+            lambda folder: next(folder.glob("*.snapshot")).unlink(),
+            id="snapshot-missing",
+        ),
+        pytest.param(
+            lambda folder: next(folder.glob("*.snapshot")).write_bytes(b"x"),
+            id="snapshot-damaged",
+        ),
+        pytest.param(
+            lambda folder: _segments(folder)[0].write_bytes(
+                _segments(folder)[0].read_bytes()[:-1]
+            ),
+            id="older-segment-cut",
+        ),
+    ],
+)
+def test_missing_or_damaged_file_is_reported(tmp_path, damage):
+    store, _ = _disk(tmp_path)
+    store.append(_entries(1, 3), None)
+    store.save_snapshot(3, 1, b"state")
+    store.compact(3)
+    store.append(_entries(4, 7), None)
+    store.save_snapshot(6, 1, b"state")
+    store.compact(6)
+    store.append(_entries(11, 1), None)
+    store.close()
+    damage(tmp_path)
+    store = log_store.DiskLogStore(tmp_path)
+    with pytest.raises(errors.LogCorrupt):
+        store.load()
+    store.close()
+
+
+def test_crash_between_received_snapshot_and_reset(tmp_path):
+    """Stored entries of another history must not outlive the snapshot."""
+    files = _Files()
+    store, _ = _disk(tmp_path, files)
+    store.append(_entries(1, 10), None)
+    files.writes_left = 1
+    with pytest.raises(errors.LogFailed):
+        store.save_snapshot(6, 2, b"state")
+    store.close()
+    store, loaded = _disk(tmp_path)
+    assert loaded.entries == []
+    store.append(_entries(7, 1, term=2), None)
+    store.close()
+    assert _disk(tmp_path)[1].entries == _entries(7, 1, term=2)
+
+
+@pytest.mark.parametrize("room", [0, 1, 20, 30])
+def test_full_disk_keeps_nothing_and_allows_a_repeat(tmp_path, room):
+    files = _Files()
+    store, _ = _disk(tmp_path, files)
+    store.append(_entries(1, 2), None)
+    files.room = room
+    calls = [
+        lambda: store.append(_entries(3, 1), log_entries.HardState(5, "a")),
+        lambda: store.save_snapshot(2, 1, b"s" * 100),
+    ]
+    for call in calls:
+        with pytest.raises(errors.LogFull):
+            call()
+    files.room = None
+    for call in calls:
+        call()
+    files.room = room
+    with pytest.raises(errors.LogFull):
+        store.compact(2)
+    files.room = None
+    store.compact(2)
+    store.append(_entries(4, 1), None)
+    store.close()
+    _, loaded = _disk(tmp_path)
+    assert loaded.entries == _entries(3, 2)
+    assert loaded.hard_state == log_entries.HardState(5, "a")
+    assert loaded.snapshot.index == 2
+
+
+def test_failed_sync_ends_use_of_the_store(tmp_path):
+    """A sync repeated after a failure may succeed though data was lost."""
+    files = _Files()
+    store, _ = _disk(tmp_path, files)
+    files.sync_error = errno.EIO
+    with pytest.raises(errors.LogFailed):
+        store.append(_entries(1, 1), None)
+    files.sync_error = None
+    with pytest.raises(errors.LogFailed):
+        store.append(_entries(1, 1), None)
+
+
+def test_folder_is_used_by_one_store_at_a_time(tmp_path):
+    _disk(tmp_path)
+    with pytest.raises(errors.LogFailed):
+        log_store.DiskLogStore(tmp_path)
+
+
+def test_restart_after_many_changes_reads_a_short_tail(tmp_path):
+    """Files must not grow with the number of changes."""
+    store, _ = _disk(tmp_path)
+    for index in range(1, 501):
+        store.append(_entries(index, 1), None)
+        if index % 100 == 50:
+            store.save_snapshot(index, 1, b"state")
+            store.compact(index)
+    store.close()
+    assert len(_segments(tmp_path)) <= 2
+    assert len(list(tmp_path.glob("*.snapshot"))) == 1
+    _, loaded = _disk(tmp_path)
+    assert loaded.snapshot.index == 450
+    assert loaded.entries == _entries(451, 50)
