Test groups of replicas over an in-memory transport

Cause: the replica task had one test. Change: tests of reads, partitions, restarts, lost disks, removal, a full and a failed disk; the thread pool no longer prints expected store errors.

--- a/papayalink/coordination/log_writer.py
+++ b/papayalink/coordination/log_writer.py
@@ -97,15 +97,12 @@
             self._running = gevent.spawn(self._write, group)
 
     def _write(self, group: list[Job]) -> None:
-        error = None
-        try:
-            if self._store.blocking:
-                pool = gevent.get_hub().threadpool
-                pool.apply(_perform, (self._store, group))
-            else:
-                _perform(self._store, group)
-        except state_errors.StateError as failure:
-            error = failure
+        if self._store.blocking:
+            pool = gevent.get_hub().threadpool
+            error = pool.apply(_perform, (self._store, group))
+        else:
+            error = _perform(self._store, group)
+        if error is not None:
             # Every call may be repeated, so the group is as a whole.
             self._waiting = group + self._waiting
         numbers = [job.write_id for job in group if job.write_id is not None]
@@ -123,7 +120,18 @@
         )
 
 
-def _perform(store: log_store.LogStore, group: list[Job]) -> None:
+def _perform(
+    store: log_store.LogStore, group: list[Job]
+) -> state_errors.StateError | None:
+    """Returns: the error, since the pool prints those that are raised."""
+    try:
+        _store_group(store, group)
+    except state_errors.StateError as error:
+        return error
+    return None
+
+
+def _store_group(store: log_store.LogStore, group: list[Job]) -> None:
     entries: list[log_entries.Entry] = []
     hard_state = None
 
--- a/tests/coordination/replica_group.py
+++ b/tests/coordination/replica_group.py
@@ -36,6 +36,7 @@
         self.machines = {}
         self.stores = {}
         self.cut_off = set()
+        self.sent = []
         self._settings = settings
         self._make_store = make_store or (lambda _: log_store.MemoryLogStore())
 
@@ -82,7 +83,13 @@
 
         return self.wait_for(find)
 
+    def others(self, *excluded):
+        return [
+            each for each in self.replicas.values() if each not in excluded
+        ]
+
     def _send(self, sender, to, batch):
+        self.sent.extend(batch)
         # Encoded and decoded as on the wire.
         batch = messages.decode(messages.encode(batch))
         if to in self.replicas and not {sender, to} & self.cut_off:
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -1,30 +1,270 @@
 """Tests of replicas as a group."""
 
+import errno
+
+import gevent
 import pytest
 
 from papayalink.coordination import errors
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import errors as state_errors
+from papayalink.state import log_store
+from papayalink.state import segments
 from tests.coordination import replica_group
 
 _IDS = ("a", "b", "c")
 
 
+class _Files(segments.Files):
+    """File calls that fail while an error is set."""
+
+    __slots__ = ("error",)
+
+    def __init__(self):
+        self.error = None
+
+    def write(self, descriptor, data):
+        if self.error is not None:
+            raise OSError(self.error, "injected")
+        super().write(descriptor, data)
+
+
+def _start(make_store=None, **settings):
+    group = replica_group.Group(make_store, **settings)
+    for member_id in _IDS:
+        group.start(member_id, _IDS)
+    return group
+
+
 @pytest.fixture
 def group():
-    made = replica_group.Group(snapshot_entries=50)
-    for member_id in _IDS:
-        made.start(member_id, _IDS)
+    made = _start(snapshot_entries=50)
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def disk_group(tmp_path):
+    files = {member_id: _Files() for member_id in _IDS}
+    made = _start(
+        lambda member_id: log_store.DiskLogStore(
+            tmp_path / member_id, files[member_id]
+        ),
+        snapshot_entries=50,
+    )
+    made.files = files
     yield made
     made.stop()
 
 
+def _member(group, replica):
+    return replica.status()["member_id"]
+
+
+def _agree(group, expected):
+    group.wait_for(
+        lambda: all(
+            group.machines[member_id].commands == expected
+            for member_id in group.replicas
+        )
+    )
+
+
 def test_command_is_applied_everywhere(group):
     leader = group.leader()
     assert leader.propose(b"x", 5) == b"1:x"
-    group.wait_for(
-        lambda: all(m.commands == [b"x"] for m in group.machines.values())
+    _agree(group, [b"x"])
+
+
+def test_follower_names_the_leader(group):
+    leader = group.leader()
+    for follower in group.others(leader):
+        group.wait_for(lambda each=follower: each.leader_id)
+        with pytest.raises(errors.NotLeader) as refusal:
+            follower.propose(b"y", 5)
+        assert refusal.value.leader_id == leader.leader_id
+
+
+def test_concurrent_requests_share_rounds(group):
+    """Many waiting reads must not cost a round of messages each."""
+    leader = group.leader()
+    leader.propose(b"x", 5)
+    for reader in (leader, group.others(leader)[0]):
+        group.wait_for(lambda each=reader: each.leader_id)
+        group.sent.clear()
+        tasks = [gevent.spawn(reader.confirm_read, 5) for _ in range(200)]
+        gevent.joinall(tasks, raise_error=True)
+        sent = [
+            each
+            for each in group.sent
+            if isinstance(each, (messages.Heartbeat, messages.ReadRequest))
+        ]
+        assert len(sent) < 40
+
+
+def test_confirmed_read_sees_acknowledged_commands(group):
+    leader = group.leader()
+    for number in range(20):
+        leader.propose(b"%d" % number, 5)
+        for reader in group.replicas.values():
+            index = reader.confirm_read(5)
+            assert reader.status()["applied"] >= index
+            machine = group.machines[_member(group, reader)]
+            assert len(machine.commands) == number + 1
+
+
+def test_isolated_leader_confirms_and_commits_nothing(group):
+    """A member on the wrong side of a partition must not answer."""
+    old = group.leader()
+    old.propose(b"x", 5)
+    group.cut_off.add(_member(group, old))
+    waiting = gevent.spawn(old.propose, b"lost", 0.5)
+    with pytest.raises(errors.Unavailable):
+        old.confirm_read(0.5)
+    with pytest.raises((errors.Unknown, errors.NotLeader)):
+        waiting.get()
+    new = group.leader()
+    assert new.propose(b"y", 5) == b"2:y"
+    term = new.status()["term"]
+    group.cut_off.clear()
+    _agree(group, [b"x", b"y"])
+    # Pre-vote: the return must not force another election.
+    assert group.leader().status()["term"] == term
+
+
+def test_replaced_proposal_is_reported_as_not_run(group):
+    """An entry that another leader replaced has a known outcome."""
+    old = group.leader()
+    old.propose(b"x", 5)
+    group.cut_off.add(_member(group, old))
+    waiting = gevent.spawn(old.propose, b"lost", 10)
+    group.leader().propose(b"y", 5)
+    group.cut_off.clear()
+    with pytest.raises(errors.NotLeader):
+        waiting.get()
+
+
+def test_restarted_member_catches_up_from_snapshot_and_tail(disk_group):
+    leader = disk_group.leader()
+    follower = _member(disk_group, disk_group.others(leader)[0])
+    expected = [b"%d" % number for number in range(600)]
+    for start in range(0, 600, 100):
+        if start == 300:
+            disk_group.stop(follower)
+        tasks = [
+            gevent.spawn(leader.propose, data, 5)
+            for data in expected[start : start + 100]
+        ]
+        gevent.joinall(tasks, raise_error=True)
+    restarted = disk_group.start(follower)
+    status = restarted.status()
+    assert status["snapshot_index"] > 200
+    assert status["last_index"] - status["snapshot_index"] < 150
+    disk_group.wait_for(
+        lambda: sorted(disk_group.machines[follower].commands)
+        == sorted(expected)
     )
-    for follower in group.replicas.values():
-        if follower is not leader:
-            with pytest.raises(errors.NotLeader) as refusal:
-                follower.propose(b"y", 5)
-            assert refusal.value.leader_id == leader.leader_id
+
+
+def test_whole_group_restarts(disk_group):
+    leader = disk_group.leader()
+    expected = [b"%d" % number for number in range(120)]
+    for data in expected:
+        leader.propose(data, 5)
+    disk_group.stop(*_IDS)
+    for member_id in _IDS:
+        disk_group.start(member_id)
+    disk_group.leader().propose(b"end", 5)
+    _agree(disk_group, [*expected, b"end"])
+
+
+def test_lost_disk_rejoins_under_a_new_id(group):
+    leader = group.leader()
+    for number in range(120):
+        leader.propose(b"%d" % number, 5)
+    lost = _member(group, group.others(leader)[0])
+    group.stop(lost)
+    leader.change_members(memberships.RemoveMember(lost))
+    with pytest.raises(errors.ChangeRefused):
+        leader.change_members(memberships.AddLearner(lost))
+    group.start("d")
+    leader.change_members(memberships.AddLearner("d", "host:1"))
+
+    def promoted():
+        try:
+            leader.change_members(memberships.PromoteLearner("d"))
+        except errors.ChangeRefused:
+            return False
+        return True
+
+    group.wait_for(promoted)
+    leader.propose(b"end", 5)
+    _agree(group, [*(b"%d" % number for number in range(120)), b"end"])
+    assert leader.membership.find("d").address == "host:1"
+
+
+def test_removed_member_stops(group):
+    leader = group.leader()
+    removed = group.others(leader)[0]
+    leader.change_members(memberships.RemoveMember(_member(group, removed)))
+    group.wait_for(lambda: removed.status()["removed"])
+    with pytest.raises(errors.Unavailable):
+        removed.confirm_read(5)
+    leader.propose(b"x", 5)
+
+
+def test_full_disk_refuses_writes_and_serves_reads(disk_group):
+    old = disk_group.leader()
+    old.propose(b"x", 5)
+    full = _member(disk_group, old)
+    disk_group.files[full].error = errno.ENOSPC
+    # The other two may commit this one before the leader's write fails.
+    gevent.spawn(old.propose, b"first", 5).join()
+    disk_group.wait_for(lambda: old.status()["disk_full"])
+    with pytest.raises(errors.NotLeader):
+        old.propose(b"second", 5)
+    new = disk_group.leader()
+    new.propose(b"y", 5)
+    old.confirm_read(5)
+    assert disk_group.machines[full].commands[-1] == b"y"
+    disk_group.files[full].error = None
+    disk_group.wait_for(lambda: not old.status()["disk_full"])
+    new.propose(b"z", 5)
+    disk_group.wait_for(
+        lambda: old.status()["persisted"] == new.status()["commit"]
+    )
+
+
+def test_failed_store_stops_the_replica(disk_group):
+    """After a failed sync nothing the store reports can be relied on."""
+    leader = disk_group.leader()
+    failing = disk_group.others(leader)[0]
+    disk_group.files[_member(disk_group, failing)].error = errno.EIO
+    leader.propose(b"x", 5)
+    disk_group.wait_for(lambda: failing.status()["failure"])
+    with pytest.raises(errors.Unavailable):
+        failing.confirm_read(5)
+
+
+def test_damaged_store_does_not_start(tmp_path):
+    group = replica_group.Group(
+        lambda member_id: log_store.DiskLogStore(tmp_path)
+    )
+    store = log_store.DiskLogStore(tmp_path)
+    store.load()
+    store.save_snapshot(0, 0, b"state")
+    store.close()
+    next(tmp_path.glob("*.snapshot")).write_bytes(b"damaged")
+    with pytest.raises(errors.StorageFailed) as failure:
+        group.start("a", _IDS)
+    assert isinstance(failure.value.__cause__, state_errors.LogCorrupt)
+    group.stop()
+
+
+def test_single_member_group():
+    group = replica_group.Group()
+    only = group.start("a", ("a",))
+    group.leader().propose(b"x", 5)
+    assert only.confirm_read(5) >= 2
+    group.stop()
