Compare routing with more entries and slow replicas

Ruled out: more than two sampled candidates of each zone group, other half lives of reports (0.1, 0.25, 1, 2 s, none), and reports smoothed over 2 s. Trials with 12 and 60 entries, slow replicas, and replicas whose decoding is slow without showing in the prefill rate: each of them is worse in some case by more than it gains elsewhere. Change: RoundRobin takes its first turn; bench/policy.py adds 60 entries and 4 of 24 replicas of half the speed.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -84,6 +84,7 @@
     replicas: int = 6
     entries: int = 4
     report_lag_s: float = 0.5
+    slow_replicas: int = 0
 
 
 class Loop:
@@ -120,6 +121,8 @@
         self.admission = setup.admission
         self.name = name
         self.zone = zone
+        self.rate = PREFILL_RATE
+        self.decode_s = DECODE_S
         self.running = 0
         self.prefilling = [0, 0]
         self.waiting = [0, 0]
@@ -166,12 +169,12 @@
             self.zone,
             tuple(w + p for w, p in zip(self.waiting, self.prefilling)),
             tuple(self.queue.depth(name) for name in NAMES),
-            PREFILL_RATE,
+            self.rate,
             now,
             self._free_slots(),
             self._start_periods(),
             SHARES,
-            tuple(load.at(now) / PREFILL_RATE for load in self.loads),
+            tuple(load.at(now) / self.rate for load in self.loads),
         )
 
     def _predict(self, arrival: Arrival) -> float:
@@ -234,7 +237,7 @@
             entry = heapq.heappop(self._prefill)
             tokens = min(CHUNK_TOKENS, entry[3])
             self.loop.after(
-                tokens / PREFILL_RATE, self._chunk_done, entry, tokens
+                tokens / self.rate, self._chunk_done, entry, tokens
             )
 
     def _chunk_done(self, entry: list, tokens: int) -> None:
@@ -248,7 +251,7 @@
         else:
             arrival = item.payload
             arrival.first_token_at = self.loop.now + NETWORK_S
-            self.loop.after(arrival.answer * DECODE_S, self._end, item)
+            self.loop.after(arrival.answer * self.decode_s, self._end, item)
         self._next_chunk()
 
     def _end(self, item: queueing.Item) -> None:
@@ -279,7 +282,7 @@
         self.reports = {one.name: one.report() for one in fleet}
         self.recent = routing.RecentWork()
         self.gate = admission.Admission(RANKS, rng, admission.ENTRY_SLACK)
-        self.turns = routing.RoundRobin()
+        self.turns = routing.RoundRobin(rng.randrange(len(fleet)))
 
     def learn(self, report: routing.Candidate) -> None:
         self.reports[report.upstream] = report
@@ -386,6 +389,9 @@
         Replica(loop, f"r{n}", ZONES[n % len(ZONES)], setup, rng)
         for n in range(setup.replicas)
     ]
+    for replica in fleet[: setup.slow_replicas]:
+        replica.rate /= 2
+        replica.decode_s *= 2
     entries = [
         Entry(loop, ZONES[n % len(ZONES)], setup, fleet, rng)
         for n in range(setup.entries)
@@ -571,28 +577,36 @@
     return good
 
 
+# Lag of reports, entries, and replicas of half the speed, of 24 replicas.
+ROUTING_CASES = (
+    (0.0, 12, 0),
+    (0.5, 12, 0),
+    (1.5, 12, 0),
+    (3.0, 12, 0),
+    (1.5, 60, 0),
+    (1.5, 60, 4),
+)
+ROUTES = ("round_robin", "least_loaded", "best_of_all", "predicted")
+
+
 def compare_routing(seconds: float, seed: int) -> dict[str, Any]:
     """Effect of the lag of reports on the policies."""
-    replicas, entries = 24, 12
+    replicas = 24
     urgent = 0.5 * CAPACITY["urgent"] * replicas
     other = 0.25 * CAPACITY["deferrable"] * replicas
     sources = [("urgent", "u", urgent), ("deferrable", "d", other)]
     result: dict[str, Any] = {}
-    for lag_s in (0.0, 0.5, 1.5, 3.0):
-        for route in (
-            "round_robin",
-            "least_loaded",
-            "best_of_all",
-            "predicted",
-        ):
+    for lag_s, entries, slow in ROUTING_CASES:
+        for route in ROUTES:
             setup = Setup(
-                "ranks", route, False, replicas, entries, report_lag_s=lag_s
+                "ranks", route, False, replicas, entries, lag_s, slow
             )
             arrivals = simulate(setup, sources, seconds, seed)
             summary = rank_summary(arrivals, "urgent", seconds)
-            result[f"lag_{lag_s}/{route}"] = {
+            result[f"lag_{lag_s}/entries_{entries}/slow_{slow}/{route}"] = {
                 "urgent_p50_ttft_s": summary["p50_ttft_s"],
                 "urgent_p95_ttft_s": summary["p95_ttft_s"],
+                "urgent_refused_share": summary["refused_share"],
                 "burst": _round(_burst(arrivals, replicas)),
             }
     return result
--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -398,12 +398,16 @@
 
 
 class RoundRobin:
-    """Baseline: each upstream in turn."""
+    """Baseline: each upstream in turn.
+
+    Args:
+        start: first turn; processes that start alike would go in step.
+    """
 
     __slots__ = ("_turns",)
 
-    def __init__(self) -> None:
-        self._turns = itertools.count()
+    def __init__(self, start: int = 0) -> None:
+        self._turns = itertools.count(start)
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         return candidates[next(self._turns) % len(candidates)]
