Damp the start period that agents report

Cause: the time since the last start counted in full, so one slow start looked like a stop and about 0.1% of urgent requests were refused in a flood of deferrable work. Ruled out: leaving the running wait out, which would hide an engine that has stopped. Change: the running wait counts like an interval that ends now. The test of the start period checks one slow start and a stop instead of the raw wait.

--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -277,6 +277,13 @@
         self._heap: list[tuple[float, str, int]] = []
         self._virtual = 0.0
 
+    def mean_interval(self, now: float) -> float:
+        """Returns: mean time between starts if one happened now."""
+        interval_s = now - self.waiting_since
+        return self.start_period_s + PACE_WEIGHT * (
+            interval_s - self.start_period_s
+        )
+
     def add(self, item: Item) -> None:
         space = self.workspaces.get(item.workspace)
         if space is None:
@@ -527,10 +534,7 @@
         state.take()
         del self._waiting[item.request_id]
         self._running[item.request_id] = item
-        interval_s = now - state.waiting_since
-        state.start_period_s += PACE_WEIGHT * (
-            interval_s - state.start_period_s
-        )
+        state.start_period_s = state.mean_interval(now)
         state.waiting_since = now
         self._note_urgent_work(now)
         return item
@@ -632,9 +636,11 @@
             Seconds, recent mean; 0 before the first start.
         """
         state = self._state(rank)
-        if state.depth:
-            return max(state.start_period_s, now - state.waiting_since)
-        return state.start_period_s
+        if not state.depth:
+            return state.start_period_s
+        # A long wait counts as if the next one started now; in full it would
+        # make one slow start look like a stop.
+        return max(state.start_period_s, state.mean_interval(now))
 
     def _state(self, rank: str) -> _RankState:
         try:
