--- a/bench/policy.py
+++ b/bench/policy.py
@@ -84,6 +84,7 @@
     replicas: int = 6
     entries: int = 4
     report_lag_s: float = 0.5
+    slow_replicas: int = 0
 
 
 class Loop:
@@ -107,10 +108,21 @@
 class Replica:
     """Agent queue and model engine."""
 
-    def __init__(self, loop: Loop, name: str, zone: str, setup: Setup) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        zone: str,
+        setup: Setup,
+        rng: random.Random,
+    ) -> None:
         self.loop = loop
+        self.gate = admission.Admission(RANKS, rng)
+        self.admission = setup.admission
         self.name = name
         self.zone = zone
+        self.rate = PREFILL_RATE
+        self.decode_s = DECODE_S
         self.running = 0
         self.prefilling = [0, 0]
         self.waiting = [0, 0]
@@ -125,6 +137,17 @@
             self.queue = queueing.FifoQueue()
 
     def receive(self, arrival: Arrival) -> None:
+        if self.admission:
+            outcome = self.gate.decide(
+                arrival.rank,
+                arrival.workspace,
+                arrival.tokens,
+                self._predict(arrival),
+                self.loop.now,
+            )
+            if isinstance(outcome, admission.Refused):
+                arrival.refused = True
+                return
         expected = arrival.prompt + MEAN_TOKENS[arrival.rank][1]
         item = queueing.Item(
             arrival.request_id,
@@ -146,14 +169,46 @@
             self.zone,
             tuple(w + p for w, p in zip(self.waiting, self.prefilling)),
             tuple(self.queue.depth(name) for name in NAMES),
-            PREFILL_RATE,
+            self.rate,
             now,
-            SLOTS - self.running,
-            1 / max(self.slot_times.at(now), 1.0),
+            self._free_slots(),
+            self._start_periods(),
             SHARES,
-            tuple(load.at(now) / PREFILL_RATE for load in self.loads),
+            tuple(load.at(now) / self.rate for load in self.loads),
         )
 
+    def _predict(self, arrival: Arrival) -> float:
+        rank = NAMES.index(arrival.rank)
+        request = routing.Request(
+            arrival.request_id,
+            rank,
+            arrival.prompt,
+            RANKS[rank].ttft_target_s,
+            self.zone,
+        )
+        decision = routing.predict(
+            self.report(), request, self.loop.now, routing.RecentWork()
+        )
+        part = 1.0
+        if not isinstance(self.queue, queueing.FifoQueue):
+            part = self.queue.part_ahead(
+                arrival.rank, arrival.workspace, arrival.tokens
+            )
+        return decision.ttft_s - (1.0 - part) * decision.wait_s
+
+    def _free_slots(self) -> tuple[int, ...]:
+        if isinstance(self.queue, queueing.FifoQueue):
+            return (SLOTS - self.running,) * len(RANKS)
+        now = self.loop.now
+        return tuple(self.queue.free_slots(name, now) for name in NAMES)
+
+    def _start_periods(self) -> tuple[float, ...]:
+        if isinstance(self.queue, queueing.FifoQueue):
+            rate = max(self.slot_times.at(self.loop.now), 1.0)
+            return (1 / rate,) * len(RANKS)
+        now = self.loop.now
+        return tuple(self.queue.start_period(name, now) for name in NAMES)
+
     def _refuse(self, item: queueing.Item) -> None:
         item.payload.refused = True
         self.waiting[NAMES.index(item.rank)] -= item.payload.prompt
@@ -182,7 +237,7 @@
             entry = heapq.heappop(self._prefill)
             tokens = min(CHUNK_TOKENS, entry[3])
             self.loop.after(
-                tokens / PREFILL_RATE, self._chunk_done, entry, tokens
+                tokens / self.rate, self._chunk_done, entry, tokens
             )
 
     def _chunk_done(self, entry: list, tokens: int) -> None:
@@ -196,7 +251,7 @@
         else:
             arrival = item.payload
             arrival.first_token_at = self.loop.now + NETWORK_S
-            self.loop.after(arrival.answer * DECODE_S, self._end, item)
+            self.loop.after(arrival.answer * self.decode_s, self._end, item)
         self._next_chunk()
 
     def _end(self, item: queueing.Item) -> None:
@@ -226,8 +281,8 @@
         self.rng = rng
         self.reports = {one.name: one.report() for one in fleet}
         self.recent = routing.RecentWork()
-        self.gate = admission.Admission(RANKS, rng)
-        self.turns = routing.RoundRobin()
+        self.gate = admission.Admission(RANKS, rng, admission.ENTRY_SLACK)
+        self.turns = routing.RoundRobin(rng.randrange(len(fleet)))
 
     def learn(self, report: routing.Candidate) -> None:
         self.reports[report.upstream] = report
@@ -331,9 +386,12 @@
     loop = Loop()
     rng = random.Random(seed)
     fleet = [
-        Replica(loop, f"r{n}", ZONES[n % len(ZONES)], setup)
+        Replica(loop, f"r{n}", ZONES[n % len(ZONES)], setup, rng)
         for n in range(setup.replicas)
     ]
+    for replica in fleet[: setup.slow_replicas]:
+        replica.rate /= 2
+        replica.decode_s *= 2
     entries = [
         Entry(loop, ZONES[n % len(ZONES)], setup, fleet, rng)
         for n in range(setup.entries)
@@ -519,28 +577,36 @@
     return good
 
 
+# Lag of reports, entries, and replicas of half the speed, of 24 replicas.
+ROUTING_CASES = (
+    (0.0, 12, 0),
+    (0.5, 12, 0),
+    (1.5, 12, 0),
+    (3.0, 12, 0),
+    (1.5, 60, 0),
+    (1.5, 60, 4),
+)
+ROUTES = ("round_robin", "least_loaded", "best_of_all", "predicted")
+
+
 def compare_routing(seconds: float, seed: int) -> dict[str, Any]:
     """Effect of the lag of reports on the policies."""
-    replicas, entries = 24, 12
+    replicas = 24
     urgent = 0.5 * CAPACITY["urgent"] * replicas
     other = 0.25 * CAPACITY["deferrable"] * replicas
     sources = [("urgent", "u", urgent), ("deferrable", "d", other)]
     result: dict[str, Any] = {}
-    for lag_s in (0.0, 0.5, 1.5, 3.0):
-        for route in (
-            "round_robin",
-            "least_loaded",
-            "best_of_all",
-            "predicted",
-        ):
+    for lag_s, entries, slow in ROUTING_CASES:
+        for route in ROUTES:
             setup = Setup(
-                "ranks", route, False, replicas, entries, report_lag_s=lag_s
+                "ranks", route, False, replicas, entries, lag_s, slow
             )
             arrivals = simulate(setup, sources, seconds, seed)
             summary = rank_summary(arrivals, "urgent", seconds)
-            result[f"lag_{lag_s}/{route}"] = {
+            result[f"lag_{lag_s}/entries_{entries}/slow_{slow}/{route}"] = {
                 "urgent_p50_ttft_s": summary["p50_ttft_s"],
                 "urgent_p95_ttft_s": summary["p95_ttft_s"],
+                "urgent_refused_share": summary["refused_share"],
                 "burst": _round(_burst(arrivals, replicas)),
             }
     return result
