Split the replica task into smaller modules

Change: settings and loading, and the waiting requests, in modules of their own; a request whose index is appended to again fails at once as unknown.

--- a/papayalink/coordination/raft/election.py
+++ b/papayalink/coordination/raft/election.py
@@ -19,7 +19,7 @@
         return
     state.reset_election_timer()
     # A member with a full disk could not make its own vote durable.
-    if state.is_voter and not state.full:
+    if state.may_campaign and not state.full:
         _start_pre_vote(state)
 
 
--- a/papayalink/coordination/raft/node_state.py
+++ b/papayalink/coordination/raft/node_state.py
@@ -129,8 +129,17 @@
         return self.log.membership
 
     @property
-    def is_voter(self) -> bool:
-        return self.member_id in self.membership.voters
+    def may_campaign(self) -> bool:
+        """Whether this member votes now or did before an uncommitted change.
+
+        A member whose own removal is not committed may hold the longest log
+        of all, and then nobody else can be elected.
+        """
+        committed = self.log.membership_at(self.log.commit)
+        return (
+            self.member_id in self.membership.voters
+            or self.member_id in committed.voters
+        )
 
     @property
     def has_live_leader(self) -> bool:
--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -1,8 +1,6 @@
 """Task that runs one member of the control group."""
 
 from collections.abc import Callable
-import secrets
-from typing import Protocol
 
 import gevent
 from gevent import queue
@@ -12,6 +10,7 @@
 from papayalink import timers
 from papayalink.coordination import errors
 from papayalink.coordination import log_writer
+from papayalink.coordination import replica_loading
 from papayalink.coordination import waiting
 from papayalink.coordination.raft import core
 from papayalink.coordination.raft import inputs
@@ -29,40 +28,6 @@
 _FULL_RETRY_S = 1.0
 
 
-class StateMachine(Protocol):
-    """What a replica applies committed commands to."""
-
-    def apply(self, index: int, data: bytes) -> bytes: ...
-
-    def snapshot(self) -> bytes: ...
-
-    def restore(self, data: bytes) -> None: ...
-
-
-class Settings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of one replica.
-
-    Attributes:
-        member_id: own id; a member whose disk was lost needs a new one.
-        tick_s: seconds between ticks.
-        election_ticks: shortest election timeout; the longest is below
-            twice as long.
-        heartbeat_ticks: ticks between heartbeats.
-        snapshot_entries: applied entries after which a snapshot is taken.
-        snapshot_bytes: applied bytes after which a snapshot is taken.
-        seed: seed of the election timeouts, None to draw one.
-    """
-
-    member_id: str
-    tick_s: float = 0.05
-    election_ticks: int = 10
-    heartbeat_ticks: int = 2
-    snapshot_entries: int = 1000
-    # A restart reads at most this much besides the snapshot.
-    snapshot_bytes: int = 16 * 1024 * 1024
-    seed: int | None = None
-
-
 class _Tick(msgspec.Struct, frozen=True):
     pass
 
@@ -97,7 +62,7 @@
     """One member; its task owns the node, the store and the machine.
 
     Args:
-        settings: see Settings.
+        settings: see replica_loading.Settings.
         node: loaded from the store.
         store: log store of this member.
         machine: restored from the stored snapshot.
@@ -119,8 +84,7 @@
         "_inbox",
         "_writer",
         "_tokens",
-        "_waiters",
-        "_appended",
+        "_requests",
         "_reads",
         "_snapshot_index",
         "_bytes_applied",
@@ -134,10 +98,10 @@
 
     def __init__(
         self,
-        settings: Settings,
+        settings: replica_loading.Settings,
         node: core.Node,
         store: log_store.LogStore,
-        machine: StateMachine,
+        machine: replica_loading.StateMachine,
         applied: int,
         timer_service: timers.TimerService,
         send: Callable[[str, list[messages.PeerMessage]], None],
@@ -152,9 +116,7 @@
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._writer = log_writer.make_log_writer(store, self._inbox)
         self._tokens = waiting.make_tokens()
-        # By token until appended, then by index with the entry's term.
-        self._waiters: dict[int, waiting.Waiter] = {}
-        self._appended: dict[int, tuple[int, waiting.Waiter]] = {}
+        self._requests = waiting.Requests(self._tokens)
         self._reads = waiting.Reads(self._tokens)
         self._snapshot_index = applied
         self._bytes_applied = 0
@@ -292,11 +254,11 @@
                     given.extend(inputs.Receive(each) for each in received)
                 case _Propose(data, waiter):
                     if not waiter.abandoned:
-                        token = self._register(waiter)
+                        token = self._requests.add(waiter)
                         given.append(inputs.Propose(data, token))
                 case _Change(change, waiter):
                     if not waiter.abandoned:
-                        token = self._register(waiter)
+                        token = self._requests.add(waiter)
                         given.append(inputs.ChangeMembers(change, token))
                 case _Read(waiter):
                     self._reads.add(waiter)
@@ -314,11 +276,6 @@
         while (read := self._reads.start()) is not None:
             self._act(self._node.step(read))
 
-    def _register(self, waiter: waiting.Waiter) -> int:
-        token = next(self._tokens)
-        self._waiters[token] = waiter
-        return token
-
     def _note_written(
         self, written: log_writer.Written, given: list[inputs.Input]
     ) -> None:
@@ -343,11 +300,10 @@
 
     def _act(self, ready: inputs.Ready) -> None:
         for dropped in ready.dropped:
-            self._refuse(dropped)
+            self._reads.refused(dropped.token)
+            self._requests.refused(dropped, self._node.leader_id)
         for appended in ready.appended:
-            waiter = self._waiters.pop(appended.token)
-            waiter.appended = True
-            self._appended[appended.index] = (appended.term, waiter)
+            self._requests.appended(appended)
         if ready.write_id is not None:
             self._writer.submit(
                 log_writer.Job(
@@ -373,19 +329,6 @@
         if ready.removed:
             self._failure = "this member was removed"
 
-    def _refuse(self, dropped: inputs.Dropped) -> None:
-        waiter = self._waiters.pop(dropped.token, None)
-        if waiter is None:
-            self._reads.refused(dropped.token)
-            return
-        match dropped.cause:
-            case inputs.DropCause.NOT_LEADER:
-                waiter.fail(errors.NotLeader(self._node.leader_id))
-            case inputs.DropCause.CHANGE_REFUSED:
-                waiter.fail(errors.ChangeRefused(dropped.reason))
-            case inputs.DropCause.UNAVAILABLE:
-                waiter.fail(errors.Unavailable(dropped.reason))
-
     def _send_all(self, outgoing: list[messages.PeerMessage]) -> None:
         by_peer: dict[str, list[messages.PeerMessage]] = {}
         for message in outgoing:
@@ -403,15 +346,7 @@
             outcome = self._machine.apply(entry.index, entry.data)
         self._applied = entry.index
         self._bytes_applied += len(entry.data)
-        found = self._appended.pop(entry.index, None)
-        if found is None:
-            return
-        term, waiter = found
-        if term == entry.term:
-            waiter.resolve(outcome)
-        else:
-            # Another leader's entry took its place, so it was never run.
-            waiter.fail(errors.NotLeader(self._node.leader_id))
+        self._requests.applied(entry, outcome, self._node.leader_id)
 
     def _restore(self, snapshot: messages.Snapshot) -> None:
         self._machine.restore(snapshot.data)
@@ -419,11 +354,7 @@
         self._snapshot_index = snapshot.index
         self._bytes_applied = 0
         self._log.info("snapshot received", index=snapshot.index)
-        for index in [
-            each for each in self._appended if each <= self._applied
-        ]:
-            _, waiter = self._appended.pop(index)
-            waiter.fail(errors.Unknown("covered by a received snapshot"))
+        self._requests.covered(snapshot.index)
 
     def _take_snapshot(self) -> None:
         due = (
@@ -443,10 +374,9 @@
         self._writer.submit(log_writer.Job(snapshot=snapshot))
 
     def _fail_waiters(self) -> None:
-        for waiter in (*self._waiters.values(), *self._reads.take_all()):
+        self._requests.fail_all(self._failure)
+        for waiter in self._reads.take_all():
             waiter.fail(errors.Unavailable(self._failure))
-        for _, waiter in self._appended.values():
-            waiter.fail(errors.Unknown(self._failure))
         while not self._inbox.empty():
             match self._inbox.get_nowait():
                 case _Propose(_, waiter) | _Change(_, waiter) | _Read(waiter):
@@ -454,9 +384,9 @@
 
 
 def make_replica(
-    settings: Settings,
+    settings: replica_loading.Settings,
     store: log_store.LogStore,
-    machine: StateMachine,
+    machine: replica_loading.StateMachine,
     timer_service: timers.TimerService,
     send: Callable[[str, list[messages.PeerMessage]], None],
     bootstrap: memberships.Membership | None = None,
@@ -464,7 +394,7 @@
     """Load a member from its store and start its task.
 
     Args:
-        settings: see Settings.
+        settings: see replica_loading.Settings.
         store: not yet loaded.
         machine: in its initial state.
         timer_service: delivers ticks.
@@ -476,31 +406,7 @@
     Raises:
         StorageFailed: the store cannot be read, or not be written.
     """
-    try:
-        stored = store.load()
-        snapshot = None
-        if stored.snapshot is not None:
-            snapshot = messages.decode_snapshot(stored.snapshot.data)
-            machine.restore(snapshot.data)
-        elif bootstrap is not None and not stored.entries:
-            snapshot = messages.Snapshot(0, 0, bootstrap, machine.snapshot())
-            store.save_snapshot(0, 0, messages.encode_snapshot(snapshot))
-    except state_errors.StateError as error:
-        store.close()
-        raise errors.StorageFailed(str(error)) from error
-    seed = settings.seed
-    node = core.make_node(
-        inputs.Config(
-            member_id=settings.member_id,
-            seed=secrets.randbits(64) if seed is None else seed,
-            hard_state=stored.hard_state,
-            snapshot=snapshot,
-            entries=stored.entries,
-            election_ticks=settings.election_ticks,
-            heartbeat_ticks=settings.heartbeat_ticks,
-        )
-    )
-    applied = 0 if snapshot is None else snapshot.index
+    node, applied = replica_loading.load(settings, store, machine, bootstrap)
     return Replica(
         settings, node, store, machine, applied, timer_service, send
     )
--- /dev/null
+++ b/papayalink/coordination/replica_loading.py
@@ -0,0 +1,88 @@
+"""Settings of a replica, and its node as loaded from the log store."""
+
+import secrets
+from typing import Protocol
+
+import msgspec
+
+from papayalink.coordination import errors
+from papayalink.coordination.raft import core
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import errors as state_errors
+from papayalink.state import log_store
+
+
+class StateMachine(Protocol):
+    """What a replica applies committed commands to."""
+
+    def apply(self, index: int, data: bytes) -> bytes: ...
+
+    def snapshot(self) -> bytes: ...
+
+    def restore(self, data: bytes) -> None: ...
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one replica.
+
+    Attributes:
+        member_id: own id; a member whose disk was lost needs a new one.
+        tick_s: seconds between ticks.
+        election_ticks: shortest election timeout; the longest is below
+            twice as long.
+        heartbeat_ticks: ticks between heartbeats.
+        snapshot_entries: applied entries after which a snapshot is taken.
+        snapshot_bytes: applied bytes after which a snapshot is taken.
+        seed: seed of the election timeouts, None to draw one.
+    """
+
+    member_id: str
+    tick_s: float = 0.05
+    election_ticks: int = 10
+    heartbeat_ticks: int = 2
+    snapshot_entries: int = 1000
+    # A restart reads at most this much besides the snapshot.
+    snapshot_bytes: int = 16 * 1024 * 1024
+    seed: int | None = None
+
+
+def load(
+    settings: Settings,
+    store: log_store.LogStore,
+    machine: StateMachine,
+    bootstrap: memberships.Membership | None,
+) -> tuple[core.Node, int]:
+    """Load a member, or set up a new one.
+
+    Returns: its node, and the index that the machine was restored to.
+    Raises:
+        StorageFailed: the store cannot be read, or not be written.
+    """
+    try:
+        stored = store.load()
+        snapshot = None
+        if stored.snapshot is not None:
+            snapshot = messages.decode_snapshot(stored.snapshot.data)
+            machine.restore(snapshot.data)
+        elif bootstrap is not None and not stored.entries:
+            snapshot = messages.Snapshot(0, 0, bootstrap, machine.snapshot())
+            store.save_snapshot(0, 0, messages.encode_snapshot(snapshot))
+    except state_errors.StateError as error:
+        store.close()
+        raise errors.StorageFailed(str(error)) from error
+    seed = settings.seed
+    node = core.make_node(
+        inputs.Config(
+            member_id=settings.member_id,
+            seed=secrets.randbits(64) if seed is None else seed,
+            hard_state=stored.hard_state,
+            snapshot=snapshot,
+            entries=stored.entries,
+            election_ticks=settings.election_ticks,
+            heartbeat_ticks=settings.heartbeat_ticks,
+        )
+    )
+    applied = 0 if snapshot is None else snapshot.index
+    return node, applied
--- a/papayalink/coordination/waiting.py
+++ b/papayalink/coordination/waiting.py
@@ -8,6 +8,7 @@
 
 from papayalink.coordination import errors
 from papayalink.coordination.raft import inputs
+from papayalink.state import log_entries
 
 # At the default tick 200 ms, well above a round trip between zones.
 _READ_RETRY_TICKS = 4
@@ -56,6 +57,78 @@
     return itertools.count(secrets.randbits(60))
 
 
+class Requests:
+    """Proposals and membership changes of one replica.
+
+    Args:
+        tokens: source of tokens.
+    """
+
+    __slots__ = ("_tokens", "_handed", "_appended")
+
+    def __init__(self, tokens: itertools.count) -> None:
+        self._tokens = tokens
+        # By token until appended, then by index with the entry's term.
+        self._handed: dict[int, Waiter] = {}
+        self._appended: dict[int, tuple[int, Waiter]] = {}
+
+    def add(self, waiter: Waiter) -> int:
+        """Returns: the token under which the node gets the request."""
+        token = next(self._tokens)
+        self._handed[token] = waiter
+        return token
+
+    def appended(self, appended: inputs.Appended) -> None:
+        """Note that the log holds a request."""
+        waiter = self._handed.pop(appended.token)
+        waiter.appended = True
+        _, earlier = self._appended.pop(appended.index, (0, None))
+        if earlier is not None:
+            earlier.fail(errors.Unknown("replaced after losing leadership"))
+        self._appended[appended.index] = (appended.term, waiter)
+
+    def refused(self, dropped: inputs.Dropped, leader_id: str | None) -> None:
+        """Fail a request that the node refused."""
+        waiter = self._handed.pop(dropped.token, None)
+        if waiter is None:
+            return
+        match dropped.cause:
+            case inputs.DropCause.NOT_LEADER:
+                waiter.fail(errors.NotLeader(leader_id))
+            case inputs.DropCause.CHANGE_REFUSED:
+                waiter.fail(errors.ChangeRefused(dropped.reason))
+            case inputs.DropCause.UNAVAILABLE:
+                waiter.fail(errors.Unavailable(dropped.reason))
+
+    def applied(
+        self, entry: log_entries.Entry, outcome: bytes, leader_id: str | None
+    ) -> None:
+        """Finish the request whose index was applied."""
+        term, waiter = self._appended.pop(entry.index, (0, None))
+        if waiter is None:
+            return
+        if term == entry.term:
+            waiter.resolve(outcome)
+        else:
+            # Another leader's entry took its place, so it was never run.
+            waiter.fail(errors.NotLeader(leader_id))
+
+    def covered(self, index: int) -> None:
+        """Fail requests whose entries a received snapshot covers."""
+        for each in [each for each in self._appended if each <= index]:
+            _, waiter = self._appended.pop(each)
+            waiter.fail(errors.Unknown("covered by a received snapshot"))
+
+    def fail_all(self, reason: str) -> None:
+        """Fail everything, when the replica stops."""
+        for waiter in self._handed.values():
+            waiter.fail(errors.Unavailable(reason))
+        for _, waiter in self._appended.values():
+            waiter.fail(errors.Unknown(reason))
+        self._handed.clear()
+        self._appended.clear()
+
+
 class Reads:
     """Reads of one replica, of which many share one confirmation.
 
