Test single nodes with scripted events

Cause: breaking the core by hand (votes before their write, commits of old terms by counting, reads before a commit of the term, counting unwritten entries) passed the random tests, which reach these orders too rarely. Change: 14 scripted tests of single nodes.

--- /dev/null
+++ b/tests/coordination/raft/test_core.py
@@ -0,0 +1,205 @@
+"""Scripted tests of single nodes, for orders of events that are rare."""
+
+import pytest
+
+from papayalink.coordination.raft import core
+from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import membership as memberships
+from papayalink.coordination.raft import messages
+from papayalink.state import log_entries
+
+_COMMAND = log_entries.EntryKind.COMMAND
+_NOOP = log_entries.EntryKind.NOOP
+
+
+def _entry(index, term):
+    return log_entries.Entry(index, term, _COMMAND, b"x")
+
+
+def _node(entries=(), term=0, members="abc", learners=""):
+    every = [memberships.Member(each) for each in members]
+    every += [memberships.Member(each, "", False) for each in learners]
+    membership = memberships.Membership(tuple(every))
+    return core.make_node(
+        inputs.Config(
+            member_id="a",
+            seed=1,
+            hard_state=log_entries.HardState(term),
+            snapshot=messages.Snapshot(0, 0, membership, b""),
+            entries=list(entries),
+        )
+    )
+
+
+def _tick(node, count):
+    sent = []
+    for _ in range(count):
+        sent.extend(node.step(inputs.Tick()).messages)
+    return sent
+
+
+def _receive(node, kind, *fields, term=None, sender="b"):
+    term = node.term if term is None else term
+    message = kind(sender, "a", term, *fields)
+    return node.step(inputs.Receive(message))
+
+
+def _persist(node, ready):
+    return node.step(inputs.Persisted(ready.write_id))
+
+
+def _elect(node):
+    """Make the node leader; returns the output with its first entry."""
+    while node.role.value != "pre-candidate":
+        _tick(node, 1)
+    ready = _receive(node, messages.PreVoteReply, True, term=node.term + 1)
+    assert ready.messages == [], "votes asked for before the own is durable"
+    _persist(node, ready)
+    ready = _receive(node, messages.VoteReply, True)
+    assert node.is_leader
+    return ready
+
+
+@pytest.mark.parametrize(
+    "kind, fields, reply",
+    [
+        (messages.Vote, (0, 0), messages.VoteReply),
+        (messages.Append, (0, 0, (_entry(1, 1),), 0), messages.AppendReply),
+        (
+            messages.InstallSnapshot,
+            (messages.Snapshot(5, 1, memberships.Membership(), b""),),
+            messages.AppendReply,
+        ),
+    ],
+)
+def test_promise_waits_for_its_write(kind, fields, reply):
+    """A member that restarts must not have promised what it forgot."""
+    node = _node()
+    ready = _receive(node, kind, *fields, term=1)
+    assert ready.messages == []
+    (sent,) = _persist(node, ready).messages
+    assert isinstance(sent, reply)
+    # A newer term voids promises that are not yet sent.
+    node = _node()
+    ready = _receive(node, kind, *fields, term=1)
+    _receive(node, messages.StaleTerm, term=2)
+    assert _persist(node, ready).messages == []
+
+
+def test_one_vote_in_a_term():
+    node = _node()
+    _receive(node, messages.Vote, 0, 0, term=1)
+    ready = _receive(node, messages.Vote, 0, 0, term=1, sender="c")
+    (reply,) = node.step(inputs.Persisted(9)).messages[1:]
+    assert (reply.to, reply.granted, ready.hard_state) == ("c", False, None)
+
+
+def test_leader_does_not_count_its_unwritten_entries():
+    node = _node()
+    first = _elect(node)
+    assert _receive(node, messages.AppendReply, 0, 0).committed == []
+    _receive(node, messages.AppendReply, 1, 1, sender="b")
+    assert node.commit == 0
+    _persist(node, first)
+    assert node.commit == 1
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting():
+    """A later leader could still replace it, though a quorum holds it."""
+    node = _node([_entry(1, 1)], term=2)
+    first = _elect(node)
+    _persist(node, first)
+    _receive(node, messages.AppendReply, 1, 1)
+    assert node.commit == 0
+    _receive(node, messages.AppendReply, 2, 2)
+    assert node.commit == 2
+
+
+def test_replaced_entries_are_not_durable_by_an_earlier_write():
+    node = _node()
+    entries = tuple(_entry(index, 1) for index in (1, 2, 3))
+    first = _receive(node, messages.Append, 0, 0, entries, 0, term=1)
+    _receive(node, messages.Append, 1, 1, (_entry(2, 2),), 0, term=2)
+    _persist(node, first)
+    assert node.persisted == 1
+
+
+def test_isolated_member_does_not_raise_its_term():
+    node = _node(term=7)
+    assert {type(each) for each in _tick(node, 200)} == {messages.PreVote}
+    assert node.term == 7
+
+
+def test_leader_without_a_quorum_steps_down():
+    node = _node()
+    _elect(node)
+    _tick(node, 25)
+    assert not node.is_leader
+
+
+def test_follower_of_a_live_leader_ignores_candidates():
+    """A member that was cut off or removed must not depose a leader."""
+    node = _node()
+    _receive(node, messages.Heartbeat, 0, 0, term=1)
+    for kind in (messages.PreVote, messages.Vote):
+        ready = _receive(node, kind, 9, 9, term=2, sender="c")
+        assert (ready.messages, node.term) == ([], 1)
+
+
+def test_learners_neither_vote_nor_count():
+    node = _node(members="bcd", learners="a")
+    assert _tick(node, 100) == []
+    node = _node(learners="de")
+    _persist(node, _elect(node))
+    for sender in "de":
+        _receive(node, messages.AppendReply, 1, 1, sender=sender)
+    assert node.commit == 0
+
+
+def test_read_waits_for_an_entry_of_the_term_and_a_later_round():
+    node = _node([_entry(1, 1)], term=1)
+    _persist(node, _elect(node))
+    ready = node.step(inputs.ReadIndex(1))
+    assert (ready.reads, ready.messages) == ([], [])
+    ready = _receive(node, messages.AppendReply, 2, 2)
+    assert ready.reads == []
+    assert _receive(node, messages.HeartbeatReply, 0).reads == []
+    # The round of the first read does not confirm the second.
+    node.step(inputs.ReadIndex(2))
+    assert _receive(node, messages.HeartbeatReply, 1).reads == [
+        inputs.Read(1, 2)
+    ]
+    assert _receive(node, messages.HeartbeatReply, 2).reads == [
+        inputs.Read(2, 2)
+    ]
+
+
+def test_changes_come_one_at_a_time_after_a_commit_of_the_term():
+    node = _node(learners="d")
+    first = _elect(node)
+    wanted = [
+        memberships.RemoveMember("c"),
+        memberships.PromoteLearner("d"),
+        memberships.RemoveMember("c"),
+        memberships.RemoveMember("b"),
+    ]
+    before = node.step(inputs.ChangeMembers(wanted[0], 0))
+    _persist(node, first)
+    _receive(node, messages.AppendReply, 1, 1)
+    rest = [
+        node.step(inputs.ChangeMembers(change, token))
+        for token, change in enumerate(wanted[1:], 1)
+    ]
+    refused = [
+        each.token for ready in (before, *rest) for each in ready.dropped
+    ]
+    # The learner has acknowledged entry 0 of 1, which is near enough.
+    assert refused == [0, 2, 3]
+
+
+def test_full_member_acknowledges_only_what_is_durable():
+    node = _node([_entry(1, 1)], term=1)
+    node.step(inputs.StorageFull())
+    ready = _receive(node, messages.Append, 1, 1, (_entry(2, 1),), 1, term=1)
+    assert [(each.match, each.accepted) for each in ready.messages] == [(1, 2)]
+    assert node.last_index == 2
