--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -28,19 +28,19 @@
 # each day, and gaps reach days.
 COPY_VALUE = 0.03
 
-# Gaps run from seconds to a month. Two buckets to an octave tell minutes from
+# Gaps run from seconds to a month. One bucket to an octave tells minutes from
 # hours without thinning out the counts.
 _FIRST_EDGE_S = 15.0
-_BUCKETS = 36
-_EDGES_S = [_FIRST_EDGE_S * 2 ** (i / 2) for i in range(_BUCKETS - 1)]
+_BUCKETS = 20
+_EDGES_S = [_FIRST_EDGE_S * 2**i for i in range(_BUCKETS - 1)]
 _WIDTHS_S = [
     high - low
-    for low, high in zip([0.0, *_EDGES_S], [*_EDGES_S, _EDGES_S[-1] * 2**0.5])
+    for low, high in zip([0.0, *_EDGES_S], [*_EDGES_S, 2 * _EDGES_S[-1]])
 ]
 
 # Before anything was observed, a prompt is as likely to return within one
 # bucket as within the next: gaps have no typical scale.
-_PRIOR_HAZARDS = (0.05,) * _BUCKETS
+_PRIOR_HAZARD = 0.05
 
 # A pool counts as much as the larger pool above it after this many pieces.
 _PRIOR_WEIGHT = 6.0
@@ -48,9 +48,16 @@
 # Prompts that were seen more often than this are pooled.
 _MAX_SIGHTINGS = 8
 
-# Return rates are computed anew after this time or when the counts have grown
-# by a fifth.
-_RATES_AGE_S = 600.0
+# Families whose gaps are pooled; the one that returned longest ago goes first.
+_MAX_FAMILIES = 5_000
+
+# Orders the pieces of one prompt without outweighing differences between
+# prompts.
+_POSITION_DISCOUNT = 1e-4
+
+# A return rate is computed anew after this time: the pools behind it change
+# slowly, while each arrival asks for many rates.
+_RATE_AGE_S = 600.0
 
 
 class PieceFacts(msgspec.Struct, frozen=True):
@@ -158,7 +165,10 @@
         size_bytes: int,
         now: float,
     ) -> float:
-        return self._last_seen.get(key.digest, 0.0)
+        # Of pieces seen together the later ones go first: they are useless
+        # without the earlier ones.
+        seen_at = self._last_seen.get(key.digest, 0.0)
+        return seen_at - facts.position * 1e-6
 
     def copies(self, value: float, floor: float) -> int:
         return 1
@@ -172,12 +182,11 @@
     for the time they were watched.
     """
 
-    __slots__ = ("reached", "returned", "changes")
+    __slots__ = ("reached", "returned")
 
     def __init__(self) -> None:
-        self.reached = [0.0] * _BUCKETS
-        self.returned = [0.0] * _BUCKETS
-        self.changes = 0
+        self.reached = [0] * _BUCKETS
+        self.returned = [0] * _BUCKETS
 
 
 class _Cohort:
@@ -211,8 +220,10 @@
         self.digests: list[str] = []
 
 
-# Workspace and family; None for the whole workspace or the whole fleet.
-_Scope = tuple[str | None, str | None, int]
+# Workspace and family; empty for the whole workspace or the whole fleet.
+_Scope = tuple[str, str]
+
+_FLEET: _Scope = ("", "")
 
 
 class ReturnPolicy(Policy):
@@ -232,6 +243,7 @@
 
     __slots__ = (
         "_gaps",
+        "_families",
         "_cohorts",
         "_max_pieces",
         "_order",
@@ -241,13 +253,17 @@
     )
 
     def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
-        self._gaps: dict[_Scope, _Gaps] = {}
+        # By scope and number of sightings.
+        self._gaps: dict[_Scope, dict[int, _Gaps]] = {}
+        self._families: collections.OrderedDict[_Scope, None] = (
+            collections.OrderedDict()
+        )
         self._cohorts: dict[str, _Cohort] = {}
         self._max_pieces = max_pieces
         self._order: collections.deque[_Cohort] = collections.deque()
         self._due: list[tuple[float, int, _Cohort]] = []
         self._ties = itertools.count()
-        self._rates: dict[_Scope, tuple[float, int, list[float]]] = {}
+        self._rates: dict[tuple[_Scope, int, int], tuple[float, float]] = {}
 
     def arrive(self, keys: Sequence[pieces.PieceKey], now: float) -> None:
         if not keys:
@@ -283,8 +299,12 @@
         sightings, age = 1, 0.0
         if cohort is not None:
             sightings, age = cohort.sightings, now - cohort.seen_at
-        rates = self._return_rates(key.workspace, facts.family, sightings, now)
-        value = facts.recompute_s * rates[_bucket(age)] / max(1, size_bytes)
+        scope = (key.workspace, facts.family)
+        rate = self._return_rate(scope, sightings, _bucket(age), now)
+        value = facts.recompute_s * rate / max(1, size_bytes)
+        # A later piece is useless without the earlier ones, so that of pieces
+        # seen together the later ones go first.
+        value /= 1 + _POSITION_DISCOUNT * facts.position
         return value * COPY_VALUE if facts.is_copy else value
 
     def copies(self, value: float, floor: float) -> int:
@@ -295,33 +315,37 @@
     ) -> _Cohort:
         cohort = _Cohort(workspace, family, sightings, now)
         self._order.append(cohort)
-        heapq.heappush(self._due, (now, next(self._ties), cohort))
+        due = now + _EDGES_S[0]
+        heapq.heappush(self._due, (due, next(self._ties), cohort))
         return cohort
 
-    def _scopes(
-        self, workspace: str, family: str, sightings: int
-    ) -> tuple[_Scope, _Scope, _Scope]:
-        return (
-            (None, None, sightings),
-            (workspace, None, sightings),
-            (workspace, family, sightings),
-        )
-
     def _pools(self, cohort: _Cohort) -> list[_Gaps]:
-        return [
-            self._gaps.setdefault(scope, _Gaps())
-            for scope in self._scopes(
-                cohort.workspace, cohort.family, cohort.sightings
-            )
-        ]
+        scopes = [_FLEET, (cohort.workspace, "")]
+        # Most families are one prompt that never returns. A family gets a
+        # pool with its first return.
+        family = (cohort.workspace, cohort.family)
+        if family in self._families:
+            scopes.append(family)
+        pools = []
+        for scope in scopes:
+            by_sightings = self._gaps.setdefault(scope, {})
+            if cohort.sightings not in by_sightings:
+                by_sightings[cohort.sightings] = _Gaps()
+            pools.append(by_sightings[cohort.sightings])
+        return pools
 
     def _record(self, cohort: _Cohort, now: float) -> None:
+        family = (cohort.workspace, cohort.family)
+        self._families[family] = None
+        self._families.move_to_end(family)
+        if len(self._families) > _MAX_FAMILIES:
+            oldest, _ = self._families.popitem(last=False)
+            self._gaps.pop(oldest, None)
         bucket = _bucket(now - cohort.seen_at)
         for gaps in self._pools(cohort):
             for reached in range(cohort.credited, bucket + 1):
                 gaps.reached[reached] += 1
             gaps.returned[bucket] += 1
-            gaps.changes += 1
 
     def _credit(self, now: float) -> None:
         """Count open cohorts in the buckets they have passed."""
@@ -332,12 +356,10 @@
             # A bucket counts once it has passed: within it the piece may
             # still return.
             passed = _bucket(now - cohort.seen_at)
-            if passed > cohort.credited:
-                for gaps in self._pools(cohort):
-                    for reached in range(cohort.credited, passed):
-                        gaps.reached[reached] += 1
-                    gaps.changes += 1
-                cohort.credited = passed
+            for gaps in self._pools(cohort):
+                for reached in range(cohort.credited, passed):
+                    gaps.reached[reached] += 1
+            cohort.credited = passed
             if passed < _BUCKETS - 1:
                 due = cohort.seen_at + _EDGES_S[passed]
                 heapq.heappush(self._due, (due, next(self._ties), cohort))
@@ -349,56 +371,55 @@
             if self._cohorts.get(digest) is cohort:
                 del self._cohorts[digest]
 
-    def _return_rates(
-        self, workspace: str, family: str, sightings: int, now: float
-    ) -> list[float]:
-        """Returns: for each bucket of age the returns per second held."""
-        scopes = self._scopes(workspace, family, sightings)
-        known = [scope for scope in scopes if scope in self._gaps]
-        scope = known[-1] if known else scopes[0]
-        changes = sum(self._gaps[each].changes for each in known[-1:])
-        cached = self._rates.get(scope)
-        if cached is not None:
-            since, seen, rates = cached
-            if now - since < _RATES_AGE_S and changes <= seen * 1.2 + 2:
-                return rates
-        hazards = list(_PRIOR_HAZARDS)
-        for each in known:
-            gaps = self._gaps[each]
-            hazards = [
-                (returned + _PRIOR_WEIGHT * prior) / (reached + _PRIOR_WEIGHT)
-                for returned, reached, prior in zip(
-                    gaps.returned, gaps.reached, hazards
-                )
-            ]
-        rates = _best_rates(hazards)
-        self._rates[scope] = (now, changes, rates)
-        return rates
+    def _return_rate(
+        self, scope: _Scope, sightings: int, bucket: int, now: float
+    ) -> float:
+        """Returns: returns per second held of a piece of this age."""
+        if scope not in self._gaps:
+            scope = (scope[0], "")
+        place = (scope, sightings, bucket)
+        cached = self._rates.get(place)
+        if cached is not None and now - cached[0] < _RATE_AGE_S:
+            return cached[1]
+        if len(self._rates) > 4 * _MAX_FAMILIES:
+            self._rates.clear()
+        pools = []
+        for each in dict.fromkeys((_FLEET, (scope[0], ""), scope)):
+            gaps = self._gaps.get(each, {}).get(sightings)
+            if gaps is not None:
+                pools.append(gaps)
+        rate = _best_rate(pools, bucket)
+        self._rates[place] = (now, rate)
+        return rate
 
 
 def _bucket(age_s: float) -> int:
     return bisect.bisect_right(_EDGES_S, age_s)
 
 
-def _best_rates(hazards: Sequence[float]) -> list[float]:
-    """Returns: the best returns per second for a piece in each bucket.
+def _best_rate(pools: Sequence[_Gaps], first: int) -> float:
+    """Returns: the highest returns per second, over all times to hold.
 
     Args:
-        hazards: probability of a return within each bucket once reached.
+        pools: gaps, from the largest pool to the smallest.
+        first: bucket of the age of the piece.
     """
-    rates = []
-    for first in range(_BUCKETS):
-        best = returned = occupied_s = 0.0
-        reached = 1.0
-        for bucket in range(first, _BUCKETS):
-            hazard = hazards[bucket]
-            # A return within a bucket falls in its middle on average.
-            occupied_s += reached * _WIDTHS_S[bucket] * (1 - hazard / 2)
-            returned += reached * hazard
-            reached *= 1 - hazard
-            best = max(best, returned / occupied_s)
-        rates.append(best)
-    return rates
+    best = returned = occupied_s = 0.0
+    reached = 1.0
+    for bucket in range(first, _BUCKETS):
+        hazard = _PRIOR_HAZARD
+        for gaps in pools:
+            hazard = (gaps.returned[bucket] + _PRIOR_WEIGHT * hazard) / (
+                gaps.reached[bucket] + _PRIOR_WEIGHT
+            )
+        # A return within a bucket falls in its middle on average.
+        occupied_s += reached * _WIDTHS_S[bucket] * (1 - hazard / 2)
+        returned += reached * hazard
+        reached *= 1 - hazard
+        rate = returned / occupied_s
+        if rate > best:
+            best = rate
+    return best
 
 
 class _Holding:
@@ -548,10 +569,10 @@
             0 if key in self._holdings else size
         )
         left = {name: share.used for name, share in self._shares.items()}
-        taken: list[_Rank] = []
+        parked: list[_Rank] = []
         heads: list[_Rank] = []
         for name in self._shares:
-            self._take_lowest(name, is_pinned, taken, heads)
+            self._push_lowest(name, is_pinned, parked, heads)
         victims = []
         while need_bytes > 0 and heads:
             rank, _, victim = heapq.heappop(heads)
@@ -567,25 +588,28 @@
             victims.append(victim)
             left[owner] -= victim_size
             need_bytes -= victim_size
-            self._take_lowest(owner, is_pinned, taken, heads)
-        for entry in taken:
+            parked.append(heapq.heappop(self._shares[owner].ranks))
+            self._push_lowest(owner, is_pinned, parked, heads)
+        for entry in parked:
             heapq.heappush(self._shares[entry[2].workspace].ranks, entry)
         return victims if need_bytes <= 0 else None
 
-    def _take_lowest(
+    def _push_lowest(
         self,
         workspace: str,
         is_pinned: Callable[[pieces.PieceKey], bool],
-        taken: list[_Rank],
+        parked: list[_Rank],
         heads: list[_Rank],
     ) -> None:
+        """Push the lowest piece that may go; park the pinned ones below."""
         ranks = self._shares[workspace].ranks
         while ranks:
-            entry = heapq.heappop(ranks)
+            entry = ranks[0]
             if not self._is_current(entry):
-                continue
-            taken.append(entry)
-            if not is_pinned(entry[2]):
+                heapq.heappop(ranks)
+            elif is_pinned(entry[2]):
+                parked.append(heapq.heappop(ranks))
+            else:
                 heapq.heappush(heads, entry)
                 return
 
