--- a/papayalink/coordination/links.py
+++ b/papayalink/coordination/links.py
@@ -17,8 +17,10 @@
 _SLOW_FACTOR = 0.5
 _SLOW_COUNT = 2
 
-# Transfers shorter than this measure latency rather than the link.
+# Transfers both smaller and shorter than this measure latency rather than the
+# link.
 _MIN_SAMPLE_BYTES = 64 * 1024
+_MIN_SAMPLE_S = 1.0
 
 # An estimate this old may be of a link that has recovered.
 _STALE_S = 30.0
@@ -58,12 +60,9 @@
         """
         if duration_s <= 0:
             return
-        rate = max(1.0, size_bytes / duration_s)
-        if size_bytes < _MIN_SAMPLE_BYTES and rate >= self._rate:
-            return
-        # A small transfer can only be slow because of latency.
-        if size_bytes < _MIN_SAMPLE_BYTES and duration_s < 1.0:
+        if size_bytes < _MIN_SAMPLE_BYTES and duration_s < _MIN_SAMPLE_S:
             return
+        rate = max(1.0, size_bytes / duration_s)
         self._updated_at = now
         if not self._measured:
             self._measured = True
