Pool prompts that share no first piece apart from applications

Cause: prompts of a family not seen before were valued by the whole workspace, which overrates one-off prompts beside an application that returns. Ruled out: a pool for each such family, since most consist of one prompt. Change: a pool for each workspace of the families that consist of one prompt.

--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -225,6 +225,11 @@
 
 _FLEET: _Scope = ("", "")
 
+# Pools the families of a workspace that consist of one prompt. Most of these
+# never return, unlike the prompts of an application that share a first piece.
+# No digest looks like this name.
+_SINGLE = "single"
+
 
 class ReturnPolicy(Policy):
     """Values a piece by the prefill time it is expected to save.
@@ -244,6 +249,7 @@
     __slots__ = (
         "_gaps",
         "_families",
+        "_shared",
         "_cohorts",
         "_max_pieces",
         "_order",
@@ -258,6 +264,9 @@
         self._families: collections.OrderedDict[_Scope, None] = (
             collections.OrderedDict()
         )
+        self._shared: collections.OrderedDict[_Scope, None] = (
+            collections.OrderedDict()
+        )
         self._cohorts: dict[str, _Cohort] = {}
         self._max_pieces = max_pieces
         self._order: collections.deque[_Cohort] = collections.deque()
@@ -269,6 +278,7 @@
         if not keys:
             return
         self._credit(now)
+        self._note_shared(keys)
         workspace, family = keys[0].workspace, keys[0].digest
         created: dict[int, _Cohort] = {}
         for key in keys:
@@ -299,8 +309,9 @@
         sightings, age = 1, 0.0
         if cohort is not None:
             sightings, age = cohort.sightings, now - cohort.seen_at
-        scope = (key.workspace, facts.family)
-        rate = self._return_rate(scope, sightings, _bucket(age), now)
+        rate = self._return_rate(
+            key.workspace, facts.family, sightings, _bucket(age), now
+        )
         value = facts.recompute_s * rate / max(1, size_bytes)
         # A later piece is useless without the earlier ones, so that of pieces
         # seen together the later ones go first.
@@ -319,21 +330,38 @@
         heapq.heappush(self._due, (due, next(self._ties), cohort))
         return cohort
 
+    def _scopes(self, workspace: str, family: str) -> list[_Scope]:
+        """Returns: the pools a family draws on, the largest first."""
+        scopes = [_FLEET, (workspace, "")]
+        own = (workspace, family)
+        if own not in self._shared:
+            scopes.append((workspace, _SINGLE))
+        if own in self._families:
+            scopes.append(own)
+        return scopes
+
     def _pools(self, cohort: _Cohort) -> list[_Gaps]:
-        scopes = [_FLEET, (cohort.workspace, "")]
-        # Most families are one prompt that never returns. A family gets a
-        # pool with its first return.
-        family = (cohort.workspace, cohort.family)
-        if family in self._families:
-            scopes.append(family)
         pools = []
-        for scope in scopes:
+        for scope in self._scopes(cohort.workspace, cohort.family):
             by_sightings = self._gaps.setdefault(scope, {})
             if cohort.sightings not in by_sightings:
                 by_sightings[cohort.sightings] = _Gaps()
             pools.append(by_sightings[cohort.sightings])
         return pools
 
+    def _note_shared(self, keys: Sequence[pieces.PieceKey]) -> None:
+        """Remember a family once a second prompt starts with its piece."""
+        if (
+            len(keys) > 1
+            and keys[0].digest in self._cohorts
+            and keys[1].digest not in self._cohorts
+        ):
+            family = (keys[0].workspace, keys[0].digest)
+            self._shared[family] = None
+            self._shared.move_to_end(family)
+            if len(self._shared) > _MAX_FAMILIES:
+                self._shared.popitem(last=False)
+
     def _record(self, cohort: _Cohort, now: float) -> None:
         family = (cohort.workspace, cohort.family)
         self._families[family] = None
@@ -372,20 +400,24 @@
                 del self._cohorts[digest]
 
     def _return_rate(
-        self, scope: _Scope, sightings: int, bucket: int, now: float
+        self,
+        workspace: str,
+        family: str,
+        sightings: int,
+        bucket: int,
+        now: float,
     ) -> float:
         """Returns: returns per second held of a piece of this age."""
-        if scope not in self._gaps:
-            scope = (scope[0], "")
-        place = (scope, sightings, bucket)
+        scopes = self._scopes(workspace, family)
+        place = (scopes[-1], sightings, bucket)
         cached = self._rates.get(place)
         if cached is not None and now - cached[0] < _RATE_AGE_S:
             return cached[1]
         if len(self._rates) > 4 * _MAX_FAMILIES:
             self._rates.clear()
         pools = []
-        for each in dict.fromkeys((_FLEET, (scope[0], ""), scope)):
-            gaps = self._gaps.get(each, {}).get(sightings)
+        for scope in scopes:
+            gaps = self._gaps.get(scope, {}).get(sightings)
             if gaps is not None:
                 pools.append(gaps)
         rate = _best_rate(pools, bucket)
