Admit on idle upstreams, report changes of state at once

Cause: a sole caller with a long prompt was refused as above its share on an idle fleet, and after a start or a swap entries saw an agent's old state for up to a poll period. Ruled out: a larger slack, which would admit late work in floods. Change: a wait below a tenth of the target is no overload; agents poll at once when their state or weights change; the prefill rate is measured.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,7 @@
 """Deployments of the usual shape."""
 
+import time
+
 import geventhttpclient
 import msgspec
 
@@ -192,6 +194,8 @@
             if not name.startswith(("fake-", "control-"))
         ]
     )
+    for entry in range(1, entries + 1):
+        _wait_reported(deployment, f"entry-{entry}", len(upstreams))
     return Fleet(
         deployment,
         document,
@@ -203,6 +207,18 @@
     )
 
 
+def _wait_reported(deployment, entry: str, count: int) -> None:
+    """Wait until an entry has a report of each upstream that takes work."""
+    deadline = time.monotonic() + deployments.START_TIMEOUT_S
+    while True:
+        loads = deployment.dump(entry)["loads"]
+        if sum(report[2] == "up" for report in loads) == count:
+            return
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{entry} has reports {loads}")
+        time.sleep(0.05)
+
+
 def _order_service() -> dict:
     return {
         "name": "orders",
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -142,7 +142,7 @@
                 arrival.rank,
                 arrival.workspace,
                 arrival.tokens,
-                self._predict(arrival),
+                *self._predict(arrival),
                 self.loop.now,
             )
             if isinstance(outcome, admission.Refused):
@@ -177,7 +177,8 @@
             tuple(load.at(now) / self.rate for load in self.loads),
         )
 
-    def _predict(self, arrival: Arrival) -> float:
+    def _predict(self, arrival: Arrival) -> tuple[float, float]:
+        """Returns: predicted first token and the wait in it, seconds."""
         rank = NAMES.index(arrival.rank)
         request = routing.Request(
             arrival.request_id,
@@ -194,7 +195,8 @@
             part = self.queue.part_ahead(
                 arrival.rank, arrival.workspace, arrival.tokens
             )
-        return decision.ttft_s - (1.0 - part) * decision.wait_s
+        wait_s = part * decision.wait_s
+        return decision.ttft_s - decision.wait_s + wait_s, wait_s
 
     def _free_slots(self) -> tuple[int, ...]:
         if isinstance(self.queue, queueing.FifoQueue):
@@ -323,6 +325,7 @@
                 arrival.workspace,
                 arrival.tokens,
                 decision.ttft_s,
+                decision.wait_s,
                 now,
             )
             if isinstance(outcome, admission.Refused):
--- a/papayalink/coordination/admission.py
+++ b/papayalink/coordination/admission.py
@@ -15,6 +15,9 @@
 # callers from a short burst of a small one.
 FADE_S = 10.0
 
+# A wait below this part of the target does not count as overload.
+IDLE_PART = 0.1
+
 # Fair shares are computed over a little less than what was admitted lately, so
 # that the largest callers are above theirs before others are refused.
 CAPACITY_MARGIN = 0.8
@@ -28,6 +31,9 @@
 # the upstreams do not run dry while the largest callers are held back.
 LEAST_LIMIT = 0.25
 
+# A wait below this part of the target does not count as overload.
+IDLE_PART = 0.1
+
 # Fair shares are computed at most this often, since each time costs a sort of
 # all active workspaces.
 LEVEL_PERIOD_S = 0.25
@@ -131,6 +137,7 @@
         workspace: str,
         tokens: int,
         ttft_s: float,
+        wait_s: float,
         now: float,
     ) -> Admitted | Refused:
         """Admit or refuse one request; each request is asked for once.
@@ -140,6 +147,7 @@
             workspace: workspace of the caller.
             tokens: expected tokens of service.
             ttft_s: predicted time to first token.
+            wait_s: part of it before the request starts.
             now: seconds.
 
         Returns:
@@ -162,7 +170,10 @@
         limit_s = target_s
         if excess > 1:
             limit_s = target_s * max(LEAST_LIMIT, EXCESS_LIMIT / excess)
-        if ttft_s <= limit_s:
+        # A long prompt on an idle upstream is served, late or not: a repeat
+        # would not be faster.
+        idle = wait_s <= IDLE_PART * target_s
+        if idle or ttft_s <= limit_s:
             caller.admitted.add(tokens, now)
             return Admitted()
         reason = "late" if ttft_s > target_s else "share"
@@ -208,6 +219,7 @@
         workspace: str,
         tokens: int,
         ttft_s: float,
+        wait_s: float,
         now: float,
     ) -> Admitted | Refused:
         return Admitted()
--- a/papayalink/coordination/follower.py
+++ b/papayalink/coordination/follower.py
@@ -9,6 +9,7 @@
 
 from papayalink import clock as clocks
 from papayalink import logs
+from papayalink import tasks
 from papayalink import timers
 from papayalink.coordination import lease as leases
 from papayalink.protocol import messages
@@ -119,7 +120,11 @@
     def start(self) -> None:
         self._timers.every(leases.POLL_PERIOD_S, self._inbox, _PollDue())
         self._inbox.put(_PollDue())
-        self._task = gevent.spawn(self._run)
+        self._task = tasks.spawn(self._run)
+
+    def poll_soon(self) -> None:
+        """Poll again without waiting for the next tick."""
+        self._inbox.put(_PollDue())
 
     def stop(self) -> None:
         if self._task is not None:
--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from papayalink import logs
+from papayalink import tasks
 from papayalink import timers
 from papayalink.coordination import errors
 from papayalink.coordination import log_writer
@@ -127,7 +128,7 @@
         self._ticks = timer_service.every(
             settings.tick_s, self._inbox, _Tick()
         )
-        self._task = gevent.spawn(self._run)
+        self._task = tasks.spawn(self._run)
 
     @property
     def is_leader(self) -> bool:
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -25,11 +25,13 @@
     Attributes:
         weight_version: weights that the replica has loaded.
         ttft_s: predicted time to first token.
+        wait_s: part of it before the request starts.
     """
 
     upstream: documents.Upstream
     weight_version: str
     ttft_s: float
+    wait_s: float
 
 
 class Wanted(msgspec.Struct):
@@ -167,6 +169,7 @@
             usable[decision.upstream],
             versions[decision.upstream],
             decision.ttft_s,
+            decision.wait_s,
         )
 
     def choose_service(
@@ -302,7 +305,7 @@
                 queued_items=(0,) * ranks,
                 prefill_rate=_UNKNOWN_PREFILL_RATE,
                 reported_at=now,
-                free_slots=upstream.max_running,
+                free_slots=(upstream.max_running,) * ranks,
                 shares=self._shares,
                 weight=weight,
             )
@@ -314,8 +317,9 @@
             queued_items=_padded(report.waiting, ranks),
             prefill_rate=report.prefill_rate,
             reported_at=taken_at,
-            free_slots=report.free_slots,
-            slot_period_s=report.slot_period_s,
+            free_slots=_padded(report.free_slots, ranks),
+            start_periods_s=_padded(report.start_periods_s, ranks),
+            loads=_padded(report.loads, ranks),
             shares=self._shares,
             weight=weight,
         )
@@ -343,7 +347,7 @@
 _MAX_HINTS = 20_000
 
 
-def _padded(values: tuple[int, ...], count: int) -> tuple[int, ...]:
+def _padded(values: tuple, count: int) -> tuple:
     """Reports of an agent with another document have other ranks."""
     return (values + (0,) * count)[:count]
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -28,11 +28,13 @@
     Attributes:
         state: "up", "down", "loading" or "leaving".
         weight_version: weights loaded, "" for a plain service.
-        free_slots: requests that can start at once.
         waiting: requests queued, by rank, most urgent first.
-        waiting_tokens: tokens queued, by rank.
+        waiting_tokens: prompt tokens queued or in prefill, by rank.
+        free_slots: requests that could start at once, by rank.
+        start_periods_s: mean time between two starts while work waits, by
+            rank.
+        loads: part of the capacity that each rank took lately.
         prefill_rate: measured prompt tokens a second.
-        slot_period_s: mean time between two requests that end, while busy.
         sequence: goes up with each report of an incarnation.
         age_s: seconds since it was taken.
     """
@@ -40,11 +42,12 @@
     upstream: str
     state: str = "up"
     weight_version: str = ""
-    free_slots: int = 0
     waiting: tuple[int, ...] = ()
     waiting_tokens: tuple[int, ...] = ()
+    free_slots: tuple[int, ...] = ()
+    start_periods_s: tuple[float, ...] = ()
+    loads: tuple[float, ...] = ()
     prefill_rate: float = 0.0
-    slot_period_s: float = 0.0
     sequence: int = 0
     age_s: float = 0.0
 
--- a/papayalink/protocol/relay.py
+++ b/papayalink/protocol/relay.py
@@ -23,6 +23,7 @@
         body: the caller's JSON.
         deadline_s: seconds from its arrival within which it must start.
         tokens: expected tokens of service, prompt and answer together.
+        prompt_tokens: those of the prompt alone.
     """
 
     attempt_id: str
@@ -36,6 +37,7 @@
     body: bytes
     deadline_s: float
     tokens: int
+    prompt_tokens: int = 0
     stream: bool = False
 
 
--- /dev/null
+++ b/papayalink/roles/agent/engine_work.py
@@ -0,0 +1,156 @@
+"""Work at one engine: what waits, what is in prefill, what it predicts."""
+
+from collections.abc import Sequence
+import random
+
+from papayalink import clock as clocks
+from papayalink.coordination import admission
+from papayalink.coordination import queueing
+from papayalink.coordination import routing
+from papayalink.coordination import windows
+from papayalink.roles.agent import upstream as upstream_state
+
+# Half-life of the shares that ranks took of the capacity.
+LOAD_FADE_S = 2.0
+
+
+class EngineWork:
+    """Accounts for prompt tokens by rank and admits against targets.
+
+    Args:
+        work_queue: the agent's queue, for depths and free slots.
+        engine_state: measured prefill rate.
+        clock: time of decisions.
+    """
+
+    __slots__ = (
+        "_queue",
+        "_state",
+        "_clock",
+        "_ranks",
+        "_shares",
+        "_waiting_tokens",
+        "_loads",
+        "_admission",
+        "_rng",
+    )
+
+    def __init__(
+        self,
+        work_queue: queueing.RankQueue,
+        engine_state: upstream_state.EngineState,
+        clock: clocks.Clock,
+    ) -> None:
+        self._queue = work_queue
+        self._state = engine_state
+        self._clock = clock
+        self._ranks: list[str] = []
+        self._shares: tuple[float, ...] = ()
+        self._waiting_tokens: dict[str, int] = {}
+        self._loads: dict[str, windows.Rate] = {}
+        self._admission: admission.Admission | None = None
+        self._rng = random.Random()
+
+    def update_ranks(self, ranks: Sequence[queueing.Rank]) -> None:
+        """Put changed rank records in force."""
+        self._ranks = [rank.name for rank in ranks]
+        self._shares = tuple(queueing.owed_shares(ranks))
+        if self._admission is None:
+            self._admission = admission.Admission(ranks, self._rng)
+        else:
+            self._admission.update_ranks(ranks)
+
+    def admit(
+        self, rank: str, workspace: str, prompt_tokens: int, tokens: int
+    ) -> admission.Admitted | admission.Refused:
+        """Admit a request that is to be queued, or refuse it as not run.
+
+        Raises:
+            UnknownRank: the configuration has no such rank.
+        """
+        place = self._ranks.index(rank)
+        decision = routing.predict(
+            self._candidate(),
+            routing.Request("", place, prompt_tokens, 0.0, ""),
+            self._clock.now(),
+            routing.RecentWork(),
+        )
+        part = self._queue.part_ahead(rank, workspace, tokens)
+        wait_s = part * decision.wait_s
+        return self._admission.decide(
+            rank,
+            workspace,
+            tokens,
+            decision.ttft_s - decision.wait_s + wait_s,
+            wait_s,
+            self._clock.now(),
+        )
+
+    def knows(self, rank: str) -> bool:
+        """Returns: whether the configuration has the rank."""
+        return rank in self._ranks
+
+    def arrived(self, rank: str, prompt_tokens: int) -> None:
+        """A request was queued; started() or left() follows."""
+        waiting = self._waiting_tokens.get(rank, 0)
+        self._waiting_tokens[rank] = waiting + prompt_tokens
+
+    def left(self, rank: str, prompt_tokens: int, served: bool) -> None:
+        """A request has its first token, or will not get one."""
+        self._waiting_tokens[rank] -= prompt_tokens
+        if served:
+            now = self._clock.now()
+            load = self._loads.get(rank)
+            if load is None:
+                load = self._loads[rank] = windows.Rate(LOAD_FADE_S, now)
+            load.add(prompt_tokens, now)
+
+    def report(self) -> dict[str, tuple]:
+        """Returns: the fields of a load report that go by rank."""
+        candidate = self._candidate()
+        return {
+            "waiting": candidate.queued_items,
+            "waiting_tokens": candidate.queued_tokens,
+            "free_slots": candidate.free_slots,
+            "start_periods_s": candidate.start_periods_s,
+            "loads": candidate.loads,
+        }
+
+    def _candidate(self) -> routing.Candidate:
+        now = self._clock.now()
+        rate = self._state.prefill_rate
+        return routing.Candidate(
+            upstream="",
+            zone="",
+            queued_tokens=tuple(
+                self._waiting_tokens.get(name, 0) for name in self._ranks
+            ),
+            queued_items=tuple(
+                self._queue.depth(name) for name in self._ranks
+            ),
+            prefill_rate=rate,
+            reported_at=now,
+            free_slots=tuple(
+                self._queue.free_slots(name, now) for name in self._ranks
+            ),
+            start_periods_s=tuple(
+                self._queue.start_period(name, now) for name in self._ranks
+            ),
+            shares=self._shares,
+            loads=tuple(
+                (
+                    round(self._loads[name].at(now) / rate, 3)
+                    if name in self._loads
+                    else 0.0
+                )
+                for name in self._ranks
+            ),
+        )
+
+
+def make_engine_work(
+    work_queue: queueing.RankQueue,
+    engine_state: upstream_state.EngineState,
+    clock: clocks.Clock,
+) -> EngineWork:
+    return EngineWork(work_queue, engine_state, clock)
--- a/papayalink/roles/agent/kept_cache.py
+++ b/papayalink/roles/agent/kept_cache.py
@@ -9,6 +9,7 @@
 from papayalink import clock as clocks
 from papayalink import logs
 from papayalink import metrics as metrics_module
+from papayalink import tasks
 from papayalink.adapters import engine as engines
 from papayalink.adapters import errors as adapter_errors
 from papayalink.coordination import placement
@@ -98,7 +99,7 @@
         self._log = logs.get_logger()
 
     def start(self) -> None:
-        gevent.spawn(self._run)
+        tasks.spawn(self._run)
 
     def restore(self, request: relay.RelayRequest) -> Located | None:
         """Bring the kept prefix of a prompt into the engine.
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-import gevent
 from gevent import queue
 import msgspec
 
+from papayalink import tasks
 from papayalink.adapters import engine as engines
 from papayalink.adapters import service as services
 from papayalink.coordination import dispatch
@@ -20,6 +20,7 @@
 from papayalink.roles import process
 from papayalink.roles.agent import calls
 from papayalink.roles.agent import engine_orders
+from papayalink.roles.agent import engine_work
 from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import pieces_client
 from papayalink.roles.agent import relaying
@@ -28,13 +29,13 @@
 from papayalink.transport import http_client
 from papayalink.transport import http_server
 
-_EXPIRE_PERIOD_S = 0.1
+CHECK_PERIOD_S = 0.1
 # A store that sends nothing for this long is treated as lost.
 STORE_TIMEOUT_S = 2.0
 _FALLBACK_RANK = queueing.Rank("default", 60.0)
 
 
-class _ExpireDue(msgspec.Struct):
+class _CheckDue(msgspec.Struct):
     """Delivered by the timer service once a period."""
 
 
@@ -50,11 +51,13 @@
         "_queue",
         "_dispatcher",
         "_engine_state",
+        "_work",
         "_cache",
         "_relayer",
         "_orders",
         "_calls",
         "_sequence",
+        "_reported",
     )
 
     def __init__(self, node: nodes.Node) -> None:
@@ -63,6 +66,7 @@
         self._name = settings.upstream
         self._stopping = False
         self._sequence = 0
+        self._reported = ("", "")
         self._inbox = queue.Queue()
         controls = list(settings.controls.values())
         self._follower = followers.make_follower(
@@ -77,6 +81,7 @@
         self._queue = queueing.make_queue([_FALLBACK_RANK], slots=1)
         self._dispatcher = dispatch.make_dispatcher(self._queue, node.clock, 1)
         self._engine_state = None
+        self._work = None
         self._cache = None
         self._relayer = None
         self._orders = None
@@ -106,8 +111,8 @@
             self._engine_state.start()
             self._cache.start()
         self._follower.start()
-        self._node.timers.every(_EXPIRE_PERIOD_S, self._inbox, _ExpireDue())
-        gevent.spawn(self._run)
+        self._node.timers.every(CHECK_PERIOD_S, self._inbox, _CheckDue())
+        tasks.spawn(self._run)
         self._server.start()
 
     def drain(self) -> None:
@@ -135,6 +140,9 @@
         self._engine_state = upstream_state.make_engine_state(
             engine, self._node.timers
         )
+        self._work = engine_work.make_engine_work(
+            self._queue, self._engine_state, self._node.clock
+        )
         admission = relaying.Admission(
             lambda: self._follower.document,
             lambda: self._follower.confirmed,
@@ -155,6 +163,7 @@
             self._engine_state,
             self._dispatcher,
             admission,
+            self._work,
             self._cache,
             self._node.clock,
             self._node.metrics,
@@ -176,6 +185,9 @@
         while True:
             self._inbox.get()
             self._dispatcher.expire()
+            # Entries must not wait a whole period for a change of state.
+            if self._condition() != self._reported:
+                self._follower.poll_soon()
 
     def _refusal(self) -> str:
         """Returns: why the upstream takes no new work, "" if it does."""
@@ -204,7 +216,7 @@
     def _on_configuration(self) -> None:
         own = self._own()
         document = self._follower.document
-        if own is None or not document.ranks:
+        if own is None or not document.ranks or self._work is None:
             return
         ranks = [
             queueing.Rank(
@@ -219,30 +231,31 @@
         self._dispatcher.decline(dropped, "rank was removed")
         self._queue.set_slots(own.max_running)
         self._dispatcher.set_slots(own.max_running)
+        self._work.update_ranks(ranks)
 
     def _fill_poll(self, poll: messages.Poll) -> messages.Poll:
         self._sequence += 1
-        ranks = [rank.name for rank in self._follower.document.ranks]
-        own = self._own()
-        slots = own.max_running if own is not None else 0
+        self._reported = self._condition()
+        state, weight_version = self._reported
         report = messages.LoadReport(
-            upstream=self._name,
-            state=self._state(),
-            free_slots=max(0, slots - self._dispatcher.running),
-            sequence=self._sequence,
+            upstream=self._name, state=state, sequence=self._sequence
         )
-        if self._engine_state is not None and own is not None:
+        if self._engine_state is not None and self._own() is not None:
             report = msgspec.structs.replace(
                 report,
-                weight_version=self._engine_state.weight_version,
-                waiting=tuple(self._queue.depth(name) for name in ranks),
-                waiting_tokens=tuple(
-                    self._queue.queued_tokens(name) for name in ranks
-                ),
+                weight_version=weight_version,
                 prefill_rate=self._engine_state.prefill_rate,
+                **self._work.report(),
             )
         return msgspec.structs.replace(poll, load=report)
 
+    def _condition(self) -> tuple[str, str]:
+        """Returns: state and weight version, as reports carry them."""
+        version = ""
+        if self._engine_state is not None:
+            version = self._engine_state.weight_version
+        return self._state(), version
+
     def _state(self) -> str:
         if self._refusal():
             return "leaving"
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -11,10 +11,12 @@
 from papayalink import metrics as metrics_module
 from papayalink.adapters import engine as engines
 from papayalink.adapters import errors as adapter_errors
+from papayalink.coordination import admission as admissions
 from papayalink.coordination import dispatch
 from papayalink.coordination import queueing
 from papayalink.protocol import frames
 from papayalink.protocol import relay
+from papayalink.roles.agent import engine_work
 from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
@@ -74,6 +76,7 @@
         "_state",
         "_dispatcher",
         "_admission",
+        "_work",
         "_cache",
         "_clock",
         "_metrics",
@@ -87,6 +90,7 @@
         engine_state: upstream_state.EngineState,
         dispatcher: dispatch.Dispatcher,
         admission: Admission,
+        work: engine_work.EngineWork,
         cache: kept_cache.KeptCache,
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
@@ -95,6 +99,7 @@
         self._state = engine_state
         self._dispatcher = dispatcher
         self._admission = admission
+        self._work = work
         self._cache = cache
         self._clock = clock
         self._metrics = metrics
@@ -123,6 +128,31 @@
         if refusal:
             yield self._refused(request, refusal)
             return
+        if not self._work.knows(request.rank):
+            yield self._refused(request, "rank is not known")
+            return
+        decision = self._work.admit(
+            request.rank,
+            request.workspace,
+            request.prompt_tokens,
+            request.tokens,
+        )
+        if isinstance(decision, admissions.Refused):
+            yield self._refused(
+                request,
+                f"overloaded: {decision.reason}",
+                decision.retry_after_s,
+            )
+            return
+        pending = _Pending(self._work, request)
+        try:
+            yield from self._answer_queued(request, priority, pending)
+        finally:
+            pending.finish(served=False)
+
+    def _answer_queued(
+        self, request: relay.RelayRequest, priority: int, pending: "_Pending"
+    ) -> Iterator[bytes]:
         item = queueing.Item(
             request_id=request.attempt_id,
             workspace=request.workspace,
@@ -136,12 +166,14 @@
                 return
         served = 0
         try:
+            # The upstream or its weights may have changed in the queue.
             refusal = self._admission.refuse(request)
             if refusal:
                 yield self._refused(request, refusal)
                 return
             for frame in self._run(request, priority):
                 served += 1
+                pending.finish(served=True)
                 yield frame
         finally:
             tokens = item.tokens if served else 0
@@ -157,12 +189,16 @@
             run = self._stream if request.stream else self._whole
             for frame in run(request, body):
                 if not started.done:
+                    alone = self._starting == 1
                     started.finish()
+                    first_s = self._clock.now() - began
                     self._metrics.observe(
-                        "engine_first_token",
-                        self._clock.now() - began,
-                        rank=request.rank,
+                        "engine_first_token", first_s, rank=request.rank
                     )
+                    if located is None and alone:
+                        self._state.observe_prefill(
+                            request.prompt_tokens, first_s
+                        )
                 yield frame
         if located is not None:
             self._cache.keep(located)
@@ -241,6 +277,27 @@
             start.finish()
 
 
+class _Pending:
+    """Prompt tokens of a request until its first token or its end."""
+
+    __slots__ = ("_work", "_request", "_done")
+
+    def __init__(
+        self, work: engine_work.EngineWork, request: relay.RelayRequest
+    ) -> None:
+        self._work = work
+        self._request = request
+        self._done = False
+        work.arrived(request.rank, request.prompt_tokens)
+
+    def finish(self, served: bool) -> None:
+        if not self._done:
+            self._done = True
+            self._work.left(
+                self._request.rank, self._request.prompt_tokens, served
+            )
+
+
 class _Start:
     """Counts a request as starting until its first frame or its end."""
 
@@ -276,10 +333,18 @@
     engine_state: upstream_state.EngineState,
     dispatcher: dispatch.Dispatcher,
     admission: Admission,
+    work: engine_work.EngineWork,
     cache: kept_cache.KeptCache,
     clock: clocks.Clock,
     metrics: metrics_module.Metrics,
 ) -> Relayer:
     return Relayer(
-        engine, engine_state, dispatcher, admission, cache, clock, metrics
+        engine,
+        engine_state,
+        dispatcher,
+        admission,
+        work,
+        cache,
+        clock,
+        metrics,
     )
--- a/papayalink/roles/agent/upstream.py
+++ b/papayalink/roles/agent/upstream.py
@@ -1,10 +1,10 @@
 """What an agent knows of its engine: weights, health, measured rates."""
 
-import gevent
 from gevent import queue
 import msgspec
 
 from papayalink import logs
+from papayalink import tasks
 from papayalink import timers
 from papayalink.adapters import engine as engines
 from papayalink.adapters import errors as adapter_errors
@@ -13,6 +13,8 @@
 # One lost check is common during a swap of weights; two in a row are not.
 _MAX_FAILED_CHECKS = 2
 _RATE_SMOOTHING = 0.2
+# Shorter prompts measure the fixed cost of a request instead.
+_MIN_PREFILL_TOKENS = 500
 INITIAL_PREFILL_RATE = 8_000.0
 # Stands for the version while weights are swapped; reports lag and are not
 # believed then.
@@ -70,7 +72,7 @@
         return self._prefill_rate
 
     def start(self) -> None:
-        gevent.spawn(self._run)
+        tasks.spawn(self._run)
 
     def begin_swap(self) -> None:
         """No weight version is served until end_swap()."""
@@ -88,8 +90,13 @@
         self._ordered_version = weight_version
 
     def observe_prefill(self, tokens: int, seconds: float) -> None:
-        """Record the prefill of a request that did not wait."""
-        if seconds <= 0 or tokens <= 0:
+        """Record the prefill of a request that did not wait.
+
+        Args:
+            tokens: prompt tokens computed.
+            seconds: from dispatch to the first token.
+        """
+        if seconds <= 0 or tokens < _MIN_PREFILL_TOKENS:
             return
         self._prefill_rate += _RATE_SMOOTHING * (
             tokens / seconds - self._prefill_rate
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -6,10 +6,12 @@
 from gevent import queue
 import msgspec
 
+from papayalink import tasks
 from papayalink.adapters import platform as platforms
 from papayalink.console import application
 from papayalink.coordination import proposer as proposers
 from papayalink.coordination import replica as replicas
+from papayalink.coordination import replica_loading
 from papayalink.coordination.raft import membership
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
@@ -96,7 +98,7 @@
 
     def start(self) -> None:
         self._rpc_server.start()
-        gevent.spawn(self._take_part)
+        tasks.spawn(self._take_part)
 
     def drain(self) -> None:
         self._stopping = True
@@ -137,7 +139,7 @@
             )
         self._peers.set_own(self._identity.member_id)
         self._replica = replicas.make_replica(
-            replicas.Settings(member_id=self._identity.member_id),
+            replica_loading.Settings(member_id=self._identity.member_id),
             log_store.DiskLogStore(log_folder),
             self._machine,
             self._node.timers,
@@ -154,7 +156,7 @@
         self._upkeep.start()
         self._node.timers.every(SHARE_PERIOD_S, self._inbox, _ShareDue())
         self._node.timers.every(JOIN_PERIOD_S, self._inbox, _JoinDue())
-        gevent.spawn(self._run)
+        tasks.spawn(self._run)
         self._serve_console()
 
     def _serve_console(self) -> None:
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from papayalink import logs
+from papayalink import tasks
 from papayalink.adapters import errors as adapter_errors
 from papayalink.adapters import platform as platforms
 from papayalink.coordination import errors
@@ -91,7 +92,7 @@
     def start(self) -> None:
         self._node.timers.every(PERIOD_S, self._inbox, _Due())
         self._node.timers.every(EXPIRE_PERIOD_S, self._inbox, _ExpireDue())
-        gevent.spawn(self._run)
+        tasks.spawn(self._run)
 
     def join(self, member_id: str) -> None:
         """Add a member that asked for it, step by step."""
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -287,6 +287,7 @@
             body=body,
             deadline_s=target_s,
             tokens=tokens,
+            prompt_tokens=wanted.prompt_tokens,
             stream=wanted.stream,
         )
         call = retry.Call(
@@ -372,10 +373,15 @@
         """
         if self._admission is None:
             self._admission = admission.Admission(
-                _ranks(self._indexed), self._rng
+                _ranks(self._indexed), self._rng, admission.ENTRY_SLACK
             )
         decision = self._admission.decide(
-            rank, workspace.name, tokens, first.ttft_s, self._clock.now()
+            rank,
+            workspace.name,
+            tokens,
+            first.ttft_s,
+            first.wait_s,
+            self._clock.now(),
         )
         if isinstance(decision, admission.Refused):
             self._selection.refused(wanted, first.upstream.name)
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-import gevent
 from gevent import queue
 import msgspec
 
+from papayalink import tasks
 from papayalink.coordination import follower as followers
 from papayalink.coordination import retention
 from papayalink.protocol import errors as protocol_errors
@@ -54,7 +54,7 @@
             settings.data_folder,
             settings.memory_bytes,
             settings.disk_bytes,
-            retention.LruPolicy(),
+            retention.ReturnPolicy(),
             node.clock,
         )
         self._server = http_server.make_server(
@@ -70,7 +70,7 @@
         self._follower.start()
         self._server.start()
         self._node.timers.every(REVALUE_PERIOD_S, self._inbox, _RevalueDue())
-        gevent.spawn(self._run)
+        tasks.spawn(self._run)
 
     def drain(self) -> None:
         self._stopping = True
--- a/papayalink/timers.py
+++ b/papayalink/timers.py
@@ -9,6 +9,7 @@
 from gevent import queue
 
 from papayalink import clock as clocks
+from papayalink import tasks
 
 
 class Subscription:
@@ -75,7 +76,7 @@
     def start(self) -> None:
         """Start the task that delivers due messages."""
         if self._task is None:
-            self._task = gevent.spawn(self._run)
+            self._task = tasks.spawn(self._run)
 
     def stop(self) -> None:
         if self._task is not None:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -35,12 +35,12 @@
 def test_refuses_what_is_late(rank, ttft_s, expected):
     # Guards against requests that wait only to be late.
     gate = _admission()
-    outcome = gate.decide(rank, "a", 100, ttft_s, 0.0)
+    outcome = gate.decide(rank, "a", 100, ttft_s, ttft_s, 0.0)
     assert getattr(outcome, "reason", None) == expected
     if expected:
         assert 1 <= outcome.retry_after_s <= admission.MAX_RETRY_AFTER_S
     with pytest.raises(errors.UnknownRank):
-        gate.decide("none", "a", 100, ttft_s, 0.0)
+        gate.decide("none", "a", 100, ttft_s, ttft_s, 0.0)
 
 
 def _flood(gate, rank, callers, seconds):
@@ -67,7 +67,9 @@
                     shares,
                     () if index == 0 else (1.0, 0.0),
                 )
-                outcome = gate.decide(rank, name, 500, ttft_s, step * step_s)
+                outcome = gate.decide(
+                    rank, name, 500, ttft_s, ttft_s, step * step_s
+                )
                 if isinstance(outcome, admission.Admitted):
                     admitted[name] += 500
                     queued += 500
@@ -98,10 +100,10 @@
     # against urgent work that shuts out what the other rank is owed.
     shares = queueing.owed_shares(RANKS)
     wait_s = routing.predict_wait((1000, queued), 0, RATE, shares)
-    outcome = _admission().decide("urgent", "a", 500, wait_s, 0.0)
+    outcome = _admission().decide("urgent", "a", 500, wait_s, wait_s, 0.0)
     assert isinstance(outcome, admission.Admitted)
     wait_s = routing.predict_wait((queued, 1000), 1, RATE, shares, (1.0, 0.0))
-    outcome = _admission().decide("deferrable", "a", 500, wait_s, 0.0)
+    outcome = _admission().decide("deferrable", "a", 500, wait_s, wait_s, 0.0)
     assert isinstance(outcome, admission.Admitted)
 
 
@@ -109,7 +111,15 @@
     # Guards against callers that were refused together and return together.
     gate = _admission()
     delays = {
-        gate.decide("urgent", "a", 100, 31.6, 0.0).retry_after_s
+        gate.decide("urgent", "a", 100, 31.6, 31.6, 0.0).retry_after_s
         for _ in range(50)
     }
     assert len(delays) > 8 and min(delays) >= 30
+
+
+def test_long_prompt_on_an_idle_upstream_is_admitted():
+    # Guards against refusals that no repeat could ever pass.
+    gate = _admission()
+    for second in range(20):
+        outcome = gate.decide("urgent", "a", 90_000, 9.0, 0.0, float(second))
+        assert isinstance(outcome, admission.Admitted)
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -116,9 +116,10 @@
 def test_hang_up_cancels_the_stream_of_the_engine(fleet, caller):
     """Guards against tokens generated for a caller that has gone."""
     before = _load(fleet)["cancelled"]
-    caller.stream(
+    begun = caller.stream(
         limit=3, model=fleets.MODEL, prompt="a b", max_tokens=100_000
     )
+    assert begun.status == 200, begun.body
     helpers.wait_until(lambda: _load(fleet)["cancelled"] == before + 1)
     helpers.wait_until(
         lambda: fleet.deployment.dump("agent-engine-1")["running"] == 0
