Send nothing to an upstream that refuses all work until its next report

Cause: during a rollout each request first tried the replica that was being swapped; its refusals used up the retry budget, and callers got 503 while another replica served. Ruled out: a larger retry budget, which would multiply the load of a fleet that fails as a whole. Change: refusals that hold for all work are marked; the entry blocks that upstream until a report taken after the refusal.

--- a/papayalink/coordination/errors.py
+++ b/papayalink/coordination/errors.py
@@ -61,12 +61,19 @@
     Args:
         reason: why the last one did not take it.
         retry_after_s: seconds after which a repeat may be admitted.
+        unavailable: the upstream takes no work at all for now.
     """
 
-    def __init__(self, reason: str, retry_after_s: float = 1.0) -> None:
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float = 1.0,
+        unavailable: bool = False,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.unavailable = unavailable
 
 
 class AnswerCut(CoordinationError):
--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -33,8 +33,12 @@
         """The first frame arrived."""
 
     @abc.abstractmethod
-    def refused(self, upstream: str) -> None:
-        """The agent did not take the request."""
+    def refused(self, upstream: str, unavailable: bool) -> None:
+        """The agent did not take the request.
+
+        Args:
+            unavailable: it takes no work at all for now.
+        """
 
     @abc.abstractmethod
     def failed(self, upstream: str) -> None:
@@ -160,13 +164,13 @@
             try:
                 answer = self._attempt(request, choice)
             except errors.UpstreamRejected:
-                attempts.refused(name)
+                attempts.refused(name, False)
                 raise
             except (errors.AnswerCut, errors.AgentNotReached) as error:
                 attempts.failed(name)
                 failure = error
             except errors.NoUpstream as error:
-                attempts.refused(name)
+                attempts.refused(name, error.unavailable)
                 failure = error
             else:
                 attempts.answered(name, self._clock.now() - began)
@@ -212,9 +216,11 @@
             response.close()
             raise
         match first:
-            case frames.Refused(reason=reason, retry_after_s=retry_after_s):
+            case frames.Refused():
                 response.close()
-                raise errors.NoUpstream(reason, retry_after_s)
+                raise errors.NoUpstream(
+                    first.reason, first.retry_after_s, first.unavailable
+                )
             case frames.Rejected(status=status, body=body):
                 response.close()
                 raise errors.UpstreamRejected(status, body.encode())
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -72,6 +72,7 @@
         "_subsets",
         "_leaving",
         "_shares",
+        "_blocked",
         "_hints",
     )
 
@@ -85,6 +86,7 @@
         self._subsets: dict[str, list[documents.Upstream]] = {}
         self._leaving: frozenset[str] = frozenset()
         self._shares: tuple[float, ...] = ()
+        self._blocked: dict[str, float] = {}
         self._hints: dict[tuple[str, str], tuple[str, int]] = {}
 
     @property
@@ -205,6 +207,14 @@
         """Record that an agent refused an attempt."""
         self._recent.ended(upstream, wanted.request_id)
 
+    def block(self, upstream: str, now: float) -> None:
+        """Send nothing to an upstream until a report taken after now.
+
+        Without this, each request of the time until the next report tries
+        the same unavailable replicas first, and the retry budget runs out.
+        """
+        self._blocked[upstream] = now
+
     def dump(self, now: float) -> dict:
         return {
             "subsets": {
@@ -265,6 +275,8 @@
             return
         self._reports[report.upstream] = (report, taken_at)
         self._recent.reported(report.upstream, taken_at)
+        if taken_at > self._blocked.get(report.upstream, taken_at):
+            del self._blocked[report.upstream]
 
     def _usable(
         self, serves: str, tried: frozenset[str]
@@ -275,6 +287,7 @@
             if upstream.name not in tried
             and not upstream.draining
             and upstream.name not in self._leaving
+            and upstream.name not in self._blocked
             and self._state(upstream.name) == "up"
         ]
 
--- a/papayalink/protocol/frames.py
+++ b/papayalink/protocol/frames.py
@@ -33,11 +33,13 @@
     Attributes:
         reason: see admission and lease.
         retry_after_s: seconds until a repeat may be admitted.
+        unavailable: the upstream takes no work at all for now.
     """
 
     id: str
     reason: str
     retry_after_s: float = 0.0
+    unavailable: bool = False
 
 
 class Rejected(Frame, tag="x"):
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -126,7 +126,7 @@
         """
         refusal = self._admission.refuse(request)
         if refusal:
-            yield self._refused(request, refusal)
+            yield self._refused(request, refusal, unavailable=True)
             return
         if not self._work.knows(request.rank):
             yield self._refused(request, "rank is not known")
@@ -169,7 +169,7 @@
             # The upstream or its weights may have changed in the queue.
             refusal = self._admission.refuse(request)
             if refusal:
-                yield self._refused(request, refusal)
+                yield self._refused(request, refusal, unavailable=True)
                 return
             for frame in self._run(request, priority):
                 served += 1
@@ -262,10 +262,13 @@
         request: relay.RelayRequest,
         reason: str,
         retry_after_s: float = 1.0,
+        unavailable: bool = False,
     ) -> bytes:
         self._metrics.count("refused", reason=reason, rank=request.rank)
         return frames.encode(
-            frames.Refused(request.attempt_id, reason, retry_after_s)
+            frames.Refused(
+                request.attempt_id, reason, retry_after_s, unavailable
+            )
         )
 
     @contextlib.contextmanager
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -111,8 +111,8 @@
     def answered(self, upstream: str, latency_s: float) -> None:
         self._serving.record(self._wanted, upstream, latency_s)
 
-    def refused(self, upstream: str) -> None:
-        self._serving.record_refusal(self._wanted, upstream)
+    def refused(self, upstream: str, unavailable: bool) -> None:
+        self._serving.record_refusal(self._wanted, upstream, unavailable)
 
     def failed(self, upstream: str) -> None:
         self._serving.record(self._wanted, upstream, None)
@@ -323,9 +323,13 @@
             wanted, upstream, latency_s, self._clock.now()
         )
 
-    def record_refusal(self, wanted: selection.Wanted, upstream: str) -> None:
+    def record_refusal(
+        self, wanted: selection.Wanted, upstream: str, unavailable: bool
+    ) -> None:
         """Record that an agent did not take an attempt."""
         self._selection.refused(wanted, upstream)
+        if unavailable:
+            self._selection.block(upstream, self._clock.now())
 
     def retry_delay_s(self, call: retry.Call) -> float | None:
         """Returns: seconds until the next attempt, None to give up."""
