Report unexpected errors of a write and forget abandoned reads

Cause: an error other than a store error ended the writing greenlet without a result, so the replica would have waited for that write for ever; reads whose caller had given up stayed listed on a member that does not catch up. Change: such an error counts as a failed store; abandoned reads are dropped at each tick. Conclusion: found by reading, without a test of their own.

--- a/papayalink/coordination/log_writer.py
+++ b/papayalink/coordination/log_writer.py
@@ -128,6 +128,9 @@
         _store_group(store, group)
     except state_errors.StateError as error:
         return error
+    except Exception as error:
+        # Without a result the replica would wait for this write for ever.
+        return state_errors.LogFailed(repr(error))
     return None
 
 
--- a/papayalink/coordination/waiting.py
+++ b/papayalink/coordination/waiting.py
@@ -176,6 +176,11 @@
         """Give up on a read that was lost, and allow refused ones again."""
         self._paused = False
         self._age_ticks += 1
+        self._unapplied = [
+            (needed, waiters)
+            for needed, waiters in self._unapplied
+            if not all(waiter.abandoned for waiter in waiters)
+        ]
         if self._token is not None and self._age_ticks >= _READ_RETRY_TICKS:
             self._requeue()
 
