--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -3,6 +3,7 @@
 import collections
 import random
 import time
+from typing import Annotated
 import uuid
 
 import falcon
@@ -21,6 +22,62 @@
 # Events kept for clients that ask late; older ones are a gap to them.
 MAX_EVENTS = 10_000
 
+# Length of an answer whose request does not set it, as vLLM has it.
+DEFAULT_TOKENS = 16
+
+_TokenId = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class _Part(msgspec.Struct):
+    text: str = ""
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[_Part] | None = None
+
+    def text(self):
+        if isinstance(self.content, list):
+            return " ".join(part.text for part in self.content)
+        return self.content or ""
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Body(msgspec.Struct):
+    """Body of a completion, a chat completion or a tokenize call."""
+
+    prompt: str | list[_TokenId] = ""
+    messages: list[_Message] = []
+    model: str | None = None
+    user: str | None = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    max_completion_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    priority: int = 0
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+
+    def tokens(self):
+        if isinstance(self.prompt, list):
+            return self.prompt
+        text = self.prompt
+        if self.messages:
+            text = "\n".join(f"{m.role}: {m.text()}" for m in self.messages)
+        return engine_model.tokens_of(text)
+
+
+class _Resume(msgspec.Struct, rename={"received": "from"}):
+    received: int
+
+
+class _Faults(msgspec.Struct):
+    """Cut the next `times` streams after `cut_after` tokens."""
+
+    cut_after: int
+    times: int = 1
+
 
 class Engine:
     """The model, driven by the clock, and its HTTP resources.
@@ -46,7 +103,7 @@
         self._wakeup = event.Event()
         self._events = collections.deque(maxlen=MAX_EVENTS)
         self._event_seq = 0
-        self._lost = {}
+        self._ended = {}
         self._load = lag.Lagged(options.load_lag_s)
         self.model = engine_model.Model(options, clock.now(), self._on_event)
 
@@ -73,11 +130,17 @@
         self._wakeup.set()
         return changed
 
-    def cancel(self, request: engine_model.Request) -> None:
-        """Free the slot of a request whose client has gone."""
+    def close(self, request: engine_model.Request) -> None:
+        """Free the slot of a request whose connection has ended.
+
+        The stream can be resumed for `resume_window_s`. That holds for
+        finished ones too, since their last bytes may be lost on the way.
+        """
         now = self.clock.now()
+        self._forget_ended(now)
         self.model.cancel(request, now)
-        self._lost[request.request_id] = (
+        self._ended.pop(request.request_id, None)
+        self._ended[request.request_id] = (
             request,
             now + self.options.resume_window_s,
         )
@@ -87,21 +150,17 @@
     def resume(
         self, request_id: str, received: int
     ) -> engine_model.Request | None:
-        """Continue a lost stream.
+        """Continue a stream that ended a moment ago.
 
         Returns: a new request for the rest, None when it cannot continue.
         """
-        now = self.clock.now()
-        for old_id, (_, expires) in list(self._lost.items()):
-            if expires < now:
-                del self._lost[old_id]
-        old, _ = self._lost.get(request_id, (None, 0))
-        if old is None or received > old.emitted:
+        self._forget_ended(self.clock.now())
+        old, _ = self._ended.get(request_id, (None, 0))
+        if old is None or not 0 <= received <= old.emitted:
             return None
-        version = old.weight_version or self.model.weight_version
-        if version != self.model.weight_version:
+        if old.weight_version not in ("", self.model.weight_version):
             return None
-        del self._lost[request_id]
+        del self._ended[request_id]
         return engine_model.Request(
             old.request_id,
             old.workspace,
@@ -109,6 +168,8 @@
             old.max_tokens,
             old.priority,
             known=max(0, old.emitted - 1),
+            weight_version=old.weight_version,
+            context=old.context,
         )
 
     def take_cut(self) -> int | None:
@@ -153,6 +214,14 @@
             self.orders.append(order)
             return True
 
+    def _forget_ended(self, now):
+        # Entries are in the order of their expiry.
+        while self._ended:
+            request_id, (_, expires) = next(iter(self._ended.items()))
+            if expires >= now:
+                return
+            del self._ended[request_id]
+
     def _load_weights(self, weight_version):
         started = self.clock.now()
         if self.options.weight_store:
@@ -188,29 +257,61 @@
 
 
 class _Reply:
-    """Shape of the chunks and of the whole reply to one request."""
+    """Shape of the chunks and of the whole reply to a request."""
 
-    __slots__ = ("_request", "_chat", "_head")
+    __slots__ = ("include_usage", "_chat", "_model", "_created")
 
-    def __init__(self, request, model, chat):
-        self._request = request
+    def __init__(self, chat, model, include_usage):
+        self.include_usage = include_usage
         self._chat = chat
-        self._head = {
-            "id": ("chatcmpl-" if chat else "cmpl-") + request.request_id,
-            "created": int(time.time()),
-            "model": model,
+        self._model = model
+        self._created = int(time.time())
+
+    def chunk(self, request, index):
+        word = request.word(index)
+        text = word if index == 0 else " " + word
+        last = index + 1 == request.max_tokens
+        choice = {"index": 0, "finish_reason": "length" if last else None}
+        if self._chat:
+            choice["delta"] = {"content": text}
+            if index == 0:
+                choice["delta"]["role"] = "assistant"
+        else:
+            choice["text"] = text
+        return self._body(request, [choice], ".chunk")
+
+    def usage_chunk(self, request):
+        return {
+            **self._body(request, [], ".chunk"),
+            "usage": self._usage(request),
         }
 
-    def _body(self, kind, choices):
+    def whole(self, request):
+        text = " ".join(map(request.word, range(request.emitted)))
+        choice = {"index": 0, "finish_reason": "length"}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
         return {
-            **self._head,
+            **self._body(request, [choice], ""),
+            "usage": self._usage(request),
+        }
+
+    def _body(self, request, choices, suffix):
+        prefix, kind = "cmpl-", "text_completion"
+        if self._chat:
+            prefix, kind = "chatcmpl-", "chat.completion" + suffix
+        return {
+            "id": prefix + request.request_id,
             "object": kind,
-            "system_fingerprint": self._request.weight_version,
+            "created": self._created,
+            "model": self._model,
+            "system_fingerprint": request.weight_version,
             "choices": choices,
         }
 
-    def usage(self):
-        request = self._request
+    def _usage(self, request):
         return {
             "prompt_tokens": len(request.tokens),
             "completion_tokens": request.emitted,
@@ -218,129 +319,99 @@
             "prompt_tokens_details": {"cached_tokens": request.cached_tokens},
         }
 
-    def chunk(self, index):
-        word = self._request.words[index]
-        text = word if index == 0 else " " + word
-        last = index + 1 == self._request.max_tokens
-        choice = {"index": 0, "finish_reason": "length" if last else None}
-        if not self._chat:
-            choice["text"] = text
-            return self._body("text_completion", [choice])
-        choice["delta"] = {"content": text}
-        if index == 0:
-            choice["delta"]["role"] = "assistant"
-        return self._body("chat.completion.chunk", [choice])
-
-    def usage_chunk(self):
-        kind = "chat.completion.chunk" if self._chat else "text_completion"
-        return {**self._body(kind, []), "usage": self.usage()}
-
-    def whole(self):
-        text = " ".join(self._request.words)
-        choice = {"index": 0, "finish_reason": "length"}
-        if self._chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        kind = "chat.completion" if self._chat else "text_completion"
-        return {**self._body(kind, [choice]), "usage": self.usage()}
-
 
 class _Completions:
     """`/v1/completions`, `/v1/chat/completions`, and resumed streams."""
 
     def __init__(self, engine):
         self._engine = engine
-        self._bodies = {}
 
     def on_post(self, req, resp):
-        self._serve(req, resp, _body(req), chat=False)
+        self._serve(req, resp, _decode(req, _Body), chat=False)
 
     def on_post_chat(self, req, resp):
-        self._serve(req, resp, _body(req), chat=True)
+        self._serve(req, resp, _decode(req, _Body), chat=True)
 
     def on_post_resume(self, req, resp, stream_id):
         request_id = stream_id.removeprefix("chat").removeprefix("cmpl-")
-        received = _body(req).get("from", 0)
+        received = _decode(req, _Resume).received
         request = self._engine.resume(request_id, received)
-        if request is None or request_id not in self._bodies:
+        if request is None:
             raise falcon.HTTPNotFound(title="stream cannot be resumed")
-        body, chat = self._bodies[request_id]
         resp.content_type = "text/event-stream"
-        resp.stream = self._stream(req, request, body, chat, received)
+        resp.stream = self._stream(req, request, received)
 
     def _serve(self, req, resp, body, chat):
         engine = self._engine
-        model = body.get("model", engine.options.model)
+        model = body.model or engine.options.model
         if model not in (engine.options.model, *engine.adapters):
             raise falcon.HTTPNotFound(title=f"no model {model}")
+        options = body.stream_options or _StreamOptions()
         request = engine_model.Request(
             req.get_header("X-Request-Id") or uuid.uuid4().hex,
-            body.get("user", ""),
-            _prompt_tokens(body),
-            _max_tokens(body),
-            body.get("priority", 0),
+            body.user or "",
+            body.tokens(),
+            body.max_completion_tokens or body.max_tokens or DEFAULT_TOKENS,
+            body.priority,
+            context=_Reply(chat, model, options.include_usage),
         )
-        if body.get("stream"):
+        if body.stream:
             resp.content_type = "text/event-stream"
-            resp.stream = self._stream(req, request, body, chat, 0)
+            resp.stream = self._stream(req, request, 0)
         else:
             resp.content_type = falcon.MEDIA_JSON
-            resp.stream = self._whole(req, request, chat)
+            resp.stream = self._whole(req, request)
 
-    def _stream(self, req, request, body, chat, sent):
-        engine = self._engine
-        self._bodies[request.request_id] = (body, chat)
-        cut_after = engine.take_cut()
-        reply = _Reply(request, body.get("model", engine.options.model), chat)
+    def _stream(self, req, request, sent):
+        cut_after = self._engine.take_cut()
+        reply = request.context
         for _ in self._progress(req, request):
             while sent < request.emitted:
                 if sent == cut_after:
                     serving.cut_connection()
-                yield _event(reply.chunk(sent))
+                yield _event(reply.chunk(request, sent))
                 sent += 1
-        if body.get("stream_options", {}).get("include_usage"):
-            yield _event(reply.usage_chunk())
+        if reply.include_usage:
+            yield _event(reply.usage_chunk(request))
         yield b"data: [DONE]\n\n"
 
-    def _whole(self, req, request, chat):
+    def _whole(self, req, request):
         for _ in self._progress(req, request):
             pass
-        reply = _Reply(request, self._engine.options.model, chat)
-        yield msgspec.json.encode(reply.whole())
+        yield msgspec.json.encode(request.context.whole(request))
 
     def _progress(self, req, request):
         """Yield whenever words were added; cancel if the client goes."""
         engine = self._engine
         changed = engine.submit(request)
-        gone = []
+        gone = event.Event()
 
         def disconnected():
-            gone.append(True)
-            engine.cancel(request)
+            gone.set()
+            engine.close(request)
             changed.set()
 
         watch = serving.DisconnectWatch(
             req.env[serving.SOCKET_KEY], disconnected
         )
+        last = False
         try:
-            while not gone:
+            while not last:
                 changed.wait()
                 changed.clear()
-                finished = request.finished
+                if gone.is_set() or request.cancelled:
+                    serving.cut_connection()
+                last = request.finished
                 yield
-                if finished:
-                    return
-            serving.cut_connection()
         finally:
             watch.close()
-            if not request.finished and not gone:
-                engine.cancel(request)
+            if not gone.is_set():
+                engine.close(request)
 
 
 class _Tokenize:
     def on_post(self, req, resp):
-        tokens = _prompt_tokens(_body(req))
+        tokens = _decode(req, _Body).tokens()
         resp.media = {"tokens": tokens, "count": len(tokens)}
 
 
@@ -391,12 +462,13 @@
         data = req.bounded_stream.read()
         if key[1] != self._engine.model.weight_version:
             raise falcon.HTTPConflict(title="weight version is not loaded")
-        if not self._engine.model.import_piece(key, data):
+        now = self._engine.clock.now()
+        if not self._engine.model.import_piece(key, data, now):
             raise falcon.HTTPError(507, title="no room in the cache")
         resp.status = falcon.HTTP_204
 
     def on_delete_all(self, req, resp):
-        self._engine.model.evict_all()
+        self._engine.model.evict_all(self._engine.clock.now())
         resp.status = falcon.HTTP_204
 
     def on_get_events(self, req, resp):
@@ -417,58 +489,27 @@
         resp.media = {"orders": self._engine.orders}
 
     def on_post_orders(self, req, resp):
-        order = _body(req)
+        order = _decode(req, dict)
         try:
             accepted = self._engine.order(order)
-        except KeyError as error:
-            raise falcon.HTTPBadRequest(title=f"order lacks {error}")
+        except (KeyError, TypeError, ValueError) as error:
+            raise falcon.HTTPBadRequest(title=f"invalid order: {error!r}")
         if not accepted:
             raise falcon.HTTPConflict(title="older fencing number")
         resp.media = order
 
     def on_put_faults(self, req, resp):
-        body = _body(req)
-        self._engine.cut_after = body["cut_after"]
-        self._engine.cuts_left = body.get("times", 1)
+        faults = _decode(req, _Faults)
+        self._engine.cut_after = faults.cut_after
+        self._engine.cuts_left = faults.times
         resp.status = falcon.HTTP_204
 
 
-def _body(req):
+def _decode(req, kind):
     try:
-        body = msgspec.json.decode(req.bounded_stream.read())
-    except msgspec.DecodeError as error:
+        return msgspec.json.decode(req.bounded_stream.read(), type=kind)
+    except msgspec.MsgspecError as error:
         raise falcon.HTTPBadRequest(title=str(error))
-    if not isinstance(body, dict):
-        raise falcon.HTTPBadRequest(title="body is not an object")
-    return body
-
-
-def _prompt_tokens(body):
-    if "messages" in body:
-        return engine_model.tokens_of(
-            "\n".join(
-                f"{message['role']}: {_content(message)}"
-                for message in body["messages"]
-            )
-        )
-    prompt = body.get("prompt", "")
-    if isinstance(prompt, str):
-        return engine_model.tokens_of(prompt)
-    return prompt
-
-
-def _content(message):
-    content = message.get("content") or ""
-    if isinstance(content, str):
-        return content
-    return " ".join(part.get("text", "") for part in content)
-
-
-def _max_tokens(body):
-    count = body.get("max_completion_tokens", body.get("max_tokens", 16))
-    if not isinstance(count, int) or count < 1:
-        raise falcon.HTTPBadRequest(title="max_tokens must be at least 1")
-    return count
 
 
 def _event(media):
--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -4,6 +4,7 @@
 import collections
 import heapq
 import itertools
+import math
 from typing import Any
 from typing import Iterable
 from typing import Sequence
@@ -11,15 +12,21 @@
 import msgspec
 
 from papayalink.coordination import errors
+from papayalink.coordination import windows
 
 # A rank that was served beyond its guarantee keeps at most one window of that
 # lead, so a burst of urgent work shorter than this is not interrupted, and a
 # longer one leaves the other rank its share.
 GUARANTEE_WINDOW_S = 2.0
 
-# Slots held free for urgent work follow the most that urgent work used within
-# this time. Shorter periods forget a burst before the next one arrives.
-RESERVE_WINDOW_S = 20.0
+# Slots held free for urgent work follow its mean concurrency over this time,
+# plus this many standard deviations of random arrivals. More of them gain
+# urgent work little and leave slots unused (bench/policy.py).
+RESERVE_FADE_S = 10.0
+RESERVE_DEVIATIONS = 1.0
+
+# Weight of the newest interval in the mean interval between two starts.
+PACE_WEIGHT = 0.1
 
 # A workspace record without queued or running work is kept only for its debt.
 # Above this many records the smallest debts are forgotten.
@@ -72,6 +79,9 @@
         tokens: expected tokens of service, prompt and answer together.
         deadline: time after which the answer is of no use, or None.
         payload: whatever the caller needs to run the request.
+        owed: set by `pop` when the rank was owed the item while more urgent
+            work waited. The engine is to run it at the priority of the most
+            urgent rank; at its own it would hold a slot without progress.
     """
 
     request_id: str
@@ -80,6 +90,7 @@
     tokens: int
     deadline: float | None = None
     payload: Any = None
+    owed: bool = False
 
 
 class Pushed(msgspec.Struct):
@@ -241,6 +252,9 @@
         "running",
         "deficit",
         "workspaces",
+        "urgent_work",
+        "start_period_s",
+        "waiting_since",
         "_heap",
         "_virtual",
     )
@@ -254,9 +268,22 @@
         # Tokens owed to the rank but not served; negative: a lead.
         self.deficit = 0.0
         self.workspaces: dict[str, _Workspace] = {}
+        # Waiting and running items of more urgent ranks.
+        self.urgent_work = windows.TimeMean(RESERVE_FADE_S)
+        # Mean time between two starts while items wait, and the time since
+        # which the next one waits.
+        self.start_period_s = 0.0
+        self.waiting_since = 0.0
         self._heap: list[tuple[float, str, int]] = []
         self._virtual = 0.0
 
+    def mean_interval(self, now: float) -> float:
+        """Returns: mean time between starts if one happened now."""
+        interval_s = now - self.waiting_since
+        return self.start_period_s + PACE_WEIGHT * (
+            interval_s - self.start_period_s
+        )
+
     def add(self, item: Item) -> None:
         space = self.workspaces.get(item.workspace)
         if space is None:
@@ -398,7 +425,6 @@
         "_order",
         "_expired",
         "_served",
-        "_peaks",
     )
 
     def __init__(
@@ -414,9 +440,8 @@
         self._deadlines: list[tuple[float, int, Item]] = []
         self._order = itertools.count()
         self._expired: list[Item] = []
-        self._served = _TwoWindows(GUARANTEE_WINDOW_S)
+        self._served = windows.TwoWindows(GUARANTEE_WINDOW_S)
         self._ranks: dict[str, _RankState] = {}
-        self._peaks: dict[str, _TwoWindows] = {}
         self.update_ranks(ranks)
 
     @property
@@ -453,10 +478,6 @@
             state.rank, state.share = rank, share
             states[rank.name] = state
         self._ranks = states
-        self._peaks = {
-            name: self._peaks.get(name) or _TwoWindows(RESERVE_WINDOW_S)
-            for name in states
-        }
         return dropped
 
     def push(self, item: Item, now: float) -> Pushed:
@@ -489,8 +510,11 @@
             return Pushed(False, [item])
         for victim in victims:
             self._discard(victim)
+        if not state.depth:
+            state.waiting_since = now
         state.add(item)
         self._waiting[item.request_id] = item
+        self._note_urgent_work(now)
         if item.deadline is not None:
             entry = (item.deadline, next(self._order), item)
             heapq.heappush(self._deadlines, entry)
@@ -503,13 +527,16 @@
         if state is None:
             return None
         item = state.head()
+        item.owed = self._is_owed(state)
         # Ranks are charged while the item still counts as waiting, so that
         # its own rank earns its share of it.
         self._charge(state, item.tokens, now)
         state.take()
         del self._waiting[item.request_id]
         self._running[item.request_id] = item
-        self._note_peaks(now)
+        state.start_period_s = state.mean_interval(now)
+        state.waiting_since = now
+        self._note_urgent_work(now)
         return item
 
     def finished(self, item: Item, tokens: int, now: float) -> None:
@@ -530,6 +557,7 @@
         self._charge(state, extra, now)
         if not state.depth:
             state.deficit = min(state.deficit, 0.0)
+        self._note_urgent_work(now)
 
     def remove(self, request_id: str) -> Item | None:
         item = self._waiting.get(request_id)
@@ -557,6 +585,63 @@
     def queued_tokens(self, rank: str) -> int:
         return self._state(rank).tokens
 
+    def part_ahead(self, rank: str, workspace: str, tokens: int) -> float:
+        """Part of a rank's queue that a new item would wait for.
+
+        Args:
+            rank: name of the rank.
+            workspace: workspace of the item.
+            tokens: its expected tokens.
+
+        Returns:
+            0 to 1. Service is fair between workspaces, so each of them is
+            ahead with as many tokens as the own one has with the item.
+        """
+        state = self._state(rank)
+        if not state.tokens:
+            return 0.0
+        own = state.workspaces.get(workspace)
+        waiting = own.tokens if own else 0
+        ahead = waiting + sum(
+            min(other.tokens, waiting + tokens)
+            for other in state.workspaces.values()
+            if other is not own
+        )
+        return min(1.0, ahead / state.tokens)
+
+    def free_slots(self, rank: str, now: float) -> int:
+        """Slots that a rank could use at once, for the load report.
+
+        Args:
+            rank: name of the rank.
+            now: seconds.
+
+        Returns:
+            Free slots without those held for more urgent ranks; 0 when the
+            number of slots is not known.
+        """
+        if self._slots is None:
+            return 0
+        free = self._slots - len(self._running)
+        return max(0, free - self._reserve(self._state(rank), now))
+
+    def start_period(self, rank: str, now: float) -> float:
+        """Time between two starts of a rank while it waits, for the report.
+
+        Args:
+            rank: name of the rank.
+            now: seconds.
+
+        Returns:
+            Seconds, recent mean; 0 before the first start.
+        """
+        state = self._state(rank)
+        if not state.depth:
+            return state.start_period_s
+        # A long wait counts as if the next one started now; in full it would
+        # make one slow start look like a stop.
+        return max(state.start_period_s, state.mean_interval(now))
+
     def _state(self, rank: str) -> _RankState:
         try:
             return self._ranks[rank]
@@ -602,7 +687,7 @@
             return None
         waiting = [state for state in self._ranks.values() if state.depth]
         for state in waiting:
-            if 0 < state.deficit >= state.head().tokens:
+            if self._is_owed(state):
                 return state
         if not waiting:
             return None
@@ -612,29 +697,29 @@
             return None
         return first
 
+    def _is_owed(self, state: _RankState) -> bool:
+        return 0 < state.deficit >= state.head().tokens
+
     def _reserve(self, state: _RankState, now: float) -> int:
         """Slots that a rank leaves free for more urgent ranks."""
-        urgent = self._urgent_running(state)
-        if urgent is None:
+        if state is next(iter(self._ranks.values())):
             return 0
-        peak = int(self._peaks[state.rank.name].largest(now))
-        most = int(self._slots * (1.0 - state.share))
-        return min(max(1, peak + 1 - urgent), most)
-
-    def _urgent_running(self, state: _RankState) -> int | None:
-        """Running items of more urgent ranks; None when there are none."""
-        running = None
+        running = 0
         for other in self._ranks.values():
             if other is state:
                 break
-            running = (running or 0) + other.running
-        return running
+            running += other.running
+        mean = state.urgent_work.at(now)
+        # Independent arrivals: the variance equals the mean.
+        usual = math.ceil(mean + RESERVE_DEVIATIONS * math.sqrt(mean))
+        most = int(self._slots * (1.0 - state.share))
+        return min(max(1, usual - running), most)
 
-    def _note_peaks(self, now: float) -> None:
-        running = 0
-        for name, state in self._ranks.items():
-            self._peaks[name].raise_to(running, now)
-            running += state.running
+    def _note_urgent_work(self, now: float) -> None:
+        work = 0
+        for state in self._ranks.values():
+            state.urgent_work.set(work, now)
+            work += state.running + state.depth
 
     def _charge(self, served: _RankState, tokens: int, now: float) -> None:
         self._served.add(tokens, now)
@@ -666,41 +751,6 @@
         heapq.heapify(self._deadlines)
 
 
-class _TwoWindows:
-    """Value of the current and of the previous window of time."""
-
-    __slots__ = ("_period_s", "_since", "_current", "_previous")
-
-    def __init__(self, period_s: float) -> None:
-        self._period_s = period_s
-        self._since: float | None = None
-        self._current = 0.0
-        self._previous = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        self._turn(now)
-        self._current += amount
-
-    def raise_to(self, value: float, now: float) -> None:
-        self._turn(now)
-        self._current = max(self._current, value)
-
-    def largest(self, now: float) -> float:
-        self._turn(now)
-        return max(self._current, self._previous, 0.0)
-
-    def _turn(self, now: float) -> None:
-        if self._since is None:
-            self._since = now
-        passed = now - self._since
-        if passed < self._period_s:
-            return
-        skipped = passed >= 2 * self._period_s
-        self._previous = 0.0 if skipped else self._current
-        self._current = 0.0
-        self._since = now
-
-
 def make_queue(
     ranks: Iterable[Rank],
     bounds: Bounds = Bounds(),
--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -1,6 +1,8 @@
 """Retention: which kept pieces are worth their space."""
 
 import abc
+import bisect
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import heapq
@@ -17,6 +19,46 @@
 # Prefill rate assumed for a piece whose engine reported none.
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
 
+# Pieces whose last sighting is remembered, kept or not: 100 to 200 bytes
+# each.
+MAX_TRACKED_PIECES = 500_000
+
+# Share of its value that a second copy keeps: the probability that the first
+# copy is lost while the piece waits to return. A few of some hundred VMs fail
+# each day, and gaps reach days.
+COPY_VALUE = 0.03
+
+# Gaps run from seconds to a month. One bucket to an octave tells minutes from
+# hours without thinning out the counts.
+_FIRST_EDGE_S = 15.0
+_BUCKETS = 20
+_EDGES_S = [_FIRST_EDGE_S * 2**i for i in range(_BUCKETS - 1)]
+_WIDTHS_S = [
+    high - low
+    for low, high in zip([0.0, *_EDGES_S], [*_EDGES_S, 2 * _EDGES_S[-1]])
+]
+
+# Before anything was observed, a prompt is as likely to return within one
+# bucket as within the next: gaps have no typical scale.
+_PRIOR_HAZARD = 0.05
+
+# A pool counts as much as the larger pool above it after this many pieces.
+_PRIOR_WEIGHT = 6.0
+
+# Prompts that were seen more often than this are pooled.
+_MAX_SIGHTINGS = 8
+
+# Families whose gaps are pooled; the one that returned longest ago goes first.
+_MAX_FAMILIES = 5_000
+
+# Orders the pieces of one prompt without outweighing differences between
+# prompts.
+_POSITION_DISCOUNT = 1e-4
+
+# A return rate is computed anew after this time: the pools behind it change
+# slowly, while each arrival asks for many rates.
+_RATE_AGE_S = 600.0
+
 
 class PieceFacts(msgspec.Struct, frozen=True):
     """What the value of a piece is estimated from.
@@ -26,12 +68,14 @@
         parent: digest of the piece before this one, empty for the first.
         position: index of the piece in its prompt.
         recompute_s: prefill time that the piece saves, seconds.
+        is_copy: whether this is the second copy of a piece.
     """
 
     family: str
     parent: str
     position: int
     recompute_s: float
+    is_copy: bool = False
 
 
 def make_facts(
@@ -82,21 +126,37 @@
         """Returns: the value of a byte of the piece at this time."""
 
     @abc.abstractmethod
-    def copies(self, value: float) -> int:
-        """Returns: on how many stores a piece of this value is kept."""
+    def copies(self, value: float, floor: float) -> int:
+        """Decide on how many stores a piece is kept.
+
+        Args:
+            value: value of the piece.
+            floor: lowest value that a full store holds, 0 while it has room.
+        Returns: 1 or 2.
+        """
 
 
 class LruPolicy(Policy):
-    """Baseline: the piece that was asked for last is worth most."""
+    """Baseline: the piece that was asked for last is worth most.
 
-    __slots__ = ("_last_seen",)
+    Args:
+        max_pieces: pieces whose last arrival is remembered.
+    """
 
-    def __init__(self) -> None:
-        self._last_seen: dict[pieces.PieceKey, float] = {}
+    __slots__ = ("_last_seen", "_max_pieces")
+
+    def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
+        self._last_seen: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._max_pieces = max_pieces
 
     def arrive(self, keys: Sequence[pieces.PieceKey], now: float) -> None:
         for key in keys:
-            self._last_seen[key] = now
+            self._last_seen[key.digest] = now
+            self._last_seen.move_to_end(key.digest)
+        while len(self._last_seen) > self._max_pieces:
+            self._last_seen.popitem(last=False)
 
     def value(
         self,
@@ -105,12 +165,295 @@
         size_bytes: int,
         now: float,
     ) -> float:
-        return self._last_seen.get(key, now)
+        # Of pieces seen together the later ones go first: they are useless
+        # without the earlier ones.
+        seen_at = self._last_seen.get(key.digest, 0.0)
+        return seen_at - facts.position * 1e-6
 
-    def copies(self, value: float) -> int:
+    def copies(self, value: float, floor: float) -> int:
         return 1
 
 
+class _Gaps:
+    """Returns by the time since the last sighting, in log-spaced buckets.
+
+    Each bucket counts how many pieces reached it without a return and how
+    many returned within it, so that pieces that have not returned yet count
+    for the time they were watched.
+    """
+
+    __slots__ = ("reached", "returned")
+
+    def __init__(self) -> None:
+        self.reached = [0] * _BUCKETS
+        self.returned = [0] * _BUCKETS
+
+
+class _Cohort:
+    """Pieces of one prompt that were last seen together.
+
+    Attributes:
+        sightings: how often they were seen, up to _MAX_SIGHTINGS.
+        credited: buckets whose reached count includes this cohort.
+        is_open: whether it has neither returned nor expired.
+    """
+
+    __slots__ = (
+        "workspace",
+        "family",
+        "sightings",
+        "seen_at",
+        "credited",
+        "is_open",
+        "digests",
+    )
+
+    def __init__(
+        self, workspace: str, family: str, sightings: int, seen_at: float
+    ) -> None:
+        self.workspace = workspace
+        self.family = family
+        self.sightings = sightings
+        self.seen_at = seen_at
+        self.credited = 0
+        self.is_open = True
+        self.digests: list[str] = []
+
+
+# Workspace and family; empty for the whole workspace or the whole fleet.
+_Scope = tuple[str, str]
+
+_FLEET: _Scope = ("", "")
+
+# Pools the families of a workspace that consist of one prompt. Most of these
+# never return, unlike the prompts of an application that share a first piece.
+# No digest looks like this name.
+_SINGLE = "single"
+
+
+class ReturnPolicy(Policy):
+    """Values a piece by the prefill time it is expected to save.
+
+    The value is recompute time times the rate of returns that a byte buys:
+    the highest ratio, over all times to hold the piece, of its probability to
+    return within that time to the expected time it occupies its space. Return
+    gaps are pooled by prompt family, workspace and fleet; the smaller pool is
+    drawn towards the larger one while it has seen little. They are kept apart
+    by the number of sightings, since a prompt that has returned before is
+    more likely to return again.
+
+    Args:
+        max_pieces: pieces that are watched for returns, kept or not.
+    """
+
+    __slots__ = (
+        "_gaps",
+        "_families",
+        "_shared",
+        "_cohorts",
+        "_max_pieces",
+        "_order",
+        "_due",
+        "_ties",
+        "_rates",
+    )
+
+    def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
+        # By scope and number of sightings.
+        self._gaps: dict[_Scope, dict[int, _Gaps]] = {}
+        self._families: collections.OrderedDict[_Scope, None] = (
+            collections.OrderedDict()
+        )
+        self._shared: collections.OrderedDict[_Scope, None] = (
+            collections.OrderedDict()
+        )
+        self._cohorts: dict[str, _Cohort] = {}
+        self._max_pieces = max_pieces
+        self._order: collections.deque[_Cohort] = collections.deque()
+        self._due: list[tuple[float, int, _Cohort]] = []
+        self._ties = itertools.count()
+        self._rates: dict[tuple[_Scope, int, int], tuple[float, float]] = {}
+
+    def arrive(self, keys: Sequence[pieces.PieceKey], now: float) -> None:
+        if not keys:
+            return
+        self._credit(now)
+        self._note_shared(keys)
+        workspace, family = keys[0].workspace, keys[0].digest
+        created: dict[int, _Cohort] = {}
+        for key in keys:
+            cohort = self._cohorts.get(key.digest)
+            sightings = 1
+            if cohort is not None:
+                if cohort.is_open:
+                    cohort.is_open = False
+                    self._record(cohort, now)
+                sightings = min(cohort.sightings + 1, _MAX_SIGHTINGS)
+            if sightings not in created:
+                created[sightings] = self._open(
+                    workspace, family, sightings, now
+                )
+            created[sightings].digests.append(key.digest)
+            self._cohorts[key.digest] = created[sightings]
+        while len(self._cohorts) > self._max_pieces:
+            self._forget_oldest()
+
+    def value(
+        self,
+        key: pieces.PieceKey,
+        facts: PieceFacts,
+        size_bytes: int,
+        now: float,
+    ) -> float:
+        cohort = self._cohorts.get(key.digest)
+        sightings, age = 1, 0.0
+        if cohort is not None:
+            sightings, age = cohort.sightings, now - cohort.seen_at
+        rate = self._return_rate(
+            key.workspace, facts.family, sightings, _bucket(age), now
+        )
+        value = facts.recompute_s * rate / max(1, size_bytes)
+        # A later piece is useless without the earlier ones, so that of pieces
+        # seen together the later ones go first.
+        value /= 1 + _POSITION_DISCOUNT * facts.position
+        return value * COPY_VALUE if facts.is_copy else value
+
+    def copies(self, value: float, floor: float) -> int:
+        return 2 if value * COPY_VALUE > floor else 1
+
+    def _open(
+        self, workspace: str, family: str, sightings: int, now: float
+    ) -> _Cohort:
+        cohort = _Cohort(workspace, family, sightings, now)
+        self._order.append(cohort)
+        due = now + _EDGES_S[0]
+        heapq.heappush(self._due, (due, next(self._ties), cohort))
+        return cohort
+
+    def _scopes(self, workspace: str, family: str) -> list[_Scope]:
+        """Returns: the pools a family draws on, the largest first."""
+        scopes = [_FLEET, (workspace, "")]
+        own = (workspace, family)
+        if own not in self._shared:
+            scopes.append((workspace, _SINGLE))
+        if own in self._families:
+            scopes.append(own)
+        return scopes
+
+    def _pools(self, cohort: _Cohort) -> list[_Gaps]:
+        pools = []
+        for scope in self._scopes(cohort.workspace, cohort.family):
+            by_sightings = self._gaps.setdefault(scope, {})
+            if cohort.sightings not in by_sightings:
+                by_sightings[cohort.sightings] = _Gaps()
+            pools.append(by_sightings[cohort.sightings])
+        return pools
+
+    def _note_shared(self, keys: Sequence[pieces.PieceKey]) -> None:
+        """Remember a family once a second prompt starts with its piece."""
+        if (
+            len(keys) > 1
+            and keys[0].digest in self._cohorts
+            and keys[1].digest not in self._cohorts
+        ):
+            family = (keys[0].workspace, keys[0].digest)
+            self._shared[family] = None
+            self._shared.move_to_end(family)
+            if len(self._shared) > _MAX_FAMILIES:
+                self._shared.popitem(last=False)
+
+    def _record(self, cohort: _Cohort, now: float) -> None:
+        family = (cohort.workspace, cohort.family)
+        self._families[family] = None
+        self._families.move_to_end(family)
+        if len(self._families) > _MAX_FAMILIES:
+            oldest, _ = self._families.popitem(last=False)
+            self._gaps.pop(oldest, None)
+        bucket = _bucket(now - cohort.seen_at)
+        for gaps in self._pools(cohort):
+            for reached in range(cohort.credited, bucket + 1):
+                gaps.reached[reached] += 1
+            gaps.returned[bucket] += 1
+
+    def _credit(self, now: float) -> None:
+        """Count open cohorts in the buckets they have passed."""
+        while self._due and self._due[0][0] <= now:
+            _, _, cohort = heapq.heappop(self._due)
+            if not cohort.is_open:
+                continue
+            # A bucket counts once it has passed: within it the piece may
+            # still return.
+            passed = _bucket(now - cohort.seen_at)
+            for gaps in self._pools(cohort):
+                for reached in range(cohort.credited, passed):
+                    gaps.reached[reached] += 1
+            cohort.credited = passed
+            if passed < _BUCKETS - 1:
+                due = cohort.seen_at + _EDGES_S[passed]
+                heapq.heappush(self._due, (due, next(self._ties), cohort))
+
+    def _forget_oldest(self) -> None:
+        cohort = self._order.popleft()
+        cohort.is_open = False
+        for digest in cohort.digests:
+            if self._cohorts.get(digest) is cohort:
+                del self._cohorts[digest]
+
+    def _return_rate(
+        self,
+        workspace: str,
+        family: str,
+        sightings: int,
+        bucket: int,
+        now: float,
+    ) -> float:
+        """Returns: returns per second held of a piece of this age."""
+        scopes = self._scopes(workspace, family)
+        place = (scopes[-1], sightings, bucket)
+        cached = self._rates.get(place)
+        if cached is not None and now - cached[0] < _RATE_AGE_S:
+            return cached[1]
+        if len(self._rates) > 4 * _MAX_FAMILIES:
+            self._rates.clear()
+        pools = []
+        for scope in scopes:
+            gaps = self._gaps.get(scope, {}).get(sightings)
+            if gaps is not None:
+                pools.append(gaps)
+        rate = _best_rate(pools, bucket)
+        self._rates[place] = (now, rate)
+        return rate
+
+
+def _bucket(age_s: float) -> int:
+    return bisect.bisect_right(_EDGES_S, age_s)
+
+
+def _best_rate(pools: Sequence[_Gaps], first: int) -> float:
+    """Returns: the highest returns per second, over all times to hold.
+
+    Args:
+        pools: gaps, from the largest pool to the smallest.
+        first: bucket of the age of the piece.
+    """
+    best = returned = occupied_s = 0.0
+    reached = 1.0
+    for bucket in range(first, _BUCKETS):
+        hazard = _PRIOR_HAZARD
+        for gaps in pools:
+            hazard = (gaps.returned[bucket] + _PRIOR_WEIGHT * hazard) / (
+                gaps.reached[bucket] + _PRIOR_WEIGHT
+            )
+        # A return within a bucket falls in its middle on average.
+        occupied_s += reached * _WIDTHS_S[bucket] * (1 - hazard / 2)
+        returned += reached * hazard
+        reached *= 1 - hazard
+        rate = returned / occupied_s
+        if rate > best:
+            best = rate
+    return best
+
+
 class _Holding:
     __slots__ = ("size", "value", "stamp")
 
@@ -203,6 +546,18 @@
         """Returns: the value the piece is held at."""
         return self._holdings[key].value
 
+    def floor(self) -> float:
+        """Returns: the lowest value held, 0 while a tenth is free."""
+        if self.used_bytes < 0.9 * self.capacity_bytes:
+            return 0.0
+        lowest = []
+        for share in self._shares.values():
+            while share.ranks and not self._is_current(share.ranks[0]):
+                heapq.heappop(share.ranks)
+            if share.ranks:
+                lowest.append(share.ranks[0][0])
+        return min(lowest, default=0.0)
+
     def set_value(self, key: pieces.PieceKey, value: float) -> None:
         """Change the value of a held piece."""
         holding = self._holdings[key]
@@ -246,10 +601,10 @@
             0 if key in self._holdings else size
         )
         left = {name: share.used for name, share in self._shares.items()}
-        taken: list[_Rank] = []
+        parked: list[_Rank] = []
         heads: list[_Rank] = []
         for name in self._shares:
-            self._take_lowest(name, is_pinned, taken, heads)
+            self._push_lowest(name, is_pinned, parked, heads)
         victims = []
         while need_bytes > 0 and heads:
             rank, _, victim = heapq.heappop(heads)
@@ -265,30 +620,35 @@
             victims.append(victim)
             left[owner] -= victim_size
             need_bytes -= victim_size
-            self._take_lowest(owner, is_pinned, taken, heads)
-        for entry in taken:
+            parked.append(heapq.heappop(self._shares[owner].ranks))
+            self._push_lowest(owner, is_pinned, parked, heads)
+        for entry in parked:
             heapq.heappush(self._shares[entry[2].workspace].ranks, entry)
         return victims if need_bytes <= 0 else None
 
-    def _take_lowest(
+    def _push_lowest(
         self,
         workspace: str,
         is_pinned: Callable[[pieces.PieceKey], bool],
-        taken: list[_Rank],
+        parked: list[_Rank],
         heads: list[_Rank],
     ) -> None:
+        """Push the lowest piece that may go; park the pinned ones below."""
         ranks = self._shares[workspace].ranks
         while ranks:
-            entry = heapq.heappop(ranks)
-            _, stamp, key = entry
-            holding = self._holdings.get(key)
-            if holding is None or holding.stamp != stamp:
-                continue
-            taken.append(entry)
-            if not is_pinned(key):
+            entry = ranks[0]
+            if not self._is_current(entry):
+                heapq.heappop(ranks)
+            elif is_pinned(entry[2]):
+                parked.append(heapq.heappop(ranks))
+            else:
                 heapq.heappush(heads, entry)
                 return
 
+    def _is_current(self, entry: _Rank) -> bool:
+        holding = self._holdings.get(entry[2])
+        return holding is not None and holding.stamp == entry[1]
+
     def _rank(
         self, share: _Share, key: pieces.PieceKey, holding: _Holding
     ) -> None:
@@ -297,9 +657,6 @@
         # Outdated entries are dropped when they outnumber the current ones.
         if len(share.ranks) > 2 * share.count + 64:
             share.ranks = [
-                entry
-                for entry in share.ranks
-                if entry[2] in self._holdings
-                and self._holdings[entry[2]].stamp == entry[1]
+                entry for entry in share.ranks if self._is_current(entry)
             ]
             heapq.heapify(share.ranks)
--- /dev/null
+++ b/papayalink/roles/control/service.py
@@ -0,0 +1,184 @@
+"""RPC interface of a control member."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from papayalink import metrics as metrics_module
+from papayalink.coordination import errors
+from papayalink.coordination import replica as replicas
+from papayalink.coordination.raft import messages as raft_messages
+from papayalink.protocol import messages
+from papayalink.roles.control import demands
+from papayalink.roles.control import identity as identities
+from papayalink.roles.control import loads
+from papayalink.roles.control import peers as peers_module
+from papayalink.roles.control import upkeep
+from papayalink.state import machine as machines
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import rpc
+
+# Shorter than the timeout of a poll, so that the poller learns of it and
+# turns to another member within the same period.
+CONFIRM_TIMEOUT_S = 0.4
+PROPOSE_TIMEOUT_S = 1.8
+
+
+class ControlService:
+    """Answers polls, proposals, queries and messages of other members."""
+
+    __slots__ = (
+        "_identity",
+        "_attached",
+        "_upkeep",
+        "_machine",
+        "_peers",
+        "_loads",
+        "_demands",
+        "_metrics",
+    )
+
+    def __init__(
+        self,
+        identity: identities.Identity,
+        machine: machines.Machine,
+        peers: peers_module.Peers,
+        load_table: loads.LoadTable,
+        demand_table: demands.DemandTable,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._identity = identity
+        self._attached: replicas.Replica | None = None
+        self._upkeep: upkeep.Upkeep | None = None
+        self._machine = machine
+        self._peers = peers
+        self._loads = load_table
+        self._demands = demand_table
+        self._metrics = metrics
+
+    @property
+    def _replica(self) -> replicas.Replica:
+        if self._attached is None:
+            raise transport_errors.RpcRefused(
+                "unavailable", "the member does not take part yet"
+            )
+        return self._attached
+
+    def attach(self, replica: replicas.Replica, duties: upkeep.Upkeep) -> None:
+        """Serve from a replica from now on."""
+        self._attached = replica
+        self._upkeep = duties
+
+    def handlers(self) -> Mapping[str, rpc.Handler]:
+        return {
+            "Poll": self.poll,
+            "Propose": self.propose,
+            "Query": self.query,
+            "Deliver": self.deliver,
+            "ShareLoads": self.share_loads,
+            "Introduce": self.introduce,
+            "Join": self.join,
+        }
+
+    def poll(self, poll: messages.Poll) -> messages.PollReply:
+        """Confirm a process's configuration, or bring it up to date."""
+        if poll.load is not None:
+            self._loads.receive(poll.load)
+        if poll.role == "entry":
+            self._demands.receive(poll.process, poll.demand)
+        self._confirm()
+        configuration = self._machine.configuration
+        self._metrics.count("polls", role=poll.role)
+        reply = messages.PollReply(
+            version=configuration.version,
+            digest=configuration.digest,
+            leaving=self._machine.upstreams.leaving,
+            fence=self._fence(poll),
+            loads=self._loads.select(poll.watch),
+            shares=self._demands.shares(poll.process, configuration.document),
+        )
+        current = poll.version == configuration.version
+        if current and poll.digest == configuration.digest:
+            return reply
+        delta = (
+            configuration.delta_since(poll.version) if poll.digest else None
+        )
+        if delta is not None and not current:
+            return msgspec.structs.replace(reply, delta=delta)
+        return msgspec.structs.replace(
+            reply, document=configuration.document_bytes
+        )
+
+    def propose(self, message: messages.Propose) -> messages.Outcome:
+        """Commit a command; only the leader can."""
+        try:
+            result = self._replica.propose(message.command, PROPOSE_TIMEOUT_S)
+        except errors.CoordinationError as error:
+            raise self._refusal(error) from error
+        return messages.Outcome(result)
+
+    def query(self, query: messages.Query) -> messages.QueryReply:
+        """Read confirmed state."""
+        self._confirm()
+        match query.what:
+            case "call":
+                record = self._machine.ledger.find(query.workspace, query.key)
+                return messages.QueryReply(msgspec.json.encode(record))
+            case "status":
+                status = self._replica.status()
+                return messages.QueryReply(msgspec.json.encode(status))
+            case what:
+                raise transport_errors.RpcRefused("refused", f"no {what}")
+
+    def deliver(self, message: messages.Deliver) -> messages.Acknowledge:
+        """Take replication messages of another member."""
+        self._replica.deliver(raft_messages.decode(message.batch))
+        return messages.Acknowledge()
+
+    def share_loads(
+        self, message: messages.ShareLoads
+    ) -> messages.Acknowledge:
+        self._loads.merge(message.loads)
+        for entry, demand in message.demand:
+            self._demands.merge(entry, demand)
+        return messages.Acknowledge()
+
+    def introduce(self, message: messages.Introduce) -> messages.Acknowledge:
+        """Record another member's data folder."""
+        if not self._identity.welcome(message.name, message.token):
+            raise transport_errors.RpcRefused(
+                "refused", f"{message.name} had another data folder"
+            )
+        return messages.Acknowledge()
+
+    def join(self, message: messages.Join) -> messages.Acknowledge:
+        """Add a member to the group; only the leader can."""
+        if not self._replica.is_leader:
+            raise self._refusal(errors.NotLeader(self._replica.leader_id))
+        self._upkeep.join(message.member_id)
+        return messages.Acknowledge()
+
+    def _fence(self, poll: messages.Poll) -> int:
+        if poll.load is None:
+            return 0
+        return self._machine.upstreams.fence(poll.load.upstream)
+
+    def _confirm(self) -> None:
+        try:
+            self._replica.confirm_read(CONFIRM_TIMEOUT_S)
+        except errors.CoordinationError as error:
+            raise self._refusal(error) from error
+
+    def _refusal(
+        self, error: errors.CoordinationError
+    ) -> transport_errors.RpcRefused:
+        leader = self._peers.address_of(self._replica.leader_id)
+        match error:
+            case errors.NotLeader():
+                return transport_errors.RpcRefused(
+                    "not_leader", str(error), leader
+                )
+            case errors.Unknown():
+                return transport_errors.RpcRefused("unknown", str(error))
+            case _:
+                return transport_errors.RpcRefused("unavailable", str(error))
--- a/papayalink/shape.py
+++ b/papayalink/shape.py
@@ -4,6 +4,7 @@
 import ipaddress
 import json
 import math
+import re
 
 import msgspec
 from msgspec import inspect
@@ -12,6 +13,11 @@
 # cannot hold more than 64 bits.
 MAX_INTEGER = 2**53
 
+# Names are used in URLs, file names and log lines.
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+# Callers name models as published, such as "group/model:variant".
+MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
+
 
 class Problem(msgspec.Struct, frozen=True):
     """One problem of a document or settings file.
@@ -57,6 +63,18 @@
     return None, [Problem("$", text, fix)]
 
 
+def has_repeated_key(data: bytes) -> bool:
+    """Returns: whether an object gives a key twice, for readable JSON."""
+    found = False
+
+    def check(pairs: list[tuple[str, object]]) -> None:
+        nonlocal found
+        found = found or len(dict(pairs)) != len(pairs)
+
+    json.loads(data, object_pairs_hook=check)
+    return found
+
+
 def _make_object(pairs: list[tuple[str, object]]) -> dict:
     made = dict(pairs)
     if len(made) == len(pairs):
@@ -235,10 +253,35 @@
     """Report a number outside least to most, both included."""
     if value is None:
         return
-    if value < least or (most is not None and value > most):
+    if not least <= value <= (MAX_INTEGER if most is None else most):
         wanted = f"{least} or more" if most is None else f"{least} to {most}"
+        if value > MAX_INTEGER:
+            wanted = f"{least} to {MAX_INTEGER if most is None else most}"
+        problems.append(
+            Problem(
+                path,
+                f"{_shorten(str(value))} is out of range",
+                f"give {wanted}",
+            )
+        )
+
+
+def check_name(
+    value: str | None,
+    path: str,
+    problems: list[Problem],
+    pattern: re.Pattern = NAME,
+) -> None:
+    """Report a name that does not match NAME or another pattern."""
+    if value is not None and not pattern.fullmatch(value):
+        marks = "._:/-" if pattern is MODEL_NAME else "._-"
         problems.append(
-            Problem(path, f"{value} is out of range", f"give {wanted}")
+            Problem(
+                path,
+                f"{json.dumps(_shorten(value))} is not a valid name",
+                f"use 1 to 128 letters, digits and {marks}, starting with a"
+                " letter or digit",
+            )
         )
 
 
--- a/papayalink/state/validation.py
+++ b/papayalink/state/validation.py
@@ -26,10 +26,6 @@
 # Rounding when shares such as 0.1 and 0.2 are added up.
 _SHARE_TOLERANCE = 1e-9
 _TYPE = inspect.type_info(documents.Document)
-# Names are used in URLs, file names and log lines.
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
-# Callers name models as published, such as "group/model:variant".
-_MODEL_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _CALL_PATH = re.compile(r"/(?:[A-Za-z0-9._~!$&'()+,;=:@-]+/?)*(?:(?<=/)\*)?")
 
@@ -74,20 +70,16 @@
                 )
             ]
         )
-    value, problems = shape.parse(data)
-    if problems:
-        return result.Err(problems)
-    if isinstance(value, dict) and not _is_known_format(value):
-        return result.Err(
-            [
-                Problem(
-                    "$.format",
-                    f"is {shape.describe(value['format'])}",
-                    f"this version reads format {documents.FORMAT}",
-                )
-            ]
-        )
-    document = shape.build(value, _TYPE, "$", problems)
+    document = _decode(data)
+    if document is not None:
+        problems = []
+    else:
+        value, problems = shape.parse(data)
+        if not problems and not _is_known_format(value):
+            problems = [_unknown_format(value["format"])]
+        if problems:
+            return result.Err(problems)
+        document = shape.build(value, _TYPE, "$", problems)
     if document is not None:
         for check in _CHECKS:
             problems.extend(check(document))
@@ -96,16 +88,41 @@
     return result.Ok(document)
 
 
+def _decode(data: bytes) -> documents.Document | None:
+    """Decode a document whose shape is right, as nearly all are.
+
+    The check that names every fault takes ten times as long, and control
+    members validate in the loop that also sends heartbeats.
+    """
+    try:
+        document = documents.decode(data)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    if document.format != documents.FORMAT or shape.has_repeated_key(data):
+        return None
+    return document
+
+
 def render(problems: list[Problem]) -> str:
     """Returns: one line for each problem."""
     return "".join(f"{problem}\n" for problem in problems)
 
 
-def _is_known_format(value: dict) -> bool:
+def _is_known_format(value: object) -> bool:
+    if not isinstance(value, dict):
+        return True
     given = value.get("format", documents.FORMAT)
     return type(given) is int and given == documents.FORMAT
 
 
+def _unknown_format(given: object) -> Problem:
+    return Problem(
+        "$.format",
+        f"is {shape.describe(given)}",
+        f"this version reads format {documents.FORMAT}",
+    )
+
+
 def _limit(problems: list[Problem]) -> list[Problem]:
     if len(problems) <= MAX_PROBLEMS:
         return problems
@@ -179,7 +196,7 @@
         "upstreams",
         "stores",
     ):
-        pattern = _MODEL_NAME if section == "models" else _NAME
+        pattern = shape.MODEL_NAME if section == "models" else shape.NAME
         first = {}
         for path, entry in _entries(document, section):
             if entry.name is None:
@@ -204,16 +221,11 @@
 
 
 def _check_name(
-    name: str, pattern: re.Pattern, path: str
-) -> Iterator[Problem]:
-    if not pattern.fullmatch(name):
-        marks = "._:/-" if pattern is _MODEL_NAME else "._-"
-        yield Problem(
-            path,
-            f"{_quote(name)} is not a valid name",
-            f"use 1 to 128 letters, digits and {marks}, starting with a"
-            " letter or digit",
-        )
+    name: str | None, pattern: re.Pattern, path: str
+) -> list[Problem]:
+    problems = []
+    shape.check_name(name, path, problems, pattern)
+    return problems
 
 
 def _check_workspaces(document: documents.Document) -> Iterator[Problem]:
@@ -260,17 +272,15 @@
 
 def _check_models(document: documents.Document) -> Iterator[Problem]:
     for path, entry in _entries(document, "models"):
-        version = entry.weight_version
-        if version is not None:
-            yield from _check_name(
-                version, _MODEL_NAME, f"{path}.weight_version"
-            )
+        yield from _check_name(
+            entry.weight_version, shape.MODEL_NAME, f"{path}.weight_version"
+        )
         seen = set()
         for index, adapter in enumerate(entry.adapters or ()):
             if adapter is None:
                 continue
             place = f"{path}.adapters[{index}]"
-            yield from _check_name(adapter, _MODEL_NAME, place)
+            yield from _check_name(adapter, shape.MODEL_NAME, place)
             if adapter in seen:
                 yield Problem(
                     place, f"{_quote(adapter)} is listed twice", "remove one"
@@ -347,8 +357,7 @@
         "service": _names(document, "services"),
     }
     for path, entry in _entries(document, "upstreams"):
-        if entry.zone is not None:
-            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+        yield from _check_name(entry.zone, shape.NAME, f"{path}.zone")
         if entry.kind is not None and entry.kind not in KINDS:
             yield Problem(
                 f"{path}.kind",
@@ -383,8 +392,7 @@
 
 def _check_stores(document: documents.Document) -> Iterator[Problem]:
     for path, entry in _entries(document, "stores"):
-        if entry.zone is not None:
-            yield from _check_name(entry.zone, _NAME, f"{path}.zone")
+        yield from _check_name(entry.zone, shape.NAME, f"{path}.zone")
 
 
 def _check_addresses(document: documents.Document) -> Iterator[Problem]:
