Offer the replica's settings from its own module again

Change: replica.py names Settings and StateMachine again. Figures: replica and waiting tests pass. Conclusion: the control role's import is valid again; its process was not run here.

--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -27,6 +27,10 @@
 # Room on a full disk comes from an operator, so it is looked for rarely.
 _FULL_RETRY_S = 1.0
 
+# Owners of a replica import this module only.
+Settings = replica_loading.Settings
+StateMachine = replica_loading.StateMachine
+
 
 class _Tick(msgspec.Struct, frozen=True):
     pass
@@ -98,10 +102,10 @@
 
     def __init__(
         self,
-        settings: replica_loading.Settings,
+        settings: Settings,
         node: core.Node,
         store: log_store.LogStore,
-        machine: replica_loading.StateMachine,
+        machine: StateMachine,
         applied: int,
         timer_service: timers.TimerService,
         send: Callable[[str, list[messages.PeerMessage]], None],
@@ -384,9 +388,9 @@
 
 
 def make_replica(
-    settings: replica_loading.Settings,
+    settings: Settings,
     store: log_store.LogStore,
-    machine: replica_loading.StateMachine,
+    machine: StateMachine,
     timer_service: timers.TimerService,
     send: Callable[[str, list[messages.PeerMessage]], None],
     bootstrap: memberships.Membership | None = None,
--- a/tests/coordination/replica_group.py
+++ b/tests/coordination/replica_group.py
@@ -5,7 +5,6 @@
 from papayalink import clock as clocks
 from papayalink import timers
 from papayalink.coordination import replica as replicas
-from papayalink.coordination import replica_loading
 from papayalink.coordination.raft import membership as memberships
 from papayalink.coordination.raft import messages
 from papayalink.state import log_store
@@ -47,7 +46,7 @@
             self.stores[member_id] = store
         machine = self.machines[member_id] = ListMachine()
         self.replicas[member_id] = replicas.make_replica(
-            replica_loading.Settings(
+            replicas.Settings(
                 member_id=member_id,
                 tick_s=0.005,
                 seed=int.from_bytes(member_id.encode(), "big"),
