--- a/tests/coordination/raft/test_core.py
+++ b/tests/coordination/raft/test_core.py
@@ -50,8 +50,8 @@
 
 def _elect(node):
     """Make the node leader; returns the output with its first entry."""
-    while node.role.value != "pre-candidate":
-        _tick(node, 1)
+    _tick(node, 20)
+    assert node.role.value == "pre-candidate"
     ready = _receive(node, messages.PreVoteReply, True, term=node.term + 1)
     assert ready.messages == [], "votes asked for before the own is durable"
     _persist(node, ready)
@@ -124,17 +124,13 @@
     assert node.persisted == 1
 
 
-def test_isolated_member_does_not_raise_its_term():
-    node = _node(term=7)
-    assert {type(each) for each in _tick(node, 200)} == {messages.PreVote}
-    assert node.term == 7
-
-
-def test_leader_without_a_quorum_steps_down():
-    node = _node()
+def test_isolated_member_neither_leads_nor_raises_its_term():
+    node = _node(term=6)
     _elect(node)
-    _tick(node, 25)
+    _tick(node, 40)
     assert not node.is_leader
+    assert {type(each) for each in _tick(node, 200)} == {messages.PreVote}
+    assert node.term == 7
 
 
 def test_follower_of_a_live_leader_ignores_candidates():
@@ -144,6 +140,9 @@
     for kind in (messages.PreVote, messages.Vote):
         ready = _receive(node, kind, 9, 9, term=2, sender="c")
         assert (ready.messages, node.term) == ([], 1)
+    # Else a member whose term ran ahead could never follow again.
+    (reply,) = _receive(node, messages.Heartbeat, 0, 0, term=0).messages
+    assert (type(reply), reply.term) == (messages.StaleTerm, 1)
 
 
 def test_learners_neither_vote_nor_count():
@@ -197,6 +196,28 @@
     assert refused == [0, 2, 3]
 
 
+def test_learner_that_lacks_many_entries_is_not_promoted():
+    node = _node(learners="d")
+    _persist(node, _elect(node))
+    _receive(node, messages.AppendReply, 1, 1)
+    for token in range(100):
+        node.step(inputs.Propose(b"x", token))
+    promotion = inputs.ChangeMembers(memberships.PromoteLearner("d"), 100)
+    assert [each.token for each in node.step(promotion).dropped] == [100]
+    _receive(node, messages.AppendReply, 101, 101, sender="d")
+    assert node.step(promotion).dropped == []
+
+
+def test_member_whose_removal_is_not_committed_campaigns():
+    """It may hold the longest log, and then no other can be elected."""
+    node = _node()
+    _persist(node, _elect(node))
+    _receive(node, messages.AppendReply, 1, 1)
+    node.step(inputs.ChangeMembers(memberships.RemoveMember("a"), 1))
+    _receive(node, messages.StaleTerm, term=9)
+    assert {each.to for each in _tick(node, 20)} == {"b", "c"}
+
+
 def test_full_member_acknowledges_only_what_is_durable():
     node = _node([_entry(1, 1)], term=1)
     node.step(inputs.StorageFull())
--- /dev/null
+++ b/tests/coordination/test_waiting.py
@@ -0,0 +1,27 @@
+"""Tests of the requests that wait for a replica."""
+
+import itertools
+
+import pytest
+
+from papayalink.coordination import errors
+from papayalink.coordination import waiting
+from papayalink.coordination.raft import inputs
+
+
+def test_read_waits_for_its_own_round_and_index():
+    """A round under way may be confirmed before a late caller asked."""
+    reads = waiting.Reads(itertools.count())
+    early, late, later = (waiting.Waiter() for _ in range(3))
+    reads.add(early)
+    first = reads.start()
+    reads.add(late)
+    reads.add(later)
+    reads.confirmed(inputs.Read(first.token, 5))
+    for waiter, applied in ((early, 4), (late, 9)):
+        reads.applied(applied)
+        with pytest.raises(errors.Unavailable):
+            waiter.wait(0)
+    reads.confirmed(inputs.Read(reads.start().token, 9))
+    reads.applied(9)
+    assert later.wait(0) == 9
