--- a/tests/coordination/test_links.py
+++ b/tests/coordination/test_links.py
@@ -26,6 +26,7 @@
         # A link that slows to a tenth is noticed within three transfers.
         ([100, 100, 10, 10, 10], 9, 15),
         # One slow transfer does not condemn a link.
+        ([100, 100, 10], 50, 90),
         ([100, 100, 10, 100], 70, 100),
         # A link that recovers is used again.
         ([10, 10, 100, 100, 100, 100], 85, 100),
--- a/tests/coordination/test_restore.py
+++ b/tests/coordination/test_restore.py
@@ -40,6 +40,7 @@
         (4, [1, 2, 3], 10.0, 0.0, False, [], 4.5),
         # Of two runs the longer one saves more.
         (6, [0, 2, 3, 4], 10.0, 0.0, True, [4, 3, 2], 3.5),
+        (6, [0, 1, 2, 4], 10.0, 0.0, True, [2, 1, 0], 3.8),
     ],
 )
 def test_plan(count, kept, rate, queue_s, can_meet, imported, predicted_s):
--- a/tests/state/test_piece_store.py
+++ b/tests/state/test_piece_store.py
@@ -165,6 +165,8 @@
     _damage(path, how)
     if restart:
         store = _make("disk", str(tmp_path), 4)
+        # A flipped payload byte is only found by a read.
+        assert store.contains([_key(1)]) == [how == "changed"]
     assert store.get(_key(1)) is None
     assert store.contains([_key(1)]) == [False]
     assert list(tmp_path.iterdir()) == []
