Remove an abandon rule that never helped, mark second copies

Cause: with the rule that abandons a restore near the 5% limit taken out, all tests passed: by the estimates it could only act when to continue was faster. Ruled out: a test written for the rule, since no case was found where it helps. Change: progress() compares the two finish times only. make_facts marks second copies; tests of prompts that share no first piece and of the baselines. Conclusion: the caller includes the received part of a running transfer in the rates it passes, which is what shows a stalled link.

--- a/bench/restores.py
+++ b/bench/restores.py
@@ -92,7 +92,7 @@
                 imported, int(received), computed, free_at
             )
             links = {"store": restore.Link(profile.rate(now))}
-            match restore.progress(plan, now, observed, links, step):
+            match restore.progress(plan, now, observed, links):
                 case restore.Abandon():
                     abandoned = True
                 case restore.Continue(split=split):
--- a/papayalink/coordination/restore.py
+++ b/papayalink/coordination/restore.py
@@ -8,10 +8,6 @@
 
 from papayalink.protocol import pieces
 
-# How much slower than a recompute of the whole prompt a restore may become
-# before it is abandoned.
-TOLERANCE = 0.05
-
 
 class KeptPiece(msgspec.Struct, frozen=True):
     """A piece that can be imported.
@@ -209,7 +205,6 @@
     now: float,
     observed: Observed,
     links: Mapping[str, Link],
-    check_s: float = 0.0,
 ) -> Continue | Abandon:
     """Decide whether to continue a restore.
 
@@ -217,19 +212,15 @@
         plan: the plan.
         now: time in seconds.
         observed: how far the restore has come.
-        links: links by store, with the rates measured by now.
-        check_s: time until the next check.
+        links: links by store, with the rates measured by now, the received
+            part of the running transfer included.
     Returns: Continue with the split, or Abandon when recompute is faster.
     """
     if observed.imported == len(plan.order):
         return Continue(plan.split)
-    amount, finish = _best_amount(plan, links, observed, now)
+    amount, _ = _best_amount(plan, links, observed, now)
     if amount == 0:
         return Abandon()
-    limit = plan.started_at + (1 + TOLERANCE) * plan.recompute_s
-    abandoned = _finish(plan, links, observed, now, 0)
-    if finish > limit and abandoned + check_s > limit:
-        return Abandon()
     if plan.can_meet:
         return Continue(plan.last - observed.imported - amount)
     return Continue(observed.imported + amount)
--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -91,12 +91,14 @@
 def make_facts(
     keys: Sequence[pieces.PieceKey],
     prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
+    is_copy: bool = False,
 ) -> list[PieceFacts]:
     """Describe the pieces of a prompt.
 
     Args:
         keys: keys of the pieces in prompt order.
         prefill_tokens_per_s: measured rate of the engine.
+        is_copy: whether these are second copies.
     Returns: facts of each piece.
     """
     recompute_s = pieces.PIECE_TOKENS / prefill_tokens_per_s
@@ -106,6 +108,7 @@
             keys[position - 1].digest if position else "",
             position,
             recompute_s,
+            is_copy,
         )
         for position in range(len(keys))
     ]
--- a/tests/coordination/test_restore.py
+++ b/tests/coordination/test_restore.py
@@ -50,6 +50,18 @@
     assert plan.predicted_s == pytest.approx(predicted_s)
 
 
+@pytest.mark.parametrize(
+    "make, expected",
+    [(restore.plan_import, 40.5), (restore.plan_recompute, 4.5)],
+)
+@pytest.mark.parametrize("can_meet", [False, True])
+def test_baselines(make, expected, can_meet):
+    links = {"a": restore.Link(0.1)}
+    engine = restore.Engine(PREFILL, 0.0, can_meet)
+    plan = make(4, 1000, _kept(0, 1, 2, 3), links, engine, 100.0)
+    assert plan.predicted_s == pytest.approx(expected)
+
+
 def test_link_queue_counts():
     """Guards against a restore that waits behind others' transfers."""
     assert _plan(4, _kept(0, 1), 10.0, link_queue_s=9.0).order == ()
--- a/tests/coordination/test_retention.py
+++ b/tests/coordination/test_retention.py
@@ -19,8 +19,10 @@
     return [pieces.PieceKey(workspace, "v1", digest) for digest in digests]
 
 
-def _value(policy, keys, position=0, now=0.0, size=SIZE, rate=8000.0):
-    facts = retention.make_facts(keys, rate)[position]
+def _value(
+    policy, keys, position=0, now=0.0, size=SIZE, rate=8000.0, is_copy=False
+):
+    facts = retention.make_facts(keys, rate, is_copy)[position]
     return policy.value(keys[position], facts, size, now)
 
 
@@ -56,6 +58,19 @@
     )
 
 
+def test_single_prompts_are_not_rated_by_an_application():
+    """Guards against one-off prompts valued by the rest of a workspace."""
+    policy, now = _taught([5 * HOUR_S])
+    for number in range(30):
+        policy.arrive(_keys(f"s{number}", 3), now + number)
+    now += 30 * 24 * HOUR_S
+    single = _keys("new", 3)
+    prompt = _keys("new-prompt", 3, first="app")
+    policy.arrive(single, now)
+    policy.arrive(prompt, now)
+    assert _value(policy, prompt, 1, now) > 5 * _value(policy, single, 1, now)
+
+
 def test_value_falls_once_the_return_is_overdue():
     """Guards against keeping prompts that will not return any more."""
     policy, now = _taught([5 * HOUR_S])
@@ -95,7 +110,11 @@
 
 @pytest.mark.parametrize(
     "changes, factor",
-    [({"size": 2 * SIZE}, 0.5), ({"rate": 4000.0}, 2.0)],
+    [
+        ({"size": 2 * SIZE}, 0.5),
+        ({"rate": 4000.0}, 2.0),
+        ({"is_copy": True}, retention.COPY_VALUE),
+    ],
 )
 def test_value_is_time_saved_by_size(changes, factor):
     policy = retention.ReturnPolicy()
