--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -5,8 +5,10 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 import heapq
 import itertools
+from typing import Annotated
 
 import msgspec
 
@@ -16,6 +18,12 @@
 # something; the other half goes to whoever makes the best use of it.
 GUARANTEED_FRACTION = 0.5
 
+# Within its share a piece counts as worth this much more than one outside.
+# Prompts that return after days are worth some tens of times less than ones
+# that return within the hour, and the share must keep them. It need not keep
+# one-off prompts, which are worth less again.
+SHARE_FACTOR = 100.0
+
 # Prefill rate assumed for a piece whose engine reported none.
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
 
@@ -28,10 +36,12 @@
 # each day, and gaps reach days.
 COPY_VALUE = 0.03
 
-# Gaps run from seconds to a month. One bucket to an octave tells minutes from
-# hours without thinning out the counts.
-_FIRST_EDGE_S = 15.0
-_BUCKETS = 20
+# Gaps run from minutes to weeks. One bucket to an octave tells minutes from
+# hours without thinning out the counts. Shorter gaps are met by the engine's
+# own cache; with narrower first buckets the assumed returns within seconds
+# outweighed the observed ones within hours.
+_FIRST_EDGE_S = 120.0
+_BUCKETS = 16
 _EDGES_S = [_FIRST_EDGE_S * 2**i for i in range(_BUCKETS - 1)]
 _WIDTHS_S = [
     high - low
@@ -40,7 +50,7 @@
 
 # Before anything was observed, a prompt is as likely to return within one
 # bucket as within the next: gaps have no typical scale.
-_PRIOR_HAZARD = 0.05
+_PRIOR_HAZARD = 0.02
 
 # A pool counts as much as the larger pool above it after this many pieces.
 _PRIOR_WEIGHT = 6.0
@@ -81,12 +91,14 @@
 def make_facts(
     keys: Sequence[pieces.PieceKey],
     prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
+    is_copy: bool = False,
 ) -> list[PieceFacts]:
     """Describe the pieces of a prompt.
 
     Args:
         keys: keys of the pieces in prompt order.
         prefill_tokens_per_s: measured rate of the engine.
+        is_copy: whether these are second copies.
     Returns: facts of each piece.
     """
     recompute_s = pieces.PIECE_TOKENS / prefill_tokens_per_s
@@ -96,6 +108,7 @@
             keys[position - 1].digest if position else "",
             position,
             recompute_s,
+            is_copy,
         )
         for position in range(len(keys))
     ]
@@ -174,6 +187,17 @@
         return 1
 
 
+# Workspace and family; empty for the whole workspace or the whole fleet.
+_Scope = tuple[str, str]
+
+_FLEET: _Scope = ("", "")
+
+# Pools the families of a workspace that consist of one prompt. Most of these
+# never return, unlike the prompts of an application that share a first piece.
+# No digest looks like this name.
+_SINGLE = "single"
+
+
 class _Gaps:
     """Returns by the time since the last sighting, in log-spaced buckets.
 
@@ -189,11 +213,31 @@
         self.returned = [0] * _BUCKETS
 
 
+_BucketCounts = Annotated[
+    list[int], msgspec.Meta(min_length=_BUCKETS, max_length=_BUCKETS)
+]
+
+
+class _Pool(msgspec.Struct, array_like=True):
+    workspace: str
+    family: str
+    sightings: int
+    reached: _BucketCounts
+    returned: _BucketCounts
+
+
+class _Snapshot(msgspec.Struct):
+    pools: list[_Pool]
+    families: list[_Scope]
+    shared: list[_Scope]
+
+
 class _Cohort:
     """Pieces of one prompt that were last seen together.
 
     Attributes:
-        sightings: how often they were seen, up to _MAX_SIGHTINGS.
+        sightings: how often they were seen, up to _MAX_SIGHTINGS; negative
+            for a first piece, which returns with every prompt of its family.
         credited: buckets whose reached count includes this cohort.
         is_open: whether it has neither returned nor expired.
     """
@@ -220,17 +264,6 @@
         self.digests: list[str] = []
 
 
-# Workspace and family; empty for the whole workspace or the whole fleet.
-_Scope = tuple[str, str]
-
-_FLEET: _Scope = ("", "")
-
-# Pools the families of a workspace that consist of one prompt. Most of these
-# never return, unlike the prompts of an application that share a first piece.
-# No digest looks like this name.
-_SINGLE = "single"
-
-
 class ReturnPolicy(Policy):
     """Values a piece by the prefill time it is expected to save.
 
@@ -288,7 +321,9 @@
                 if cohort.is_open:
                     cohort.is_open = False
                     self._record(cohort, now)
-                sightings = min(cohort.sightings + 1, _MAX_SIGHTINGS)
+                sightings = min(abs(cohort.sightings) + 1, _MAX_SIGHTINGS)
+            if key is keys[0]:
+                sightings = -sightings
             if sightings not in created:
                 created[sightings] = self._open(
                     workspace, family, sightings, now
@@ -308,10 +343,16 @@
         cohort = self._cohorts.get(key.digest)
         sightings, age = 1, 0.0
         if cohort is not None:
-            sightings, age = cohort.sightings, now - cohort.seen_at
+            sightings, age = abs(cohort.sightings), now - cohort.seen_at
         rate = self._return_rate(
             key.workspace, facts.family, sightings, _bucket(age), now
         )
+        if facts.position == 0:
+            first_rate = self._return_rate(
+                key.workspace, facts.family, -sightings, _bucket(age), now
+            )
+            # The first piece returns whenever a later one does.
+            rate = max(rate, first_rate)
         value = facts.recompute_s * rate / max(1, size_bytes)
         # A later piece is useless without the earlier ones, so that of pieces
         # seen together the later ones go first.
@@ -321,6 +362,30 @@
     def copies(self, value: float, floor: float) -> int:
         return 2 if value * COPY_VALUE > floor else 1
 
+    def snapshot(self) -> bytes:
+        """Returns: the pools, for make_return_policy after a restart."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                [
+                    _Pool(*scope, sightings, gaps.reached, gaps.returned)
+                    for scope, by_sightings in self._gaps.items()
+                    for sightings, gaps in by_sightings.items()
+                ],
+                list(self._families),
+                list(self._shared),
+            )
+        )
+
+    def _load(self, snapshot: "_Snapshot") -> None:
+        for pool in snapshot.pools:
+            gaps = _Gaps()
+            gaps.reached = pool.reached
+            gaps.returned = pool.returned
+            scope = (pool.workspace, pool.family)
+            self._gaps.setdefault(scope, {})[pool.sightings] = gaps
+        self._families.update(dict.fromkeys(snapshot.families))
+        self._shared.update(dict.fromkeys(snapshot.shared))
+
     def _open(
         self, workspace: str, family: str, sightings: int, now: float
     ) -> _Cohort:
@@ -425,6 +490,25 @@
         return rate
 
 
+def make_return_policy(
+    snapshot: bytes | None = None, max_pieces: int = MAX_TRACKED_PIECES
+) -> ReturnPolicy:
+    """Make a policy that knows the return gaps of an earlier one.
+
+    Args:
+        snapshot: from ReturnPolicy.snapshot. Ages and sightings of pieces are
+            not part of it. One that cannot be read is ignored, since the
+            pools fill again.
+        max_pieces: see ReturnPolicy.
+    Returns: the policy.
+    """
+    policy = ReturnPolicy(max_pieces)
+    if snapshot is not None:
+        with contextlib.suppress(msgspec.MsgspecError):
+            policy._load(msgspec.msgpack.decode(snapshot, type=_Snapshot))
+    return policy
+
+
 def _bucket(age_s: float) -> int:
     return bisect.bisect_right(_EDGES_S, age_s)
 
@@ -483,7 +567,7 @@
     Args:
         capacity_bytes: size of the tier.
         guaranteed_fraction: part of the capacity that is divided evenly among
-            workspaces; no other workspace evicts what lies within it.
+            workspaces as their shares, see choose_victims.
     """
 
     __slots__ = (
@@ -575,10 +659,9 @@
     ) -> list[pieces.PieceKey] | None:
         """Choose which pieces make room for a new one.
 
-        A piece gives way to one of higher value, and whatever the values are
-        to one of a workspace that is below its guaranteed share. A piece of
-        another workspace is left alone when that workspace would fall below
-        its own guaranteed share.
+        A piece gives way to one of higher value. Between workspaces, a piece
+        within the guaranteed share of its workspace counts SHARE_FACTOR times
+        its value.
 
         Args:
             key: key of the new piece.
@@ -600,6 +683,7 @@
         held = (own.used if own else 0) + (
             0 if key in self._holdings else size
         )
+        entitled = held <= guaranteed
         left = {name: share.used for name, share in self._shares.items()}
         parked: list[_Rank] = []
         heads: list[_Rank] = []
@@ -614,8 +698,9 @@
                 if rank >= value:
                     continue
             elif left[owner] - victim_size < guaranteed:
-                continue
-            elif rank >= value and held > guaranteed:
+                if rank * SHARE_FACTOR >= value:
+                    continue
+            elif rank >= value * (SHARE_FACTOR if entitled else 1):
                 break
             victims.append(victim)
             left[owner] -= victim_size
--- a/tests/state/test_piece_store.py
+++ b/tests/state/test_piece_store.py
@@ -165,6 +165,8 @@
     _damage(path, how)
     if restart:
         store = _make("disk", str(tmp_path), 4)
+        # A flipped payload byte is only found by a read.
+        assert store.contains([_key(1)]) == [how == "changed"]
     assert store.get(_key(1)) is None
     assert store.contains([_key(1)]) == [False]
     assert list(tmp_path.iterdir()) == []
@@ -262,10 +264,12 @@
     assert (usage["memory"].pieces, usage["disk"].pieces) == (1, 3)
     clock.advance(1)
     assert store.lookup([keys[0]]) == [True]
-    store.revalue()
+    for _ in range(3):
+        store.revalue(max_pieces=1)
     on_disk = store.get(keys[0])
     assert store.get(keys[0]).generation == on_disk.generation
     assert store.usage_by_tier()["memory"].evicted == 3
+    assert store.copies([*keys, _key(9)]) == [1, 1, 1, 0]
     for key in keys:
         assert store.drop(key)
     assert store.contains(keys) == [False] * 3
