--- /dev/null
+++ b/tests/state/test_ledger.py
@@ -0,0 +1,137 @@
+"""Tests of the ledger of protected calls."""
+
+from hypothesis import given
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from papayalink.state import ledger
+
+KEYS = st.sampled_from(["k1", "k2"])
+CLAIMS = st.sampled_from(["c1", "c2", "c3"])
+BODIES = st.sampled_from(["b1", "b2"])
+
+
+def _claim(claim="c1", body="b1", key="k1"):
+    return ledger.Claim("w", key, body, claim, 1.0)
+
+
+def _start(claim="c1", agent="a1", key="k1"):
+    return ledger.Start("w", key, claim, agent, 2.0)
+
+
+def _finish(claim="c1", key="k1"):
+    return ledger.Finish("w", key, claim, 200, b"answer", 3.0)
+
+
+def _withdraw(claim="c1", key="k1"):
+    return ledger.Withdraw("w", key, claim, 2.5)
+
+
+@pytest.mark.parametrize(
+    "commands, outcomes",
+    [
+        ([_claim(), _start(), _finish()], ["Granted"] * 3),
+        # A repeated claim after a lost answer is granted again.
+        ([_claim(), _claim()], ["Granted", "Granted"]),
+        ([_claim(), _claim("c2")], ["Granted", "Standing"]),
+        ([_claim(), _claim("c2", "b2")], ["Granted", "Mismatch"]),
+        ([_claim(), _start(), _start("c1", "a2")], ["Granted"] * 2 + [""]),
+        ([_claim(), _withdraw(), _start()], ["Granted"] * 2 + [""]),
+        ([_claim(), _start(), _withdraw()], ["Granted"] * 2 + [""]),
+        # A delayed copy of a withdrawn claim must not revive it.
+        ([_claim(), _withdraw(), _claim()], ["Granted"] * 2 + [""]),
+        ([_claim(), _withdraw(), _claim("c2")], ["Granted"] * 3),
+        ([_start()], ["Missing"]),
+        ([_claim(), _finish()], ["Granted", ""]),
+    ],
+)
+def test_moves(commands, outcomes):
+    """Guards against a call that moves in a way that is not allowed."""
+    book = ledger.make_ledger()
+    for command, expected in zip(commands, outcomes):
+        outcome = book.apply(command)
+        assert type(outcome).__name__ == (expected or "Standing")
+
+
+def test_delayed_claim_stays_withdrawn_after_other_claims():
+    """Guards against "not run" for a claim that is granted later."""
+    book = ledger.make_ledger()
+    for claim in ("c1", "c2"):
+        book.apply(_claim(claim))
+        book.apply(_withdraw(claim))
+    assert isinstance(book.apply(_claim("c1")), ledger.Standing)
+
+
+def test_expiry_keeps_what_moved_since():
+    """Guards against a record that is forgotten while it is in use."""
+    book = ledger.make_ledger()
+    book.apply(_claim(key="old"))
+    book.apply(_claim(key="moved"))
+    book.apply(_start(key="moved"))
+    book.apply(ledger.Expire(1.5))
+    assert book.find("w", "old") is None
+    assert isinstance(book.find("w", "moved"), ledger.Started)
+
+
+COMMANDS = st.lists(
+    st.one_of(
+        st.builds(_claim, CLAIMS, BODIES, KEYS),
+        st.builds(_start, CLAIMS, st.sampled_from(["a1", "a2"]), KEYS),
+        st.builds(_finish, CLAIMS, KEYS),
+        st.builds(_withdraw, CLAIMS, KEYS),
+    ),
+    max_size=30,
+)
+
+
+@given(COMMANDS)
+def test_snapshot_holds_everything(commands):
+    """Guards against a record that is lost in a restart."""
+    book = ledger.make_ledger()
+    for command in commands:
+        book.apply(command)
+    other = ledger.make_ledger()
+    other.restore(book.snapshot())
+    assert other.snapshot() == book.snapshot()
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """No call starts twice, and no withdrawn claim starts."""
+
+    def __init__(self):
+        super().__init__()
+        self.book = ledger.make_ledger()
+        self.starts = {}
+        self.withdrawn = set()
+
+    @stateful.rule(claim=CLAIMS, body=BODIES, key=KEYS)
+    def claim(self, claim, body, key):
+        self.book.apply(_claim(claim, body, key))
+
+    @stateful.rule(claim=CLAIMS, key=KEYS, agent=st.integers(1, 9))
+    def start(self, claim, key, agent):
+        outcome = self.book.apply(_start(claim, f"a{agent}", key))
+        if isinstance(outcome, ledger.Granted):
+            assert (key, claim) not in self.withdrawn
+            self.starts[key] = self.starts.get(key, 0) + 1
+
+    @stateful.rule(claim=CLAIMS, key=KEYS)
+    def withdraw(self, claim, key):
+        outcome = self.book.apply(_withdraw(claim, key))
+        if isinstance(outcome, ledger.Granted):
+            self.withdrawn.add((key, claim))
+
+    @stateful.rule(claim=CLAIMS, key=KEYS)
+    def finish(self, claim, key):
+        before = self.book.find("w", key)
+        outcome = self.book.apply(_finish(claim, key))
+        if isinstance(outcome, ledger.Granted):
+            assert isinstance(before, ledger.Started)
+
+    @stateful.invariant()
+    def each_call_starts_at_most_once(self):
+        assert all(count == 1 for count in self.starts.values())
+
+
+TestLedgerMachine = LedgerMachine.TestCase
