--- /dev/null
+++ b/tests/coordination/test_lease.py
@@ -0,0 +1,59 @@
+"""Tests of the configuration lease and of what is held under it."""
+
+import pytest
+
+from papayalink.coordination import lease as leases
+from papayalink.state import document as documents
+from papayalink.state import errors
+from papayalink.state import held
+
+DOCUMENT = documents.Document(models=(documents.Model("m", "v1"),))
+DATA = documents.encode(DOCUMENT)
+DIGEST = documents.digest(DOCUMENT)
+
+
+@pytest.mark.parametrize(
+    "confirmed, now, valid",
+    [
+        ([], 0.0, False),
+        ([10.0], 12.9, True),
+        ([10.0], 13.0, False),
+        # A frozen process finds its lease lapsed when it wakes.
+        ([10.0], 300.0, False),
+        # A late confirmation of an earlier poll does not extend the lease.
+        ([12.0, 10.0], 14.9, True),
+        ([12.0, 10.0], 15.0, False),
+    ],
+)
+def test_lease_counts_from_the_sending(confirmed, now, valid):
+    """Guards against work under a configuration that may be old."""
+    lease = leases.make_lease()
+    for sent_at in confirmed:
+        lease.confirm(sent_at)
+    assert lease.valid(now) is valid
+
+
+def test_older_version_is_refused():
+    """Guards against a configuration that reverts."""
+    holder = held.make_held_configuration()
+    assert holder.update(2, DATA, b"", DIGEST)
+    with pytest.raises(errors.VersionWentBack):
+        holder.update(1, DATA, b"", DIGEST)
+    assert holder.version == 2
+
+
+def test_document_of_another_digest_is_refused():
+    """Guards against processes that hold different documents."""
+    holder = held.make_held_configuration()
+    with pytest.raises(errors.DigestMismatch):
+        holder.update(1, DATA, b"", "0" * 32)
+    assert holder.version == 0
+    # The next poll carries no digest and so gets the whole document.
+    assert holder.digest == ""
+    assert holder.update(1, DATA, b"", DIGEST)
+
+
+def test_same_version_is_confirmed_without_a_document():
+    holder = held.make_held_configuration()
+    holder.update(1, DATA, b"", DIGEST)
+    assert not holder.update(1, b"", b"", DIGEST)
--- /dev/null
+++ b/tests/coordination/test_orders.py
@@ -0,0 +1,89 @@
+"""Tests of the control leader's orders."""
+
+import pytest
+
+from papayalink.coordination import orders
+from papayalink.protocol import messages
+from papayalink.state import document as documents
+from papayalink.state import upstreams
+
+NAMES = ("e0", "e1", "e2", "e3")
+DOCUMENT = documents.Document(
+    ranks=(documents.Rank("urgent", 1600),),
+    models=(documents.Model("m", "v2", "v1"),),
+    upstreams=tuple(
+        documents.Upstream(name, "127.0.0.1:1", "z", "m") for name in NAMES
+    ),
+)
+
+
+def _reports(*versions):
+    return {
+        name: messages.LoadReport(
+            name, weight_version=version, prefill_rate=1000.0
+        )
+        for name, version in zip(NAMES, versions)
+        if version is not None
+    }
+
+
+def _open(name, leader="c1", version="v2"):
+    return upstreams.Order(name, 1, "load_weights", version, leader)
+
+
+@pytest.mark.parametrize(
+    "versions, open_orders, expected",
+    [
+        (("v2", "v2", "v2", "v2"), [], 0),
+        # At most two replicas load at once.
+        (("v1", "v1", "v1", "v1"), [], 2),
+        (("v1", "v1", "v1", "v1"), [_open("e0")], 1),
+        (("v1", "v1", "v1", "v1"), [_open("e0"), _open("e1")], 0),
+        # Replicas that are not heard of are left alone.
+        ((None, None, None, "v2"), [], 0),
+    ],
+)
+def test_weights_are_loaded_a_few_at_a_time(versions, open_orders, expected):
+    """Guards against a rollout that takes all capacity away."""
+    opened = orders.decide(DOCUMENT, _reports(*versions), open_orders, "c1")
+    assert len(opened) == expected
+    assert not {order.upstream for order in open_orders} & {
+        order.upstream for order in opened
+    }
+
+
+def test_order_of_another_leader_is_taken_over():
+    """Guards against an order that two leaders send under one number."""
+    state = upstreams.make_upstreams()
+    first = state.apply(
+        upstreams.OpenOrder("e0", "load_weights", "v2", "c1")
+    ).order
+    command = orders.decide(
+        DOCUMENT, _reports("v1", "v2", "v2", "v2"), state.open_orders, "c2"
+    )[0]
+    second = state.apply(command).order
+    assert second.fence > first.fence
+    closed = state.apply(upstreams.CloseOrder("e0", first.fence, "done"))
+    assert closed == upstreams.Unchanged()
+    assert state.open_orders == (second,)
+
+
+@pytest.mark.parametrize(
+    "vms, leaving, expected",
+    [
+        ({"e0": True}, {}, [upstreams.MarkLeaving("e0", "platform")]),
+        ({"e0": True}, {"e0": ("platform",)}, []),
+        (
+            {"e0": False},
+            {"e0": ("platform",)},
+            [upstreams.ClearLeaving("e0", "platform")],
+        ),
+        # The platform does not overrule an operator, and a VM that is not
+        # on its lagging list is left as it is.
+        ({"e0": False}, {"e0": ("operator",)}, []),
+        ({}, {"e0": ("platform",)}, []),
+    ],
+)
+def test_platform_list_changes_marks(vms, leaving, expected):
+    """Guards against a leaving VM that keeps getting work."""
+    assert orders.changes_of_leaving(DOCUMENT, vms, leaving) == expected
--- /dev/null
+++ b/tests/coordination/test_selection.py
@@ -0,0 +1,110 @@
+"""Tests of the choice of upstreams at an entry."""
+
+import random
+
+import pytest
+
+from papayalink.coordination import selection
+from papayalink.protocol import messages
+from papayalink.state import document as documents
+
+MODEL = "m"
+
+
+def _document(count=3, **changes):
+    upstreams = tuple(
+        documents.Upstream(
+            f"e{number}",
+            f"127.0.0.1:{number + 1}",
+            "korangi",
+            MODEL,
+            **changes,
+        )
+        for number in range(count)
+    )
+    return documents.Document(
+        ranks=(documents.Rank("urgent", 1600),),
+        models=(documents.Model(MODEL, "v2", "v1"),),
+        upstreams=upstreams,
+    )
+
+
+def _report(name, version="v2", state="up", sequence=1, **fields):
+    return messages.LoadReport(
+        name,
+        state=state,
+        weight_version=version,
+        waiting=(0,),
+        waiting_tokens=(0,),
+        free_slots=(4,),
+        start_periods_s=(0.0,),
+        loads=(0.0,),
+        prefill_rate=8000.0,
+        sequence=sequence,
+        **fields,
+    )
+
+
+def _wanted():
+    return selection.Wanted("r", "w", MODEL, "", 0, 100, 1.6)
+
+
+@pytest.fixture
+def chooser():
+    return selection.make_selection("entry-1", "korangi", random.Random(1))
+
+
+def _chosen(chooser, tried=frozenset(), now=10.0, times=40):
+    names = set()
+    for _ in range(times):
+        choice = chooser.choose(_wanted(), tried, now)
+        if choice is not None:
+            names.add((choice.upstream.name, choice.weight_version))
+    return names
+
+
+@pytest.mark.parametrize(
+    "reports, leaving, expected",
+    [
+        # Each replica is asked for the weights that it holds.
+        (
+            [_report("e0"), _report("e1", "v1"), _report("e2", "")],
+            (),
+            {("e0", "v2"), ("e1", "v1")},
+        ),
+        ([_report("e0", "v0")], (), {("e1", "v2"), ("e2", "v2")}),
+        (
+            [_report("e0", state="down"), _report("e1", state="leaving")],
+            (),
+            {("e2", "v2")},
+        ),
+        ([], ("e0", "e1"), {("e2", "v2")}),
+    ],
+)
+def test_only_usable_replicas_are_chosen(chooser, reports, leaving, expected):
+    """Guards against work sent to leaving replicas or other weights."""
+    chooser.update(_document(), leaving, reports, 10.0)
+    assert _chosen(chooser) <= expected
+    assert _chosen(chooser, times=200) == expected
+
+
+def test_draining_replicas_get_nothing(chooser):
+    chooser.update(_document(draining=True), (), [], 10.0)
+    assert _chosen(chooser) == set()
+
+
+def test_blocked_replica_returns_with_its_next_report(chooser):
+    """Guards against requests that all try the same refusing replica."""
+    document = _document(1)
+    chooser.update(document, (), [_report("e0")], 10.0)
+    chooser.block("e0", 10.5)
+    chooser.update(document, (), [_report("e0", sequence=2, age_s=1.0)], 11.0)
+    assert _chosen(chooser) == set()
+    chooser.update(document, (), [_report("e0", sequence=3)], 12.0)
+    assert _chosen(chooser) == {("e0", "v2")}
+
+
+def test_entry_watches_a_bounded_subset(chooser):
+    """Guards against reports of all replicas at every entry."""
+    chooser.update(_document(640), (), [], 10.0)
+    assert len(chooser.watched) == selection.SUBSET_SIZE
--- /dev/null
+++ b/tests/roles/test_identity.py
@@ -0,0 +1,94 @@
+"""Tests of the identity of control members."""
+
+import shutil
+
+import pytest
+
+from papayalink.roles.control import identity as identities
+from papayalink.transport import errors
+
+
+class Group:
+    """Members that hear introductions, some of them not reachable."""
+
+    def __init__(self, folder, names):
+        self.folder = folder
+        self.members = {name: self.open(name) for name in names}
+        self.down = set()
+
+    def open(self, name):
+        return identities.make_identity(str(self.folder / name), name)
+
+    def introduce(self, name, rounds=1):
+        others = [other for other in self.members if other != name]
+        left = iter([False] * rounds)
+        identities.introduce(
+            self.members[name],
+            name,
+            others,
+            self,
+            lambda: next(left, True),
+        )
+
+    def call(self, address, method, message):
+        if address in self.down:
+            raise errors.NotConnected(address)
+        if not self.members[address].welcome(message.name, message.token):
+            raise errors.RpcRefused("refused")
+
+    def wipe(self, name):
+        shutil.rmtree(self.folder / name)
+        self.members[name] = self.open(name)
+
+
+@pytest.fixture
+def group(tmp_path, monkeypatch):
+    monkeypatch.setattr(identities.gevent, "sleep", lambda seconds: None)
+    return Group(tmp_path, ["c1", "c2", "c3"])
+
+
+def test_first_start_keeps_the_name_as_id(group):
+    for name in group.members:
+        group.introduce(name)
+    assert [one.member_id for one in group.members.values()] == [
+        "c1",
+        "c2",
+        "c3",
+    ]
+    assert all(one.admitted for one in group.members.values())
+
+
+def test_restart_keeps_the_identity(group):
+    group.introduce("c1")
+    token = group.members["c1"].token
+    assert group.open("c1").token == token
+    assert group.open("c1").admitted
+
+
+def test_wiped_member_gets_a_new_id(group):
+    """Guards against a member that votes again under its old id."""
+    for name in group.members:
+        group.introduce(name)
+    group.wipe("c2")
+    group.introduce("c2")
+    assert group.members["c2"].member_id.startswith("c2.")
+    assert not group.members["c2"].original
+
+
+def test_wiped_member_waits_for_every_other_member(group):
+    """Guards against a wiped member that asks only others that were wiped."""
+    for name in group.members:
+        group.introduce(name)
+    group.wipe("c1")
+    group.introduce("c1")
+    group.wipe("c2")
+    group.down = {"c3"}
+    group.introduce("c2", rounds=3)
+    # The member that joined again does not vouch for first tokens.
+    assert not group.members["c2"].original
+
+
+def test_unreachable_member_holds_up_the_first_start(group):
+    group.down = {"c3"}
+    group.introduce("c1", rounds=3)
+    assert not group.members["c1"].admitted
