--- /dev/null
+++ b/tests/roles/test_agent_calls.py
@@ -0,0 +1,123 @@
+"""Tests of protected calls at the agent."""
+
+import msgspec
+import pytest
+
+from papayalink import clock as clocks
+from papayalink.adapters import service as services
+from papayalink.coordination import errors
+from papayalink.protocol import relay
+from papayalink.roles.agent import calls as agent_calls
+from papayalink.state import ledger
+
+REQUEST = relay.CallRequest(
+    "r1", "w", "orders", "POST", "/charges", "", b"b", "claim-1", "k1"
+)
+
+
+class Upstream:
+    """A service replica that counts its calls."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.calls = 0
+
+    def call(self, method, target, headers, body):
+        self.calls += 1
+        return self.outcome
+
+
+class Book:
+    """A proposer whose answer to a start may be lost."""
+
+    def __init__(self, lost_starts=0):
+        self.ledger = ledger.make_ledger()
+        self.ledger.apply(ledger.Claim("w", "k1", "d", "claim-1", 1.0))
+        self.lost_starts = lost_starts
+
+    def propose(self, command, timeout_s=0.0):
+        outcome = self.ledger.apply(command)
+        if isinstance(command, ledger.Start) and self.lost_starts:
+            # The proposer repeats a command whose answer was lost.
+            self.lost_starts -= 1
+            outcome = self.ledger.apply(command)
+        return outcome
+
+
+ANSWERED = services.Answered(200, [("Content-Type", "text/plain")], b"ok")
+
+
+def _run(book, upstream, refusal="", request=REQUEST):
+    agent = agent_calls.make_calls(
+        "agent-1", upstream, book, lambda: refusal, clocks.ManualClock(5.0)
+    )
+    return agent.run(request)
+
+
+@pytest.mark.parametrize("lost_starts", [0, 1])
+def test_claimed_call_is_dispatched_and_recorded(lost_starts):
+    book, upstream = Book(lost_starts), Upstream(ANSWERED)
+    assert _run(book, upstream) == relay.Answered(200, "text/plain", b"ok")
+    assert upstream.calls == 1
+    assert isinstance(book.ledger.find("w", "k1"), ledger.Finished)
+
+
+@pytest.mark.parametrize(
+    "moves",
+    [
+        [ledger.Start("w", "k1", "claim-1", "agent-1/other", 2.0)],
+        [ledger.Withdraw("w", "k1", "claim-1", 2.0)],
+        [
+            ledger.Withdraw("w", "k1", "claim-1", 2.0),
+            ledger.Claim("w", "k1", "d", "claim-2", 3.0),
+        ],
+        [ledger.Expire(10.0)],
+    ],
+)
+def test_call_that_may_not_start_is_not_dispatched(moves):
+    """Guards against a second run by another copy of the request."""
+    book, upstream = Book(), Upstream(ANSWERED)
+    for move in moves:
+        book.ledger.apply(move)
+    assert isinstance(_run(book, upstream), relay.OutcomeUnknown)
+    assert upstream.calls == 0
+
+
+def test_start_without_an_outcome_is_not_dispatched():
+    """Guards against a dispatch that the ledger may not know of."""
+
+    class Unreachable(Book):
+        def propose(self, command, timeout_s=0.0):
+            raise errors.OutcomeUnknown("no outcome")
+
+    upstream = Upstream(ANSWERED)
+    assert isinstance(_run(Unreachable(), upstream), relay.NotRun)
+    assert upstream.calls == 0
+
+
+def test_lost_answer_leaves_the_call_started():
+    """Guards against a repeat that runs the call again."""
+    book = Book()
+    lost = Upstream(services.OutcomeUnknown("reset"))
+    assert isinstance(_run(book, lost), relay.OutcomeUnknown)
+    assert isinstance(book.ledger.find("w", "k1"), ledger.Started)
+
+
+def test_draining_upstream_leaves_the_claim_alone():
+    book, upstream = Book(), Upstream(ANSWERED)
+    assert _run(book, upstream, "upstream is draining") == relay.NotRun(
+        "upstream is draining"
+    )
+    assert isinstance(book.ledger.find("w", "k1"), ledger.Claimed)
+    assert upstream.calls == 0
+
+
+def test_large_answer_is_not_kept_whole():
+    """Guards against a ledger that grows with the size of answers."""
+    book = Book()
+    large = b"x" * (agent_calls.MAX_KEPT_ANSWER_BYTES + 1)
+    outcome = _run(book, Upstream(services.Answered(200, [], large)))
+    assert outcome.body == large
+    record = book.ledger.find("w", "k1")
+    kept = msgspec.msgpack.decode(record.answer, type=relay.Answered)
+    assert (kept.status, kept.body) == (200, b"")
--- a/tests/state/test_ledger.py
+++ b/tests/state/test_ledger.py
@@ -43,6 +43,8 @@
         ([_claim(), _withdraw(), _claim()], ["Granted"] * 2 + [""]),
         ([_claim(), _withdraw(), _claim("c2")], ["Granted"] * 3),
         ([_start()], ["Missing"]),
+        # Only the claim that stands may be started.
+        ([_claim(), _start("c2")], ["Granted", ""]),
         ([_claim(), _finish()], ["Granted", ""]),
     ],
 )
@@ -111,8 +113,10 @@
 
     @stateful.rule(claim=CLAIMS, key=KEYS, agent=st.integers(1, 9))
     def start(self, claim, key, agent):
+        before = self.book.find("w", key)
         outcome = self.book.apply(_start(claim, f"a{agent}", key))
         if isinstance(outcome, ledger.Granted):
+            assert before.claim_id == claim
             assert (key, claim) not in self.withdrawn
             self.starts[key] = self.starts.get(key, 0) + 1
 
