Test a control member that is isolated silently

Cause: breaking the quorum round of a poll was not noticed, since a frozen member answers nothing at all; only one that runs and is cut off could confirm an old version.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+import gevent
 import geventhttpclient
 import msgspec
 
@@ -192,7 +193,7 @@
                 self._require_running(name)
                 if time.monotonic() > deadline:
                     raise TimeoutError(f"{name} does not take work")
-                time.sleep(0.05)
+                gevent.sleep(0.05)
 
     def _require_running(self, name: str) -> None:
         program = self.programs[name]
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import geventhttpclient
 import msgspec
 
@@ -216,7 +217,7 @@
             return
         if time.monotonic() > deadline:
             raise TimeoutError(f"{entry} has reports {loads}")
-        time.sleep(0.05)
+        gevent.sleep(0.05)
 
 
 def _order_service() -> dict:
--- /dev/null
+++ b/tests/roles/test_control_service.py
@@ -0,0 +1,109 @@
+"""Tests of a control member's answers to polls."""
+
+import pytest
+
+from papayalink import clock as clocks
+from papayalink import metrics
+from papayalink.coordination import errors
+from papayalink.protocol import messages
+from papayalink.roles.control import demands
+from papayalink.roles.control import loads
+from papayalink.roles.control import service
+from papayalink.state import configuration
+from papayalink.state import document as documents
+from papayalink.state import held
+from papayalink.state import machine as machines
+from papayalink.transport import errors as transport_errors
+
+
+class Replica:
+    """Confirms reads unless it is cut off."""
+
+    leader_id = None
+
+    def __init__(self):
+        self.confirms = True
+
+    def confirm_read(self, timeout_s):
+        if not self.confirms:
+            raise errors.Unavailable("no quorum")
+        return 1
+
+
+class Peers:
+    """No other members."""
+
+    def address_of(self, member_id):
+        return ""
+
+
+@pytest.fixture
+def replica():
+    return Replica()
+
+
+@pytest.fixture
+def machine():
+    return machines.make_machine()
+
+
+@pytest.fixture
+def member(replica, machine):
+    clock = clocks.ManualClock(10.0)
+    built = service.ControlService(
+        None,
+        machine,
+        Peers(),
+        loads.make_load_table(clock),
+        demands.make_demand_table(clock),
+        metrics.make_metrics(),
+    )
+    built.attach(replica, None)
+    return built
+
+
+def _apply(machine, base, **limits):
+    document = documents.Document(limits=documents.Limits(**limits))
+    command = configuration.ApplyDocument(
+        f"r{base}", base, documents.encode(document), "x", 0
+    )
+    machine.apply(base + 1, machines.encode_command(command))
+
+
+def _poll(holder):
+    return messages.Poll(
+        "entry-1", "entry", "i", holder.version, holder.digest
+    )
+
+
+def test_poll_is_refused_without_a_quorum(member, replica):
+    """Guards against an isolated member that confirms old versions."""
+    replica.confirms = False
+    with pytest.raises(transport_errors.RpcRefused) as refusal:
+        member.poll(_poll(held.make_held_configuration()))
+    assert refusal.value.code == "unavailable"
+
+
+@pytest.mark.parametrize("behind", [0, 1, 2, 5])
+def test_poller_is_brought_up_to_date(member, machine, behind):
+    """Guards against pollers that end up with another document."""
+    holder = held.make_held_configuration()
+    for base in range(6):
+        _apply(machine, base, max_queue_per_upstream=base + 1)
+        if base == 5 - behind:
+            reply = member.poll(_poll(holder))
+            holder.update(
+                reply.version, reply.document, reply.delta, reply.digest
+            )
+    reply = member.poll(_poll(holder))
+    assert bool(reply.delta) is (behind > 0)
+    assert not reply.document
+    holder.update(reply.version, reply.document, reply.delta, reply.digest)
+    assert holder.digest == machine.configuration.digest
+
+
+def test_damaged_poller_gets_the_whole_document(member, machine):
+    """Guards against a delta on top of a document of unknown content."""
+    _apply(machine, 0, max_queue_per_upstream=9)
+    reply = member.poll(messages.Poll("entry-1", "entry", "i", 1, ""))
+    assert reply.document == machine.configuration.document_bytes
