Put cache shares, queue bounds and the loading limit in force

Cause: three fields of the document had no effect: cache_share, max_queue_per_upstream and max_loading_replicas; weights_address in the settings named a store that no process reads. Change: stores guarantee a workspace its share, agents bound their queues and the leader bounds loading replicas by the document; the setting is removed. Figures: a workspace with a share of 0.6 keeps 600 of 1,000 bytes against a larger caller, 250 before.

--- a/papayalink/coordination/orders.py
+++ b/papayalink/coordination/orders.py
@@ -60,7 +60,13 @@
         for upstream in document.upstreams
         if upstream.serves == model.name
     ]
-    plan = rollout.plan(replicas, model.weight_version, demand or {}, urgent)
+    plan = rollout.plan(
+        replicas,
+        model.weight_version,
+        demand or {},
+        urgent,
+        document.limits.max_loading_replicas,
+    )
     for action in plan.actions:
         match action:
             # Running replies finish on their own across a swap, so a replica
--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -453,6 +453,10 @@
         """Change the number of requests that the upstream runs at once."""
         self._slots = slots
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Change how much may wait; what waits already stays."""
+        self._bounds = bounds
+
     def update_ranks(self, ranks: Sequence[Rank]) -> list[Item]:
         """Put changed rank records in force.
 
--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -4,6 +4,7 @@
 import bisect
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import heapq
@@ -573,6 +574,7 @@
     __slots__ = (
         "capacity_bytes",
         "_guaranteed_fraction",
+        "_entitlements",
         "_holdings",
         "_shares",
         "_used",
@@ -587,6 +589,7 @@
     ) -> None:
         self.capacity_bytes = capacity_bytes
         self._guaranteed_fraction = guaranteed_fraction
+        self._entitlements: dict[str, float] = {}
         self._holdings: dict[pieces.PieceKey, _Holding] = {}
         self._shares: dict[str, _Share] = {}
         self._used = 0
@@ -649,6 +652,18 @@
             holding.value = value
             self._rank(self._shares[key.workspace], key, holding)
 
+    def set_entitlements(self, fractions: Mapping[str, float]) -> None:
+        """Guarantee workspaces more than the even share.
+
+        Args:
+            fractions: by workspace, part of the capacity, 0 to 1.
+        """
+        self._entitlements = dict(fractions)
+
+    def _guaranteed_bytes(self, workspace: str, even: float) -> float:
+        own = self._entitlements.get(workspace, 0.0) * self.capacity_bytes
+        return max(even, own)
+
     def choose_victims(
         self,
         key: pieces.PieceKey,
@@ -679,11 +694,11 @@
             return []
         own = self._shares.get(key.workspace)
         active = len(self._shares) + (own is None)
-        guaranteed = self._guaranteed_fraction * self.capacity_bytes / active
+        even = self._guaranteed_fraction * self.capacity_bytes / active
         held = (own.used if own else 0) + (
             0 if key in self._holdings else size
         )
-        entitled = held <= guaranteed
+        entitled = held <= self._guaranteed_bytes(key.workspace, even)
         left = {name: share.used for name, share in self._shares.items()}
         parked: list[_Rank] = []
         heads: list[_Rank] = []
@@ -697,7 +712,9 @@
             if owner == key.workspace:
                 if rank >= value:
                     continue
-            elif left[owner] - victim_size < guaranteed:
+            elif left[owner] - victim_size < self._guaranteed_bytes(
+                owner, even
+            ):
                 if rank * SHARE_FACTOR >= value:
                     continue
             elif rank >= value * (SHARE_FACTOR if entitled else 1):
--- a/papayalink/coordination/rollout.py
+++ b/papayalink/coordination/rollout.py
@@ -84,6 +84,7 @@
     version: str,
     demand: Mapping[str, float],
     urgent: str,
+    max_loading: int = MAX_LOADING,
 ) -> Plan:
     """Next steps towards a version, from any intermediate state.
 
@@ -95,6 +96,7 @@
         version: weight version to serve.
         demand: recent tokens a second by rank.
         urgent: name of the rank that keeps its capacity.
+        max_loading: replicas that load at once.
 
     Returns:
         Steps that may be taken at once; asked again after each change of
@@ -136,7 +138,7 @@
     # Replicas without work first: loading them costs no capacity.
     idle = [one for one in reversed(draining) if not one.running]
     for one in by_phase[Phase.UNLOADED] + idle:
-        if busy >= MAX_LOADING:
+        if busy >= max_loading:
             held = "loading"
             break
         actions.append(Load(one.name, version))
@@ -145,7 +147,7 @@
     for one in by_phase[Phase.SERVING]:
         if one.version == version:
             continue
-        if busy >= MAX_LOADING:
+        if busy >= max_loading:
             held = "loading"
             break
         left = serving - one.capacity
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -230,6 +230,11 @@
         dropped = self._queue.update_ranks(ranks)
         self._dispatcher.decline(dropped, "rank was removed")
         self._queue.set_slots(own.max_running)
+        self._queue.set_bounds(
+            queueing.Bounds(
+                items_per_rank=document.limits.max_queue_per_upstream
+            )
+        )
         self._dispatcher.set_slots(own.max_running)
         self._work.update_ranks(ranks)
 
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -33,6 +33,7 @@
     __slots__ = (
         "_follower",
         "_pieces",
+        "_document",
         "_server",
         "_inbox",
         "_stopping",
@@ -57,6 +58,8 @@
             retention.ReturnPolicy(),
             node.clock,
         )
+        self._document = self._follower.document
+        self._follower.listen(self._on_reply)
         self._server = http_server.make_server(
             nodes.parse_address(settings.listen),
             http_server.require_signature(self._serve, node.signer),
@@ -91,6 +94,18 @@
             self._inbox.get()
             self._pieces.revalue()
 
+    def _on_reply(self) -> None:
+        document = self._follower.document
+        if document is not self._document:
+            self._document = document
+            self._pieces.set_entitlements(
+                {
+                    space.name: space.cache_share
+                    for space in document.workspaces
+                    if space.cache_share
+                }
+            )
+
     def _lookup(
         self, environ: dict, start_response: Callable
     ) -> Iterable[bytes]:
--- a/papayalink/settings.py
+++ b/papayalink/settings.py
@@ -110,7 +110,6 @@
         console_listen: "IP:PORT" of the console.
         console_token: what operators give as bearer token or password.
         platform_address: "IP:PORT" of the platform's list, "" for none.
-        weights_address: "IP:PORT" of the weight store, "" for none.
         join: the member joins a running group.
     """
 
@@ -119,7 +118,6 @@
     console_listen: str
     console_token: str
     platform_address: str = ""
-    weights_address: str = ""
     join: bool = False
 
 
@@ -268,10 +266,10 @@
 
 
 def _check_control(settings: Control, problems: list) -> None:
-    for field in ("platform_address", "weights_address"):
-        address = getattr(settings, field)
-        if address:
-            shape.check_address(address, f"$.{field}", problems)
+    if settings.platform_address:
+        shape.check_address(
+            settings.platform_address, "$.platform_address", problems
+        )
     token = settings.console_token
     if token is not None and not (
         len(token) >= MIN_CONSOLE_TOKEN_LENGTH
--- a/papayalink/state/piece_store.py
+++ b/papayalink/state/piece_store.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import errno
@@ -330,6 +331,11 @@
                 by_workspace=self._occupancy.used_by,
             )
 
+    def set_entitlements(self, fractions: Mapping[str, float]) -> None:
+        """Guarantee parts of the capacity to workspaces."""
+        with self._lock:
+            self._occupancy.set_entitlements(fractions)
+
     def share_generations(self, other: "_IndexedStore") -> None:
         """Number publications in one sequence with another store."""
         self._generations = other._generations
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -1,5 +1,6 @@
 """Tests of the control leader's orders."""
 
+import msgspec
 import pytest
 
 from papayalink.coordination import orders
@@ -87,3 +88,15 @@
 def test_platform_list_changes_marks(vms, leaving, expected):
     """Guards against a leaving VM that keeps getting work."""
     assert orders.changes_of_leaving(DOCUMENT, vms, leaving) == expected
+
+
+@pytest.mark.parametrize("most", [1, 2, 3])
+def test_number_of_loading_replicas_follows_the_document(most):
+    """Guards against a limit in the document that has no effect."""
+    document = msgspec.structs.replace(
+        DOCUMENT, limits=documents.Limits(max_loading_replicas=most)
+    )
+    opened = orders.decide(
+        document, _reports("v1", "v1", "v1", "v1"), [], "c1"
+    )
+    assert len(opened) == most
--- a/tests/coordination/test_retention.py
+++ b/tests/coordination/test_retention.py
@@ -258,3 +258,12 @@
     for group in ("large", "small"):
         lru, kept = (result[group]["share"] for result in results)
         assert kept < 0.85 * lru
+
+
+def test_document_guarantees_more_than_the_even_share():
+    """Guards against a cache share in the document that has no effect."""
+    occupancy = retention.Occupancy(1000, 0.5)
+    occupancy.set_entitlements({"small": 0.6})
+    _fill(occupancy, "l", 100, 10.0, "large")
+    _fill(occupancy, "s", 100, 1.0, "small")
+    assert occupancy.used_by == {"large": 400, "small": 600}
