Choose ports of bench deployments outside the ephemeral range

Ruled out: trying again after a failed start, which would hide real failures. Change: ports from 10,000 to 32,000, each used once; a store's tiers take over cache shares, which stopped stores that had one configured.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -19,6 +20,8 @@
 HOST = "127.0.0.1"
 TOKEN = "quote-counter-token"
 START_TIMEOUT_S = 20.0
+_PORTS = (10_000, 32_000)
+_used_ports: set[int] = set()
 
 
 class Program:
@@ -224,10 +227,24 @@
 
 
 def free_address() -> str:
-    """Returns: "IP:PORT" of a port that is free now."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Choose an address for a process that is started later.
+
+    Ports below the range of outgoing connections are used: one of that range
+    was taken by an outgoing connection before its process listened.
+
+    Returns: "IP:PORT" that is free now and was not returned before.
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return f"{HOST}:{port}"
 
 
 def http_get(address: str, path: str) -> bytes:
--- a/papayalink/state/piece_store.py
+++ b/papayalink/state/piece_store.py
@@ -780,6 +780,15 @@
                 self._policy.arrive(keys, self._clock.now())
         return self.contains(keys)
 
+    def set_entitlements(self, fractions: Mapping[str, float]) -> None:
+        """Guarantee parts of each tier to workspaces.
+
+        Args:
+            fractions: by workspace, part of the capacity, 0 to 1.
+        """
+        self._memory.set_entitlements(fractions)
+        self._disk.set_entitlements(fractions)
+
     def revalue(self, max_pieces: int | None = None) -> None:
         """Bring values up to date; called by a timer.
 
--- a/tests/processes/test_upstreams.py
+++ b/tests/processes/test_upstreams.py
@@ -222,8 +222,9 @@
     stranger = client.make_caller(fleet.entries[0], "token-of-other")
     prompt = " ".join(f"w{number}" for number in range(4100))
     helpers.wait_until(lambda: _complete(stranger).status == 200)
-    first = _complete(caller, prompt=prompt).json()
-    second = _complete(stranger, prompt=prompt).json()
+    answers = [_complete(one, prompt=prompt) for one in (caller, stranger)]
+    assert [answer.status for answer in answers] == [200, 200], answers
+    first, second = (answer.json() for answer in answers)
     details = second["usage"]["prompt_tokens_details"]
     assert details["cached_tokens"] == 0
     assert first["choices"] != second["choices"]
