Keep the bytes of a published piece, delete damaged files at once

A second put of a key that only the disk tier held placed its bytes in memory under the first put's generation; and a damaged file that was pinned elsewhere stayed until the release, so that a restart listed it again (a read of it was still a miss). Ruled out: comparing the bytes of the two puts, which reads the file again. Change: admit() reports whether it published; the disk store deletes damaged files at once; a direct test for each fault.

--- a/papayalink/state/piece_store.py
+++ b/papayalink/state/piece_store.py
@@ -243,19 +243,20 @@
         value: float,
         facts: retention.PieceFacts | None,
         generation: int | None = None,
-    ) -> int:
+    ) -> int | None:
         """Publish a piece that was verified already; see put.
 
-        Returns: generation of the publication.
+        Returns: generation of the publication, None when the piece is already
+            published or being written.
         """
         size = len(data)
         with self._lock:
             entry = self._entries.get(key)
             if entry is not None:
                 self._occupancy.set_value(key, value)
-                return entry.generation
+                return None
             if key in self._writing:
-                return self._writing[key].generation
+                return None
             evicted = self._make_room(key, size, value)
             self._occupancy.add(key, size, value)
             if generation is None:
@@ -609,6 +610,11 @@
                 self._files.sync_folder(self._folder)
         return was_published
 
+    def _discard_corrupt(self, entry: _Entry) -> None:
+        super()._discard_corrupt(entry)
+        # Not left until the last release: a restart would find the file again.
+        self._free([entry])
+
     def _load(self) -> None:
         os.makedirs(self._folder, exist_ok=True)
         found: dict[pieces.PieceKey, tuple[_Entry, float]] = {}
@@ -733,6 +739,12 @@
             # A disk that refuses leaves the memory tier usable.
             self._memory.admit(key, data, value, facts)
             return
+        if generation is None:
+            # These bytes may differ from the published ones: engines do not
+            # compute a piece alike to the last bit. One generation must not
+            # stand for both.
+            self._memory.set_value(key, value)
+            return
         with contextlib.suppress(errors.StoreFull):
             self._memory.admit(key, data, value, facts, generation)
 
--- a/tests/state/test_piece_store.py
+++ b/tests/state/test_piece_store.py
@@ -57,6 +57,16 @@
     assert store.usage().pins == 0
 
 
+def test_second_put_keeps_the_published_bytes(make):
+    """Guards against two sets of bytes under one generation."""
+    store = make(4)
+    store.put(_key(1), _piece(_key(1)))
+    if isinstance(store, piece_store.TieredPieceStore):
+        store._memory.drop(_key(1))
+    store.put(_key(1), _piece(_key(1), b"x"), value=1)
+    assert store.get(_key(1)).data == _piece(_key(1))
+
+
 @pytest.mark.parametrize(
     "other",
     [
@@ -176,6 +186,17 @@
     assert store.get(_key(1)) is not None
 
 
+def test_damaged_file_is_deleted_while_pinned(tmp_path):
+    """Guards against a damaged piece that a restart publishes again."""
+    store = _make("disk", str(tmp_path), 4)
+    store.put(_key(1), _piece(_key(1)))
+    with store.get(_key(1)) as pin:
+        _damage(next(tmp_path.glob("*.piece")), "changed")
+        assert store.get(_key(1)) is None
+        assert list(tmp_path.iterdir()) == []
+        assert pin.data == _piece(_key(1))
+
+
 def test_file_under_another_name_is_a_miss(tmp_path):
     """Guards against a file restored or renamed to another key's name."""
     store = _make("disk", str(tmp_path), 4)
