Tell why polls fail; poll with the demand of entries

Cause: at 500 polls a second half of the polls failed and the run did not say why; the demand of entries was measured without RPC only. Change: light pollers count failures by error; part demand polls as entries with 130 workspaces each.

--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -137,7 +137,7 @@
         self._poll = poll
         self._client = client
         self._controls = random.sample(controls, len(controls))
-        self.failed = 0
+        self.failed: dict[str, int] = {}
         self.done = 0
 
     def run(self) -> None:
@@ -159,8 +159,9 @@
             reply = self._client.call(
                 self._controls[0], "Poll", poll, leases.POLL_TIMEOUT_S
             )
-        except transport_errors.TransportError:
-            self.failed += 1
+        except transport_errors.TransportError as error:
+            kind = f"{type(error).__name__} {error}"[:60]
+            self.failed[kind] = self.failed.get(kind, 0) + 1
             self._controls.append(self._controls.pop(0))
             return
         self.done += 1
@@ -169,7 +170,26 @@
         )
 
 
-def _first_poll(number: int, watch: tuple[str, ...]) -> messages.Poll:
+def _first_poll(
+    number: int, watch: tuple[str, ...], workspaces: int = 0
+) -> messages.Poll:
+    """Make the first poll of an entry or an agent.
+
+    Args:
+        workspaces: demand of an entry for so many; then all are entries.
+    """
+    if workspaces:
+        draw = random.Random(number)
+        return messages.Poll(
+            f"entry-{number}",
+            "entry",
+            f"{number:012x}",
+            watch=watch,
+            demand=tuple(
+                messages.Demand(f"workspace-{place}", 412.53, 3)
+                for place in draw.sample(range(3300), workspaces)
+            ),
+        )
     if random.Random(number).random() < ENTRY_SHARE:
         return messages.Poll(
             f"entry-{number}", "entry", f"{number:012x}", watch=watch
@@ -193,7 +213,9 @@
         )
         pollers.append(
             _LightPoller(
-                _first_poll(number, watch), client, options["controls"]
+                _first_poll(number, watch, options["workspaces"]),
+                client,
+                options["controls"],
             )
         )
         gevent.spawn(pollers[-1].run)
@@ -201,10 +223,18 @@
     return {
         "cpu_s": slopes.cpu_s(os.getpid()),
         "polls": sum(poller.done for poller in pollers),
-        "failed": sum(poller.failed for poller in pollers),
+        "failed": _add_up([poller.failed for poller in pollers]),
     }
 
 
+def _add_up(counts: list[dict[str, int]]) -> dict[str, int]:
+    total = {}
+    for one in counts:
+        for name, count in one.items():
+            total[name] = total.get(name, 0) + count
+    return total
+
+
 def _watch() -> tuple[str, ...]:
     selection = selections.make_selection("entry-1", "zone-1")
     selection.update(documents_bench.make_document(10, 640, 0), (), (), 0.0)
@@ -372,10 +402,16 @@
     return {"empty_kb": empty, "runs": runs}
 
 
-def measure_polls(folder: str, counts: tuple[int, ...]) -> dict:
+def measure_polls(
+    folder: str, counts: tuple[int, ...], workspaces: int = 0
+) -> dict:
     """Processor time of control members and pollers against polls a second.
 
     Pollers hold the version only; the document has the design size.
+
+    Args:
+        workspaces: with 0, entries and agents poll, without demand; else
+            only entries, each with demand for so many limited workspaces.
     """
     group = Group(folder)
     runs = []
@@ -386,7 +422,12 @@
         for count in counts:
             parts = max(1, min(4, count // 100))
             children = [
-                group.spawn("light", first=place, count=count // parts)
+                group.spawn(
+                    "light",
+                    first=place,
+                    count=count // parts,
+                    workspaces=workspaces,
+                )
                 for place in range(0, count, count // parts)
             ][:parts]
             gevent.sleep(SETTLE_S)
@@ -405,7 +446,7 @@
                         * 1000,
                         3,
                     ),
-                    "failed": sum(one["failed"] for one in results),
+                    "failed": _add_up([one["failed"] for one in results]),
                     "polls": sum(one["polls"] for one in results),
                     "leader": group.leader(),
                     "memory_kb": group.memory(),
@@ -569,8 +610,9 @@
 
 PARTS = {
     "processes": lambda folder: measure_processes(folder),
-    "polls": lambda folder: measure_polls(folder, (60, 250, 500)),
-    "polls_1000": lambda folder: measure_polls(folder, (800, 1000)),
+    "polls": lambda folder: measure_polls(folder, (30, 60, 120, 250)),
+    "polls_1000": lambda folder: measure_polls(folder, (500, 1000)),
+    "demand": lambda folder: measure_polls(folder, (30, 60, 120, 240), 130),
     "changes": lambda folder: measure_changes(folder, (10, 32, 60)),
     "proposals": lambda folder: measure_proposals(folder, (30, 60, 120)),
 }
