Measure restarts and a group of seven

Cause: at 1,000 polls a second three members answered 2,311 of about 10,500 polls; the design size has that rate, and up to seven members. Ruled out: too few file descriptors (limit 20,000). Change: part joins polls without a configuration from many processes at once; part polls_7_members repeats the polls with seven members.

--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -1,6 +1,6 @@
 """Slopes of polls, changes and proposals, from real processes on loopback.
 
-Three control members run in every part. Pollers and proposers run in
+Three control members run in every part but one, which has seven. Pollers and proposers run in
 processes of their own, so that processor time is told apart by process.
 """
 
@@ -44,17 +44,18 @@
 
 
 class Group:
-    """Three control members and a proposer.
+    """Control members and a proposer.
 
     Args:
         folder: for settings, logs and data.
+        members: number of control members.
     """
 
     __slots__ = ("deployment", "proposer", "version", "_step", "_size")
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, members: int = 3) -> None:
         self.deployment = deployments.make_deployment(folder, ZONES)
-        self.deployment.add_controls(3)
+        self.deployment.add_controls(members)
         self.deployment.wait_accepting(list(self.deployment.controls))
         self.proposer = control.make_proposer(self.deployment)
         self.version = 0
@@ -403,7 +404,10 @@
 
 
 def measure_polls(
-    folder: str, counts: tuple[int, ...], workspaces: int = 0
+    folder: str,
+    counts: tuple[int, ...],
+    workspaces: int = 0,
+    members: int = 3,
 ) -> dict:
     """Processor time of control members and pollers against polls a second.
 
@@ -412,8 +416,9 @@
     Args:
         workspaces: with 0, entries and agents poll, without demand; else
             only entries, each with demand for so many limited workspaces.
+        members: number of control members.
     """
-    group = Group(folder)
+    group = Group(folder, members)
     runs = []
     try:
         group.apply(slopes.SIZES[-1])
@@ -532,6 +537,80 @@
     }
 
 
+def measure_joins(folder: str, counts: tuple[int, ...]) -> dict:
+    """Time and processor time until restarted processes have a document.
+
+    All of them poll at the same time without a configuration, as after the
+    return of a rack or an availability zone.
+    """
+    group = Group(folder)
+    clock = clocks.make_clock()
+    controls = list(group.deployment.controls.values())
+    runs = []
+    try:
+        group.apply(slopes.SIZES[-1])
+        gevent.sleep(SETTLE_S)
+        idle = group.cpu_over(WINDOW_S / 2)
+        for count in counts:
+            taken: list[float] = []
+            failed: dict[str, int] = {}
+
+            def join(number: int, taken=taken, failed=failed) -> None:
+                signer = auth.make_signer(
+                    bytes.fromhex(group.deployment.key), clock
+                )
+                client = rpc.make_client(signer)
+                poll = messages.Poll(f"joins-{number}", "store", "1")
+                start = time.monotonic()
+                while True:
+                    address = controls[number % len(controls)]
+                    try:
+                        client.call(
+                            address, "Poll", poll, leases.POLL_TIMEOUT_S
+                        )
+                        break
+                    except transport_errors.TransportError as error:
+                        kind = type(error).__name__
+                        failed[kind] = failed.get(kind, 0) + 1
+                        number += 1
+                        if time.monotonic() - start > 20:
+                            return
+                taken.append(time.monotonic() - start)
+                client.close()
+
+            before = group.cpu()
+            start = time.monotonic()
+            gevent.joinall([gevent.spawn(join, one) for one in range(count)])
+            took = time.monotonic() - start
+            gevent.sleep(1.0)
+            after = group.cpu()
+            runs.append(
+                {
+                    "processes": count,
+                    "joined": len(taken),
+                    "last_s": round(took, 3),
+                    "failed": failed,
+                    "group_cpu_s": round(
+                        sum(after.values())
+                        - sum(before.values())
+                        - sum(idle.values()) * (took + 1.0),
+                        3,
+                    ),
+                }
+            )
+    finally:
+        group.deployment.stop_all()
+    return {
+        "runs": runs,
+        "last_s_by_process": slopes.fit(
+            [(run["processes"], run["last_s"]) for run in runs]
+        ),
+        "group_cpu_s_by_process": slopes.fit(
+            [(run["processes"], run["group_cpu_s"]) for run in runs]
+        ),
+    }
+
+
 def measure_proposals(folder: str, rates: tuple[int, ...]) -> dict:
     """Processor time of proposals, and the most that a group takes."""
     group = Group(folder)
@@ -612,8 +691,12 @@
     "processes": lambda folder: measure_processes(folder),
     "polls": lambda folder: measure_polls(folder, (30, 60, 120, 250)),
     "polls_1000": lambda folder: measure_polls(folder, (500, 1000)),
+    "polls_7_members": lambda folder: measure_polls(
+        folder, (250, 500, 1000), members=7
+    ),
     "demand": lambda folder: measure_polls(folder, (30, 60, 120, 240), 130),
     "changes": lambda folder: measure_changes(folder, (10, 32, 60)),
+    "joins": lambda folder: measure_joins(folder, (10, 40, 125)),
     "proposals": lambda folder: measure_proposals(folder, (30, 60, 120)),
 }
 CHILDREN = {
