Import kept pieces from the end while the prompt runs

The agent imported the whole kept prefix before a request ran, whatever the link. It now plans with coordination.restore from the measured prefill rate and the rate of each store's link, imports from the end of the kept run, and stops the import with its request.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -195,9 +195,16 @@
 
 
 class LookupReply(Message):
-    """One flag for each digest of the lookup."""
+    """What a store has of the digests of a lookup.
+
+    Args:
+        present: for each digest whether the piece is published.
+        copies: for each digest on how many stores the piece is worth a place,
+            0 for a piece that is not published.
+    """
 
     present: tuple[bool, ...]
+    copies: tuple[int, ...] = ()
 
 
 AnyMessage = (
--- a/papayalink/protocol/piece_paths.py
+++ b/papayalink/protocol/piece_paths.py
@@ -8,6 +8,7 @@
 PATH = "/pieces"
 LOOKUP_PATH = "/lookup"
 FACTS_HEADER = "X-Piece-Facts"
+COPIES_HEADER = "X-Piece-Copies"
 
 
 def make_path(key: pieces.PieceKey) -> str:
--- /dev/null
+++ b/papayalink/roles/agent/locating.py
@@ -0,0 +1,130 @@
+"""Finds out which pieces of a prompt are kept, and where."""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from papayalink import logs
+from papayalink.adapters import engine as engines
+from papayalink.adapters import errors as adapter_errors
+from papayalink.coordination import placement
+from papayalink.protocol import messages
+from papayalink.protocol import pieces
+from papayalink.protocol import relay
+from papayalink.roles.agent import pieces_client
+from papayalink.state import document as documents
+
+# A token is at least one byte of a prompt, so a shorter body has no full
+# piece and needs no tokenizing.
+MIN_BODY_BYTES = pieces.PIECE_TOKENS
+# A lookup takes a store a few milliseconds. The request waits for it, so a
+# store that is slower than this counts as one that keeps nothing.
+LOOKUP_TIMEOUT_S = 0.5
+
+
+class Located(msgspec.Struct):
+    """The pieces of one prompt and where they are kept.
+
+    Attributes:
+        keys: keys in stores, in prompt order.
+        digests: the engine's own names of the same pieces.
+        tail_tokens: tokens after the last full piece.
+        stores: stores that own the prompt, best first.
+        replies: what each of them answered, None when it did not.
+    """
+
+    keys: list[pieces.PieceKey]
+    digests: list[str]
+    tail_tokens: int
+    stores: list[documents.Store]
+    replies: list[messages.LookupReply | None]
+
+    def holders(self, place: int) -> list[documents.Store]:
+        """Returns: stores that have published the piece."""
+        return [
+            store
+            for store, reply in zip(self.stores, self.replies)
+            if reply is not None and reply.present[place]
+        ]
+
+    def copies(self, place: int) -> int:
+        """Returns: copies that a holder asks for, 0 when none is known."""
+        return max(
+            (
+                reply.copies[place]
+                for reply in self.replies
+                if reply is not None and reply.copies
+            ),
+            default=0,
+        )
+
+
+class Locator:
+    """Asks the stores of a prompt for its pieces.
+
+    Args:
+        engine: tokenizes prompts.
+        client: asks stores.
+        document: configuration in force.
+    """
+
+    __slots__ = ("_engine", "_client", "_document", "_log")
+
+    def __init__(
+        self,
+        engine: engines.Engine,
+        client: pieces_client.PiecesClient,
+        document: Callable[[], documents.Document],
+    ) -> None:
+        self._engine = engine
+        self._client = client
+        self._document = document
+        self._log = logs.get_logger()
+
+    def locate(self, request: relay.RelayRequest) -> Located | None:
+        """Look the pieces of a prompt up.
+
+        Returns: what was found, None when the prompt has no full piece or
+            there are no stores.
+        """
+        if len(request.body) < MIN_BODY_BYTES:
+            return None
+        stores = [
+            store for store in self._document().stores if not store.draining
+        ]
+        if not stores:
+            return None
+        try:
+            tokens = self._engine.tokenize(request.body)
+        except adapter_errors.AdapterError as error:
+            self._log.warning("tokenize_failed", reason=error)
+            return None
+        scope = (request.workspace, request.weight_version)
+        keys = pieces.piece_keys(*scope, tokens)
+        if not keys:
+            return None
+        owners = placement.owners(keys[0].digest, stores)
+        return Located(
+            keys,
+            engines.piece_digests(*scope, tokens),
+            len(tokens) % pieces.PIECE_TOKENS,
+            owners,
+            self._look_up(owners, keys),
+        )
+
+    def _look_up(
+        self, stores: list[documents.Store], keys: list[pieces.PieceKey]
+    ) -> list[messages.LookupReply | None]:
+        lookups = [
+            gevent.spawn(self._client.lookup, store.address, keys)
+            for store in stores
+        ]
+        try:
+            gevent.joinall(lookups, timeout=LOOKUP_TIMEOUT_S)
+            return [
+                lookup.value if lookup.successful() else None
+                for lookup in lookups
+            ]
+        finally:
+            gevent.killall(lookups)
--- a/papayalink/roles/agent/pieces_client.py
+++ b/papayalink/roles/agent/pieces_client.py
@@ -21,14 +21,14 @@
 
     def lookup(
         self, store: str, keys: list[pieces.PieceKey]
-    ) -> tuple[bool, ...]:
+    ) -> messages.LookupReply | None:
         """Ask which pieces a store has published.
 
         Args:
             store: "IP:PORT" of the store.
             keys: keys of one prompt, in order, at least one.
         Returns: a flag for each key; a hint, since a piece can be freed
-            before it is read.
+            before it is read. None when the store did not answer.
         """
         lookup = messages.Lookup(
             keys[0].workspace,
@@ -42,12 +42,17 @@
                 piece_paths.LOOKUP_PATH,
                 messages.encode(lookup),
             )
-            body = answer.read()
+            body = _read(answer)
             if answer.status != 200:
-                return (False,) * len(keys)
-            return messages.decode(body).present
+                return None
+            reply = messages.decode(body)
         except (errors.TransportError, protocol_errors.ProtocolError):
-            return (False,) * len(keys)
+            return None
+        if not isinstance(reply, messages.LookupReply):
+            return None
+        if len(reply.present) != len(keys):
+            return None
+        return reply
 
     def read(self, store: str, key: pieces.PieceKey) -> bytes | None:
         """Read and verify a piece.
@@ -59,7 +64,7 @@
             answer = self._client.send(
                 store, "GET", piece_paths.make_path(key)
             )
-            data = answer.read()
+            data = _read(answer)
             if answer.status != 200:
                 return None
             return pieces.decode_piece(key, data)
@@ -72,8 +77,12 @@
         key: pieces.PieceKey,
         payload: bytes,
         facts: retention.PieceFacts,
-    ) -> bool:
-        """Publish a piece. Returns: whether the store took it."""
+    ) -> int:
+        """Publish a piece.
+
+        Returns: on how many stores it is worth a place, as the store values
+            it, 0 when the store did not take it.
+        """
         headers = {
             piece_paths.FACTS_HEADER: msgspec.json.encode(facts).decode()
         }
@@ -85,7 +94,20 @@
                 pieces.encode_piece(key, payload),
                 headers,
             )
-            answer.read()
+            _read(answer)
         except errors.TransportError:
-            return False
-        return answer.status == 201
+            return 0
+        if answer.status != 201:
+            return 0
+        copies = answer.header(piece_paths.COPIES_HEADER)
+        return int(copies) if copies in ("1", "2") else 1
+
+
+def _read(answer: http_client.Response) -> bytes:
+    try:
+        return answer.read()
+    except BaseException:
+        # Also when the caller is killed: the rest of the answer must not
+        # stay on a connection that others use.
+        answer.close()
+        raise
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -109,7 +109,6 @@
     def start(self) -> None:
         if self._engine_state is not None:
             self._engine_state.start()
-            self._cache.start()
         self._follower.start()
         self._node.timers.every(CHECK_PERIOD_S, self._inbox, _CheckDue())
         tasks.spawn(self._run)
@@ -133,6 +132,7 @@
         }
         if self._engine_state is not None:
             state["engine"] = self._engine_state.dump()
+            state["store_rates"] = self._cache.dump()
         return state
 
     def _make_engine_parts(self, address: str) -> None:
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -82,6 +82,7 @@
         "_metrics",
         "_log",
         "_starting",
+        "_starting_tokens",
     )
 
     def __init__(
@@ -105,6 +106,7 @@
         self._metrics = metrics
         self._log = logs.get_logger()
         self._starting = 0
+        self._starting_tokens = 0
 
     @property
     def starting(self) -> int:
@@ -182,13 +184,25 @@
     def _run(
         self, request: relay.RelayRequest, priority: int
     ) -> Iterator[bytes]:
-        with self._start_pending() as started:
-            located = self._cache.restore(request)
+        queue_tokens = self._starting_tokens
+        with contextlib.ExitStack() as stack:
+            started = stack.enter_context(self._start_pending(request))
+            located = self._cache.locate(request)
+            restore = None
+            if located is not None:
+                restore = self._cache.restore(
+                    located, priority == 0, queue_tokens
+                )
+                stack.callback(restore.stop)
+                restore.wait_to_start()
             body = _engine_body(request, priority)
             began = self._clock.now()
             run = self._stream if request.stream else self._whole
             for frame in run(request, body):
                 if not started.done:
+                    if restore is not None:
+                        # The whole prompt is computed.
+                        restore.stop()
                     alone = self._starting == 1
                     started.finish()
                     first_s = self._clock.now() - began
@@ -269,8 +283,10 @@
         )
 
     @contextlib.contextmanager
-    def _start_pending(self) -> Iterator["_Start"]:
-        start = _Start(self)
+    def _start_pending(
+        self, request: relay.RelayRequest
+    ) -> Iterator["_Start"]:
+        start = _Start(self, request.prompt_tokens)
         try:
             yield start
         finally:
@@ -301,17 +317,20 @@
 class _Start:
     """Counts a request as starting until its first frame or its end."""
 
-    __slots__ = ("_relayer", "done")
+    __slots__ = ("_relayer", "_tokens", "done")
 
-    def __init__(self, relayer: Relayer) -> None:
+    def __init__(self, relayer: Relayer, tokens: int) -> None:
         self._relayer = relayer
+        self._tokens = tokens
         self.done = False
         relayer._starting += 1
+        relayer._starting_tokens += tokens
 
     def finish(self) -> None:
         if not self.done:
             self.done = True
             self._relayer._starting -= 1
+            self._relayer._starting_tokens -= self._tokens
 
 
 def _rejected(request: relay.RelayRequest, status: int, body: bytes) -> bytes:
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -102,7 +102,10 @@
             for digest in lookup.digests
         ]
         self._node.metrics.count("lookups")
-        reply = messages.LookupReply(tuple(self._pieces.lookup(keys)))
+        reply = messages.LookupReply(
+            tuple(self._pieces.lookup(keys)),
+            tuple(self._pieces.copies(key) for key in keys),
+        )
         return _respond(start_response, "200 OK", messages.encode(reply))
 
     def _serve(
@@ -157,7 +160,12 @@
                 start_response, "507 Insufficient Storage", str(error).encode()
             )
         self._node.metrics.count("pieces_written")
-        return _respond(start_response, "201 Created", b"")
+        copies = str(max(1, self._pieces.copies(key)))
+        start_response(
+            "201 Created",
+            [("Content-Length", "0"), (piece_paths.COPIES_HEADER, copies)],
+        )
+        return [b""]
 
 
 def _read(pin: piece_store.Pin) -> Iterable[bytes]:
--- a/papayalink/state/piece_store.py
+++ b/papayalink/state/piece_store.py
@@ -354,6 +354,11 @@
                 return None
             return self._occupancy.value(key), entry.facts
 
+    def floor(self) -> float:
+        """Returns: the lowest value held, 0 while a tenth is free."""
+        with self._lock:
+            return self._occupancy.floor()
+
     def set_value(self, key: pieces.PieceKey, value: float) -> None:
         """Change the value of a piece; does nothing when it has gone."""
         with self._lock:
@@ -757,6 +762,17 @@
             self._policy.arrive(keys, self._clock.now())
         return self.contains(keys)
 
+    def copies(self, key: pieces.PieceKey) -> int:
+        """Returns: how many stores a piece is worth, 0 if not published."""
+        described = self._disk.describe(key) or self._memory.describe(key)
+        if described is None:
+            return 0
+        value, facts = described
+        if facts is not None and facts.is_copy:
+            # Its value is that of a second copy, which is here already.
+            return 1
+        return self._policy.copies(value, self._disk.floor())
+
     def revalue(self) -> None:
         """Bring all values up to date; called once a minute or so."""
         now = self._clock.now()
