--- a/papayalink/coordination/links.py
+++ b/papayalink/coordination/links.py
@@ -1,10 +1,9 @@
-"""Budget of the links to stores: rates, order of transfers, placement."""
+"""Budget of the links to stores: rates, order of transfers."""
 
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
-import hashlib
 
 import msgspec
 
@@ -240,18 +239,6 @@
             served[last] = lead
 
 
-class StoreVm(msgspec.Struct, frozen=True):
-    """A store VM.
-
-    Args:
-        name: name of the store.
-        zone: its availability zone.
-    """
-
-    name: str
-    zone: str
-
-
 def choose_store(
     copies: Sequence[str],
     estimates: Mapping[str, RateEstimate],
@@ -275,35 +262,3 @@
         / estimates[store].bytes_per_s,
         default=None,
     )
-
-
-def owners(
-    key_family: str, stores: Sequence[StoreVm], copies: int = 2
-) -> list[StoreVm]:
-    """Choose the stores of a prompt family by rendezvous hashing.
-
-    Args:
-        key_family: digest of the first piece of the prompt.
-        stores: stores in service.
-        copies: how many stores to choose.
-    Returns: the stores, the first copy first. Zones repeat only when there
-        are fewer zones than copies.
-    """
-    ranked = sorted(
-        stores,
-        key=lambda store: (_weight(key_family, store.name), store.name),
-        reverse=True,
-    )
-    chosen: list[StoreVm] = []
-    while ranked and len(chosen) < copies:
-        zones = collections.Counter(store.zone for store in chosen)
-        store = min(ranked, key=lambda store: zones[store.zone])
-        ranked.remove(store)
-        chosen.append(store)
-    return chosen
-
-
-def _weight(key_family: str, store: str) -> bytes:
-    # The length keeps ("ab", "c") apart from ("a", "bc").
-    text = f"{len(key_family)}:{key_family}{store}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/papayalink/roles/agent/restoring.py
+++ b/papayalink/roles/agent/restoring.py
@@ -94,6 +94,11 @@
         """Pieces that the engine took."""
         return self._imported
 
+    @property
+    def running(self) -> bool:
+        """Whether pieces are still imported."""
+        return self._importer is not None and not self._importer.ready()
+
     def start(self) -> None:
         """Start the import."""
         if self._is_probe or self._plan.split > 0 or not self._plan.order:
--- a/tests/coordination/test_links.py
+++ b/tests/coordination/test_links.py
@@ -1,4 +1,4 @@
-"""Tests of link rates, order of transfers and placement."""
+"""Tests of link rates, order of transfers and choice of stores."""
 
 import collections
 
@@ -161,30 +161,3 @@
     estimates = {"a": _estimate(100), "b": _estimate(100)}
     estimates["slow"] = _estimate(100, 10, 10)
     assert links.choose_store(copies, estimates, queued, 100) == expected
-
-
-ZONES = ["korangi", "west-wharf", "port-qasim"]
-
-
-@hypothesis.given(
-    strategies.lists(strategies.sampled_from(ZONES), min_size=1, max_size=8),
-    strategies.integers(0, 2**32).map(hex),
-)
-def test_owners_are_stable_and_spread(zones, family):
-    """Guards against both copies lost with a zone, and against moves."""
-    stores = [links.StoreVm(f"s{n}", zone) for n, zone in enumerate(zones)]
-    chosen = links.owners(family, stores)
-    assert len(chosen) == min(2, len(stores))
-    if len(set(zones)) > 1:
-        assert chosen[0].zone != chosen[1].zone
-    assert links.owners(family, stores[::-1]) == chosen
-    others = [store for store in stores if store not in chosen]
-    assert links.owners(family, [*chosen, *others[1:]]) == chosen
-
-
-def test_owners_balance():
-    stores = [links.StoreVm(f"s{n}", ZONES[n % 3]) for n in range(6)]
-    counts = collections.Counter(
-        links.owners(str(n), stores)[0].name for n in range(1200)
-    )
-    assert min(counts.values()) > 140
--- /dev/null
+++ b/tests/roles/agent/test_locating.py
@@ -0,0 +1,51 @@
+"""Tests of finding kept pieces."""
+
+import types
+
+from gevent import event
+import pytest
+
+from papayalink.protocol import messages
+from papayalink.roles.agent import locating
+from papayalink.state import document as documents
+from tests.roles.agent import kept_fakes
+
+
+class _Client:
+    """Store "a" answers; "b" does what the test sets."""
+
+    def __init__(self, other):
+        self._other = other
+
+    def lookup(self, address, keys):
+        if address == "at-a":
+            return messages.LookupReply((True, False), (2, 0))
+        return self._other()
+
+
+def _locate(other, tokens):
+    stores = [documents.Store(name, f"at-{name}", name) for name in "ab"]
+    document = types.SimpleNamespace(stores=stores)
+    locator = locating.Locator(
+        kept_fakes.FakeEngine(), _Client(other), lambda: document
+    )
+    request = types.SimpleNamespace(
+        body=bytes(tokens), workspace="acme", weight_version="v1"
+    )
+    return locator.locate(request)
+
+
+@pytest.mark.parametrize(
+    "other", [lambda: None, event.Event().wait, lambda: 1 / 0]
+)
+def test_store_without_an_answer_keeps_nothing(other, capsys):
+    """Guards against a request that fails or hangs with a lookup."""
+    found = _locate(other, 4500)
+    assert [store.name for store in found.holders(0)] == ["a"]
+    assert found.holders(1) == []
+    assert (found.copies(0), found.copies(1)) == (2, 0)
+    assert found.tail_tokens == 500
+
+
+def test_short_prompt_is_not_looked_up():
+    assert _locate(lambda: 1 / 0, 1999) is None
