Plan restores at the engine's rate of true tokens

The ratio of true to estimated tokens of the prompt corrects it. Tests cover that an import ends with the first token and with a failed request.

--- a/papayalink/roles/agent/keeping.py
+++ b/papayalink/roles/agent/keeping.py
@@ -79,7 +79,8 @@
         del self._waiting[workspace]
 
     def _copy_prompt(self, located: locating.Located) -> None:
-        facts = retention.make_facts(located.keys, self._state.prefill_rate)
+        prefill_rate = self._state.prefill_rate * located.token_ratio
+        facts = retention.make_facts(located.keys, prefill_rate)
         for place in range(len(located.keys)):
             if not self._copy(located, place, facts[place]):
                 break
--- a/papayalink/roles/agent/locating.py
+++ b/papayalink/roles/agent/locating.py
@@ -32,6 +32,8 @@
         tail_tokens: tokens after the last full piece.
         stores: stores that own the prompt, best first.
         replies: what each of them answered, None when it did not.
+        token_ratio: tokens for each one that the entry estimated. Measured
+            prefill rates count estimated tokens.
     """
 
     keys: list[pieces.PieceKey]
@@ -39,6 +41,7 @@
     tail_tokens: int
     stores: list[documents.Store]
     replies: list[messages.LookupReply | None]
+    token_ratio: float = 1.0
 
     def holders(self, place: int) -> list[documents.Store]:
         """Returns: stores that have published the piece."""
@@ -111,6 +114,7 @@
             len(tokens) % pieces.PIECE_TOKENS,
             owners,
             self._look_up(owners, keys),
+            len(tokens) / max(1, request.prompt_tokens),
         )
 
     def _look_up(
--- a/papayalink/roles/agent/restoring.py
+++ b/papayalink/roles/agent/restoring.py
@@ -299,18 +299,20 @@
         Args:
             located: where the pieces of the prompt are kept.
             priority: class of the transfers.
-            queue_tokens: prompt tokens that the engine computes before.
+            queue_tokens: prompt tokens that the engine computes before, as
+                the entry estimated them.
         Returns: the import, to be stopped at the first token of the request
             or at its end.
         """
         kept = self._kept(located, priority)
         queue_s = queue_tokens / self._state.prefill_rate
+        prefill_rate = self._state.prefill_rate * located.token_ratio
         plan = restores.plan(
             len(located.keys),
             located.tail_tokens,
             kept,
             self.rates({piece.store for piece in kept}, priority),
-            restores.Engine(self._state.prefill_rate, queue_s, can_meet=True),
+            restores.Engine(prefill_rate, queue_s, can_meet=True),
             self._clock.now(),
         )
         is_probe = False
--- /dev/null
+++ b/tests/roles/agent/test_relaying.py
@@ -0,0 +1,115 @@
+"""Tests of a restore beside the request that it is for."""
+
+import types
+
+import gevent
+import pytest
+
+from papayalink import clock as clocks
+from papayalink import metrics as metrics_module
+from papayalink.adapters import errors
+from papayalink.protocol import relay
+from papayalink.roles.agent import relaying
+
+REQUEST = relay.RelayRequest(
+    attempt_id="a1",
+    request_id="r1",
+    workspace="acme",
+    rank="first",
+    version=1,
+    model="m",
+    weight_version="v1",
+    path="/v1/completions",
+    body=b"{}",
+    deadline_s=9.0,
+    tokens=10,
+    prompt_tokens=5,
+    stream=True,
+)
+
+
+class _Cache:
+    """Records what is asked of it in order."""
+
+    def __init__(self):
+        self.steps = []
+
+    def locate(self, request):
+        return "located"
+
+    def restore(self, located, is_urgent, queue_tokens):
+        self.steps.append(("restore", is_urgent, queue_tokens))
+        return types.SimpleNamespace(
+            wait_to_start=lambda: self.steps.append("wait"),
+            stop=lambda: self.steps.append("stop"),
+        )
+
+    def keep(self, located):
+        self.steps.append("keep")
+
+
+class _Engine:
+    def __init__(self, cache, error):
+        self._cache = cache
+        self._error = error
+
+    def stream(self, path, body, request_id):
+        self._cache.steps.append("stream")
+        if self._error == "at once":
+            raise errors.Unreachable("refused")
+        return self._events()
+
+    def _events(self):
+        if self._error == "killed":
+            raise gevent.GreenletExit
+        if self._error:
+            raise errors.StreamCut("cut")
+        yield "one"
+        self._cache.steps.append("second")
+        yield "two"
+
+
+def _relayer(cache, error):
+    free = types.SimpleNamespace(
+        submit=lambda item: types.SimpleNamespace(get=lambda: None),
+        finish=lambda item, tokens: None,
+    )
+    work = types.SimpleNamespace(
+        knows=lambda rank: True,
+        admit=lambda *arguments: None,
+        arrived=lambda *arguments: None,
+        left=lambda *arguments, **named: None,
+    )
+    return relaying.make_relayer(
+        _Engine(cache, error),
+        None,
+        free,
+        types.SimpleNamespace(refuse=lambda request: ""),
+        work,
+        cache,
+        clocks.make_clock(),
+        metrics_module.make_metrics(),
+    )
+
+
+BEGIN = [("restore", True, 0), "wait", "stream"]
+
+
+def test_restore_ends_with_the_first_token():
+    """Guards against imports of what the engine has computed already."""
+    cache = _Cache()
+    for _ in _relayer(cache, "").answer(REQUEST, 0):
+        pass
+    assert cache.steps[:5] == [*BEGIN, "stop", "second"]
+    assert cache.steps[-1] == "keep"
+
+
+@pytest.mark.parametrize("error", ["at once", "cut", "killed"])
+def test_restore_ends_with_a_failed_request(error):
+    """Guards against an import that outlives its request."""
+    cache = _Cache()
+    relayer = _relayer(cache, error)
+    task = gevent.spawn(lambda: list(relayer.answer(REQUEST, 0)))
+    task.join()
+    assert cache.steps[:4] == [*BEGIN, "stop"]
+    assert relayer.starting == 0
--- a/tests/roles/agent/test_restoring.py
+++ b/tests/roles/agent/test_restoring.py
@@ -49,8 +49,7 @@
     parts.measure("a", 0.6)
     parts.client.read_s["at-a"] = [0.0, None]
     restore = _begin(parts, kept_fakes.located(10))
-    # One read never ends, so the wait cannot have been for the import.
-    assert restore.running
+    assert parts.client.reads == []
     kept_fakes.wait_until(lambda: parts.engine.imported == _digests([9]))
     restore.stop()
 
@@ -64,6 +63,18 @@
     assert restore.imported == 2
 
 
+def test_prefill_rate_is_that_of_true_tokens():
+    """Guards against a recompute planned at the rate of estimated tokens."""
+    parts = kept_fakes.Parts(prefill_rate=40_000.0)
+    parts.measure("a", 0.3)
+    prompt = kept_fakes.located(3)
+    assert not _begin(parts, prompt).running
+    prompt.token_ratio = 0.1
+    restore = _begin(parts, prompt)
+    assert restore.running
+    restore.stop()
+
+
 def test_links_are_learnt_from_own_transfers(parts):
     """Guards against plans that keep the rate assumed at the start."""
     parts.client.read_s["at-a"] = [0.05]
--- a/tests/roles/agent/test_store_links.py
+++ b/tests/roles/agent/test_store_links.py
@@ -69,6 +69,16 @@
     assert carrier.done == ["last"]
 
 
+def test_killed_waiter_leaves_the_running_transfer_alone(carrier):
+    """Guards against two transfers at a time on one link."""
+    carrier.add("waits", OTHER)
+    carrier.add("last", COPY)
+    carrier.tasks.pop(1).kill()
+    gevent.sleep(0.01)
+    assert carrier.done == []
+    assert carrier.finish() == ["last"]
+
+
 def test_failed_transfer_frees_the_link(carrier):
     carrier.release.set()
     with pytest.raises(ZeroDivisionError):
--- a/tests/state/test_piece_store.py
+++ b/tests/state/test_piece_store.py
@@ -3,6 +3,7 @@
 import errno
 import os
 
+import msgspec
 import pytest
 
 from papayalink import clock as clocks
@@ -269,3 +270,23 @@
     for key in keys:
         assert store.drop(key)
     assert store.contains(keys) == [False] * 3
+
+
+def test_copies_depend_on_value_and_room(tmp_path):
+    """Guards against second copies of pieces that are second copies."""
+    store = piece_store.make_store(
+        str(tmp_path),
+        10**6,
+        10**6,
+        retention.ReturnPolicy(),
+        clocks.ManualClock(),
+    )
+    keys = pieces.piece_keys("acme", "v1", list(range(6000)))
+    facts = retention.make_facts(keys)
+    for key, fact in zip(keys[:2], (facts[0], _as_copy(facts[1]))):
+        store.put(key, pieces.encode_piece(key, b"kv"), facts=fact)
+    assert [store.copies(key) for key in keys] == [2, 1, 0]
+
+
+def _as_copy(facts):
+    return msgspec.structs.replace(facts, is_copy=True)
