Take ports of a bench deployment from outside the ephemeral range

Cause: in one of seven starts an agent found its port in use, since ports came from the range from which the kernel takes those of outgoing connections. Ruled out: a restart on failure, which would hide other faults of a start. Change: ports between 10,000 and 32,000, each given once; bench.run keeps the figures of the scenarios that ran before a failure. Conclusion: clashes with outgoing connections are not possible any more.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -19,6 +20,12 @@
 TOKEN = "quote-counter-token"
 START_TIMEOUT_S = 20.0
 
+# Below the range from which the kernel takes ports of outgoing connections.
+# A port from that range was taken by a connection before its process started.
+PORTS = (10_000, 32_000)
+
+_given_ports: set[int] = set()
+
 
 class Program:
     """One process that this deployment started."""
@@ -224,9 +231,17 @@
 
 def free_address() -> str:
     """Returns: "IP:PORT" of a port that is free now."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"{HOST}:{port}"
 
 
 def http_get(address: str, path: str) -> bytes:
--- a/bench/run.py
+++ b/bench/run.py
@@ -421,6 +421,11 @@
         return json.load(file)
 
 
+def _write(path: str, report: dict) -> None:
+    with open(path, "w") as file:
+        json.dump(report, file, indent=1)
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     names = [scenario.name for scenario in scenarios.SCENARIOS]
@@ -439,19 +444,20 @@
             **overhead.measure(overhead.REQUESTS),
         }
         print(json.dumps(report["overhead"]["met"]), flush=True)
-    found = report.get("scenarios", {})
+    found = report.setdefault("scenarios", {})
     for scenario in scenarios.SCENARIOS:
         if scenario.name in options.scenarios:
             print(f"running {scenario.name}", flush=True)
             found[scenario.name] = run_scenario(
                 scenario, options.seconds, options.seed
             )
+            # Kept even if a later scenario does not start.
+            _write(path, report)
     report["scenarios"] = {
         name: found[name] for name in names if name in found
     }
     report["checks"] = check(report["scenarios"])
-    with open(path, "w") as file:
-        json.dump(report, file, indent=1)
+    _write(path, report)
     if report["scenarios"]:
         plot(report["scenarios"], os.path.join(OUT, "run.png"))
         print_tables(report["scenarios"], report["checks"])
