Mend faults found by following the operators' guide

Cause: trying every command and failure of the guide showed that a rollout counted drained replicas as in service and ignored urgent demand, that a dead agent used up the retry budget, that a protected call whose service was down used up its key, and that logs and metrics were noisy or missing. Ruled out: taking a start back in the ledger, since "not run" may only follow a claim that was voided before any start; the agent asks for a connection before it starts the call instead. Change: rollout sees drained replicas and urgent demand; an agent that is not reached, or has not reported for 5 s, gets no work; gauges for lease, version, queue and leader; debug lines are off; answers of protected calls are shown as text; refusal labels are bounded.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -201,6 +201,14 @@
         except FAILURES as error:
             raise errors.Interrupted(_reason(error)) from error
 
+    def reachable(self) -> bool:
+        """Returns: whether a connection can be made; sends nothing."""
+        try:
+            self._connect(self._connect_timeout_s).close()
+        except errors.Unreachable:
+            return False
+        return True
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/papayalink/adapters/service.py
+++ b/papayalink/adapters/service.py
@@ -85,6 +85,10 @@
             return OutcomeUnknown(str(error))
         return Answered(reply.status, reply.headers, reply.body)
 
+    def reachable(self) -> bool:
+        """Returns: whether the replica accepts connections now."""
+        return self._connector.reachable()
+
     def load(self) -> ServiceLoad:
         """Load that the service reports.
 
--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -41,8 +41,8 @@
         """
 
     @abc.abstractmethod
-    def failed(self, upstream: str) -> None:
-        """The agent was not reached or was lost."""
+    def failed(self, upstream: str, unavailable: bool) -> None:
+        """The agent was lost, or not reached and so unavailable."""
 
     @abc.abstractmethod
     def retry_delay_s(self, attempts: int) -> float | None:
@@ -166,8 +166,11 @@
             except errors.UpstreamRejected:
                 attempts.refused(name, False)
                 raise
-            except (errors.AnswerCut, errors.AgentNotReached) as error:
-                attempts.failed(name)
+            except errors.AnswerCut as error:
+                attempts.failed(name, False)
+                failure = error
+            except errors.AgentNotReached as error:
+                attempts.failed(name, True)
                 failure = error
             except errors.NoUpstream as error:
                 attempts.refused(name, error.unavailable)
@@ -203,7 +206,7 @@
                 upstream.agent, "POST", relay.RELAY_PATH, relay.encode(attempt)
             )
         except transport_errors.NotConnected as error:
-            raise errors.AgentNotReached(str(error)) from error
+            raise errors.AgentNotReached("agent not reached") from error
         except transport_errors.TransportError as error:
             raise errors.AnswerCut(str(error)) from error
         if response.status != 200:
--- a/papayalink/coordination/orders.py
+++ b/papayalink/coordination/orders.py
@@ -17,7 +17,6 @@
     reports: Mapping[str, messages.LoadReport],
     open_orders: Sequence[upstreams.Order],
     leader: str,
-    demand: Mapping[str, float] | None = None,
 ) -> list[upstreams.OpenOrder]:
     """Choose the orders to open now.
 
@@ -28,7 +27,6 @@
         reports: newest load report by upstream.
         open_orders: orders not yet carried out.
         leader: id of the deciding member.
-        demand: recent tokens a second by rank.
     """
     taken_over = [
         upstreams.OpenOrder(
@@ -42,7 +40,7 @@
     opened = [
         upstreams.OpenOrder(name, LOAD_WEIGHTS, model.weight_version, leader)
         for model in document.models
-        for name in _to_load(model, document, reports, busy, demand, urgent)
+        for name in _to_load(model, document, reports, busy, urgent)
     ]
     return taken_over + opened
 
@@ -52,7 +50,6 @@
     document: documents.Document,
     reports: Mapping[str, messages.LoadReport],
     busy: Mapping[str, upstreams.Order],
-    demand: Mapping[str, float] | None,
     urgent: str,
 ) -> Iterable[str]:
     replicas = [
@@ -63,7 +60,7 @@
     plan = rollout.plan(
         replicas,
         model.weight_version,
-        demand or {},
+        {urgent: _urgent_demand(model, document, reports)},
         urgent,
         document.limits.max_loading_replicas,
     )
@@ -75,6 +72,21 @@
                 yield name
 
 
+def _urgent_demand(
+    model: documents.Model,
+    document: documents.Document,
+    reports: Mapping[str, messages.LoadReport],
+) -> float:
+    """Returns: prompt tokens a second that the most urgent rank took."""
+    return sum(
+        report.loads[0] * report.prefill_rate
+        for upstream in document.upstreams
+        if upstream.serves == model.name
+        and (report := reports.get(upstream.name)) is not None
+        and report.loads
+    )
+
+
 def _observe(
     upstream: documents.Upstream,
     report: messages.LoadReport | None,
@@ -88,6 +100,9 @@
         phase = rollout.Phase.DOWN
     elif not version:
         phase = rollout.Phase.UNLOADED
+    elif upstream.draining or report.state == "leaving":
+        # It takes no work, so it does not count as capacity.
+        phase = rollout.Phase.DRAINING
     else:
         phase = rollout.Phase.SERVING
     return rollout.Replica(
--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -238,7 +238,7 @@
             self._log.exception("replica failed")
             self._failure = f"the replica failed: {error!r}"
         self._ticks.cancel()
-        self._log.info("replica stopped", reason=self._failure)
+        self._log.info("replica_stopped", reason=self._failure)
         self._fail_waiters()
         self._writer.join()
         self._store.close()
@@ -288,14 +288,14 @@
         if isinstance(written.error, state_errors.LogFull):
             self._timers.after(_FULL_RETRY_S, self._inbox, _RetryWrite())
             if not self._node.full:
-                self._log.warning("disk full", error=str(written.error))
+                self._log.warning("disk_full", error=str(written.error))
             given.append(inputs.StorageFull())
             return
         if written.error is not None:
             self._failure = f"the log store failed: {written.error}"
             return
         if self._node.full:
-            self._log.info("disk has room again")
+            self._log.info("disk_has_room_again")
             given.append(inputs.StorageFree())
         if written.write_id is not None:
             given.append(inputs.Persisted(written.write_id))
@@ -329,7 +329,7 @@
         self._take_snapshot()
         if self._node.is_leader != self._was_leader:
             self._was_leader = self._node.is_leader
-            event = "leading" if self._was_leader else "not leading"
+            event = "leading" if self._was_leader else "not_leading"
             self._log.info(event, term=self._node.term)
         if ready.removed:
             self._failure = "this member was removed"
@@ -343,7 +343,7 @@
                 self._send(peer, batch)
             except Exception as error:
                 # The protocol repeats what was lost; the member goes on.
-                self._log.warning("send failed", to=peer, error=repr(error))
+                self._log.warning("send_failed", to=peer, error=repr(error))
 
     def _apply(self, entry: log_entries.Entry) -> None:
         outcome = b""
@@ -358,7 +358,7 @@
         self._applied = snapshot.index
         self._snapshot_index = snapshot.index
         self._bytes_applied = 0
-        self._log.info("snapshot received", index=snapshot.index)
+        self._log.info("snapshot_received", index=snapshot.index)
         self._requests.covered(snapshot.index)
 
     def _take_snapshot(self) -> None:
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -17,6 +17,9 @@
 # Until the first report of a replica arrives.
 _UNKNOWN_PREFILL_RATE = 8_000.0
 _HINTS_PER_WORKSPACE = 512
+# An agent reports once a second; one that has not for this long has died or
+# cannot reach control.
+STALE_S = 5.0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -69,6 +72,7 @@
         "_outliers",
         "_reports",
         "_document",
+        "_updated_at",
         "_subsets",
         "_leaving",
         "_shares",
@@ -83,6 +87,7 @@
         self._outliers: dict[str, outliers.Outliers] = {}
         self._reports: dict[str, tuple[messages.LoadReport, float]] = {}
         self._document = documents.Document()
+        self._updated_at = 0.0
         self._subsets: dict[str, list[documents.Upstream]] = {}
         self._leaving: frozenset[str] = frozenset()
         self._shares: tuple[float, ...] = ()
@@ -113,6 +118,7 @@
         if document is not self._document:
             self._take_document(document)
         self._leaving = frozenset(leaving)
+        self._updated_at = received_at
         for report in reports:
             taken_at = received_at - report.age_s
             self._take_report(report, taken_at)
@@ -288,12 +294,15 @@
             and not upstream.draining
             and upstream.name not in self._leaving
             and upstream.name not in self._blocked
-            and self._state(upstream.name) == "up"
+            and self._takes_work(upstream.name)
         ]
 
-    def _state(self, upstream: str) -> str:
+    def _takes_work(self, upstream: str) -> bool:
         known = self._reports.get(upstream)
-        return "up" if known is None else known[0].state
+        if known is None:
+            return True
+        report, taken_at = known
+        return report.state == "up" and self._updated_at - taken_at < STALE_S
 
     def _version(self, model: str, upstream: str) -> str:
         """Returns: the version that a replica may serve, "" for none."""
--- a/papayalink/logs.py
+++ b/papayalink/logs.py
@@ -1,5 +1,6 @@
 """Logs: one line of key=value pairs for each event."""
 
+import logging
 import sys
 
 import structlog
@@ -28,6 +29,7 @@
                 bool_as_flag=False,
             ),
         ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
--- a/papayalink/roles/agent/calls.py
+++ b/papayalink/roles/agent/calls.py
@@ -74,6 +74,10 @@
             self._in_flight -= 1
 
     def _run_protected(self, request: relay.CallRequest) -> relay.CallReply:
+        if not self._service.reachable():
+            # Asked before the start, which cannot be taken back: the caller
+            # may use the key again once the claim is void.
+            return relay.NotRun("service is not reached")
         # The id tells this dispatch from any other copy of the request.
         dispatch_id = f"{self._agent}/{uuid.uuid4().hex}"
         start = ledger.Start(
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -119,6 +119,15 @@
         self._server.stop()
         self._follower.stop()
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "lease_left_s": lambda: self._follower.lease_left_s,
+            "configuration_version": lambda: self._follower.version,
+            "in_flight": lambda: self._server.in_flight,
+            "running": lambda: self._dispatcher.running,
+            "waiting": lambda: self._dispatcher.waiting,
+        }
+
     def dump(self) -> dict:
         state = {
             "process": self._node.identity,
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -278,7 +278,9 @@
         retry_after_s: float = 1.0,
         unavailable: bool = False,
     ) -> bytes:
-        self._metrics.count("refused", reason=reason, rank=request.rank)
+        # What follows a colon is of one request, and no label.
+        label = reason.partition(":")[0]
+        self._metrics.count("refused", reason=label, rank=request.rank)
         return frames.encode(
             frames.Refused(
                 request.attempt_id, reason, retry_after_s, unavailable
--- a/papayalink/roles/control/console_backend.py
+++ b/papayalink/roles/control/console_backend.py
@@ -7,8 +7,10 @@
 from papayalink.coordination import errors
 from papayalink.coordination import proposer as proposers
 from papayalink.coordination import replica as replicas
+from papayalink.protocol import relay
 from papayalink.roles.control import loads
 from papayalink.state import configuration
+from papayalink.state import ledger
 from papayalink.state import machine as machines
 
 CONFIRM_TIMEOUT_S = 2.0
@@ -75,7 +77,13 @@
     def call(self, workspace: str, key: str) -> dict | None:
         self._confirm()
         record = self._machine.ledger.find(workspace, key)
-        return None if record is None else msgspec.to_builtins(record)
+        if record is None:
+            return None
+        shown = msgspec.to_builtins(record)
+        if isinstance(record, ledger.Finished):
+            answer = relay.decode_reply(record.answer)
+            shown["answer"] = answer.body.decode(errors="replace")
+        return shown
 
     def _confirm(self) -> None:
         try:
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -1,5 +1,6 @@
 """The control process."""
 
+from collections.abc import Callable
 import os
 
 import gevent
@@ -179,6 +180,17 @@
         )
         self._console.start()
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "leader": lambda: float(
+                self._replica is not None and self._replica.is_leader
+            ),
+            "configuration_version": (
+                lambda: self._machine.configuration.version
+            ),
+            "ledger_records": lambda: len(self._machine.ledger),
+        }
+
     def dump(self) -> dict:
         return {
             "process": self._node.identity,
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -66,6 +66,7 @@
         "_sending",
         "_joining",
         "_leading_since",
+        "_platform_failed",
         "_log",
     )
 
@@ -87,6 +88,7 @@
         self._sending: set[str] = set()
         self._joining: set[str] = set()
         self._leading_since: float | None = None
+        self._platform_failed = False
         self._log = logs.get_logger()
 
     def start(self) -> None:
@@ -155,8 +157,11 @@
         try:
             vms = self._platform.list_vms()
         except adapter_errors.AdapterError as error:
-            self._log.warning("platform_list_failed", reason=error)
+            if not self._platform_failed:
+                self._log.warning("platform_list_failed", reason=error)
+            self._platform_failed = True
             return
+        self._platform_failed = False
         states = {}
         for vm in vms:
             states[vm.name] = states[vm.address] = vm.state == "leaving"
--- a/papayalink/roles/entry/process.py
+++ b/papayalink/roles/entry/process.py
@@ -1,5 +1,7 @@
 """The entry process."""
 
+from collections.abc import Callable
+
 from papayalink.coordination import follower as followers
 from papayalink.coordination import forwarding
 from papayalink.coordination import proposer as proposers
@@ -64,6 +66,13 @@
         self._server.stop()
         self._follower.stop()
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "lease_left_s": lambda: self._follower.lease_left_s,
+            "configuration_version": lambda: self._follower.version,
+            "in_flight": lambda: self._server.in_flight,
+        }
+
     def dump(self) -> dict:
         return {
             "process": self._node.identity,
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -114,8 +114,10 @@
     def refused(self, upstream: str, unavailable: bool) -> None:
         self._serving.record_refusal(self._wanted, upstream, unavailable)
 
-    def failed(self, upstream: str) -> None:
+    def failed(self, upstream: str, unavailable: bool) -> None:
         self._serving.record(self._wanted, upstream, None)
+        if unavailable:
+            self._serving.record_refusal(self._wanted, upstream, True)
 
     def retry_delay_s(self, attempts: int) -> float | None:
         call = msgspec.structs.replace(self._call, attempts=attempts)
--- a/papayalink/roles/process.py
+++ b/papayalink/roles/process.py
@@ -1,6 +1,7 @@
 """Life of a process: start, dump on signal, graceful stop."""
 
 import abc
+from collections.abc import Callable
 import signal
 import sys
 
@@ -45,11 +46,18 @@
     def dump(self) -> dict:
         """Returns: the state of the process, encodable as JSON."""
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Returns: values of this role that are read with the metrics."""
+        return {}
+
     def run(self) -> int:
         """Run until a signal asks to stop.
 
         Returns: exit code.
         """
+        for name, read in self.gauges().items():
+            self._node.metrics.gauge(name, read)
+        self._node.metrics.gauge("accepting", lambda: float(self.accepting))
         self.start()
         self._inspection.start()
         gevent_signal.signal(signal.SIGTERM, self._on_stop)
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -82,6 +82,14 @@
         self._server.stop()
         self._follower.stop()
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "lease_left_s": lambda: self._follower.lease_left_s,
+            "configuration_version": lambda: self._follower.version,
+            "disk_used_bytes": lambda: self._pieces.usage().used_bytes,
+            "pieces": lambda: self._pieces.usage().pieces,
+        }
+
     def dump(self) -> dict:
         return {
             "process": self._node.identity,
--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -202,7 +202,9 @@
         try:
             return await stub(request, timeout=timeout_s)
         except TimeoutError as error:
-            raise errors.Timeout(f"{address} {method}") from error
+            raise errors.Timeout(
+                f"{address}: no reply to {method} in {timeout_s:.1f} s"
+            ) from error
         except grpclib.GRPCError as error:
             raise _translate(address, error) from error
         except (OSError, grpclib.exceptions.StreamTerminatedError) as error:
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -100,3 +100,26 @@
         document, _reports("v1", "v1", "v1", "v1"), [], "c1"
     )
     assert len(opened) == most
+
+
+def test_drained_replicas_load_first_and_do_not_count():
+    """Guards against a rollout that loads the only replica in service."""
+    drained = tuple(
+        msgspec.structs.replace(one, draining=one.name != "e0")
+        for one in DOCUMENT.upstreams
+    )
+    document = msgspec.structs.replace(DOCUMENT, upstreams=drained)
+    reports = _reports("v1", "v1", "v1", "v1")
+    opened = orders.decide(document, reports, [], "c1")
+    assert len(opened) == 2
+    assert "e0" not in {order.upstream for order in opened}
+
+
+@pytest.mark.parametrize("load, loading", [(0.0, 2), (0.55, 1), (0.8, 0)])
+def test_rollout_keeps_capacity_for_urgent_work(load, loading):
+    """Guards against a rollout that takes capacity urgent work needs."""
+    reports = {
+        name: msgspec.structs.replace(report, loads=(load,))
+        for name, report in _reports("v1", "v1", "v1", "v1").items()
+    }
+    assert len(orders.decide(DOCUMENT, reports, [], "c1")) == loading
--- a/tests/coordination/test_selection.py
+++ b/tests/coordination/test_selection.py
@@ -108,3 +108,11 @@
     """Guards against reports of all replicas at every entry."""
     chooser.update(_document(640), (), [], 10.0)
     assert len(chooser.watched) == selection.SUBSET_SIZE
+
+
+def test_replica_without_recent_reports_gets_nothing(chooser):
+    """Guards against work for an agent that has died."""
+    document = _document(1)
+    chooser.update(document, (), [_report("e0")], 10.0)
+    chooser.update(document, (), [], 10.0 + selection.STALE_S + 0.1)
+    assert _chosen(chooser, now=16.0) == set()
--- a/tests/roles/test_agent_calls.py
+++ b/tests/roles/test_agent_calls.py
@@ -21,6 +21,10 @@
     def __init__(self, outcome):
         self.outcome = outcome
         self.calls = 0
+        self.up = True
+
+    def reachable(self):
+        return self.up
 
     def call(self, method, target, headers, body):
         self.calls += 1
@@ -112,6 +116,14 @@
     assert upstream.calls == 0
 
 
+def test_unreachable_service_leaves_the_key_usable():
+    """Guards against a key that is used up by a call that was not sent."""
+    book, upstream = Book(), Upstream(ANSWERED)
+    upstream.up = False
+    assert isinstance(_run(book, upstream), relay.NotRun)
+    assert isinstance(book.ledger.find("w", "k1"), ledger.Claimed)
+
+
 def test_large_answer_is_not_kept_whole():
     """Guards against a ledger that grows with the size of answers."""
     book = Book()
