Poll from up to 1,000 restarted processes at once

Cause: part joins ended at 125 processes, an availability zone; the return of all processes was extended from the slope only. Ruled out: a failure below that size: 125 processes had the document after 0.67 s, without a failed poll. Change: sizes 400 and 1,000.

--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -1,7 +1,8 @@
 """Slopes of polls, changes and proposals, from real processes on loopback.
 
-Three control members run in every part but one, which has seven. Pollers and proposers run in
-processes of their own, so that processor time is told apart by process.
+Three control members run in every part but one, which has seven. Pollers and
+proposers run in processes of their own, so that processor time is told apart
+by process.
 """
 
 import argparse
@@ -696,7 +697,7 @@
     ),
     "demand": lambda folder: measure_polls(folder, (30, 60, 120, 240), 130),
     "changes": lambda folder: measure_changes(folder, (10, 32, 60)),
-    "joins": lambda folder: measure_joins(folder, (10, 40, 125)),
+    "joins": lambda folder: measure_joins(folder, (10, 40, 125, 400, 1000)),
     "proposals": lambda folder: measure_proposals(folder, (30, 60, 120)),
 }
 CHILDREN = {
