--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -1,7 +1,8 @@
 """Slopes of polls, changes and proposals, from real processes on loopback.
 
-Three control members run in every part but one, which has seven. Pollers and proposers run in
-processes of their own, so that processor time is told apart by process.
+Three control members run in every part but one, which has seven. Pollers and
+proposers run in processes of their own, so that processor time is told apart
+by process.
 """
 
 import argparse
@@ -691,12 +692,15 @@
     "processes": lambda folder: measure_processes(folder),
     "polls": lambda folder: measure_polls(folder, (30, 60, 120, 250)),
     "polls_1000": lambda folder: measure_polls(folder, (500, 1000)),
+    "polls_after_overload": lambda folder: measure_polls(
+        folder, (700, 1000, 250)
+    ),
     "polls_7_members": lambda folder: measure_polls(
         folder, (250, 500, 1000), members=7
     ),
     "demand": lambda folder: measure_polls(folder, (30, 60, 120, 240), 130),
     "changes": lambda folder: measure_changes(folder, (10, 32, 60)),
-    "joins": lambda folder: measure_joins(folder, (10, 40, 125)),
+    "joins": lambda folder: measure_joins(folder, (10, 40, 125, 400, 1000)),
     "proposals": lambda folder: measure_proposals(folder, (30, 60, 120)),
 }
 CHILDREN = {
