Judge floods by what a rank is owed; tests of the measurements

Cause: the other rank was compared only with its steady goodput, though in a flood it is owed a share; and a request that an entry's address refused could be sent to the same address again instead of to the other one. Ruled out: dropping the comparison with steady goodput, which stays. Change: a check against the owed share, a fixed turn for each request, tests of percentiles, traffic, outcomes and Jain's index.

--- a/bench/load.py
+++ b/bench/load.py
@@ -102,9 +102,10 @@
         """
         record = Record(shot.at, shot.rank, shot.workspace, shot.kind)
         record.lag_s = time.perf_counter() - intended
-        self._turn += 1
+        # A copy, since other requests take turns while this one waits.
+        turn = self._turn = self._turn + 1
         for step in range(len(self._addresses)):
-            place = (self._turn + step) % len(self._addresses)
+            place = (turn + step) % len(self._addresses)
             try:
                 self._exchange(
                     self._clients[self._addresses[place]],
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,7 @@
 from bench import load
 from bench import overhead
 from bench import scenarios
+from papayalink.coordination import queueing
 from papayalink.state import document as documents
 
 OUT = os.path.join(os.path.dirname(__file__), "out")
@@ -304,6 +305,21 @@
         0.95,
         least=True,
     )
+    served = {
+        name: row["goodput_tokens_per_s"]
+        for name, row in flood["ranks"].items()
+    }
+    # What a rank is owed of what is served, but not more than it asks for.
+    due = min(
+        steady["ranks"][other]["goodput_tokens_per_s"],
+        _owed_shares()[other] * sum(served.values()),
+    )
+    add(
+        f"flood_{rank}: {other} keeps of what it is owed",
+        _ratio(served[other], due),
+        0.95,
+        least=True,
+    )
     kept = _ratio(
         flood["callers"][rank]["small_served_share"],
         steady["callers"][rank]["small_served_share"],
@@ -311,6 +327,20 @@
     add(f"flood_{rank}: small callers keep", kept, 0.95, least=True)
 
 
+def _owed_shares() -> dict[str, float]:
+    ranks = [
+        queueing.Rank(
+            rank["name"],
+            rank["ttft_target_ms"] / 1000,
+            weight=rank.get("weight", 1),
+            min_share=rank.get("min_share", 0.0),
+        )
+        for rank in _sections()["ranks"]
+    ]
+    shares = queueing.owed_shares(ranks)
+    return {rank.name: share for rank, share in zip(ranks, shares)}
+
+
 def _ratio(value: float | None, base: float | None) -> float | None:
     return round(value / base, 3) if value is not None and base else None
 
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,83 @@
+"""Tests of what the measurements compute."""
+
+import pytest
+
+from bench import load
+from bench import run
+from bench import scenarios
+
+
+@pytest.mark.parametrize(
+    "values, part, expected",
+    [
+        ([], 0.5, None),
+        ([3.0], 0.95, 3.0),
+        ([4.0, 1.0, 3.0, 2.0], 0.5, 2.0),
+        ([float(number) for number in range(1, 101)], 0.95, 95.0),
+        ([float(number) for number in range(1, 101)], 1.0, 100.0),
+    ],
+)
+def test_percentile(values, part, expected):
+    """Guards against percentiles that are one place off."""
+    assert load.percentile(values, part) == expected
+
+
+def test_traffic_is_fixed_by_the_seed():
+    """Guards against runs that cannot be repeated."""
+    for scenario in scenarios.SCENARIOS:
+        first = scenarios.Traffic(3).make(scenario, 1.0)
+        assert first == scenarios.Traffic(3).make(scenario, 1.0)
+        assert first != scenarios.Traffic(4).make(scenario, 1.0)
+
+
+def test_returning_prompts_are_the_same():
+    """Guards against a return that could not find anything kept."""
+    scenario = scenarios.SCENARIOS[1]
+    shots = scenarios.Traffic(1).make(scenario, 4.0)
+    bodies = {
+        kind: [shot.body for shot in shots if shot.kind == kind]
+        for kind in ("first", "return")
+    }
+    assert bodies["first"] == bodies["return"]
+    assert len(bodies["first"]) == scenarios.RETURNING
+
+
+def _record(**fields):
+    return load.Record(
+        **{
+            "at": 1.0,
+            "rank": "urgent",
+            "workspace": "small-1",
+            "kind": "base",
+            **fields,
+        }
+    )
+
+
+def test_outcomes_are_told_apart():
+    """Guards against failures that are counted as refusals or answers."""
+    records = [
+        _record(status=200, complete=True, ttft_s=0.1, prompt_tokens=8),
+        _record(status=200, complete=True, ttft_s=9.0, prompt_tokens=8),
+        _record(status=200, ttft_s=0.1, error="cut"),
+        _record(status=503, error="not_run", end_s=0.1),
+        _record(status=502, error="upstream_failed"),
+        _record(error="ConnectionResetError"),
+    ]
+    row = run.summarize(records, scenarios.SCENARIOS[0], 1.0)["ranks"][
+        "urgent"
+    ]
+    assert row["offered"] == 6
+    assert row["ttft"]["count"] == 2
+    assert row["goodput_per_s"] == pytest.approx(1 / 0.8)
+    assert row["refused"] == 1
+    assert row["failed"] == 3
+
+
+@pytest.mark.parametrize(
+    "values, expected",
+    [([], None), ([0.0], None), ([2.0, 2.0], 1.0), ([1.0, 0.0], 0.5)],
+)
+def test_jain(values, expected):
+    """Guards against an index that hides a caller without service."""
+    assert run.jain(values) == expected
