--- a/papayalink/roles/agent/kept_cache.py
+++ b/papayalink/roles/agent/kept_cache.py
@@ -7,11 +7,13 @@
 from papayalink.adapters import engine as engines
 from papayalink.coordination import links
 from papayalink.protocol import relay
+from papayalink.roles.agent import importing
 from papayalink.roles.agent import keeping
 from papayalink.roles.agent import locating
 from papayalink.roles.agent import pieces_client
 from papayalink.roles.agent import restoring
 from papayalink.roles.agent import store_links
+from papayalink.roles.agent import transfers
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
 
@@ -46,7 +48,7 @@
 
     def restore(
         self, located: locating.Located, is_urgent: bool, queue_tokens: int
-    ) -> restoring.Restore:
+    ) -> importing.Restore:
         """Start to bring the kept pieces of a prompt into the engine.
 
         Args:
@@ -79,11 +81,10 @@
 ) -> KeptCache:
     """Args: document: configuration in force."""
     agent_links = store_links.StoreLinks()
+    moves = transfers.Transfers(engine, client, agent_links, clock, metrics)
     return KeptCache(
         locating.Locator(engine, client, document),
-        restoring.Restorer(
-            engine, client, agent_links, engine_state, clock, metrics
-        ),
+        restoring.Restorer(moves, engine_state),
         keeping.Keeper(engine, client, agent_links, engine_state, metrics),
         agent_links,
     )
--- a/tests/roles/agent/kept_fakes.py
+++ b/tests/roles/agent/kept_fakes.py
@@ -12,6 +12,7 @@
 from papayalink.roles.agent import locating
 from papayalink.roles.agent import restoring
 from papayalink.roles.agent import store_links
+from papayalink.roles.agent import transfers
 from papayalink.state import document as documents
 
 PIECE_BYTES = 128 * 1024
@@ -97,14 +98,10 @@
         self.state = FakeState(prefill_rate)
         self.clock = clocks.make_clock()
         self.metrics = metrics_module.make_metrics()
-        self.restorer = restoring.Restorer(
-            self.engine,
-            self.client,
-            self.links,
-            self.state,
-            self.clock,
-            self.metrics,
+        moves = transfers.Transfers(
+            self.engine, self.client, self.links, self.clock, self.metrics
         )
+        self.restorer = restoring.Restorer(moves, self.state)
 
     def measure(self, store, piece_s, age_s=0.0):
         """Let a link have moved a piece in so many seconds."""
