Count missed pieces and abandoned restores

The split of kept_cache dropped the agent's pieces_missed counter. It is back, and restores_abandoned counts imports stopped before the engine met them.

--- a/papayalink/roles/agent/importing.py
+++ b/papayalink/roles/agent/importing.py
@@ -123,6 +123,7 @@
         key = self._located.keys[piece.position]
         payload = self._read_any(piece.position)
         if payload is None:
+            self._transfers.count("pieces_missed")
             return False
         return self._transfers.give(
             key, self._located.digests[piece.position], payload
@@ -189,10 +190,13 @@
                 rates[reading.store] = restores.Link(
                     reading.size_bytes / (now - reading.began)
                 )
-        verdict = restores.progress(
-            self._plan, now, self._observe(now, partial), rates, CHECK_S
-        )
+        observed = self._observe(now, partial)
+        verdict = restores.progress(self._plan, now, observed, rates, CHECK_S)
         if isinstance(verdict, restores.Abandon):
+            left = self._plan.last - self._imported
+            if observed.computed < left:
+                # Otherwise the engine has met the import.
+                self._transfers.count("restores_abandoned")
             return False
         if verdict.split > 0:
             self._may_start.set()
--- a/papayalink/roles/agent/transfers.py
+++ b/papayalink/roles/agent/transfers.py
@@ -121,6 +121,10 @@
         self._engine_rate.record(len(payload), now - began, now)
         return True
 
+    def count(self, name: str) -> None:
+        """Count what happened to a piece or an import."""
+        self._metrics.count(name)
+
     def report(self, imported: int, began: float) -> None:
         """Count an import that has ended."""
         if imported:
