--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -163,8 +163,15 @@
         """
         self._drop_before(upstream, reported_at - ARRIVAL_MARGIN_S)
 
+    def prefilled(self, upstream: str, request_id: str) -> None:
+        """A request has its first token; it holds a slot from now on."""
+        sent = self._sent.get(upstream, {})
+        if request_id in sent:
+            sent_at, rank, _ = sent[request_id]
+            sent[request_id] = (sent_at, rank, 0)
+
     def ended(self, upstream: str, request_id: str) -> None:
-        """Drop a request that has its first token, was refused or failed."""
+        """Drop a request that has finished, was refused or failed."""
         sent = self._sent.get(upstream)
         if sent is not None:
             sent.pop(request_id, None)
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -202,13 +202,20 @@
             latency_s: time to the first token, None when the upstream
                 failed or was not reached.
         """
-        self._recent.ended(upstream, wanted.request_id)
+        if latency_s is None:
+            self._recent.ended(upstream, wanted.request_id)
+        else:
+            self._recent.prefilled(upstream, wanted.request_id)
         detection = self._outliers.get(wanted.model)
         if detection is not None:
             detection.record(upstream, latency_s, now)
         if latency_s is not None and wanted.family:
             self._note_prefix(wanted, upstream)
 
+    def finished(self, wanted: Wanted, upstream: str) -> None:
+        """Record that an answer has ended and its slot is free."""
+        self._recent.ended(upstream, wanted.request_id)
+
     def refused(self, wanted: Wanted, upstream: str) -> None:
         """Record that an agent refused an attempt."""
         self._recent.ended(upstream, wanted.request_id)
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -66,6 +66,8 @@
         self.request_id = (
             request.get_header(REQUEST_ID_HEADER) or uuid.uuid4().hex
         )[:64]
+        if not entry.has_document:
+            raise _Refusal(503, "not_run", "entry is starting", 1.0)
         self.document = entry.document
         self.workspace = self._authenticate(entry, request)
 
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -185,6 +185,11 @@
     def document(self) -> documents.Document:
         return self._follower.document
 
+    @property
+    def has_document(self) -> bool:
+        """A configuration was received since the start."""
+        return self._follower.version > 0
+
     @property
     def accepting(self) -> bool:
         """New work is taken: the configuration is confirmed."""
@@ -305,7 +310,7 @@
             "first_token", self._clock.now() - now, rank=rank
         )
         return ServedAnswer(
-            answer, lambda answer: self._finish(answer, workspace)
+            answer, lambda answer: self._finish(answer, workspace, chosen)
         )
 
     def choose(
@@ -397,9 +402,13 @@
             )
 
     def _finish(
-        self, answer: forwarding.Answer, workspace: documents.Workspace
+        self,
+        answer: forwarding.Answer,
+        workspace: documents.Workspace,
+        wanted: selection.Wanted,
     ) -> None:
         self._allowances.release(workspace)
+        self._selection.finished(wanted, answer.upstream)
         if answer.dropped:
             self._metrics.count("frames_dropped", answer.dropped)
 
--- a/papayalink/transport/http_server.py
+++ b/papayalink/transport/http_server.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import event
 from gevent import pywsgi
+from gevent import socket
 
 from papayalink import logs
 from papayalink.transport import auth
@@ -35,7 +36,13 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Leaves out the traceback that a caller's disconnect would print."""
+    """Sends small answers at once, and expects callers to hang up."""
+
+    def __init__(self, sock: socket.socket, address: Any, server: Any) -> None:
+        # Head and body are two writes; without this the second one waits
+        # about 40 ms for a delayed acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, address, server)
 
     def handle_error(self, kind: type, value: Any, trace: Any) -> None:
         if isinstance(value, OSError | errors.ResponseAborted):
