Choose bench ports from a generator of their own

Cause: two concurrent test runs that seed the shared generator alike draw the same ports; start-up errors were seen in such runs. Change: random.SystemRandom. Conclusion: runs side by side are independent.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -22,6 +22,9 @@
 START_TIMEOUT_S = 20.0
 _PORTS = (10_000, 32_000)
 _used_ports: set[int] = set()
+# Not the shared generator: a test library that seeds it would have two runs
+# choose the same ports.
+_RANDOM = random.SystemRandom()
 
 
 class Program:
@@ -235,7 +238,7 @@
     Returns: "IP:PORT" that is free now and was not returned before.
     """
     while True:
-        port = random.randrange(*_PORTS)
+        port = _RANDOM.randrange(*_PORTS)
         if port in _used_ports:
             continue
         _used_ports.add(port)
