Split the piece store, the rank queue and retention into smaller modules

Ruled out: splitting by size alone; each new module holds one thing: the memory store and the interface, the disk store, the tiers; records and the baseline of queues, the state of one rank; what fills a tier. Conclusion: no behaviour changed.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -23,13 +23,14 @@
 from papayalink.coordination import queueing
 from papayalink.coordination import routing
 from papayalink.coordination import windows
+from papayalink.coordination import work_queue
 
 RANKS = (
-    queueing.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
-    queueing.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
+    work_queue.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
+    work_queue.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
 )
 NAMES = [rank.name for rank in RANKS]
-SHARES = tuple(queueing.owed_shares(RANKS))
+SHARES = tuple(work_queue.owed_shares(RANKS))
 ZONES = ("korangi", "west-wharf", "port-qasim")
 
 # Mean prompt and answer tokens by rank; a quote is short, a summary long.
@@ -134,7 +135,7 @@
         if setup.queue == "ranks":
             self.queue = queueing.make_queue(RANKS, slots=SLOTS)
         else:
-            self.queue = queueing.FifoQueue()
+            self.queue = work_queue.FifoQueue()
 
     def receive(self, arrival: Arrival) -> None:
         if self.admission:
@@ -149,7 +150,7 @@
                 arrival.refused = True
                 return
         expected = arrival.prompt + MEAN_TOKENS[arrival.rank][1]
-        item = queueing.Item(
+        item = work_queue.Item(
             arrival.request_id,
             arrival.workspace,
             arrival.rank,
@@ -191,7 +192,7 @@
             self.report(), request, self.loop.now, routing.RecentWork()
         )
         part = 1.0
-        if not isinstance(self.queue, queueing.FifoQueue):
+        if not isinstance(self.queue, work_queue.FifoQueue):
             part = self.queue.part_ahead(
                 arrival.rank, arrival.workspace, arrival.tokens
             )
@@ -199,19 +200,19 @@
         return decision.ttft_s - decision.wait_s + wait_s, wait_s
 
     def _free_slots(self) -> tuple[int, ...]:
-        if isinstance(self.queue, queueing.FifoQueue):
+        if isinstance(self.queue, work_queue.FifoQueue):
             return (SLOTS - self.running,) * len(RANKS)
         now = self.loop.now
         return tuple(self.queue.free_slots(name, now) for name in NAMES)
 
     def _start_periods(self) -> tuple[float, ...]:
-        if isinstance(self.queue, queueing.FifoQueue):
+        if isinstance(self.queue, work_queue.FifoQueue):
             rate = max(self.slot_times.at(self.loop.now), 1.0)
             return (1 / rate,) * len(RANKS)
         now = self.loop.now
         return tuple(self.queue.start_period(name, now) for name in NAMES)
 
-    def _refuse(self, item: queueing.Item) -> None:
+    def _refuse(self, item: work_queue.Item) -> None:
         item.payload.refused = True
         self.waiting[NAMES.index(item.rank)] -= item.payload.prompt
 
@@ -256,7 +257,7 @@
             self.loop.after(arrival.answer * self.decode_s, self._end, item)
         self._next_chunk()
 
-    def _end(self, item: queueing.Item) -> None:
+    def _end(self, item: work_queue.Item) -> None:
         now = self.loop.now
         item.payload.ended_at = now
         self.running -= 1
--- a/bench/retention.py
+++ b/bench/retention.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bench import restores
+from papayalink.coordination import occupancy as occupancies
 from papayalink.coordination import restore
 from papayalink.coordination import retention
 from papayalink.protocol import pieces
@@ -206,11 +207,11 @@
         trace: arrivals in order of time.
         policy: values the pieces.
         capacity: capacity of the store in pieces.
-        guaranteed_fraction: see retention.Occupancy.
+        guaranteed_fraction: see occupancies.Occupancy.
     Returns: tokens recomputed on long returns and the share this is of the
         tokens that those prompts had shown before.
     """
-    occupancy = retention.Occupancy(
+    occupancy = occupancies.Occupancy(
         capacity * _PIECE_BYTES, guaranteed_fraction
     )
     held: dict[pieces.PieceKey, retention.PieceFacts] = {}
@@ -269,7 +270,7 @@
     Returns: results by policy, and the ratio of retention to LRU.
     """
     trace = make_trace(seed)
-    share = retention.GUARANTEED_FRACTION
+    share = occupancies.GUARANTEED_FRACTION
     runs = {
         "lru": (retention.LruPolicy(), 0.0),
         "lru_with_shares": (retention.LruPolicy(), share),
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,7 +20,7 @@
 from bench import load
 from bench import overhead
 from bench import scenarios
-from papayalink.coordination import queueing
+from papayalink.coordination import work_queue
 from papayalink.state import document as documents
 
 OUT = os.path.join(os.path.dirname(__file__), "out")
@@ -329,7 +329,7 @@
 
 def _owed_shares() -> dict[str, float]:
     ranks = [
-        queueing.Rank(
+        work_queue.Rank(
             rank["name"],
             rank["ttft_target_ms"] / 1000,
             weight=rank.get("weight", 1),
@@ -337,7 +337,7 @@
         )
         for rank in _sections()["ranks"]
     ]
-    shares = queueing.owed_shares(ranks)
+    shares = work_queue.owed_shares(ranks)
     return {rank.name: share for rank, share in zip(ranks, shares)}
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -285,9 +285,11 @@
     from papayalink import clock as clocks
     from papayalink.coordination import retention
     from papayalink.protocol import pieces
+    from papayalink.state import disk_piece_store
     from papayalink.state import piece_store
+    from papayalink.state import tiered_piece_store
 
-    class NoFiles(piece_store.Files):
+    class NoFiles(disk_piece_store.Files):
         __slots__ = ()
 
         def write(self, path, parts):
@@ -304,8 +306,8 @@
     policy = retention.ReturnPolicy()
     piece_bytes = b"p" * 100
     with tempfile.TemporaryDirectory() as folder:
-        disk = piece_store.DiskPieceStore(folder, 10**12, files=NoFiles())
-        store = piece_store.TieredPieceStore(
+        disk = disk_piece_store.DiskPieceStore(folder, 10**12, files=NoFiles())
+        store = tiered_piece_store.TieredPieceStore(
             piece_store.MemoryPieceStore(0), disk, policy, clock
         )
         before = _rss()
--- a/papayalink/coordination/admission.py
+++ b/papayalink/coordination/admission.py
@@ -8,8 +8,8 @@
 
 from papayalink.coordination import errors
 from papayalink.coordination import limits
-from papayalink.coordination import queueing
 from papayalink.coordination import windows
+from papayalink.coordination import work_queue
 
 # Offered and admitted tokens fade over this time: long enough to tell large
 # callers from a short burst of a small one.
@@ -82,7 +82,7 @@
 
     __slots__ = ("rank", "callers", "level", "level_at")
 
-    def __init__(self, rank: queueing.Rank) -> None:
+    def __init__(self, rank: work_queue.Rank) -> None:
         self.rank = rank
         self.callers: dict[str, _Caller] = {}
         self.level = math.inf
@@ -105,14 +105,14 @@
             agent, which knows its queue.
 
     Raises:
-        InvalidRanks: see `queueing.owed_shares`.
+        InvalidRanks: see `work_queue.owed_shares`.
     """
 
     __slots__ = ("_loads", "_rng", "_slack")
 
     def __init__(
         self,
-        ranks: Sequence[queueing.Rank],
+        ranks: Sequence[work_queue.Rank],
         rng: random.Random,
         slack: float = 1.0,
     ) -> None:
@@ -121,9 +121,9 @@
         self._slack = slack
         self.update_ranks(ranks)
 
-    def update_ranks(self, ranks: Sequence[queueing.Rank]) -> None:
+    def update_ranks(self, ranks: Sequence[work_queue.Rank]) -> None:
         """Put changed rank records in force."""
-        queueing.owed_shares(ranks)
+        work_queue.owed_shares(ranks)
         loads = {}
         for rank in ranks:
             load = self._loads.get(rank.name) or _RankLoad(rank)
--- a/papayalink/coordination/dispatch.py
+++ b/papayalink/coordination/dispatch.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from papayalink import clock as clocks
-from papayalink.coordination import queueing
+from papayalink.coordination import work_queue
 
 
 class Granted(msgspec.Struct, frozen=True):
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        work_queue: queueing.WorkQueue,
+        work_queue: work_queue.WorkQueue,
         clock: clocks.Clock,
         slots: int,
     ) -> None:
@@ -42,7 +42,7 @@
         self._clock = clock
         self._slots = slots
         self._waiting: dict[str, _Pending] = {}
-        self._running: dict[str, queueing.Item] = {}
+        self._running: dict[str, work_queue.Item] = {}
         self._held = False
 
     @property
@@ -71,7 +71,7 @@
         self._held = False
         self._start_next()
 
-    def submit(self, item: queueing.Item) -> event.AsyncResult:
+    def submit(self, item: work_queue.Item) -> event.AsyncResult:
         """Queue a request.
 
         Returns: takes a Grant when the request may run or was refused.
@@ -86,7 +86,7 @@
         self._start_next()
         return grant
 
-    def finish(self, item: queueing.Item, tokens: int) -> None:
+    def finish(self, item: work_queue.Item, tokens: int) -> None:
         """Give back the slot of a request.
 
         Args:
@@ -106,7 +106,7 @@
         expired = self._queue.take_expired(self._clock.now())
         self.decline(expired, "deadline passed in the queue")
 
-    def decline(self, items: list[queueing.Item], reason: str) -> None:
+    def decline(self, items: list[work_queue.Item], reason: str) -> None:
         """Refuse requests that were taken out of the queue."""
         for item in items:
             self._decline(item, reason)
@@ -120,7 +120,7 @@
             self._waiting.pop(item.request_id).set(Granted())
         self.expire()
 
-    def _decline(self, item: queueing.Item, reason: str) -> None:
+    def _decline(self, item: work_queue.Item, reason: str) -> None:
         grant = self._waiting.pop(item.request_id, None)
         if grant is not None:
             grant.set(Declined(reason))
@@ -131,12 +131,12 @@
 
     __slots__ = ("item",)
 
-    def __init__(self, item: queueing.Item) -> None:
+    def __init__(self, item: work_queue.Item) -> None:
         super().__init__()
         self.item = item
 
 
 def make_dispatcher(
-    work_queue: queueing.WorkQueue, clock: clocks.Clock, slots: int
+    work_queue: work_queue.WorkQueue, clock: clocks.Clock, slots: int
 ) -> Dispatcher:
     return Dispatcher(work_queue, clock, slots)
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from papayalink.coordination import outliers
-from papayalink.coordination import queueing
 from papayalink.coordination import routing
+from papayalink.coordination import work_queue
 from papayalink.protocol import messages
 from papayalink.state import document as documents
 
@@ -257,9 +257,9 @@
             if name in models
         }
         self._shares = tuple(
-            queueing.owed_shares(
+            work_queue.owed_shares(
                 [
-                    queueing.Rank(
+                    work_queue.Rank(
                         rank.name,
                         rank.ttft_target_ms / 1000,
                         rank.weight,
--- /dev/null
+++ b/papayalink/coordination/work_queue.py
@@ -0,0 +1,192 @@
+"""Requests that wait for one upstream: records, interface and baseline."""
+
+import abc
+from typing import Any
+from typing import Sequence
+
+import msgspec
+
+from papayalink.coordination import errors
+
+
+class Rank(msgspec.Struct, frozen=True):
+    """What one service rank is entitled to.
+
+    Args:
+        name: name of the rank.
+        ttft_target_s: time to first token that the rank is to meet.
+        weight: part in what is beyond the guarantees, relative to others.
+        min_share: guaranteed part of the served tokens, 0 to 1.
+    """
+
+    name: str
+    ttft_target_s: float
+    weight: float = 1.0
+    min_share: float = 0.0
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Most that may wait in one queue.
+
+    Args:
+        items_per_rank: requests waiting in one rank.
+        tokens_per_rank: expected tokens waiting in one rank.
+        items_per_workspace: requests of one workspace waiting in one rank.
+        tokens_per_workspace: expected tokens of one workspace in one rank.
+    """
+
+    items_per_rank: int = 512
+    tokens_per_rank: int = 4_000_000
+    items_per_workspace: int = 256
+    tokens_per_workspace: int = 2_000_000
+
+
+class Item(msgspec.Struct):
+    """One request that waits for the upstream.
+
+    Args:
+        request_id: unique among queued and running requests.
+        workspace: workspace of the caller.
+        rank: name of the rank.
+        tokens: expected tokens of service, prompt and answer together.
+        deadline: time after which the answer is of no use, or None.
+        payload: whatever the caller needs to run the request.
+        owed: set by `pop` when the rank was owed the item while more urgent
+            work waited. The engine is to run it at the priority of the most
+            urgent rank; at its own it would hold a slot without progress.
+    """
+
+    request_id: str
+    workspace: str
+    rank: str
+    tokens: int
+    deadline: float | None = None
+    payload: Any = None
+    owed: bool = False
+
+
+class Pushed(msgspec.Struct):
+    """Outcome of a push.
+
+    Args:
+        accepted: whether the item was queued.
+        shed: items to be refused as "not run"; holds the pushed item itself
+            when it was not accepted.
+    """
+
+    accepted: bool
+    shed: list[Item]
+
+
+def owed_shares(ranks: Sequence[Rank]) -> list[float]:
+    """Share of the served tokens that each rank is owed while it has work.
+
+    Args:
+        ranks: most urgent first.
+
+    Returns:
+        Minimum shares plus the parts by weight in the rest; sums to 1.
+
+    Raises:
+        InvalidRanks: the minimum shares exceed 1, or a value is negative.
+    """
+    if not ranks or len({rank.name for rank in ranks}) != len(ranks):
+        raise errors.InvalidRanks("ranks must be non-empty and unique")
+    if any(rank.min_share < 0 or rank.weight < 0 for rank in ranks):
+        raise errors.InvalidRanks("shares and weights must not be negative")
+    guaranteed = sum(rank.min_share for rank in ranks)
+    if guaranteed > 1.0 + 1e-9:
+        raise errors.InvalidRanks(f"minimum shares add up to {guaranteed}")
+    rest = max(0.0, 1.0 - guaranteed)
+    weights = sum(rank.weight for rank in ranks)
+    if weights == 0:
+        return [rank.min_share + rest / len(ranks) for rank in ranks]
+    return [rank.min_share + rest * rank.weight / weights for rank in ranks]
+
+
+class WorkQueue(abc.ABC):
+    """Requests that wait for one upstream."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def push(self, item: Item, now: float) -> Pushed:
+        """Queue an item, or say what is to be refused instead."""
+
+    @abc.abstractmethod
+    def pop(self, now: float) -> Item | None:
+        """Take the item to run next; None when nothing may start now."""
+
+    @abc.abstractmethod
+    def finished(self, item: Item, tokens: int, now: float) -> None:
+        """Report the tokens that a popped item really took."""
+
+    @abc.abstractmethod
+    def remove(self, request_id: str) -> Item | None:
+        """Take out a waiting item, for instance of a caller that left."""
+
+    @abc.abstractmethod
+    def take_expired(self, now: float) -> list[Item]:
+        """Take out the items whose deadline has passed."""
+
+    @abc.abstractmethod
+    def depth(self, rank: str) -> int:
+        """Returns: number of waiting items of a rank."""
+
+    @abc.abstractmethod
+    def queued_tokens(self, rank: str) -> int:
+        """Returns: expected tokens of the waiting items of a rank."""
+
+
+class FifoQueue(WorkQueue):
+    """Baseline: first come first served, whatever the rank or workspace.
+
+    Args:
+        max_items: most that may wait; further items are refused.
+    """
+
+    __slots__ = ("_items", "_max_items", "_expired")
+
+    def __init__(self, max_items: int = 512) -> None:
+        self._items: dict[str, Item] = {}
+        self._max_items = max_items
+        self._expired: list[Item] = []
+
+    def push(self, item: Item, now: float) -> Pushed:
+        if len(self._items) >= self._max_items:
+            return Pushed(False, [item])
+        self._items[item.request_id] = item
+        return Pushed(True, [])
+
+    def pop(self, now: float) -> Item | None:
+        while self._items:
+            item = self._items.pop(next(iter(self._items)))
+            if item.deadline is None or item.deadline > now:
+                return item
+            self._expired.append(item)
+        return None
+
+    def finished(self, item: Item, tokens: int, now: float) -> None:
+        pass
+
+    def remove(self, request_id: str) -> Item | None:
+        return self._items.pop(request_id, None)
+
+    def take_expired(self, now: float) -> list[Item]:
+        late = [
+            item
+            for item in self._items.values()
+            if item.deadline is not None and item.deadline <= now
+        ]
+        for item in late:
+            del self._items[item.request_id]
+        expired, self._expired = self._expired + late, []
+        return expired
+
+    def depth(self, rank: str) -> int:
+        return sum(item.rank == rank for item in self._items.values())
+
+    def queued_tokens(self, rank: str) -> int:
+        return sum(
+            item.tokens for item in self._items.values() if item.rank == rank
+        )
--- a/papayalink/roles/agent/engine_work.py
+++ b/papayalink/roles/agent/engine_work.py
@@ -8,6 +8,7 @@
 from papayalink.coordination import queueing
 from papayalink.coordination import routing
 from papayalink.coordination import windows
+from papayalink.coordination import work_queue
 from papayalink.roles.agent import upstream as upstream_state
 
 # Half-life of the shares that ranks took of the capacity.
@@ -51,10 +52,10 @@
         self._admission: admission.Admission | None = None
         self._rng = random.Random()
 
-    def update_ranks(self, ranks: Sequence[queueing.Rank]) -> None:
+    def update_ranks(self, ranks: Sequence[work_queue.Rank]) -> None:
         """Put changed rank records in force."""
         self._ranks = [rank.name for rank in ranks]
-        self._shares = tuple(queueing.owed_shares(ranks))
+        self._shares = tuple(work_queue.owed_shares(ranks))
         if self._admission is None:
             self._admission = admission.Admission(ranks, self._rng)
         else:
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -13,6 +13,7 @@
 from papayalink.coordination import follower as followers
 from papayalink.coordination import proposer as proposers
 from papayalink.coordination import queueing
+from papayalink.coordination import work_queue
 from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import messages
 from papayalink.protocol import relay
@@ -32,7 +33,7 @@
 CHECK_PERIOD_S = 0.1
 # A store that sends nothing for this long is treated as lost.
 STORE_TIMEOUT_S = 2.0
-_FALLBACK_RANK = queueing.Rank("default", 60.0)
+_FALLBACK_RANK = work_queue.Rank("default", 60.0)
 
 
 class _CheckDue(msgspec.Struct):
@@ -228,7 +229,7 @@
         if own is None or not document.ranks or self._work is None:
             return
         ranks = [
-            queueing.Rank(
+            work_queue.Rank(
                 rank.name,
                 rank.ttft_target_ms / 1000,
                 rank.weight,
@@ -240,7 +241,7 @@
         self._dispatcher.decline(dropped, "rank was removed")
         self._queue.set_slots(own.max_running)
         self._queue.set_bounds(
-            queueing.Bounds(
+            work_queue.Bounds(
                 items_per_rank=document.limits.max_queue_per_upstream
             )
         )
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -13,7 +13,7 @@
 from papayalink.adapters import errors as adapter_errors
 from papayalink.coordination import admission as admissions
 from papayalink.coordination import dispatch
-from papayalink.coordination import queueing
+from papayalink.coordination import work_queue
 from papayalink.protocol import frames
 from papayalink.protocol import relay
 from papayalink.roles.agent import engine_work
@@ -155,7 +155,7 @@
     def _answer_queued(
         self, request: relay.RelayRequest, priority: int, pending: "_Pending"
     ) -> Iterator[bytes]:
-        item = queueing.Item(
+        item = work_queue.Item(
             request_id=request.attempt_id,
             workspace=request.workspace,
             rank=request.rank,
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -15,9 +15,9 @@
 from papayalink.coordination import follower as followers
 from papayalink.coordination import forwarding
 from papayalink.coordination import protected
-from papayalink.coordination import queueing
 from papayalink.coordination import retry
 from papayalink.coordination import selection
+from papayalink.coordination import work_queue
 from papayalink.protocol import completions
 from papayalink.protocol import messages
 from papayalink.protocol import relay
@@ -488,9 +488,9 @@
     return hashlib.blake2b(start, digest_size=16).hexdigest()
 
 
-def _ranks(document: documents.Document) -> list[queueing.Rank]:
+def _ranks(document: documents.Document) -> list[work_queue.Rank]:
     return [
-        queueing.Rank(
+        work_queue.Rank(
             rank.name, rank.ttft_target_ms / 1000, rank.weight, rank.min_share
         )
         for rank in document.ranks
--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -17,6 +17,7 @@
 from papayalink.roles import process
 from papayalink.state import errors as state_errors
 from papayalink.state import piece_store
+from papayalink.state import tiered_piece_store
 from papayalink.transport import http_server
 
 # A round over 100,000 pieces takes 200 s; values change over minutes to days.
@@ -53,7 +54,7 @@
             node.clock,
             node.timers,
         )
-        self._pieces = piece_store.make_store(
+        self._pieces = tiered_piece_store.make_store(
             settings.data_folder,
             settings.memory_bytes,
             settings.disk_bytes,
--- /dev/null
+++ b/papayalink/state/tiered_piece_store.py
@@ -0,0 +1,218 @@
+"""Pieces on disk, the most valued ones in memory too."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import contextlib
+import threading
+
+import msgspec
+
+from papayalink import clock as clocks
+from papayalink.coordination import retention
+from papayalink.protocol import errors as protocol_errors
+from papayalink.protocol import pieces
+from papayalink.state import disk_piece_store
+from papayalink.state import errors
+from papayalink.state import piece_store
+
+
+class TieredPieceStore(piece_store.PieceStore):
+    """Keeps pieces on disk, and those of the highest value in memory too.
+
+    Args:
+        memory: upper tier.
+        disk: lower tier.
+        policy: values the pieces.
+        clock: time of arrivals and values.
+    """
+
+    __slots__ = (
+        "_memory",
+        "_disk",
+        "_policy",
+        "_policy_lock",
+        "_clock",
+        "_pending",
+    )
+
+    def __init__(
+        self,
+        memory: piece_store.MemoryPieceStore,
+        disk: disk_piece_store.DiskPieceStore,
+        policy: retention.Policy,
+        clock: clocks.Clock,
+    ) -> None:
+        self._memory = memory
+        self._disk = disk
+        self._policy = policy
+        # Puts may run in a thread pool while lookups run in the event loop.
+        self._policy_lock = threading.Lock()
+        self._clock = clock
+        self._pending: list[
+            tuple[pieces.PieceKey, int, retention.PieceFacts]
+        ] = []
+        # A piece has the same generation in both tiers.
+        memory.share_generations(disk)
+        self.revalue()
+
+    def put(
+        self,
+        key: pieces.PieceKey,
+        data: bytes,
+        value: float = 0.0,
+        facts: retention.PieceFacts | None = None,
+    ) -> None:
+        """Publish a piece; value is used only when facts is None."""
+        try:
+            pieces.verify_piece(key, data)
+        except protocol_errors.PieceInvalid as error:
+            raise errors.PieceRejected(str(error)) from error
+        if facts is not None:
+            value = self._value(key, facts, len(data))
+        try:
+            generation = self._disk.admit(key, data, value, facts)
+        except (errors.StoreFull, errors.StoreFailed):
+            # A disk that refuses leaves the memory tier usable.
+            self._memory.admit(key, data, value, facts)
+            return
+        if generation is None:
+            # These bytes may differ from the published ones: engines do not
+            # compute a piece alike to the last bit. One generation must not
+            # stand for both.
+            self._memory.set_value(key, value)
+            return
+        with contextlib.suppress(errors.StoreFull):
+            self._memory.admit(key, data, value, facts, generation)
+
+    def get(
+        self, key: pieces.PieceKey, generation: int | None = None
+    ) -> piece_store.Pin | None:
+        pin = self._memory.get(key, generation)
+        if pin is not None:
+            return pin
+        pin = self._disk.get(key, generation)
+        described = self._disk.describe(key)
+        if pin is not None and described is not None:
+            value, facts = described
+            with contextlib.suppress(errors.StoreFull):
+                self._memory.admit(key, pin.data, value, facts, pin.generation)
+        return pin
+
+    def drop(self, key: pieces.PieceKey) -> bool:
+        in_memory = self._memory.drop(key)
+        return self._disk.drop(key) or in_memory
+
+    def contains(self, keys: Sequence[pieces.PieceKey]) -> list[bool]:
+        return [
+            in_memory or on_disk
+            for in_memory, on_disk in zip(
+                self._memory.contains(keys), self._disk.contains(keys)
+            )
+        ]
+
+    def lookup(self, keys: Sequence[pieces.PieceKey]) -> list[bool]:
+        """Record that a prompt was asked for and look up its pieces.
+
+        Args:
+            keys: keys of all full pieces of the prompt, in order.
+        Returns: for each key whether the piece is published.
+        """
+        if keys:
+            with self._policy_lock:
+                self._policy.arrive(keys, self._clock.now())
+        return self.contains(keys)
+
+    def set_entitlements(self, fractions: Mapping[str, float]) -> None:
+        """Guarantee parts of each tier to workspaces.
+
+        Args:
+            fractions: by workspace, part of the capacity, 0 to 1.
+        """
+        self._memory.set_entitlements(fractions)
+        self._disk.set_entitlements(fractions)
+
+    def revalue(self, max_pieces: int | None = None) -> None:
+        """Bring values up to date; called by a timer.
+
+        Args:
+            max_pieces: continue with so many pieces after those of the last
+                call, by default all. 500 pieces take about 5 ms.
+        """
+        if max_pieces is None or not self._pending:
+            published = {}
+            for tier in (self._memory, self._disk):
+                for key, size, facts in tier.published():
+                    if facts is not None:
+                        published[key] = (key, size, facts)
+            self._pending = list(published.values())
+        if max_pieces is None:
+            max_pieces = len(self._pending)
+        for _ in range(min(max_pieces, len(self._pending))):
+            key, size, facts = self._pending.pop()
+            value = self._value(key, facts, size)
+            self._memory.set_value(key, value)
+            self._disk.set_value(key, value)
+
+    def copies(self, keys: Sequence[pieces.PieceKey]) -> list[int]:
+        """Decide on how many stores pieces are kept.
+
+        Args:
+            keys: keys of pieces whose first copy is put on this store.
+        Returns: 1 or 2 for each key, 0 when the piece is not published.
+        """
+        floor = self._disk.floor()
+        counts = []
+        for key in keys:
+            described = self._disk.describe(key) or self._memory.describe(key)
+            if described is None:
+                counts.append(0)
+                continue
+            value, facts = described
+            if facts is not None and facts.is_copy:
+                # Its value is that of a second copy, which is here already.
+                counts.append(1)
+                continue
+            with self._policy_lock:
+                counts.append(self._policy.copies(value, floor))
+        return counts
+
+    def _value(
+        self, key: pieces.PieceKey, facts: retention.PieceFacts, size: int
+    ) -> float:
+        with self._policy_lock:
+            return self._policy.value(key, facts, size, self._clock.now())
+
+    def usage(self) -> piece_store.Usage:
+        """Returns: counts of the disk tier, with pins of both tiers."""
+        memory, disk = self.usage_by_tier().values()
+        return msgspec.structs.replace(disk, pins=memory.pins + disk.pins)
+
+    def usage_by_tier(self) -> dict[str, piece_store.Usage]:
+        """Returns: counts of each tier."""
+        return {"memory": self._memory.usage(), "disk": self._disk.usage()}
+
+
+def make_store(
+    folder: str,
+    memory_bytes: int,
+    disk_bytes: int,
+    policy: retention.Policy,
+    clock: clocks.Clock,
+) -> TieredPieceStore:
+    """Open the tiered store of a store process.
+
+    Args:
+        folder: folder of the disk tier.
+        memory_bytes: capacity of the memory tier.
+        disk_bytes: capacity of the disk tier.
+        policy: values the pieces.
+        clock: time of arrivals and values.
+    Returns: the store.
+    Raises: StoreFailed when the folder cannot be read.
+    """
+    return TieredPieceStore(
+        piece_store.MemoryPieceStore(memory_bytes),
+        disk_piece_store.DiskPieceStore(folder, disk_bytes),
+        policy,
+        clock,
+    )
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -8,12 +8,12 @@
 
 from papayalink.coordination import admission
 from papayalink.coordination import errors
-from papayalink.coordination import queueing
 from papayalink.coordination import routing
+from papayalink.coordination import work_queue
 
 RANKS = (
-    queueing.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
-    queueing.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
+    work_queue.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
+    work_queue.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
 )
 RATE = 10_000.0
 
@@ -46,7 +46,7 @@
 def _flood(gate, rank, callers, seconds):
     """Fluid queue of one rank; returns offered and admitted by caller."""
     index = [one.name for one in RANKS].index(rank)
-    shares = queueing.owed_shares(RANKS)
+    shares = work_queue.owed_shares(RANKS)
     rate = RATE * (1.0 if index == 0 else shares[index])
     queued = 0.0
     offered = dict.fromkeys(callers, 0)
@@ -98,7 +98,7 @@
 def test_other_work_does_not_refuse_urgent_requests(queued):
     # Guards against a flood of the other rank that shuts out urgent work, and
     # against urgent work that shuts out what the other rank is owed.
-    shares = queueing.owed_shares(RANKS)
+    shares = work_queue.owed_shares(RANKS)
     wait_s = routing.predict_wait((1000, queued), 0, RATE, shares)
     outcome = _admission().decide("urgent", "a", 500, wait_s, wait_s, 0.0)
     assert isinstance(outcome, admission.Admitted)
--- a/tests/coordination/test_queueing.py
+++ b/tests/coordination/test_queueing.py
@@ -6,16 +6,17 @@
 
 from papayalink.coordination import errors
 from papayalink.coordination import queueing
+from papayalink.coordination import work_queue
 
 RANKS = (
-    queueing.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
-    queueing.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
+    work_queue.Rank("urgent", 1.6, weight=3.0, min_share=0.5),
+    work_queue.Rank("deferrable", 30.0, weight=1.0, min_share=0.2),
 )
 OWED = 0.2 + 0.3 / 4
 
 
 def _item(number, workspace="a", rank="urgent", tokens=100, deadline=None):
-    return queueing.Item(str(number), workspace, rank, tokens, deadline)
+    return work_queue.Item(str(number), workspace, rank, tokens, deadline)
 
 
 def _serve(queue, count, now=0.0):
@@ -44,12 +45,12 @@
 )
 def test_owed_shares(records, expected):
     # Guards against a document that promises more than the whole.
-    ranks = [queueing.Rank(n, 1.0, w, m) for n, w, m in records]
+    ranks = [work_queue.Rank(n, 1.0, w, m) for n, w, m in records]
     if expected is None:
         with pytest.raises(errors.InvalidRanks):
             queueing.make_queue(ranks)
     else:
-        assert queueing.owed_shares(ranks) == pytest.approx(expected)
+        assert work_queue.owed_shares(ranks) == pytest.approx(expected)
 
 
 def test_urgent_goes_first_after_other_rank_alone():
@@ -95,7 +96,7 @@
 def test_lead_is_forgotten_after_a_window():
     # Guards against a long quiet time of urgent work that starves the other
     # rank for as long afterwards.
-    queue = queueing.make_queue(RANKS, queueing.Bounds(9999, 10**9, 9999))
+    queue = queueing.make_queue(RANKS, work_queue.Bounds(9999, 10**9, 9999))
     for number in range(3000):
         queue.push(_item(f"d{number}", "b", "deferrable"), 0.0)
     for step in range(1000):
@@ -183,7 +184,7 @@
 @hypothesis.given(OPERATIONS, st.sampled_from([None, 2, 4]))
 def test_each_item_leaves_once_and_bounds_hold(operations, slots):
     # Guards against lost or doubled requests and against unbounded memory.
-    bounds = queueing.Bounds(6, 150, 4, 100)
+    bounds = work_queue.Bounds(6, 150, 4, 100)
     queue = queueing.make_queue(RANKS, bounds, slots)
     pushed, left, running = set(), [], []
     for step, (action, workspace, rank, tokens, wait) in enumerate(operations):
@@ -214,7 +215,7 @@
     queue.set_slots(None)
     left += queue.take_expired(1000.0)
     left += _serve(queue, 100, 1000.0)
-    left += queue.update_ranks([queueing.Rank("new", 1.0)])
+    left += queue.update_ranks([work_queue.Rank("new", 1.0)])
     assert sorted(item.request_id for item in left) == sorted(pushed)
 
 
@@ -224,7 +225,7 @@
 )
 def test_sheds_from_the_largest_workspace(workspace, accepted, shed):
     # Guards against small callers that lose their place in a flood.
-    queue = queueing.make_queue(RANKS, queueing.Bounds(items_per_rank=8))
+    queue = queueing.make_queue(RANKS, work_queue.Bounds(items_per_rank=8))
     for number in range(7):
         queue.push(_item(number, "large"), 0.0)
     queue.push(_item("s", "small"), 0.0)
@@ -242,7 +243,7 @@
 )
 def test_token_bound(tokens, accepted, shed):
     # Guards against few large requests that hold more than the bound.
-    bounds = queueing.Bounds(tokens_per_rank=600, tokens_per_workspace=500)
+    bounds = work_queue.Bounds(tokens_per_rank=600, tokens_per_workspace=500)
     queue = queueing.make_queue(RANKS, bounds)
     for number in range(4):
         queue.push(_item(number, "large"), 0.0)
@@ -338,7 +339,7 @@
 
 def test_fifo_baseline_ignores_rank():
     # Guards against a baseline that is better or worse than plain FIFO.
-    queue = queueing.FifoQueue(max_items=3)
+    queue = work_queue.FifoQueue(max_items=3)
     queue.push(_item(1, rank="deferrable"), 0.0)
     queue.push(_item(2, deadline=1.0), 0.0)
     queue.push(_item(3), 0.0)
--- a/tests/coordination/test_retention.py
+++ b/tests/coordination/test_retention.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench import retention as bench
+from papayalink.coordination import occupancy as occupancies
 from papayalink.coordination import retention
 from papayalink.protocol import pieces
 
@@ -181,7 +182,7 @@
     small_value, large_value, expected
 ):
     """Guards against a flood that pushes out all other workspaces."""
-    occupancy = retention.Occupancy(1000, 0.5)
+    occupancy = occupancies.Occupancy(1000, 0.5)
     _fill(occupancy, "s", 60, small_value, "small")
     _fill(occupancy, "l", 500, large_value, "large")
     assert occupancy.used_by.get("small", 0) >= expected
@@ -191,7 +192,7 @@
 
 def test_small_workspace_regains_its_share():
     """Guards against a share that only those who came first have."""
-    occupancy = retention.Occupancy(1000, 0.5)
+    occupancy = occupancies.Occupancy(1000, 0.5)
     _fill(occupancy, "l", 100, 10.0, "large")
     _fill(occupancy, "s", 100, 1.0, "small")
     assert occupancy.used_by == {"large": 750, "small": 250}
@@ -210,7 +211,7 @@
 )
 def test_occupancy_against_a_plain_account(requests):
     """Guards against lost bytes, evicted pins and outdated values."""
-    occupancy = retention.Occupancy(100, 0.0)
+    occupancy = occupancies.Occupancy(100, 0.0)
     held = {}
     pinned = set()
     for number, (workspace, value, size, pin) in enumerate(requests):
@@ -262,7 +263,7 @@
 
 def test_document_guarantees_more_than_the_even_share():
     """Guards against a cache share in the document that has no effect."""
-    occupancy = retention.Occupancy(1000, 0.5)
+    occupancy = occupancies.Occupancy(1000, 0.5)
     occupancy.set_entitlements({"small": 0.6})
     _fill(occupancy, "l", 100, 10.0, "large")
     _fill(occupancy, "s", 100, 1.0, "small")
--- a/tests/state/test_piece_store.py
+++ b/tests/state/test_piece_store.py
@@ -9,8 +9,10 @@
 from papayalink import clock as clocks
 from papayalink.coordination import retention
 from papayalink.protocol import pieces
+from papayalink.state import disk_piece_store
 from papayalink.state import errors
 from papayalink.state import piece_store
+from papayalink.state import tiered_piece_store
 
 
 def _key(number, workspace="acme"):
@@ -30,9 +32,11 @@
         case "memory":
             return piece_store.MemoryPieceStore(capacity)
         case "disk":
-            return piece_store.DiskPieceStore(folder, capacity, files=files)
+            return disk_piece_store.DiskPieceStore(
+                folder, capacity, files=files
+            )
         case "tiered":
-            return piece_store.make_store(
+            return tiered_piece_store.make_store(
                 folder,
                 capacity,
                 capacity,
@@ -62,7 +66,7 @@
     """Guards against two sets of bytes under one generation."""
     store = make(4)
     store.put(_key(1), _piece(_key(1)))
-    if isinstance(store, piece_store.TieredPieceStore):
+    if isinstance(store, tiered_piece_store.TieredPieceStore):
         store._memory.drop(_key(1))
     store.put(_key(1), _piece(_key(1), b"x"), value=1)
     assert store.get(_key(1)).data == _piece(_key(1))
@@ -107,7 +111,7 @@
     store.put(_key(3), _piece(_key(3)), value=3)
     assert store.contains([_key(1), _key(3)]) == [True, True]
     # The tiers evict apart, so the disk tier still holds the other piece.
-    is_tiered = isinstance(store, piece_store.TieredPieceStore)
+    is_tiered = isinstance(store, tiered_piece_store.TieredPieceStore)
     assert store.contains([_key(2)]) == [is_tiered]
     assert pin.data == _piece(_key(1))
 
@@ -121,7 +125,7 @@
     assert store.drop(_key(1))
     assert store.get(_key(1)) is None
     assert pin.data == _piece(_key(1))
-    if not isinstance(store, piece_store.TieredPieceStore):
+    if not isinstance(store, tiered_piece_store.TieredPieceStore):
         with pytest.raises(errors.StoreFull):
             store.put(_key(3), _piece(_key(3)), value=1)
         pin.release()
@@ -224,7 +228,7 @@
     assert len(list(tmp_path.iterdir())) == 1
 
 
-class _FullDisk(piece_store.Files):
+class _FullDisk(disk_piece_store.Files):
     """Disk with room for a number of files."""
 
     def __init__(self, folder, count, code=errno.ENOSPC):
@@ -270,7 +274,7 @@
 def test_tiers(tmp_path):
     """Memory holds the most valued, the disk everything."""
     clock = clocks.ManualClock()
-    store = piece_store.make_store(
+    store = tiered_piece_store.make_store(
         str(tmp_path),
         PIECE_BYTES,
         3 * PIECE_BYTES,
@@ -299,7 +303,7 @@
 
 def test_copies_depend_on_value_and_room(tmp_path):
     """Guards against second copies of pieces that are second copies."""
-    store = piece_store.make_store(
+    store = tiered_piece_store.make_store(
         str(tmp_path),
         10**6,
         10**6,
--- a/tests/state/test_piece_store_crashes.py
+++ b/tests/state/test_piece_store_crashes.py
@@ -11,8 +11,10 @@
 from papayalink import clock as clocks
 from papayalink.coordination import retention
 from papayalink.protocol import pieces
+from papayalink.state import disk_piece_store
 from papayalink.state import errors
 from papayalink.state import piece_store
+from papayalink.state import tiered_piece_store
 
 _WORKSPACES = ("acme", "other")
 _VERSIONS = ("v1", "v2")
@@ -29,7 +31,7 @@
     """The process dies; nothing of it runs on."""
 
 
-class _CrashingFiles(piece_store.Files):
+class _CrashingFiles(disk_piece_store.Files):
     """Dies at a step of a write, and forgets what was not synced."""
 
     def __init__(self):
@@ -80,11 +82,11 @@
 
     def start(self):
         self.files = _CrashingFiles()
-        self.store = piece_store.DiskPieceStore(
+        self.store = disk_piece_store.DiskPieceStore(
             self.folder, _CAPACITY, files=self.files
         )
         if self.tiered:
-            self.store = piece_store.TieredPieceStore(
+            self.store = tiered_piece_store.TieredPieceStore(
                 piece_store.MemoryPieceStore(_CAPACITY // 2),
                 self.store,
                 retention.ReturnPolicy(),
