Read ranks, ledger moves and the document's index in one place each

Cause: the same conversion of ranks stood three times, the same check of a claim three times in the ledger, and serving.py mixed look-ups with serving. Change: coordination/ranks.py, Ledger._move, roles/entry/document_index.py; agents look workspaces up in a set in place of a walk over all of them.

--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from papayalink.coordination import outliers
+from papayalink.coordination import ranks
 from papayalink.coordination import routing
 from papayalink.coordination import work_queue
 from papayalink.protocol import messages
@@ -257,17 +258,7 @@
             if name in models
         }
         self._shares = tuple(
-            work_queue.owed_shares(
-                [
-                    work_queue.Rank(
-                        rank.name,
-                        rank.ttft_target_ms / 1000,
-                        rank.weight,
-                        rank.min_share,
-                    )
-                    for rank in document.ranks
-                ]
-            )
+            work_queue.owed_shares(ranks.from_document(document))
             if document.ranks
             else ()
         )
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -13,6 +13,7 @@
 from papayalink.coordination import follower as followers
 from papayalink.coordination import proposer as proposers
 from papayalink.coordination import queueing
+from papayalink.coordination import ranks as document_ranks
 from papayalink.coordination import work_queue
 from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import messages
@@ -228,15 +229,7 @@
         document = self._follower.document
         if own is None or not document.ranks or self._work is None:
             return
-        ranks = [
-            work_queue.Rank(
-                rank.name,
-                rank.ttft_target_ms / 1000,
-                rank.weight,
-                rank.min_share,
-            )
-            for rank in document.ranks
-        ]
+        ranks = document_ranks.from_document(document)
         dropped = self._queue.update_ranks(ranks)
         self._dispatcher.decline(dropped, "rank was removed")
         self._queue.set_slots(own.max_running)
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -31,7 +31,14 @@
         accepting: whether the upstream takes new work, else the reason.
     """
 
-    __slots__ = ("_document", "_confirmed", "_refusal", "_engine_state")
+    __slots__ = (
+        "_document",
+        "_confirmed",
+        "_refusal",
+        "_engine_state",
+        "_indexed",
+        "_names",
+    )
 
     def __init__(
         self,
@@ -44,6 +51,8 @@
         self._confirmed = confirmed
         self._refusal = refusal
         self._engine_state = engine_state
+        self._indexed: documents.Document | None = None
+        self._names: frozenset[str] = frozenset()
 
     def refuse(self, request: relay.RelayRequest) -> str:
         """Returns: the reason against the request, "" when it may run."""
@@ -53,10 +62,7 @@
         if not self._confirmed():
             return "configuration is not confirmed"
         document = self._document()
-        if not any(
-            workspace.name == request.workspace
-            for workspace in document.workspaces
-        ):
+        if request.workspace not in self._workspaces(document):
             return "workspace is not known"
         if not self._engine_state.up:
             return "engine is down"
@@ -67,6 +73,12 @@
             return "weight version is not in the configuration"
         return ""
 
+    def _workspaces(self, document: documents.Document) -> frozenset[str]:
+        if document is not self._indexed:
+            self._indexed = document
+            self._names = frozenset(one.name for one in document.workspaces)
+        return self._names
+
 
 class Relayer:
     """Queues requests, runs them and yields their frames."""
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -15,12 +15,13 @@
 from papayalink.coordination import follower as followers
 from papayalink.coordination import forwarding
 from papayalink.coordination import protected
+from papayalink.coordination import ranks
 from papayalink.coordination import retry
 from papayalink.coordination import selection
-from papayalink.coordination import work_queue
 from papayalink.protocol import completions
 from papayalink.protocol import messages
 from papayalink.protocol import relay
+from papayalink.roles.entry import document_index
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import http_client
@@ -58,35 +59,6 @@
             self._done = None
 
 
-class _Index(msgspec.Struct):
-    """What a document says, arranged for look-ups."""
-
-    by_token: dict[str, documents.Workspace]
-    workspace_names: frozenset[str]
-    ranks: dict[str, documents.Rank]
-    models: dict[str, documents.Model]
-    services: dict[str, documents.Service]
-    upstreams: dict[str, tuple[documents.Upstream, ...]]
-
-
-def _make_index(document: documents.Document) -> _Index:
-    by_serves: dict[str, list[documents.Upstream]] = {}
-    for upstream in document.upstreams:
-        by_serves.setdefault(upstream.serves, []).append(upstream)
-    return _Index(
-        by_token={
-            digest: workspace
-            for workspace in document.workspaces
-            for digest in workspace.token_digests
-        },
-        workspace_names=frozenset(one.name for one in document.workspaces),
-        ranks={rank.name: rank for rank in document.ranks},
-        models={model.name: model for model in document.models},
-        services={service.name: service for service in document.services},
-        upstreams={name: tuple(some) for name, some in by_serves.items()},
-    )
-
-
 class _Attempts(forwarding.Attempts):
     """Attempts of one model request."""
 
@@ -177,7 +149,7 @@
         self._admission: admission.Admission | None = None
         self._budget = retry.Budget()
         self._indexed = follower.document
-        self._index = _make_index(self._indexed)
+        self._index = document_index.make_index(self._indexed)
         self._stopping = False
         follower.listen(self._on_reply)
 
@@ -210,15 +182,7 @@
         self, service: str, method: str, path: str
     ) -> documents.Call | None:
         """Returns: the call that a service lists for a path."""
-        known = self._current().services.get(service)
-        if known is None:
-            return None
-        matching = [
-            call
-            for call in known.calls
-            if call.method == method and _matches(call.path, path)
-        ]
-        return max(matching, key=lambda call: len(call.path), default=None)
+        return self._current().find_call(service, method, path)
 
     def complete(
         self,
@@ -384,7 +348,9 @@
         """
         if self._admission is None:
             self._admission = admission.Admission(
-                _ranks(self._indexed), self._rng, admission.ENTRY_SLACK
+                ranks.from_document(self._indexed),
+                self._rng,
+                admission.ENTRY_SLACK,
             )
         decision = self._admission.decide(
             rank,
@@ -464,22 +430,18 @@
         if not self._follower.confirmed:
             raise errors.NoUpstream("configuration is not confirmed")
 
-    def _current(self) -> _Index:
+    def _current(self) -> document_index.Index:
         document = self._follower.document
         if document is not self._indexed:
-            self._index = _make_index(document)
+            self._index = document_index.make_index(document)
             self._indexed = document
             if self._admission is not None and document.ranks:
-                self._admission.update_ranks(_ranks(document))
+                self._admission.updateranks.from_document(
+                    ranks.from_document(document)
+                )
         return self._index
 
 
-def _matches(pattern: str, path: str) -> bool:
-    if pattern.endswith("/*"):
-        return path.startswith(pattern[:-1])
-    return path == pattern
-
-
 def _family(prompt: bytes) -> str:
     """Returns: digest of the start of a prompt, "" for a short one."""
     if len(prompt) < FAMILY_BYTES:
@@ -488,15 +450,6 @@
     return hashlib.blake2b(start, digest_size=16).hexdigest()
 
 
-def _ranks(document: documents.Document) -> list[work_queue.Rank]:
-    return [
-        work_queue.Rank(
-            rank.name, rank.ttft_target_ms / 1000, rank.weight, rank.min_share
-        )
-        for rank in document.ranks
-    ]
-
-
 def make_serving(
     name: str,
     zone: str,
--- a/papayalink/state/ledger.py
+++ b/papayalink/state/ledger.py
@@ -1,5 +1,6 @@
 """Ledger of calls that may run at most once."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 import msgspec
@@ -206,64 +207,61 @@
         return Granted()
 
     def _start(self, command: Start) -> Outcome:
-        place = (command.workspace, command.key)
-        match self._records.get(place):
-            case None:
-                return Missing()
-            case Claimed(claim_id=claim_id) as record if (
-                claim_id == command.claim_id
-            ):
-                self._put(
-                    place,
-                    Started(
-                        record.body_digest,
-                        claim_id,
-                        command.agent,
-                        command.at_s,
-                    ),
-                )
-                return Granted()
-            case record:
-                return Standing(record)
+        return self._move(
+            command,
+            Claimed,
+            lambda record: Started(
+                record.body_digest,
+                record.claim_id,
+                command.agent,
+                command.at_s,
+            ),
+        )
 
     def _finish(self, command: Finish) -> Outcome:
-        place = (command.workspace, command.key)
-        match self._records.get(place):
-            case None:
-                return Missing()
-            case Started(claim_id=claim_id) as record if (
-                claim_id == command.claim_id
-            ):
-                self._put(
-                    place,
-                    Finished(
-                        record.body_digest,
-                        command.status,
-                        command.answer,
-                        command.at_s,
-                    ),
-                )
-                return Granted()
-            case record:
-                return Standing(record)
+        return self._move(
+            command,
+            Started,
+            lambda record: Finished(
+                record.body_digest,
+                command.status,
+                command.answer,
+                command.at_s,
+            ),
+        )
 
     def _withdraw(self, command: Withdraw) -> Outcome:
-        place = (command.workspace, command.key)
-        match self._records.get(place):
-            case None:
-                return Missing()
-            case Claimed(claim_id=claim_id) as record if (
-                claim_id == command.claim_id
-            ):
-                withdrawn = (*record.withdrawn, claim_id)[-MAX_WITHDRAWN:]
-                self._put(
-                    place, Void(record.body_digest, withdrawn, command.at_s)
-                )
-                return Granted()
+        match self.find(command.workspace, command.key):
             case Void(withdrawn=withdrawn) if command.claim_id in withdrawn:
+                # Proposed again after a lost answer.
                 return Granted()
-            case record:
-                return Standing(record)
+        return self._move(
+            command,
+            Claimed,
+            lambda record: Void(
+                record.body_digest,
+                (*record.withdrawn, record.claim_id)[-MAX_WITHDRAWN:],
+                command.at_s,
+            ),
+        )
+
+    def _move(
+        self,
+        command: Start | Finish | Withdraw,
+        source: type[Claimed] | type[Started],
+        make: Callable[[Record], Record],
+    ) -> Outcome:
+        """Move a record on, if its claim is the command's."""
+        place = (command.workspace, command.key)
+        record = self._records.get(place)
+        if record is None:
+            return Missing()
+        if not isinstance(record, source):
+            return Standing(record)
+        if record.claim_id != command.claim_id:
+            return Standing(record)
+        self._put(place, make(record))
+        return Granted()
 
     def _expire(self, before_s: float) -> Outcome:
         for place in list(self._expired(before_s)):
