Update ranks of admission again after a change of the document

Cause: the clean-up that moved the conversion of ranks renamed a method call in place, so an entry answered 500 after a change once it had admitted a request; the process tests found it, the unit tests did not. Ruled out: a fault of the index, which the traceback named first. Conclusion: the clean-up is right now.

--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -436,9 +436,7 @@
             self._index = document_index.make_index(document)
             self._indexed = document
             if self._admission is not None and document.ranks:
-                self._admission.updateranks.from_document(
-                    ranks.from_document(document)
-                )
+                self._admission.update_ranks(ranks.from_document(document))
         return self._index
 
 
