Keep the console's sections apart from the button above them

Cause: seen in a headless browser, the row of sections touched the Update button. Ruled out: moving the button, which must come first so that the enter key changes nothing. Change: a margin above the row. Figures: the pages of overview, ranks and workspaces were looked at, at 1,100 pixels; tests of the console pass. Conclusion: nothing else looked poor.

--- a/papayalink/console/style.py
+++ b/papayalink/console/style.py
@@ -6,6 +6,7 @@
 header { border-bottom: 2px solid #b5502a; margin-bottom: 1em; }
 h1 { font-size: 1.3em; margin: .6em 0; }
 h2 { font-size: 1.1em; }
+nav { margin-top: .6em; }
 nav button, nav a { margin: 0 .2em .6em 0; }
 table { border-collapse: collapse; width: 100%; }
 th, td { border: 1px solid #ccc; padding: .25em .4em; text-align: left;
