--- a/bench/demo.py
+++ b/bench/demo.py
@@ -22,6 +22,7 @@
             restored = _show_return(fleet)
             _show_confirmation(fleet)
         finally:
+            fleet.proposer.close()
             codes = fleet.deployment.stop_all()
     failed = {name: code for name, code in codes.items() if code}
     print(f"stopped {len(codes)} processes, failed: {failed or 'none'}")
--- a/papayalink/coordination/proposer.py
+++ b/papayalink/coordination/proposer.py
@@ -59,6 +59,10 @@
         """Read confirmed state, as JSON; raises as propose() does."""
         return self._send("Query", query, timeout_s).body
 
+    def close(self) -> None:
+        """Close the connections to control members."""
+        self._client.close()
+
     def _send(
         self, method: str, message: messages.Message, timeout_s: float
     ) -> messages.Message:
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -12,6 +12,7 @@
     shape = getattr(request.module, "FLEET", {})
     running = fleets.start(str(tmp_path_factory.mktemp("fleet")), **shape)
     yield running
+    running.proposer.close()
     running.deployment.stop_all()
 
 
