Log each request with its id at entry and agent

Cause: with debug lines off, a request that went well left no line, so it could not be followed through the processes it crossed. Ruled out: debug lines by default, which were two for each request and one for each unreachable member and message. Change: request_finished at the entry, request_relayed at the agent. Figures: one line a request and process; the path's tests pass, with one that looks for the same id in both logs. Conclusion: a request can be followed by its id.

--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -192,6 +192,13 @@
         finally:
             tokens = item.tokens if served else 0
             self._dispatcher.finish(item, tokens)
+            self._log.info(
+                "request_relayed",
+                request_id=request.request_id,
+                workspace=request.workspace,
+                rank=request.rank,
+                frames=served,
+            )
 
     def _run(
         self, request: relay.RelayRequest, priority: int
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from papayalink import clock as clocks
+from papayalink import logs
 from papayalink import metrics as metrics_module
 from papayalink.coordination import admission
 from papayalink.coordination import allowances
@@ -124,6 +125,7 @@
         "_index",
         "_indexed",
         "_stopping",
+        "_log",
     )
 
     def __init__(
@@ -151,6 +153,7 @@
         self._indexed = follower.document
         self._index = document_index.make_index(self._indexed)
         self._stopping = False
+        self._log = logs.get_logger()
         follower.listen(self._on_reply)
 
     @property
@@ -375,6 +378,13 @@
     ) -> None:
         self._allowances.release(workspace)
         self._selection.finished(wanted, answer.upstream)
+        self._log.info(
+            "request_finished",
+            request_id=wanted.request_id,
+            workspace=workspace.name,
+            upstream=answer.upstream,
+            complete=answer.end is not None,
+        )
         if answer.dropped:
             self._metrics.count("frames_dropped", answer.dropped)
 
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -34,6 +34,20 @@
     assert len(answer.events()) == 5
 
 
+def test_request_id_is_the_same_in_every_log(fleet, caller):
+    """Guards against requests that cannot be followed through processes."""
+    body = {"model": fleets.MODEL, "prompt": "a", "max_tokens": 1}
+    answer = caller.send(
+        "POST", "/v1/completions", body, **{"X-Request-Id": "trace-1"}
+    )
+    assert answer.headers["x-request-id"] == "trace-1"
+    for name in ("entry-1", "agent-engine-1"):
+        path = fleet.deployment.programs[name].log_path
+        helpers.wait_until(
+            lambda: "request_id=trace-1" in open(path).read(), name
+        )
+
+
 def test_unstreamed_answer_is_whole(caller):
     answer = caller.complete(model=fleets.MODEL, prompt="a b", max_tokens=5)
     assert answer.status == 200
