Say "not run" only when no attempt of a request may have run

Cause: a request whose first attempt was cut and whose second one was refused was answered 503 "not run", since the last failure was reported. The engine of the first attempt may have run it. Ruled out: not repeating after a cut; a model request may be repeated, and the repeat is what serves the caller. Change: once an attempt was cut, the request ends as cut unless a later attempt answers. Before: 3 of 8 cases of tests/coordination/test_forwarding.py failed (lost then refused, silent then not reached, refused then cut then refused). After: all 8 pass. Conclusion: such callers get 502 now instead of an untrue 503.

--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -154,10 +154,13 @@
         failure: errors.CoordinationError = errors.NoUpstream(
             "no upstream takes this model"
         )
+        # Once an attempt may have run, "not run" would be untrue whatever
+        # later attempts meet.
+        cut: errors.AnswerCut | None = None
         while True:
             choice = attempts.choose(frozenset(tried))
             if choice is None:
-                raise failure
+                raise cut or failure
             name = choice.upstream.name
             tried.add(name)
             began = self._clock.now()
@@ -168,7 +171,7 @@
                 raise
             except errors.AnswerCut as error:
                 attempts.failed(name, False)
-                failure = error
+                failure = cut = error
             except errors.AgentNotReached as error:
                 attempts.failed(name, True)
                 failure = error
@@ -183,7 +186,7 @@
             )
             delay_s = attempts.retry_delay_s(len(tried))
             if delay_s is None:
-                raise failure
+                raise cut or failure
             gevent.sleep(delay_s)
 
     def _attempt(
