Refuse a model request only when the engine got nothing of it

Cause: the agent answered "refused", which callers see as "not run", for every failure to open a streamed answer, also when the connection broke while the request was being sent. A request that asked for a whole answer was the opposite: reported as begun although the engine was not reached. Ruled out: telling from the time that passed; the adapter's errors already say whether anything was sent. Change: unreachable and not expressible mean refused, all else means failed, for both kinds of answers; an unreachable engine gets nothing from that entry until its next report. Conclusion: "not run" from an agent now follows from the adapter alone.

--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -245,8 +245,7 @@
                 request.path, body, request.attempt_id
             )
         except adapter_errors.AdapterError as error:
-            # Nothing was sent, or the engine did not accept it.
-            yield self._refused(request, f"engine: {error}")
+            yield self._not_answered(request, error)
             return
         with contextlib.closing(events):
             try:
@@ -279,9 +278,7 @@
                 request.path, body, request.attempt_id
             )
         except adapter_errors.AdapterError as error:
-            yield frames.encode(
-                frames.Failed(request.attempt_id, f"upstream: {error}")
-            )
+            yield self._not_answered(request, error)
             return
         if reply.status != 200:
             yield _rejected(request, reply.status, reply.body)
@@ -290,6 +287,22 @@
         yield frames.encode(frames.Chunk(request.attempt_id, 0, text))
         yield frames.encode(frames.End(request.attempt_id, 1))
 
+    def _not_answered(
+        self, request: relay.RelayRequest, error: adapter_errors.AdapterError
+    ) -> bytes:
+        """Returns: the frame for a call of the engine that failed."""
+        match error:
+            case adapter_errors.Unreachable():
+                return self._refused(
+                    request, "engine: not reached", unavailable=True
+                )
+            case adapter_errors.InvalidRequest():
+                return self._refused(request, f"engine: {error}")
+            case _:
+                return frames.encode(
+                    frames.Failed(request.attempt_id, f"engine: {error}")
+                )
+
     def _refused(
         self,
         request: relay.RelayRequest,
--- a/tests/roles/agent/test_relaying.py
+++ b/tests/roles/agent/test_relaying.py
@@ -3,11 +3,13 @@
 import types
 
 import gevent
+import msgspec
 import pytest
 
 from papayalink import clock as clocks
 from papayalink import metrics as metrics_module
 from papayalink.adapters import errors
+from papayalink.protocol import frames
 from papayalink.protocol import relay
 from papayalink.roles.agent import relaying
 
@@ -69,7 +71,20 @@
         yield "two"
 
 
-def _relayer(cache, error):
+class _FailingEngine:
+    """Fails each call as told."""
+
+    def __init__(self, error):
+        self._error = error
+
+    def stream(self, path, body, request_id):
+        raise self._error
+
+    def complete(self, path, body, request_id):
+        raise self._error
+
+
+def _relayer(cache, error, engine=None):
     free = types.SimpleNamespace(
         submit=lambda item: types.SimpleNamespace(get=lambda: None),
         finish=lambda item, tokens: None,
@@ -81,7 +96,7 @@
         left=lambda *arguments, **named: None,
     )
     return relaying.make_relayer(
-        _Engine(cache, error),
+        engine or _Engine(cache, error),
         None,
         free,
         types.SimpleNamespace(refuse=lambda request: ""),
@@ -113,3 +128,23 @@
     task.join()
     assert cache.steps[:4] == [*BEGIN, "stop"]
     assert relayer.starting == 0
+
+
+@pytest.mark.parametrize("stream", [True, False])
+@pytest.mark.parametrize(
+    "error, expected",
+    [
+        (errors.InvalidRequest("path"), frames.Refused),
+        (errors.Unreachable("refused"), frames.Refused),
+        # The engine may have the whole request when sending is cut short.
+        (errors.Interrupted("reset"), frames.Failed),
+        (errors.InvalidReply("no head"), frames.Failed),
+    ],
+)
+def test_refusal_only_when_nothing_was_sent(error, expected, stream):
+    """Guards against "not run" for a request that the engine may have."""
+    relayer = _relayer(_Cache(), "", _FailingEngine(error))
+    request = msgspec.structs.replace(REQUEST, stream=stream)
+    (line,) = relayer.answer(request, 0)
+    frame = frames.make_reader(REQUEST.attempt_id).read(line)
+    assert isinstance(frame, expected)
