Send the queue of a stopping agent elsewhere without the retry budget

Cause: an agent that stops, drains or loads weights refuses all that waits in its queue at once. Each of these requests took a repeat from the budget of 10% and 3, so most of a long queue was answered 503 after a planned stop. Ruled out: letting the queue run out at the stopping agent, since a leaving upstream must get no new work after a few seconds; a larger budget, which would also multiply the load of an overloaded fleet. Change: a refusal of an upstream that takes no work at all, or that is not reached, is followed by another upstream at once, at most three times for a request. Before: test_stopping_agent_loses_no_queued_request (45 requests, 3 replicas of one slot, SIGTERM to the agent with the longest queue) got 503s; 2 cases of test_unavailable_upstream_costs_no_repeat failed. After: 45 of 45 answered. Conclusion: a planned stop cuts off nothing that waits either.

--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -18,6 +18,10 @@
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import http_client
 
+# Upstreams that take no work at all, each met by one request before it turns
+# to another one. More of them in a row mean a fleet that is stopping.
+MAX_REDIRECTS = 3
+
 
 class Attempts(abc.ABC):
     """Where the attempts of one request go, and what became of them."""
@@ -151,6 +155,7 @@
             errors.UpstreamRejected: the upstream does not accept it.
         """
         tried: set[str] = set()
+        redirects = 0
         failure: errors.CoordinationError = errors.NoUpstream(
             "no upstream takes this model"
         )
@@ -184,7 +189,14 @@
             self._metrics.count(
                 "attempts_failed", reason=type(failure).__name__
             )
-            delay_s = attempts.retry_delay_s(len(tried))
+            # Such an upstream ran nothing and gets nothing more from this
+            # entry, so turning to another one does not multiply the load. A
+            # stopping agent sends its whole queue back at once, which would
+            # use up the retry budget.
+            if _is_unavailable(failure) and redirects < MAX_REDIRECTS:
+                redirects += 1
+                continue
+            delay_s = attempts.retry_delay_s(len(tried) - redirects)
             if delay_s is None:
                 raise cut or failure
             gevent.sleep(delay_s)
@@ -236,6 +248,17 @@
         return Answer(upstream.name, response, reader, first)
 
 
+def _is_unavailable(failure: errors.CoordinationError) -> bool:
+    """Returns: whether an upstream takes no work at all."""
+    match failure:
+        case errors.AgentNotReached():
+            return True
+        case errors.NoUpstream(unavailable=unavailable):
+            return unavailable
+        case _:
+            return False
+
+
 def _read(
     response: http_client.Response, reader: frames.FrameReader
 ) -> frames.Frame:
--- a/tests/coordination/test_forwarding.py
+++ b/tests/coordination/test_forwarding.py
@@ -19,6 +19,7 @@
 )
 
 REFUSED = frames.Refused("", "overloaded: late", 7.0)
+STOPPING = frames.Refused("", "agent is stopping", 1.0, True)
 FAILED = frames.Failed("", "upstream was cut")
 LOST = transport_errors.ConnectionLost("lost")
 SILENT = transport_errors.Timeout("no answer")
@@ -45,10 +46,11 @@
 
 
 class _Attempts(forwarding.Attempts):
-    """Offers a number of agents, and repeats at once."""
+    """Offers a number of agents, and repeats at once while it may."""
 
-    def __init__(self, count):
+    def __init__(self, count, repeats=9):
         self._names = [f"u{number}" for number in range(count)]
+        self._repeats = repeats
 
     def choose(self, tried):
         for name in self._names:
@@ -67,7 +69,8 @@
         pass
 
     def retry_delay_s(self, attempts):
-        return 0.0
+        self._repeats -= 1
+        return 0.0 if self._repeats >= 0 else None
 
 
 @pytest.mark.parametrize(
@@ -95,3 +98,27 @@
     with pytest.raises(errors.CoordinationError) as caught:
         forwarder.open(REQUEST, attempts)
     assert isinstance(caught.value, expected)
+
+
+@pytest.mark.parametrize(
+    "script, served",
+    [
+        ([STOPPING, WHOLE], True),
+        ([DOWN, STOPPING, WHOLE], True),
+        ([REFUSED, WHOLE], False),
+        ([LOST, WHOLE], False),
+        # A fleet that is stopping as a whole is not searched through.
+        ([*[STOPPING] * 4, WHOLE], False),
+    ],
+)
+def test_unavailable_upstream_costs_no_repeat(script, served):
+    """Guards against requests that a stopping agent's queue loses."""
+    forwarder = forwarding.make_forwarder(
+        _Client(script), clocks.make_clock(), metrics_module.make_metrics()
+    )
+    attempts = _Attempts(len(script), repeats=0)
+    if served:
+        assert forwarder.open(REQUEST, attempts)
+        return
+    with pytest.raises(errors.CoordinationError):
+        forwarder.open(REQUEST, attempts)
--- a/tests/processes/test_upstreams.py
+++ b/tests/processes/test_upstreams.py
@@ -228,3 +228,36 @@
     details = second["usage"]["prompt_tokens_details"]
     assert details["cached_tokens"] == 0
     assert first["choices"] != second["choices"]
+
+
+def test_stopping_agent_loses_no_queued_request(fleet, caller):
+    """Guards against the end of an agent's queue with the agent."""
+    upstreams = tuple(
+        msgspec.structs.replace(one, max_running=1)
+        for one in fleet.document.upstreams
+    )
+    before = fleet.document.upstreams
+    # The entry prefers its own zone, so this agent has the longest queue.
+    stopping = "agent-engine-2"
+    fleet.apply(upstreams=upstreams)
+    helpers.wait_until(
+        lambda: fleet.deployment.dump(stopping)["version"] == fleet.version
+    )
+    answers = [
+        gevent.spawn(
+            caller.stream,
+            model=fleets.MODEL,
+            prompt=f"q{number}",
+            max_tokens=20,
+            service_tier="deferrable",
+        )
+        for number in range(45)
+    ]
+    helpers.wait_until(lambda: fleet.deployment.dump(stopping)["waiting"] > 10)
+    fleet.deployment.programs[stopping].send(signal.SIGTERM)
+    gevent.joinall(answers)
+    assert [answer.get().status for answer in answers] == [200] * 45
+    assert fleet.deployment.programs[stopping].process.wait() == 0
+    fleet.deployment.restart(stopping)
+    fleet.deployment.wait_accepting([stopping])
+    fleet.apply(upstreams=before)
