Keep an entry serving until the balancer has turned away from it

Cause: an entry closed its port at SIGTERM, while the platform's balancer still sent it new connections until the next health check. Change: an entry fails its health check for drain_delay_s (5 s unless set) and still takes work; a second SIGTERM ends the delay. Before: a connection made after SIGTERM was refused. After: test_stopping_entry_ serves_until_the_balancer_has_turned_away gets 200 with the health check at 503. Conclusion: a planned stop of an entry turns no caller away, provided that the delay is above the period of the balancer's check.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -132,10 +132,21 @@
         )
         return listen
 
-    def add_entry(self, name: str, zone: str) -> str:
-        """Start an entry. Returns: the address that callers use."""
+    def add_entry(
+        self, name: str, zone: str, drain_delay_s: float = 0.0
+    ) -> str:
+        """Start an entry, by default one that no balancer watches.
+
+        Returns: the address that callers use.
+        """
         listen = free_address()
-        self.start(name, role="entry", zone=zone, listen=listen)
+        self.start(
+            name,
+            role="entry",
+            zone=zone,
+            listen=listen,
+            drain_delay_s=drain_delay_s,
+        )
         return listen
 
     def start(self, name: str, **settings: object) -> Program:
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -290,10 +290,10 @@
     def on_get(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
-        if not self._entry.accepting:
+        if not self._entry.healthy:
             response.status = 503
         response.content_type = falcon.MEDIA_TEXT
-        response.text = "ok\n" if self._entry.accepting else "not ready\n"
+        response.text = "ok\n" if self._entry.healthy else "not ready\n"
 
 
 def make_app(entry: serving.Serving) -> falcon.App:
--- a/papayalink/roles/entry/process.py
+++ b/papayalink/roles/entry/process.py
@@ -55,13 +55,15 @@
 
     @property
     def accepting(self) -> bool:
-        return self._serving.accepting
+        return self._serving.healthy
 
     def start(self) -> None:
         self._follower.start()
         self._server.start()
 
     def drain(self) -> None:
+        self._serving.announce_stop()
+        self._stop_now.wait(self._node.settings.drain_delay_s)
         self._serving.stop_accepting()
         self._server.stop()
         self._follower.stop()
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -124,6 +124,7 @@
         "_budget",
         "_index",
         "_indexed",
+        "_leaving",
         "_stopping",
         "_log",
     )
@@ -152,6 +153,7 @@
         self._budget = retry.Budget()
         self._indexed = follower.document
         self._index = document_index.make_index(self._indexed)
+        self._leaving = False
         self._stopping = False
         self._log = logs.get_logger()
         follower.listen(self._on_reply)
@@ -174,6 +176,15 @@
     def workspace_names(self) -> frozenset[str]:
         return self._current().workspace_names
 
+    @property
+    def healthy(self) -> bool:
+        """The balancer is to send callers here."""
+        return self.accepting and not self._leaving
+
+    def announce_stop(self) -> None:
+        """Fail the health check, and still take new work."""
+        self._leaving = True
+
     def stop_accepting(self) -> None:
         self._stopping = True
 
--- a/papayalink/roles/process.py
+++ b/papayalink/roles/process.py
@@ -17,11 +17,12 @@
 class Process(abc.ABC):
     """One running role."""
 
-    __slots__ = ("_node", "_stop_asked", "_inspection")
+    __slots__ = ("_node", "_stop_asked", "_stop_now", "_inspection")
 
     def __init__(self, node: nodes.Node) -> None:
         self._node = node
         self._stop_asked = event.Event()
+        self._stop_now = event.Event()
         app = inspection.make_app(
             self.dump, node.metrics, lambda: self.accepting
         )
@@ -40,7 +41,11 @@
 
     @abc.abstractmethod
     def drain(self) -> None:
-        """Take no new work and wait until all work in flight is done."""
+        """Take no new work and wait until all work in flight is done.
+
+        A delay before that ends early when `_stop_now` is set, that is when
+        a second signal asks to stop.
+        """
 
     @abc.abstractmethod
     def dump(self) -> dict:
@@ -71,6 +76,8 @@
         return 0
 
     def _on_stop(self, *_: object) -> None:
+        if self._stop_asked.is_set():
+            self._stop_now.set()
         self._stop_asked.set()
 
     def _on_dump(self, *_: object) -> None:
--- a/papayalink/settings.py
+++ b/papayalink/settings.py
@@ -18,6 +18,10 @@
 # The token is the only protection of the console against guessing.
 MIN_CONSOLE_TOKEN_LENGTH = 16
 
+# Platforms kill a process some time after they asked it to stop, and requests
+# in flight need the rest of that time.
+MAX_DRAIN_DELAY_S = 60
+
 UPSTREAM_KINDS = ("engine", "service")
 
 
@@ -65,9 +69,13 @@
 
     Attributes:
         listen: "IP:PORT" for callers.
+        drain_delay_s: seconds in which a stopping entry fails its health
+            check and still takes new requests, so that the balancer turns
+            away from it first.
     """
 
     listen: str
+    drain_delay_s: float = 5.0
 
 
 class Agent(Settings, frozen=True, kw_only=True, tag="agent"):
@@ -157,6 +165,14 @@
     settings = shape.build(value, inspect.type_info(kind), "$", problems)
     _check_common(settings, problems)
     match settings:
+        case Entry():
+            shape.check_range(
+                settings.drain_delay_s,
+                0,
+                MAX_DRAIN_DELAY_S,
+                "$.drain_delay_s",
+                problems,
+            )
         case Agent():
             _check_agent(settings, problems)
         case Store():
--- a/tests/processes/test_upstreams.py
+++ b/tests/processes/test_upstreams.py
@@ -230,6 +230,22 @@
     assert first["choices"] != second["choices"]
 
 
+def test_stopping_entry_serves_until_the_balancer_has_turned_away(fleet):
+    """Guards against callers that a planned stop turns away."""
+    listen = fleet.deployment.add_entry(
+        "entry-3", fleets.ZONES[0], drain_delay_s=60.0
+    )
+    fleet.deployment.wait_accepting(["entry-3"])
+    process = fleet.deployment.programs["entry-3"].process
+    process.terminate()
+    helpers.wait_until(
+        lambda: fleets.request(listen, "GET", "/healthz") == b"not ready\n"
+    )
+    assert _complete(client.make_caller(listen)).status == 200
+    process.terminate()
+    assert process.wait() == 0
+
+
 def test_stopping_agent_loses_no_queued_request(fleet, caller):
     """Guards against the end of an agent's queue with the agent."""
     upstreams = tuple(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -109,6 +109,8 @@
         ("agent", {"upstream": "a b"}, "$.upstream", "valid name"),
         ("agent", {"upstream_address": "x"}, "$.upstream_address", "IP:PORT"),
         ("agent", {"upstream_kind": "gpu"}, "$.upstream_kind", "service"),
+        ("entry", {"drain_delay_s": -1}, "$.drain_delay_s", "0 to 60"),
+        ("entry", {"drain_delay_s": 61}, "$.drain_delay_s", "0 to 60"),
         ("store", {"memory_bytes": 0}, "$.memory_bytes", "1 or more"),
         ("store", {"disk_bytes": 1.5}, "$.disk_bytes", "whole number"),
         ("store", {"data_folder": "none"}, "$.data_folder", "No such file"),
