Find the VM of an upstream by the IP address of its agent

Cause: the platform lists VMs by name and IP address, and an upstream was looked up by its own name or by the agent's IP:PORT, so a leaving VM was only noticed where VMs are named after upstreams, as in the tests. Ruled out: a further field in the document; the IP address is already there. Change: an upstream is matched by its name, then by the agent's IP address. Conclusion: the mark no longer depends on how an operator names upstreams.

--- a/papayalink/coordination/orders.py
+++ b/papayalink/coordination/orders.py
@@ -122,12 +122,13 @@
     """Compare the platform's list with the marks.
 
     Args:
-        vms: by VM name or address, whether the VM is leaving.
+        vms: by VM name or IP address, whether the VM is leaving.
         leaving: marked upstreams and the sources of their marks.
     """
     commands: list[upstreams.MarkLeaving | upstreams.ClearLeaving] = []
     for upstream in document.upstreams:
-        is_leaving = vms.get(upstream.name, vms.get(upstream.agent))
+        ip = upstream.agent.rpartition(":")[0].strip("[]")
+        is_leaving = vms.get(upstream.name, vms.get(ip))
         marked = "platform" in leaving.get(upstream.name, ())
         if is_leaving and not marked:
             commands.append(upstreams.MarkLeaving(upstream.name, "platform"))
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -83,6 +83,13 @@
         # on its lagging list is left as it is.
         ({"e0": False}, {"e0": ("operator",)}, []),
         ({}, {"e0": ("platform",)}, []),
+        # The platform knows VMs by IP address, and not the agents' ports.
+        (
+            {"127.0.0.1": True},
+            {},
+            [upstreams.MarkLeaving(name, "platform") for name in NAMES],
+        ),
+        ({"127.0.0.2": True, "": True, "::1": False}, {}, []),
     ],
 )
 def test_platform_list_changes_marks(vms, leaving, expected):
@@ -90,6 +97,14 @@
     assert orders.changes_of_leaving(DOCUMENT, vms, leaving) == expected
 
 
+def test_vm_is_found_by_an_ipv6_address():
+    """Guards against brackets of an address that hide its VM."""
+    upstream = documents.Upstream("e0", "[fd00::1]:80", "z", "m")
+    document = documents.Document(upstreams=(upstream,))
+    found = orders.changes_of_leaving(document, {"fd00::1": True}, {})
+    assert found == [upstreams.MarkLeaving("e0", "platform")]
+
+
 @pytest.mark.parametrize("most", [1, 2, 3])
 def test_number_of_loading_replicas_follows_the_document(most):
     """Guards against a limit in the document that has no effect."""
