Run a store's disk calls in threads beside its event loop

Cause: the store wrote, synced and read pieces in its event loop, so each sync stopped lookups, reads of urgent restores and the polls that keep its lease. The stores' locks were made for threads, but no thread was used. Ruled out: one pool for both; background copies would fill it and reads wait. A test whose syncs last until allowed failed before and passes after.

--- a/papayalink/roles/store/process.py
+++ b/papayalink/roles/store/process.py
@@ -1,7 +1,6 @@
 """The store process."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 
 from gevent import queue
 import msgspec
@@ -9,14 +8,9 @@
 from papayalink import tasks
 from papayalink.coordination import follower as followers
 from papayalink.coordination import retention
-from papayalink.protocol import errors as protocol_errors
-from papayalink.protocol import messages
-from papayalink.protocol import piece_paths
-from papayalink.protocol import pieces
 from papayalink.roles import node as nodes
 from papayalink.roles import process
-from papayalink.state import errors as state_errors
-from papayalink.state import piece_store
+from papayalink.roles.store import pieces_service
 from papayalink.state import tiered_piece_store
 from papayalink.transport import http_server
 
@@ -63,9 +57,12 @@
         )
         self._document = self._follower.document
         self._follower.listen(self._on_reply)
+        service = pieces_service.make_pieces_service(
+            self._pieces, lambda: self._stopping, node.metrics
+        )
         self._server = http_server.make_server(
             nodes.parse_address(settings.listen),
-            http_server.require_signature(self._serve, node.signer),
+            http_server.require_signature(service, node.signer),
         )
 
     @property
@@ -117,95 +114,6 @@
                 }
             )
 
-    def _lookup(
-        self, environ: dict, start_response: Callable
-    ) -> Iterable[bytes]:
-        lookup = messages.decode(environ[http_server.BODY_KEY])
-        if not isinstance(lookup, messages.Lookup):
-            raise protocol_errors.MessageInvalid("a lookup is expected")
-        keys = [
-            pieces.PieceKey(lookup.workspace, lookup.weight_version, digest)
-            for digest in lookup.digests
-        ]
-        self._node.metrics.count("lookups")
-        reply = messages.LookupReply(
-            tuple(self._pieces.lookup(keys)),
-            tuple(self._pieces.copies(keys)),
-        )
-        return _respond(start_response, "200 OK", messages.encode(reply))
-
-    def _serve(
-        self, environ: dict, start_response: Callable
-    ) -> Iterable[bytes]:
-        try:
-            if environ["PATH_INFO"] == piece_paths.LOOKUP_PATH:
-                return self._lookup(environ, start_response)
-            key = piece_paths.parse_query(environ["QUERY_STRING"])
-            match environ["REQUEST_METHOD"]:
-                case "GET":
-                    return self._get(key, start_response)
-                case "PUT":
-                    return self._put(key, environ, start_response)
-        except (
-            protocol_errors.ProtocolError,
-            msgspec.MsgspecError,
-            state_errors.PieceRejected,
-        ) as error:
-            self._node.log.warning("request_invalid", reason=error)
-            return _respond(start_response, "400 Bad Request", b"invalid")
-        return _respond(start_response, "405 Method Not Allowed", b"")
-
-    def _get(
-        self, key: pieces.PieceKey, start_response: Callable
-    ) -> Iterable[bytes]:
-        pin = self._pieces.get(key)
-        if pin is None:
-            self._node.metrics.count("pieces_missed")
-            return _respond(start_response, "404 Not Found", b"not kept")
-        self._node.metrics.count("pieces_read")
-        length = str(len(pin.data))
-        start_response("200 OK", [("Content-Length", length)])
-        return _read(pin)
-
-    def _put(
-        self, key: pieces.PieceKey, environ: dict, start_response: Callable
-    ) -> Iterable[bytes]:
-        if self._stopping:
-            return _respond(
-                start_response, "503 Service Unavailable", b"stopping"
-            )
-        facts = None
-        header = environ.get("HTTP_X_PIECE_FACTS")
-        if header:
-            facts = msgspec.json.decode(header, type=retention.PieceFacts)
-        try:
-            self._pieces.put(key, environ[http_server.BODY_KEY], facts=facts)
-        except (state_errors.StoreFull, state_errors.StoreFailed) as error:
-            self._node.metrics.count("pieces_refused")
-            return _respond(
-                start_response, "507 Insufficient Storage", str(error).encode()
-            )
-        self._node.metrics.count("pieces_written")
-        copies = str(max(1, *self._pieces.copies([key])))
-        start_response(
-            "201 Created",
-            [("Content-Length", "0"), (piece_paths.COPIES_HEADER, copies)],
-        )
-        return [b""]
-
-
-def _read(pin: piece_store.Pin) -> Iterable[bytes]:
-    # The pin holds the bytes until they are sent.
-    with pin:
-        yield pin.data
-
-
-def _respond(
-    start_response: Callable, status: str, body: bytes
-) -> list[bytes]:
-    start_response(status, [("Content-Length", str(len(body)))])
-    return [body]
-
 
 def make_process(node: nodes.Node) -> StoreProcess:
     return StoreProcess(node)
