Drop requests whose caller hangs up while they wait

Cause: a disconnect was noticed at the first write to the caller, so a request of a caller that had gone kept its place in the agent's queue and ran on the engine; a non-streamed answer was generated to its end.

Ruled out: taking a readable socket or the end of the caller's side for a closed connection, since pipelining and half-closed callers are alive.

Change: entry and agent watch the connection until the first part of an answer, the entry until the end of a non-streamed one. The waiting greenlet is interrupted, which closes the connection to the agent or the engine. A request granted at the same moment gives back its slot. Sends run in a greenlet of their own, because the HTTP library loses a place of its pool when a send is interrupted by anything but an OSError. Protected calls are not watched.

The processor time of the watch was not measured.

--- a/papayalink/coordination/dispatch.py
+++ b/papayalink/coordination/dispatch.py
@@ -96,10 +96,15 @@
             self._queue.finished(item, tokens, self._clock.now())
         self._start_next()
 
-    def cancel(self, request_id: str) -> None:
-        """Take a waiting request out of the queue."""
-        if self._queue.remove(request_id) is not None:
-            self._waiting.pop(request_id, None)
+    def cancel(self, item: work_queue.Item) -> None:
+        """Take a request that nobody waits for out of the queue.
+
+        One that was granted meanwhile gives back its slot.
+        """
+        if self._queue.remove(item.request_id) is not None:
+            self._waiting.pop(item.request_id, None)
+        else:
+            self.finish(item, 0)
 
     def expire(self) -> None:
         """Refuse requests whose deadline has passed; called by a timer."""
--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -44,6 +44,10 @@
     def failed(self, upstream: str, unavailable: bool) -> None:
         """The agent was lost, or not reached and so unavailable."""
 
+    @abc.abstractmethod
+    def abandoned(self, upstream: str) -> None:
+        """Nobody waits for the answer of the attempt any more."""
+
     @abc.abstractmethod
     def retry_delay_s(self, attempts: int) -> float | None:
         """Returns: seconds until the next attempt, None to give up."""
@@ -175,6 +179,9 @@
             except errors.NoUpstream as error:
                 attempts.refused(name, error.unavailable)
                 failure = error
+            except BaseException:
+                attempts.abandoned(name)
+                raise
             else:
                 attempts.answered(name, self._clock.now() - began)
                 return answer
@@ -215,7 +222,7 @@
         reader = frames.make_reader(attempt.attempt_id)
         try:
             first = _read(response, reader)
-        except errors.AnswerCut:
+        except BaseException:
             response.close()
             raise
         match first:
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -28,6 +28,7 @@
 from papayalink.roles.agent import relaying
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
+from papayalink.transport import caller_watch
 from papayalink.transport import http_client
 from papayalink.transport import http_server
 
@@ -280,8 +281,12 @@
                 case relay.RELAY_PATH if self._relayer is not None:
                     request = relay.decode_relay(body)
                     start_response("200 OK", [("Content-Type", "text/plain")])
-                    return self._relayer.answer(
-                        request, self._priority(request.rank)
+                    return caller_watch.until_first_part(
+                        # Entries never half-close a connection.
+                        http_server.watch_caller(environ, half_closes=False),
+                        self._relayer.answer(
+                            request, self._priority(request.rank)
+                        ),
                     )
                 case relay.ORDER_PATH if self._orders is not None:
                     order = messages.decode(body)
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -20,6 +20,7 @@
 from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
+from papayalink.transport import errors as transport_errors
 
 
 class Admission:
@@ -174,7 +175,7 @@
             tokens=request.tokens,
             deadline=self._clock.now() + request.deadline_s,
         )
-        match self._dispatcher.submit(item).get():
+        match self._wait_in_queue(request, item):
             case dispatch.Declined(reason=reason, retry_after_s=after_s):
                 yield self._refused(request, reason, after_s)
                 return
@@ -189,6 +190,9 @@
                 served += 1
                 pending.finish(served=True)
                 yield frame
+        except transport_errors.CallerGone:
+            self._note_gone(request, "running")
+            raise
         finally:
             tokens = item.tokens if served else 0
             self._dispatcher.finish(item, tokens)
@@ -200,6 +204,28 @@
                 frames=served,
             )
 
+    def _wait_in_queue(
+        self, request: relay.RelayRequest, item: work_queue.Item
+    ) -> dispatch.Grant:
+        grant = self._dispatcher.submit(item)
+        try:
+            return grant.get()
+        except BaseException as error:
+            self._dispatcher.cancel(item)
+            if isinstance(error, transport_errors.CallerGone):
+                self._note_gone(request, "queued")
+            raise
+
+    def _note_gone(self, request: relay.RelayRequest, stage: str) -> None:
+        self._metrics.count("callers_gone", rank=request.rank, stage=stage)
+        self._log.info(
+            "caller_gone",
+            request_id=request.request_id,
+            workspace=request.workspace,
+            rank=request.rank,
+            stage=stage,
+        )
+
     def _run(
         self, request: relay.RelayRequest, priority: int
     ) -> Iterator[bytes]:
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -13,6 +13,7 @@
 from papayalink.roles.entry import serving
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
+from papayalink.transport import http_server
 
 REQUEST_ID_HEADER = "X-Request-Id"
 _JSON = "application/json"
@@ -120,14 +121,46 @@
         except completions.RequestInvalid as error:
             raise _Refusal(400, "invalid_request", str(error)) from error
         rank = self._rank(context, wanted.rank)
+        whole = b""
         try:
-            answer = self._entry.complete(
+            with http_server.watch_caller(request.env):
+                answer = self._open(context, request.path, rank, wanted, data)
+                if not wanted.stream:
+                    whole = _whole(answer)
+        except errors.UpstreamRejected as error:
+            response.status = error.status
+            response.content_type = _JSON
+            response.data = error.body
+            return
+        except transport_errors.CallerGone:
+            self._entry.record_gone(
+                context.request_id, context.workspace, rank
+            )
+            raise
+        if wanted.stream:
+            response.content_type = _EVENTS
+            response.set_header("Cache-Control", "no-store")
+            response.stream = _events(answer)
+        else:
+            response.content_type = _JSON
+            response.data = whole
+
+    def _open(
+        self,
+        context: _Context,
+        path: str,
+        rank: str,
+        wanted: completions.CompletionRequest,
+        body: bytes,
+    ) -> serving.ServedAnswer:
+        try:
+            return self._entry.complete(
                 context.request_id,
                 context.workspace,
                 rank,
-                request.path,
+                path,
                 wanted,
-                data,
+                body,
             )
         except serving.ModelUnknown as error:
             raise _Refusal(
@@ -139,18 +172,6 @@
             ) from error
         except errors.AnswerCut as error:
             raise _Refusal(502, "upstream_failed", str(error)) from error
-        except errors.UpstreamRejected as error:
-            response.status = error.status
-            response.content_type = _JSON
-            response.data = error.body
-            return
-        if wanted.stream:
-            response.content_type = _EVENTS
-            response.set_header("Cache-Control", "no-store")
-            response.stream = _events(answer)
-        else:
-            response.content_type = _JSON
-            response.data = _whole(answer)
 
     def _rank(self, context: _Context, name: str) -> str:
         ranks = context.document.ranks
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -92,6 +92,9 @@
         if unavailable:
             self._serving.record_refusal(self._wanted, upstream, True)
 
+    def abandoned(self, upstream: str) -> None:
+        self._serving.record_refusal(self._wanted, upstream, False)
+
     def retry_delay_s(self, attempts: int) -> float | None:
         call = msgspec.structs.replace(self._call, attempts=attempts)
         return self._serving.retry_delay_s(call)
@@ -300,7 +303,7 @@
     def record_refusal(
         self, wanted: selection.Wanted, upstream: str, unavailable: bool
     ) -> None:
-        """Record that an agent did not take an attempt."""
+        """Record that an attempt ended without an answer of its agent."""
         self._selection.refused(wanted, upstream)
         if unavailable:
             self._selection.block(upstream, self._clock.now())
@@ -313,6 +316,18 @@
             case retry.GiveUp():
                 return None
 
+    def record_gone(
+        self, request_id: str, workspace: documents.Workspace, rank: str
+    ) -> None:
+        """Record that a caller hung up before its answer."""
+        self._metrics.count("callers_gone", rank=rank)
+        self._log.info(
+            "caller_gone",
+            request_id=request_id,
+            workspace=workspace.name,
+            rank=rank,
+        )
+
     def fill_poll(self, poll: messages.Poll) -> messages.Poll:
         """Add what the entry watches and wants to a poll."""
         return msgspec.structs.replace(
--- a/papayalink/transport/errors.py
+++ b/papayalink/transport/errors.py
@@ -39,3 +39,11 @@
 
 class ResponseAborted(TransportError):
     """A response must end without its regular end."""
+
+
+class CallerGone(BaseException):
+    """The caller hung up, so nobody waits for the answer.
+
+    Like gevent's own interruptions it is no Exception: code that repeats or
+    reports failed attempts must not take it for one.
+    """
--- a/papayalink/transport/http_client.py
+++ b/papayalink/transport/http_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+import gevent
 import geventhttpclient
 from geventhttpclient import response as http_response
 
@@ -95,7 +96,7 @@
         sent_headers = {auth.HEADER: head.hex(), **(headers or {})}
         pool = self._pool(address)
         with _translated():
-            response = pool.request(method, path, body, sent_headers)
+            response = _request(pool, method, path, body, sent_headers)
         answer = Response(response)
         try:
             self._check(answer, nonce)
@@ -133,6 +134,36 @@
         return pool
 
 
+class _Abandoned(OSError):
+    """Nobody waits for the answer; the library frees the connection."""
+
+
+def _request(
+    pool: geventhttpclient.HTTPClient, *arguments: object
+) -> http_response.HTTPSocketPoolResponse:
+    """Make a request that may be interrupted.
+
+    The library loses a place of its pool when a greenlet that sends gets an
+    exception other than an OSError, so it runs in a greenlet of its own.
+    """
+
+    def run() -> object:
+        try:
+            return pool.request(*arguments)
+        except BaseException as error:
+            return error
+
+    task = gevent.spawn(run)
+    try:
+        result = task.get()
+    except BaseException:
+        task.kill(_Abandoned("interrupted"), block=False)
+        raise
+    if isinstance(result, BaseException):
+        raise result
+    return result
+
+
 class _translated:
     """Turns errors of sockets and of the HTTP library into our own."""
 
--- a/papayalink/transport/http_server.py
+++ b/papayalink/transport/http_server.py
@@ -11,12 +11,18 @@
 
 from papayalink import logs
 from papayalink.transport import auth
+from papayalink.transport import caller_watch
 from papayalink.transport import errors
 
 WsgiApp = Callable[[dict, Callable], Iterable[bytes]]
 
 NONCE_KEY = "papayalink.nonce"
 BODY_KEY = "papayalink.body"
+_SOCKET_KEY = "papayalink.socket"
+
+
+# Errors after which a response ends without its regular end, unlogged.
+_ABORTS = (OSError, errors.ResponseAborted, errors.CallerGone)
 
 
 class _ErrorLog:
@@ -44,8 +50,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server)
 
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ[_SOCKET_KEY] = self.socket
+        return environ
+
     def handle_error(self, kind: type, value: Any, trace: Any) -> None:
-        if isinstance(value, OSError | errors.ResponseAborted):
+        if isinstance(value, _ABORTS):
             self.close_connection = True
             self.rqst_aborted = True
             return
@@ -119,6 +130,15 @@
     return HttpServer(address, app)
 
 
+def watch_caller(
+    environ: dict, half_closes: bool = True
+) -> caller_watch.CallerWatch:
+    """Returns: the watch of the caller of a request; see CallerWatch."""
+    return caller_watch.CallerWatch(
+        environ[_SOCKET_KEY], environ["SERVER_PROTOCOL"], half_closes
+    )
+
+
 def require_signature(app: WsgiApp, signer: auth.Signer) -> WsgiApp:
     """Let only requests of the system's own processes through.
 
