Order adapters, run their requests where they are loaded, confirm orders

Cause: the document lists adapters of a model and whether an upstream checks fencing numbers, and no process acted on either. A request that named an adapter got 404. An engine that ignores fencing numbers was guarded by the number of the agent's last poll only.

Change: the leader orders adapters after the weights, under the same fencing numbers and limit on loading replicas, and takes open orders over. Load reports name the adapters that an engine holds, read from its list of models. A request for an adapter runs only on a replica that reports it; the digests of cache pieces start from the adapter's name. An agent of an engine that checks no numbers reads the newest one from a quorum directly before it sends an order. Names of adapters and models must differ. The stand-in of the engine keeps cache and answers of adapters apart, drops adapters with new weights and can load them slowly.

Ruled out: one order for all adapters of a replica, since a failed adapter would then hold up the others; a lock in the engine, which not all have.

The adapter of the weight store stays, since its stand-in is in use.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -170,6 +170,7 @@
             known=max(0, old.emitted - 1),
             weight_version=old.weight_version,
             context=old.context,
+            adapter=old.adapter,
         )
 
     def take_cut(self) -> int | None:
@@ -206,7 +207,9 @@
                 case "load_weights":
                     self._load_weights(order["weight_version"])
                 case "load_adapter":
-                    self.adapters.append(order["adapter"])
+                    adapter = order["adapter"]
+                    gevent.sleep(self.options.adapter_load_time_s)
+                    self.adapters.append(adapter)
                 case "set_role":
                     self.role = order["role"]
                 case _:
@@ -233,6 +236,8 @@
         elapsed = self.clock.now() - started
         gevent.sleep(max(0.0, self.options.load_time_s - elapsed))
         self.model.swap(weight_version, self.clock.now())
+        # An adapter belongs to the weights it was loaded onto.
+        self.adapters.clear()
         self._record_load()
         self._wakeup.set()
 
@@ -354,6 +359,7 @@
             body.max_completion_tokens or body.max_tokens or DEFAULT_TOKENS,
             body.priority,
             context=_Reply(chat, model, options.include_usage),
+            adapter="" if model == engine.options.model else model,
         )
         if body.stream:
             resp.content_type = "text/event-stream"
--- a/fakes/engine_model.py
+++ b/fakes/engine_model.py
@@ -29,20 +29,29 @@
     return digest.hexdigest()
 
 
+def _scope(workspace: str, weight_version: str, adapter: str) -> str:
+    scope = f"{workspace}\0{weight_version}"
+    return f"{scope}\0{adapter}" if adapter else scope
+
+
 def answer_words(
-    workspace: str, weight_version: str, tokens: list[int], count: int
+    workspace: str,
+    weight_version: str,
+    tokens: list[int],
+    count: int,
+    adapter: str = "",
 ) -> list[str]:
     """Words of the answer to a prompt.
 
     Returns: `count` words `wN-HASH`, where HASH tells answers of other
-        workspaces, weight versions and prompts apart.
+        workspaces, weight versions, adapters and prompts apart.
     """
-    mark = _answer_mark(workspace, weight_version, tokens)
+    mark = _answer_mark(workspace, weight_version, tokens, adapter)
     return [f"w{index}-{mark}" for index in range(count)]
 
 
-def _answer_mark(workspace, weight_version, tokens):
-    seed = f"{workspace}\0{weight_version}\0answer"
+def _answer_mark(workspace, weight_version, tokens, adapter):
+    seed = f"{_scope(workspace, weight_version, adapter)}\0answer"
     return _chain(seed, _pack(tokens))[:12]
 
 
@@ -58,6 +67,7 @@
     cache_tokens: int = 400_000
     bytes_per_token: int = 64
     load_time_s: float = 0.8
+    adapter_load_time_s: float = 0.0
     weight_store: str = ""
     check_fencing: bool = False
     load_lag_s: float = 0.0
@@ -103,6 +113,7 @@
         "mark",
         "on_change",
         "context",
+        "adapter",
     )
 
     def __init__(
@@ -115,6 +126,7 @@
         known=0,
         weight_version="",
         context=None,
+        adapter="",
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -128,6 +140,7 @@
         # with other weights.
         self.weight_version = weight_version
         self.context = context
+        self.adapter = adapter
         self.digests = []
         self.position = 0
         # Prompt tokens of the current block still to compute; None between
@@ -319,7 +332,7 @@
 
     def _digests(self, request):
         digests = []
-        parent = f"{request.workspace}\0{request.weight_version}"
+        parent = self._seed(request)
         for start in range(
             0, len(request.tokens) // PIECE_TOKENS * PIECE_TOKENS, PIECE_TOKENS
         ):
@@ -328,6 +341,11 @@
             digests.append(parent)
         return digests
 
+    def _seed(self, request):
+        return _scope(
+            request.workspace, request.weight_version, request.adapter
+        )
+
     def _key(self, request, index):
         return (
             request.workspace,
@@ -359,9 +377,10 @@
             key = self._key(request, index)
             block = self._cache.get(key)
             if block is None:
+                first_parent = self._seed(request) if request.adapter else ""
                 block = Block(
                     key,
-                    request.digests[index - 1] if index else "",
+                    request.digests[index - 1] if index else first_parent,
                     _pack(request.tokens[start : start + PIECE_TOKENS]),
                     request.poisoned,
                 )
@@ -374,7 +393,10 @@
         self._decoding.append(request)
         request.state = "decoding"
         request.mark = _answer_mark(
-            request.workspace, request.weight_version, request.tokens
+            request.workspace,
+            request.weight_version,
+            request.tokens,
+            request.adapter,
         )
         request.emitted = request.known
         if self._next_step is None:
--- a/papayalink/adapters/engine.py
+++ b/papayalink/adapters/engine.py
@@ -65,7 +65,7 @@
 
 
 class ModelInfo(msgspec.Struct, frozen=True):
-    """Model and weight version that an engine has loaded now."""
+    """Model or adapter, and weight version, that an engine has loaded now."""
 
     name: str = msgspec.field(name="id")
     weight_version: str
@@ -85,7 +85,10 @@
 
 
 def piece_digests(
-    workspace: str, weight_version: str, tokens: list[int]
+    workspace: str,
+    weight_version: str,
+    tokens: list[int],
+    adapter: str = "",
 ) -> list[str]:
     """Chained digests of the whole pieces of a prompt.
 
@@ -93,14 +96,18 @@
         workspace: workspace of the prompt.
         weight_version: weight version that computes it.
         tokens: token ids.
+        adapter: adapter that computes it, "" for the plain model.
 
     Returns: one digest for each PIECE_TOKENS tokens; each is the blake2b
         (16 bytes, hex) of the previous digest's text, or for the first piece
-        of workspace, NUL and weight version, followed by the token ids as
-        little-endian unsigned 64-bit integers.
+        of workspace, NUL and weight version (and, for an adapter, NUL and
+        its name), followed by the token ids as little-endian unsigned 64-bit
+        integers.
     """
     digests = []
     parent = f"{workspace}\0{weight_version}"
+    if adapter:
+        parent += f"\0{adapter}"
     for end in range(PIECE_TOKENS, len(tokens) + 1, PIECE_TOKENS):
         digest = hashlib.blake2b(parent.encode(), digest_size=16)
         digest.update(
@@ -332,13 +339,17 @@
 
     def model(self) -> ModelInfo:
         """Returns: the loaded model; unlike load(), this does not lag."""
+        return self.models()[0]
+
+    def models(self) -> list[ModelInfo]:
+        """Returns: the loaded model, then its adapters; does not lag."""
         reply = self._connector.call_idempotent(
             "GET", "/v1/models", self._read_timeout_s
         )
         models = _decode(_accepted(reply), _Models).data
         if not models:
             raise errors.InvalidReply("the engine lists no model")
-        return models[0]
+        return models
 
     def order(
         self,
--- a/papayalink/coordination/orders.py
+++ b/papayalink/coordination/orders.py
@@ -1,5 +1,6 @@
 """Orders that the control leader gives to engines, decided from state."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -10,6 +11,7 @@
 from papayalink.state import upstreams
 
 LOAD_WEIGHTS = "load_weights"
+LOAD_ADAPTER = "load_adapter"
 
 
 def decide(
@@ -17,6 +19,7 @@
     reports: Mapping[str, messages.LoadReport],
     open_orders: Sequence[upstreams.Order],
     leader: str,
+    held_back: Collection[tuple[str, str]] = (),
 ) -> list[upstreams.OpenOrder]:
     """Choose the orders to open now.
 
@@ -27,6 +30,7 @@
         reports: newest load report by upstream.
         open_orders: orders not yet carried out.
         leader: id of the deciding member.
+        held_back: upstreams and adapters whose order failed a moment ago.
     """
     taken_over = [
         upstreams.OpenOrder(
@@ -42,9 +46,64 @@
         for model in document.models
         for name in _to_load(model, document, reports, busy, urgent)
     ]
+    loading = {*busy, *(order.upstream for order in opened)}
+    opened += [
+        upstreams.OpenOrder(name, LOAD_ADAPTER, adapter, leader)
+        for model in document.models
+        for name, adapter in _adapters_to_load(
+            model, document, reports, loading, held_back
+        )
+    ]
     return taken_over + opened
 
 
+def _adapters_to_load(
+    model: documents.Model,
+    document: documents.Document,
+    reports: Mapping[str, messages.LoadReport],
+    loading: Collection[str],
+    held_back: Collection[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns: replicas that may load now, each with its next adapter."""
+    replicas = [
+        upstream.name
+        for upstream in document.upstreams
+        if upstream.serves == model.name
+    ]
+    missing = {
+        name: adapter
+        for name in replicas
+        if name not in loading
+        and (report := reports.get(name)) is not None
+        and report.state == "up"
+        and report.weight_version == model.weight_version
+        and (adapter := _next_adapter(model, report, held_back))
+    }
+    room = document.limits.max_loading_replicas - sum(
+        name in loading for name in replicas
+    )
+    # Each adapter is on a few replicas early when those with the fewest load
+    # first.
+    fewest = sorted(missing, key=lambda name: len(reports[name].adapters))
+    return [(name, missing[name]) for name in fewest[: max(0, room)]]
+
+
+def _next_adapter(
+    model: documents.Model,
+    report: messages.LoadReport,
+    held_back: Collection[tuple[str, str]],
+) -> str:
+    return next(
+        (
+            adapter
+            for adapter in model.adapters
+            if adapter not in report.adapters
+            and (report.upstream, adapter) not in held_back
+        ),
+        "",
+    )
+
+
 def _to_load(
     model: documents.Model,
     document: documents.Document,
@@ -95,7 +154,8 @@
     version = report.weight_version if report is not None else ""
     if upstream.name in busy:
         phase = rollout.Phase.LOADING
-        version = busy[upstream.name].argument
+        if busy[upstream.name].action == LOAD_WEIGHTS:
+            version = busy[upstream.name].argument
     elif report is None or report.state == "down":
         phase = rollout.Phase.DOWN
     elif not version:
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -46,6 +46,7 @@
         rank: place of the rank, 0 is the most urgent.
         tokens: prompt tokens.
         target_s: time to first token of the rank.
+        adapter: adapter that the replica must hold, "" for none.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     rank: int
     tokens: int
     target_s: float
+    adapter: str = ""
 
 
 class Selection:
@@ -145,6 +147,7 @@
             name: version
             for name in usable
             if (version := self._version(wanted.model, name))
+            and (not wanted.adapter or self._holds(name, wanted.adapter))
         }
         request = routing.Request(
             request_id=wanted.request_id,
@@ -311,6 +314,10 @@
         loaded = known[0].weight_version
         return loaded if loaded in allowed else ""
 
+    def _holds(self, upstream: str, adapter: str) -> bool:
+        known = self._reports.get(upstream)
+        return known is not None and adapter in known[0].adapters
+
     def _candidate(
         self, model: str, upstream: documents.Upstream, now: float
     ) -> routing.Candidate:
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -39,6 +39,7 @@
         prefill_rate: measured prompt tokens a second.
         sequence: goes up with each report of an incarnation.
         age_ms: time since it was taken.
+        adapters: adapters of the document that the engine holds.
     """
 
     upstream: str
@@ -52,6 +53,7 @@
     prefill_rate: int = 0
     sequence: int = 0
     age_ms: int = 0
+    adapters: tuple[str, ...] = ()
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -121,7 +123,13 @@
 
 
 class Query(Message):
-    """A quorum-confirmed read: "document", "history", "call", "status"."""
+    """A quorum-confirmed read.
+
+    Attributes:
+        what: "call", "status", or "fence" for the newest fencing number of
+            an upstream.
+        key: idempotency key of a call, or name of an upstream.
+    """
 
     what: str
     workspace: str = ""
--- a/papayalink/protocol/pieces.py
+++ b/papayalink/protocol/pieces.py
@@ -55,7 +55,10 @@
 
 
 def piece_keys(
-    workspace: str, weight_version: str, tokens: Sequence[int]
+    workspace: str,
+    weight_version: str,
+    tokens: Sequence[int],
+    adapter: str = "",
 ) -> list[PieceKey]:
     """Derive the keys of the full pieces of a prompt.
 
@@ -63,11 +66,14 @@
         workspace: name of the workspace.
         weight_version: version of the weights.
         tokens: token ids, each from 0 to 2**32 - 1.
+        adapter: adapter that computes the prompt, "" for the plain model.
     Returns: one key for each PIECE_TOKENS tokens; a shorter tail has none.
     Raises: ValueError when a token id is out of range.
     """
     # The lengths keep ("ab", "c") apart from ("a", "bc").
     scope = [workspace.encode(), weight_version.encode()]
+    if adapter:
+        scope.append(adapter.encode())
     chain = hashlib.blake2b(
         b"".join(struct.pack("<I", len(part)) + part for part in scope),
         digest_size=_DIGEST_BYTES,
--- a/papayalink/protocol/relay.py
+++ b/papayalink/protocol/relay.py
@@ -24,6 +24,7 @@
         deadline_s: seconds from its arrival within which it must start.
         tokens: expected tokens of service, prompt and answer together.
         prompt_tokens: those of the prompt alone.
+        adapter: adapter that the engine must hold, "" for the plain model.
     """
 
     attempt_id: str
@@ -39,6 +40,7 @@
     tokens: int
     prompt_tokens: int = 0
     stream: bool = False
+    adapter: str = ""
 
 
 class CallRequest(msgspec.Struct, frozen=True):
--- a/papayalink/roles/agent/engine_orders.py
+++ b/papayalink/roles/agent/engine_orders.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent import lock
 
 from papayalink import logs
 from papayalink.adapters import engine as engines
@@ -13,6 +14,7 @@
 from papayalink.roles.agent import relaying
 from papayalink.roles.agent import upstream as upstream_state
 
+NOT_CONFIRMED = "fencing number is not confirmed"
 _PAUSE_S = 0.01
 # What the engine's interface calls the argument of each action.
 _ARGUMENTS = {
@@ -29,6 +31,10 @@
         known_fence: newest fencing number that control told of, None until
             the configuration was confirmed. After a restart of the agent it
             is the only record of earlier orders.
+        confirm_fence: reads the newest fencing number from a quorum, None
+            when it could not. Called directly before an order is sent.
+        checks_fencing: whether the engine itself refuses old numbers, so
+            that no read is needed.
     """
 
     __slots__ = (
@@ -37,7 +43,10 @@
         "_dispatcher",
         "_relayer",
         "_known_fence",
+        "_confirm_fence",
+        "_checks_fencing",
         "_fence",
+        "_lock",
         "_log",
     )
 
@@ -48,13 +57,20 @@
         dispatcher: dispatch.Dispatcher,
         relayer: relaying.Relayer,
         known_fence: Callable[[], int | None],
+        confirm_fence: Callable[[], int | None],
+        checks_fencing: Callable[[], bool],
     ) -> None:
         self._engine = engine
         self._state = engine_state
         self._dispatcher = dispatcher
         self._relayer = relayer
         self._known_fence = known_fence
+        self._confirm_fence = confirm_fence
+        self._checks_fencing = checks_fencing
         self._fence = 0
+        # The order of a new leader waits for the one it takes over, so that
+        # the engine does not load the same twice.
+        self._lock = lock.BoundedSemaphore()
         self._log = logs.get_logger()
 
     @property
@@ -73,23 +89,45 @@
             self._log.warning("order_refused", order=repr(order), known=known)
             return messages.OrderReply("stale")
         self._fence = order.fence
+        with self._lock:
+            if order.fence != self._fence:
+                return messages.OrderReply("stale")
+            if self._is_done(order):
+                # The answer to an earlier leader's order was lost.
+                return messages.OrderReply("done")
+            if order.action != orders.LOAD_WEIGHTS:
+                return self._send(order)
+            return self._swap(order)
+
+    def _is_done(self, order: messages.Order) -> bool:
+        match order.action:
+            case orders.LOAD_WEIGHTS:
+                return self._state.weight_version == order.argument
+            case orders.LOAD_ADAPTER:
+                return order.argument in self._state.adapters
+        return False
+
+    def _swap(self, order: messages.Order) -> messages.OrderReply:
         self._dispatcher.hold()
         try:
-            return self._run(order)
+            # The engine chooses a request's weights when it starts it, so
+            # those on their way to it come first.
+            while self._relayer.starting:
+                gevent.sleep(_PAUSE_S)
+            return self._send(order)
         finally:
             self._dispatcher.release()
 
-    def _run(self, order: messages.Order) -> messages.OrderReply:
-        # The engine chooses a request's weights when it starts it, so those
-        # on their way to it come first.
-        while self._relayer.starting:
-            gevent.sleep(_PAUSE_S)
+    def _send(self, order: messages.Order) -> messages.OrderReply:
+        if not self._checks_fencing():
+            newest = self._confirm_fence()
+            if newest is None:
+                return messages.OrderReply("failed", NOT_CONFIRMED)
+            if newest != order.fence:
+                return messages.OrderReply("stale")
         if order.fence != self._fence:
             return messages.OrderReply("stale")
         loads_weights = order.action == orders.LOAD_WEIGHTS
-        if loads_weights and self._state.weight_version == order.argument:
-            # The answer to an earlier leader's order was lost.
-            return messages.OrderReply("done")
         if loads_weights:
             self._state.begin_swap()
         loaded = ""
@@ -111,3 +149,5 @@
         finally:
             if loads_weights:
                 self._state.end_swap(loaded)
+            elif loaded and order.action == orders.LOAD_ADAPTER:
+                self._state.note_adapter(loaded)
--- a/papayalink/roles/agent/locating.py
+++ b/papayalink/roles/agent/locating.py
@@ -104,13 +104,13 @@
             self._log.warning("tokenize_failed", reason=error)
             return None
         scope = (request.workspace, request.weight_version)
-        keys = pieces.piece_keys(*scope, tokens)
+        keys = pieces.piece_keys(*scope, tokens, request.adapter)
         if not keys:
             return None
         owners = placement.owners(keys[0].digest, stores)
         return Located(
             keys,
-            engines.piece_digests(*scope, tokens),
+            engines.piece_digests(*scope, tokens, request.adapter),
             len(tokens) % pieces.PIECE_TOKENS,
             owners,
             self._look_up(owners, keys),
--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -10,6 +10,7 @@
 from papayalink.adapters import engine as engines
 from papayalink.adapters import service as services
 from papayalink.coordination import dispatch
+from papayalink.coordination import errors
 from papayalink.coordination import follower as followers
 from papayalink.coordination import proposer as proposers
 from papayalink.coordination import queueing
@@ -33,6 +34,9 @@
 from papayalink.transport import http_server
 
 CHECK_PERIOD_S = 0.1
+# The queue is held while an order of weights waits for the answer, which takes
+# milliseconds unless the quorum cannot be reached.
+FENCE_TIMEOUT_S = 1.0
 # A store that sends nothing for this long is treated as lost.
 STORE_TIMEOUT_S = 2.0
 _FALLBACK_RANK = work_queue.Rank("default", 60.0)
@@ -58,6 +62,7 @@
         "_cache",
         "_relayer",
         "_orders",
+        "_proposer",
         "_calls",
         "_sequence",
         "_reported",
@@ -69,7 +74,7 @@
         self._name = settings.upstream
         self._stopping = False
         self._sequence = 0
-        self._reported = ("", "")
+        self._reported = ("", "", ())
         self._inbox = queue.Queue()
         controls = list(settings.controls.values())
         self._follower = followers.make_follower(
@@ -89,13 +94,16 @@
         self._relayer = None
         self._orders = None
         self._calls = None
+        self._proposer = proposers.make_proposer(
+            controls, node.rpc_client, node.clock
+        )
         if settings.upstream_kind == "engine":
             self._make_engine_parts(settings.upstream_address)
         else:
             self._calls = calls.make_calls(
                 settings.name,
                 services.make_service(settings.upstream_address),
-                proposers.make_proposer(controls, node.rpc_client, node.clock),
+                self._proposer,
                 self._refuse_call,
                 node.clock,
             )
@@ -186,6 +194,8 @@
             self._dispatcher,
             self._relayer,
             self._known_fence,
+            self._confirm_fence,
+            self._checks_fencing,
         )
 
     def _known_fence(self) -> int | None:
@@ -193,6 +203,18 @@
             return None
         return self._follower.reply.fence
 
+    def _confirm_fence(self) -> int | None:
+        query = messages.Query("fence", key=self._name)
+        try:
+            body = self._proposer.query(query, FENCE_TIMEOUT_S)
+        except errors.CoordinationError:
+            return None
+        return msgspec.json.decode(body, type=int)
+
+    def _checks_fencing(self) -> bool:
+        own = self._own()
+        return own is not None and own.checks_fencing
+
     def _run(self) -> None:
         while True:
             self._inbox.get()
@@ -245,7 +267,7 @@
     def _fill_poll(self, poll: messages.Poll) -> messages.Poll:
         self._sequence += 1
         self._reported = self._condition()
-        state, weight_version = self._reported
+        state, weight_version, adapters = self._reported
         report = messages.LoadReport(
             upstream=self._name, state=state, sequence=self._sequence
         )
@@ -253,17 +275,26 @@
             report = msgspec.structs.replace(
                 report,
                 weight_version=weight_version,
+                adapters=adapters,
                 prefill_rate=round(self._engine_state.prefill_rate),
                 **self._work.report(),
             )
         return msgspec.structs.replace(poll, load=report)
 
-    def _condition(self) -> tuple[str, str]:
-        """Returns: state and weight version, as reports carry them."""
-        version = ""
-        if self._engine_state is not None:
-            version = self._engine_state.weight_version
-        return self._state(), version
+    def _condition(self) -> tuple[str, str, tuple[str, ...]]:
+        """Returns: state, weight version and adapters, as reports have them.
+
+        Only adapters of the document are reported, since an engine may hold
+        any number of others.
+        """
+        if self._engine_state is None:
+            return self._state(), "", ()
+        own = self._own()
+        listed = own and self._follower.document.adapters_of(own.serves) or ()
+        adapters = tuple(
+            name for name in listed if name in self._engine_state.adapters
+        )
+        return self._state(), self._engine_state.weight_version, adapters
 
     def _state(self) -> str:
         if self._refusal():
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -22,6 +22,9 @@
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
 
+# Other requests may still run here, unlike with the other reasons.
+_NOT_LOADED = "adapter is not loaded"
+
 
 class Admission:
     """Decides whether a request may run here now.
@@ -72,6 +75,11 @@
             return "weight version is not loaded"
         if loaded not in document.versions_of(request.model):
             return "weight version is not in the configuration"
+        if request.adapter and (
+            request.adapter not in document.adapters_of(request.model)
+            or request.adapter not in self._engine_state.adapters
+        ):
+            return _NOT_LOADED
         return ""
 
     def _workspaces(self, document: documents.Document) -> frozenset[str]:
@@ -141,7 +149,7 @@
         """
         refusal = self._admission.refuse(request)
         if refusal:
-            yield self._refused(request, refusal, unavailable=True)
+            yield self._not_admitted(request, refusal)
             return
         if not self._work.knows(request.rank):
             yield self._refused(request, "rank is not known")
@@ -184,7 +192,7 @@
             # The upstream or its weights may have changed in the queue.
             refusal = self._admission.refuse(request)
             if refusal:
-                yield self._refused(request, refusal, unavailable=True)
+                yield self._not_admitted(request, refusal)
                 return
             for frame in self._run(request, priority):
                 served += 1
@@ -316,6 +324,10 @@
         yield frames.encode(frames.Chunk(request.attempt_id, 0, text))
         yield frames.encode(frames.End(request.attempt_id, 1))
 
+    def _not_admitted(self, request: relay.RelayRequest, reason: str) -> bytes:
+        unavailable = reason != _NOT_LOADED
+        return self._refused(request, reason, unavailable=unavailable)
+
     def _refused(
         self,
         request: relay.RelayRequest,
--- a/papayalink/roles/agent/upstream.py
+++ b/papayalink/roles/agent/upstream.py
@@ -41,6 +41,7 @@
         "_ordered_version",
         "_prefill_rate",
         "_load",
+        "_adapters",
         "_log",
     )
 
@@ -54,6 +55,7 @@
         self._ordered_version = ""
         self._prefill_rate = INITIAL_PREFILL_RATE
         self._load: engines.Load | None = None
+        self._adapters: frozenset[str] = frozenset()
         self._log = logs.get_logger()
         timer_service.every(CHECK_PERIOD_S, self._inbox, _CheckDue())
 
@@ -66,6 +68,11 @@
         """Weights loaded, "" while they are not known or are swapped."""
         return self._weight_version
 
+    @property
+    def adapters(self) -> frozenset[str]:
+        """Adapters that the engine holds for its present weights."""
+        return self._adapters
+
     @property
     def prefill_rate(self) -> float:
         """Prompt tokens a second, from the engine's own first tokens."""
@@ -78,6 +85,7 @@
         """No weight version is served until end_swap()."""
         self._weight_version = ""
         self._ordered_version = _SWAPPING
+        self._adapters = frozenset()
 
     def end_swap(self, weight_version: str) -> None:
         """Serve a version again.
@@ -89,6 +97,10 @@
         self._weight_version = weight_version
         self._ordered_version = weight_version
 
+    def note_adapter(self, adapter: str) -> None:
+        """The engine has loaded an adapter."""
+        self._adapters |= {adapter}
+
     def observe_prefill(self, tokens: int, seconds: float) -> None:
         """Record the prefill of a request that did not wait.
 
@@ -106,6 +118,7 @@
         return {
             "up": self.up,
             "weight_version": self._weight_version,
+            "adapters": sorted(self._adapters),
             "prefill_rate": self._prefill_rate,
             "load": self._load,
         }
@@ -119,18 +132,23 @@
         was_up = self.up
         try:
             load = self._engine.load()
+            models = self._engine.models()
         except adapter_errors.AdapterError as error:
             self._failed_checks += 1
             if was_up and not self.up:
                 self._log.warning("engine_down", reason=error)
                 # A restarted engine may hold other weights.
                 self._weight_version = self._ordered_version = ""
+                self._adapters = frozenset()
             return
         self._failed_checks = 0
         self._load = load
         if not self._ordered_version:
             # Reports lag, so they only count until the first own order.
             self._weight_version = load.weight_version
+        # A list from before a swap of weights says nothing about them.
+        if models[0].weight_version == self._weight_version:
+            self._adapters = frozenset(one.name for one in models[1:])
         if not was_up:
             self._log.info("engine_up", weight_version=load.weight_version)
 
--- a/papayalink/roles/control/service.py
+++ b/papayalink/roles/control/service.py
@@ -124,6 +124,9 @@
             case "call":
                 record = self._machine.ledger.find(query.workspace, query.key)
                 return messages.QueryReply(msgspec.json.encode(record))
+            case "fence":
+                fence = self._machine.upstreams.fence(query.key)
+                return messages.QueryReply(msgspec.json.encode(fence))
             case "status":
                 status = self._replica.status()
                 return messages.QueryReply(msgspec.json.encode(status))
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -34,6 +34,8 @@
 # 2.5 s. Without this, reports from before a swap had the same weights loaded
 # again, and entries knew no replica to use while the next ones loaded.
 REPORTED_S = 3.0
+# An adapter that an engine could not load must not keep others from loading.
+ADAPTER_RETRY_S = 10.0
 # Loading takes about 0.8 s, longer while replicas share the weight store.
 ORDER_TIMEOUT_S = 60.0
 
@@ -64,6 +66,7 @@
         "_client",
         "_inbox",
         "_sending",
+        "_failed",
         "_joining",
         "_leading_since",
         "_platform_failed",
@@ -86,6 +89,7 @@
         self._client = http_client.make_client(node.signer, ORDER_TIMEOUT_S)
         self._inbox = queue.Queue()
         self._sending: set[str] = set()
+        self._failed: dict[tuple[str, str], float] = {}
         self._joining: set[str] = set()
         self._leading_since: float | None = None
         self._platform_failed = False
@@ -187,6 +191,7 @@
             reports,
             self._machine.upstreams.open_orders,
             self._node.settings.name,
+            self._held_back(now),
         )
         for command in commands:
             outcome = self._propose(command)
@@ -197,6 +202,14 @@
             if order.upstream not in self._sending:
                 gevent.spawn(self._send, order)
 
+    def _held_back(self, now: float) -> frozenset[tuple[str, str]]:
+        self._failed = {
+            key: failed_at
+            for key, failed_at in self._failed.items()
+            if now - failed_at < ADAPTER_RETRY_S
+        }
+        return frozenset(self._failed)
+
     def _send(self, order: upstreams.Order) -> None:
         if order.upstream in self._sending:
             return
@@ -206,6 +219,9 @@
             self._log.info("order_answered", order=order, reply=reply)
             if reply is not None and reply.result == "done":
                 gevent.sleep(REPORTED_S)
+            elif reply is not None and order.action == orders.LOAD_ADAPTER:
+                key = (order.upstream, order.argument)
+                self._failed[key] = self._node.clock.now()
             if reply is not None and self._replica.is_leader:
                 self._propose(
                     upstreams.CloseOrder(
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -223,8 +223,9 @@
             {
                 "object": "list",
                 "data": [
-                    {"id": model.name, "object": "model"}
+                    {"id": name, "object": "model"}
                     for model in context.document.models
+                    for name in (model.name, *model.adapters)
                 ],
             }
         )
--- a/papayalink/roles/entry/document_index.py
+++ b/papayalink/roles/entry/document_index.py
@@ -12,9 +12,16 @@
     workspace_names: frozenset[str]
     ranks: dict[str, documents.Rank]
     models: dict[str, documents.Model]
+    by_adapter: dict[str, documents.Model]
     services: dict[str, documents.Service]
     upstreams: dict[str, tuple[documents.Upstream, ...]]
 
+    def find_model(self, name: str) -> tuple[documents.Model | None, str]:
+        """Returns: the model that a request names, and its adapter or ""."""
+        if name in self.models:
+            return self.models[name], ""
+        return self.by_adapter.get(name), name
+
     def find_call(
         self, service: str, method: str, path: str
     ) -> documents.Call | None:
@@ -43,6 +50,11 @@
         workspace_names=frozenset(one.name for one in document.workspaces),
         ranks={rank.name: rank for rank in document.ranks},
         models={model.name: model for model in document.models},
+        by_adapter={
+            adapter: model
+            for model in document.models
+            for adapter in model.adapters
+        },
         services={service.name: service for service in document.services},
         upstreams={name: tuple(some) for name, some in by_serves.items()},
     )
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -206,8 +206,7 @@
             errors.NoUpstream: it was not run.
             errors.AnswerCut: it was begun and lost.
         """
-        index = self._current()
-        model = index.models.get(wanted.model)
+        model, adapter = self._current().find_model(wanted.model)
         if model is None:
             raise ModelUnknown(wanted.model)
         self._require_confirmed()
@@ -219,7 +218,15 @@
             raise errors.NoUpstream(allowance.reason, allowance.retry_after_s)
         try:
             return self._open(
-                request_id, workspace, rank, path, wanted, body, tokens
+                request_id,
+                workspace,
+                rank,
+                path,
+                wanted,
+                body,
+                tokens,
+                model.name,
+                adapter,
             )
         except BaseException:
             self._allowances.release(workspace)
@@ -234,6 +241,8 @@
         wanted: completions.CompletionRequest,
         body: bytes,
         tokens: int,
+        model: str,
+        adapter: str,
     ) -> ServedAnswer:
         index = self._current()
         target_s = index.ranks[rank].ttft_target_ms / 1000
@@ -241,13 +250,16 @@
         chosen = selection.Wanted(
             request_id=request_id,
             workspace=workspace.name,
-            model=wanted.model,
-            family=_family(wanted.prompt_bytes),
+            model=model,
+            family=_family(wanted.prompt_bytes, adapter),
             rank=list(index.ranks).index(rank),
             tokens=wanted.prompt_tokens,
             target_s=target_s,
+            adapter=adapter,
         )
         first = self._selection.choose(chosen, frozenset(), now)
+        if first is None and adapter:
+            raise errors.NoUpstream("no upstream holds this adapter")
         if first is None:
             raise errors.NoUpstream("no upstream takes this model")
         self._admit(chosen, rank, workspace, tokens, first)
@@ -258,7 +270,7 @@
             workspace=workspace.name,
             rank=rank,
             version=self._follower.version,
-            model=wanted.model,
+            model=model,
             weight_version="",
             path=path,
             body=body,
@@ -266,6 +278,7 @@
             tokens=tokens,
             prompt_tokens=wanted.prompt_tokens,
             stream=wanted.stream,
+            adapter=adapter,
         )
         call = retry.Call(
             repeatable=True,
@@ -465,12 +478,17 @@
         return self._index
 
 
-def _family(prompt: bytes) -> str:
-    """Returns: digest of the start of a prompt, "" for a short one."""
+def _family(prompt: bytes, adapter: str) -> str:
+    """Returns: digest of the start of a prompt, "" for a short one.
+
+    Engines keep the cache of each adapter apart.
+    """
     if len(prompt) < FAMILY_BYTES:
         return ""
     start = prompt[:FAMILY_BYTES]
-    return hashlib.blake2b(start, digest_size=16).hexdigest()
+    digest = hashlib.blake2b(start, digest_size=16)
+    digest.update(adapter.encode())
+    return digest.hexdigest()
 
 
 def make_serving(
--- a/papayalink/state/document.py
+++ b/papayalink/state/document.py
@@ -47,6 +47,8 @@
     Attributes:
         weight_version: what all replicas are to load.
         previous_version: what replicas may serve until they have loaded it.
+        adapters: loaded on each replica after the weights; a request may
+            name one of them as its model.
     """
 
     name: str
@@ -140,6 +142,13 @@
                 return (known.weight_version,)
         return ()
 
+    def adapters_of(self, model: str) -> tuple[str, ...]:
+        """Returns: adapters listed for a model."""
+        for known in self.models:
+            if known.name == model:
+                return known.adapters
+        return ()
+
 
 def encode(document: Document) -> bytes:
     """Returns: the document as canonical JSON, keys in a fixed order."""
--- a/papayalink/state/validation.py
+++ b/papayalink/state/validation.py
@@ -271,6 +271,8 @@
 
 
 def _check_models(document: documents.Document) -> Iterator[Problem]:
+    # A request names a model or an adapter in the same field.
+    owners = {entry.name: "" for _, entry in _entries(document, "models")}
     for path, entry in _entries(document, "models"):
         yield from _check_name(
             entry.weight_version, shape.MODEL_NAME, f"{path}.weight_version"
@@ -286,6 +288,18 @@
                     place, f"{_quote(adapter)} is listed twice", "remove one"
                 )
             seen.add(adapter)
+            owner = owners.setdefault(adapter, entry.name)
+            if owner != entry.name:
+                yield Problem(
+                    place,
+                    f"{_quote(adapter)} is also "
+                    + (
+                        f"an adapter of {_quote(owner)}"
+                        if owner
+                        else "a model"
+                    ),
+                    "give it another name",
+                )
 
 
 def _check_calls(document: documents.Document) -> Iterator[Problem]:
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -123,3 +123,63 @@
         for name, report in _reports("v1", "v1", "v1", "v1").items()
     }
     assert len(orders.decide(DOCUMENT, reports, [], "c1")) == loading
+
+
+def _with_adapters(versions, held):
+    models = (documents.Model("m", "v2", "v1", ("a", "b")),)
+    reports = {
+        name: msgspec.structs.replace(report, adapters=adapters)
+        for (name, report), adapters in zip(
+            _reports(*versions).items(), held, strict=True
+        )
+    }
+    return msgspec.structs.replace(DOCUMENT, models=models), reports
+
+
+BOTH = ("a", "b")
+ALL = ("v2",) * 4
+
+
+@pytest.mark.parametrize(
+    "versions, held, open_orders, held_back, expected",
+    [
+        (ALL, [BOTH] * 4, [], [], []),
+        # A few replicas at a time, those with the fewest adapters first.
+        (ALL, [("a",), (), (), ()], [], [], [("e1", "a"), ("e2", "a")]),
+        (ALL, [("a",), BOTH, BOTH, BOTH], [], [], [("e0", "b")]),
+        (ALL, [()] * 4, [_open("e1")], [], [("e0", "a")]),
+        (ALL, [()] * 4, [_open("e0"), _open("e1")], [], []),
+        # Weights come first, and take their part of the limit.
+        (("v1", "v2", "v2", "v2"), [()] * 4, [], [], [("e1", "a")]),
+        (("v1", "v1", "v2", "v2"), [()] * 4, [], [], []),
+        # An adapter that failed a moment ago does not hold up the others.
+        (
+            ALL,
+            [(), BOTH, BOTH, BOTH],
+            [],
+            [("e0", "a")],
+            [("e0", "b")],
+        ),
+    ],
+)
+def test_adapters_are_loaded_after_the_weights(
+    versions, held, open_orders, held_back, expected
+):
+    """Guards against adapters on other weights or on too many at once."""
+    document, reports = _with_adapters(versions, held)
+    opened = orders.decide(document, reports, open_orders, "c1", held_back)
+    loads = [
+        (order.upstream, order.argument)
+        for order in opened
+        if order.action == orders.LOAD_ADAPTER
+    ]
+    assert loads == expected
+
+
+def test_open_adapter_order_is_taken_over():
+    """Guards against an adapter's order that dies with its leader."""
+    document, reports = _with_adapters(ALL, [()] * 4)
+    old = upstreams.Order("e0", 7, orders.LOAD_ADAPTER, "a", "c1")
+    opened = orders.decide(document, reports, [old], "c2")
+    assert opened[0] == upstreams.OpenOrder("e0", "load_adapter", "a", "c2")
+    assert "e0" not in {order.upstream for order in opened[1:]}
--- a/tests/coordination/test_selection.py
+++ b/tests/coordination/test_selection.py
@@ -88,6 +88,19 @@
     assert _chosen(chooser, times=200) == expected
 
 
+def test_adapter_runs_only_where_it_is_reported(chooser):
+    """Guards against an adapter's request at a replica without it."""
+    reports = [_report("e0", adapters=("a",)), _report("e1", adapters=("b",))]
+    chooser.update(_document(), (), reports, 10.0)
+    wanted = selection.Wanted("r", "w", MODEL, "", 0, 100, 1.6, "a")
+    chosen = {
+        chooser.choose(wanted, frozenset(), 10.0).upstream.name
+        for _ in range(40)
+    }
+    assert chosen == {"e0"}
+    assert chooser.choose(wanted, frozenset({"e0"}), 10.0) is None
+
+
 def test_draining_replicas_get_nothing(chooser):
     chooser.update(_document(draining=True), (), [], 10.0)
     assert _chosen(chooser) == set()
--- /dev/null
+++ b/tests/processes/test_adapters.py
@@ -0,0 +1,156 @@
+"""Adapters: orders of the leader, and requests that name one."""
+
+import json
+
+from bench import fleet as fleets
+from papayalink import clock as clocks
+from papayalink.protocol import messages
+from papayalink.protocol import relay
+from papayalink.roles.agent import engine_orders
+from papayalink.state import document as documents
+from papayalink.transport import auth
+from papayalink.transport import http_client
+from tests.processes import helpers
+
+FLEET = {
+    "engines": 2,
+    "stores": 1,
+    "engine_options": {"adapter_load_time_s": 3.0},
+}
+PROMPT = " ".join(f"a{number}" for number in range(2100))
+
+
+def _set(fleet, version, *adapters):
+    fleet.apply(models=(documents.Model(fleets.MODEL, version, "", adapters),))
+
+
+def _ask(caller, model, prompt="a b"):
+    return caller.complete(model=model, prompt=prompt, max_tokens=2)
+
+
+def _wait_served(caller, model):
+    """Wait for an answer. Returns: the refusals before it."""
+    refused = []
+
+    def answered():
+        answer = _ask(caller, model)
+        if answer.status != 200:
+            refused.append(answer)
+        return answer.status == 200
+
+    helpers.wait_until(answered, f"answer of {model}")
+    return refused
+
+
+def _loads(fleet, engine):
+    body = fleets.request(fleet.engines[engine], "GET", "/orders")
+    return [
+        order["adapter"]
+        for order in json.loads(body)["orders"]
+        if order["action"] == "load_adapter"
+    ]
+
+
+def _open_orders(fleet):
+    leader = helpers.leader_of(fleet.deployment)
+    return leader and fleet.deployment.dump(leader)["orders"]
+
+
+def test_unknown_adapter_is_not_found(fleet, caller):
+    answer = _ask(caller, "absent")
+    assert answer.status == 404
+    assert answer.json()["error"]["code"] == "model_not_found"
+
+
+def test_adapter_is_refused_as_not_run_until_it_is_loaded(fleet, caller):
+    """Guards against the plain model answering for an adapter."""
+    _set(fleet, "v1", "tuned")
+    refused = _wait_served(caller, "tuned")
+    # Entries learn of the adapter long before it is loaded.
+    assert refused[-1].status == 503
+    for answer in refused:
+        error = answer.json()["error"]
+        if answer.status == 503:
+            assert (error["code"], error["run"]) == ("not_run", "not run")
+        else:
+            assert answer.status == 404
+    plain, tuned = _ask(caller, fleets.MODEL), _ask(caller, "tuned")
+    assert plain.json()["choices"] != tuned.json()["choices"]
+    assert tuned.json()["model"] == "tuned"
+
+
+def test_adapters_share_no_cache(fleet, caller):
+    """Guards against kept blocks of one adapter used for another model."""
+    helpers.wait_until(
+        lambda: all(_loads(fleet, engine) for engine in fleet.engines)
+    )
+    answers = {}
+    for model in (fleets.MODEL, "tuned"):
+        answer = _ask(caller, model, PROMPT).json()
+        details = answer["usage"]["prompt_tokens_details"]
+        assert details["cached_tokens"] == 0
+        answers[model] = answer["choices"]
+    helpers.wait_until(
+        lambda: fleet.deployment.dump("store-1")["usage"]["disk"]["pieces"]
+        >= 2
+    )
+    fleet.evict()
+    for model, choices in answers.items():
+        answer = _ask(caller, model, PROMPT).json()
+        details = answer["usage"]["prompt_tokens_details"]
+        # The piece comes from the store, and is the right one.
+        assert details["cached_tokens"] == 2000
+        assert answer["choices"] == choices
+
+
+def test_next_leader_takes_an_open_order_over(fleet, caller):
+    """Guards against an adapter that is never loaded, or loaded twice."""
+    helpers.wait_until(lambda: _open_orders(fleet) == [], "orders closed")
+    _set(fleet, "v1", "tuned", "other")
+    helpers.wait_until(lambda: _open_orders(fleet), "open order")
+    leader = helpers.leader_of(fleet.deployment)
+    fences = [order["fence"] for order in _open_orders(fleet)]
+    fleet.deployment.programs[leader].kill()
+    helpers.wait_until(
+        lambda: any(
+            order["fence"] > max(fences) for order in _open_orders(fleet) or ()
+        ),
+        "order taken over",
+    )
+    _wait_served(caller, "other")
+    helpers.wait_until(lambda: _open_orders(fleet) == [], "orders closed")
+    for engine in fleet.engines:
+        assert _loads(fleet, engine) == ["tuned", "other"]
+    fleet.deployment.restart(leader)
+    fleet.deployment.wait_accepting([leader])
+
+
+def test_adapters_follow_new_weights(fleet, caller):
+    """Guards against an adapter that is lost with a swap of weights."""
+    _set(fleet, "v2", "tuned")
+
+    def swapped():
+        answer = _ask(caller, "tuned")
+        return answer.json().get("system_fingerprint") == "v2"
+
+    helpers.wait_until(swapped, "answer on new weights")
+    refused = _ask(caller, "other")
+    assert refused.status == 404
+
+
+def test_order_without_a_quorum_is_not_sent(fleet):
+    """Guards against an order that may be old at an unchecking engine."""
+    agent = fleet.document.upstreams[0].agent
+    signer = auth.make_signer(
+        bytes.fromhex(fleet.deployment.key), clocks.make_clock()
+    )
+    before = _loads(fleet, "engine-1")
+    for name in list(fleet.deployment.controls)[:2]:
+        fleet.deployment.programs[name].kill()
+    order = messages.Order("engine-1", 1000, "load_adapter", "other")
+    answer = http_client.make_client(signer, 10.0).send(
+        agent, "POST", relay.ORDER_PATH, messages.encode(order)
+    )
+    reply = messages.decode(answer.read())
+    assert reply == messages.OrderReply("failed", engine_orders.NOT_CONFIRMED)
+    assert _loads(fleet, "engine-1") == before
--- a/tests/protocol/test_pieces.py
+++ b/tests/protocol/test_pieces.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import pytest
 
+from papayalink.adapters import engine
 from papayalink.protocol import errors
 from papayalink.protocol import pieces
 
@@ -34,6 +35,21 @@
     assert digests.isdisjoint(key.digest for key in others)
 
 
+@pytest.mark.parametrize(
+    "digests_of", [pieces.piece_keys, engine.piece_digests]
+)
+def test_adapters_share_no_digest(digests_of):
+    """Guards against blocks of an adapter used for another or for none."""
+    prompt = _prompt(2 * SIZE)
+    scopes = [
+        digests_of("acme", "v1", prompt),
+        digests_of("acme", "v1", prompt, "a"),
+        digests_of("acme", "v1", prompt, "b"),
+        digests_of("acme", "v1a", prompt),
+    ]
+    assert len({digest for scope in scopes for digest in scope}) == 8
+
+
 def test_digest_covers_the_pieces_before():
     """Guards against reuse of a piece behind another prefix."""
     first = pieces.piece_keys("acme", "v1", _prompt(3 * SIZE))
--- a/tests/roles/agent/test_locating.py
+++ b/tests/roles/agent/test_locating.py
@@ -33,6 +33,7 @@
         body=bytes(tokens),
         workspace="acme",
         weight_version="v1",
+        adapter="",
         prompt_tokens=tokens // 2,
     )
     return locator.locate(request)
--- a/tests/roles/test_relaying.py
+++ b/tests/roles/test_relaying.py
@@ -1,5 +1,6 @@
 """Tests of the agent's admission of model requests."""
 
+import msgspec
 import pytest
 
 from papayalink.protocol import relay
@@ -8,7 +9,7 @@
 
 DOCUMENT = documents.Document(
     workspaces=(documents.Workspace("w"),),
-    models=(documents.Model("m", "v2", "v1"),),
+    models=(documents.Model("m", "v2", "v1", ("a", "b")),),
 )
 
 
@@ -18,6 +19,7 @@
     def __init__(self, weight_version, up=True):
         self.weight_version = weight_version
         self.up = up
+        self.adapters = {"a", "removed"}
 
 
 def _request(version="v2", workspace="w"):
@@ -54,3 +56,15 @@
     )
     reason = admission.refuse(_request(asked, workspace))
     assert (reason == "") is admitted
+
+
+@pytest.mark.parametrize(
+    "adapter, admitted", [("", 1), ("a", 1), ("b", 0), ("removed", 0)]
+)
+def test_adapter_must_be_listed_and_loaded(adapter, admitted):
+    """Guards against an answer of the plain model for an adapter."""
+    admission = relaying.Admission(
+        lambda: DOCUMENT, lambda: True, lambda: "", Engine("v2")
+    )
+    request = msgspec.structs.replace(_request(), adapter=adapter)
+    assert (admission.refuse(request) == "") == bool(admitted)
--- a/tests/state/test_validation.py
+++ b/tests/state/test_validation.py
@@ -65,6 +65,12 @@
         "$.models[0].adapters[1]",
         "twice",
     ),
+    (
+        ["models", 0, "adapters"],
+        ["a", "base/chat"],
+        "$.models[0].adapters[1]",
+        "a model",
+    ),
     (["workspaces", 2, "rank"], "slow", "$.workspaces[2].rank", "urgent"),
     (
         ["workspaces", 0, "token_digests"],
