Read callers' requests and JSON replies in one place each

Cause: two resources of the entry read context and body in the same three lines, and three adapters decoded a JSON reply in the same way.

Change: roles/entry/callers.py has one function that reads a request; adapters/replies.py decodes replies for engine, platform and service. No change of behaviour. The weight store reads its answer in parts, so it has nothing in common with these.

--- a/papayalink/adapters/engine.py
+++ b/papayalink/adapters/engine.py
@@ -10,6 +10,7 @@
 
 from papayalink.adapters import connection
 from papayalink.adapters import errors
+from papayalink.adapters import replies
 
 # Tokens of one cache piece of the engines.
 PIECE_TOKENS = 2000
@@ -282,7 +283,7 @@
         reply = self._connector.call(
             "POST", "/tokenize", self._read_timeout_s, _JSON, body
         )
-        return _decode(_accepted(reply), _Tokens).tokens
+        return replies.decode(_accepted(reply), _Tokens).tokens
 
     def export_piece(
         self, workspace: str, weight_version: str, digest: str
@@ -324,7 +325,7 @@
         reply = self._connector.call_idempotent(
             "GET", f"/kv/events?since={seq}", self._read_timeout_s
         )
-        events = _decode(_accepted(reply), _Events).events
+        events = replies.decode(_accepted(reply), _Events).events
         numbers = [event.seq for event in events]
         expected = list(range(seq + 1, seq + 1 + len(numbers)))
         last_seq = numbers[-1] if numbers else seq
@@ -335,7 +336,7 @@
         reply = self._connector.call_idempotent(
             "GET", "/load", self._read_timeout_s
         )
-        return _decode(_accepted(reply), Load)
+        return replies.decode(_accepted(reply), Load)
 
     def model(self) -> ModelInfo:
         """Returns: the loaded model; unlike load(), this does not lag."""
@@ -346,7 +347,7 @@
         reply = self._connector.call_idempotent(
             "GET", "/v1/models", self._read_timeout_s
         )
-        models = _decode(_accepted(reply), _Models).data
+        models = replies.decode(_accepted(reply), _Models).data
         if not models:
             raise errors.InvalidReply("the engine lists no model")
         return models
@@ -423,10 +424,3 @@
     if not 200 <= reply.status < 300:
         raise errors.Rejected(reply.status, reply.body)
     return reply
-
-
-def _decode(reply, kind):
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise errors.InvalidReply(str(error)) from error
--- a/papayalink/adapters/platform.py
+++ b/papayalink/adapters/platform.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from papayalink.adapters import connection
-from papayalink.adapters import errors
+from papayalink.adapters import replies
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 5.0
@@ -43,12 +43,7 @@
         reply = self._connector.call_idempotent(
             "GET", "/vms", self._read_timeout_s
         )
-        if reply.status != 200:
-            raise errors.Rejected(reply.status, reply.body)
-        try:
-            return msgspec.json.decode(reply.body, type=_VmList).vms
-        except msgspec.MsgspecError as error:
-            raise errors.InvalidReply(str(error)) from error
+        return replies.decode_ok(reply, _VmList).vms
 
     def close(self) -> None:
         """Close the kept connections."""
--- a/papayalink/adapters/service.py
+++ b/papayalink/adapters/service.py
@@ -4,6 +4,7 @@
 
 from papayalink.adapters import connection
 from papayalink.adapters import errors
+from papayalink.adapters import replies
 
 # Services are in the same region; a connection takes a few milliseconds.
 CONNECT_TIMEOUT_S = 1.0
@@ -95,12 +96,7 @@
         Raises: AdapterError when there is no valid reply.
         """
         reply = self._connector.call("GET", "/load", self._read_timeout_s)
-        if reply.status != 200:
-            raise errors.Rejected(reply.status, reply.body)
-        try:
-            return msgspec.json.decode(reply.body, type=ServiceLoad)
-        except msgspec.MsgspecError as error:
-            raise errors.InvalidReply(str(error)) from error
+        return replies.decode_ok(reply, ServiceLoad)
 
 
 def make_service(
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -102,6 +102,16 @@
     return data
 
 
+def _read_request(
+    entry: serving.Serving, request: falcon.Request, response: falcon.Response
+) -> tuple[_Context, bytes]:
+    """Returns: the context of a request and its body."""
+    context = _Context(entry, request)
+    response.set_header(REQUEST_ID_HEADER, context.request_id)
+    limit = context.document.limits.max_body_bytes
+    return context, _read_body(request, limit)
+
+
 class CompletionsResource:
     """`/v1/completions` and `/v1/chat/completions`."""
 
@@ -113,9 +123,7 @@
     def on_post(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
-        context = _Context(self._entry, request)
-        response.set_header(REQUEST_ID_HEADER, context.request_id)
-        data = _read_body(request, context.document.limits.max_body_bytes)
+        context, data = _read_request(self._entry, request, response)
         try:
             wanted = completions.parse(request.path, data)
         except completions.RequestInvalid as error:
@@ -246,9 +254,7 @@
         service: str,
         path: str,
     ) -> None:
-        context = _Context(self._entry, request)
-        response.set_header(REQUEST_ID_HEADER, context.request_id)
-        body = _read_body(request, context.document.limits.max_body_bytes)
+        context, body = _read_request(self._entry, request, response)
         call = self._entry.find_call(service, request.method, "/" + path)
         if call is None:
             raise _Refusal(
