--- a/papayalink/adapters/engine.py
+++ b/papayalink/adapters/engine.py
@@ -10,6 +10,7 @@
 
 from papayalink.adapters import connection
 from papayalink.adapters import errors
+from papayalink.adapters import replies
 
 # Tokens of one cache piece of the engines.
 PIECE_TOKENS = 2000
@@ -65,7 +66,7 @@
 
 
 class ModelInfo(msgspec.Struct, frozen=True):
-    """Model and weight version that an engine has loaded now."""
+    """Model or adapter, and weight version, that an engine has loaded now."""
 
     name: str = msgspec.field(name="id")
     weight_version: str
@@ -85,7 +86,10 @@
 
 
 def piece_digests(
-    workspace: str, weight_version: str, tokens: list[int]
+    workspace: str,
+    weight_version: str,
+    tokens: list[int],
+    adapter: str = "",
 ) -> list[str]:
     """Chained digests of the whole pieces of a prompt.
 
@@ -93,14 +97,18 @@
         workspace: workspace of the prompt.
         weight_version: weight version that computes it.
         tokens: token ids.
+        adapter: adapter that computes it, "" for the plain model.
 
     Returns: one digest for each PIECE_TOKENS tokens; each is the blake2b
         (16 bytes, hex) of the previous digest's text, or for the first piece
-        of workspace, NUL and weight version, followed by the token ids as
-        little-endian unsigned 64-bit integers.
+        of workspace, NUL and weight version (and, for an adapter, NUL and
+        its name), followed by the token ids as little-endian unsigned 64-bit
+        integers.
     """
     digests = []
     parent = f"{workspace}\0{weight_version}"
+    if adapter:
+        parent += f"\0{adapter}"
     for end in range(PIECE_TOKENS, len(tokens) + 1, PIECE_TOKENS):
         digest = hashlib.blake2b(parent.encode(), digest_size=16)
         digest.update(
@@ -275,7 +283,7 @@
         reply = self._connector.call(
             "POST", "/tokenize", self._read_timeout_s, _JSON, body
         )
-        return _decode(_accepted(reply), _Tokens).tokens
+        return replies.decode(_accepted(reply), _Tokens).tokens
 
     def export_piece(
         self, workspace: str, weight_version: str, digest: str
@@ -317,7 +325,7 @@
         reply = self._connector.call_idempotent(
             "GET", f"/kv/events?since={seq}", self._read_timeout_s
         )
-        events = _decode(_accepted(reply), _Events).events
+        events = replies.decode(_accepted(reply), _Events).events
         numbers = [event.seq for event in events]
         expected = list(range(seq + 1, seq + 1 + len(numbers)))
         last_seq = numbers[-1] if numbers else seq
@@ -328,17 +336,21 @@
         reply = self._connector.call_idempotent(
             "GET", "/load", self._read_timeout_s
         )
-        return _decode(_accepted(reply), Load)
+        return replies.decode(_accepted(reply), Load)
 
     def model(self) -> ModelInfo:
         """Returns: the loaded model; unlike load(), this does not lag."""
+        return self.models()[0]
+
+    def models(self) -> list[ModelInfo]:
+        """Returns: the loaded model, then its adapters; does not lag."""
         reply = self._connector.call_idempotent(
             "GET", "/v1/models", self._read_timeout_s
         )
-        models = _decode(_accepted(reply), _Models).data
+        models = replies.decode(_accepted(reply), _Models).data
         if not models:
             raise errors.InvalidReply("the engine lists no model")
-        return models[0]
+        return models
 
     def order(
         self,
@@ -412,10 +424,3 @@
     if not 200 <= reply.status < 300:
         raise errors.Rejected(reply.status, reply.body)
     return reply
-
-
-def _decode(reply, kind):
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
-        raise errors.InvalidReply(str(error)) from error
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -20,6 +20,10 @@
 from papayalink.roles.agent import kept_cache
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
+from papayalink.transport import errors as transport_errors
+
+# Other requests may still run here, unlike with the other reasons.
+_NOT_LOADED = "adapter is not loaded"
 
 
 class Admission:
@@ -71,6 +75,11 @@
             return "weight version is not loaded"
         if loaded not in document.versions_of(request.model):
             return "weight version is not in the configuration"
+        if request.adapter and (
+            request.adapter not in document.adapters_of(request.model)
+            or request.adapter not in self._engine_state.adapters
+        ):
+            return _NOT_LOADED
         return ""
 
     def _workspaces(self, document: documents.Document) -> frozenset[str]:
@@ -140,7 +149,7 @@
         """
         refusal = self._admission.refuse(request)
         if refusal:
-            yield self._refused(request, refusal, unavailable=True)
+            yield self._not_admitted(request, refusal)
             return
         if not self._work.knows(request.rank):
             yield self._refused(request, "rank is not known")
@@ -174,7 +183,7 @@
             tokens=request.tokens,
             deadline=self._clock.now() + request.deadline_s,
         )
-        match self._dispatcher.submit(item).get():
+        match self._wait_in_queue(request, item):
             case dispatch.Declined(reason=reason, retry_after_s=after_s):
                 yield self._refused(request, reason, after_s)
                 return
@@ -183,12 +192,15 @@
             # The upstream or its weights may have changed in the queue.
             refusal = self._admission.refuse(request)
             if refusal:
-                yield self._refused(request, refusal, unavailable=True)
+                yield self._not_admitted(request, refusal)
                 return
             for frame in self._run(request, priority):
                 served += 1
                 pending.finish(served=True)
                 yield frame
+        except transport_errors.CallerGone:
+            self._note_gone(request, "running")
+            raise
         finally:
             tokens = item.tokens if served else 0
             self._dispatcher.finish(item, tokens)
@@ -200,6 +212,28 @@
                 frames=served,
             )
 
+    def _wait_in_queue(
+        self, request: relay.RelayRequest, item: work_queue.Item
+    ) -> dispatch.Grant:
+        grant = self._dispatcher.submit(item)
+        try:
+            return grant.get()
+        except BaseException as error:
+            self._dispatcher.cancel(item)
+            if isinstance(error, transport_errors.CallerGone):
+                self._note_gone(request, "queued")
+            raise
+
+    def _note_gone(self, request: relay.RelayRequest, stage: str) -> None:
+        self._metrics.count("callers_gone", rank=request.rank, stage=stage)
+        self._log.info(
+            "caller_gone",
+            request_id=request.request_id,
+            workspace=request.workspace,
+            rank=request.rank,
+            stage=stage,
+        )
+
     def _run(
         self, request: relay.RelayRequest, priority: int
     ) -> Iterator[bytes]:
@@ -303,6 +337,10 @@
                     frames.Failed(request.attempt_id, f"engine: {error}")
                 )
 
+    def _not_admitted(self, request: relay.RelayRequest, reason: str) -> bytes:
+        unavailable = reason != _NOT_LOADED
+        return self._refused(request, reason, unavailable=unavailable)
+
     def _refused(
         self,
         request: relay.RelayRequest,
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -13,6 +13,7 @@
 from papayalink.roles.entry import serving
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
+from papayalink.transport import http_server
 
 REQUEST_ID_HEADER = "X-Request-Id"
 _JSON = "application/json"
@@ -101,6 +102,16 @@
     return data
 
 
+def _read_request(
+    entry: serving.Serving, request: falcon.Request, response: falcon.Response
+) -> tuple[_Context, bytes]:
+    """Returns: the context of a request and its body."""
+    context = _Context(entry, request)
+    response.set_header(REQUEST_ID_HEADER, context.request_id)
+    limit = context.document.limits.max_body_bytes
+    return context, _read_body(request, limit)
+
+
 class CompletionsResource:
     """`/v1/completions` and `/v1/chat/completions`."""
 
@@ -112,22 +123,52 @@
     def on_post(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
-        context = _Context(self._entry, request)
-        response.set_header(REQUEST_ID_HEADER, context.request_id)
-        data = _read_body(request, context.document.limits.max_body_bytes)
+        context, data = _read_request(self._entry, request, response)
         try:
             wanted = completions.parse(request.path, data)
         except completions.RequestInvalid as error:
             raise _Refusal(400, "invalid_request", str(error)) from error
         rank = self._rank(context, wanted.rank)
+        whole = b""
         try:
-            answer = self._entry.complete(
+            with http_server.watch_caller(request.env):
+                answer = self._open(context, request.path, rank, wanted, data)
+                if not wanted.stream:
+                    whole = _whole(answer)
+        except errors.UpstreamRejected as error:
+            response.status = error.status
+            response.content_type = _JSON
+            response.data = error.body
+            return
+        except transport_errors.CallerGone:
+            self._entry.record_gone(
+                context.request_id, context.workspace, rank
+            )
+            raise
+        if wanted.stream:
+            response.content_type = _EVENTS
+            response.set_header("Cache-Control", "no-store")
+            response.stream = _events(answer)
+        else:
+            response.content_type = _JSON
+            response.data = whole
+
+    def _open(
+        self,
+        context: _Context,
+        path: str,
+        rank: str,
+        wanted: completions.CompletionRequest,
+        body: bytes,
+    ) -> serving.ServedAnswer:
+        try:
+            return self._entry.complete(
                 context.request_id,
                 context.workspace,
                 rank,
-                request.path,
+                path,
                 wanted,
-                data,
+                body,
             )
         except serving.ModelUnknown as error:
             raise _Refusal(
@@ -139,18 +180,6 @@
             ) from error
         except errors.AnswerCut as error:
             raise _Refusal(502, "upstream_failed", str(error)) from error
-        except errors.UpstreamRejected as error:
-            response.status = error.status
-            response.content_type = _JSON
-            response.data = error.body
-            return
-        if wanted.stream:
-            response.content_type = _EVENTS
-            response.set_header("Cache-Control", "no-store")
-            response.stream = _events(answer)
-        else:
-            response.content_type = _JSON
-            response.data = _whole(answer)
 
     def _rank(self, context: _Context, name: str) -> str:
         ranks = context.document.ranks
@@ -202,8 +231,9 @@
             {
                 "object": "list",
                 "data": [
-                    {"id": model.name, "object": "model"}
+                    {"id": name, "object": "model"}
                     for model in context.document.models
+                    for name in (model.name, *model.adapters)
                 ],
             }
         )
@@ -224,9 +254,7 @@
         service: str,
         path: str,
     ) -> None:
-        context = _Context(self._entry, request)
-        response.set_header(REQUEST_ID_HEADER, context.request_id)
-        body = _read_body(request, context.document.limits.max_body_bytes)
+        context, body = _read_request(self._entry, request, response)
         call = self._entry.find_call(service, request.method, "/" + path)
         if call is None:
             raise _Refusal(
--- a/tests/coordination/test_forwarding.py
+++ b/tests/coordination/test_forwarding.py
@@ -68,6 +68,9 @@
     def failed(self, upstream, unavailable):
         pass
 
+    def abandoned(self, upstream):
+        pass
+
     def retry_delay_s(self, attempts):
         self._repeats -= 1
         return 0.0 if self._repeats >= 0 else None
