Accept late replies to repeated reads

A reply to an earlier token now answers the reads that waited for that token; reads that came later still wait for the repetition. Reads whose callers gave up no longer cause a round.

The new test failed before the change.

--- a/papayalink/coordination/waiting.py
+++ b/papayalink/coordination/waiting.py
@@ -12,6 +12,8 @@
 
 # At the default tick 200 ms, well above a round trip between zones.
 _READ_RETRY_TICKS = 4
+# Replies later than this many repetitions come after the callers' time-outs.
+_MAX_REPEATED = 8
 
 
 class Waiter:
@@ -134,7 +136,9 @@
 
     One read of the node is under way at a time; greenlets that arrive
     meanwhile wait for the next one, since the one under way may have been
-    confirmed before they asked.
+    confirmed before they asked. A read without a reply is repeated; a late
+    reply to the first still answers those that waited for it, since otherwise
+    no read ends once replies take longer than the repetition.
 
     Args:
         tokens: source of tokens.
@@ -144,6 +148,7 @@
         "_tokens",
         "_token",
         "_current",
+        "_repeated",
         "_next",
         "_unapplied",
         "_age_ticks",
@@ -154,6 +159,8 @@
         self._tokens = tokens
         self._token: int | None = None
         self._current: list[Waiter] = []
+        # By token, oldest first; the waiters wait for the repetition as well.
+        self._repeated: dict[int, list[Waiter]] = {}
         self._next: list[Waiter] = []
         self._unapplied: list[tuple[int, list[Waiter]]] = []
         self._age_ticks = 0
@@ -164,7 +171,10 @@
 
     def start(self) -> inputs.ReadIndex | None:
         """Returns: the next read of the node, None when none is due."""
-        if self._token is not None or self._paused or not self._next:
+        if self._token is not None or self._paused:
+            return None
+        self._next = [each for each in self._next if not each.abandoned]
+        if not self._next:
             return None
         self._token = next(self._tokens)
         self._current = self._next
@@ -182,6 +192,9 @@
             if not all(waiter.abandoned for waiter in waiters)
         ]
         if self._token is not None and self._age_ticks >= _READ_RETRY_TICKS:
+            self._repeated[self._token] = self._current
+            if len(self._repeated) > _MAX_REPEATED:
+                del self._repeated[next(iter(self._repeated))]
             self._requeue()
 
     def refused(self, token: int) -> None:
@@ -196,6 +209,10 @@
             self._unapplied.append((read.index, self._current))
             self._current = []
             self._token = None
+            self._repeated.clear()
+        elif read.token in self._repeated:
+            waiters = self._repeated.pop(read.token)
+            self._unapplied.append((read.index, waiters))
 
     def applied(self, index: int) -> None:
         """Answer the reads whose index is applied."""
@@ -216,6 +233,7 @@
         self._current = []
         self._next = []
         self._unapplied = []
+        self._repeated.clear()
         self._token = None
         return waiters
 
--- a/tests/coordination/test_waiting.py
+++ b/tests/coordination/test_waiting.py
@@ -25,3 +25,20 @@
     reads.confirmed(inputs.Read(reads.start().token, 9))
     reads.applied(9)
     assert later.wait(0) == 9
+
+
+def test_late_reply_answers_those_that_waited_for_it():
+    """Reads never ended once replies took longer than the repetition."""
+    reads = waiting.Reads(itertools.count())
+    early, late = waiting.Waiter(), waiting.Waiter()
+    reads.add(early)
+    first = reads.start()
+    for _ in range(10):
+        reads.tick()
+    reads.add(late)
+    assert reads.start().token != first.token
+    reads.confirmed(inputs.Read(first.token, 5))
+    reads.applied(5)
+    assert early.wait(0) == 5
+    with pytest.raises(errors.Unavailable):
+        late.wait(0)
