Pace read rounds at 20 ms

Rounds ran back to back: each one costs the leader a message to and from every member, so that the number of rounds, not of polls, decided its load. A member now asks for at most one round each 20 ms, and the leader begins at most one each 20 ms for itself and all members. The core stays pure: after a round it reports that one began and waits for ReadRoundDue, which the replica gives it by the timer service. A read still waits for a round that begins after the read arrived; the simulation runs with and without pacing.

--- a/papayalink/coordination/raft/core.py
+++ b/papayalink/coordination/raft/core.py
@@ -137,6 +137,8 @@
                     state.drop(token, "this member was removed")
                 else:
                     reads.request(state, token)
+            case inputs.ReadRoundDue():
+                state.read_round_due = True
             case inputs.Persisted(write_id):
                 for message in state.persisted(write_id):
                     if message.to == state.member_id:
--- a/papayalink/coordination/raft/inputs.py
+++ b/papayalink/coordination/raft/inputs.py
@@ -27,6 +27,8 @@
         window_entries: entries sent to a peer without a reply.
         promotion_lag: entries a learner may lack when it is promoted.
         trailing_entries: entries kept in memory behind a snapshot.
+        paced_reads: after a read round begins, the next one waits for
+            ReadRoundDue.
     """
 
     member_id: str
@@ -44,6 +46,7 @@
     promotion_lag: int = 64
     # Lets a member that restarts catch up from the log, without a snapshot.
     trailing_entries: int = 500
+    paced_reads: bool = False
 
 
 class Tick(msgspec.Struct, frozen=True):
@@ -73,6 +76,10 @@
     token: int
 
 
+class ReadRoundDue(msgspec.Struct, frozen=True):
+    """The next read round may begin, if this member leads."""
+
+
 class ChangeMembers(msgspec.Struct, frozen=True):
     """Append a membership change, if this member leads."""
 
@@ -111,6 +118,7 @@
     | Receive
     | Propose
     | ReadIndex
+    | ReadRoundDue
     | ChangeMembers
     | Persisted
     | Compacted
@@ -165,6 +173,7 @@
         entries: to write.
         committed: to apply, after the snapshot was restored.
         reads: confirmed reads.
+        read_round_begun: ReadRoundDue is expected after the pacing period.
         appended: accepted proposals and changes.
         dropped: refused proposals, changes and reads.
         removed: a committed change has removed this member.
@@ -177,6 +186,7 @@
     entries: list[log_entries.Entry] = []
     committed: list[log_entries.Entry] = []
     reads: list[Read] = []
+    read_round_begun: bool = False
     appended: list[Appended] = []
     dropped: list[Dropped] = []
     removed: bool = False
--- a/papayalink/coordination/raft/node_state.py
+++ b/papayalink/coordination/raft/node_state.py
@@ -68,6 +68,7 @@
         "reads_waiting",
         "reads_in_round",
         "read_round",
+        "read_round_due",
         "read_commit",
         "forwarded_reads",
         "writes",
@@ -104,6 +105,7 @@
         self.reads_waiting: list[PendingRead] = []
         self.reads_in_round: list[PendingRead] = []
         self.read_round = 0
+        self.read_round_due = True
         self.read_commit = 0
         # Insertion order, oldest first.
         self.forwarded_reads: dict[int, None] = {}
--- a/papayalink/coordination/raft/reads.py
+++ b/papayalink/coordination/raft/reads.py
@@ -47,7 +47,9 @@
     A leader does not know the commit index of the group until an entry of
     its own term is committed; reads wait until then. The index is taken
     before the round begins, so a quorum that still follows this leader after
-    that proves that no later leader had committed anything by then.
+    that proves that no later leader had committed anything by then. Pacing
+    only delays the beginning of a round, so a read still waits for one that
+    begins after the read arrived.
     """
     while state.is_leader:
         if state.reads_in_round:
@@ -56,15 +58,26 @@
             for read in state.reads_in_round:
                 _finish(state, read)
             state.reads_in_round = []
-        if not state.reads_waiting or not state.committed_own_term:
+        if not _may_begin(state):
             return
         state.reads_in_round = state.reads_waiting
         state.reads_waiting = []
         state.read_commit = state.log.commit
         state.read_round += 1
+        if state.config.paced_reads:
+            state.read_round_due = False
+            state.ready.read_round_begun = True
         replication.broadcast_heartbeat(state)
 
 
+def _may_begin(state: node_state.NodeState) -> bool:
+    return (
+        bool(state.reads_waiting)
+        and state.read_round_due
+        and state.committed_own_term
+    )
+
+
 def _is_confirmed(state: node_state.NodeState) -> bool:
     confirming = {state.member_id}
     for peer, progress in state.progress.items():
--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -27,6 +27,10 @@
 _MAX_INBOX = 20_000
 # Room on a full disk comes from an operator, so it is looked for rarely.
 _FULL_RETRY_S = 1.0
+# Period of read requests of a member, and of read rounds of the leader. Rounds
+# that ran back to back used a whole core of the leader at 250 polls/s in a
+# group of seven; a poll is due once a second and does not notice the delay.
+READ_PERIOD_S = 0.02
 
 # Owners of a replica import this module only.
 Settings = replica_loading.Settings
@@ -37,6 +41,14 @@
     pass
 
 
+class _ReadDue(msgspec.Struct, frozen=True):
+    pass
+
+
+class _ReadRoundDue(msgspec.Struct, frozen=True):
+    pass
+
+
 class _RetryWrite(msgspec.Struct, frozen=True):
     pass
 
@@ -91,6 +103,7 @@
         "_tokens",
         "_requests",
         "_reads",
+        "_read_due",
         "_snapshot_index",
         "_bytes_applied",
         "_snapshot_pending",
@@ -123,6 +136,7 @@
         self._tokens = waiting.make_tokens()
         self._requests = waiting.Requests(self._tokens)
         self._reads = waiting.Reads(self._tokens)
+        self._read_due = True
         self._snapshot_index = applied
         self._bytes_applied = 0
         self._snapshot_pending = False
@@ -267,6 +281,10 @@
                         given.append(inputs.ChangeMembers(change, token))
                 case _Read(waiter):
                     self._reads.add(waiter)
+                case _ReadDue():
+                    self._read_due = True
+                case _ReadRoundDue():
+                    given.append(inputs.ReadRoundDue())
                 case log_writer.Written():
                     self._note_written(message, given)
                 case _RetryWrite():
@@ -274,12 +292,24 @@
                 case _Stop():
                     self._failure = "the replica is stopped"
                     return
-        read = self._reads.start()
-        if read is not None:
-            given.append(read)
+        self._start_read(given)
         self._act(self._node.step(inputs.Batch(given)))
-        while (read := self._reads.start()) is not None:
-            self._act(self._node.step(read))
+        # The step may have finished the read under way.
+        following: list[inputs.Input] = []
+        if self._start_read(following):
+            self._act(self._node.step(inputs.Batch(following)))
+
+    def _start_read(self, given: list[inputs.Input]) -> bool:
+        """Add the next read of the node. Returns: whether one was due."""
+        if not self._read_due:
+            return False
+        read = self._reads.start()
+        if read is None:
+            return False
+        self._read_due = False
+        self._timers.after(READ_PERIOD_S, self._inbox, _ReadDue())
+        given.append(read)
+        return True
 
     def _note_written(
         self, written: log_writer.Written, given: list[inputs.Input]
@@ -323,6 +353,8 @@
             self._restore(ready.snapshot)
         for entry in ready.committed:
             self._apply(entry)
+        if ready.read_round_begun:
+            self._timers.after(READ_PERIOD_S, self._inbox, _ReadRoundDue())
         for read in ready.reads:
             self._reads.confirmed(read)
         self._reads.applied(self._applied)
--- a/papayalink/coordination/replica_loading.py
+++ b/papayalink/coordination/replica_loading.py
@@ -82,6 +82,7 @@
             entries=stored.entries,
             election_ticks=settings.election_ticks,
             heartbeat_ticks=settings.heartbeat_ticks,
+            paced_reads=True,
         )
     )
     applied = 0 if snapshot is None else snapshot.index
--- a/tests/coordination/raft/simulation.py
+++ b/tests/coordination/raft/simulation.py
@@ -16,8 +16,9 @@
 class Member:
     """One node with its store; writes are durable only once synced."""
 
-    def __init__(self, member_id, store, seed):
+    def __init__(self, member_id, store, seed, paced_reads):
         self.member_id = member_id
+        self.paced_reads = paced_reads
         self.store = store
         self.seed = seed
         self.restarts = 0
@@ -48,6 +49,7 @@
                 window_entries=8,
                 promotion_lag=2,
                 trailing_entries=2,
+                paced_reads=self.paced_reads,
             )
         )
 
@@ -83,6 +85,7 @@
 
     def __init__(self, count, seed):
         self.random = random.Random(seed)
+        self.paced_reads = bool(seed % 2)
         self.members = {}
         self.network = []
         self.cuts = set()
@@ -224,6 +227,7 @@
         for _ in range(rounds):
             for member in self.running():
                 self.step(member, inputs.Tick())
+                self.step(member, inputs.ReadRoundDue())
             delivered = 0
             while self.network or self._sync_all():
                 while self.network:
@@ -242,6 +246,8 @@
                     self.propose(member)
                 if chance() < 0.1:
                     self.read(member)
+                if chance() < 0.3:
+                    self.step(member, inputs.ReadRoundDue())
                 unsynced = len(member.unsynced)
                 if unsynced and not member.full and chance() < 0.7:
                     count = self.random.randint(1, unsynced)
@@ -292,6 +298,8 @@
                 assert known == entry, "logs differ in the same term"
 
     def _add(self, member_id, store):
-        member = Member(member_id, store, self.random.randrange(1000))
+        member = Member(
+            member_id, store, self.random.randrange(1000), self.paced_reads
+        )
         self.members[member_id] = member
         return member
--- a/tests/coordination/raft/test_core.py
+++ b/tests/coordination/raft/test_core.py
@@ -16,7 +16,7 @@
     return log_entries.Entry(index, term, _COMMAND, b"x")
 
 
-def _node(entries=(), term=0, members="abc", learners=""):
+def _node(entries=(), term=0, members="abc", learners="", **more):
     every = [memberships.Member(each) for each in members]
     every += [memberships.Member(each, "", False) for each in learners]
     membership = memberships.Membership(tuple(every))
@@ -27,6 +27,7 @@
             hard_state=log_entries.HardState(term),
             snapshot=messages.Snapshot(0, 0, membership, b""),
             entries=list(entries),
+            **more,
         )
     )
 
@@ -173,6 +174,26 @@
     ]
 
 
+def test_paced_reads_share_the_next_round():
+    """Rounds back to back keep a leader busy, however few the polls are."""
+    node = _node([_entry(1, 1)], term=1, paced_reads=True)
+    _persist(node, _elect(node))
+    _receive(node, messages.AppendReply, 2, 2)
+    assert node.step(inputs.ReadIndex(1)).read_round_begun
+    node.step(inputs.ReadIndex(2))
+    _receive(node, messages.ReadRequest, 3, sender="c")
+    ready = _receive(node, messages.HeartbeatReply, 1)
+    assert (ready.reads, ready.messages) == ([inputs.Read(1, 2)], [])
+    ready = node.step(inputs.ReadRoundDue())
+    assert {each.read_round for each in ready.messages} == {2}
+    # The round before theirs does not confirm them.
+    assert _receive(node, messages.HeartbeatReply, 1).reads == []
+    ready = _receive(node, messages.HeartbeatReply, 2)
+    assert ready.reads == [inputs.Read(2, 2)]
+    assert [each.token for each in ready.messages] == [3]
+    assert not node.step(inputs.ReadRoundDue()).read_round_begun
+
+
 def test_changes_come_one_at_a_time_after_a_commit_of_the_term():
     node = _node(learners="d")
     first = _elect(node)
--- a/tests/coordination/replica_group.py
+++ b/tests/coordination/replica_group.py
@@ -30,8 +30,8 @@
 class Group:
     """Replicas that reach each other unless they are cut off."""
 
-    def __init__(self, make_store=None, **settings):
-        self.timers = timers.make_timer_service(clocks.make_clock())
+    def __init__(self, make_store=None, clock=None, **settings):
+        self.timers = timers.make_timer_service(clock or clocks.make_clock())
         self.replicas = {}
         self.machines = {}
         self.stores = {}
--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -5,7 +5,9 @@
 import gevent
 import pytest
 
+from papayalink import clock as clocks
 from papayalink.coordination import errors
+from papayalink.coordination import replica as replicas
 from papayalink.coordination.raft import membership as memberships
 from papayalink.coordination.raft import messages
 from papayalink.state import errors as state_errors
@@ -16,8 +18,8 @@
 _IDS = ("a", "b", "c")
 
 
-def _start(make_store=None, **settings):
-    group = replica_group.Group(make_store, **settings)
+def _start(make_store=None, clock=None, **settings):
+    group = replica_group.Group(make_store, clock, **settings)
     for member_id in _IDS:
         group.start(member_id, _IDS)
     return group
@@ -83,6 +85,44 @@
         assert len(sent) < 40
 
 
+def test_rounds_are_bounded_however_many_ask():
+    """Rounds that follow each other at once use up the leader's core."""
+    clock = clocks.ManualClock()
+    group = _start(clock=clock)
+
+    def pass_ms(count):
+        for _ in range(count):
+            clock.advance(0.001)
+            group.timers.deliver_due()
+            for _ in range(20):
+                gevent.sleep(0)
+
+    while not any(each.is_leader for each in group.replicas.values()):
+        pass_ms(1)
+    group.leader()
+    pass_ms(100)
+    group.sent.clear()
+    readers = []
+    for _ in range(400):
+        for replica in group.replicas.values():
+            readers.append(gevent.spawn(replica.confirm_read, 60))
+        pass_ms(1)
+    pass_ms(100)
+    assert all(each.successful() for each in readers)
+    group.stop()
+    periods = 0.5 / replicas.READ_PERIOD_S
+    rounds = set()
+    requests = []
+    for message in group.sent:
+        match message:
+            case messages.Heartbeat():
+                rounds.add(message.read_round)
+            case messages.ReadRequest():
+                requests.append(message)
+    assert 1 < len(rounds) <= periods + 2
+    assert len(requests) <= 2 * (periods + 1)
+
+
 def test_confirmed_read_sees_acknowledged_commands(group):
     leader = group.leader()
     for number in range(20):
