Compress the whole document once for all pollers

A poller without a configuration gets the whole document. The document in a PollReply is now compressed once for each version, and a message that holds one is not compressed again.

--- a/papayalink/coordination/follower.py
+++ b/papayalink/coordination/follower.py
@@ -157,7 +157,10 @@
                 address, "Poll", poll, leases.POLL_TIMEOUT_S
             )
             changed = self._held.update(
-                reply.version, reply.document, reply.delta, reply.digest
+                reply.version,
+                reply.document_json,
+                reply.delta,
+                reply.digest,
             )
         except transport_errors.TransportError as error:
             self._log.warning("poll_failed", address=address, reason=error)
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -1,5 +1,7 @@
 """Messages between the system's own processes."""
 
+import zlib
+
 import msgspec
 
 from papayalink.protocol import errors
@@ -8,6 +10,11 @@
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Base of all messages."""
 
+    @property
+    def compact(self) -> bool:
+        """Whether compression does not make the message much smaller."""
+        return False
+
 
 class ErrorReply(Message):
     """The receiver could not answer.
@@ -89,7 +96,8 @@
 
     Attributes:
         version: newest committed version.
-        document: the whole document as JSON, when there is no delta.
+        document: the whole document as JSON, compressed, when there is no
+            delta.
         delta: changes since the version of the poll, as JSON.
         leaving: upstreams that get no new work.
         fence: newest fencing number of the polling agent's upstream.
@@ -107,6 +115,15 @@
     loads: tuple[LoadReport, ...] = ()
     shares: tuple[Demand, ...] = ()
 
+    @property
+    def compact(self) -> bool:
+        return bool(self.document)
+
+    @property
+    def document_json(self) -> bytes:
+        """The whole document, b"" when there is none."""
+        return zlib.decompress(self.document) if self.document else b""
+
 
 class Propose(Message):
     """One command for the replicated machine, encoded."""
--- a/papayalink/roles/control/service.py
+++ b/papayalink/roles/control/service.py
@@ -1,6 +1,7 @@
 """RPC interface of a control member."""
 
 from collections.abc import Mapping
+import zlib
 
 import msgspec
 
@@ -22,6 +23,8 @@
 # turns to another member within the same period.
 CONFIRM_TIMEOUT_S = 0.4
 PROPOSE_TIMEOUT_S = 1.8
+# Level 6 takes twice as long, for a document of 711 KB that is 8% smaller.
+_COMPRESSION_LEVEL = 1
 
 
 class ControlService:
@@ -36,6 +39,7 @@
         "_loads",
         "_demands",
         "_metrics",
+        "_compressed",
     )
 
     def __init__(
@@ -55,6 +59,7 @@
         self._loads = load_table
         self._demands = demand_table
         self._metrics = metrics
+        self._compressed = ("", b"")
 
     @property
     def _replica(self) -> replicas.Replica:
@@ -106,7 +111,7 @@
         if delta is not None and not current:
             return msgspec.structs.replace(reply, delta=delta)
         return msgspec.structs.replace(
-            reply, document=configuration.document_bytes
+            reply, document=self._compressed_document()
         )
 
     def propose(self, message: messages.Propose) -> messages.Outcome:
@@ -158,6 +163,16 @@
         self._upkeep.join(message.member_id)
         return messages.Acknowledge()
 
+    def _compressed_document(self) -> bytes:
+        """Returns: the whole document, compressed once for all pollers."""
+        configuration = self._machine.configuration
+        if self._compressed[0] != configuration.digest:
+            data = zlib.compress(
+                configuration.document_bytes, _COMPRESSION_LEVEL
+            )
+            self._compressed = (configuration.digest, data)
+        return self._compressed[1]
+
     def _fence(self, poll: messages.Poll) -> int:
         if poll.load is None:
             return 0
--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -133,7 +133,7 @@
             reply = messages.ErrorReply(error.code, error.text, error.leader)
         except protocol_errors.ProtocolError as error:
             reply = messages.ErrorReply("refused", str(error))
-        body, compressed = _pack(messages.encode(reply))
+        body, compressed = _pack(reply)
         signature = self._signer.seal_reply(nonce, body)
         return msgspec.msgpack.encode(_Reply(signature, body, compressed))
 
@@ -170,7 +170,7 @@
             errors.RpcRefused: the receiver answered with an error.
             errors.AuthenticationFailed: one side does not hold the key.
         """
-        body, compressed = _pack(messages.encode(message))
+        body, compressed = _pack(message)
         head, nonce = self._signer.seal(method, body)
         request = msgspec.msgpack.encode(_Request(head, body, compressed))
         data = self._loop.start(
@@ -227,9 +227,10 @@
         return channel
 
 
-def _pack(body: bytes) -> tuple[bytes, bool]:
+def _pack(message: messages.Message) -> tuple[bytes, bool]:
     """Returns: a body to send, and whether it is compressed."""
-    if len(body) < _COMPRESS_BYTES:
+    body = messages.encode(message)
+    if len(body) < _COMPRESS_BYTES or message.compact:
         return body, False
     return zlib.compress(body, 1), True
 
--- a/tests/roles/test_control_service.py
+++ b/tests/roles/test_control_service.py
@@ -93,7 +93,7 @@
         if base == 5 - behind:
             reply = member.poll(_poll(holder))
             holder.update(
-                reply.version, reply.document, reply.delta, reply.digest
+                reply.version, reply.document_json, reply.delta, reply.digest
             )
     reply = member.poll(_poll(holder))
     assert bool(reply.delta) is (behind > 0)
@@ -106,4 +106,18 @@
     """Guards against a delta on top of a document of unknown content."""
     _apply(machine, 0, max_queue_per_upstream=9)
     reply = member.poll(messages.Poll("entry-1", "entry", "i", 1, ""))
-    assert reply.document == machine.configuration.document_bytes
+    assert reply.document_json == machine.configuration.document_bytes
+
+
+def test_document_is_compressed_once_for_all_pollers(member, machine):
+    """Guards against members busy with copies after the return of a zone."""
+    replies = []
+    for base in range(2):
+        _apply(machine, base, max_queue_per_upstream=base + 1)
+        for number in range(2):
+            poll = messages.Poll(f"entry-{number}", "entry", "i")
+            replies.append(member.poll(poll))
+            assert replies[-1].compact
+    assert replies[0].document is replies[1].document
+    assert replies[2].document is replies[3].document
+    assert replies[3].document_json == machine.configuration.document_bytes
