--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -131,32 +131,68 @@
 
     A thousand processes cannot run here; their own work on a document would
     use up the processors that the control members are measured on.
+
+    Args:
+        retries: try the other members in the same period, as a follower does.
     """
 
-    __slots__ = ("_poll", "_client", "_controls", "failed", "done")
+    __slots__ = (
+        "_poll",
+        "_client",
+        "_controls",
+        "_retries",
+        "_confirmed_at",
+        "failed",
+        "failed_at",
+        "lapses",
+        "done",
+    )
 
-    def __init__(self, poll, client, controls) -> None:
+    def __init__(self, poll, client, controls, retries) -> None:
         self._poll = poll
         self._client = client
         self._controls = random.sample(controls, len(controls))
+        self._retries = retries
+        self._confirmed_at: float | None = None
         self.failed: dict[str, int] = {}
+        self.failed_at: list[float] = []
+        # When a lease ended, and for how many seconds it was not valid.
+        self.lapses: list[tuple[float, float]] = []
         self.done = 0
 
     def run(self) -> None:
         gevent.sleep(random.random() * leases.POLL_PERIOD_S)
         due = time.monotonic()
         while True:
-            self._send()
+            self._send_any()
             due = max(due + leases.POLL_PERIOD_S, time.monotonic())
             gevent.sleep(max(0.0, due - time.monotonic()))
 
-    def _send(self) -> None:
+    def close(self) -> None:
+        """Count a lease that ended and was not renewed."""
+        self._note_confirmed(time.monotonic())
+
+    def _send_any(self) -> None:
+        for _ in self._controls if self._retries else range(1):
+            if self._send():
+                return
+
+    def _note_confirmed(self, sent_at: float) -> None:
+        now = time.monotonic()
+        if self._confirmed_at is not None:
+            ended_at = self._confirmed_at + leases.LEASE_S
+            if now > ended_at:
+                self.lapses.append((ended_at, now - ended_at))
+        self._confirmed_at = sent_at
+
+    def _send(self) -> bool:
         poll = self._poll
         if poll.load is not None:
             report = msgspec.structs.replace(
                 poll.load, sequence=poll.load.sequence + 1
             )
             poll = msgspec.structs.replace(poll, load=report)
+        sent_at = time.monotonic()
         try:
             reply = self._client.call(
                 self._controls[0], "Poll", poll, leases.POLL_TIMEOUT_S
@@ -164,12 +200,15 @@
         except transport_errors.TransportError as error:
             kind = f"{type(error).__name__} {error}"[:60]
             self.failed[kind] = self.failed.get(kind, 0) + 1
+            self.failed_at.append(time.monotonic())
             self._controls.append(self._controls.pop(0))
-            return
+            return False
+        self._note_confirmed(sent_at)
         self.done += 1
         self._poll = msgspec.structs.replace(
             poll, version=reply.version, digest=reply.digest
         )
+        return True
 
 
 def _first_poll(
@@ -218,11 +257,16 @@
                 _first_poll(number, watch, options["workspaces"]),
                 client,
                 options["controls"],
+                options.get("retries", False),
             )
         )
         gevent.spawn(pollers[-1].run)
     _wait_input()
+    for poller in pollers:
+        poller.close()
     return {
+        "failed_at": [at for poller in pollers for at in poller.failed_at],
+        "lapses": [one for poller in pollers for one in poller.lapses],
         "cpu_s": slopes.cpu_s(os.getpid()),
         "polls": sum(poller.done for poller in pollers),
         "failed": _add_up([poller.failed for poller in pollers]),
@@ -468,15 +512,71 @@
     }
 
 
-def measure_changes(folder: str, counts: tuple[int, ...]) -> dict:
+def measure_leader_loss(folder: str, count: int, members: int = 3) -> dict:
+    """Failed polls and ended leases after the leader was killed."""
+    group = Group(folder, members)
+    try:
+        group.apply(slopes.SIZES[-1])
+        children = [
+            group.spawn(
+                "light",
+                first=place * (count // 4),
+                count=count // 4,
+                workspaces=0,
+                retries=True,
+            )
+            for place in range(4)
+        ]
+        gevent.sleep(2 * SETTLE_S)
+        leader = group.leader()
+        group.deployment.programs[leader].process.kill()
+        killed_at = time.monotonic()
+        gevent.sleep(10.0)
+        results = _finish(children)
+        del group.deployment.controls[leader]
+        next_leader = group.leader()
+    finally:
+        group.deployment.stop_all()
+    failed = [
+        at - killed_at for result in results for at in result["failed_at"]
+    ]
+    lapses = [
+        (at - killed_at, took)
+        for result in results
+        for at, took in result["lapses"]
+    ]
+    return {
+        "members": members,
+        "polls_per_s": count,
+        "leader": leader,
+        "next_leader": next_leader,
+        "polls": sum(result["polls"] for result in results),
+        "failed": _add_up([result["failed"] for result in results]),
+        "failed_in_4_s_before": sum(-4 < at <= 0 for at in failed),
+        "failed_by_s_after": [
+            sum(second < at <= second + 1 for at in failed)
+            for second in range(10)
+        ],
+        "last_failed_s": round(max(failed, default=0.0), 3),
+        "leases_ended_before": sum(at <= 0 for at, _ in lapses),
+        "leases_ended_after": sum(at > 0 for at, _ in lapses),
+        "longest_without_lease_s": round(
+            max((took for at, took in lapses if at > 0), default=0.0), 3
+        ),
+    }
+
+
+def measure_changes(
+    folder: str, counts: tuple[int, ...], members: int = 3
+) -> dict:
     """Time from acceptance until all followers hold a document."""
-    group = Group(folder)
+    group = Group(folder, members)
     runs = []
     size = slopes.SIZES[-1]
     try:
         group.apply(size)
         for count in counts:
-            parts = 4 if count >= 12 else 2
+            parts = max(4 if count >= 12 else 2, count // 80)
             children = [
                 group.spawn(
                     "followers",
@@ -700,6 +800,14 @@
     ),
     "demand": lambda folder: measure_polls(folder, (30, 60, 120, 240), 130),
     "changes": lambda folder: measure_changes(folder, (10, 32, 60)),
+    "changes_640": lambda folder: measure_changes(folder, (320, 640)),
+    "changes_640_7_members": lambda folder: measure_changes(
+        folder, (320, 640), members=7
+    ),
+    "leader_loss": lambda folder: measure_leader_loss(folder, 1000),
+    "leader_loss_7_members": lambda folder: measure_leader_loss(
+        folder, 1000, members=7
+    ),
     "joins": lambda folder: measure_joins(folder, (10, 40, 125, 400, 1000)),
     "proposals": lambda folder: measure_proposals(folder, (30, 60, 120)),
 }
