--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -793,7 +793,7 @@
     "polls": lambda folder: measure_polls(folder, (30, 60, 120, 250)),
     "polls_1000": lambda folder: measure_polls(folder, (500, 1000)),
     "polls_after_overload": lambda folder: measure_polls(
-        folder, (700, 1000, 250)
+        folder, (700, 2000, 250)
     ),
     "polls_7_members": lambda folder: measure_polls(
         folder, (250, 500, 1000), members=7
