Let read rounds overlap

A read waited for two replies in a row, twice: at the member for the read under way and its own one, and at the leader for the round under way and its own one. Pacing bounds their number.

--- a/bench/slopes_polls.py
+++ b/bench/slopes_polls.py
@@ -1,5 +1,6 @@
 """Polls of a group: processor time, joins, loss of the leader."""
 
+import os
 import time
 
 import gevent
@@ -49,8 +50,10 @@
                 for place in range(0, count, count // parts)
             ][:parts]
             gevent.sleep(slopes_group.SETTLE_S)
+            window_at = time.monotonic()
             started = [slopes.cpu_s(one.pid) for one in children]
             cores = group.cpu_over(slopes_group.WINDOW_S)
+            window_end = time.monotonic()
             ended = [slopes.cpu_s(one.pid) for one in children]
             results = slopes_group.finish(children)
             runs.append(
@@ -67,6 +70,12 @@
                     "failed": slopes_group.add_up(
                         [one["failed"] for one in results]
                     ),
+                    "failed_in_window": sum(
+                        window_at <= at <= window_end
+                        for one in results
+                        for at in one["failed_at"]
+                    ),
+                    "load_average": os.getloadavg()[0],
                     "polls": sum(one["polls"] for one in results),
                     "leader": group.leader(),
                     "memory_kb": group.memory(),
--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -24,6 +24,9 @@
     "polls_1000": lambda folder: slopes_polls.measure_polls(
         folder, (500, 1000)
     ),
+    "polls_1000_7_members": lambda folder: slopes_polls.measure_polls(
+        folder, (500, 1000), members=7
+    ),
     "polls_after_overload": lambda folder: slopes_polls.measure_polls(
         folder, (700, 2000, 250)
     ),
--- a/papayalink/coordination/raft/node_state.py
+++ b/papayalink/coordination/raft/node_state.py
@@ -43,6 +43,20 @@
     token: int
 
 
+class ReadRound(msgspec.Struct, frozen=True):
+    """A round under way at the leader.
+
+    Attributes:
+        number: echoed by the members that confirm it.
+        commit: commit index when it began.
+        reads: what it confirms.
+    """
+
+    number: int
+    commit: int
+    reads: list[PendingRead]
+
+
 class NodeState:
     """All state of a node; no method does I/O or reads a clock.
 
@@ -66,10 +80,9 @@
         "full",
         "removed",
         "reads_waiting",
-        "reads_in_round",
+        "read_rounds",
         "read_round",
         "read_round_due",
-        "read_commit",
         "forwarded_reads",
         "writes",
         "outbox",
@@ -103,10 +116,10 @@
         self.full = False
         self.removed = config.member_id in base[2].removed
         self.reads_waiting: list[PendingRead] = []
-        self.reads_in_round: list[PendingRead] = []
+        # Oldest first.
+        self.read_rounds: list[ReadRound] = []
         self.read_round = 0
         self.read_round_due = True
-        self.read_commit = 0
         # Insertion order, oldest first.
         self.forwarded_reads: dict[int, None] = {}
         self.writes: list[Write] = []
@@ -187,11 +200,12 @@
 
     def drop_reads(self, reason: str) -> None:
         """Refuse the own reads that wait at this leader."""
-        for read in (*self.reads_waiting, *self.reads_in_round):
+        waiting = [each for one in self.read_rounds for each in one.reads]
+        for read in (*waiting, *self.reads_waiting):
             if read.sender == self.member_id:
                 self.drop(read.token, reason)
         self.reads_waiting.clear()
-        self.reads_in_round.clear()
+        self.read_rounds.clear()
 
     def drop(
         self,
--- a/papayalink/coordination/raft/reads.py
+++ b/papayalink/coordination/raft/reads.py
@@ -5,8 +5,8 @@
 from papayalink.coordination.raft import node_state
 from papayalink.coordination.raft import replication
 
-# Owners keep one read under way and repeat it with a new token, so that only
-# tokens whose request or reply was lost add up.
+# Owners start reads at a bounded rate and repeat them with a new token, so
+# that only tokens whose request or reply was lost add up.
 _FORWARDED_LIMIT = 1024
 
 
@@ -42,28 +42,30 @@
 
 
 def advance(state: node_state.NodeState) -> None:
-    """Finish a confirmed round and start the next one.
+    """Finish confirmed rounds and start the next one.
 
     A leader does not know the commit index of the group until an entry of
     its own term is committed; reads wait until then. The index is taken
     before the round begins, so a quorum that still follows this leader after
     that proves that no later leader had committed anything by then. Pacing
     only delays the beginning of a round, so a read still waits for one that
-    begins after the read arrived.
+    begins after the read arrived. Paced rounds do not wait for each other,
+    since a slow reply would otherwise delay the reads of two rounds.
     """
     while state.is_leader:
-        if state.reads_in_round:
-            if not _is_confirmed(state):
-                return
-            for read in state.reads_in_round:
-                _finish(state, read)
-            state.reads_in_round = []
+        while state.read_rounds and _is_confirmed(state, state.read_rounds[0]):
+            confirmed = state.read_rounds.pop(0)
+            for read in confirmed.reads:
+                _finish(state, read, confirmed.commit)
         if not _may_begin(state):
             return
-        state.reads_in_round = state.reads_waiting
-        state.reads_waiting = []
-        state.read_commit = state.log.commit
         state.read_round += 1
+        state.read_rounds.append(
+            node_state.ReadRound(
+                state.read_round, state.log.commit, state.reads_waiting
+            )
+        )
+        state.reads_waiting = []
         if state.config.paced_reads:
             state.read_round_due = False
             state.ready.read_round_begun = True
@@ -74,22 +76,27 @@
     return (
         bool(state.reads_waiting)
         and state.read_round_due
+        and (state.config.paced_reads or not state.read_rounds)
         and state.committed_own_term
     )
 
 
-def _is_confirmed(state: node_state.NodeState) -> bool:
+def _is_confirmed(
+    state: node_state.NodeState, pending: node_state.ReadRound
+) -> bool:
     confirming = {state.member_id}
     for peer, progress in state.progress.items():
-        if progress.read_round >= state.read_round:
+        if progress.read_round >= pending.number:
             confirming.add(peer)
     return state.membership.has_quorum(confirming)
 
 
-def _finish(state: node_state.NodeState, read: node_state.PendingRead) -> None:
+def _finish(
+    state: node_state.NodeState, read: node_state.PendingRead, commit: int
+) -> None:
     if read.sender == state.member_id:
-        found = inputs.Read(read.token, state.read_commit)
+        found = inputs.Read(read.token, commit)
         state.ready.reads.append(found)
         return
     header = state.header(read.sender)
-    state.send(messages.ReadReply(*header, read.token, state.read_commit))
+    state.send(messages.ReadReply(*header, read.token, commit))
--- a/papayalink/coordination/waiting.py
+++ b/papayalink/coordination/waiting.py
@@ -12,8 +12,6 @@
 
 # At the default tick 200 ms, well above a round trip between zones.
 _READ_RETRY_TICKS = 4
-# Replies later than this many repetitions come after the callers' time-outs.
-_MAX_REPEATED = 8
 
 
 class Waiter:
@@ -134,21 +132,19 @@
 class Reads:
     """Reads of one replica, of which many share one confirmation.
 
-    One read of the node is under way at a time; greenlets that arrive
-    meanwhile wait for the next one, since the one under way may have been
-    confirmed before they asked. A read without a reply is repeated; a late
-    reply to the first still answers those that waited for it, since otherwise
-    no read ends once replies take longer than the repetition.
+    A read of the node confirms the greenlets that waited when it started, and
+    those of all earlier reads. Greenlets that arrive later wait for the next
+    one, since a read under way may have been confirmed before they asked.
+    Reads do not wait for each other: once replies take long, a greenlet would
+    otherwise wait for two of them.
 
     Args:
-        tokens: source of tokens.
+        tokens: source of tokens, which go up.
     """
 
     __slots__ = (
         "_tokens",
-        "_token",
-        "_current",
-        "_repeated",
+        "_under_way",
         "_next",
         "_unapplied",
         "_age_ticks",
@@ -157,12 +153,11 @@
 
     def __init__(self, tokens: itertools.count) -> None:
         self._tokens = tokens
-        self._token: int | None = None
-        self._current: list[Waiter] = []
-        # By token, oldest first; the waiters wait for the repetition as well.
-        self._repeated: dict[int, list[Waiter]] = {}
+        # By token, oldest first.
+        self._under_way: dict[int, list[Waiter]] = {}
         self._next: list[Waiter] = []
         self._unapplied: list[tuple[int, list[Waiter]]] = []
+        # Of the newest read.
         self._age_ticks = 0
         self._paused = False
 
@@ -171,47 +166,48 @@
 
     def start(self) -> inputs.ReadIndex | None:
         """Returns: the next read of the node, None when none is due."""
-        if self._token is not None or self._paused:
+        if self._paused:
             return None
-        self._next = [each for each in self._next if not each.abandoned]
+        self._next = _live(self._next)
         if not self._next:
             return None
-        self._token = next(self._tokens)
-        self._current = self._next
+        token = next(self._tokens)
+        self._under_way[token] = self._next
         self._next = []
         self._age_ticks = 0
-        return inputs.ReadIndex(self._token)
+        return inputs.ReadIndex(token)
 
     def tick(self) -> None:
-        """Give up on a read that was lost, and allow refused ones again."""
+        """Repeat reads that were lost, and allow refused ones again."""
         self._paused = False
         self._age_ticks += 1
         self._unapplied = [
             (needed, waiters)
             for needed, waiters in self._unapplied
-            if not all(waiter.abandoned for waiter in waiters)
+            if _live(waiters)
         ]
-        if self._token is not None and self._age_ticks >= _READ_RETRY_TICKS:
-            self._repeated[self._token] = self._current
-            if len(self._repeated) > _MAX_REPEATED:
-                del self._repeated[next(iter(self._repeated))]
-            self._requeue()
+        self._under_way = {
+            token: waiters
+            for token, waiters in self._under_way.items()
+            if _live(waiters)
+        }
+        if self._age_ticks >= _READ_RETRY_TICKS and not self._next:
+            # A late reply still answers those that waited for it.
+            repeated = itertools.chain(*self._under_way.values())
+            self._next = list(dict.fromkeys(repeated))
 
     def refused(self, token: int) -> None:
         """Repeat a read the node refused, at the next tick."""
-        if token == self._token:
-            self._requeue()
+        if token in self._under_way:
+            self._next = self._under_way.pop(token) + self._next
             self._paused = True
 
     def confirmed(self, read: inputs.Read) -> None:
         """Note the index that the waiting reads need to be applied."""
-        if read.token == self._token:
-            self._unapplied.append((read.index, self._current))
-            self._current = []
-            self._token = None
-            self._repeated.clear()
-        elif read.token in self._repeated:
-            waiters = self._repeated.pop(read.token)
+        if read.token not in self._under_way:
+            return
+        for token in [each for each in self._under_way if each <= read.token]:
+            waiters = self._under_way.pop(token)
             self._unapplied.append((read.index, waiters))
 
     def applied(self, index: int) -> None:
@@ -227,18 +223,13 @@
 
     def take_all(self) -> list[Waiter]:
         """Returns: all that wait, which then wait no more."""
-        waiters = self._current + self._next
-        for _, group in self._unapplied:
-            waiters.extend(group)
-        self._current = []
+        groups = [*self._under_way.values(), self._next]
+        groups.extend(waiters for _, waiters in self._unapplied)
+        self._under_way.clear()
         self._next = []
         self._unapplied = []
-        self._repeated.clear()
-        self._token = None
-        return waiters
-
-    def _requeue(self) -> None:
-        waiters = self._current + self._next
-        self._next = [each for each in waiters if not each.abandoned]
-        self._current = []
-        self._token = None
+        return list(dict.fromkeys(itertools.chain(*groups)))
+
+
+def _live(waiters: list[Waiter]) -> list[Waiter]:
+    return [each for each in waiters if not each.abandoned]
--- a/tests/coordination/test_waiting.py
+++ b/tests/coordination/test_waiting.py
@@ -27,6 +27,21 @@
     assert later.wait(0) == 9
 
 
+def test_later_read_answers_earlier_ones():
+    """A greenlet waited for two replies when the first one was slow."""
+    reads = waiting.Reads(itertools.count())
+    waiters = [waiting.Waiter() for _ in range(3)]
+    started = []
+    for waiter in waiters:
+        reads.add(waiter)
+        started.append(reads.start())
+    reads.confirmed(inputs.Read(started[1].token, 7))
+    reads.applied(7)
+    assert [waiter.wait(0) for waiter in waiters[:2]] == [7, 7]
+    with pytest.raises(errors.Unavailable):
+        waiters[2].wait(0)
+
+
 def test_late_reply_answers_those_that_waited_for_it():
     """Reads never ended once replies took longer than the repetition."""
     reads = waiting.Reads(itertools.count())
