Count urgent work sent as slots taken, not as the rank's queue

Cause: the entry predicts a deferrable request's wait as the number of starts before it times the mean time between two starts of its rank. Urgent requests that the entry sent since the last report counted as such starts, although that time already includes the urgent work between them. In a flood of urgent work a dozen urgent requests added several seconds, so the entry refused deferrable requests as "share" and the agents' queues ran empty: no deferrable request waited for 42% of the time, and a rank without waiting requests is owed nothing.

Change: urgent work not yet reported takes free slots at most.

--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -300,7 +300,12 @@
     tokens = [0.0] * len(candidate.queued_tokens)
     for other in range(rank + 1):
         tokens[other], items = recent.pending(candidate.upstream, other, now)
-        starts += items
+        if other == rank:
+            starts += items
+        elif starts < 0:
+            # More urgent work takes free slots. Beyond them it does not count,
+            # since the time between two starts of the rank includes it.
+            starts = min(0.0, starts + items)
     rate = candidate.prefill_rate
     wait_s += predict_wait(tokens, rank, rate, candidate.shares)
     if candidate.start_periods_s and starts >= 0:
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/test_routing.py
@@ -120,6 +120,28 @@
     assert max(chosen.values()) < 600 / 4
 
 
+@pytest.mark.parametrize(
+    "items, free, urgent, expected",
+    [(1, 0, 10, 0.8), (0, 3, 2, 0.0), (0, 3, 5, 0.4)],
+)
+def test_urgent_work_sent_is_not_queued_in_another_rank(
+    items, free, urgent, expected
+):
+    # Guards against counting urgent requests at the pace of the other rank,
+    # which made entries refuse that rank in a flood of urgent work.
+    recent = routing.RecentWork()
+    for number in range(urgent):
+        recent.add("a", str(number), 0, 0, 4.9)
+    candidate = _candidate(
+        "a",
+        items=(0, items),
+        free_slots=(free, free),
+        start_periods_s=(0.05, 0.4),
+    )
+    decision = routing.predict(candidate, _request(1), 5.0, recent)
+    assert decision.wait_s == pytest.approx(expected)
+
+
 @pytest.mark.parametrize("others, most", [(1, 0.15), (12, 0.05)])
 def test_returning_upstream_gets_few_requests(others, most):
     # Guards against a stampede on an upstream whose queue is empty.
