--- a/tests/coordination/test_queueing.py
+++ b/tests/coordination/test_queueing.py
@@ -254,27 +254,29 @@
     assert queue.queued_tokens("urgent") <= 600
 
 
-def test_slots_are_held_free_for_urgent_work():
-    # Guards against long requests of the other rank in every slot.
+@pytest.mark.parametrize("busy_s", [60.0, 1.0])
+def test_slots_are_held_free_for_urgent_work(busy_s):
+    # Guards against long requests of the other rank in every slot, also soon
+    # after a start, when the mean concurrency has been seen for a short time.
     queue = queueing.make_queue(RANKS, slots=8)
     for number in range(3):
         queue.push(_item(f"u{number}"), 0.0)
     for item in [queue.pop(0.0) for _ in range(3)]:
-        queue.finished(item, 100, 60.0)
-    assert queue.free_slots("urgent", 60.1) == 8
+        queue.finished(item, 100, busy_s)
+    assert queue.free_slots("urgent", busy_s + 0.1) == 8
     for number in range(20):
-        queue.push(_item(f"d{number}", "b", "deferrable"), 60.1)
-    while queue.pop(60.1):
+        queue.push(_item(f"d{number}", "b", "deferrable"), busy_s + 0.1)
+    while queue.pop(busy_s + 0.1):
         pass
     # Mean concurrency 3 and one deviation: 5 of 8 are held free.
     assert queue.running == 3
-    assert queue.free_slots("deferrable", 60.1) == 0
-    queue.push(_item("u9"), 60.2)
-    urgent = queue.pop(60.2)
+    assert queue.free_slots("deferrable", busy_s + 0.1) == 0
+    queue.push(_item("u9"), busy_s + 0.2)
+    urgent = queue.pop(busy_s + 0.2)
     assert urgent.rank == "urgent"
-    queue.finished(urgent, 100, 60.3)
+    queue.finished(urgent, 100, busy_s + 0.3)
     # Not for ever: urgent work that stays away frees its slots.
-    while queue.pop(160.0):
+    while queue.pop(busy_s + 100.0):
         pass
     assert queue.running == 7
 
