--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,7 +21,6 @@
 from papayalink.coordination import admission
 from papayalink.coordination import limits
 from papayalink.coordination import queueing
-from papayalink.coordination import retry
 from papayalink.coordination import routing
 from papayalink.coordination import windows
 from papayalink.coordination import work_queue
@@ -71,7 +70,6 @@
     ended_at: float | None = None
     refused: bool = False
     upstream: str = ""
-    on_first: Any = None
 
     @property
     def tokens(self) -> int:
@@ -88,8 +86,6 @@
     entries: int = 4
     report_lag_s: float = 0.5
     slow_replicas: int = 0
-    stalling_replicas: int = 0
-    hedging: bool = False
 
 
 class Loop:
@@ -131,9 +127,6 @@
         self.running = 0
         self.prefilling = [0, 0]
         self.waiting = [0, 0]
-        self.prefilled = 0
-        self.stalled_until = 0.0
-        self.cancelled: set[str] = set()
         self.loads = [windows.Rate(2.0, 0.0) for _ in RANKS]
         self.slot_times = windows.Rate(5.0, 0.0)
         self._prefill: list[list] = []
@@ -170,19 +163,6 @@
             self._refuse(shed)
         self._dispatch()
 
-    def cancel(self, arrival: Arrival) -> None:
-        """Take out a request that has no first token yet."""
-        item = self.queue.remove(arrival.request_id)
-        if item is not None:
-            self.waiting[NAMES.index(item.rank)] -= arrival.prompt
-        elif not arrival.refused:
-            self.cancelled.add(arrival.request_id)
-
-    def stall(self, seconds: float, period_s: float) -> None:
-        """Prefill nothing for a while, again and again."""
-        self.stalled_until = self.loop.now + seconds
-        self.loop.after(period_s, self.stall, seconds, period_s)
-
     def report(self) -> routing.Candidate:
         now = self.loop.now
         return routing.Candidate(
@@ -259,9 +239,8 @@
         if self._busy:
             entry = heapq.heappop(self._prefill)
             tokens = min(CHUNK_TOKENS, entry[3])
-            stalled_s = max(0.0, self.stalled_until - self.loop.now)
             self.loop.after(
-                stalled_s + tokens / self.rate, self._chunk_done, entry, tokens
+                tokens / self.rate, self._chunk_done, entry, tokens
             )
 
     def _chunk_done(self, entry: list, tokens: int) -> None:
@@ -269,22 +248,12 @@
         rank = NAMES.index(item.rank)
         entry[3] -= tokens
         self.prefilling[rank] -= tokens
-        self.prefilled += tokens
         self.loads[rank].add(tokens, self.loop.now)
-        if item.request_id in self.cancelled:
-            self.cancelled.remove(item.request_id)
-            self.prefilling[rank] -= entry[3]
-            self.running -= 1
-            done = item.payload.prompt - entry[3]
-            self.queue.finished(item, done, self.loop.now)
-            self._dispatch()
-        elif entry[3]:
+        if entry[3]:
             heapq.heappush(self._prefill, entry)
         else:
             arrival = item.payload
             arrival.first_token_at = self.loop.now + NETWORK_S
-            if arrival.on_first is not None:
-                self.loop.after(NETWORK_S, arrival.on_first)
             self.loop.after(arrival.answer * self.decode_s, self._end, item)
         self._next_chunk()
 
@@ -317,7 +286,6 @@
         self.recent = routing.RecentWork()
         self.gate = admission.Admission(RANKS, rng, admission.ENTRY_SLACK)
         self.turns = routing.RoundRobin(rng.randrange(len(fleet)))
-        self.hedging = retry.Hedging()
 
     def learn(self, report: routing.Candidate) -> None:
         self.reports[report.upstream] = report
@@ -374,61 +342,6 @@
         )
         replica = self.fleet[decision.upstream]
         self.loop.after(NETWORK_S, replica.receive, arrival)
-        if self.setup.hedging and rank == 0:
-            self._watch(arrival, request)
-
-    def _watch(self, arrival: Arrival, request: routing.Request) -> None:
-        now = self.loop.now
-        self.hedging.note_request(now)
-        call = retry.Call(True, 1, now, now + request.target_s)
-        delay_s = self.hedging.delay(call)
-
-        def first() -> None:
-            call.answered = True
-            if not call.hedged:
-                self.hedging.note_ttft(self.loop.now - now)
-
-        arrival.on_first = first
-        if delay_s is not None:
-            self.loop.after(delay_s, self._hedge, arrival, request, call)
-
-    def _hedge(
-        self, arrival: Arrival, request: routing.Request, call: retry.Call
-    ) -> None:
-        now = self.loop.now
-        if arrival.refused or not self.hedging.hedge(call, now):
-            return
-        call.hedged = True
-        others = [
-            report
-            for name, report in self.reports.items()
-            if name != arrival.upstream
-        ]
-        decision = routing.choose(others, request, now, self.rng, self.recent)
-        second = msgspec.structs.replace(
-            arrival,
-            request_id=f"{arrival.request_id}/2",
-            at=now,
-            upstream=decision.upstream,
-        )
-        self.recent.add(
-            decision.upstream, second.request_id, 0, second.prompt, now
-        )
-
-        def first() -> None:
-            if not call.answered:
-                call.answered = True
-                self.fleet[arrival.upstream].cancel(arrival)
-                arrival.first_token_at = self.loop.now
-
-        def first_of_original() -> None:
-            if not call.answered:
-                call.answered = True
-                self.fleet[second.upstream].cancel(second)
-
-        second.on_first = first
-        arrival.on_first = first_of_original
-        self.loop.after(NETWORK_S, self.fleet[second.upstream].receive, second)
 
 
 def make_trace(
@@ -467,12 +380,6 @@
     return sorted(arrivals, key=lambda one: one.at)
 
 
-STALL_S = 1.0
-STALL_PERIOD_S = 10.0
-
-prefilled: list[int] = []
-
-
 def simulate(
     setup: Setup,
     sources: list[tuple[str, str, float]],
@@ -489,13 +396,6 @@
     for replica in fleet[: setup.slow_replicas]:
         replica.rate /= 2
         replica.decode_s *= 2
-    for replica in fleet[len(fleet) - setup.stalling_replicas :]:
-        loop.after(
-            rng.uniform(0.0, STALL_PERIOD_S),
-            replica.stall,
-            STALL_S,
-            STALL_PERIOD_S,
-        )
     entries = [
         Entry(loop, ZONES[n % len(ZONES)], setup, fleet, rng)
         for n in range(setup.entries)
@@ -517,7 +417,6 @@
         entry = entries[index % len(entries)]
         loop.after(arrival.at, entry.handle, arrival)
     loop.run(seconds)
-    prefilled.append(sum(replica.prefilled for replica in fleet))
     return arrivals
 
 
@@ -717,35 +616,6 @@
     return result
 
 
-def compare_hedging(seconds: float, seed: int) -> dict[str, Any]:
-    """Urgent p95 and prefill work with and without hedging, 24 replicas."""
-    result: dict[str, Any] = {}
-    cases = {
-        "slow": {"slow_replicas": 4},
-        "stalling": {"stalling_replicas": 4},
-    }
-    for load, entries, case in itertools.product((0.3, 0.5), (12, 60), cases):
-        sources = [
-            ("urgent", "u", load * CAPACITY["urgent"] * 24),
-            ("deferrable", "d", load / 2 * CAPACITY["deferrable"] * 24),
-        ]
-        found = []
-        for hedging in (False, True):
-            setup = Setup(
-                replicas=24, entries=entries, hedging=hedging, **cases[case]
-            )
-            arrivals = simulate(setup, sources, seconds, seed)
-            summary = rank_summary(arrivals, "urgent", seconds)
-            found.append((summary["p95_ttft_s"], prefilled[-1]))
-        (before_s, work), (after_s, more) = found
-        result[f"load_{load}/entries_{entries}/{case}"] = {
-            "urgent_p95_ttft_s": (before_s, after_s),
-            "p95_ratio": _round(after_s / before_s),
-            "prefill_ratio": _round(more / work),
-        }
-    return result
-
-
 def _burst(arrivals: list[Arrival], replicas: int) -> float:
     """Largest part of a second's prompt tokens at one replica, in fair parts.
 
@@ -799,7 +669,6 @@
         "ranks": ranks,
         "callers": callers,
         "routing": compare_routing(options.seconds / 2, options.seed),
-        "hedging": compare_hedging(options.seconds, options.seed),
     }
     print(json.dumps(report, indent=2))
 
