--- a/papayalink/coordination/retry.py
+++ b/papayalink/coordination/retry.py
@@ -1,6 +1,5 @@
-"""Repeats of failed calls and hedging of slow ones, within budgets."""
+"""Repeats of failed calls, within budgets."""
 
-import collections
 import random
 
 import msgspec
@@ -15,11 +14,6 @@
 # with few requests can repeat one.
 RETRY_CONSTANT = 3
 
-# Hedges double the load of the slow part of the requests, so their budget is
-# smaller than that of repeats.
-HEDGE_RATIO = 0.05
-HEDGE_CONSTANT = 1
-
 # Half of the time over which requests and repeats are counted.
 BUDGET_WINDOW_S = 5.0
 
@@ -32,15 +26,6 @@
 # Attempts of one call, the first included.
 MAX_ATTEMPTS = 3
 
-# Samples of recent TTFT kept; the 95th percentile then rests on the largest
-# 12, and is not used below the least number.
-TTFT_SAMPLES = 256
-LEAST_TTFT_SAMPLES = 40
-HEDGE_PERCENTILE = 0.95
-
-# The percentile is computed again after this many new samples.
-TTFT_REFRESH = 16
-
 
 class Call(msgspec.Struct):
     """What the decision needs to know of a call.
@@ -49,18 +34,14 @@
         repeatable: whether running it twice does no harm; false for
             protected calls and while it is not known.
         attempts: attempts made so far.
-        started_at: when the first attempt was sent.
         deadline: time after which the answer is of no use, or None.
         answered: whether part of the answer has reached the caller.
-        hedged: whether a second attempt is running beside the first.
     """
 
     repeatable: bool
     attempts: int
-    started_at: float
     deadline: float | None = None
     answered: bool = False
-    hedged: bool = False
 
 
 class Retry(msgspec.Struct, frozen=True):
@@ -168,84 +149,3 @@
         if call.attempts >= MAX_ATTEMPTS:
             return GiveUp("attempts")
         return Retry(BACKOFF_BASE_S)
-
-
-class RecentTtft:
-    """95th percentile of recent times to first token."""
-
-    __slots__ = ("_samples", "_p95", "_fresh")
-
-    def __init__(self) -> None:
-        self._samples: collections.deque[float] = collections.deque(
-            maxlen=TTFT_SAMPLES
-        )
-        self._p95: float | None = None
-        self._fresh = 0
-
-    def add(self, ttft_s: float) -> None:
-        """Count the time to first token of a request that was not hedged."""
-        self._samples.append(ttft_s)
-        self._fresh += 1
-
-    @property
-    def p95_s(self) -> float | None:
-        """Seconds; None while there are too few samples."""
-        if len(self._samples) < LEAST_TTFT_SAMPLES:
-            return None
-        if self._p95 is None or self._fresh >= TTFT_REFRESH:
-            ordered = sorted(self._samples)
-            self._p95 = ordered[int(HEDGE_PERCENTILE * (len(ordered) - 1))]
-            self._fresh = 0
-        return self._p95
-
-
-class Hedging:
-    """Decides on a second attempt beside a slow first one.
-
-    The attempt whose first token comes later is to be cancelled.
-    """
-
-    __slots__ = ("_recent", "_budget")
-
-    def __init__(self) -> None:
-        self._recent = RecentTtft()
-        self._budget = Budget(HEDGE_RATIO, HEDGE_CONSTANT)
-
-    def note_request(self, now: float) -> None:
-        """Count the first attempt of a request."""
-        self._budget.note_request(now)
-
-    def note_ttft(self, ttft_s: float) -> None:
-        """Count the time to first token of a request that was not hedged."""
-        self._recent.add(ttft_s)
-
-    def delay(self, call: Call) -> float | None:
-        """Time after the start of a call at which to ask `hedge`.
-
-        Args:
-            call: the call.
-
-        Returns:
-            Seconds; None when the call is not to be hedged.
-        """
-        return self._recent.p95_s if call.repeatable else None
-
-    def hedge(self, call: Call, now: float) -> bool:
-        """Decide whether to send a second attempt now.
-
-        Args:
-            call: a call without a first token; set its `hedged` when the
-                second attempt is sent.
-            now: seconds.
-
-        Returns:
-            Whether to send it; the budget is spent when true.
-        """
-        delay_s = self.delay(call)
-        if delay_s is None or call.hedged or call.answered:
-            return False
-        if now - call.started_at < delay_s:
-            return False
-        if call.deadline is not None and now >= call.deadline:
-            return False
-        return self._budget.take(now)
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -267,7 +267,6 @@
         call = retry.Call(
             repeatable=True,
             attempts=0,
-            started_at=now,
             deadline=now + target_s,
         )
         answer = self._forwarder.open(
--- a/tests/coordination/test_retry.py
+++ b/tests/coordination/test_retry.py
@@ -1,4 +1,4 @@
-"""Tests of retries and hedging."""
+"""Tests of retries."""
 
 import random
 
@@ -12,7 +12,7 @@
 def _call(**fields):
     fields.setdefault("repeatable", True)
     fields.setdefault("attempts", 1)
-    return retry.Call(started_at=0.0, **fields)
+    return retry.Call(**fields)
 
 
 @pytest.mark.parametrize(
@@ -63,39 +63,6 @@
     assert 0.95 * bound < max(delays) <= bound
 
 
-def _hedging(samples):
-    hedging = retry.Hedging()
-    for number in range(samples):
-        hedging.note_request(10.0)
-        hedging.note_ttft(0.01 * (number % 100))
-    return hedging
-
-
-@pytest.mark.parametrize(
-    "fields, now, samples, expected",
-    [
-        ({}, 1.0, 200, True),
-        ({}, 0.9, 200, False),
-        ({}, 1.0, 20, False),
-        ({"repeatable": False}, 1.0, 200, False),
-        ({"hedged": True}, 1.0, 200, False),
-        ({"answered": True}, 1.0, 200, False),
-        ({"deadline": 0.99}, 1.0, 200, False),
-    ],
-)
-def test_hedge(fields, now, samples, expected):
-    # Guards against hedges of protected calls and of requests that are not
-    # slow yet.
-    assert _hedging(samples).hedge(_call(**fields), now) is expected
-
-
-def test_hedges_have_a_budget():
-    # Guards against hedges that double the load when everything is slow.
-    hedging = _hedging(200)
-    sent = sum(hedging.hedge(_call(), 12.0) for _ in range(200))
-    assert sent == 11
-
-
 def test_baseline_repeats_at_once():
     # Guards against a baseline that repeats protected calls.
     baseline = retry.RetryAlways()
