Measure gaps between tokens in the scenarios

The target of 54 ms between tokens for 95 of 100 requests was not measured through the whole system. Each request's gaps are recorded without the wait for the first token and without the events that end an answer. The steady scenario is checked by the longest gap of each request, which is the strictest reading of the target.

--- a/bench/load.py
+++ b/bench/load.py
@@ -25,6 +25,7 @@
         at: intended send time, seconds after the start.
         lag_s: how late the generator sent it.
         ttft_s: time to the first event, None without one.
+        gaps_s: times between tokens.
         status: 0 when the connection failed.
         error: code of a refusal or kind of a failure.
         reason: text of a refusal.
@@ -46,6 +47,7 @@
     error: str = ""
     reason: str = ""
     redirects: int = 0
+    gaps_s: list[float] = []
 
     @property
     def refused(self) -> bool:
@@ -155,12 +157,17 @@
 
     def _read(self, response, record, intended) -> None:
         before = last = b""
+        came = intended
         while True:
             part = response.readline(b"\n\n")
             if not part:
                 break
+            now = time.perf_counter()
             if record.ttft_s is None:
-                record.ttft_s = time.perf_counter() - intended
+                record.ttft_s = now - intended
+            else:
+                record.gaps_s.append(now - came)
+            came = now
             record.tokens += 1
             before, last = last, part
         record.complete = last.startswith(b"data: [DONE]")
@@ -169,6 +176,7 @@
             return
         # The end mark and the usage are no tokens.
         record.tokens -= 2
+        del record.gaps_s[-2:]
         usage = msgspec.json.decode(before.removeprefix(b"data: "))["usage"]
         record.prompt_tokens = usage["prompt_tokens"]
         record.cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
--- a/bench/run.py
+++ b/bench/run.py
@@ -29,6 +29,9 @@
 RESTARTED_AFTER = 0.25
 SWAP_TIMEOUT_S = 15.0
 
+# Between two tokens, for 95 of 100 requests.
+MAX_GAP_P95_MS = 54.0
+
 # The generator falls behind its plan when it is this late.
 MAX_LAG_P95_MS = 20.0
 
@@ -170,6 +173,13 @@
         "ttft": load.milliseconds(
             [one.ttft_s for one in served], 0.5, 0.95, 0.99
         ),
+        "gap": load.milliseconds(
+            [gap for one in served for gap in one.gaps_s], 0.5, 0.95, 0.99
+        ),
+        # What a caller notices of an uneven stream.
+        "longest_gap": load.milliseconds(
+            [max(one.gaps_s) for one in served if one.gaps_s], 0.5, 0.95
+        ),
         "goodput_per_s": round(len(good) / period, 2),
         "goodput_tokens_per_s": round(
             sum(one.prompt_tokens + one.tokens for one in good) / period
@@ -262,6 +272,14 @@
                 target,
                 least=False,
             )
+            if name == "steady" and "longest_gap" in row:
+                # Stricter than the gaps of all requests together.
+                add(
+                    f"{name}: {rank} longest gap between tokens p95 ms",
+                    row["longest_gap"]["p95_ms"],
+                    MAX_GAP_P95_MS,
+                    least=False,
+                )
             if name != "entry_killed":
                 # A killed entry cuts what it relays; that is reported only.
                 add(f"{name}: {rank} failures", row["failed"], 0, least=False)
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -1,7 +1,11 @@
 """Tests of what the measurements compute."""
 
+import time
+
+from gevent import pywsgi
 import pytest
 
+from bench import deployment
 from bench import load
 from bench import run
 from bench import scenarios
@@ -57,9 +61,15 @@
 def test_outcomes_are_told_apart():
     """Guards against failures that are counted as refusals or answers."""
     records = [
-        _record(status=200, complete=True, ttft_s=0.1, prompt_tokens=8),
+        _record(
+            status=200,
+            complete=True,
+            ttft_s=0.1,
+            prompt_tokens=8,
+            gaps_s=[0.01, 0.2, 0.01],
+        ),
         _record(status=200, complete=True, ttft_s=9.0, prompt_tokens=8),
-        _record(status=200, ttft_s=0.1, error="cut"),
+        _record(status=200, ttft_s=0.1, error="cut", gaps_s=[9.0]),
         _record(status=503, error="not_run", end_s=0.1),
         _record(status=502, error="upstream_failed"),
         _record(error="ConnectionResetError"),
@@ -69,11 +79,38 @@
     ]
     assert row["offered"] == 6
     assert row["ttft"]["count"] == 2
+    assert row["gap"]["count"] == 3
+    assert row["longest_gap"]["p95_ms"] == 200.0
     assert row["goodput_per_s"] == pytest.approx(1 / 0.8)
     assert row["refused"] == 1
     assert row["failed"] == 3
 
 
+def test_gaps_are_those_between_tokens():
+    """Guards against gaps that count the wait or the end of an answer."""
+    details = (
+        b'{"prompt_tokens":1,"prompt_tokens_details":{"cached_tokens":0}}'
+    )
+
+    def answer(environ, start_response):
+        start_response("200 OK", [])
+        yield from [b"data: {}\n\n"] * 3
+        yield b'data: {"usage":' + details + b"}\n\n"
+        yield b"data: [DONE]\n\n"
+
+    host, _, port = deployment.free_address().rpartition(":")
+    server = pywsgi.WSGIServer((host, int(port)), answer, log=None)
+    server.start()
+    sender = load.Sender([f"{host}:{port}"])
+    shot = load.Shot(0.0, "urgent", "a", "base", "token", b"{}")
+    record = sender.send(shot, time.perf_counter())
+    sender.close()
+    server.stop()
+    assert record.complete
+    assert record.tokens == 3
+    assert len(record.gaps_s) == 2
+
+
 @pytest.mark.parametrize(
     "values, expected",
     [([], None), ([0.0], None), ([2.0, 2.0], 1.0), ([1.0, 0.0], 0.5)],
