Measure the time between starts only while requests wait

Cause: the mean time between two starts counted requests that found a free slot as intervals of 0. Where most urgent requests start at once the mean is close to 0, and so is the predicted wait at a replica without free slots.

Change: a start within 1 ms of the push to an empty rank leaves the mean as it is.

--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -22,6 +22,10 @@
 # deviation 15% of the urgent requests found no slot on engines of 8 slots.
 RESERVE_DEVIATIONS = 1.5
 
+# An item that is popped within this time of its push found a free slot. The
+# agent takes some microseconds between the two.
+AT_ONCE_S = 0.001
+
 # Dead heap entries are tolerated up to this many beyond the live ones, so that
 # rebuilding a heap costs constant time for each change on average.
 HEAP_SLACK = 64
@@ -166,13 +170,17 @@
             return None
         item = state.head()
         item.owed = self._is_owed(state)
+        # A start on a free slot says nothing about the time until a taken one
+        # is free, which is what the entry predicts from.
+        waited = state.depth > 1 or now - state.waiting_since > AT_ONCE_S
         # Ranks are charged while the item still counts as waiting, so that
         # its own rank earns its share of it.
         self._charge(state, item.tokens, now)
         state.take()
         del self._waiting[item.request_id]
         self._running[item.request_id] = item
-        state.start_period_s = state.mean_interval(now)
+        if waited:
+            state.start_period_s = state.mean_interval(now)
         state.waiting_since = now
         self._note_urgent_work(now)
         return item
--- a/tests/coordination/test_queueing.py
+++ b/tests/coordination/test_queueing.py
@@ -336,6 +336,24 @@
     assert queue.start_period("urgent", 150.0) > 10.0
 
 
+def test_starts_on_free_slots_do_not_shorten_the_start_period():
+    # Guards against a predicted wait near 0 where all slots are taken, which
+    # kept entries from choosing a replica with free slots in another zone.
+    queue = queueing.make_queue(RANKS, slots=1)
+    for number in range(51):
+        queue.push(_item(f"waits{number}"), 0.0)
+    running = queue.pop(0.0)
+    for step in range(1, 51):
+        queue.finished(running, 100, 0.5 * step)
+        running = queue.pop(0.5 * step)
+    queue.finished(running, 100, 26.0)
+    measured = queue.start_period("urgent", 26.0)
+    for number in range(50):
+        queue.push(_item(f"starts{number}"), 26.0)
+        queue.finished(queue.pop(26.0), 100, 26.0)
+    assert queue.start_period("urgent", 26.0) == measured > 0.4
+
+
 @pytest.mark.parametrize(
     "item, error",
     [
