Measure first tokens of streamed answers only

Cause: the first frame of an answer that is not streamed is its end. The agent took it for the first token, so the prefill rate included the time of decoding, the prompt counted as waiting until the answer had ended, a swap of weights waited for the whole answer, and the entry compared whole answers with first tokens in outlier detection. A frame that rejects a request counted as a first token too and raised the prefill rate.

Change: only streamed answers feed the prefill rate, the first token metrics and the latencies of outlier detection; an answer that is not streamed still ends a row of errors. Agents count requests_served_total, which the tests of leaving VMs read instead of the count of first tokens.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -47,7 +47,7 @@
             request(address, "DELETE", "/kv")
 
     def served(self, upstream: str) -> int:
-        """Returns: requests that an agent has run to their first token."""
+        """Returns: requests that an agent has served or is serving."""
         address = self.deployment.programs[f"agent-{upstream}"].addresses[
             "inspect_listen"
         ]
@@ -55,7 +55,7 @@
         return sum(
             int(line.split()[-1])
             for line in text.splitlines()
-            if "engine_first_token_seconds_count" in line
+            if "requests_served_total" in line
         )
 
     def executions(self) -> list[dict]:
--- a/papayalink/coordination/outliers.py
+++ b/papayalink/coordination/outliers.py
@@ -139,6 +139,12 @@
             state.errors = 0
             state.samples.append((now, latency_s))
 
+    def record_success(self, upstream: str) -> None:
+        """Count an answer whose time to first token is not known."""
+        state = self._upstreams.get(upstream)
+        if state is not None:
+            state.errors = 0
+
     def started(self, upstream: str, now: float) -> None:
         """Begin slow start, for instance after weights were loaded."""
         state = self._upstreams.setdefault(upstream, _Upstream())
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -46,6 +46,7 @@
         rank: place of the rank, 0 is the most urgent.
         tokens: prompt tokens.
         target_s: time to first token of the rank.
+        stream: whether the first frame of the answer is its first token.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     rank: int
     tokens: int
     target_s: float
+    stream: bool = True
 
 
 class Selection:
@@ -200,7 +202,7 @@
         """Record how an attempt went.
 
         Args:
-            latency_s: time to the first token, None when the upstream
+            latency_s: time to the first frame, None when the upstream
                 failed or was not reached.
         """
         if latency_s is None:
@@ -209,7 +211,10 @@
             self._recent.prefilled(upstream, wanted.request_id)
         detection = self._outliers.get(wanted.model)
         if detection is not None:
-            detection.record(upstream, latency_s, now)
+            if latency_s is None or wanted.stream:
+                detection.record(upstream, latency_s, now)
+            else:
+                detection.record_success(upstream)
         if latency_s is not None and wanted.family:
             self._note_prefix(wanted, upstream)
 
--- a/papayalink/roles/agent/engine_work.py
+++ b/papayalink/roles/agent/engine_work.py
@@ -1,8 +1,11 @@
 """Work at one engine: what waits, what is in prefill, what it predicts."""
 
 from collections.abc import Sequence
+import math
 import random
 
+import msgspec
+
 from papayalink import clock as clocks
 from papayalink.coordination import admission
 from papayalink.coordination import queueing
@@ -15,6 +18,20 @@
 LOAD_FADE_S = 2.0
 
 
+class Prompt(msgspec.Struct, eq=False):
+    """A prompt that waits for its prefill or is in it.
+
+    Attributes:
+        tokens: prompt tokens.
+        ends_at: when the prefill should have ended, infinite when the first
+            token tells it.
+    """
+
+    rank: str
+    tokens: int
+    ends_at: float = math.inf
+
+
 class EngineWork:
     """Accounts for prompt tokens by rank and admits against targets.
 
@@ -31,6 +48,8 @@
         "_ranks",
         "_shares",
         "_waiting_tokens",
+        "_prompts",
+        "_estimated",
         "_loads",
         "_admission",
         "_rng",
@@ -48,6 +67,8 @@
         self._ranks: list[str] = []
         self._shares: tuple[float, ...] = ()
         self._waiting_tokens: dict[str, int] = {}
+        self._prompts: set[Prompt] = set()
+        self._estimated: set[Prompt] = set()
         self._loads: dict[str, windows.Rate] = {}
         self._admission: admission.Admission | None = None
         self._rng = random.Random()
@@ -91,20 +112,33 @@
         """Returns: whether the configuration has the rank."""
         return rank in self._ranks
 
-    def arrived(self, rank: str, prompt_tokens: int) -> None:
-        """A request was queued; started() or left() follows."""
+    def arrived(self, rank: str, tokens: int) -> Prompt:
+        """A request was queued; left() follows."""
         waiting = self._waiting_tokens.get(rank, 0)
-        self._waiting_tokens[rank] = waiting + prompt_tokens
+        self._waiting_tokens[rank] = waiting + tokens
+        prompt = Prompt(rank, tokens)
+        self._prompts.add(prompt)
+        return prompt
 
-    def left(self, rank: str, prompt_tokens: int, served: bool) -> None:
+    def estimate(self, prompt: Prompt, ends_at: float) -> None:
+        """Set when a prefill ends whose first token will not be seen."""
+        prompt.ends_at = ends_at
+        self._estimated.add(prompt)
+
+    def left(self, prompt: Prompt, served: bool) -> None:
         """A request has its first token, or will not get one."""
-        self._waiting_tokens[rank] -= prompt_tokens
+        if prompt not in self._prompts:
+            return
+        self._prompts.remove(prompt)
+        self._estimated.discard(prompt)
+        rank = prompt.rank
+        self._waiting_tokens[rank] -= prompt.tokens
         if served:
             now = self._clock.now()
             load = self._loads.get(rank)
             if load is None:
                 load = self._loads[rank] = windows.Rate(LOAD_FADE_S, now)
-            load.add(prompt_tokens, now)
+            load.add(prompt.tokens, now)
 
     def report(self) -> dict[str, tuple]:
         """Returns: the fields of a load report that go by rank."""
@@ -122,8 +156,15 @@
             ),
         }
 
+    def _settle(self, now: float) -> None:
+        """Take out the prompts whose estimated prefill has ended."""
+        ended = [one for one in self._estimated if one.ends_at <= now]
+        for prompt in ended:
+            self.left(prompt, served=True)
+
     def _candidate(self) -> routing.Candidate:
         now = self._clock.now()
+        self._settle(now)
         rate = self._state.prefill_rate
         return routing.Candidate(
             upstream="",
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -18,6 +18,7 @@
 from papayalink.protocol import relay
 from papayalink.roles.agent import engine_work
 from papayalink.roles.agent import kept_cache
+from papayalink.roles.agent import prefills
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
 
@@ -93,8 +94,7 @@
         "_clock",
         "_metrics",
         "_log",
-        "_starting",
-        "_starting_tokens",
+        "_prefills",
     )
 
     def __init__(
@@ -117,17 +117,12 @@
         self._clock = clock
         self._metrics = metrics
         self._log = logs.get_logger()
-        self._starting = 0
-        self._starting_tokens = 0
+        self._prefills = prefills.make_prefills(engine_state, clock)
 
     @property
     def starting(self) -> int:
-        """Requests dispatched whose first token has not arrived.
-
-        A swap of weights waits for these: the engine chooses the version of
-        a request when it starts it.
-        """
-        return self._starting
+        """Requests dispatched that the engine may not have started."""
+        return self._prefills.starting
 
     def answer(
         self, request: relay.RelayRequest, priority: int
@@ -158,14 +153,17 @@
                 decision.retry_after_s,
             )
             return
-        pending = _Pending(self._work, request)
+        prompt = self._work.arrived(request.rank, request.prompt_tokens)
         try:
-            yield from self._answer_queued(request, priority, pending)
+            yield from self._answer_queued(request, priority, prompt)
         finally:
-            pending.finish(served=False)
+            self._work.left(prompt, served=False)
 
     def _answer_queued(
-        self, request: relay.RelayRequest, priority: int, pending: "_Pending"
+        self,
+        request: relay.RelayRequest,
+        priority: int,
+        prompt: engine_work.Prompt,
     ) -> Iterator[bytes]:
         item = work_queue.Item(
             request_id=request.attempt_id,
@@ -185,9 +183,11 @@
             if refusal:
                 yield self._refused(request, refusal, unavailable=True)
                 return
-            for frame in self._run(request, priority):
+            for frame in self._run(request, priority, prompt):
+                if not served:
+                    self._metrics.count("requests_served", rank=request.rank)
+                    self._work.left(prompt, served=True)
                 served += 1
-                pending.finish(served=True)
                 yield frame
         finally:
             tokens = item.tokens if served else 0
@@ -201,11 +201,15 @@
             )
 
     def _run(
-        self, request: relay.RelayRequest, priority: int
+        self,
+        request: relay.RelayRequest,
+        priority: int,
+        prompt: engine_work.Prompt,
     ) -> Iterator[bytes]:
-        queue_tokens = self._starting_tokens
+        queue_tokens = self._prefills.tokens
         with contextlib.ExitStack() as stack:
-            started = stack.enter_context(self._start_pending(request))
+            prefill = self._prefills.begin(request.prompt_tokens)
+            stack.callback(self._prefills.finish, prefill)
             located = self._cache.locate(request)
             restore = None
             if located is not None:
@@ -215,30 +219,39 @@
                 stack.callback(restore.stop)
                 restore.wait_to_start()
             body = _engine_body(request, priority)
-            began = self._clock.now()
-            run = self._stream if request.stream else self._whole
-            for frame in run(request, body):
-                if not started.done:
+            if request.stream:
+                answer = self._stream(request, body, located is None)
+            else:
+                answer = self._whole(request, body)
+                self._prefills.estimate(prefill)
+                self._work.estimate(prompt, prefill.ends_at)
+            for place, frame in enumerate(answer):
+                if not place:
                     if restore is not None:
                         # The whole prompt is computed.
                         restore.stop()
-                    alone = self._starting == 1
-                    started.finish()
-                    first_s = self._clock.now() - began
-                    self._metrics.observe(
-                        "engine_first_token", first_s, rank=request.rank
-                    )
-                    if located is None and alone:
-                        self._state.observe_prefill(
-                            request.prompt_tokens, first_s
-                        )
+                    self._prefills.finish(prefill)
                 yield frame
         if located is not None:
             self._cache.keep(located)
 
+    def _observe(
+        self, request: relay.RelayRequest, began: float, is_computed: bool
+    ) -> None:
+        """Measure a first token that has arrived.
+
+        Args:
+            is_computed: the whole prompt was computed, not restored.
+        """
+        first_s = self._clock.now() - began
+        self._metrics.observe("engine_first_token", first_s, rank=request.rank)
+        if is_computed and self._prefills.count == 1:
+            self._state.observe_prefill(request.prompt_tokens, first_s)
+
     def _stream(
-        self, request: relay.RelayRequest, body: bytes
+        self, request: relay.RelayRequest, body: bytes, is_computed: bool
     ) -> Iterator[bytes]:
+        began = self._clock.now()
         count = 0
         try:
             events = self._engine.stream(
@@ -250,6 +263,8 @@
         with contextlib.closing(events):
             try:
                 for event in events:
+                    if not count:
+                        self._observe(request, began, is_computed)
                     yield frames.encode(
                         frames.Chunk(request.attempt_id, count, event)
                     )
@@ -319,56 +334,6 @@
             )
         )
 
-    @contextlib.contextmanager
-    def _start_pending(
-        self, request: relay.RelayRequest
-    ) -> Iterator["_Start"]:
-        start = _Start(self, request.prompt_tokens)
-        try:
-            yield start
-        finally:
-            start.finish()
-
-
-class _Pending:
-    """Prompt tokens of a request until its first token or its end."""
-
-    __slots__ = ("_work", "_request", "_done")
-
-    def __init__(
-        self, work: engine_work.EngineWork, request: relay.RelayRequest
-    ) -> None:
-        self._work = work
-        self._request = request
-        self._done = False
-        work.arrived(request.rank, request.prompt_tokens)
-
-    def finish(self, served: bool) -> None:
-        if not self._done:
-            self._done = True
-            self._work.left(
-                self._request.rank, self._request.prompt_tokens, served
-            )
-
-
-class _Start:
-    """Counts a request as starting until its first frame or its end."""
-
-    __slots__ = ("_relayer", "_tokens", "done")
-
-    def __init__(self, relayer: Relayer, tokens: int) -> None:
-        self._relayer = relayer
-        self._tokens = tokens
-        self.done = False
-        relayer._starting += 1
-        relayer._starting_tokens += tokens
-
-    def finish(self) -> None:
-        if not self.done:
-            self.done = True
-            self._relayer._starting -= 1
-            self._relayer._starting_tokens -= self._tokens
-
 
 def _rejected(request: relay.RelayRequest, status: int, body: bytes) -> bytes:
     text = body.decode(errors="replace")
--- a/papayalink/roles/agent/upstream.py
+++ b/papayalink/roles/agent/upstream.py
@@ -90,7 +90,7 @@
         self._ordered_version = weight_version
 
     def observe_prefill(self, tokens: int, seconds: float) -> None:
-        """Record the prefill of a request that did not wait.
+        """Record the prefill of a streamed request that did not wait.
 
         Args:
             tokens: prompt tokens computed.
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -243,6 +243,7 @@
             rank=list(index.ranks).index(rank),
             tokens=wanted.prompt_tokens,
             target_s=target_s,
+            stream=wanted.stream,
         )
         first = self._selection.choose(chosen, frozenset(), now)
         if first is None:
@@ -273,9 +274,10 @@
         answer = self._forwarder.open(
             request, _Attempts(self, chosen, first, call)
         )
-        self._metrics.observe(
-            "first_token", self._clock.now() - now, rank=rank
-        )
+        if wanted.stream:
+            self._metrics.observe(
+                "first_token", self._clock.now() - now, rank=rank
+            )
         return ServedAnswer(
             answer, lambda answer: self._finish(answer, workspace, chosen)
         )
@@ -292,7 +294,7 @@
         upstream: str,
         latency_s: float | None,
     ) -> None:
-        """Record the first token of an attempt, or None for its failure."""
+        """Record the first frame of an attempt, or None for its failure."""
         self._selection.answered(
             wanted, upstream, latency_s, self._clock.now()
         )
--- a/tests/roles/agent/test_relaying.py
+++ b/tests/roles/agent/test_relaying.py
@@ -93,11 +93,12 @@
         knows=lambda rank: True,
         admit=lambda *arguments: None,
         arrived=lambda *arguments: None,
+        estimate=lambda *arguments: None,
         left=lambda *arguments, **named: None,
     )
     return relaying.make_relayer(
         engine or _Engine(cache, error),
-        None,
+        types.SimpleNamespace(prefill_rate=1000.0),
         free,
         types.SimpleNamespace(refuse=lambda request: ""),
         work,
