Keep an agent available that does not know a workspace yet

The entry had the document with the new workspace before two of three agents. Their refusals "workspace is not known" counted as unavailable, so the entry blocked both replicas for all callers until their next reports. One replica was left, with a report 1.2 or 1.5 s old that showed a prompt of 5,873 tokens in prefill, which was not drawn towards the mean of others. The predicted first token, 1.47 s, was above the limit of a caller with 1.25 times its fair share, 1.25 s.

Ruled out: the prefill rate (8,000, the initial one, in all reports: answers that were not streamed had not changed it here) and queues at agents (empty).

Change: the refusal of an unknown workspace concerns that request alone.

Test: test_unknown_workspace_does_not_make_an_agent_unavailable.

--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -24,7 +24,7 @@
 
 
 class Admission:
-    """Decides whether a request may run here now.
+    """Decides whether requests may run here now.
 
     Args:
         document: configuration in force.
@@ -63,8 +63,6 @@
         if not self._confirmed():
             return "configuration is not confirmed"
         document = self._document()
-        if request.workspace not in self._workspaces(document):
-            return "workspace is not known"
         if not self._engine_state.up:
             return "engine is down"
         loaded = self._engine_state.weight_version
@@ -74,11 +72,13 @@
             return "weight version is not in the configuration"
         return ""
 
-    def _workspaces(self, document: documents.Document) -> frozenset[str]:
+    def knows(self, workspace: str) -> bool:
+        """Returns: whether the configuration has the workspace."""
+        document = self._document()
         if document is not self._indexed:
             self._indexed = document
             self._names = frozenset(one.name for one in document.workspaces)
-        return self._names
+        return workspace in self._names
 
 
 class Relayer:
@@ -137,6 +137,11 @@
         if refusal:
             yield self._refused(request, refusal, unavailable=True)
             return
+        # The configuration here may be older than that of the entry. Other
+        # requests are not concerned, so the upstream is not unavailable.
+        if not self._admission.knows(request.workspace):
+            yield self._refused(request, "workspace is not known")
+            return
         if not self._work.knows(request.rank):
             yield self._refused(request, "rank is not known")
             return
@@ -183,6 +188,9 @@
             if refusal:
                 yield self._refused(request, refusal, unavailable=True)
                 return
+            if not self._admission.knows(request.workspace):
+                yield self._refused(request, "workspace is not known")
+                return
             for frame in self._run(request, priority, prompt):
                 if not served:
                     self._metrics.count("requests_served", rank=request.rank)
--- a/tests/roles/agent/test_prefills.py
+++ b/tests/roles/agent/test_prefills.py
@@ -74,7 +74,9 @@
             self.engine,
             self.state,
             dispatch.make_dispatcher(queue, self.clock, 2),
-            types.SimpleNamespace(refuse=lambda request: ""),
+            types.SimpleNamespace(
+                refuse=lambda request: "", knows=lambda workspace: True
+            ),
             self.work,
             types.SimpleNamespace(locate=lambda request: None),
             self.clock,
--- a/tests/roles/agent/test_relaying.py
+++ b/tests/roles/agent/test_relaying.py
@@ -84,7 +84,7 @@
         raise self._error
 
 
-def _relayer(cache, error, engine=None):
+def _relayer(cache, error, engine=None, known=("acme",)):
     free = types.SimpleNamespace(
         submit=lambda item: types.SimpleNamespace(get=lambda: None),
         finish=lambda item, tokens: None,
@@ -100,7 +100,9 @@
         engine or _Engine(cache, error),
         types.SimpleNamespace(prefill_rate=1000.0),
         free,
-        types.SimpleNamespace(refuse=lambda request: ""),
+        types.SimpleNamespace(
+            refuse=lambda request: "", knows=lambda name: name in known
+        ),
         work,
         cache,
         clocks.make_clock(),
@@ -149,3 +151,10 @@
     (line,) = relayer.answer(request, 0)
     frame = frames.make_reader(REQUEST.attempt_id).read(line)
     assert isinstance(frame, expected)
+
+
+def test_unknown_workspace_does_not_make_an_agent_unavailable():
+    """Guards against a new workspace whose requests block all replicas."""
+    (line,) = _relayer(_Cache(), "", known=()).answer(REQUEST, 0)
+    frame = frames.make_reader(REQUEST.attempt_id).read(line)
+    assert isinstance(frame, frames.Refused) and not frame.unavailable
