Define each constant of admission and queues once

Each is defined where it is used; the slack of heaps, which both use, in rank_state.py. No behaviour changes.

--- a/papayalink/coordination/admission.py
+++ b/papayalink/coordination/admission.py
@@ -31,9 +31,6 @@
 # the upstreams do not run dry while the largest callers are held back.
 LEAST_LIMIT = 0.25
 
-# A wait below this part of the target does not count as overload.
-IDLE_PART = 0.1
-
 # Fair shares are computed at most this often, since each time costs a sort of
 # all active workspaces.
 LEVEL_PERIOD_S = 0.25
--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -16,23 +16,11 @@
 # longer one leaves the other rank its share.
 GUARANTEE_WINDOW_S = 2.0
 
-# Slots held free for urgent work follow its mean concurrency over this time,
-# plus this many standard deviations of random arrivals. More of them gain
-# urgent work little and leave slots unused (bench/policy.py).
-RESERVE_FADE_S = 10.0
+# Slots held free for urgent work follow its mean concurrency, plus this many
+# standard deviations of random arrivals. More of them gain urgent work little
+# and leave slots unused (bench/policy.py).
 RESERVE_DEVIATIONS = 1.0
 
-# Weight of the newest interval in the mean interval between two starts.
-PACE_WEIGHT = 0.1
-
-# A workspace record without queued or running work is kept only for its debt.
-# Above this many records the smallest debts are forgotten.
-MAX_IDLE_WORKSPACES = 256
-
-# Dead heap entries are tolerated up to this many beyond the live ones, so that
-# rebuilding a heap costs constant time for each change on average.
-HEAP_SLACK = 64
-
 
 class RankQueue(work_queue.WorkQueue):
     """Queue by rank, urgent first, with guaranteed shares.
@@ -390,7 +378,10 @@
                 self._expired.append(self._discard(item))
 
     def _compact_deadlines(self) -> None:
-        if len(self._deadlines) <= 2 * len(self._waiting) + HEAP_SLACK:
+        if (
+            len(self._deadlines)
+            <= 2 * len(self._waiting) + rank_state.HEAP_SLACK
+        ):
             return
         self._deadlines = [
             entry
--- a/papayalink/coordination/rank_state.py
+++ b/papayalink/coordination/rank_state.py
@@ -6,16 +6,8 @@
 from papayalink.coordination import windows
 from papayalink.coordination import work_queue
 
-# A rank that was served beyond its guarantee keeps at most one window of that
-# lead, so a burst of urgent work shorter than this is not interrupted, and a
-# longer one leaves the other rank its share.
-GUARANTEE_WINDOW_S = 2.0
-
-# Slots held free for urgent work follow its mean concurrency over this time,
-# plus this many standard deviations of random arrivals. More of them gain
-# urgent work little and leave slots unused (bench/policy.py).
+# Time over which the mean concurrency of urgent work is taken.
 RESERVE_FADE_S = 10.0
-RESERVE_DEVIATIONS = 1.0
 
 # Weight of the newest interval in the mean interval between two starts.
 PACE_WEIGHT = 0.1
