Hold callers to their fair share only while the fleet is overloaded

Cause: the entry compared the predicted first token of the chosen replica with the limit of a caller above its fair share. A report of one replica that showed one prompt in prefill, and the caller's own long prompt, were enough for a refusal. The largest caller is above its share on an idle fleet too, since shares are computed over what was admitted lately.

Change: the entry's choice carries the wait of the rank that at least half of the usable replicas show. A report without queued requests counts less by its age, since the prefill that it shows goes on. A caller is held to its share only when this wait is above a tenth of the target. Agents, which know their queues, decide as before.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -328,6 +328,7 @@
                 decision.ttft_s,
                 decision.wait_s,
                 now,
+                decision.fleet_wait_s,
             )
             if isinstance(outcome, admission.Refused):
                 arrival.refused = True
--- a/papayalink/coordination/admission.py
+++ b/papayalink/coordination/admission.py
@@ -136,6 +136,7 @@
         ttft_s: float,
         wait_s: float,
         now: float,
+        fleet_wait_s: float = math.inf,
     ) -> Admitted | Refused:
         """Admit or refuse one request; each request is asked for once.
 
@@ -146,6 +147,8 @@
             ttft_s: predicted time to first token.
             wait_s: part of it before the request starts.
             now: seconds.
+            fleet_wait_s: wait that the rank has at most upstreams; a caller
+                is held to its fair share only when this is overload too.
 
         Returns:
             The decision.
@@ -165,12 +168,12 @@
         excess = caller.admitted.at(now) / self._level(load, now)
         target_s = self._slack * load.rank.ttft_target_s
         limit_s = target_s
-        if excess > 1:
+        idle_s = IDLE_PART * target_s
+        if excess > 1 and fleet_wait_s > idle_s:
             limit_s = target_s * max(LEAST_LIMIT, EXCESS_LIMIT / excess)
         # A long prompt on an idle upstream is served, late or not: a repeat
         # would not be faster.
-        idle = wait_s <= IDLE_PART * target_s
-        if idle or ttft_s <= limit_s:
+        if wait_s <= idle_s or ttft_s <= limit_s:
             caller.admitted.add(tokens, now)
             return Admitted()
         reason = "late" if ttft_s > target_s else "share"
@@ -218,5 +221,6 @@
         ttft_s: float,
         wait_s: float,
         now: float,
+        fleet_wait_s: float = math.inf,
     ) -> Admitted | Refused:
         return Admitted()
--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -112,6 +112,8 @@
         ttft_s: predicted time to first token.
         hint: reuse that the prediction counts on.
         local: whether the upstream is in the zone of the entry.
+        fleet_wait_s: wait that at least half of the candidates show, see
+            `fleet_wait`; infinite when only one was looked at.
     """
 
     upstream: str
@@ -119,6 +121,7 @@
     ttft_s: float
     hint: Hint
     local: bool
+    fleet_wait_s: float = math.inf
 
 
 class RecentWork:
@@ -269,6 +272,43 @@
     )
 
 
+def fleet_wait(
+    candidates: Sequence[Candidate],
+    backlogs: Sequence[Backlog],
+    rank: int,
+    now: float,
+) -> float:
+    """Wait of a rank that at least half of the upstreams show.
+
+    Args:
+        candidates: at least one.
+        backlogs: of the candidates, in their order.
+        rank: index of the rank.
+        now: seconds.
+
+    Returns:
+        Seconds; one prompt in prefill, or one full upstream, does not make
+        it long.
+    """
+    waits = sorted(
+        _remaining_wait(one, shown, rank, now)
+        for one, shown in zip(candidates, backlogs)
+    )
+    return waits[(len(waits) - 1) // 2]
+
+
+def _remaining_wait(
+    candidate: Candidate, shown: Backlog, rank: int, now: float
+) -> float:
+    if any(candidate.queued_items[: rank + 1]):
+        if not candidate.start_periods_s or shown.starts < 0:
+            return shown.wait_s
+        start_s = (shown.starts + 1) * candidate.start_periods_s[rank]
+        return max(shown.wait_s, start_s)
+    # Prompts in prefill and none behind them: that work has gone on since.
+    return max(0.0, shown.wait_s - (now - candidate.reported_at))
+
+
 def predict(
     candidate: Candidate,
     request: Request,
@@ -383,13 +423,17 @@
             )
         )
     penalty_s = ZONE_PENALTY * request.target_s
-    return min(
+    decision = min(
         (predict(one, request, now, recent, mean) for one in few),
         key=lambda decision: (
             decision.ttft_s > request.target_s,
             decision.ttft_s + (0.0 if decision.local else penalty_s),
         ),
     )
+    return msgspec.structs.replace(
+        decision,
+        fleet_wait_s=fleet_wait(usable, backlogs, request.rank, now),
+    )
 
 
 def _sample(
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -1,6 +1,7 @@
 """Chooses an upstream for each attempt of a request."""
 
 from collections.abc import Iterable
+import math
 import random
 
 import msgspec
@@ -30,12 +31,15 @@
         weight_version: weights that the replica has loaded.
         ttft_s: predicted time to first token.
         wait_s: part of it before the request starts.
+        fleet_wait_s: wait of the rank that at least half of the usable
+            replicas show.
     """
 
     upstream: documents.Upstream
     weight_version: str
     ttft_s: float
     wait_s: float
+    fleet_wait_s: float = math.inf
 
 
 class Wanted(msgspec.Struct):
@@ -181,6 +185,7 @@
             versions[decision.upstream],
             decision.ttft_s,
             decision.wait_s,
+            decision.fleet_wait_s,
         )
 
     def choose_service(
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -364,6 +364,7 @@
             first.ttft_s,
             first.wait_s,
             self._clock.now(),
+            first.fleet_wait_s,
         )
         if isinstance(decision, admission.Refused):
             self._selection.refused(wanted, first.upstream.name)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -1,5 +1,6 @@
 """Tests of admission."""
 
+import math
 import random
 
 import hypothesis
@@ -123,3 +124,27 @@
     for second in range(20):
         outcome = gate.decide("urgent", "a", 90_000, 9.0, 0.0, float(second))
         assert isinstance(outcome, admission.Admitted)
+
+
+@pytest.mark.parametrize(
+    "wait_s, fleet_wait_s, expected",
+    [
+        # One upstream shows a prompt in prefill, the fleet is idle.
+        (0.7, 0.0, None),
+        (0.7, 0.7, "share"),
+        (0.7, math.inf, "share"),
+        (0.1, 0.7, None),
+        (2.0, 0.0, "late"),
+    ],
+)
+def test_shares_count_in_overload_only(wait_s, fleet_wait_s, expected):
+    # Guards against a large caller that is refused on an idle fleet.
+    gate = _admission()
+    for workspace in ("small", "large", "large", "large"):
+        gate.decide("urgent", workspace, 1000, 0.7, 0.0, 0.0)
+    now = admission.LEVEL_PERIOD_S
+    ttft_s = wait_s + 0.7
+    outcome = gate.decide(
+        "urgent", "large", 1000, ttft_s, wait_s, now, fleet_wait_s
+    )
+    assert getattr(outcome, "reason", None) == expected
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/test_routing.py
@@ -93,6 +93,33 @@
     assert (decision and decision.upstream) == expected
 
 
+@pytest.mark.parametrize(
+    "reports, expected",
+    [
+        # A prompt that was in prefill when the report was taken.
+        ([{"queued": (700, 0)}], 0.2),
+        ([{"queued": (700, 0)}, {}, {}], 0.0),
+        ([{"queued": (700, 0), "reported_at": 4.0}], 0.0),
+        # Requests wait behind it.
+        ([{"queued": (700, 0), "items": (1, 0)}], 0.7),
+        ([{"queued": (700, 0), "items": (1, 0)}, {}], 0.0),
+        ([{"queued": (700, 0), "items": (1, 0)}] * 2 + [{}], 0.7),
+        # They wait for slots.
+        ([{"items": (2, 0), "start_periods_s": (0.4, 1.0)}], 1.2),
+        # Less urgent work does not count.
+        ([{"queued": (0, 900), "items": (0, 3)}], 0.0),
+    ],
+)
+def test_wait_of_the_fleet(reports, expected):
+    # Guards against one old report that makes a rank look overloaded.
+    fleet = [
+        _candidate(f"u{place}", **{"reported_at": 4.5, **fields})
+        for place, fields in enumerate(reports)
+    ]
+    decision = _choose(fleet, _request())
+    assert decision.fleet_wait_s == pytest.approx(expected)
+
+
 def test_recent_work_counts_until_a_later_report():
     # Guards against herding on a report that lags, and against counting the
     # same work twice.
