Measure spreading in virtual time, with entries that learn of ends

bench.policy has a section "spreading": the 130 short prompts of bench.overhead over 4 replicas of 40 slots, one of them in the zone of the entries.

Entries of a deployment learn of first tokens and ends of their requests; those of bench.policy only knew what reports show.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import heapq
 import itertools
 import json
@@ -70,6 +71,7 @@
     ended_at: float | None = None
     refused: bool = False
     upstream: str = ""
+    entry: Any = None
 
     @property
     def tokens(self) -> int:
@@ -77,7 +79,12 @@
 
 
 class Setup(msgspec.Struct, frozen=True):
-    """Policies of a run."""
+    """Policies of a run.
+
+    Args:
+        feedback: whether entries learn of first tokens and ends, as those of
+            a deployment do; otherwise they know what reports show.
+    """
 
     queue: str = "ranks"
     route: str = "predicted"
@@ -86,6 +93,9 @@
     entries: int = 4
     report_lag_s: float = 0.5
     slow_replicas: int = 0
+    slots: int = SLOTS
+    entry_zones: tuple[str, ...] = ZONES
+    feedback: bool = False
 
 
 class Loop:
@@ -120,6 +130,7 @@
         self.loop = loop
         self.gate = admission.Admission(RANKS, rng)
         self.admission = setup.admission
+        self.slots = setup.slots
         self.name = name
         self.zone = zone
         self.rate = PREFILL_RATE
@@ -133,7 +144,7 @@
         self._busy = False
         self._order = itertools.count()
         if setup.queue == "ranks":
-            self.queue = queueing.make_queue(RANKS, slots=SLOTS)
+            self.queue = queueing.make_queue(RANKS, slots=setup.slots)
         else:
             self.queue = work_queue.FifoQueue()
 
@@ -147,7 +158,7 @@
                 self.loop.now,
             )
             if isinstance(outcome, admission.Refused):
-                arrival.refused = True
+                self._ended(arrival, refused=True)
                 return
         expected = arrival.prompt + MEAN_TOKENS[arrival.rank][1]
         item = work_queue.Item(
@@ -201,7 +212,7 @@
 
     def _free_slots(self) -> tuple[int, ...]:
         if isinstance(self.queue, work_queue.FifoQueue):
-            return (SLOTS - self.running,) * len(RANKS)
+            return (self.slots - self.running,) * len(RANKS)
         now = self.loop.now
         return tuple(self.queue.free_slots(name, now) for name in NAMES)
 
@@ -213,12 +224,16 @@
         return tuple(self.queue.start_period(name, now) for name in NAMES)
 
     def _refuse(self, item: work_queue.Item) -> None:
-        item.payload.refused = True
+        self._ended(item.payload, refused=True)
         self.waiting[NAMES.index(item.rank)] -= item.payload.prompt
 
+    def _ended(self, arrival: Arrival, refused: bool = False) -> None:
+        arrival.refused = refused
+        self.loop.after(NETWORK_S, arrival.entry.ended, arrival)
+
     def _dispatch(self) -> None:
         now = self.loop.now
-        while self.running < SLOTS:
+        while self.running < self.slots:
             item = self.queue.pop(now)
             if item is None:
                 break
@@ -254,12 +269,14 @@
         else:
             arrival = item.payload
             arrival.first_token_at = self.loop.now + NETWORK_S
+            self.loop.after(NETWORK_S, arrival.entry.prefilled, arrival)
             self.loop.after(arrival.answer * self.decode_s, self._end, item)
         self._next_chunk()
 
     def _end(self, item: work_queue.Item) -> None:
         now = self.loop.now
         item.payload.ended_at = now
+        self._ended(item.payload)
         self.running -= 1
         self.slot_times.add(1, now)
         self.queue.finished(item, item.payload.tokens, now)
@@ -291,6 +308,14 @@
         self.reports[report.upstream] = report
         self.recent.reported(report.upstream, report.reported_at)
 
+    def prefilled(self, arrival: Arrival) -> None:
+        if self.setup.feedback:
+            self.recent.prefilled(arrival.upstream, arrival.request_id)
+
+    def ended(self, arrival: Arrival) -> None:
+        if self.setup.feedback:
+            self.recent.ended(arrival.upstream, arrival.request_id)
+
     def handle(self, arrival: Arrival) -> None:
         now = self.loop.now
         rank = NAMES.index(arrival.rank)
@@ -334,6 +359,7 @@
                 arrival.refused = True
                 return
         arrival.upstream = decision.upstream
+        arrival.entry = self
         self.recent.add(
             decision.upstream,
             arrival.request_id,
@@ -387,7 +413,16 @@
     seconds: float,
     seed: int,
 ) -> list[Arrival]:
-    """Run one trace; returns its arrivals with their outcome."""
+    """Run callers' requests; returns the arrivals with their outcome."""
+    arrivals = make_trace(random.Random(seed + 1), sources, seconds)
+    run_trace(setup, arrivals, seconds, seed)
+    return arrivals
+
+
+def run_trace(
+    setup: Setup, arrivals: list[Arrival], seconds: float, seed: int
+) -> None:
+    """Run one trace; its arrivals get their outcome."""
     loop = Loop()
     rng = random.Random(seed)
     fleet = [
@@ -398,7 +433,13 @@
         replica.rate /= 2
         replica.decode_s *= 2
     entries = [
-        Entry(loop, ZONES[n % len(ZONES)], setup, fleet, rng)
+        Entry(
+            loop,
+            setup.entry_zones[n % len(setup.entry_zones)],
+            setup,
+            fleet,
+            rng,
+        )
         for n in range(setup.entries)
     ]
 
@@ -412,13 +453,11 @@
 
     for index, replica in enumerate(fleet):
         loop.after(index / len(fleet), send_report, replica)
-    arrivals = make_trace(random.Random(seed + 1), sources, seconds)
     for index, arrival in enumerate(arrivals):
         # The balancer in front of the entries.
         entry = entries[index % len(entries)]
         loop.after(arrival.at, entry.handle, arrival)
     loop.run(seconds)
-    return arrivals
 
 
 def percentile(values: list[float], part: float) -> float | None:
@@ -481,6 +520,7 @@
 SETUPS = {
     "plain": Setup("fifo", "least_loaded", False),
     "policy": Setup(),
+    "policy_with_feedback": Setup(feedback=True),
 }
 
 
@@ -635,6 +675,55 @@
     return percentile(peaks, 0.95) or 0.0
 
 
+# Streams that all fit, as in bench.overhead: 4 replicas, one of them in the
+# zone of the entries, with more slots than there are streams.
+SPREAD_STREAMS = 130
+SPREAD_SLOTS = 40
+SPREAD_RAMP_S = 4.0
+SPREAD_ANSWER = 400
+SPREAD_ZONES = ("west-wharf",)
+# Reports have arrived by then.
+SPREAD_BEGIN_S = 3.0
+
+
+def compare_spreading(seed: int) -> dict[str, Any]:
+    """Short prompts with long answers over replicas of several zones."""
+    result: dict[str, Any] = {}
+    for entries in (1, 2, 4):
+        setup = Setup(
+            replicas=4,
+            entries=entries,
+            slots=SPREAD_SLOTS,
+            entry_zones=SPREAD_ZONES,
+            feedback=True,
+        )
+        arrivals = [
+            Arrival(
+                str(number),
+                SPREAD_BEGIN_S + SPREAD_RAMP_S * number / SPREAD_STREAMS,
+                "urgent",
+                "quotes",
+                3,
+                SPREAD_ANSWER,
+            )
+            for number in range(SPREAD_STREAMS)
+        ]
+        end = SPREAD_BEGIN_S + SPREAD_RAMP_S + 1
+        run_trace(setup, arrivals, end, seed)
+        started = [one for one in arrivals if one.first_token_at is not None]
+        running = collections.Counter(one.upstream for one in started)
+        result[f"entries_{entries}"] = {
+            "running": [running[f"r{n}"] for n in range(4)],
+            "refused": sum(one.refused for one in arrivals),
+            "p95_ttft_s": _round(
+                percentile(
+                    [one.first_token_at - one.at for one in started], 0.95
+                )
+            ),
+        }
+    return result
+
+
 def check_targets(ranks: dict[str, Any], callers: dict[str, Any]) -> dict:
     """Compare the policy with the targets."""
     policy = ranks["policy"]
@@ -669,6 +758,7 @@
         "targets": check_targets(ranks, callers),
         "ranks": ranks,
         "callers": callers,
+        "spreading": compare_spreading(options.seed),
         "routing": compare_routing(options.seconds / 2, options.seed),
     }
     print(json.dumps(report, indent=2))
