Pass over replicas whose slots are full while others have room

Cause: a replica in the entry's own zone that was full looked free. Its old report is drawn towards the mean of all replicas, and it reports no time between starts before anything has waited there.

Change: the entry passes over a replica whose slots are filled by the entry's own requests that have their first token. A replica that reports waiting requests of the rank and no free slot is passed over as well, as long as the others report a quarter of their slots free.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -187,6 +187,7 @@
             self._start_periods(),
             SHARES,
             tuple(load.at(now) / self.rate for load in self.loads),
+            slots=self.slots,
         )
 
     def _predict(self, arrival: Arrival) -> tuple[float, float]:
--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -37,6 +37,12 @@
 RECENT_WORK_S = 10.0
 
 
+# Upstreams with a queue are passed over while the others have this part of
+# their slots free. With less, as in a flood, small callers kept 0.75 instead
+# of all of their goodput (bench/policy.py).
+ROOMY_SHARE = 0.25
+
+
 class Hint(msgspec.Struct, frozen=True):
     """Expected reuse of a prompt prefix at an upstream.
 
@@ -88,6 +94,7 @@
         shares: part of the service that each rank is owed.
         loads: part of the capacity that each rank took lately.
         weight: below 1 while the upstream returns gradually; 0: no new work.
+        slots: requests that it runs at once; 0 when not known.
     """
 
     upstream: str
@@ -101,6 +108,7 @@
     shares: tuple[float, ...] = ()
     loads: tuple[float, ...] = ()
     weight: float = 1.0
+    slots: int = 0
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -125,11 +133,13 @@
 
 
 class RecentWork:
-    """Work that an entry sent and that reports do not show yet."""
+    """Work that an entry sent: what reports do not show yet, what runs."""
 
-    __slots__ = ("_sent",)
+    __slots__ = ("_sent", "_running")
 
     def __init__(self) -> None:
+        # Request ids by upstream, from the first token to the end.
+        self._running: dict[str, set[str]] = {}
         # By upstream, in the order of dispatch: request id to (time, rank,
         # prompt tokens).
         self._sent: dict[
@@ -168,6 +178,7 @@
 
     def prefilled(self, upstream: str, request_id: str) -> None:
         """A request has its first token; it holds a slot from now on."""
+        self._running.setdefault(upstream, set()).add(request_id)
         sent = self._sent.get(upstream, {})
         if request_id in sent:
             sent_at, rank, _ = sent[request_id]
@@ -180,6 +191,15 @@
             sent.pop(request_id, None)
             if not sent:
                 del self._sent[upstream]
+        running = self._running.get(upstream)
+        if running is not None:
+            running.discard(request_id)
+            if not running:
+                del self._running[upstream]
+
+    def running(self, upstream: str) -> int:
+        """Returns: own requests that hold a slot."""
+        return len(self._running.get(upstream, ()))
 
     def pending(self, upstream: str, rank: int, now: float) -> tuple[int, int]:
         """Work not yet reported of a rank.
@@ -406,6 +426,7 @@
     usable = [
         one for one in usable if one.weight >= 1 or rng.random() < one.weight
     ] or usable
+    usable = _without_full(usable, request.rank, recent)
     backlogs = [backlog(one, request.rank) for one in usable]
     mean = Backlog(
         sum(one.wait_s for one in backlogs) / len(usable),
@@ -436,6 +457,41 @@
     )
 
 
+def _without_full(
+    candidates: list[Candidate], rank: int, recent: RecentWork
+) -> list[Candidate]:
+    """Leave out the upstreams where a request surely waits for a slot.
+
+    Old reports of a full upstream look like the mean of all, and one where
+    nothing has waited yet reports no time between starts. In a flood reports
+    of full upstreams do not count, since all entries would send their requests
+    to the few others.
+
+    Returns:
+        The others; all when all are full.
+    """
+    rest = [
+        one
+        for one in candidates
+        if not 0 < one.slots <= recent.running(one.upstream)
+    ]
+    roomy = [one for one in rest if not _has_queue(one, rank)]
+    if roomy and sum(
+        one.free_slots[rank] for one in roomy if one.free_slots
+    ) >= ROOMY_SHARE * sum(one.slots for one in roomy):
+        return roomy
+    return rest or candidates
+
+
+def _has_queue(candidate: Candidate, rank: int) -> bool:
+    """Whether requests of a rank wait for slots, by the last report."""
+    return (
+        candidate.slots > 0
+        and candidate.queued_items[rank] > 0
+        and not any(candidate.free_slots[rank : rank + 1])
+    )
+
+
 def _sample(
     candidates: list[Candidate], count: int, rng: random.Random
 ) -> list[Candidate]:
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -338,6 +338,7 @@
                 free_slots=(upstream.max_running,) * ranks,
                 shares=self._shares,
                 weight=weight,
+                slots=upstream.max_running,
             )
         report, taken_at = known
         return routing.Candidate(
@@ -357,6 +358,7 @@
             ),
             shares=self._shares,
             weight=weight,
+            slots=upstream.max_running,
         )
 
     def _hints_for(
--- a/tests/coordination/test_routing.py
+++ b/tests/coordination/test_routing.py
@@ -120,6 +120,46 @@
     assert decision.fleet_wait_s == pytest.approx(expected)
 
 
+def test_upstream_filled_by_own_requests_is_passed_over():
+    # Guards against short prompts that all go to the full upstream of the own
+    # zone, since its old report looks like the mean of all.
+    recent = routing.RecentWork()
+    fleet = [
+        _candidate("near", slots=2, free_slots=(2, 2)),
+        _candidate("far", "west", queued=(900, 0), slots=2, free_slots=(2, 2)),
+    ]
+    for number in "12":
+        recent.add("near", number, 0, 0, 1.0)
+    assert _choose(fleet, _request(), recent).upstream == "near"
+    for number in "12":
+        recent.prefilled("near", number)
+    recent.reported("near", 3.0)
+    assert _choose(fleet, _request(), recent).upstream == "far"
+    assert _choose(fleet[:1], _request(), recent).upstream == "near"
+    recent.ended("near", "1")
+    assert _choose(fleet, _request(), recent).upstream == "near"
+
+
+@pytest.mark.parametrize(
+    "queued, free, other_free, expected",
+    [
+        (1, 0, 8, "far"),
+        # Some of its slots are free.
+        (1, 2, 8, "near"),
+        (0, 0, 8, "near"),
+        # In a flood all entries would go to the one without a queue.
+        (1, 0, 1, "near"),
+    ],
+)
+def test_reported_queue_is_passed_over(queued, free, other_free, expected):
+    # Guards against several entries that together fill one upstream.
+    fleet = [
+        _candidate("near", items=(queued, 0), slots=16, free_slots=(free, 0)),
+        _candidate("far", "west", slots=16, free_slots=(other_free, 0)),
+    ]
+    assert _choose(fleet, _request()).upstream == expected
+
+
 def test_recent_work_counts_until_a_later_report():
     # Guards against herding on a report that lags, and against counting the
     # same work twice.
--- a/tests/coordination/test_selection.py
+++ b/tests/coordination/test_selection.py
@@ -135,6 +135,18 @@
     assert chooser.dump(11.0)["ejected"][MODEL] == []
 
 
+def test_replica_is_full_until_an_answer_ends(chooser):
+    """Guards against slots that stay counted after their answers."""
+    document = _document(2, max_running=1)
+    chooser.update(document, (), [], 10.0)
+    wanted = _wanted()
+    first = chooser.choose(wanted, frozenset(), 10.0).upstream.name
+    chooser.answered(wanted, first, 0.1, 10.0)
+    assert first not in {name for name, _ in _chosen(chooser)}
+    chooser.finished(wanted, first)
+    assert first in {name for name, _ in _chosen(chooser)}
+
+
 def test_entry_watches_a_bounded_subset(chooser):
     """Guards against reports of all replicas at every entry."""
     chooser.update(_document(640), (), [], 10.0)
