--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -426,7 +426,7 @@
     usable = [
         one for one in usable if one.weight >= 1 or rng.random() < one.weight
     ] or usable
-    usable = _without_full(usable, request.rank, recent, now)
+    usable = _without_full(usable, request.rank, recent)
     backlogs = [backlog(one, request.rank) for one in usable]
     mean = Backlog(
         sum(one.wait_s for one in backlogs) / len(usable),
@@ -458,7 +458,7 @@
 
 
 def _without_full(
-    candidates: list[Candidate], rank: int, recent: RecentWork, now: float
+    candidates: list[Candidate], rank: int, recent: RecentWork
 ) -> list[Candidate]:
     """Leave out the upstreams where a request surely waits for a slot.
 
@@ -475,7 +475,7 @@
         for one in candidates
         if not 0 < one.slots <= recent.running(one.upstream)
     ]
-    roomy = [one for one in rest if not _has_queue(one, rank, recent, now)]
+    roomy = [one for one in rest if not _has_queue(one, rank)]
     if roomy and sum(
         one.free_slots[rank] for one in roomy if one.free_slots
     ) >= ROOMY_SHARE * sum(one.slots for one in roomy):
@@ -483,17 +483,13 @@
     return rest or candidates
 
 
-def _has_queue(
-    candidate: Candidate, rank: int, recent: RecentWork, now: float
-) -> bool:
+def _has_queue(candidate: Candidate, rank: int) -> bool:
     """Whether requests of a rank wait for slots, by the last report."""
-    if not candidate.slots or not candidate.free_slots:
-        return False
-    items = sum(
-        recent.pending(candidate.upstream, other, now)[1]
-        for other in range(rank + 1)
+    return (
+        candidate.slots > 0
+        and candidate.queued_items[rank] > 0
+        and not any(candidate.free_slots[rank : rank + 1])
     )
-    return candidate.free_slots[rank] <= items
 
 
 def _sample(
