--- a/papayalink/coordination/admission.py
+++ b/papayalink/coordination/admission.py
@@ -31,9 +31,6 @@
 # the upstreams do not run dry while the largest callers are held back.
 LEAST_LIMIT = 0.25
 
-# A wait below this part of the target does not count as overload.
-IDLE_PART = 0.1
-
 # Fair shares are computed at most this often, since each time costs a sort of
 # all active workspaces.
 LEVEL_PERIOD_S = 0.25
@@ -139,6 +136,7 @@
         ttft_s: float,
         wait_s: float,
         now: float,
+        fleet_wait_s: float = math.inf,
     ) -> Admitted | Refused:
         """Admit or refuse one request; each request is asked for once.
 
@@ -149,6 +147,8 @@
             ttft_s: predicted time to first token.
             wait_s: part of it before the request starts.
             now: seconds.
+            fleet_wait_s: wait that the rank has at most upstreams; a caller
+                is held to its fair share only when this is overload too.
 
         Returns:
             The decision.
@@ -168,12 +168,12 @@
         excess = caller.admitted.at(now) / self._level(load, now)
         target_s = self._slack * load.rank.ttft_target_s
         limit_s = target_s
-        if excess > 1:
+        idle_s = IDLE_PART * target_s
+        if excess > 1 and fleet_wait_s > idle_s:
             limit_s = target_s * max(LEAST_LIMIT, EXCESS_LIMIT / excess)
         # A long prompt on an idle upstream is served, late or not: a repeat
         # would not be faster.
-        idle = wait_s <= IDLE_PART * target_s
-        if idle or ttft_s <= limit_s:
+        if wait_s <= idle_s or ttft_s <= limit_s:
             caller.admitted.add(tokens, now)
             return Admitted()
         reason = "late" if ttft_s > target_s else "share"
@@ -221,5 +221,6 @@
         ttft_s: float,
         wait_s: float,
         now: float,
+        fleet_wait_s: float = math.inf,
     ) -> Admitted | Refused:
         return Admitted()
--- a/papayalink/coordination/queueing.py
+++ b/papayalink/coordination/queueing.py
@@ -26,10 +26,6 @@
 # agent takes some microseconds between the two.
 AT_ONCE_S = 0.001
 
-# Dead heap entries are tolerated up to this many beyond the live ones, so that
-# rebuilding a heap costs constant time for each change on average.
-HEAP_SLACK = 64
-
 
 class RankQueue(work_queue.WorkQueue):
     """Queue by rank, urgent first, with guaranteed shares.
@@ -390,7 +386,10 @@
                 self._expired.append(self._discard(item))
 
     def _compact_deadlines(self) -> None:
-        if len(self._deadlines) <= 2 * len(self._waiting) + HEAP_SLACK:
+        if (
+            len(self._deadlines)
+            <= 2 * len(self._waiting) + rank_state.HEAP_SLACK
+        ):
             return
         self._deadlines = [
             entry
--- a/papayalink/coordination/routing.py
+++ b/papayalink/coordination/routing.py
@@ -37,6 +37,13 @@
 RECENT_WORK_S = 10.0
 
 
+# Upstreams with a queue are passed over while the others have this part of
+# their slots free. With a quarter, entries with old reports sent their work to
+# the few others: with 4 of 24 replicas slow, urgent TTFT p95 rose from 0.66 to
+# 2.45 s (bench/policy.py, lag 1.5 s, 60 entries).
+ROOMY_SHARE = 0.5
+
+
 class Hint(msgspec.Struct, frozen=True):
     """Expected reuse of a prompt prefix at an upstream.
 
@@ -88,6 +95,7 @@
         shares: part of the service that each rank is owed.
         loads: part of the capacity that each rank took lately.
         weight: below 1 while the upstream returns gradually; 0: no new work.
+        slots: requests that it runs at once; 0 when not known.
     """
 
     upstream: str
@@ -101,6 +109,7 @@
     shares: tuple[float, ...] = ()
     loads: tuple[float, ...] = ()
     weight: float = 1.0
+    slots: int = 0
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -112,6 +121,8 @@
         ttft_s: predicted time to first token.
         hint: reuse that the prediction counts on.
         local: whether the upstream is in the zone of the entry.
+        fleet_wait_s: wait that at least half of the candidates show, see
+            `fleet_wait`; infinite when only one was looked at.
     """
 
     upstream: str
@@ -119,14 +130,17 @@
     ttft_s: float
     hint: Hint
     local: bool
+    fleet_wait_s: float = math.inf
 
 
 class RecentWork:
-    """Work that an entry sent and that reports do not show yet."""
+    """Work that an entry sent: what reports do not show yet, what runs."""
 
-    __slots__ = ("_sent",)
+    __slots__ = ("_sent", "_running")
 
     def __init__(self) -> None:
+        # Request ids by upstream, from the first token to the end.
+        self._running: dict[str, set[str]] = {}
         # By upstream, in the order of dispatch: request id to (time, rank,
         # prompt tokens).
         self._sent: dict[
@@ -165,6 +179,7 @@
 
     def prefilled(self, upstream: str, request_id: str) -> None:
         """A request has its first token; it holds a slot from now on."""
+        self._running.setdefault(upstream, set()).add(request_id)
         sent = self._sent.get(upstream, {})
         if request_id in sent:
             sent_at, rank, _ = sent[request_id]
@@ -177,6 +192,15 @@
             sent.pop(request_id, None)
             if not sent:
                 del self._sent[upstream]
+        running = self._running.get(upstream)
+        if running is not None:
+            running.discard(request_id)
+            if not running:
+                del self._running[upstream]
+
+    def running(self, upstream: str) -> int:
+        """Returns: own requests that hold a slot."""
+        return len(self._running.get(upstream, ()))
 
     def pending(self, upstream: str, rank: int, now: float) -> tuple[int, int]:
         """Work not yet reported of a rank.
@@ -269,6 +293,43 @@
     )
 
 
+def fleet_wait(
+    candidates: Sequence[Candidate],
+    backlogs: Sequence[Backlog],
+    rank: int,
+    now: float,
+) -> float:
+    """Wait of a rank that at least half of the upstreams show.
+
+    Args:
+        candidates: at least one.
+        backlogs: of the candidates, in their order.
+        rank: index of the rank.
+        now: seconds.
+
+    Returns:
+        Seconds; one prompt in prefill, or one full upstream, does not make
+        it long.
+    """
+    waits = sorted(
+        _remaining_wait(one, shown, rank, now)
+        for one, shown in zip(candidates, backlogs)
+    )
+    return waits[(len(waits) - 1) // 2]
+
+
+def _remaining_wait(
+    candidate: Candidate, shown: Backlog, rank: int, now: float
+) -> float:
+    if any(candidate.queued_items[: rank + 1]):
+        if not candidate.start_periods_s or shown.starts < 0:
+            return shown.wait_s
+        start_s = (shown.starts + 1) * candidate.start_periods_s[rank]
+        return max(shown.wait_s, start_s)
+    # Prompts in prefill and none behind them: that work has gone on since.
+    return max(0.0, shown.wait_s - (now - candidate.reported_at))
+
+
 def predict(
     candidate: Candidate,
     request: Request,
@@ -371,6 +432,7 @@
     usable = [
         one for one in usable if one.weight >= 1 or rng.random() < one.weight
     ] or usable
+    usable = _without_full(usable, request.rank, recent)
     backlogs = [backlog(one, request.rank) for one in usable]
     mean = Backlog(
         sum(one.wait_s for one in backlogs) / len(usable),
@@ -388,13 +450,52 @@
             )
         )
     penalty_s = ZONE_PENALTY * request.target_s
-    return min(
+    decision = min(
         (predict(one, request, now, recent, mean) for one in few),
         key=lambda decision: (
             decision.ttft_s > request.target_s,
             decision.ttft_s + (0.0 if decision.local else penalty_s),
         ),
     )
+    return msgspec.structs.replace(
+        decision,
+        fleet_wait_s=fleet_wait(usable, backlogs, request.rank, now),
+    )
+
+
+def _without_full(
+    candidates: list[Candidate], rank: int, recent: RecentWork
+) -> list[Candidate]:
+    """Leave out the upstreams where a request surely waits for a slot.
+
+    Old reports of a full upstream look like the mean of all, and one where
+    nothing has waited yet reports no time between starts. In a flood reports
+    of full upstreams do not count, since all entries would send their requests
+    to the few others.
+
+    Returns:
+        The others; all when all are full.
+    """
+    rest = [
+        one
+        for one in candidates
+        if not 0 < one.slots <= recent.running(one.upstream)
+    ]
+    roomy = [one for one in rest if not _has_queue(one, rank)]
+    if roomy and sum(
+        one.free_slots[rank] for one in roomy if one.free_slots
+    ) >= ROOMY_SHARE * sum(one.slots for one in roomy):
+        return roomy
+    return rest or candidates
+
+
+def _has_queue(candidate: Candidate, rank: int) -> bool:
+    """Whether requests of a rank wait for slots, by the last report."""
+    return (
+        candidate.slots > 0
+        and candidate.queued_items[rank] > 0
+        and not any(candidate.free_slots[rank : rank + 1])
+    )
 
 
 def _sample(
--- a/papayalink/coordination/selection.py
+++ b/papayalink/coordination/selection.py
@@ -1,6 +1,7 @@
 """Chooses an upstream for each attempt of a request."""
 
 from collections.abc import Iterable
+import math
 import random
 
 import msgspec
@@ -30,12 +31,15 @@
         weight_version: weights that the replica has loaded.
         ttft_s: predicted time to first token.
         wait_s: part of it before the request starts.
+        fleet_wait_s: wait of the rank that at least half of the usable
+            replicas show.
     """
 
     upstream: documents.Upstream
     weight_version: str
     ttft_s: float
     wait_s: float
+    fleet_wait_s: float = math.inf
 
 
 class Wanted(msgspec.Struct):
@@ -47,6 +51,7 @@
         tokens: prompt tokens.
         target_s: time to first token of the rank.
         adapter: adapter that the replica must hold, "" for none.
+        stream: whether the first frame of the answer is its first token.
     """
 
     request_id: str
@@ -57,6 +62,7 @@
     tokens: int
     target_s: float
     adapter: str = ""
+    stream: bool = True
 
 
 class Selection:
@@ -182,6 +188,7 @@
             versions[decision.upstream],
             decision.ttft_s,
             decision.wait_s,
+            decision.fleet_wait_s,
         )
 
     def choose_service(
@@ -203,7 +210,7 @@
         """Record how an attempt went.
 
         Args:
-            latency_s: time to the first token, None when the upstream
+            latency_s: time to the first frame, None when the upstream
                 failed or was not reached.
         """
         if latency_s is None:
@@ -212,7 +219,10 @@
             self._recent.prefilled(upstream, wanted.request_id)
         detection = self._outliers.get(wanted.model)
         if detection is not None:
-            detection.record(upstream, latency_s, now)
+            if latency_s is None or wanted.stream:
+                detection.record(upstream, latency_s, now)
+            else:
+                detection.record_success(upstream)
         if latency_s is not None and wanted.family:
             self._note_prefix(wanted, upstream)
 
@@ -335,6 +345,7 @@
                 free_slots=(upstream.max_running,) * ranks,
                 shares=self._shares,
                 weight=weight,
+                slots=upstream.max_running,
             )
         report, taken_at = known
         return routing.Candidate(
@@ -354,6 +365,7 @@
             ),
             shares=self._shares,
             weight=weight,
+            slots=upstream.max_running,
         )
 
     def _hints_for(
--- a/papayalink/roles/agent/relaying.py
+++ b/papayalink/roles/agent/relaying.py
@@ -18,6 +18,7 @@
 from papayalink.protocol import relay
 from papayalink.roles.agent import engine_work
 from papayalink.roles.agent import kept_cache
+from papayalink.roles.agent import prefills
 from papayalink.roles.agent import upstream as upstream_state
 from papayalink.state import document as documents
 from papayalink.transport import errors as transport_errors
@@ -27,12 +28,13 @@
 
 
 class Admission:
-    """Decides whether a request may run here now.
+    """Decides whether requests may run here now.
 
     Args:
         document: configuration in force.
         confirmed: whether the configuration lease is valid.
         accepting: whether the upstream takes new work, else the reason.
+        catch_up: waits a moment for the given version of the configuration.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "_confirmed",
         "_refusal",
         "_engine_state",
+        "_catch_up",
         "_indexed",
         "_names",
     )
@@ -50,11 +53,13 @@
         confirmed: Callable[[], bool],
         refusal: Callable[[], str],
         engine_state: upstream_state.EngineState,
+        catch_up: Callable[[int], None],
     ) -> None:
         self._document = document
         self._confirmed = confirmed
         self._refusal = refusal
         self._engine_state = engine_state
+        self._catch_up = catch_up
         self._indexed: documents.Document | None = None
         self._names: frozenset[str] = frozenset()
 
@@ -66,8 +71,6 @@
         if not self._confirmed():
             return "configuration is not confirmed"
         document = self._document()
-        if request.workspace not in self._workspaces(document):
-            return "workspace is not known"
         if not self._engine_state.up:
             return "engine is down"
         loaded = self._engine_state.weight_version
@@ -82,7 +85,19 @@
             return _NOT_LOADED
         return ""
 
-    def _workspaces(self, document: documents.Document) -> frozenset[str]:
+    def knows_workspace(self, request: relay.RelayRequest) -> bool:
+        """Look the workspace up, in a newer configuration if necessary.
+
+        The entry may have followed a change a second earlier. Refusals until
+        the next poll would use up its budget of repeats.
+        """
+        if request.workspace in self._workspaces():
+            return True
+        self._catch_up(request.version)
+        return request.workspace in self._workspaces()
+
+    def _workspaces(self) -> frozenset[str]:
+        document = self._document()
         if document is not self._indexed:
             self._indexed = document
             self._names = frozenset(one.name for one in document.workspaces)
@@ -102,8 +117,7 @@
         "_clock",
         "_metrics",
         "_log",
-        "_starting",
-        "_starting_tokens",
+        "_prefills",
     )
 
     def __init__(
@@ -126,17 +140,12 @@
         self._clock = clock
         self._metrics = metrics
         self._log = logs.get_logger()
-        self._starting = 0
-        self._starting_tokens = 0
+        self._prefills = prefills.make_prefills(engine_state, clock)
 
     @property
     def starting(self) -> int:
-        """Requests dispatched whose first token has not arrived.
-
-        A swap of weights waits for these: the engine chooses the version of
-        a request when it starts it.
-        """
-        return self._starting
+        """Requests dispatched that the engine may not have started."""
+        return self._prefills.starting
 
     def answer(
         self, request: relay.RelayRequest, priority: int
@@ -151,6 +160,10 @@
         if refusal:
             yield self._not_admitted(request, refusal)
             return
+        # Other requests are not concerned, so this is not unavailability.
+        if not self._admission.knows_workspace(request):
+            yield self._refused(request, "workspace is not known")
+            return
         if not self._work.knows(request.rank):
             yield self._refused(request, "rank is not known")
             return
@@ -167,14 +180,17 @@
                 decision.retry_after_s,
             )
             return
-        pending = _Pending(self._work, request)
+        prompt = self._work.arrived(request.rank, request.prompt_tokens)
         try:
-            yield from self._answer_queued(request, priority, pending)
+            yield from self._answer_queued(request, priority, prompt)
         finally:
-            pending.finish(served=False)
+            self._work.left(prompt, served=False)
 
     def _answer_queued(
-        self, request: relay.RelayRequest, priority: int, pending: "_Pending"
+        self,
+        request: relay.RelayRequest,
+        priority: int,
+        prompt: engine_work.Prompt,
     ) -> Iterator[bytes]:
         item = work_queue.Item(
             request_id=request.attempt_id,
@@ -194,9 +210,14 @@
             if refusal:
                 yield self._not_admitted(request, refusal)
                 return
-            for frame in self._run(request, priority):
+            if not self._admission.knows_workspace(request):
+                yield self._refused(request, "workspace is not known")
+                return
+            for frame in self._run(request, priority, prompt):
+                if not served:
+                    self._metrics.count("requests_served", rank=request.rank)
+                    self._work.left(prompt, served=True)
                 served += 1
-                pending.finish(served=True)
                 yield frame
         except transport_errors.CallerGone:
             self._note_gone(request, "running")
@@ -235,11 +256,15 @@
         )
 
     def _run(
-        self, request: relay.RelayRequest, priority: int
+        self,
+        request: relay.RelayRequest,
+        priority: int,
+        prompt: engine_work.Prompt,
     ) -> Iterator[bytes]:
-        queue_tokens = self._starting_tokens
+        queue_tokens = self._prefills.tokens
         with contextlib.ExitStack() as stack:
-            started = stack.enter_context(self._start_pending(request))
+            prefill = self._prefills.begin(request.prompt_tokens)
+            stack.callback(self._prefills.finish, prefill)
             located = self._cache.locate(request)
             restore = None
             if located is not None:
@@ -249,30 +274,39 @@
                 stack.callback(restore.stop)
                 restore.wait_to_start()
             body = _engine_body(request, priority)
-            began = self._clock.now()
-            run = self._stream if request.stream else self._whole
-            for frame in run(request, body):
-                if not started.done:
+            if request.stream:
+                answer = self._stream(request, body, located is None)
+            else:
+                answer = self._whole(request, body)
+                self._prefills.estimate(prefill)
+                self._work.estimate(prompt, prefill.ends_at)
+            for place, frame in enumerate(answer):
+                if not place:
                     if restore is not None:
                         # The whole prompt is computed.
                         restore.stop()
-                    alone = self._starting == 1
-                    started.finish()
-                    first_s = self._clock.now() - began
-                    self._metrics.observe(
-                        "engine_first_token", first_s, rank=request.rank
-                    )
-                    if located is None and alone:
-                        self._state.observe_prefill(
-                            request.prompt_tokens, first_s
-                        )
+                    self._prefills.finish(prefill)
                 yield frame
         if located is not None:
             self._cache.keep(located)
 
+    def _observe(
+        self, request: relay.RelayRequest, began: float, is_computed: bool
+    ) -> None:
+        """Measure a first token that has arrived.
+
+        Args:
+            is_computed: the whole prompt was computed, not restored.
+        """
+        first_s = self._clock.now() - began
+        self._metrics.observe("engine_first_token", first_s, rank=request.rank)
+        if is_computed and self._prefills.count == 1:
+            self._state.observe_prefill(request.prompt_tokens, first_s)
+
     def _stream(
-        self, request: relay.RelayRequest, body: bytes
+        self, request: relay.RelayRequest, body: bytes, is_computed: bool
     ) -> Iterator[bytes]:
+        began = self._clock.now()
         count = 0
         try:
             events = self._engine.stream(
@@ -284,6 +318,8 @@
         with contextlib.closing(events):
             try:
                 for event in events:
+                    if not count:
+                        self._observe(request, began, is_computed)
                     yield frames.encode(
                         frames.Chunk(request.attempt_id, count, event)
                     )
@@ -357,56 +393,6 @@
             )
         )
 
-    @contextlib.contextmanager
-    def _start_pending(
-        self, request: relay.RelayRequest
-    ) -> Iterator["_Start"]:
-        start = _Start(self, request.prompt_tokens)
-        try:
-            yield start
-        finally:
-            start.finish()
-
-
-class _Pending:
-    """Prompt tokens of a request until its first token or its end."""
-
-    __slots__ = ("_work", "_request", "_done")
-
-    def __init__(
-        self, work: engine_work.EngineWork, request: relay.RelayRequest
-    ) -> None:
-        self._work = work
-        self._request = request
-        self._done = False
-        work.arrived(request.rank, request.prompt_tokens)
-
-    def finish(self, served: bool) -> None:
-        if not self._done:
-            self._done = True
-            self._work.left(
-                self._request.rank, self._request.prompt_tokens, served
-            )
-
-
-class _Start:
-    """Counts a request as starting until its first frame or its end."""
-
-    __slots__ = ("_relayer", "_tokens", "done")
-
-    def __init__(self, relayer: Relayer, tokens: int) -> None:
-        self._relayer = relayer
-        self._tokens = tokens
-        self.done = False
-        relayer._starting += 1
-        relayer._starting_tokens += tokens
-
-    def finish(self) -> None:
-        if not self.done:
-            self.done = True
-            self._relayer._starting -= 1
-            self._relayer._starting_tokens -= self._tokens
-
 
 def _rejected(request: relay.RelayRequest, status: int, body: bytes) -> bytes:
     text = body.decode(errors="replace")
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -267,6 +267,7 @@
             tokens=wanted.prompt_tokens,
             target_s=target_s,
             adapter=adapter,
+            stream=wanted.stream,
         )
         first = self._selection.choose(chosen, frozenset(), now)
         if first is None and adapter:
@@ -299,9 +300,10 @@
         answer = self._forwarder.open(
             request, _Attempts(self, chosen, first, call)
         )
-        self._metrics.observe(
-            "first_token", self._clock.now() - now, rank=rank
-        )
+        if wanted.stream:
+            self._metrics.observe(
+                "first_token", self._clock.now() - now, rank=rank
+            )
         return ServedAnswer(
             answer, lambda answer: self._finish(answer, workspace, chosen)
         )
@@ -318,7 +320,7 @@
         upstream: str,
         latency_s: float | None,
     ) -> None:
-        """Record the first token of an attempt, or None for its failure."""
+        """Record the first frame of an attempt, or None for its failure."""
         self._selection.answered(
             wanted, upstream, latency_s, self._clock.now()
         )
@@ -400,6 +402,7 @@
             first.ttft_s,
             first.wait_s,
             self._clock.now(),
+            first.fleet_wait_s,
         )
         if isinstance(decision, admission.Refused):
             self._selection.refused(wanted, first.upstream.name)
--- a/tests/coordination/test_selection.py
+++ b/tests/coordination/test_selection.py
@@ -119,6 +119,36 @@
     assert _chosen(chooser) == {("e0", "v2")}
 
 
+@pytest.mark.parametrize("stream, ejected", [(True, ["e0"]), (False, [])])
+def test_whole_answers_are_not_first_tokens(chooser, stream, ejected):
+    """Guards against ejections for long answers that are not streamed.
+
+    Also against ejections for single errors between such answers.
+    """
+    document = _document(4)
+    chooser.update(document, (), [], 10.0)
+    wanted = _wanted()
+    wanted.stream = stream
+    for name in ("e0", "e1", "e2", "e3"):
+        for _ in range(10):
+            chooser.answered(wanted, name, None, 10.0)
+            chooser.answered(wanted, name, 9.0 if name == "e0" else 0.1, 10.0)
+    chooser.update(document, (), [], 11.0)
+    assert chooser.dump(11.0)["ejected"][MODEL] == ejected
+
+
+def test_replica_is_full_until_an_answer_ends(chooser):
+    """Guards against slots that stay counted after their answers."""
+    document = _document(2, max_running=1)
+    chooser.update(document, (), [], 10.0)
+    wanted = _wanted()
+    first = chooser.choose(wanted, frozenset(), 10.0).upstream.name
+    chooser.answered(wanted, first, 0.1, 10.0)
+    assert first not in {name for name, _ in _chosen(chooser)}
+    chooser.finished(wanted, first)
+    assert first in {name for name, _ in _chosen(chooser)}
+
+
 def test_entry_watches_a_bounded_subset(chooser):
     """Guards against reports of all replicas at every entry."""
     chooser.update(_document(640), (), [], 10.0)
--- a/tests/roles/test_relaying.py
+++ b/tests/roles/test_relaying.py
@@ -22,39 +22,39 @@
         self.adapters = {"a", "removed"}
 
 
-def _request(version="v2", workspace="w"):
+def _request(version="v2"):
     return relay.RelayRequest(
-        "a", "r", workspace, "urgent", 1, "m", version, "/", b"", 1.0, 1
+        "a", "r", "w", "urgent", 1, "m", version, "/", b"", 1.0, 1
     )
 
 
 @pytest.mark.parametrize(
-    "loaded, up, asked, workspace, confirmed, state, admitted",
+    "loaded, up, asked, confirmed, state, admitted",
     [
-        ("v2", True, "v2", "w", True, "", True),
-        ("v1", True, "v1", "w", True, "", True),
+        ("v2", True, "v2", True, "", True),
+        ("v1", True, "v1", True, "", True),
         # The entry chose the replica for weights that it no longer has.
-        ("v2", True, "v1", "w", True, "", False),
-        ("v1", True, "v2", "w", True, "", False),
+        ("v2", True, "v1", True, "", False),
+        ("v1", True, "v2", True, "", False),
         # Weights are being swapped.
-        ("", True, "v2", "w", True, "", False),
+        ("", True, "v2", True, "", False),
         # Weights that the configuration no longer allows.
-        ("v0", True, "v0", "w", True, "", False),
-        ("v2", False, "v2", "w", True, "", False),
-        ("v2", True, "v2", "removed", True, "", False),
-        ("v2", True, "v2", "w", False, "", False),
-        ("v2", True, "v2", "w", True, "upstream is leaving", False),
+        ("v0", True, "v0", True, "", False),
+        ("v2", False, "v2", True, "", False),
+        ("v2", True, "v2", False, "", False),
+        ("v2", True, "v2", True, "upstream is leaving", False),
     ],
 )
-def test_admission(loaded, up, asked, workspace, confirmed, state, admitted):
+def test_admission(loaded, up, asked, confirmed, state, admitted):
     """Guards against work on other weights or without a confirmation."""
     admission = relaying.Admission(
         lambda: DOCUMENT,
         lambda: confirmed,
         lambda: state,
         Engine(loaded, up),
+        lambda version: None,
     )
-    reason = admission.refuse(_request(asked, workspace))
+    reason = admission.refuse(_request(asked))
     assert (reason == "") is admitted
 
 
@@ -64,7 +64,45 @@
 def test_adapter_must_be_listed_and_loaded(adapter, admitted):
     """Guards against an answer of the plain model for an adapter."""
     admission = relaying.Admission(
-        lambda: DOCUMENT, lambda: True, lambda: "", Engine("v2")
+        lambda: DOCUMENT,
+        lambda: True,
+        lambda: "",
+        Engine("v2"),
+        lambda version: None,
     )
     request = msgspec.structs.replace(_request(), adapter=adapter)
     assert (admission.refuse(request) == "") == bool(admitted)
+
+
+@pytest.mark.parametrize(
+    "workspace, newer, known",
+    [
+        ("w", [], True),
+        ("added", [], False),
+        # The agent has not yet polled the version of the entry.
+        ("added", ["w", "added"], True),
+        ("removed", ["w", "added"], False),
+    ],
+)
+def test_workspaces_of_the_configuration(workspace, newer, known):
+    """Guards against work for a workspace that is not configured.
+
+    Also against refusals of a new one until the agent polls by its timer.
+    """
+    held = [DOCUMENT]
+    asked = []
+
+    def catch_up(version):
+        asked.append(version)
+        if newer:
+            workspaces = tuple(documents.Workspace(name) for name in newer)
+            held[0] = documents.Document(workspaces=workspaces)
+
+    admission = relaying.Admission(
+        lambda: held[0], lambda: True, lambda: "", Engine("v2"), catch_up
+    )
+    request = msgspec.structs.replace(_request(), workspace=workspace)
+    assert admission.knows_workspace(request) is known
+    assert asked == ([] if workspace == "w" else [1])
+    held[0], newer = documents.Document(), []
+    assert not admission.knows_workspace(_request())
