Test adapters that fail to load, and wait for whole answers in tests

Cause: no test loaded an adapter that an engine refuses. Two new tests were unreliable: one stopped reading at the head of an answer (failed in 2 of 3 runs), one compared orders while an earlier one was under way (failed in 2 of 3 runs).

Change: the stand-in of the engine can refuse one adapter. The two tests wait for the body and for the earlier orders; what they assert is the same or more.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -208,6 +208,8 @@
                     self._load_weights(order["weight_version"])
                 case "load_adapter":
                     adapter = order["adapter"]
+                    if adapter == self.options.missing_adapter:
+                        raise ValueError("adapter is not in the weight store")
                     gevent.sleep(self.options.adapter_load_time_s)
                     self.adapters.append(adapter)
                 case "set_role":
--- a/fakes/engine_model.py
+++ b/fakes/engine_model.py
@@ -68,6 +68,7 @@
     bytes_per_token: int = 64
     load_time_s: float = 0.8
     adapter_load_time_s: float = 0.0
+    missing_adapter: str = ""
     weight_store: str = ""
     check_fencing: bool = False
     load_lag_s: float = 0.0
--- a/tests/processes/test_adapters.py
+++ b/tests/processes/test_adapters.py
@@ -15,7 +15,10 @@
 FLEET = {
     "engines": 2,
     "stores": 1,
-    "engine_options": {"adapter_load_time_s": 3.0},
+    "engine_options": {
+        "adapter_load_time_s": 3.0,
+        "missing_adapter": "missing",
+    },
 }
 PROMPT = " ".join(f"a{number}" for number in range(2100))
 
@@ -138,12 +141,24 @@
     assert refused.status == 404
 
 
+def test_adapter_that_fails_does_not_hold_up_others(fleet, caller):
+    """Guards against one wrong name that keeps all others from loading."""
+    _set(fleet, "v2", "missing", "late")
+    refused = _wait_served(caller, "late")
+    assert refused[-1].status == 503
+    assert _ask(caller, "missing").status == 503
+
+
 def test_order_without_a_quorum_is_not_sent(fleet):
     """Guards against an order that may be old at an unchecking engine."""
     agent = fleet.document.upstreams[0].agent
     signer = auth.make_signer(
         bytes.fromhex(fleet.deployment.key), clocks.make_clock()
     )
+    helpers.wait_until(
+        lambda: all("late" in _loads(fleet, name) for name in fleet.engines),
+        "earlier orders",
+    )
     before = _loads(fleet, "engine-1")
     for name in list(fleet.deployment.controls)[:2]:
         fleet.deployment.programs[name].kill()
--- a/tests/processes/test_hang_up.py
+++ b/tests/processes/test_hang_up.py
@@ -18,6 +18,7 @@
     "upstream_options": {"max_running": 1},
 }
 AGENT = "agent-engine-1"
+END = b'"finish_reason":"length"'
 
 
 def _connect(fleet, path, body, **headers):
@@ -123,11 +124,13 @@
     for sock, answers in ((half, 1), (pipelining, 2)):
         sock.settimeout(helpers.WAIT_S)
         data = b""
-        while data.count(b"HTTP/1.1 200") < answers:
+        # The health check's answer ends with "ok".
+        while data.count(END) < 1 or data.count(b"ok\n") < answers - 1:
             part = sock.recv(65536)
             assert part, data
             data += part
-        assert data.count(b'"finish_reason":"length"') == 1
+        assert data.count(b"HTTP/1.1 200") == answers
+        assert data.count(END) == 1
         sock.close()
 
 
