--- a/papayalink/coordination/follower.py
+++ b/papayalink/coordination/follower.py
@@ -20,7 +20,7 @@
 from papayalink.transport import rpc
 
 # An overloaded group must not get each poll once for each of its members.
-_MAX_OVERLOADED = 2
+MAX_OVERLOADED = 2
 
 
 class _PollDue(msgspec.Struct):
@@ -151,7 +151,7 @@
                 self._log.warning("poll_failed", reason=error)
                 overloaded += 1
             self._controls.append(self._controls.pop(0))
-            if overloaded == _MAX_OVERLOADED:
+            if overloaded == MAX_OVERLOADED:
                 return
 
     def _poll(self, address: str) -> bool:
