--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,6 +23,10 @@
 SIZES = ((10, 9), (825, 160), (3300, 640))
 LEDGER_SIZES = (0, 20_000, 50_000, 100_000)
 PIECE_SIZES = (0, 25_000, 50_000, 100_000)
+# The last is one protected call a second, kept for the default 7 days.
+STALL_SIZES = (100_000, 600_000)
+STALL_PROPOSALS_PER_S = 900
+STALL_RUN_S = 15.0
 WATCHED = 24
 MODELS = 4
 CHILD_TIMEOUT_S = 100
@@ -108,7 +112,8 @@
         timeout=CHILD_TIMEOUT_S,
         check=True,
     )
-    return json.loads(done.stdout)
+    # Log lines of what is measured come before it.
+    return json.loads(done.stdout.splitlines()[-1])
 
 
 def _rss() -> int:
@@ -204,20 +209,17 @@
     return stages
 
 
-def child_ledger(count: str) -> dict:
-    """Measure a machine with records of finished calls."""
+def _fill(machine, count: int) -> None:
+    """Apply the commands of finished calls."""
     from papayalink.protocol import relay
     from papayalink.state import ledger
     from papayalink.state import machine as machines
 
-    machine = machines.make_machine()
     answer = relay.encode(
         relay.Answered(200, "application/json", b"x" * ANSWER_BYTES)
     )
     digest = hashlib.sha256(b"body").hexdigest()
-    before = _rss()
-    start = time.process_time()
-    for number in range(int(count)):
+    for number in range(count):
         place = (f"workspace-{number % 3300}", f"confirm-{number:032x}")
         claim = f"claim-{number:032x}"
         at_s = 1_790_000_000.0 + number
@@ -229,6 +231,16 @@
         for command in commands:
             # Commands arrive encoded, so no string is shared by records.
             machine.apply(number, machines.encode_command(command))
+
+
+def child_ledger(count: str) -> dict:
+    """Measure a machine with records of finished calls."""
+    from papayalink.state import machine as machines
+
+    machine = machines.make_machine()
+    before = _rss()
+    start = time.process_time()
+    _fill(machine, int(count))
     took = time.process_time() - start
     held = _rss() - before
     start = time.process_time()
@@ -248,6 +260,79 @@
     }
 
 
+def child_stalls(count: str) -> dict:
+    """Measure how long the snapshots of one member stop its process.
+
+    The machine is filled behind the log's back, so that the first snapshot
+    is due early and covers the whole ledger.
+    """
+    import gevent
+
+    from papayalink import clock as clocks
+    from papayalink import timers
+    from papayalink.coordination import replica as replicas
+    from papayalink.coordination.raft import membership
+    from papayalink.state import ledger
+    from papayalink.state import log_store
+    from papayalink.state import machine as machines
+
+    gaps = []
+    latencies = []
+
+    def watch():
+        while True:
+            start = time.perf_counter()
+            gevent.sleep(0.001)
+            gaps.append(time.perf_counter() - start)
+
+    def propose(number):
+        claim = ledger.Claim("w", f"key-{number:032x}", "d", "c", 1.8e9)
+        start = time.perf_counter()
+        replica.propose(machines.encode_command(claim), 60.0)
+        latencies.append(time.perf_counter() - start)
+
+    machine = machines.make_machine()
+    with tempfile.TemporaryDirectory() as folder:
+        replica = replicas.make_replica(
+            replicas.Settings(member_id="a", seed=1),
+            log_store.make_disk_log_store(folder),
+            machine,
+            timers.make_timer_service(clocks.make_clock()),
+            lambda *_: None,
+            membership.make_membership("a"),
+        )
+        _fill(machine, int(count))
+        while not replica.is_leader:
+            gevent.sleep(0.01)
+        watcher = gevent.spawn(watch)
+        taken = set()
+        start = time.perf_counter()
+        used = time.process_time()
+        calls = []
+        while (passed := time.perf_counter() - start) < STALL_RUN_S:
+            while len(calls) < passed * STALL_PROPOSALS_PER_S:
+                calls.append(gevent.spawn(propose, len(calls)))
+            taken.add(replica.status()["snapshot_index"])
+            gevent.sleep(0.002)
+        gevent.joinall(calls, raise_error=True)
+        used = time.process_time() - used
+        passed = time.perf_counter() - start
+        watcher.kill()
+        replica.stop()
+    latencies.sort()
+    return {
+        "records": int(count),
+        "snapshots": len(taken) - 1,
+        "longest_gap_ms": round(max(gaps) * 1000, 1),
+        "gaps_over_50_ms": sum(gap > 0.05 for gap in gaps),
+        "proposals_per_s": round(len(calls) / passed),
+        "propose_p50_ms": round(latencies[len(latencies) // 2] * 1000, 1),
+        "propose_p95_ms": round(latencies[-len(latencies) // 20] * 1000, 1),
+        "cores": round(used / passed, 2),
+        "peak_mb": memory_kb()["VmHWM"] // 1024,
+    }
+
+
 def child_control_document(workspaces: str, upstreams: str) -> dict:
     """Measure a machine after 41 changes of a document."""
     from papayalink.state import configuration
@@ -388,6 +473,11 @@
     }
 
 
+def measure_stalls() -> dict:
+    """Stalls of a member by its own snapshots, under proposals."""
+    return {"runs": [child("stalls", size) for size in STALL_SIZES]}
+
+
 def measure_pieces() -> dict:
     """Memory of a store's index."""
     runs = [child("pieces", size) for size in PIECE_SIZES]
@@ -744,6 +834,7 @@
     "demand": measure_demand,
     "control_part": measure_control_part,
     "machine": measure_machine,
+    "stalls": measure_stalls,
     "pieces": measure_pieces,
     "document": measure_document,
     "selection": measure_selection,
@@ -752,6 +843,7 @@
 CHILDREN = {
     "control_part": child_control_part,
     "ledger": child_ledger,
+    "stalls": child_stalls,
     "control_document": child_control_document,
     "pieces": child_pieces,
 }
