--- a/papayalink/coordination/log_writer.py
+++ b/papayalink/coordination/log_writer.py
@@ -149,8 +149,8 @@
         if job.snapshot is not None:
             flush()
             index = job.snapshot.index
-            data = messages.encode_snapshot(job.snapshot)
-            store.save_snapshot(index, job.snapshot.term, data)
+            parts = messages.encode_snapshot(job.snapshot)
+            store.save_snapshot(index, job.snapshot.term, parts)
             store.compact(index)
         entries.extend(job.entries)
         if job.hard_state is not None:
--- a/papayalink/coordination/raft/core.py
+++ b/papayalink/coordination/raft/core.py
@@ -85,11 +85,13 @@
             for peer, progress in self._state.progress.items()
         }
 
-    def make_snapshot(self, index: int, data: bytes) -> messages.Snapshot:
+    def make_snapshot(
+        self, index: int, parts: tuple[bytes, ...]
+    ) -> messages.Snapshot:
         """Returns: a snapshot at an applied index that the log holds."""
         log = self._state.log
         return messages.Snapshot(
-            index, log.term_at(index), log.membership_at(index), data
+            index, log.term_at(index), log.membership_at(index), parts
         )
 
     def step(self, given: inputs.Input) -> inputs.Ready:
--- a/papayalink/coordination/raft/messages.py
+++ b/papayalink/coordination/raft/messages.py
@@ -12,7 +12,7 @@
     index: int
     term: int
     membership: membership.Membership
-    data: bytes
+    parts: tuple[bytes, ...]
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -147,11 +147,17 @@
     return _DECODER.decode(data)
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Returns: a snapshot as msgpack, as the log store keeps it."""
-    return _ENCODER.encode(snapshot)
+def encode_snapshot(snapshot: Snapshot) -> tuple[bytes, ...]:
+    """Returns: a snapshot in parts, as the log store keeps it.
+
+    The parts of the machine are not copied, which would hold up the other
+    threads of the process for as long as it takes.
+    """
+    head = msgspec.structs.replace(snapshot, parts=())
+    return (_ENCODER.encode(head), *snapshot.parts)
 
 
-def decode_snapshot(data: bytes) -> Snapshot:
+def decode_snapshot(parts: tuple[bytes, ...]) -> Snapshot:
     """Returns: the snapshot that encode_snapshot() was given."""
-    return _SNAPSHOT_DECODER.decode(data)
+    head = _SNAPSHOT_DECODER.decode(parts[0])
+    return msgspec.structs.replace(head, parts=parts[1:])
--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -12,6 +12,7 @@
 from papayalink.coordination import errors
 from papayalink.coordination import log_writer
 from papayalink.coordination import replica_loading
+from papayalink.coordination import snapshots
 from papayalink.coordination import waiting
 from papayalink.coordination.raft import core
 from papayalink.coordination.raft import inputs
@@ -71,7 +72,7 @@
         node: loaded from the store.
         store: log store of this member.
         machine: restored from the stored snapshot.
-        applied: index that the machine was restored to.
+        stored: that snapshot, None when there is none.
         timer_service: delivers ticks.
         send: takes a member id and a list of messages; must not block.
 
@@ -91,9 +92,7 @@
         "_tokens",
         "_requests",
         "_reads",
-        "_snapshot_index",
-        "_bytes_applied",
-        "_snapshot_pending",
+        "_snapshots",
         "_was_leader",
         "_failure",
         "_log",
@@ -107,7 +106,7 @@
         node: core.Node,
         store: log_store.LogStore,
         machine: StateMachine,
-        applied: int,
+        stored: messages.Snapshot | None,
         timer_service: timers.TimerService,
         send: Callable[[str, list[messages.PeerMessage]], None],
     ) -> None:
@@ -115,7 +114,7 @@
         self._node = node
         self._store = store
         self._machine = machine
-        self._applied = applied
+        self._applied = 0 if stored is None else stored.index
         self._timers = timer_service
         self._send = send
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
@@ -123,9 +122,9 @@
         self._tokens = waiting.make_tokens()
         self._requests = waiting.Requests(self._tokens)
         self._reads = waiting.Reads(self._tokens)
-        self._snapshot_index = applied
-        self._bytes_applied = 0
-        self._snapshot_pending = False
+        self._snapshots = snapshots.make_snapshots(
+            settings, machine, self._inbox, stored
+        )
         self._was_leader = False
         self._failure: str | None = None
         self._log = logs.get_logger(member_id=settings.member_id)
@@ -205,7 +204,7 @@
             "persisted": node.persisted,
             "commit": node.commit,
             "applied": self._applied,
-            "snapshot_index": self._snapshot_index,
+            "snapshot_index": self._snapshots.index,
             "match": node.match,
             "disk_full": node.full,
             "removed": node.removed,
@@ -240,6 +239,7 @@
         self._ticks.cancel()
         self._log.info("replica_stopped", reason=self._failure)
         self._fail_waiters()
+        self._snapshots.cancel()
         self._writer.join()
         self._store.close()
 
@@ -269,6 +269,8 @@
                     self._reads.add(waiter)
                 case log_writer.Written():
                     self._note_written(message, given)
+                case snapshots.Encoded():
+                    self._store_snapshot(message)
                 case _RetryWrite():
                     self._writer.retry()
                 case _Stop():
@@ -300,7 +302,7 @@
         if written.write_id is not None:
             given.append(inputs.Persisted(written.write_id))
         if written.compacted is not None:
-            self._snapshot_pending = False
+            self._snapshots.stored(written.compacted)
             given.append(inputs.Compacted(written.compacted))
 
     def _act(self, ready: inputs.Ready) -> None:
@@ -350,33 +352,25 @@
         if entry.kind == log_entries.EntryKind.COMMAND:
             outcome = self._machine.apply(entry.index, entry.data)
         self._applied = entry.index
-        self._bytes_applied += len(entry.data)
+        self._snapshots.applied(entry)
         self._requests.applied(entry, outcome, self._node.leader_id)
 
     def _restore(self, snapshot: messages.Snapshot) -> None:
-        self._machine.restore(snapshot.data)
+        self._snapshots.restore(snapshot)
         self._applied = snapshot.index
-        self._snapshot_index = snapshot.index
-        self._bytes_applied = 0
         self._log.info("snapshot_received", index=snapshot.index)
         self._requests.covered(snapshot.index)
 
     def _take_snapshot(self) -> None:
-        due = (
-            self._applied - self._snapshot_index
-            >= self._settings.snapshot_entries
-            or self._bytes_applied >= self._settings.snapshot_bytes
-        )
-        if not due or self._snapshot_pending or self._node.full:
-            return
-        # The writer stores it behind the entries it covers.
-        snapshot = self._node.make_snapshot(
-            self._applied, self._machine.snapshot()
-        )
-        self._snapshot_index = self._applied
-        self._bytes_applied = 0
-        self._snapshot_pending = True
-        self._writer.submit(log_writer.Job(snapshot=snapshot))
+        if not self._node.full:
+            self._snapshots.start_if_due()
+
+    def _store_snapshot(self, encoded: snapshots.Encoded) -> None:
+        parts = self._snapshots.take(encoded)
+        if parts is not None:
+            # The writer stores it behind the entries it covers.
+            snapshot = self._node.make_snapshot(encoded.index, parts)
+            self._writer.submit(log_writer.Job(snapshot=snapshot))
 
     def _fail_waiters(self) -> None:
         self._requests.fail_all(self._failure)
@@ -411,7 +405,5 @@
     Raises:
         StorageFailed: the store cannot be read, or not be written.
     """
-    node, applied = replica_loading.load(settings, store, machine, bootstrap)
-    return Replica(
-        settings, node, store, machine, applied, timer_service, send
-    )
+    node, stored = replica_loading.load(settings, store, machine, bootstrap)
+    return Replica(settings, node, store, machine, stored, timer_service, send)
--- a/papayalink/coordination/replica_loading.py
+++ b/papayalink/coordination/replica_loading.py
@@ -1,5 +1,7 @@
 """Settings of a replica, and its node as loaded from the log store."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import secrets
 from typing import Protocol
 
@@ -19,9 +21,15 @@
 
     def apply(self, index: int, data: bytes) -> bytes: ...
 
-    def snapshot(self) -> bytes: ...
+    def snapshot(self) -> Iterator[bytes]:
+        """Returns: parts of the state as it is at the call.
 
-    def restore(self, data: bytes) -> None: ...
+        They are taken while commands are applied, and closed when not all
+        of them are taken.
+        """
+
+    def restore(self, parts: Iterable[bytes]) -> None:
+        """Replace the state, once the last part has been taken."""
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,7 +42,9 @@
             twice as long.
         heartbeat_ticks: ticks between heartbeats.
         snapshot_entries: applied entries after which a snapshot is taken.
-        snapshot_bytes: applied bytes after which a snapshot is taken.
+        snapshot_bytes: applied bytes after which a snapshot is taken. Both
+            wait until as many bytes were applied as the last snapshot has,
+            so that snapshots cost no more than the log.
         seed: seed of the election timeouts, None to draw one.
     """
 
@@ -43,7 +53,8 @@
     election_ticks: int = 10
     heartbeat_ticks: int = 2
     snapshot_entries: int = 1000
-    # A restart reads at most this much besides the snapshot.
+    # A restart reads at most this much besides the snapshot, or as much
+    # again as the snapshot.
     snapshot_bytes: int = 16 * 1024 * 1024
     seed: int | None = None
 
@@ -53,10 +64,10 @@
     store: log_store.LogStore,
     machine: StateMachine,
     bootstrap: memberships.Membership | None,
-) -> tuple[core.Node, int]:
+) -> tuple[core.Node, messages.Snapshot | None]:
     """Load a member, or set up a new one.
 
-    Returns: its node, and the index that the machine was restored to.
+    Returns: its node, and the snapshot that the machine was restored from.
     Raises:
         StorageFailed: the store cannot be read, or not be written.
     """
@@ -64,10 +75,12 @@
         stored = store.load()
         snapshot = None
         if stored.snapshot is not None:
-            snapshot = messages.decode_snapshot(stored.snapshot.data)
-            machine.restore(snapshot.data)
+            snapshot = messages.decode_snapshot(stored.snapshot.parts)
+            machine.restore(snapshot.parts)
         elif bootstrap is not None and not stored.entries:
-            snapshot = messages.Snapshot(0, 0, bootstrap, machine.snapshot())
+            snapshot = messages.Snapshot(
+                0, 0, bootstrap, tuple(machine.snapshot())
+            )
             store.save_snapshot(0, 0, messages.encode_snapshot(snapshot))
     except state_errors.StateError as error:
         store.close()
@@ -84,5 +97,4 @@
             heartbeat_ticks=settings.heartbeat_ticks,
         )
     )
-    applied = 0 if snapshot is None else snapshot.index
-    return node, applied
+    return node, snapshot
--- a/papayalink/state/ledger.py
+++ b/papayalink/state/ledger.py
@@ -1,13 +1,19 @@
 """Ledger of calls that may run at most once."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
 
 import msgspec
 
 # Claim ids that a record remembers as withdrawn. A claim proposed again that
 # late has been given up by its entry, whose own deadline is far shorter.
 MAX_WITHDRAWN = 8
+# Bounds of a part of a snapshot: encoding 1,000 records takes about 1 ms,
+# and an answer may have 65,536 bytes.
+PART_RECORDS = 1000
+PART_ANSWER_BYTES = 256 * 1024
 
 
 class Claimed(msgspec.Struct, frozen=True, tag=True):
@@ -130,6 +136,7 @@
 Outcome = Granted | Mismatch | Standing | Missing
 
 _Key = tuple[str, str]
+Part = list[tuple[str, str, Record]]
 
 
 class Ledger:
@@ -140,17 +147,23 @@
     key is started at most once in the retention period.
     """
 
-    __slots__ = ("_records",)
+    __slots__ = ("_records", "_moved", "_view", "_count")
 
     def __init__(self) -> None:
+        # In the order of their last move. While a view is open the table
+        # is not changed, and what moves is kept beside it: a copy of a
+        # table of 600,000 records takes up to 100 ms.
         self._records: dict[_Key, Record] = {}
+        self._moved: dict[_Key, Record | None] = {}
+        self._view: View | None = None
+        self._count = 0
 
     def __len__(self) -> int:
-        return len(self._records)
+        return self._count
 
     def find(self, workspace: str, key: str) -> Record | None:
         """Returns: the record of a call, None when there is none."""
-        return self._records.get((workspace, key))
+        return self._find((workspace, key))
 
     def apply(self, command: Command) -> Outcome:
         """Carry out one committed command.
@@ -169,22 +182,32 @@
             case Expire(before_s=before_s):
                 return self._expire(before_s)
 
-    def snapshot(self) -> list[tuple[str, str, Record]]:
-        """Returns: all records, oldest first."""
-        return [
-            (workspace, key, record)
-            for (workspace, key), record in self._records.items()
-        ]
+    def open_view(self) -> "View":
+        """Open a view of the records as they are now.
 
-    def restore(self, records: list[tuple[str, str, Record]]) -> None:
-        self._records = {
-            (workspace, key): record for workspace, key, record in records
-        }
+        Returns: the view, to be closed; opening another one ends it.
+        """
+        self._close(self._view)
+        self._view = View(self._records, self._close)
+        return self._view
+
+    def restore(self, parts: Iterable[Part]) -> None:
+        """Replace all records, once the last part has been taken."""
+        records = {}
+        for part in parts:
+            for workspace, key, record in part:
+                records[workspace, key] = record
+        if self._view is not None:
+            self._view.end()
+        self._view = None
+        self._records = records
+        self._moved = {}
+        self._count = len(records)
 
     def _claim(self, command: Claim) -> Outcome:
         place = (command.workspace, command.key)
         withdrawn: tuple[str, ...] = ()
-        match self._records.get(place):
+        match self._find(place):
             case None:
                 pass
             case record if record.body_digest != command.body_digest:
@@ -253,7 +276,7 @@
     ) -> Outcome:
         """Move a record on, if its claim is the command's."""
         place = (command.workspace, command.key)
-        record = self._records.get(place)
+        record = self._find(place)
         if record is None:
             return Missing()
         if not isinstance(record, source):
@@ -265,19 +288,105 @@
 
     def _expire(self, before_s: float) -> Outcome:
         for place in list(self._expired(before_s)):
-            del self._records[place]
+            self._put(place, None)
         return Granted()
 
     def _expired(self, before_s: float) -> Iterator[_Key]:
-        # Records are kept in the order of their last move.
-        for place, record in self._records.items():
+        for place, record in self._in_order():
             if record.at_s >= before_s:
                 return
             yield place
 
-    def _put(self, place: _Key, record: Record) -> None:
+    def _in_order(self) -> Iterator[tuple[_Key, Record]]:
+        """Yields: keys and records in the order of their last move."""
+        for place, record in self._records.items():
+            if place not in self._moved:
+                yield place, record
+        for place, record in self._moved.items():
+            if record is not None:
+                yield place, record
+
+    def _find(self, place: _Key) -> Record | None:
+        if place in self._moved:
+            return self._moved[place]
+        return self._records.get(place)
+
+    def _put(self, place: _Key, record: Record | None) -> None:
+        """Move a record to the end, or remove it when it is None."""
+        known = self._find(place) is not None
+        self._count += (record is not None) - known
+        if self._view is not None:
+            self._moved.pop(place, None)
+            self._moved[place] = record
+            return
         self._records.pop(place, None)
-        self._records[place] = record
+        if record is not None:
+            self._records[place] = record
+
+    def _close(self, view: "View | None") -> None:
+        """Take what moved into the table, if the view is the open one."""
+        if view is None or view is not self._view:
+            return
+        view.end()
+        self._view = None
+        moved = self._moved
+        self._moved = {}
+        for place, record in moved.items():
+            self._records.pop(place, None)
+            if record is not None:
+                self._records[place] = record
+
+
+class View:
+    """Records as of one moment, while the ledger moves on.
+
+    Args:
+        records: not changed while the view is open.
+        close: tells the ledger that the view is no longer read.
+    """
+
+    __slots__ = ("_rest", "_close")
+
+    def __init__(
+        self,
+        records: dict[_Key, Record],
+        close: Callable[["View"], None],
+    ) -> None:
+        self._rest: Iterator[tuple[_Key, Record]] | None = iter(
+            records.items()
+        )
+        self._close = close
+
+    def parts(self) -> Iterator[Part]:
+        """Yields: all records in parts, oldest first.
+
+        Raises:
+            RuntimeError: the view was ended before the last part.
+        """
+        while part := self._next_part():
+            yield part
+
+    def close(self) -> None:
+        self._close(self)
+
+    def end(self) -> None:
+        """Refuse further parts."""
+        self._rest = None
+
+    def _next_part(self) -> Part:
+        if self._rest is None:
+            raise RuntimeError("the view was ended")
+        part = []
+        size = 0
+        for (workspace, key), record in itertools.islice(
+            self._rest, PART_RECORDS
+        ):
+            part.append((workspace, key, record))
+            if isinstance(record, Finished):
+                size += len(record.answer)
+                if size >= PART_ANSWER_BYTES:
+                    break
+        return part
 
 
 def make_ledger() -> Ledger:
--- a/papayalink/state/log_entries.py
+++ b/papayalink/state/log_entries.py
@@ -34,7 +34,7 @@
 
     index: int
     term: int
-    data: bytes
+    parts: tuple[bytes, ...]
 
 
 class StoredLog(msgspec.Struct):
--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -1,6 +1,8 @@
 """Stores of the replicated log, in memory and on disk."""
 
 import abc
+from collections.abc import Iterator
+from collections.abc import Sequence
 import fcntl
 import os
 import pathlib
@@ -51,7 +53,9 @@
         """
 
     @abc.abstractmethod
-    def save_snapshot(self, index: int, term: int, data: bytes) -> None:
+    def save_snapshot(
+        self, index: int, term: int, parts: Sequence[bytes]
+    ) -> None:
         """Store a snapshot that covers the log up to an index.
 
         Stored entries stay when the one at the index has the given term;
@@ -140,10 +144,12 @@
     ) -> None:
         self._content.add(entries, hard_state)
 
-    def save_snapshot(self, index: int, term: int, data: bytes) -> None:
+    def save_snapshot(
+        self, index: int, term: int, parts: Sequence[bytes]
+    ) -> None:
         if self._snapshot is not None and index <= self._snapshot.index:
             return
-        self._snapshot = log_entries.StoredSnapshot(index, term, data)
+        self._snapshot = log_entries.StoredSnapshot(index, term, tuple(parts))
         if self._content.term_at(index) != term:
             self._content.entries = []
 
@@ -164,9 +170,17 @@
     index: int
 
 
+class _SnapshotHead(msgspec.Struct, frozen=True, array_like=True):
+    """First record of a snapshot file, before one record for each part."""
+
+    index: int
+    term: int
+    count: int
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _RECORD_DECODER = msgspec.msgpack.Decoder(_Added | _Reset)
-_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(log_entries.StoredSnapshot)
+_HEAD_DECODER = msgspec.msgpack.Decoder(_SnapshotHead)
 
 
 class DiskLogStore(LogStore):
@@ -251,17 +265,17 @@
         active = self._segments[-1]
         active.last_index = max(active.last_index, last)
 
-    def save_snapshot(self, index: int, term: int, data: bytes) -> None:
+    def save_snapshot(
+        self, index: int, term: int, parts: Sequence[bytes]
+    ) -> None:
         self._check_usable()
         if index <= self._snapshot_index:
             return
-        snapshot = log_entries.StoredSnapshot(index, term, data)
         try:
             segments.write_file(
                 self._files,
                 self._folder / f"{index:020}{_SNAPSHOT_SUFFIX}",
-                index,
-                _ENCODER.encode(snapshot),
+                _snapshot_records(index, term, parts),
             )
         except OSError as error:
             raise self._fail(segments.translate(error)) from error
@@ -306,12 +320,17 @@
         paths = self._snapshot_paths()
         if not paths:
             return None
-        record = segments.decode(paths[-1].read_bytes(), 0)
-        if record is None:
+        records = list(segments.read_file(paths[-1]))
+        numbers = [sequence for sequence, _ in records[1:]]
+        if not records or numbers != list(range(1, len(records))):
             raise errors.LogCorrupt(f"damaged snapshot {paths[-1].name}")
-        snapshot = _SNAPSHOT_DECODER.decode(record[1])
-        self._snapshot_index = snapshot.index
-        return snapshot
+        head = _HEAD_DECODER.decode(records[0][1])
+        if head.count != len(numbers):
+            raise errors.LogCorrupt(f"incomplete snapshot {paths[-1].name}")
+        self._snapshot_index = head.index
+        return log_entries.StoredSnapshot(
+            head.index, head.term, tuple(part for _, part in records[1:])
+        )
 
     def _load_segments(self) -> None:
         paths = sorted(self._folder.glob(f"*{_SEGMENT_SUFFIX}"))
@@ -408,6 +427,16 @@
         return error
 
 
+def _snapshot_records(
+    index: int, term: int, parts: Sequence[bytes]
+) -> Iterator[bytes]:
+    """Yields: the records of a snapshot file."""
+    head = _ENCODER.encode(_SnapshotHead(index, term, len(parts)))
+    yield segments.encode(index, head)
+    for number, part in enumerate(parts, 1):
+        yield segments.encode(number, part)
+
+
 def make_disk_log_store(folder: str | os.PathLike) -> DiskLogStore:
     """Returns: a store in a folder, not yet loaded."""
     return DiskLogStore(folder)
--- a/papayalink/state/machine.py
+++ b/papayalink/state/machine.py
@@ -1,5 +1,8 @@
 """State machine that every control member applies the log to."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+
 import msgspec
 
 from papayalink.state import configuration
@@ -22,12 +25,17 @@
     return _OUTCOMES.decode(data)
 
 
-class _Snapshot(msgspec.Struct):
+class _Head(msgspec.Struct):
+    """First part of a snapshot; the others are parts of the ledger."""
+
     configuration: configuration.Snapshot
-    calls: list[tuple[str, str, ledger.Record]]
     upstreams: upstreams.Content
 
 
+_HEADS = msgspec.msgpack.Decoder(_Head)
+_PARTS = msgspec.msgpack.Decoder(ledger.Part)
+
+
 class Machine:
     """Configuration, ledger and upstream decisions.
 
@@ -64,20 +72,27 @@
         """
         return _ENCODER.encode(self._apply(_COMMANDS.decode(data)))
 
-    def snapshot(self) -> bytes:
-        return _ENCODER.encode(
-            _Snapshot(
-                self._configuration.snapshot(),
-                self._ledger.snapshot(),
-                self._upstreams.snapshot(),
-            )
-        )
+    def snapshot(self) -> Iterator[bytes]:
+        """Take a snapshot of the state as it is now.
 
-    def restore(self, data: bytes) -> None:
-        content = msgspec.msgpack.decode(data, type=_Snapshot)
-        self._configuration.restore(content.configuration)
-        self._ledger.restore(content.calls)
-        self._upstreams.restore(content.upstreams)
+        Returns: its parts, encoded one by one while commands may be
+            applied; to be closed when it is not read to the end.
+        """
+        head = _ENCODER.encode(
+            _Head(self._configuration.snapshot(), self._upstreams.snapshot())
+        )
+        parts = _encode(head, self._ledger.open_view())
+        # The generator closes the view only once it has begun.
+        next(parts)
+        return parts
+
+    def restore(self, parts: Iterable[bytes]) -> None:
+        """Replace the state, once the last part has been taken."""
+        rest = iter(parts)
+        head = _HEADS.decode(next(rest))
+        self._ledger.restore(map(_PARTS.decode, rest))
+        self._configuration.restore(head.configuration)
+        self._upstreams.restore(head.upstreams)
 
     def _apply(self, command: Command) -> Outcome:
         match command:
@@ -95,5 +110,15 @@
                 return self._upstreams.apply(command)
 
 
+def _encode(head: bytes, view: ledger.View) -> Iterator[bytes]:
+    try:
+        yield b""
+        yield head
+        for part in view.parts():
+            yield _ENCODER.encode(part)
+    finally:
+        view.close()
+
+
 def make_machine() -> Machine:
     return Machine()
--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -1,5 +1,7 @@
 """Checksummed records in files, and the file calls behind them."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import errno
 import os
 import pathlib
@@ -81,6 +83,25 @@
     return records, offset
 
 
+def read_file(path: pathlib.Path) -> Iterator[tuple[int, bytes]]:
+    """Read the records of a file that was written by write_file().
+
+    Yields: sequence and payload of each record.
+    Raises:
+        LogCorrupt: a record is cut off or damaged.
+    """
+    with open(path, "rb") as file:
+        while header := file.read(_HEADER.size):
+            length = 0
+            if len(header) == _HEADER.size:
+                _, length, _, _ = _HEADER.unpack(header)
+            rest = os.fstat(file.fileno()).st_size - file.tell()
+            record = decode(header + file.read(min(length, rest)), 0)
+            if record is None:
+                raise errors.LogCorrupt(f"damaged record in {path.name}")
+            yield record
+
+
 def sync_folder(files: Files, folder: pathlib.Path) -> None:
     """Make created, renamed and removed names durable."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -98,9 +119,15 @@
 
 
 def write_file(
-    files: Files, path: pathlib.Path, sequence: int, payload: bytes
+    files: Files, path: pathlib.Path, records: Iterable[bytes]
 ) -> None:
-    """Write a file of one record, so that it appears whole or not at all.
+    """Write a file of records, so that it appears whole or not at all.
+
+    Args:
+        files: file calls.
+        path: of the file.
+        records: written one by one, so that no copy of all of them holds up
+            the other threads of the process.
 
     Raises:
         OSError: the file was not written.
@@ -111,7 +138,8 @@
             temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
         )
         try:
-            files.write(descriptor, encode(sequence, payload))
+            for record in records:
+                files.write(descriptor, record)
             files.sync(descriptor)
         finally:
             os.close(descriptor)
--- /dev/null
+++ b/tests/coordination/test_snapshots.py
@@ -0,0 +1,136 @@
+"""Tests of when a replica takes snapshots, and of snapshots under way."""
+
+import gevent
+from gevent import queue
+import pytest
+
+from papayalink.coordination import replica_loading
+from papayalink.coordination import snapshots
+from papayalink.coordination.raft import membership
+from papayalink.coordination.raft import messages
+from papayalink.state import log_entries
+from tests.coordination import replica_group
+
+_COMMAND = log_entries.EntryKind.COMMAND
+
+
+def _snapshot(index, *parts):
+    return messages.Snapshot(index, 1, membership.Membership(), parts)
+
+
+def _apply(taken, machine, first, count, size=1):
+    for index in range(first, first + count):
+        data = b"x" * size
+        machine.apply(index, data)
+        taken.applied(log_entries.Entry(index, 1, _COMMAND, data))
+    taken.start_if_due()
+
+
+def _make(stored=None, machine=None):
+    settings = replica_loading.Settings(
+        member_id="a", snapshot_entries=10, snapshot_bytes=1000
+    )
+    inbox = queue.SimpleQueue()
+    machine = machine or replica_group.ListMachine()
+    made = snapshots.make_snapshots(settings, machine, inbox, stored)
+    return made, machine, inbox
+
+
+@pytest.mark.parametrize(
+    "stored, entries, size, due",
+    [
+        pytest.param(None, 9, 1, False, id="few-entries"),
+        pytest.param(None, 10, 1, True, id="enough-entries"),
+        pytest.param(None, 2, 500, True, id="enough-bytes"),
+        pytest.param(b"s" * 200, 199, 1, False, id="log-below-snapshot"),
+        pytest.param(b"s" * 200, 200, 1, True, id="log-as-snapshot"),
+        pytest.param(b"s" * 2000, 3, 500, False, id="bytes-below-snapshot"),
+    ],
+)
+def test_snapshot_is_due_when_the_log_is_as_long(stored, entries, size, due):
+    """Guards against snapshots that cost more than the log they cover."""
+    stored = None if stored is None else _snapshot(5, stored)
+    made, machine, inbox = _make(stored)
+    _apply(made, machine, 6 if stored else 1, entries, size)
+    gevent.sleep(0.02)
+    assert inbox.empty() is not due
+
+
+def test_encoded_snapshot_holds_its_entries_only():
+    """Guards against entries that are applied twice after a restart."""
+    made, machine, inbox = _make()
+    _apply(made, machine, 1, 120)
+    _apply(made, machine, 121, 30)
+    encoded = inbox.get()
+    assert encoded.index == 120
+    restored = replica_group.ListMachine()
+    restored.restore(made.take(encoded))
+    assert len(restored.commands) == 120
+    # The next one waits until this one is stored.
+    _apply(made, machine, 151, 300)
+    gevent.sleep(0.02)
+    assert inbox.empty()
+    made.stored(_snapshot(120, *encoded.parts))
+    made.start_if_due()
+    assert inbox.get().index == 450
+
+
+@pytest.mark.parametrize("moment", ["not begun", "under way", "in the queue"])
+def test_received_snapshot_ends_the_one_under_way(moment):
+    """Guards against an own snapshot of entries that were replaced."""
+    made, machine, inbox = _make()
+    _apply(made, machine, 1, 200)
+    if moment != "not begun":
+        gevent.sleep(0)
+    if moment == "in the queue":
+        gevent.sleep(0.05)
+    made.restore(_snapshot(500, b"a\nb"))
+    gevent.sleep(0.05)
+    while not inbox.empty():
+        assert made.take(inbox.get()) is None
+    assert machine.commands == [b"a", b"b"]
+    assert made.index == 500
+    _apply(made, machine, 501, 10)
+    encoded = inbox.get()
+    assert encoded.index == 510
+    assert made.take(encoded) is not None
+
+
+def test_failed_snapshot_is_raised():
+    """Guards against a member that never takes a snapshot again."""
+
+    class Failing(replica_group.ListMachine):
+        def snapshot(self):
+            yield b"part"
+            raise ValueError("cannot be encoded")
+
+    made, machine, inbox = _make(machine=Failing())
+    _apply(made, machine, 1, 10)
+    with pytest.raises(ValueError):
+        made.take(inbox.get())
+
+
+class _SlowMachine(replica_group.ListMachine):
+    """Never finishes a snapshot after the first one, which is stored."""
+
+    def snapshot(self):
+        yield from super().snapshot()
+        while self.commands:
+            yield b""
+
+
+def test_end_during_a_snapshot_leaves_the_earlier_one(monkeypatch):
+    """A crash while a snapshot is encoded must lose no command."""
+    monkeypatch.setattr(replica_group, "ListMachine", _SlowMachine)
+    group = replica_group.Group(snapshot_entries=20)
+    only = group.start("a", ("a",))
+    leader = group.leader()
+    expected = [b"%d" % number for number in range(60)]
+    for data in expected:
+        leader.propose(data, 5)
+    assert only.status()["snapshot_index"] == 0
+    group.stop("a")
+    group.start("a")
+    group.leader().propose(b"end", 5)
+    assert group.machines["a"].commands == [*expected, b"end"]
+    group.stop()
