Value a new piece of a prompt as the prompt it extends

Cause: a piece that a returning prompt grew by counted as a first sighting, among prompts most of which never return. What bounds the policy was not known. Change: a new piece counts as seen as often as the piece before it, unless that one is the first piece shared by an application. The bench has the policy `informed`, which knows how each kind of prompt returns.

--- a/bench/retention.py
+++ b/bench/retention.py
@@ -7,6 +7,7 @@
 import argparse
 import collections
 import json
+import math
 import random
 
 import msgspec
@@ -195,6 +196,69 @@
         return 1
 
 
+class Informed(retention.Policy):
+    """Knows how each kind of prompt returns; a bound for estimates.
+
+    It values a piece by the same rule as ReturnPolicy, but by the
+    probabilities that the trace was drawn from, and so shows how much of the
+    distance to Clairvoyant no estimate of return gaps can close.
+    """
+
+    __slots__ = ("_seen_at", "_rates")
+
+    def __init__(self) -> None:
+        self._seen_at: dict[str, float] = {}
+        self._rates: dict[tuple[Kind, int], float] = {}
+
+    def arrive(self, keys: list[pieces.PieceKey], now: float) -> None:
+        for key in keys:
+            self._seen_at[key.digest] = now
+
+    def value(
+        self,
+        key: pieces.PieceKey,
+        facts: retention.PieceFacts,
+        size_bytes: int,
+        now: float,
+    ) -> float:
+        _, app, prompt, *_ = key.digest.split("/")
+        if prompt == "first":
+            # Returns with each prompt of its application.
+            return 1.0
+        kind = _WORKSPACES[key.workspace][1][int(app.removeprefix("app-"))]
+        age_s = max(60.0, now - self._seen_at[key.digest])
+        # Four ages to an octave.
+        place = (kind, int(4 * math.log2(age_s)))
+        if place not in self._rates:
+            self._rates[place] = _best_rate(kind, age_s)
+        return self._rates[place] / (1 + 1e-4 * facts.position)
+
+    def copies(self, value: float, floor: float) -> int:
+        return 1
+
+
+def _best_rate(kind: Kind, age_s: float) -> float:
+    """Returns: highest returns per second held, over all times to hold."""
+    if not kind.returns:
+        return 0.0
+
+    def left(at_s: float) -> float:
+        deviations = math.log(at_s / kind.median_gap_s) / kind.sigma
+        returned = 0.5 * math.erfc(-deviations / math.sqrt(2))
+        return 1 - kind.returns * returned
+
+    best = occupied_s = 0.0
+    before, since_s = left(age_s), 0.0
+    for step in range(80):
+        # From half a minute to a month, three steps to an octave.
+        until_s = 30 * 2 ** (step / 3)
+        after = left(age_s + until_s)
+        occupied_s += (before + after) / 2 * (until_s - since_s)
+        before, since_s = after, until_s
+        best = max(best, (left(age_s) - after) / occupied_s)
+    return best
+
+
 def replay(
     trace: list[Arrival],
     policy: retention.Policy,
@@ -276,6 +340,7 @@
         "lru_with_shares": (retention.LruPolicy(), share),
         "retention_without_shares": (retention.ReturnPolicy(), 0.0),
         "retention": (retention.ReturnPolicy(), share),
+        "informed": (Informed(), 0.0),
         "clairvoyant": (Clairvoyant(trace), 0.0),
     }
     results: dict[str, object] = {
--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -303,15 +303,22 @@
         self._note_shared(keys)
         workspace, family = keys[0].workspace, keys[0].digest
         created: dict[int, _Cohort] = {}
-        for key in keys:
+        is_shared = (workspace, family) in self._shared
+        sightings = 1
+        for position, key in enumerate(keys):
             cohort = self._cohorts.get(key.digest)
-            sightings = 1
             if cohort is not None:
                 if cohort.is_open:
                     cohort.is_open = False
                     self._record(cohort, now)
                 sightings = min(abs(cohort.sightings) + 1, _MAX_SIGHTINGS)
-            if key is keys[0]:
+            elif position == 0 or (position == 1 and is_shared):
+                sightings = 1
+            else:
+                # A piece that a prompt grew by returns with the prompt, and
+                # so counts as seen as often as the piece before it.
+                sightings = abs(sightings)
+            if position == 0:
                 sightings = -sightings
             if sightings not in created:
                 created[sightings] = self._open(
--- a/tests/coordination/test_retention.py
+++ b/tests/coordination/test_retention.py
@@ -268,3 +268,21 @@
     _fill(occupancy, "l", 100, 10.0, "large")
     _fill(occupancy, "s", 100, 1.0, "small")
     assert occupancy.used_by == {"large": 400, "small": 600}
+
+
+def test_piece_that_a_prompt_grew_by_is_worth_what_the_prompt_is():
+    """Guards against a new last piece that is valued as a first sighting."""
+    policy, now = _taught([HOUR_S] * 6, one_offs=30)
+    for number in range(60):
+        # Of prompts that were seen once, few return.
+        policy.arrive(_keys(f"once{number}", 3, first="app"), now)
+    now += 30 * 24 * HOUR_S
+    grown = _keys("grown", 4, first="app")
+    for count in (2, 3, 4):
+        policy.arrive(grown[:count], now)
+        now += HOUR_S
+    new = _value(policy, grown, 3, now)
+    assert new == pytest.approx(_value(policy, grown, 1, now), rel=1e-3)
+    once = _keys("once", 4, first="app")
+    policy.arrive(once, now - HOUR_S)
+    assert new > 1.5 * _value(policy, once, 3, now)
