--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,6 +23,12 @@
 SIZES = ((10, 9), (825, 160), (3300, 640))
 LEDGER_SIZES = (0, 20_000, 50_000, 100_000)
 PIECE_SIZES = (0, 25_000, 50_000, 100_000)
+# The last is one protected call a second, kept for the default 7 days.
+STALL_SIZES = (100_000, 600_000)
+STALL_PROPOSALS_PER_S = 900
+STALL_RUN_S = 15.0
+# A part of a snapshot, and at last the whole one of 600,000 records.
+DELIVERY_BYTES = (550_000, 16_000_000, 128_000_000, 333_000_000)
 WATCHED = 24
 MODELS = 4
 CHILD_TIMEOUT_S = 100
@@ -108,7 +114,8 @@
         timeout=CHILD_TIMEOUT_S,
         check=True,
     )
-    return json.loads(done.stdout)
+    # Log lines of what is measured come before it.
+    return json.loads(done.stdout.splitlines()[-1])
 
 
 def _rss() -> int:
@@ -204,20 +211,17 @@
     return stages
 
 
-def child_ledger(count: str) -> dict:
-    """Measure a machine with records of finished calls."""
+def _fill(machine, count: int) -> None:
+    """Apply the commands of finished calls."""
     from papayalink.protocol import relay
     from papayalink.state import ledger
     from papayalink.state import machine as machines
 
-    machine = machines.make_machine()
     answer = relay.encode(
         relay.Answered(200, "application/json", b"x" * ANSWER_BYTES)
     )
     digest = hashlib.sha256(b"body").hexdigest()
-    before = _rss()
-    start = time.process_time()
-    for number in range(int(count)):
+    for number in range(count):
         place = (f"workspace-{number % 3300}", f"confirm-{number:032x}")
         claim = f"claim-{number:032x}"
         at_s = 1_790_000_000.0 + number
@@ -229,25 +233,133 @@
         for command in commands:
             # Commands arrive encoded, so no string is shared by records.
             machine.apply(number, machines.encode_command(command))
+
+
+def child_ledger(count: str) -> dict:
+    """Measure a machine with records of finished calls."""
+    from papayalink.state import ledger
+    from papayalink.state import machine as machines
+
+    machine = machines.make_machine()
+    before = _rss()
+    start = time.process_time()
+    _fill(machine, int(count))
     took = time.process_time() - start
     held = _rss() - before
     start = time.process_time()
-    snapshot = machine.snapshot()
+    snapshot = list(machine.snapshot())
     snapshot_s = time.process_time() - start
     restored = machines.make_machine()
     start = time.process_time()
     restored.restore(snapshot)
     restore_s = time.process_time() - start
+    start = time.process_time()
+    restored.ledger.apply(ledger.Expire(2e9, 5000))
+    expire_s = time.process_time() - start
     return {
         "records": int(count),
+        "expire_5000_ms": round(expire_s * 1000, 2),
         "held_kb": held,
         "call_us": round(took / max(1, int(count)) * 1e6, 2),
-        "snapshot_bytes": len(snapshot),
+        "snapshot_bytes": sum(map(len, snapshot)),
         "snapshot_ms": round(snapshot_s * 1000, 2),
         "restore_ms": round(restore_s * 1000, 2),
     }
 
 
+def child_stalls(count: str) -> dict:
+    """Measure how long the snapshots of one member stop its process.
+
+    The machine is filled behind the log's back, so that the first snapshot
+    is due early and covers the whole ledger.
+    """
+    import gevent
+
+    from papayalink import clock as clocks
+    from papayalink import timers
+    from papayalink.coordination import replica as replicas
+    from papayalink.coordination.raft import membership
+    from papayalink.state import ledger
+    from papayalink.state import log_store
+    from papayalink.state import machine as machines
+
+    gaps = []
+    latencies = []
+    collections_s = [0.0]
+
+    def time_collection(phase, info):
+        if phase == "start":
+            collections_s.append(-time.perf_counter())
+        else:
+            collections_s[-1] += time.perf_counter()
+
+    def watch():
+        while True:
+            began = time.perf_counter()
+            cpu = time.thread_time()
+            gevent.sleep(0.001)
+            gap = time.perf_counter() - began
+            gaps.append((gap, time.thread_time() - cpu, began - start))
+
+    def propose(number):
+        claim = ledger.Claim("w", f"key-{number:032x}", "d", "c", 1.8e9)
+        start = time.perf_counter()
+        replica.propose(machines.encode_command(claim), 60.0)
+        latencies.append(time.perf_counter() - start)
+
+    machine = machines.make_machine()
+    with tempfile.TemporaryDirectory() as folder:
+        replica = replicas.make_replica(
+            replicas.Settings(member_id="a", seed=1),
+            log_store.make_disk_log_store(folder),
+            machine,
+            timers.make_timer_service(clocks.make_clock()),
+            lambda *_: None,
+            membership.make_membership("a"),
+        )
+        _fill(machine, int(count))
+        while not replica.is_leader:
+            gevent.sleep(0.01)
+        taken = set()
+        start = time.perf_counter()
+        watcher = gevent.spawn(watch)
+        gc.callbacks.append(time_collection)
+        used = time.process_time()
+        sent = 0
+        while (passed := time.perf_counter() - start) < STALL_RUN_S:
+            while sent < passed * STALL_PROPOSALS_PER_S:
+                gevent.spawn(propose, sent)
+                sent += 1
+            taken.add(replica.status()["snapshot_index"])
+            gevent.sleep(0.002)
+        while len(latencies) < sent:
+            gevent.sleep(0.01)
+        used = time.process_time() - used
+        passed = time.perf_counter() - start
+        watcher.kill()
+        replica.stop()
+    latencies.sort()
+    return {
+        "records": int(count),
+        "snapshots": len(taken) - 1,
+        "longest_gaps": [
+            {
+                "gap_ms": round(gap * 1000, 1),
+                "of_it_cpu_ms": round(cpu * 1000, 1),
+                "at_s": round(at_s, 2),
+            }
+            for gap, cpu, at_s in sorted(gaps, reverse=True)[:5]
+        ],
+        "longest_collection_ms": round(max(collections_s) * 1000, 1),
+        "gaps_over_50_ms": sum(gap > 0.05 for gap, _, _ in gaps),
+        "proposals_per_s": round(sent / passed),
+        "propose_p50_ms": round(latencies[len(latencies) // 2] * 1000, 1),
+        "propose_p95_ms": round(latencies[-len(latencies) // 20] * 1000, 1),
+        "cores": round(used / passed, 2),
+        "peak_mb": memory_kb()["VmHWM"] // 1024,
+    }
+
+
 def child_control_document(workspaces: str, upstreams: str) -> dict:
     """Measure a machine after 41 changes of a document."""
     from papayalink.state import configuration
@@ -276,7 +388,7 @@
         "workspaces": sizes[0],
         "upstreams": sizes[1],
         "held_kb_after_1_21_41_changes": held,
-        "snapshot_bytes": len(machine.snapshot()),
+        "snapshot_bytes": sum(map(len, machine.snapshot())),
     }
 
 
@@ -388,6 +500,66 @@
     }
 
 
+def measure_stalls() -> dict:
+    """Stalls of a member by its own snapshots, under proposals."""
+    return {"runs": [child("stalls", size) for size in STALL_SIZES]}
+
+
+def measure_deliveries() -> dict:
+    """Calls that carry a part of a ledger's snapshot, by its size.
+
+    Both ends share one process, as two members on two VMs would not.
+    """
+    from papayalink import clock as clocks
+    from papayalink.coordination.raft import membership
+    from papayalink.coordination.raft import messages as raft_messages
+    from papayalink.protocol import messages
+    from papayalink.roles.control import peers
+    from papayalink.state import machine as machines
+    from papayalink.transport import auth
+    from papayalink.transport import errors
+    from papayalink.transport import rpc
+
+    machine = machines.make_machine()
+    _fill(machine, 20_000)
+    some = b"".join(machine.snapshot())
+    signer = auth.make_signer(b"k" * 32, clocks.make_clock())
+
+    def receive(message):
+        raft_messages.decode(message.batch)
+        return messages.Acknowledge()
+
+    server = rpc.make_server(("127.0.0.1", 0), {"Deliver": receive}, signer)
+    server.start()
+    address = "%s:%s" % server.address
+    client = rpc.make_client(signer)
+    head = raft_messages.Snapshot(1, 1, membership.make_membership("a"), ())
+
+    def deliver(size: int) -> tuple[float, str]:
+        data = (some * (size // len(some) + 1))[:size]
+        start = time.perf_counter()
+        part = raft_messages.InstallSnapshot("a", "b", 1, head, 0, 1, data)
+        message = messages.Deliver("a", raft_messages.encode([part]))
+        try:
+            client.call(address, "Deliver", message, peers.DELIVER_TIMEOUT_S)
+        except errors.TransportError as error:
+            return time.perf_counter() - start, type(error).__name__
+        return time.perf_counter() - start, "delivered"
+
+    deliver(1)
+    runs = []
+    for size in DELIVERY_BYTES:
+        times = sorted(deliver(size) for _ in range(5))
+        runs.append(
+            {
+                "bytes": size,
+                "ms": round(times[2][0] * 1000, 1),
+                "results": sorted({result for _, result in times}),
+            }
+        )
+    return {"runs": runs}
+
+
 def measure_pieces() -> dict:
     """Memory of a store's index."""
     runs = [child("pieces", size) for size in PIECE_SIZES]
@@ -744,6 +916,8 @@
     "demand": measure_demand,
     "control_part": measure_control_part,
     "machine": measure_machine,
+    "stalls": measure_stalls,
+    "deliveries": measure_deliveries,
     "pieces": measure_pieces,
     "document": measure_document,
     "selection": measure_selection,
@@ -752,6 +926,7 @@
 CHILDREN = {
     "control_part": child_control_part,
     "ledger": child_ledger,
+    "stalls": child_stalls,
     "control_document": child_control_document,
     "pieces": child_pieces,
 }
--- a/papayalink/coordination/raft/core.py
+++ b/papayalink/coordination/raft/core.py
@@ -3,6 +3,7 @@
 from papayalink.coordination.raft import changes
 from papayalink.coordination.raft import election
 from papayalink.coordination.raft import inputs
+from papayalink.coordination.raft import installation
 from papayalink.coordination.raft import membership as memberships
 from papayalink.coordination.raft import messages
 from papayalink.coordination.raft import node_state
@@ -85,11 +86,13 @@
             for peer, progress in self._state.progress.items()
         }
 
-    def make_snapshot(self, index: int, data: bytes) -> messages.Snapshot:
+    def make_snapshot(
+        self, index: int, parts: tuple[bytes, ...]
+    ) -> messages.Snapshot:
         """Returns: a snapshot at an applied index that the log holds."""
         log = self._state.log
         return messages.Snapshot(
-            index, log.term_at(index), log.membership_at(index), data
+            index, log.term_at(index), log.membership_at(index), parts
         )
 
     def step(self, given: inputs.Input) -> inputs.Ready:
@@ -104,6 +107,7 @@
             reads.advance(state)
             replication.send_pending(state)
         _deliver_committed(state)
+        state.compact()
         state.start_write()
         state.ready.removed = state.removed
         return state.take_ready()
@@ -193,7 +197,9 @@
         case messages.HeartbeatReply():
             replication.on_heartbeat_reply(state, message)
         case messages.InstallSnapshot():
-            replication.on_install_snapshot(state, message)
+            installation.on_install_snapshot(state, message)
+        case messages.SnapshotReply():
+            installation.on_snapshot_reply(state, message)
         case messages.ReadRequest():
             reads.on_request(state, message)
         case messages.ReadReply():
@@ -242,7 +248,7 @@
 def _compact(state, snapshot: messages.Snapshot) -> None:
     if state.snapshot is None or snapshot.index > state.snapshot.index:
         state.snapshot = snapshot
-    state.log.compact(
+    state.compact_to = (
         min(snapshot.index, state.log.delivered)
         - state.config.trailing_entries
     )
--- a/papayalink/coordination/raft/messages.py
+++ b/papayalink/coordination/raft/messages.py
@@ -12,7 +12,7 @@
     index: int
     term: int
     membership: membership.Membership
-    data: bytes
+    parts: tuple[bytes, ...]
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -87,9 +87,29 @@
 
 
 class InstallSnapshot(Message, frozen=True, array_like=True, tag=True):
-    """Replaces a log that ends before the leader's first entry."""
+    """One part of a snapshot that replaces a log.
+
+    The log ends before the leader's first entry. A part is sent after the
+    one before it was received, so that no message grows with the state.
+
+    Attributes:
+        head: the snapshot without its parts.
+        number: number of the part, from 0.
+        count: number of parts; 0 when there are none.
+        data: the part.
+    """
+
+    head: Snapshot
+    number: int
+    count: int
+    data: bytes
 
-    snapshot: Snapshot
+
+class SnapshotReply(Message, frozen=True, array_like=True, tag=True):
+    """Tells how many parts of the snapshot at an index were received."""
+
+    index: int
+    received: int
 
 
 class ReadRequest(Message, frozen=True, array_like=True, tag=True):
@@ -122,6 +142,7 @@
     | Heartbeat
     | HeartbeatReply
     | InstallSnapshot
+    | SnapshotReply
     | ReadRequest
     | ReadReply
     | StaleTerm
@@ -147,11 +168,17 @@
     return _DECODER.decode(data)
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Returns: a snapshot as msgpack, as the log store keeps it."""
-    return _ENCODER.encode(snapshot)
+def encode_snapshot(snapshot: Snapshot) -> tuple[bytes, ...]:
+    """Returns: a snapshot in parts, as the log store keeps it.
+
+    The parts of the machine are not copied, which would hold up the other
+    threads of the process for as long as it takes.
+    """
+    head = msgspec.structs.replace(snapshot, parts=())
+    return (_ENCODER.encode(head), *snapshot.parts)
 
 
-def decode_snapshot(data: bytes) -> Snapshot:
+def decode_snapshot(parts: tuple[bytes, ...]) -> Snapshot:
     """Returns: the snapshot that encode_snapshot() was given."""
-    return _SNAPSHOT_DECODER.decode(data)
+    head = _SNAPSHOT_DECODER.decode(parts[0])
+    return msgspec.structs.replace(head, parts=parts[1:])
