Look weight versions up before a rollout, and know replicas before serving

Cause: a version that the weight store does not have was ordered all the same: two replicas at a time stopped serving to load nothing, again and again. The adapter of the weight store had no user. The test of it showed a second fault: an entry that starts during a rollout knows no replica's weights in its first second, asked each one for the new version and answered 503. Ruled out: checking in the console; a version may be uploaded after it was named, and the document comes from the command line too. Holding back when the store does not answer; engines may reach it when the leader does not. Change: the leader looks a version up before it opens orders for it, and again every 5 s while it is missing. An entry polls a second time at once and takes work only when that reply brought the load reports. Conclusion: the readiness of an entry covers what it routes by.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -83,6 +83,7 @@
     controls: int = 3,
     orders: bool = False,
     platform: bool = False,
+    weights: str = "",
     engine_options: dict[str, object] | None = None,
     sections: dict[str, object] | None = None,
     upstream_options: dict[str, object] | None = None,
@@ -98,6 +99,7 @@
             controls,
             orders,
             platform,
+            weights,
             {"model": MODEL, **(engine_options or {})},
             sections or {},
             upstream_options or {},
@@ -115,6 +117,7 @@
     controls,
     orders,
     platform,
+    weights,
     engine_options,
     sections,
     upstream_options,
@@ -135,6 +138,10 @@
             "fake-platform", "fakes.platform"
         )
         control_options["platform_address"] = platform_address
+    if weights:
+        control_options["weights_address"] = deployment.start_fake(
+            "fake-weights", "fakes.weights", versions=weights
+        )
     deployment.add_controls(controls, **control_options)
     upstreams = [
         {
--- a/fakes/weights.py
+++ b/fakes/weights.py
@@ -20,6 +20,7 @@
         total_bytes_per_s: rate that all readers share.
         reader_bytes_per_s: highest rate of one reader.
         clock: source of time.
+        versions: versions that the store has; all when empty.
     """
 
     def __init__(
@@ -28,8 +29,10 @@
         total_bytes_per_s: float,
         reader_bytes_per_s: float,
         clock: clocks.Clock,
+        versions: frozenset[str] = frozenset(),
     ) -> None:
         self.size_bytes = size_bytes
+        self._versions = versions
         self.readers = 0
         self.most_readers = 0
         self._total_bytes_per_s = total_bytes_per_s
@@ -53,6 +56,10 @@
         finally:
             self.readers -= 1
 
+    def has(self, version: str) -> bool:
+        """Returns: whether the store has a version."""
+        return not self._versions or version in self._versions
+
     def rate(self) -> float:
         """Returns: bytes per second that each reader gets now."""
         return min(
@@ -66,6 +73,8 @@
         self._store = store
 
     def on_get_weights(self, req, resp, version):
+        if not self._store.has(version):
+            raise falcon.HTTPNotFound()
         resp.content_type = "application/octet-stream"
         resp.set_stream(self._store.read(version), self._store.size_bytes)
 
@@ -82,6 +91,7 @@
     size_bytes: int = 800_000,
     total_bytes_per_s: float = 2_000_000.0,
     reader_bytes_per_s: float = 1_000_000.0,
+    versions: str = "",
 ) -> serving.Server:
     """Make a weight store.
 
@@ -94,11 +104,16 @@
         size_bytes: size of every version.
         total_bytes_per_s: rate that all readers share.
         reader_bytes_per_s: highest rate of one reader.
+        versions: names separated by spaces; every version when empty.
 
     Returns: a server that has not been started; `state` is the WeightStore.
     """
     store = WeightStore(
-        size_bytes, total_bytes_per_s, reader_bytes_per_s, clocks.make_clock()
+        size_bytes,
+        total_bytes_per_s,
+        reader_bytes_per_s,
+        clocks.make_clock(),
+        frozenset(versions.split()),
     )
     resources = _Resources(store)
     app = falcon.App()
--- a/papayalink/adapters/weights.py
+++ b/papayalink/adapters/weights.py
@@ -1,6 +1,5 @@
 """Weight store."""
 
-from collections.abc import Iterator
 from urllib import parse
 
 from papayalink.adapters import connection
@@ -23,14 +22,13 @@
         self._connector = connector
         self._read_timeout_s = read_timeout_s
 
-    def read(self, weight_version: str) -> Iterator[bytes]:
-        """Read the weights of a version.
+    def has(self, weight_version: str) -> bool:
+        """Look a version up; none of its bytes are read.
 
-        Returns: iterator of the bytes in parts; closing it closes the
-            connection.
+        Returns: whether the store has it.
 
-        Raises: Unreachable, Interrupted also when the weights end early,
-            and Rejected for an error status.
+        Raises: Unreachable, Interrupted, and Rejected for an error status
+            other than 404.
         """
         exchange = self._connector.open(
             "GET",
@@ -39,13 +37,14 @@
         )
         try:
             exchange.wait()
-            if exchange.status != 200:
+            if exchange.status not in (200, 404):
                 raise errors.Rejected(exchange.status, exchange.read())
-            while part := exchange.read(connection.BLOCK_BYTES):
-                yield part
+            return exchange.status == 200
         except connection.FAILURES as error:
             raise errors.Interrupted(repr(error)) from error
         finally:
+            # The store stops sending, so that its rate stays with the
+            # engines that load.
             exchange.close()
 
 
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -24,6 +24,7 @@
 from papayalink.roles.control import peers
 from papayalink.roles.control import service
 from papayalink.roles.control import upkeep
+from papayalink.roles.control import weight_check
 from papayalink.state import log_store
 from papayalink.state import machine as machines
 from papayalink.transport import errors as transport_errors
@@ -152,7 +153,14 @@
         if settings.platform_address:
             platform = platforms.make_platform(settings.platform_address)
         self._upkeep = upkeep.make_upkeep(
-            self._node, self._replica, self._machine, self._loads, platform
+            self._node,
+            self._replica,
+            self._machine,
+            self._loads,
+            platform,
+            weight_check.make_weight_check(
+                settings.weights_address, self._node.clock
+            ),
         )
         self._service.attach(self._replica, self._upkeep)
         self._upkeep.start()
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -18,6 +18,7 @@
 from papayalink.roles import node as nodes
 from papayalink.roles.control import loads
 from papayalink.roles.control import peers
+from papayalink.roles.control import weight_check
 from papayalink.state import ledger
 from papayalink.state import machine as machines
 from papayalink.state import upstreams
@@ -58,6 +59,7 @@
         node: shared parts of the process.
         replica: tells who leads, and commits commands.
         platform: adapter of the platform's list, if there is one.
+        weights: tells which weight versions are missing.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "_machine",
         "_loads",
         "_platform",
+        "_weights",
         "_client",
         "_inbox",
         "_sending",
@@ -83,12 +86,14 @@
         machine: machines.Machine,
         load_table: loads.LoadTable,
         platform: platforms.Platform | None,
+        weights: weight_check.WeightCheck,
     ) -> None:
         self._node = node
         self._replica = replica
         self._machine = machine
         self._loads = load_table
         self._platform = platform
+        self._weights = weights
         self._client = http_client.make_client(node.signer, ORDER_TIMEOUT_S)
         self._inbox = queue.Queue()
         self._sending: set[str] = set()
@@ -191,14 +196,19 @@
             report.upstream: report
             for report in self._loads.select(self._loads.names())
         }
+        open_orders = self._machine.upstreams.open_orders
         commands = orders.decide(
             self._machine.configuration.document,
             reports,
-            self._machine.upstreams.open_orders,
+            open_orders,
             self._node.settings.name,
             self._held_back(now),
         )
+        busy = {order.upstream for order in open_orders}
         for command in commands:
+            # An order that is taken over was looked up when it was opened.
+            if command.upstream not in busy and self._lacks_weights(command):
+                continue
             outcome = self._propose(command)
             if isinstance(outcome, upstreams.Opened):
                 gevent.spawn(self._send, outcome.order)
@@ -207,6 +217,12 @@
             if order.upstream not in self._sending:
                 gevent.spawn(self._send, order)
 
+    def _lacks_weights(self, command: upstreams.OpenOrder) -> bool:
+        return (
+            command.action == orders.LOAD_WEIGHTS
+            and self._weights.is_missing(command.argument)
+        )
+
     def _held_back(self, now: float) -> frozenset[tuple[str, str]]:
         self._failed = {
             key: failed_at
@@ -281,5 +297,6 @@
     machine: machines.Machine,
     load_table: loads.LoadTable,
     platform: platforms.Platform | None,
+    weights: weight_check.WeightCheck,
 ) -> Upkeep:
-    return Upkeep(node, replica, machine, load_table, platform)
+    return Upkeep(node, replica, machine, load_table, platform, weights)
--- /dev/null
+++ b/papayalink/roles/control/weight_check.py
@@ -0,0 +1,61 @@
+"""Looks weight versions up before replicas are ordered to load them."""
+
+from papayalink import clock as clocks
+from papayalink import logs
+from papayalink.adapters import errors
+from papayalink.adapters import weights
+
+# An operator who notices the missing version uploads it or applies another
+# one; the store is not asked twice a second until then.
+RECHECK_S = 5.0
+
+
+class WeightCheck:
+    """Remembers which versions the weight store has.
+
+    Args:
+        store: adapter of the weight store, None when there is none to ask.
+        clock: time of look-ups.
+    """
+
+    __slots__ = ("_store", "_clock", "_found", "_missing", "_log")
+
+    def __init__(
+        self, store: weights.WeightStore | None, clock: clocks.Clock
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._found: set[str] = set()
+        # By version, when the store was asked last.
+        self._missing: dict[str, float] = {}
+        self._log = logs.get_logger()
+
+    def is_missing(self, weight_version: str) -> bool:
+        """Returns: whether the store says that it has no such version.
+
+        A store that does not answer holds nothing back: engines may reach it
+        when the control member does not.
+        """
+        if self._store is None or weight_version in self._found:
+            return False
+        now = self._clock.now()
+        if now - self._missing.get(weight_version, -RECHECK_S) < RECHECK_S:
+            return True
+        try:
+            found = self._store.has(weight_version)
+        except errors.AdapterError as error:
+            self._log.warning("weight_store_failed", reason=error)
+            return False
+        if found:
+            self._found.add(weight_version)
+            self._missing.pop(weight_version, None)
+        else:
+            self._missing[weight_version] = now
+            self._log.warning("weights_missing", weight_version=weight_version)
+        return not found
+
+
+def make_weight_check(address: str, clock: clocks.Clock) -> WeightCheck:
+    """Args: address: "IP:PORT" of the weight store, "" for none."""
+    store = weights.make_weight_store(address) if address else None
+    return WeightCheck(store, clock)
--- a/papayalink/roles/entry/serving.py
+++ b/papayalink/roles/entry/serving.py
@@ -127,6 +127,8 @@
         "_budget",
         "_index",
         "_indexed",
+        "_watching",
+        "_informed",
         "_leaving",
         "_stopping",
         "_log",
@@ -156,6 +158,10 @@
         self._budget = retry.Budget()
         self._indexed = follower.document
         self._index = document_index.make_index(self._indexed)
+        # The first poll cannot name upstreams yet, so only the reply to the
+        # second one tells which weights the replicas serve.
+        self._watching = False
+        self._informed = False
         self._leaving = False
         self._stopping = False
         self._log = logs.get_logger()
@@ -172,8 +178,10 @@
 
     @property
     def accepting(self) -> bool:
-        """New work is taken: the configuration is confirmed."""
-        return self._follower.confirmed and not self._stopping
+        """New work is taken: configuration and load reports are known."""
+        return (
+            self._follower.confirmed and self._informed and not self._stopping
+        )
 
     @property
     def workspace_names(self) -> frozenset[str]:
@@ -355,6 +363,7 @@
 
     def fill_poll(self, poll: messages.Poll) -> messages.Poll:
         """Add what the entry watches and wants to a poll."""
+        self._watching = self.has_document
         return msgspec.structs.replace(
             poll,
             watch=self._selection.watched,
@@ -365,6 +374,9 @@
         return self._selection.dump(self._clock.now())
 
     def _on_reply(self) -> None:
+        if not self._informed:
+            self._informed = self._watching
+            self._follower.poll_soon()
         reply = self._follower.reply
         self._selection.update(
             self._follower.document,
@@ -480,6 +492,8 @@
             raise errors.NoUpstream("entry is stopping")
         if not self._follower.confirmed:
             raise errors.NoUpstream("configuration is not confirmed")
+        if not self._informed:
+            raise errors.NoUpstream("entry is starting")
 
     def _current(self) -> document_index.Index:
         document = self._follower.document
--- a/papayalink/settings.py
+++ b/papayalink/settings.py
@@ -118,6 +118,8 @@
         console_listen: "IP:PORT" of the console.
         console_token: what operators give as bearer token or password.
         platform_address: "IP:PORT" of the platform's list, "" for none.
+        weights_address: "IP:PORT" of the weight store, in which versions are
+            looked up before replicas load them; "" for no look-up.
         join: the member joins a running group.
     """
 
@@ -126,6 +128,7 @@
     console_listen: str
     console_token: str
     platform_address: str = ""
+    weights_address: str = ""
     join: bool = False
 
 
@@ -282,10 +285,9 @@
 
 
 def _check_control(settings: Control, problems: list) -> None:
-    if settings.platform_address:
-        shape.check_address(
-            settings.platform_address, "$.platform_address", problems
-        )
+    for field in ("platform_address", "weights_address"):
+        if address := getattr(settings, field):
+            shape.check_address(address, f"$.{field}", problems)
     token = settings.console_token
     if token is not None and not (
         len(token) >= MIN_CONSOLE_TOKEN_LENGTH
--- a/tests/processes/test_upstreams.py
+++ b/tests/processes/test_upstreams.py
@@ -22,6 +22,7 @@
     "engines": 3,
     "stores": 1,
     "platform": True,
+    "weights": "v1 v2 v3 v4",
     "engine_options": {"decode_interval_s": 0.02},
 }
 
@@ -230,6 +231,35 @@
     assert first["choices"] != second["choices"]
 
 
+def test_missing_weights_are_not_rolled_out(fleet, caller):
+    """Guards against replicas that stop serving to load nothing."""
+    loaded = _complete(caller).json()["system_fingerprint"]
+    models = fleet.document.models
+    _set_version(fleet, "mistyped", loaded)
+
+    def noticed():
+        assert _complete(caller).status == 200
+        paths = [
+            fleet.deployment.programs[name].log_path
+            for name in fleet.deployment.controls
+        ]
+        return any(
+            "event=weights_missing" in open(path).read() for path in paths
+        )
+
+    helpers.wait_until(noticed, "look-up of the version")
+    assert not any(
+        order.get("weight_version") == "mistyped"
+        for engine in fleet.engines
+        for order in _orders(fleet, engine)
+    )
+    # An entry that starts meanwhile knows no replica's weights at first.
+    listen = fleet.deployment.add_entry("entry-4", fleets.ZONES[0])
+    fleet.deployment.wait_accepting(["entry-4"])
+    assert _complete(client.make_caller(listen)).status == 200
+    fleet.apply(models=models)
+
+
 def test_stopping_entry_serves_until_the_balancer_has_turned_away(fleet):
     """Guards against callers that a planned stop turns away."""
     listen = fleet.deployment.add_entry(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -130,6 +130,7 @@
         ("control", {"console_token": "x" * 15}, "$.console_token", "16"),
         ("control", {"console_token": "x " * 9}, "$.console_token", "spaces"),
         ("control", {"platform_address": "x"}, "$.platform_address", "IP"),
+        ("control", {"weights_address": "x"}, "$.weights_address", "IP"),
         ("control", {"join": "yes"}, "$.join", "true or false"),
         ("control", {"name": "c3"}, "$.controls", "join"),
     ],
