--- a/papayalink/coordination/retention.py
+++ b/papayalink/coordination/retention.py
@@ -1,16 +1,15 @@
 """Retention: which kept pieces are worth their space."""
 
 import abc
-import bisect
 import collections
 from collections.abc import Sequence
 import contextlib
 import heapq
 import itertools
-from typing import Annotated
 
 import msgspec
 
+from papayalink.coordination import return_gaps
 from papayalink.protocol import pieces
 
 # Prefill rate assumed for a piece whose engine reported none.
@@ -25,25 +24,6 @@
 # each day, and gaps reach days.
 COPY_VALUE = 0.03
 
-# Gaps run from minutes to weeks. One bucket to an octave tells minutes from
-# hours without thinning out the counts. Shorter gaps are met by the engine's
-# own cache; with narrower first buckets the assumed returns within seconds
-# outweighed the observed ones within hours.
-_FIRST_EDGE_S = 120.0
-_BUCKETS = 16
-_EDGES_S = [_FIRST_EDGE_S * 2**i for i in range(_BUCKETS - 1)]
-_WIDTHS_S = [
-    high - low
-    for low, high in zip([0.0, *_EDGES_S], [*_EDGES_S, 2 * _EDGES_S[-1]])
-]
-
-# Before anything was observed, a prompt is as likely to return within one
-# bucket as within the next: gaps have no typical scale.
-_PRIOR_HAZARD = 0.02
-
-# A pool counts as much as the larger pool above it after this many pieces.
-_PRIOR_WEIGHT = 6.0
-
 # Prompts that were seen more often than this are pooled.
 _MAX_SIGHTINGS = 8
 
@@ -187,32 +167,12 @@
 _SINGLE = "single"
 
 
-class _Gaps:
-    """Returns by the time since the last sighting, in log-spaced buckets.
-
-    Each bucket counts how many pieces reached it without a return and how
-    many returned within it, so that pieces that have not returned yet count
-    for the time they were watched.
-    """
-
-    __slots__ = ("reached", "returned")
-
-    def __init__(self) -> None:
-        self.reached = [0] * _BUCKETS
-        self.returned = [0] * _BUCKETS
-
-
-_BucketCounts = Annotated[
-    list[int], msgspec.Meta(min_length=_BUCKETS, max_length=_BUCKETS)
-]
-
-
 class _Pool(msgspec.Struct, array_like=True):
     workspace: str
     family: str
     sightings: int
-    reached: _BucketCounts
-    returned: _BucketCounts
+    reached: return_gaps.BucketCounts
+    returned: return_gaps.BucketCounts
 
 
 class _Snapshot(msgspec.Struct):
@@ -282,7 +242,7 @@
 
     def __init__(self, max_pieces: int = MAX_TRACKED_PIECES) -> None:
         # By scope and number of sightings.
-        self._gaps: dict[_Scope, dict[int, _Gaps]] = {}
+        self._gaps: dict[_Scope, dict[int, return_gaps.Gaps]] = {}
         self._families: collections.OrderedDict[_Scope, None] = (
             collections.OrderedDict()
         )
@@ -341,11 +301,19 @@
         if cohort is not None:
             sightings, age = abs(cohort.sightings), now - cohort.seen_at
         rate = self._return_rate(
-            key.workspace, facts.family, sightings, _bucket(age), now
+            key.workspace,
+            facts.family,
+            sightings,
+            return_gaps.bucket_of(age),
+            now,
         )
         if facts.position == 0:
             first_rate = self._return_rate(
-                key.workspace, facts.family, -sightings, _bucket(age), now
+                key.workspace,
+                facts.family,
+                -sightings,
+                return_gaps.bucket_of(age),
+                now,
             )
             # The first piece returns whenever a later one does.
             rate = max(rate, first_rate)
@@ -374,7 +342,7 @@
 
     def _load(self, snapshot: "_Snapshot") -> None:
         for pool in snapshot.pools:
-            gaps = _Gaps()
+            gaps = return_gaps.Gaps()
             gaps.reached = pool.reached
             gaps.returned = pool.returned
             scope = (pool.workspace, pool.family)
@@ -387,7 +355,7 @@
     ) -> _Cohort:
         cohort = _Cohort(workspace, family, sightings, now)
         self._order.append(cohort)
-        due = now + _EDGES_S[0]
+        due = now + return_gaps.EDGES_S[0]
         heapq.heappush(self._due, (due, next(self._ties), cohort))
         return cohort
 
@@ -401,12 +369,12 @@
             scopes.append(own)
         return scopes
 
-    def _pools(self, cohort: _Cohort) -> list[_Gaps]:
+    def _pools(self, cohort: _Cohort) -> list[return_gaps.Gaps]:
         pools = []
         for scope in self._scopes(cohort.workspace, cohort.family):
             by_sightings = self._gaps.setdefault(scope, {})
             if cohort.sightings not in by_sightings:
-                by_sightings[cohort.sightings] = _Gaps()
+                by_sightings[cohort.sightings] = return_gaps.Gaps()
             pools.append(by_sightings[cohort.sightings])
         return pools
 
@@ -430,7 +398,7 @@
         if len(self._families) > _MAX_FAMILIES:
             oldest, _ = self._families.popitem(last=False)
             self._gaps.pop(oldest, None)
-        bucket = _bucket(now - cohort.seen_at)
+        bucket = return_gaps.bucket_of(now - cohort.seen_at)
         for gaps in self._pools(cohort):
             for reached in range(cohort.credited, bucket + 1):
                 gaps.reached[reached] += 1
@@ -444,13 +412,13 @@
                 continue
             # A bucket counts once it has passed: within it the piece may
             # still return.
-            passed = _bucket(now - cohort.seen_at)
+            passed = return_gaps.bucket_of(now - cohort.seen_at)
             for gaps in self._pools(cohort):
                 for reached in range(cohort.credited, passed):
                     gaps.reached[reached] += 1
             cohort.credited = passed
-            if passed < _BUCKETS - 1:
-                due = cohort.seen_at + _EDGES_S[passed]
+            if passed < return_gaps.BUCKETS - 1:
+                due = cohort.seen_at + return_gaps.EDGES_S[passed]
                 heapq.heappush(self._due, (due, next(self._ties), cohort))
 
     def _forget_oldest(self) -> None:
@@ -481,7 +449,7 @@
             gaps = self._gaps.get(scope, {}).get(sightings)
             if gaps is not None:
                 pools.append(gaps)
-        rate = _best_rate(pools, bucket)
+        rate = return_gaps.best_rate(pools, bucket)
         self._rates[place] = (now, rate)
         return rate
 
@@ -503,32 +471,3 @@
         with contextlib.suppress(msgspec.MsgspecError):
             policy._load(msgspec.msgpack.decode(snapshot, type=_Snapshot))
     return policy
-
-
-def _bucket(age_s: float) -> int:
-    return bisect.bisect_right(_EDGES_S, age_s)
-
-
-def _best_rate(pools: Sequence[_Gaps], first: int) -> float:
-    """Returns: the highest returns per second, over all times to hold.
-
-    Args:
-        pools: gaps, from the largest pool to the smallest.
-        first: bucket of the age of the piece.
-    """
-    best = returned = occupied_s = 0.0
-    reached = 1.0
-    for bucket in range(first, _BUCKETS):
-        hazard = _PRIOR_HAZARD
-        for gaps in pools:
-            hazard = (gaps.returned[bucket] + _PRIOR_WEIGHT * hazard) / (
-                gaps.reached[bucket] + _PRIOR_WEIGHT
-            )
-        # A return within a bucket falls in its middle on average.
-        occupied_s += reached * _WIDTHS_S[bucket] * (1 - hazard / 2)
-        returned += reached * hazard
-        reached *= 1 - hazard
-        rate = returned / occupied_s
-        if rate > best:
-            best = rate
-    return best
