--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -114,7 +114,7 @@
         timeout=CHILD_TIMEOUT_S,
         check=True,
     )
-    # Log lines of what is measured come before it.
+    # Log lines of what is measured come before the result.
     return json.loads(done.stdout.splitlines()[-1])
 
 
--- a/papayalink/roles/control/upkeep.py
+++ b/papayalink/roles/control/upkeep.py
@@ -28,7 +28,7 @@
 # A new leader first waits for one round of load reports.
 SETTLE_S = 3.0
 EXPIRE_PERIOD_S = 60.0
-# Forgetting 5,000 records takes about 5 ms, in which a member does nothing
+# Forgetting 5,000 records takes 7 to 9 ms, in which a member does nothing
 # else. A shorter retention period may expire hundreds of thousands at once.
 _EXPIRE_LIMIT = 5000
 _PROPOSE_TIMEOUT_S = 2.0
