--- a/tests/coordination/test_snapshots.py
+++ b/tests/coordination/test_snapshots.py
@@ -54,8 +54,13 @@
     stored = None if stored is None else _snapshot(5, stored)
     made, machine, inbox = _make(stored)
     _apply(made, machine, 6 if stored else 1, entries, size)
-    gevent.sleep(0.02)
-    assert inbox.empty() is not due
+    if due:
+        assert inbox.get(timeout=20).index == len(machine.commands) + (
+            5 if stored else 0
+        )
+    else:
+        gevent.sleep(0.02)
+        assert inbox.empty()
 
 
 def test_encoded_snapshot_holds_its_entries_only():
@@ -63,7 +68,7 @@
     made, machine, inbox = _make()
     _apply(made, machine, 1, 120)
     _apply(made, machine, 121, 30)
-    encoded = inbox.get()
+    encoded = inbox.get(timeout=20)
     assert encoded.index == 120
     restored = replica_group.ListMachine()
     restored.restore(made.take(encoded))
@@ -74,7 +79,7 @@
     assert inbox.empty()
     made.stored(_snapshot(120, *encoded.parts))
     made.start_if_due()
-    assert inbox.get().index == 450
+    assert inbox.get(timeout=20).index == 450
 
 
 @pytest.mark.parametrize("moment", ["not begun", "under way", "in the queue"])
@@ -89,11 +94,11 @@
     made.restore(_snapshot(500, b"a\nb"))
     gevent.sleep(0.05)
     while not inbox.empty():
-        assert made.take(inbox.get()) is None
+        assert made.take(inbox.get_nowait()) is None
     assert machine.commands == [b"a", b"b"]
     assert made.index == 500
     _apply(made, machine, 501, 10)
-    encoded = inbox.get()
+    encoded = inbox.get(timeout=20)
     assert encoded.index == 510
     assert made.take(encoded) is not None
 
@@ -117,7 +122,7 @@
     made, machine, inbox = _make(machine=Failing())
     _apply(made, machine, 1, 10)
     with pytest.raises(ValueError):
-        made.take(inbox.get())
+        made.take(inbox.get(timeout=20))
 
 
 class _SlowMachine(replica_group.ListMachine):
