Verify pieces that are put in one place

Cause: both kinds of piece stores turned the error of a wrong piece into their own in the same lines. Ruled out: a base class for the two, which share nothing else of put(). Conclusion: no change of behaviour.

--- a/papayalink/state/piece_store.py
+++ b/papayalink/state/piece_store.py
@@ -142,6 +142,14 @@
         """Returns: counts of the store."""
 
 
+def verify(key: pieces.PieceKey, data: bytes) -> None:
+    """Check bytes that are put; raises PieceRejected for another piece."""
+    try:
+        pieces.verify_piece(key, data)
+    except protocol_errors.PieceInvalid as error:
+        raise errors.PieceRejected(str(error)) from error
+
+
 class Entry:
     __slots__ = (
         "key",
@@ -213,10 +221,7 @@
         value: float = 0.0,
         facts: retention.PieceFacts | None = None,
     ) -> None:
-        try:
-            pieces.verify_piece(key, data)
-        except protocol_errors.PieceInvalid as error:
-            raise errors.PieceRejected(str(error)) from error
+        verify(key, data)
         self.admit(key, data, value, facts)
 
     def admit(
--- a/papayalink/state/tiered_piece_store.py
+++ b/papayalink/state/tiered_piece_store.py
@@ -9,7 +9,6 @@
 
 from papayalink import clock as clocks
 from papayalink.coordination import retention
-from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import pieces
 from papayalink.state import disk_piece_store
 from papayalink.state import errors
@@ -63,10 +62,7 @@
         facts: retention.PieceFacts | None = None,
     ) -> None:
         """Publish a piece; value is used only when facts is None."""
-        try:
-            pieces.verify_piece(key, data)
-        except protocol_errors.PieceInvalid as error:
-            raise errors.PieceRejected(str(error)) from error
+        piece_store.verify(key, data)
         if facts is not None:
             value = self._value(key, facts, len(data))
         try:
