--- a/papayalink/coordination/retry.py
+++ b/papayalink/coordination/retry.py
@@ -69,13 +69,13 @@
         constant: extra attempts beyond that.
     """
 
-    __slots__ = ("_ratio", "_constant", "_requests", "_spent")
+    __slots__ = ("constant", "_ratio", "_requests", "_spent")
 
     def __init__(
         self, ratio: float = RETRY_RATIO, constant: int = RETRY_CONSTANT
     ) -> None:
         self._ratio = ratio
-        self._constant = constant
+        self.constant = constant
         self._requests = windows.TwoWindows(BUDGET_WINDOW_S)
         self._spent = windows.TwoWindows(BUDGET_WINDOW_S)
 
@@ -83,10 +83,14 @@
         """Count the first attempt of a request."""
         self._requests.add(1, now)
 
+    def has_room(self, now: float) -> bool:
+        """Returns: whether one more attempt would be allowed."""
+        allowed = self._ratio * self._requests.total(now) + self.constant
+        return self._spent.total(now) + 1 <= allowed
+
     def take(self, now: float) -> bool:
         """Returns: whether one more attempt is allowed; spent when it is."""
-        allowed = self._ratio * self._requests.total(now) + self._constant
-        if self._spent.total(now) + 1 > allowed:
+        if not self.has_room(now):
             return False
         self._spent.add(1, now)
         return True
--- /dev/null
+++ b/papayalink/node_settings.py
@@ -0,0 +1,179 @@
+"""Settings of processes that a platform places and configures."""
+
+import os
+import pathlib
+
+import msgspec
+from msgspec import inspect
+import result
+
+from papayalink import settings as settings_module
+from papayalink import shape
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform holds the processes to.
+
+    Attributes:
+        drain_s: time in which a leaving upstream is to get no more work.
+        grace_s: time between the signal to stop and the kill.
+        lease_s: time between orders of two holders to one upstream.
+        retry_ratio, retry_slack: attempts beyond the first of each call
+            that all entries together may make in retry_window_s.
+        reuse_window_s: time after which a part read again is not counted.
+    """
+
+    drain_s: float = 3.0
+    grace_s: float = 8.0
+    lease_s: float = 3.0
+    retry_ratio: float = 0.2
+    retry_slack: int = 50
+    retry_window_s: float = 10.0
+    reuse_window_s: float = 20.0
+
+
+class NodeSettings(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    tag_field="role",
+):
+    """Settings of all roles.
+
+    Attributes:
+        name: name of the VM, unique in the deployment.
+        seeds: operator addresses "IP:PORT" of some control members.
+        peer_port: port on which control members take calls of nodes.
+        platform_address: "IP:PORT" of the list of replicas.
+        inspect_listen: "IP:PORT" of state dump, metrics and health.
+        deployment_key: hex, the same on all nodes.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    seeds: tuple[str, ...]
+    peer_port: int
+    platform_address: str
+    inspect_listen: str
+    deployment_key: str
+    bounds: Bounds = Bounds()
+
+    @property
+    def role(self) -> str:
+        """Returns: name of the role."""
+        return self.__struct_config__.tag
+
+    @property
+    def key(self) -> bytes:
+        """Returns: the deployment key."""
+        return bytes.fromhex(self.deployment_key)
+
+    @property
+    def seed_peers(self) -> tuple[str, ...]:
+        """Returns: "IP:PORT" on which the seeds take calls of nodes."""
+        return tuple(
+            f"{seed.rpartition(':')[0]}:{self.peer_port}"
+            for seed in self.seeds
+        )
+
+    def __repr__(self) -> str:
+        # The fields hold secrets, and a repr may end up in a log.
+        return f"{type(self).__name__}(name={self.name!r})"
+
+
+class Gateway(NodeSettings, frozen=True, kw_only=True, tag="gateway"):
+    """Settings of a gateway.
+
+    Attributes:
+        listen: "IP:PORT" for callers.
+        ready_listen: "IP:PORT" on which the balancer asks.
+    """
+
+    listen: str
+    ready_listen: str
+
+
+class Authority(NodeSettings, frozen=True, kw_only=True, tag="authority"):
+    """Settings of a control member that holds numbered documents.
+
+    Attributes:
+        operator_listen: "IP:PORT" for operators.
+        data_folder: where all files are.
+        first_start: the deployment starts for the first time, all disks
+            are empty.
+    """
+
+    operator_listen: str
+    data_folder: str
+    first_start: bool = False
+
+
+ROLES = {kind.__struct_config__.tag: kind for kind in (Gateway, Authority)}
+
+
+def load(
+    path: str | os.PathLike, role: str
+) -> result.Result[NodeSettings, list[shape.Problem]]:
+    """Read and check a settings file.
+
+    Returns: the settings of the role, or all problems.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = shape.Problem(
+            str(path),
+            f"not readable: {error.strerror}",
+            "give the path of a settings file that this user can read",
+        )
+        return result.Err([problem])
+    value, problems = shape.parse(data)
+    if problems:
+        return result.Err(problems)
+    kind = ROLES.get(role)
+    if kind is None or not isinstance(value, dict):
+        problem = shape.Problem(
+            "$.role", f"there is no role {role}", f"one of {', '.join(ROLES)}"
+        )
+        return result.Err([problem])
+    settings = shape.build(value, inspect.type_info(kind), "$", problems)
+    if problems:
+        return result.Err(problems)
+    _check(settings, problems)
+    return result.Err(problems) if problems else result.Ok(settings)
+
+
+def _check(settings: NodeSettings, problems: list[shape.Problem]) -> None:
+    for field in ("name", "zone", "region"):
+        shape.check_name(getattr(settings, field), f"$.{field}", problems)
+    addresses = ["platform_address", "inspect_listen"]
+    match settings:
+        case Gateway():
+            addresses += ["listen", "ready_listen"]
+        case Authority():
+            addresses.append("operator_listen")
+            if not settings.data_folder:
+                problems.append(
+                    shape.Problem("$.data_folder", "is empty", "name a folder")
+                )
+    for field in addresses:
+        shape.check_address(getattr(settings, field), f"$.{field}", problems)
+    if not settings.seeds:
+        problems.append(
+            shape.Problem("$.seeds", "is empty", "name a control member")
+        )
+    for place, seed in enumerate(settings.seeds):
+        shape.check_address(seed, f"$.seeds[{place}]", problems)
+    shape.check_range(settings.peer_port, 1, 65_535, "$.peer_port", problems)
+    if not settings_module.is_key(settings.deployment_key):
+        problems.append(
+            shape.Problem(
+                "$.deployment_key",
+                "is not a hex key of at least"
+                f" {settings_module.MIN_KEY_BYTES} bytes",
+                f"give {2 * settings_module.MIN_KEY_BYTES} or more hex digits",
+            )
+        )
--- /dev/null
+++ b/papayalink/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, decoded once into the types of the project."""
--- /dev/null
+++ b/papayalink/platform/document.py
@@ -0,0 +1,205 @@
+"""The operator's document, translated into routes, services, workspaces."""
+
+import msgspec
+
+from papayalink.platform import errors
+from papayalink.state import traffic
+
+_REPEATS = {
+    "idempotent": traffic.Repeat.IDEMPOTENT,
+    "non_idempotent": traffic.Repeat.ONCE,
+    "streaming": traffic.Repeat.ONCE,
+}
+
+
+class _Backend(msgspec.Struct, rename="camel"):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    slo_ms: float
+    priority: int = 0
+    # Either one service, or several with weights.
+    service: str | None = None
+    backends: list[_Backend] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int
+    # Tokens, not bytes.
+    kv_capacity: int
+    token_kv_bytes: float
+    bandwidth_mbps: float
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+    # Set for a store of cached parts, which no route leads to.
+    kv_store_addr: str | None = None
+    zone: str = ""
+    kv_capacity: int = 0
+    bandwidth_mbps: float = 0.0
+    max_inflight: int = 1
+    first_ms: float = msgspec.field(default=0.0, name="first_ms")
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Document(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_DECODER = msgspec.json.Decoder(_Document)
+
+
+def translate(data: bytes) -> traffic.Traffic:
+    """Decode and check a document.
+
+    Raises: errors.DocumentInvalid
+    """
+    try:
+        document = _DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.DocumentInvalid(f"not readable: {error}") from error
+    if document.version < 1:
+        raise errors.DocumentInvalid("version is not above 0")
+    names = {service.name for service in document.services}
+    routes = tuple(_route(route, names) for route in document.routes)
+    places = {(route.host, route.prefix) for route in routes}
+    if len(places) < len(routes):
+        raise errors.DocumentInvalid("two routes share host and prefix")
+    _check_keys(document.tenants)
+    return traffic.Traffic(
+        number=document.version,
+        routes=routes,
+        services=tuple(
+            _service(service)
+            for service in document.services
+            if service.kv_store_addr is None
+        ),
+        stores=tuple(
+            _store(service)
+            for service in document.services
+            if service.kv_store_addr is not None
+        ),
+        workspaces=tuple(
+            traffic.Workspace(
+                name=tenant.name,
+                keys=tuple(tenant.api_keys),
+                rank=tenant.priority,
+                isolated=tenant.isolated,
+            )
+            for tenant in document.tenants
+        ),
+        limits=traffic.CallerLimits(
+            header_bytes=document.limits.max_header_bytes,
+            body_bytes=document.limits.max_body_bytes,
+            header_timeout_s=document.limits.header_timeout_ms / 1000,
+            idle_timeout_s=document.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(route: _Route, services: set[str]) -> traffic.Route:
+    place = f"route {route.name}"
+    if route.timeout_ms <= 0:
+        raise errors.DocumentInvalid(f"{place}: no timeout")
+    if route.route_type not in _REPEATS:
+        raise errors.DocumentInvalid(f"{place}: unknown kind")
+    if route.backends is not None:
+        targets = [(each.service, each.weight) for each in route.backends]
+    else:
+        targets = [(route.service or "", 1)]
+    for service, weight in targets:
+        if service not in services:
+            raise errors.DocumentInvalid(f"{place}: unknown service")
+        if weight < 0:
+            raise errors.DocumentInvalid(f"{place}: weight below 0")
+    if not sum(weight for _, weight in targets):
+        raise errors.DocumentInvalid(f"{place}: weights add up to 0")
+    stream = route.route_type == "streaming"
+    repeat = _REPEATS[route.route_type]
+    if stream and route.resumable:
+        repeat = traffic.Repeat.RESUMABLE
+    return traffic.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        targets=tuple(traffic.Target(*target) for target in targets),
+        repeat=repeat,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.slo_ms / 1000,
+        rank=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        public=route.public,
+        prompts=route.sticky,
+        stream=stream,
+    )
+
+
+def _service(service: _Service) -> traffic.Service:
+    engine = None
+    if service.engine is not None:
+        engine = traffic.Engine(
+            slots=service.engine.slots,
+            cache_tokens=service.engine.kv_capacity,
+            token_bytes=int(service.engine.token_kv_bytes),
+            link_mbps=service.engine.bandwidth_mbps,
+            models=tuple(model.name for model in service.engine.models),
+        )
+    return traffic.Service(
+        name=service.name, max_connections=service.max_conns, engine=engine
+    )
+
+
+def _store(service: _Service) -> traffic.CacheStore:
+    return traffic.CacheStore(
+        name=service.name,
+        address=service.kv_store_addr,
+        zone=service.zone,
+        capacity_tokens=service.kv_capacity,
+        link_mbps=service.bandwidth_mbps,
+        first_ms=service.first_ms,
+        max_calls=service.max_inflight,
+    )
+
+
+def _check_keys(tenants: list[_Tenant]) -> None:
+    holders: dict[str, str] = {}
+    for tenant in tenants:
+        for key in tenant.api_keys:
+            if holders.setdefault(key, tenant.name) != tenant.name:
+                raise errors.DocumentInvalid("two workspaces share a key")
--- /dev/null
+++ b/papayalink/platform/operator_api.py
@@ -0,0 +1,92 @@
+"""Operators' HTTP interface on the platform."""
+
+import falcon
+import msgspec
+
+from papayalink.coordination import errors as coordination_errors
+from papayalink.platform import document
+from papayalink.platform import errors
+from papayalink.roles.authority import numbered_state
+
+# Documents of the design size are below 1 MB.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class _Weights(msgspec.Struct):
+    model: str
+    version: int
+
+
+class _Documents:
+    """PUT and GET of the whole document."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: numbered_state.NumberedState) -> None:
+        self._state = state
+
+    def on_put(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        data = request.bounded_stream.read(MAX_BODY_BYTES)
+        try:
+            traffic = document.translate(data)
+        except errors.DocumentInvalid as error:
+            self._state.note_invalid(str(error))
+            response.status = 400
+            response.media = {"error": str(error)}
+            return
+        number = self._state.put(traffic.number, data)
+        response.media = {"version": number}
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        content = self._state.read()
+        if not content:
+            raise falcon.HTTPServiceUnavailable(title="no document yet")
+        response.data = content
+        response.content_type = falcon.MEDIA_JSON
+
+
+class _WeightVersions:
+    """Names new weights."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: numbered_state.NumberedState) -> None:
+        self._state = state
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        data = request.bounded_stream.read(MAX_BODY_BYTES)
+        try:
+            weights = msgspec.json.decode(data, type=_Weights)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise falcon.HTTPBadRequest(title=str(error)) from error
+        if not weights.model or weights.version < 1:
+            raise falcon.HTTPBadRequest(title="no version")
+        self._state.name_weights(weights.model, weights.version)
+        response.media = {"version": weights.version}
+
+
+def _unavailable(
+    request: falcon.Request,
+    response: falcon.Response,
+    error: Exception,
+    parameters: dict,
+) -> None:
+    """The outcome is not known or nothing was read: ask another member."""
+    response.status = 503
+    response.media = {"error": str(error)}
+
+
+def make_application(state: numbered_state.NumberedState) -> falcon.App:
+    application = falcon.App()
+    application.add_route("/-/config", _Documents(state))
+    application.add_route("/-/version-put", _WeightVersions(state))
+    application.add_error_handler(
+        coordination_errors.CoordinationError, _unavailable
+    )
+    return application
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -213,6 +213,48 @@
     text: str = ""
 
 
+class Watch(Message):
+    """A process asks for numbered state that differs from what it holds.
+
+    Attributes:
+        number: number of the document held, 0 for none.
+        weights: newest weight version that it knows, by model.
+        wait_ms: how long the reply may wait for a difference.
+    """
+
+    process: str
+    number: int = 0
+    weights: dict[str, int] = {}
+    wait_ms: int = 0
+
+
+class WatchReply(Message):
+    """Confirmed numbered state.
+
+    Attributes:
+        number: number of the newest document.
+        document: that document, compressed; empty when the number is held.
+        weights: newest named weight version by model.
+        members: RPC addresses of the control members.
+        watchers: processes that watched this member lately.
+    """
+
+    number: int
+    document: bytes = b""
+    weights: dict[str, int] = {}
+    members: tuple[str, ...] = ()
+    watchers: int = 0
+
+    @property
+    def compact(self) -> bool:
+        return bool(self.document)
+
+    @property
+    def content(self) -> bytes:
+        """The whole document, b"" when there is none."""
+        return zlib.decompress(self.document) if self.document else b""
+
+
 class Lookup(Message):
     """Asks a store which pieces are published."""
 
@@ -249,6 +291,8 @@
     | Acknowledge
     | Order
     | OrderReply
+    | Watch
+    | WatchReply
     | Lookup
     | LookupReply
 )
--- /dev/null
+++ b/papayalink/roles/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Control members that hold documents numbered by their operators."""
--- /dev/null
+++ b/papayalink/roles/authority/group.py
@@ -0,0 +1,148 @@
+"""Membership of the control group, kept by its leader."""
+
+import time
+
+from gevent import queue
+import msgspec
+
+from papayalink import logs
+from papayalink import tasks
+from papayalink.coordination import errors
+from papayalink.coordination import replacement
+from papayalink.coordination import replica as replicas
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.roles.authority import address_book
+from papayalink.roles.control import peers as peers_module
+from papayalink.transport import errors as transport_errors
+
+# A learner of a small group has caught up within one or two of these.
+PERIOD_S = 0.25
+JOIN_TIMEOUT_S = 0.5
+
+
+class _Due(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class GroupUpkeep:
+    """Asks to join, and on the leader carries out the changes."""
+
+    __slots__ = (
+        "_node",
+        "_own",
+        "_original",
+        "_replica",
+        "_peers",
+        "_book",
+        "_joining",
+        "_leading_since",
+        "_inbox",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        own: str,
+        original: bool,
+        replica: replicas.Replica,
+        peers: peers_module.Peers,
+        book: address_book.AddressBook,
+    ) -> None:
+        self._node = node
+        self._own = own
+        self._original = original
+        self._replica = replica
+        self._peers = peers
+        self._book = book
+        self._joining: set[str] = set()
+        self._leading_since: float | None = None
+        self._inbox = queue.Queue()
+        self._log = logs.get_logger()
+
+    def start(self) -> None:
+        self._node.timers.every(PERIOD_S, self._inbox, _Due())
+        tasks.spawn(self._run)
+
+    def join(self, member_id: str) -> None:
+        """Add a member that asked for it."""
+        if member_id not in self._joining:
+            self._log.info("member_asks_to_join", member=member_id)
+        self._joining.add(member_id)
+
+    def _run(self) -> None:
+        while True:
+            self._inbox.get()
+            self._book.learn_members(self._replica.membership.ids)
+            if self._replica.is_leader:
+                if self._leading_since is None:
+                    self._leading_since = time.monotonic()
+                self._change()
+            else:
+                self._leading_since = None
+                self._joining.clear()
+                self._ask_to_join()
+
+    def _change(self) -> None:
+        group = self._replica.membership
+        change = replacement.next_change(
+            group,
+            [
+                replacement.Joining(each, peers_module.name_of(each))
+                for each in self._joining
+            ],
+            {each: peers_module.name_of(each) for each in group.ids},
+            self._silent_s(),
+        )
+        if change is None:
+            self._joining.clear()
+            return
+        try:
+            self._replica.change_members(change)
+            self._log.info("membership_changed", change=repr(change))
+        except errors.CoordinationError as error:
+            # The learner has not caught up, or another change is under way.
+            self._log.info("membership_change_waits", reason=error)
+
+    def _silent_s(self) -> dict[str, float]:
+        now = time.monotonic()
+        silent = {}
+        for member_id in self._replica.membership.ids:
+            if member_id != self._own:
+                reached_at = self._peers.reached_at(member_id)
+                since = max(self._leading_since, reached_at or 0.0)
+                silent[member_id] = now - since
+        return silent
+
+    def _ask_to_join(self) -> None:
+        """Ask to be a voter under a new id, until it is the only one."""
+        group = self._replica.membership
+        known = group.find(self._own)
+        name = peers_module.name_of(self._own)
+        places = [peers_module.name_of(each) for each in group.ids]
+        done = known is not None and known.voter and places.count(name) == 1
+        if self._original or done:
+            return
+        for address in self._peers.others():
+            try:
+                self._node.rpc_client.call(
+                    address,
+                    "Join",
+                    messages.Join(self._own),
+                    JOIN_TIMEOUT_S,
+                )
+                return
+            except transport_errors.TransportError as error:
+                self._log.info("join_not_taken", address=address, reason=error)
+
+
+def make_group_upkeep(
+    node: nodes.Node,
+    own: str,
+    original: bool,
+    replica: replicas.Replica,
+    peers: peers_module.Peers,
+    book: address_book.AddressBook,
+) -> GroupUpkeep:
+    return GroupUpkeep(node, own, original, replica, peers, book)
--- /dev/null
+++ b/papayalink/roles/authority/numbered_state.py
@@ -0,0 +1,149 @@
+"""Reads and changes of the numbered state, for operators."""
+
+from papayalink import logs
+from papayalink import metrics as metrics_module
+from papayalink.coordination import errors
+from papayalink.coordination import replica as replicas
+from papayalink.protocol import messages
+from papayalink.roles.control import peers as peers_module
+from papayalink.state import machine as machines
+from papayalink.state import numbered
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import rpc
+
+# Operators turn to another member after a second without an answer.
+PROPOSE_TIMEOUT_S = 0.8
+CONFIRM_TIMEOUT_S = 0.6
+
+
+class NumberedState:
+    """The state behind this member's replica.
+
+    Raises CoordinationError of every method while the member does not take
+    part, or cannot tell the newest state.
+    """
+
+    __slots__ = (
+        "_machine",
+        "_replica",
+        "_peers",
+        "_client",
+        "_metrics",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        machine: machines.Machine,
+        peers: peers_module.Peers,
+        client: rpc.RpcClient,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._machine = machine
+        self._replica: replicas.Replica | None = None
+        self._peers = peers
+        self._client = client
+        self._metrics = metrics
+        self._log = logs.get_logger()
+
+    @property
+    def replica(self) -> replicas.Replica:
+        if self._replica is None:
+            raise errors.Unavailable("the member does not take part yet")
+        return self._replica
+
+    def attach(self, replica: replicas.Replica) -> None:
+        """Serve from a replica from now on."""
+        self._replica = replica
+
+    def put(self, number: int, content: bytes) -> int:
+        """Store a document, unless one with as high a number is held.
+
+        Returns: the newest number.
+        """
+        held = self._machine.numbered.number
+        if number <= held:
+            # Known to be committed, since it was applied here.
+            self._note("document_overtaken", number=number, held=held)
+            return held
+        stored = self._commit(numbered.PutNumbered(number, content))
+        self._note(
+            "document_stored",
+            number=number,
+            changed=stored.changed,
+            bytes=len(content),
+        )
+        return stored.number
+
+    def name_weights(self, model: str, version: int) -> None:
+        """Ask for a weight version at all replicas of a model."""
+        stored = self._commit(numbered.NameWeights(model, version))
+        self._note(
+            "weights_named",
+            model=model,
+            version=version,
+            changed=stored.changed,
+        )
+
+    def read(self) -> bytes:
+        """Returns: the newest document as it was sent, b"" for none."""
+        self.confirm()
+        return self._machine.numbered.content
+
+    def confirm(self) -> None:
+        """Make sure that what was committed before now is applied here."""
+        self.replica.confirm_read(CONFIRM_TIMEOUT_S)
+
+    def note_invalid(self, reason: str) -> None:
+        """Log a document that was turned away before it was proposed."""
+        self._note("document_invalid", reason=reason)
+
+    def commit(self, command: bytes) -> bytes:
+        """Commit an encoded command here; only the leader can."""
+        return self.replica.propose(command, PROPOSE_TIMEOUT_S)
+
+    def refusal(
+        self, error: errors.CoordinationError
+    ) -> transport_errors.RpcRefused:
+        """Returns: the error as another process gets it."""
+        match error:
+            case errors.NotLeader():
+                leader = ""
+                if self._replica is not None:
+                    leader = self._peers.address_of(self._replica.leader_id)
+                return transport_errors.RpcRefused(
+                    "not_leader", str(error), leader
+                )
+            case errors.Unknown():
+                return transport_errors.RpcRefused("unknown", str(error))
+            case _:
+                return transport_errors.RpcRefused("unavailable", str(error))
+
+    def _commit(self, command: machines.Command) -> numbered.Stored:
+        data = machines.encode_command(command)
+        try:
+            return machines.decode_outcome(self.commit(data))
+        except errors.NotLeader as error:
+            leader = self._peers.address_of(self.replica.leader_id)
+            if not leader:
+                raise errors.Unavailable("no leader") from error
+        try:
+            reply = self._client.call(
+                leader, "Propose", messages.Propose(data), PROPOSE_TIMEOUT_S
+            )
+        except transport_errors.TransportError as error:
+            raise errors.Unknown(f"leader {leader}: {error}") from error
+        return machines.decode_outcome(reply.result)
+
+    def _note(self, event: str, **fields: object) -> None:
+        self._metrics.count(event)
+        self._log.info(event, **fields)
+
+
+def make_numbered_state(
+    machine: machines.Machine,
+    peers: peers_module.Peers,
+    client: rpc.RpcClient,
+    metrics: metrics_module.Metrics,
+) -> NumberedState:
+    return NumberedState(machine, peers, client, metrics)
--- /dev/null
+++ b/papayalink/roles/authority/process.py
@@ -0,0 +1,201 @@
+"""The authority process: a control member for numbered documents."""
+
+from collections.abc import Callable
+import os
+
+from papayalink import node_settings
+from papayalink.coordination import replica as replicas
+from papayalink.coordination import replica_loading
+from papayalink.coordination import upstream_client
+from papayalink.coordination.raft import membership
+from papayalink.roles import node as nodes
+from papayalink.roles import process
+from papayalink.roles import reloading
+from papayalink.roles.authority import address_book
+from papayalink.roles.authority import group
+from papayalink.roles.authority import numbered_state
+from papayalink.roles.authority import observed
+from papayalink.roles.authority import service
+from papayalink.roles.authority import weights
+from papayalink.roles.control import identity as identities
+from papayalink.roles.control import peers
+from papayalink.state import log_store
+from papayalink.state import machine as machines
+from papayalink.transport import http_server
+from papayalink.transport import rpc
+
+MakeOperatorApp = Callable[[numbered_state.NumberedState], http_server.WsgiApp]
+
+
+class AuthorityProcess(process.Process):
+    """One control member."""
+
+    __slots__ = (
+        "_identity",
+        "_machine",
+        "_book",
+        "_peers",
+        "_state",
+        "_service",
+        "_replica",
+        "_group",
+        "_rpc_server",
+        "_operator_server",
+        "_client",
+        "_reloading",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        settings_path: str,
+        make_operator_app: MakeOperatorApp,
+        client: upstream_client.UpstreamClient,
+    ) -> None:
+        super().__init__(node)
+        settings = node.settings
+        self._reloading = reloading.make_reloading(
+            settings_path, settings, self._take_settings
+        )
+        self._client = client
+        own = address_book.name_of_ip(settings.ip)
+        self._identity = identities.make_identity(settings.data_folder, own)
+        self._machine = machines.make_machine()
+        self._book = address_book.make_address_book(settings.peer_port)
+        self._book.learn_addresses(settings.seeds)
+        self._peers = peers.make_peers(own, self._book, node.rpc_client)
+        self._state = numbered_state.make_numbered_state(
+            self._machine, self._peers, node.rpc_client, node.metrics
+        )
+        self._service = service.make_service(
+            self._state, self._machine, self._book, self._join
+        )
+        self._replica: replicas.Replica | None = None
+        self._group: group.GroupUpkeep | None = None
+        self._rpc_server = rpc.make_server(
+            (settings.ip, settings.peer_port),
+            self._service.handlers(),
+            node.signer,
+            service.LIMITS,
+        )
+        self._operator_server = http_server.make_server(
+            nodes.parse_address(settings.operator_listen),
+            make_operator_app(self._state),
+        )
+
+    @property
+    def accepting(self) -> bool:
+        return (
+            self._replica is not None and self._replica.leader_id is not None
+        )
+
+    def start(self) -> None:
+        self._run_replica()
+        self._rpc_server.start()
+        self._operator_server.start()
+        self._reloading.start(self._node.timers)
+
+    def drain(self) -> None:
+        self._operator_server.stop()
+        self._rpc_server.stop()
+        if self._replica is not None:
+            self._replica.stop()
+
+    def dump(self) -> dict:
+        return {
+            "process": self._node.identity,
+            "member_id": self._identity.member_id,
+            "replica": self._replica and self._replica.status(),
+            "number": self._machine.numbered.number,
+            "weights": self._machine.numbered.weights,
+            "orders": self._machine.upstreams.open_orders,
+        }
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "leader": lambda: float(
+                self._replica is not None and self._replica.is_leader
+            ),
+            "document_number": lambda: self._machine.numbered.number,
+        }
+
+    def reload(self) -> None:
+        """Read the settings file again."""
+        self._reloading.check()
+
+    def _take_settings(self, settings: node_settings.NodeSettings) -> None:
+        """Take seeds that have changed; the rest needs a restart."""
+        self._book.learn_addresses(settings.seeds)
+
+    def _join(self, member_id: str) -> None:
+        if self._group is not None:
+            self._group.join(member_id)
+
+    def _run_replica(self) -> None:
+        settings = self._node.settings
+        log_folder = os.path.join(settings.data_folder, "log")
+        first_members = self._settle_identity(log_folder)
+        self._peers.set_own(self._identity.member_id)
+        self._replica = replicas.make_replica(
+            replica_loading.Settings(member_id=self._identity.member_id),
+            log_store.DiskLogStore(log_folder),
+            observed.make_observed(self._machine, self._service.note_applied),
+            self._node.timers,
+            self._peers.send,
+            first_members,
+        )
+        self._state.attach(self._replica)
+        self._group = group.make_group_upkeep(
+            self._node,
+            self._identity.member_id,
+            self._identity.original,
+            self._replica,
+            self._peers,
+            self._book,
+        )
+        self._group.start()
+        weights.make_weight_upkeep(
+            self._node,
+            self._state,
+            self._replica,
+            self._machine,
+            self._client,
+        ).start()
+
+    def _settle_identity(
+        self, log_folder: str
+    ) -> membership.Membership | None:
+        """Decide under which id this member takes part.
+
+        Only the platform knows that the deployment starts for the first
+        time; an empty folder at any other time is a disk that was lost, or
+        a machine that replaces another.
+
+        Returns: members of a new group, None when it joins one.
+        """
+        settings = self._node.settings
+        own = address_book.name_of_ip(settings.ip)
+        has_log = os.path.isdir(log_folder) and bool(os.listdir(log_folder))
+        seeds = [
+            address_book.name_of_ip(seed.rpartition(":")[0])
+            for seed in settings.seeds
+        ]
+        if self._identity.admitted and has_log:
+            return None
+        if settings.first_start and own in seeds:
+            self._identity.admit()
+            return membership.make_membership(*sorted(seeds))
+        self._identity.renew()
+        self._node.log.warning(
+            "joining_as_learner", member_id=self._identity.member_id
+        )
+        return None
+
+
+def make_process(
+    node: nodes.Node,
+    settings_path: str,
+    make_operator_app: MakeOperatorApp,
+    client: upstream_client.UpstreamClient,
+) -> AuthorityProcess:
+    return AuthorityProcess(node, settings_path, make_operator_app, client)
--- /dev/null
+++ b/papayalink/roles/authority/service.py
@@ -0,0 +1,155 @@
+"""Calls that a control member takes from nodes and other members."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import time
+import zlib
+
+from gevent import event
+
+from papayalink.coordination import errors
+from papayalink.coordination.raft import messages as raft_messages
+from papayalink.protocol import messages
+from papayalink.roles.authority import address_book
+from papayalink.roles.authority import numbered_state
+from papayalink.state import machine as machines
+from papayalink.transport import rpc
+
+# A watch is answered in less than this, whatever its sender asks for, so
+# that a watcher learns early that a member lost its quorum.
+MAX_WAIT_S = 1.0
+# A process that did not watch for this long has turned to another member.
+WATCHER_AGE_S = 3.0
+# Level 6 takes twice as long for a document that is 8% smaller.
+_COMPRESSION_LEVEL = 1
+LIMITS = {"Watch": 400}
+
+
+class AuthorityService:
+    """Answers watches, proposals, joins and replication messages.
+
+    Args:
+        join: asks the leader's upkeep to add a member.
+    """
+
+    __slots__ = (
+        "_state",
+        "_machine",
+        "_book",
+        "_join",
+        "_changed",
+        "_compressed",
+        "_watched_at",
+    )
+
+    def __init__(
+        self,
+        state: numbered_state.NumberedState,
+        machine: machines.Machine,
+        book: address_book.AddressBook,
+        join: Callable[[str], None],
+    ) -> None:
+        self._state = state
+        self._machine = machine
+        self._book = book
+        self._join = join
+        self._changed = event.Event()
+        self._compressed = (0, b"")
+        self._watched_at: dict[str, float] = {}
+
+    def handlers(self) -> Mapping[str, rpc.Handler]:
+        return {
+            "Watch": self.watch,
+            "Propose": self.propose,
+            "Deliver": self.deliver,
+            "Join": self.join,
+        }
+
+    def note_applied(self) -> None:
+        """Wake the watches that wait; called after each applied command."""
+        self._changed.set()
+        self._changed.clear()
+
+    def watch(self, watch: messages.Watch) -> messages.WatchReply:
+        """Answer once something differs, or when the wait is over.
+
+        Both answers are confirmed by a quorum.
+        """
+        now = time.monotonic()
+        self._watched_at[watch.process] = now
+        until = now + min(MAX_WAIT_S, watch.wait_ms / 1000)
+        while not self._differs(watch):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                break
+            self._changed.wait(left_s)
+        try:
+            self._state.confirm()
+        except errors.CoordinationError as error:
+            raise self._state.refusal(error) from error
+        return self._reply(watch)
+
+    def propose(self, message: messages.Propose) -> messages.Outcome:
+        """Commit a command; only the leader can."""
+        try:
+            return messages.Outcome(self._state.commit(message.command))
+        except errors.CoordinationError as error:
+            raise self._state.refusal(error) from error
+
+    def deliver(self, message: messages.Deliver) -> messages.Acknowledge:
+        """Take replication messages of another member."""
+        try:
+            replica = self._state.replica
+        except errors.CoordinationError as error:
+            raise self._state.refusal(error) from error
+        replica.deliver(raft_messages.decode(message.batch))
+        return messages.Acknowledge()
+
+    def join(self, message: messages.Join) -> messages.Acknowledge:
+        """Add a member to the group; only the leader can."""
+        try:
+            replica = self._state.replica
+            if not replica.is_leader:
+                raise errors.NotLeader(replica.leader_id)
+        except errors.CoordinationError as error:
+            raise self._state.refusal(error) from error
+        self._join(message.member_id)
+        return messages.Acknowledge()
+
+    def _differs(self, watch: messages.Watch) -> bool:
+        held = self._machine.numbered
+        return held.number != watch.number or held.weights != watch.weights
+
+    def _reply(self, watch: messages.Watch) -> messages.WatchReply:
+        held = self._machine.numbered
+        document = b""
+        if held.number > watch.number:
+            if self._compressed[0] != held.number:
+                data = zlib.compress(held.content, _COMPRESSION_LEVEL)
+                self._compressed = (held.number, data)
+            document = self._compressed[1]
+        now = time.monotonic()
+        self._watched_at = {
+            process: at
+            for process, at in self._watched_at.items()
+            if now - at < WATCHER_AGE_S
+        }
+        members = self._state.replica.membership.ids
+        self._book.learn_members(members)
+        names = {member.partition(".")[0] for member in members}
+        return messages.WatchReply(
+            number=held.number,
+            document=document,
+            weights=held.weights,
+            members=tuple(self._book[name] for name in sorted(names)),
+            watchers=len(self._watched_at),
+        )
+
+
+def make_service(
+    state: numbered_state.NumberedState,
+    machine: machines.Machine,
+    book: address_book.AddressBook,
+    join: Callable[[str], None],
+) -> AuthorityService:
+    return AuthorityService(state, machine, book, join)
--- /dev/null
+++ b/papayalink/roles/authority/weights.py
@@ -0,0 +1,222 @@
+"""Brings replicas to named weights; acts on the leader only."""
+
+import time
+
+import gevent
+from gevent import queue
+import msgspec
+
+from papayalink import logs
+from papayalink import tasks
+from papayalink.coordination import errors
+from papayalink.coordination import replica as replicas
+from papayalink.coordination import upstream_client
+from papayalink.coordination import weight_loads
+from papayalink.roles import node as nodes
+from papayalink.roles.authority import numbered_state
+from papayalink.state import machine as machines
+from papayalink.state import replicas as replica_states
+from papayalink.state import upstreams
+
+PERIOD_S = 0.25
+# While nothing is loaded, the list is read only for replicas that came with
+# older weights, which is rare.
+IDLE_LIST_PERIOD_S = 5.0
+# Loading takes about 0.8 s after the requests under way have ended.
+STATUS_AFTER_S = 0.8
+PROPOSE_TIMEOUT_S = 0.8
+LOAD_WEIGHTS = "load_weights"
+
+
+class _Due(msgspec.Struct):
+    """Delivered by the timer service once a period."""
+
+
+class WeightUpkeep:
+    """Orders loads, a few at once, under fencing numbers of the group."""
+
+    __slots__ = (
+        "_node",
+        "_state",
+        "_replica",
+        "_machine",
+        "_platform",
+        "_known",
+        "_listed_at",
+        "_ordered_at",
+        "_leading_since",
+        "_inbox",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        state: numbered_state.NumberedState,
+        replica: replicas.Replica,
+        machine: machines.Machine,
+        platform: upstream_client.UpstreamClient,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._replica = replica
+        self._machine = machine
+        self._platform = platform
+        self._known: dict[str, replica_states.Replica] = {}
+        self._listed_at = 0.0
+        self._ordered_at: dict[str, float] = {}
+        self._leading_since: float | None = None
+        self._inbox = queue.Queue()
+        self._log = logs.get_logger()
+
+    def start(self) -> None:
+        self._node.timers.every(PERIOD_S, self._inbox, _Due())
+        tasks.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._inbox.get()
+            now = time.monotonic()
+            if not self._replica.is_leader:
+                self._leading_since = None
+                self._ordered_at.clear()
+                continue
+            if self._leading_since is None:
+                self._leading_since = now
+            # An earlier leader may have ordered until it lost its quorum, and
+            # two holders within the lease would take turns.
+            if now - self._leading_since < self._node.settings.bounds.lease_s:
+                continue
+            try:
+                self._act(now)
+            except (
+                errors.CoordinationError,
+                upstream_client.UpstreamClientError,
+            ) as error:
+                self._log.warning("weights_upkeep_interrupted", reason=error)
+
+    def _act(self, now: float) -> None:
+        wanted = self._machine.numbered.weights
+        if not wanted:
+            return
+        behind = any(
+            replica.weights.get(model, 0) < version
+            for replica in self._known.values()
+            for model, version in wanted.items()
+            if model in replica.weights
+        )
+        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
+        if now - self._listed_at >= period_s or not self._known:
+            self._read_list(now)
+        for load in weight_loads.choose(
+            self._known.values(), wanted, self._ordered_at, now
+        ):
+            self._ordered_at[load.replica.replica_id] = now
+            gevent.spawn(self._load, load)
+
+    def _read_list(self, now: float) -> None:
+        """Take replicas from the list; it may lag behind what was seen."""
+        listed = self._platform.list_replicas()
+        self._listed_at = now
+        known = {}
+        for replica in listed:
+            before = self._known.get(replica.replica_id)
+            if before is not None:
+                newer = {
+                    model: max(version, before.weights.get(model, 0))
+                    for model, version in replica.weights.items()
+                }
+                replica = msgspec.structs.replace(replica, weights=newer)
+            known[replica.replica_id] = replica
+        self._known = known
+
+    def _load(self, load: weight_loads.Load) -> None:
+        replica = load.replica
+        log = self._log.bind(
+            replica=replica.replica_id, model=load.model, version=load.version
+        )
+        try:
+            order = self._open(load)
+            # Leadership may have gone while this process stood still.
+            self._state.confirm()
+            if not self._replica.is_leader:
+                raise errors.NotLeader(None)
+            taken = self._platform.order_weights(
+                replica,
+                load.model,
+                load.version,
+                self._node.settings.name,
+                order.fence,
+            )
+            log.info("weights_ordered", fence=order.fence, taken=taken)
+            self._node.metrics.count("weight_orders", taken=str(taken))
+            if taken:
+                self._wait_loaded(load)
+            self._close(order)
+        except (
+            errors.CoordinationError,
+            upstream_client.UpstreamClientError,
+        ) as error:
+            log.warning("weights_not_ordered", reason=error)
+
+    def _wait_loaded(self, load: weight_loads.Load) -> None:
+        """Ask the replica until it holds the weights or is to be retried."""
+        replica = load.replica
+        until = time.monotonic() + weight_loads.REPEAT_S - STATUS_AFTER_S
+        gevent.sleep(STATUS_AFTER_S)
+        while time.monotonic() < until:
+            try:
+                weights = self._platform.weights_of(replica)
+            except upstream_client.UpstreamClientError as error:
+                self._log.info(
+                    "status_not_read",
+                    replica=replica.replica_id,
+                    reason=error,
+                )
+                weights = {}
+            if weights.get(load.model, 0) >= load.version:
+                known = self._known.get(replica.replica_id, replica)
+                self._known[replica.replica_id] = msgspec.structs.replace(
+                    known, weights=weights
+                )
+                self._log.info(
+                    "weights_loaded",
+                    replica=replica.replica_id,
+                    version=load.version,
+                )
+                # Do not let the next choice wait for the next period.
+                self._inbox.put(_Due())
+                return
+            gevent.sleep(PERIOD_S)
+
+    def _open(self, load: weight_loads.Load) -> upstreams.Order:
+        outcome = self._propose(
+            upstreams.OpenOrder(
+                load.replica.replica_id,
+                LOAD_WEIGHTS,
+                f"{load.model}@{load.version}",
+                self._node.settings.name,
+            )
+        )
+        return outcome.order
+
+    def _close(self, order: upstreams.Order) -> None:
+        self._propose(
+            upstreams.CloseOrder(order.upstream, order.fence, "done")
+        )
+
+    def _propose(self, command: upstreams.Command) -> upstreams.Outcome:
+        data = machines.encode_command(command)
+        return machines.decode_outcome(
+            self._replica.propose(data, PROPOSE_TIMEOUT_S)
+        )
+
+
+def make_weight_upkeep(
+    node: nodes.Node,
+    state: numbered_state.NumberedState,
+    replica: replicas.Replica,
+    machine: machines.Machine,
+    platform: upstream_client.UpstreamClient,
+) -> WeightUpkeep:
+    return WeightUpkeep(node, state, replica, machine, platform)
--- a/papayalink/roles/control/peers.py
+++ b/papayalink/roles/control/peers.py
@@ -1,6 +1,7 @@
 """Carries messages between control members."""
 
 from collections.abc import Mapping
+import time
 
 import gevent
 from gevent import queue
@@ -27,7 +28,14 @@
         client: calls the members.
     """
 
-    __slots__ = ("_own", "_addresses", "_client", "_queues", "_log")
+    __slots__ = (
+        "_own",
+        "_addresses",
+        "_client",
+        "_queues",
+        "_reached_at",
+        "_log",
+    )
 
     def __init__(
         self,
@@ -39,8 +47,13 @@
         self._addresses = addresses
         self._client = client
         self._queues: dict[str, queue.Queue] = {}
+        self._reached_at: dict[str, float] = {}
         self._log = logs.get_logger()
 
+    def reached_at(self, member_id: str) -> float | None:
+        """Returns: monotonic seconds of the last delivery, None for never."""
+        return self._reached_at.get(member_id)
+
     def address_of(self, member_id: str | None) -> str:
         """Returns: RPC address of a member, "" when it is not known."""
         if member_id is None:
@@ -80,6 +93,7 @@
                 self._client.call(
                     address, "Deliver", message, DELIVER_TIMEOUT_S
                 )
+                self._reached_at[member_id] = time.monotonic()
             except errors.TransportError as error:
                 self._log.debug(
                     "peer_unreachable", member=member_id, reason=error
--- /dev/null
+++ b/papayalink/roles/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that send calls to upstreams directly."""
--- /dev/null
+++ b/papayalink/roles/gateway/attempt.py
@@ -0,0 +1,224 @@
+"""One attempt of a call: send it to a replica, and relay the answer."""
+
+from collections.abc import Callable
+import time
+
+import h11
+import msgspec
+
+from papayalink.coordination import attempts
+from papayalink.coordination import fleet as fleets
+from papayalink.protocol import calls
+from papayalink.protocol import events
+from papayalink.transport import caller_server
+from papayalink.transport import errors
+from papayalink.transport import upstream_channels
+
+# A whole answer of a plain service; beyond this it is an error of the
+# service, and the entry must not hold it in memory.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """The caller has the whole answer."""
+
+    status: int
+    first_s: float
+
+
+class Unanswered(msgspec.Struct, frozen=True):
+    """The attempt ended before the answer did.
+
+    Attributes:
+        outcome: see attempts.
+        answer, body: the upstream's own failure, to be passed on.
+    """
+
+    outcome: attempts.Outcome
+    answer: calls.Answer | None = None
+    body: bytes = b""
+
+
+class StreamState:
+    """What the caller has of a stream, over all attempts."""
+
+    __slots__ = ("last_event", "begun")
+
+    def __init__(self) -> None:
+        self.last_event = 0
+        self.begun = False
+
+
+class Attempt:
+    """Sends one call to one replica.
+
+    Args:
+        left_s: seconds that the call has left.
+        note_answer: called with the head of the answer.
+    """
+
+    __slots__ = (
+        "_dialect",
+        "_channels",
+        "_call",
+        "_member",
+        "_responder",
+        "_left_s",
+        "_note_answer",
+        "_channel",
+        "_complete",
+    )
+
+    def __init__(
+        self,
+        dialect: calls.Dialect,
+        channels: upstream_channels.Channels,
+        call: calls.Call,
+        member: fleets.Member,
+        responder: caller_server.Responder,
+        left_s: Callable[[], float],
+        note_answer: Callable[[calls.Answer], None],
+    ) -> None:
+        self._dialect = dialect
+        self._channels = channels
+        self._call = call
+        self._member = member
+        self._responder = responder
+        self._left_s = left_s
+        self._note_answer = note_answer
+        self._channel: upstream_channels.Channel | None = None
+        self._complete = False
+
+    def connect(self) -> bool:
+        """Returns: whether there is a connection to send the call on."""
+        address = self._member.replica.address
+        try:
+            self._channel = self._channels.take(address, self._left_s)
+        except errors.NotConnected:
+            return False
+        return True
+
+    def run(
+        self, dispatch: calls.Dispatch, stream: StreamState | None
+    ) -> Answered | Unanswered:
+        """Send the call on the connection and relay the answer.
+
+        Args:
+            stream: state of an event stream; None for a whole answer.
+        """
+        started = time.monotonic()
+        try:
+            self._channel.send(
+                self._call.method,
+                self._call.target,
+                self._dialect.encode_call(self._call, dispatch),
+                self._call.body,
+                self._left_s,
+            )
+            head = self._channel.read_head(self._left_s)
+            first_s = time.monotonic() - started
+            answer = self._dialect.decode_answer(
+                head.status_code, head.headers.raw_items()
+            )
+            result = self._take(head, answer, stream, first_s)
+        except errors.Timeout:
+            return Unanswered(attempts.Expired())
+        except errors.ConnectionLost as error:
+            return Unanswered(attempts.Lost(str(error)))
+        finally:
+            self._finish()
+        return result
+
+    def _finish(self) -> None:
+        """Keep the connection after a whole answer, else close it."""
+        if self._complete and self._channel.finish(None):
+            address = self._member.replica.address
+            self._channels.give_back(address, self._channel)
+        else:
+            self._channel.close()
+
+    def _take(
+        self,
+        head: h11.Response,
+        answer: calls.Answer,
+        stream: StreamState | None,
+        first_s: float,
+    ) -> Answered | Unanswered:
+        if answer.call_id and answer.call_id != self._call.call_id:
+            raise errors.ConnectionLost("answer to another call")
+        self._note_answer(answer)
+        if answer.not_run:
+            self._read_body()
+            return Unanswered(attempts.NotRun(answer.retry_after_s))
+        if not answer.stamped:
+            raise errors.ConnectionLost(f"unstamped {answer.status}")
+        if not 200 <= answer.status < 300:
+            body = self._read_body()
+            if answer.status < 500:
+                self._responder.respond(answer.status, answer.headers, body)
+                return Answered(answer.status, first_s)
+            failed = attempts.Failed(answer.status)
+            return Unanswered(failed, answer, body)
+        if stream is None:
+            body = self._read_body()
+            self._responder.respond(answer.status, answer.headers, body)
+        else:
+            self._relay_events(answer, stream)
+        return Answered(answer.status, first_s)
+
+    def _read_body(self) -> bytes:
+        body = []
+        size = 0
+        while data := self._channel.read_data(self._left_s):
+            body.append(data)
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise errors.ConnectionLost("answer too large")
+        self._complete = True
+        return b"".join(body)
+
+    def _relay_events(self, answer: calls.Answer, stream: StreamState) -> None:
+        """Pass whole events on as they arrive.
+
+        The caller gets no part of an event that breaks off, so that another
+        replica can go on behind the last whole one.
+        """
+        reader = events.make_event_reader()
+        if not stream.begun:
+            stream.begun = True
+            self._responder.begin(answer.status, answer.headers)
+        while data := self._channel.read_data(self._left_s):
+            ready = b"".join(self._accept(reader.feed(data), stream))
+            if ready:
+                self._responder.write(ready)
+        if reader.rest:
+            raise errors.ConnectionLost("stream ends within an event")
+        self._complete = True
+        self._responder.end()
+
+    def _accept(
+        self, arrived: list[events.Event], stream: StreamState
+    ) -> list[bytes]:
+        """Returns: events that go on behind what the caller has."""
+        accepted = []
+        for event in arrived:
+            if event.event_id is not None:
+                if event.event_id <= stream.last_event:
+                    raise errors.ConnectionLost("stream goes back")
+                stream.last_event = event.event_id
+            accepted.append(event.data)
+        return accepted
+
+
+def make_attempt(
+    dialect: calls.Dialect,
+    channels: upstream_channels.Channels,
+    call: calls.Call,
+    member: fleets.Member,
+    responder: caller_server.Responder,
+    left_s: Callable[[], float],
+    note_answer: Callable[[calls.Answer], None],
+) -> Attempt:
+    return Attempt(
+        dialect, channels, call, member, responder, left_s, note_answer
+    )
--- /dev/null
+++ b/papayalink/roles/gateway/handling.py
@@ -0,0 +1,419 @@
+"""Answers the calls of one entry."""
+
+import random
+import time
+
+from papayalink import logs
+from papayalink import metrics as metrics_module
+from papayalink.coordination import attempts
+from papayalink.coordination import fleet as fleets
+from papayalink.coordination import retry
+from papayalink.protocol import calls
+from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import watching
+from papayalink.state import traffic
+from papayalink.transport import caller_server
+from papayalink.transport import errors
+from papayalink.transport import upstream_channels
+
+# A replica that turned a call away gets none for this long, unless it said
+# when to come back.
+FULL_WAIT_S = 0.2
+# Least time that an attempt is worth: a round trip and a short run.
+LEAST_LEFT_S = 0.02
+# Callers come back a third of their time later at most; before this a full
+# fleet has not changed.
+RETRY_AFTER_S = 0.5
+
+
+class Handler:
+    """Finds out who calls what, and sends the call until it is answered.
+
+    Args:
+        dialect: spelling of calls and answers.
+        watcher: holds routes and keys.
+        fleet: replicas to choose from.
+        channels: connections to them.
+    """
+
+    __slots__ = (
+        "_dialect",
+        "_watcher",
+        "_fleet",
+        "_channels",
+        "_budgets",
+        "_metrics",
+        "_rng",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        dialect: calls.Dialect,
+        watcher: watching.Watcher,
+        fleet: fleets.Fleet,
+        channels: upstream_channels.Channels,
+        retry_budgets: budgets.Budgets,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._dialect = dialect
+        self._watcher = watcher
+        self._fleet = fleet
+        self._channels = channels
+        self._budgets = retry_budgets
+        self._metrics = metrics
+        self._rng = random.Random()
+        self._log = logs.get_decision_log()
+
+    def handle(
+        self,
+        request: caller_server.Request,
+        responder: caller_server.Responder,
+    ) -> None:
+        """Answer one request."""
+        received_at = time.monotonic()
+        call = self._dialect.decode_call(
+            request.method, request.target, request.headers, request.body
+        )
+        directory = self._watcher.directory
+        if directory is None:
+            self._reject(call, responder, 503, "no_document", RETRY_AFTER_S)
+            return
+        route = directory.route(call.host, call.path)
+        if route is None:
+            self._reject(call, responder, 404, "no_route")
+            return
+        workspace = directory.workspace(call.key)
+        if workspace is None and not route.public:
+            if directory.traffic.workspaces:
+                self._reject(call, responder, 401, "unknown_key")
+                return
+        if not call.call_id:
+            self._reject(call, responder, 400, "no_call_id")
+            return
+        _Handling(
+            self, call, route, workspace, directory, responder, received_at
+        ).run()
+
+    def _reject(
+        self,
+        call: calls.Call,
+        responder: caller_server.Responder,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        self._metrics.count("calls", outcome=reason)
+        self._log.failed(
+            "call_rejected",
+            call=call.call_id,
+            status=status,
+            reason=reason,
+            host=call.host,
+            path=call.path,
+            document=self._watcher.number,
+            document_age_s=round(self._watcher.age_s(), 2),
+        )
+        headers = self._dialect.refusal_headers(call.call_id, retry_after_s)
+        responder.respond(status, headers)
+
+
+class _Handling:
+    """One call that is to be sent to an upstream."""
+
+    __slots__ = (
+        "_owner",
+        "_call",
+        "_route",
+        "_workspace",
+        "_directory",
+        "_responder",
+        "_received_at",
+        "_deadline",
+        "_attempts",
+        "_stream",
+        "_service",
+        "_tried",
+        "_first_s",
+    )
+
+    def __init__(
+        self,
+        owner: Handler,
+        call: calls.Call,
+        route: traffic.Route,
+        workspace: traffic.Workspace | None,
+        directory: traffic.Directory,
+        responder: caller_server.Responder,
+        received_at: float,
+    ) -> None:
+        self._owner = owner
+        self._call = call
+        self._route = route
+        self._workspace = workspace
+        self._directory = directory
+        self._responder = responder
+        self._received_at = received_at
+        allowed_s = route.timeout_s
+        if call.budget_ms:
+            allowed_s = min(allowed_s, call.budget_ms / 1000)
+        self._deadline = received_at + allowed_s
+        self._attempts = attempts.make_attempts(
+            route.repeat, route.max_attempts
+        )
+        self._stream = attempt.StreamState() if route.stream else None
+        if self._stream is not None and call.last_event.isdigit():
+            self._stream.last_event = int(call.last_event)
+        self._service = self._pick_service()
+        self._tried: list[str] = []
+        self._first_s: float | None = None
+
+    def run(self) -> None:
+        """Send the call until it is answered or given up."""
+        budget = self._owner._budgets.of(self._service)
+        budget.note_request(time.monotonic())
+        try:
+            while self._try_once(budget):
+                pass
+        except errors.CallerGone:
+            self._note("caller_gone", 0, "caller hung up")
+            raise
+
+    def _try_once(self, budget: retry.Budget) -> bool:
+        """Returns: whether to try again."""
+        now = time.monotonic()
+        if self._left_s() < LEAST_LEFT_S:
+            unanswered = attempt.Unanswered(attempts.Expired())
+            return self._follow(unanswered, budget)
+        member = self._choose(now)
+        if member is None:
+            self._end_without_replica()
+            return False
+        self._tried.append(member.replica.replica_id)
+        result = self._send(member)
+        match result:
+            case attempt.Answered(status, first_s):
+                self._first_s = first_s
+                self._note("answered", status, "")
+                return False
+            case attempt.Unanswered():
+                return self._follow(result, budget)
+
+    def _choose(self, now: float) -> fleets.Member | None:
+        wanted = fleets.make_wanted(self._call, self._service, self._workspace)
+        fleet = self._owner._fleet
+        return fleet.choose(wanted, self._tried, now)
+
+    def _send(
+        self, member: fleets.Member
+    ) -> attempt.Answered | attempt.Unanswered:
+        now = time.monotonic()
+        tokens = self._call.prompt_tokens
+        prefilling = [tokens]
+
+        def note_answer(answer: calls.Answer) -> None:
+            member.prefill_tokens -= prefilling.pop()
+            self._take_head(member, answer)
+
+        sending = attempt.make_attempt(
+            self._owner._dialect,
+            self._owner._channels,
+            self._call,
+            member,
+            self._responder,
+            self._left_s,
+            note_answer,
+        )
+        if not sending.connect():
+            member.note_not_reached(time.monotonic())
+            self._log_attempt(member, attempts.NotSent())
+            return attempt.Unanswered(attempts.NotSent())
+        dispatch = self._make_dispatch(member)
+        self._attempts.note_sending()
+        member.in_flight += 1
+        member.prefill_tokens += tokens
+        try:
+            result = sending.run(dispatch, self._stream)
+        finally:
+            member.in_flight -= 1
+            if prefilling:
+                member.prefill_tokens -= tokens
+        match result:
+            case attempt.Answered():
+                member.note_result(False)
+                if self._call.model:
+                    member.note_parts(dispatch.salt, self._call.parts)
+            case attempt.Unanswered(outcome):
+                self._note_failure(member, outcome, now)
+        return result
+
+    def _note_failure(
+        self, member: fleets.Member, outcome: attempts.Outcome, now: float
+    ) -> None:
+        self._log_attempt(member, outcome)
+        match outcome:
+            case attempts.NotRun(retry_after_s):
+                wait_s = FULL_WAIT_S
+                if retry_after_s is not None:
+                    wait_s = min(1.0, retry_after_s)
+                member.note_full(now, wait_s)
+            case attempts.Lost() | attempts.Failed() | attempts.Expired():
+                member.note_result(True)
+
+    def _take_head(self, member: fleets.Member, answer: calls.Answer) -> None:
+        if answer.load is not None:
+            member.note_load(answer.load, time.monotonic())
+        if answer.weight_version and self._call.model:
+            known = member.weights.get(self._call.model, 0)
+            member.weights[self._call.model] = max(
+                known, answer.weight_version
+            )
+        elif answer.status == 421 and self._call.model:
+            # The replica's weights have changed since they were last seen.
+            newest = self._owner._watcher.weights.get(self._call.model, 0)
+            known = member.weights.get(self._call.model, 0)
+            member.weights[self._call.model] = max(known, newest)
+
+    def _make_dispatch(self, member: fleets.Member) -> calls.Dispatch:
+        wanted = fleets.make_wanted(self._call, self._service, self._workspace)
+        version = member.weights.get(self._call.model, 0)
+        last_event = self._call.last_event
+        if self._stream is not None and self._stream.begun:
+            last_event = str(self._stream.last_event or "")
+        rank = self._route.rank
+        if self._workspace is not None and self._workspace.rank is not None:
+            rank = self._workspace.rank
+        return calls.Dispatch(
+            upstream=member.replica.replica_id,
+            workspace=self._workspace.name if self._workspace else "",
+            left_ms=int(self._left_s() * 1000),
+            urgency=rank,
+            salt=fleets.make_salt(wanted, version) if self._call.model else "",
+            weight_version=version,
+            last_event=last_event,
+        )
+
+    def _follow(
+        self, result: attempt.Unanswered, budget: retry.Budget
+    ) -> bool:
+        """Act on an attempt without answer. Returns: whether to try again."""
+        now = time.monotonic()
+        outcome = result.outcome
+        decision = self._attempts.decide(outcome, budget.has_room(now))
+        if isinstance(decision, attempts.TryAgain):
+            if not isinstance(outcome, attempts.NotSent):
+                budget.take(now)
+            return True
+        self._end(decision, result)
+        return False
+
+    def _end(
+        self, decision: attempts.Decision, result: attempt.Unanswered
+    ) -> None:
+        reason = repr(result.outcome)
+        if self._stream is not None and self._stream.begun:
+            self._note("stream_broken", 0, reason)
+            raise errors.ResponseAborted("stream broken")
+        match decision:
+            case attempts.PassOn():
+                self._note("failed_upstream", result.answer.status, reason)
+                self._responder.respond(
+                    result.answer.status, result.answer.headers, result.body
+                )
+            case attempts.Refuse(retry_after_s):
+                self._refuse(retry_after_s, reason)
+            case attempts.GiveUp(status):
+                self._note("given_up", status, reason)
+                self._respond(status)
+
+    def _end_without_replica(self) -> None:
+        """No replica is left that could take the call."""
+        if self._attempts.sent and self._attempts.may_have_run:
+            lost = attempt.Unanswered(attempts.Lost("no other replica"))
+            self._end(attempts.GiveUp(502), lost)
+        else:
+            self._refuse(None, "no usable replica")
+
+    def _refuse(self, retry_after_s: float | None, reason: str) -> None:
+        if retry_after_s is None:
+            retry_after_s = RETRY_AFTER_S
+        self._note("refused", 503, reason)
+        self._respond(503, retry_after_s)
+
+    def _respond(
+        self, status: int, retry_after_s: float | None = None
+    ) -> None:
+        headers = self._owner._dialect.refusal_headers(
+            self._call.call_id, retry_after_s
+        )
+        self._responder.respond(status, headers)
+
+    def _pick_service(self) -> str:
+        targets = self._route.targets
+        if len(targets) == 1:
+            return targets[0].service
+        weights = [target.weight for target in targets]
+        return self._owner._rng.choices(targets, weights)[0].service
+
+    def _left_s(self) -> float:
+        return self._deadline - time.monotonic()
+
+    def _log_attempt(
+        self, member: fleets.Member, outcome: attempts.Outcome
+    ) -> None:
+        self._owner._metrics.count(
+            "attempts", outcome=type(outcome).__name__.lower()
+        )
+        self._owner._log.failed(
+            "attempt_failed",
+            call=self._call.call_id,
+            replica=member.replica.replica_id,
+            address=member.replica.address,
+            outcome=repr(outcome),
+            failures=round(member.failures, 2),
+            in_flight=member.in_flight,
+            attempt=len(self._tried),
+        )
+
+    def _note(self, outcome: str, status: int, reason: str) -> None:
+        owner = self._owner
+        took_s = time.monotonic() - self._received_at
+        owner._metrics.count("calls", outcome=outcome)
+        owner._metrics.observe("call", took_s, route=self._route.name)
+        if self._first_s is not None:
+            owner._metrics.observe(
+                "first_answer", self._first_s, route=self._route.name
+            )
+        fields = {
+            "call": self._call.call_id,
+            "route": self._route.name,
+            "service": self._service,
+            "workspace": self._workspace.name if self._workspace else "",
+            "status": status,
+            "replicas": ",".join(self._tried),
+            "took_ms": int(took_s * 1000),
+            "document": owner._watcher.number,
+        }
+        if outcome == "answered":
+            owner._log.passed("call_answered", **fields)
+            return
+        owner._log.failed(
+            "call_not_answered",
+            outcome=outcome,
+            reason=reason,
+            left_ms=int(self._left_s() * 1000),
+            sent=self._attempts.sent,
+            **fields,
+        )
+
+
+def make_handler(
+    dialect: calls.Dialect,
+    watcher: watching.Watcher,
+    fleet: fleets.Fleet,
+    channels: upstream_channels.Channels,
+    retry_budgets: budgets.Budgets,
+    metrics: metrics_module.Metrics,
+) -> Handler:
+    return Handler(dialect, watcher, fleet, channels, retry_budgets, metrics)
--- /dev/null
+++ b/papayalink/roles/gateway/process.py
@@ -0,0 +1,163 @@
+"""The gateway process: an entry that sends to replicas directly."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+import gevent
+
+from papayalink import node_settings
+from papayalink.coordination import fleet as fleets
+from papayalink.coordination import upstream_client
+from papayalink.protocol import calls
+from papayalink.roles import node as nodes
+from papayalink.roles import process
+from papayalink.roles import reloading
+from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import handling
+from papayalink.roles.gateway import listing
+from papayalink.roles.gateway import watching
+from papayalink.state import traffic
+from papayalink.transport import caller_server
+from papayalink.transport import http_server
+from papayalink.transport import upstream_channels
+
+# The balancer asks once a second and turns away after two misses.
+BALANCER_S = 2.3
+# Part of the time before the kill that is left for the exit itself.
+EXIT_S = 0.5
+
+
+class GatewayProcess(process.Process):
+    """One gateway."""
+
+    __slots__ = (
+        "_watcher",
+        "_fleet",
+        "_listing",
+        "_channels",
+        "_server",
+        "_ready_server",
+        "_draining",
+        "_reloading",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        settings_path: str,
+        dialect: calls.Dialect,
+        translate: watching.Translate,
+        client: upstream_client.UpstreamClient,
+    ) -> None:
+        super().__init__(node)
+        settings = node.settings
+        self._reloading = reloading.make_reloading(
+            settings_path, settings, self._take_settings
+        )
+        self._draining = False
+        self._fleet = fleets.make_fleet(settings.zone)
+        self._channels = upstream_channels.make_channels()
+        self._watcher = watching.make_watcher(node, translate, lambda: None)
+        self._listing = listing.make_listing(
+            client, self._fleet, self._channels.forget, node.metrics
+        )
+        handler = handling.make_handler(
+            dialect,
+            self._watcher,
+            self._fleet,
+            self._channels,
+            budgets.make_budgets(
+                settings.bounds, lambda: self._watcher.watchers
+            ),
+            node.metrics,
+        )
+        self._server = caller_server.make_caller_server(
+            nodes.parse_address(settings.listen), handler.handle, self._limits
+        )
+        self._ready_server = http_server.make_server(
+            nodes.parse_address(settings.ready_listen), self._answer_ready
+        )
+
+    @property
+    def accepting(self) -> bool:
+        return (
+            not self._draining
+            and self._watcher.directory is not None
+            and self._listing.age_s() < float("inf")
+        )
+
+    def start(self) -> None:
+        self._server.start()
+        self._ready_server.start()
+        self._watcher.start()
+        self._listing.start()
+        self._reloading.start(self._node.timers)
+
+    def drain(self) -> None:
+        """Leave the balancer, then answer what has arrived."""
+        started = time.monotonic()
+        self._draining = True
+        gevent.sleep(BALANCER_S)
+        self._server.close_connections()
+        grace_s = self._node.settings.bounds.grace_s
+        while time.monotonic() - started < grace_s / 2:
+            if not self._server.connections:
+                break
+            gevent.sleep(0.05)
+        left_s = started + grace_s - EXIT_S - time.monotonic()
+        if not self._server.stop(max(0.0, left_s)):
+            self._node.log.warning(
+                "calls_cut_by_stop", in_flight=self._server.in_flight
+            )
+
+    def dump(self) -> dict:
+        return {
+            "process": self._node.identity,
+            "document": self._watcher.number,
+            "document_age_s": self._watcher.age_s(),
+            "weights": self._watcher.weights,
+            "list_age_s": self._listing.age_s(),
+            "in_flight": self._server.in_flight,
+            "connections": self._server.connections,
+        }
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "in_flight": lambda: self._server.in_flight,
+            "caller_connections": lambda: self._server.connections,
+            "upstream_connections_opened": lambda: self._channels.opened,
+            "document_number": lambda: self._watcher.number,
+        }
+
+    def reload(self) -> None:
+        """Read the settings file again."""
+        self._reloading.check()
+
+    def _take_settings(self, settings: node_settings.NodeSettings) -> None:
+        """Take seeds that have changed; the rest needs a restart."""
+        self._watcher.add_members(settings.seed_peers)
+
+    def _limits(self) -> traffic.CallerLimits:
+        directory = self._watcher.directory
+        if directory is None:
+            return traffic.CallerLimits()
+        return directory.traffic.limits
+
+    def _answer_ready(
+        self, environ: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        ready = self.accepting
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+
+def make_process(
+    node: nodes.Node,
+    settings_path: str,
+    dialect: calls.Dialect,
+    translate: watching.Translate,
+    client: upstream_client.UpstreamClient,
+) -> GatewayProcess:
+    return GatewayProcess(node, settings_path, dialect, translate, client)
--- /dev/null
+++ b/papayalink/roles/gateway/watching.py
@@ -0,0 +1,174 @@
+"""Task that follows the numbered document at the control members."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+import time
+
+import gevent
+
+from papayalink import logs
+from papayalink import tasks
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.state import traffic
+from papayalink.transport import errors
+
+# A reply waits for a change this long; a member without a quorum is left
+# after WAIT_MS and the time it takes to fail a confirmation.
+WAIT_MS = 800
+TIMEOUT_S = 1.6
+# The first question must not wait: the entry serves nothing before it.
+FIRST_TIMEOUT_S = 0.8
+PAUSE_S = 0.1
+
+Translate = Callable[[bytes], traffic.Traffic]
+
+
+class Watcher:
+    """Holds the newest document that a control member confirmed.
+
+    The document stays in force when no member answers: an entry that is cut
+    off goes on with what it holds.
+
+    Args:
+        translate: decodes a document of the platform.
+        on_change: called after each newer document or weight version.
+    """
+
+    __slots__ = (
+        "_node",
+        "_translate",
+        "_on_change",
+        "_members",
+        "_number",
+        "_directory",
+        "_weights",
+        "_watchers",
+        "_confirmed_at",
+        "_connected",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        translate: Translate,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._node = node
+        self._translate = translate
+        self._on_change = on_change
+        self._members = list(node.settings.seed_peers)
+        random.shuffle(self._members)
+        self._number = 0
+        self._directory: traffic.Directory | None = None
+        self._weights: dict[str, int] = {}
+        self._watchers = 1
+        self._confirmed_at: float | None = None
+        self._connected = False
+        self._log = logs.get_logger()
+
+    @property
+    def directory(self) -> traffic.Directory | None:
+        """The document in force, None before the first one."""
+        return self._directory
+
+    @property
+    def number(self) -> int:
+        return self._number
+
+    @property
+    def weights(self) -> dict[str, int]:
+        """Newest named weight version by model."""
+        return self._weights
+
+    @property
+    def watchers(self) -> int:
+        """Entries that watched the same member lately."""
+        return self._watchers
+
+    def age_s(self) -> float:
+        """Returns: seconds since a member confirmed what is held."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return time.monotonic() - self._confirmed_at
+
+    def start(self) -> None:
+        tasks.spawn(self._run)
+
+    def add_members(self, addresses: Iterable[str]) -> None:
+        """Learn members from settings that have changed."""
+        for address in addresses:
+            if address not in self._members:
+                self._members.append(address)
+
+    def _run(self) -> None:
+        while True:
+            if not self._ask(self._members[0]):
+                self._members.append(self._members.pop(0))
+                gevent.sleep(PAUSE_S * random.uniform(0.5, 1.5))
+
+    def _ask(self, address: str) -> bool:
+        """Returns: whether the member confirmed something."""
+        watch = messages.Watch(
+            self._node.settings.name,
+            self._number,
+            self._weights,
+            WAIT_MS if self._number else 0,
+        )
+        timeout_s = TIMEOUT_S if self._number else FIRST_TIMEOUT_S
+        try:
+            reply = self._node.rpc_client.call(
+                address, "Watch", watch, timeout_s
+            )
+        except errors.TransportError as error:
+            if self._connected:
+                self._log.warning(
+                    "control_lost",
+                    member=address,
+                    reason=error,
+                    number=self._number,
+                )
+            self._connected = False
+            return False
+        if not self._connected:
+            self._log.info("control_reached", member=address)
+        self._connected = True
+        self._take(reply, address)
+        if not self._number:
+            gevent.sleep(PAUSE_S)
+        return True
+
+    def _take(self, reply: messages.WatchReply, address: str) -> None:
+        self._confirmed_at = time.monotonic()
+        self._watchers = max(1, reply.watchers)
+        if reply.members:
+            known = [each for each in self._members if each in reply.members]
+            new = [each for each in reply.members if each not in known]
+            seeds = self._node.settings.seed_peers
+            kept = [each for each in seeds if each not in reply.members]
+            self._members = known + new + kept
+            if address in self._members:
+                self._members.remove(address)
+                self._members.insert(0, address)
+        changed = False
+        if reply.number > self._number and reply.document:
+            document = self._translate(reply.content)
+            self._directory = traffic.make_directory(document)
+            self._number = reply.number
+            changed = True
+            self._log.info("document_in_force", number=self._number)
+        for model, version in reply.weights.items():
+            if version > self._weights.get(model, 0):
+                self._weights = {**self._weights, model: version}
+                changed = True
+                self._log.info("weights_named", model=model, version=version)
+        if changed:
+            self._on_change()
+
+
+def make_watcher(
+    node: nodes.Node, translate: Translate, on_change: Callable[[], None]
+) -> Watcher:
+    return Watcher(node, translate, on_change)
--- a/papayalink/roles/process.py
+++ b/papayalink/roles/process.py
@@ -51,6 +51,10 @@
     def dump(self) -> dict:
         """Returns: the state of the process, encodable as JSON."""
 
+    def reload(self) -> None:
+        """Take settings that have changed; most roles need a restart."""
+        self._node.log.info("reload_ignored")
+
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Returns: values of this role that are read with the metrics."""
         return {}
@@ -68,6 +72,7 @@
         gevent_signal.signal(signal.SIGTERM, self._on_stop)
         gevent_signal.signal(signal.SIGINT, self._on_stop)
         gevent_signal.signal(signal.SIGUSR1, self._on_dump)
+        gevent_signal.signal(signal.SIGHUP, self._on_reload)
         self._node.log.info("started", incarnation=self._node.incarnation)
         self._stop_asked.wait()
         self._node.log.info("stopping")
@@ -80,6 +85,9 @@
             self._stop_now.set()
         self._stop_asked.set()
 
+    def _on_reload(self, *_: object) -> None:
+        gevent.spawn(self.reload)
+
     def _on_dump(self, *_: object) -> None:
         gevent.spawn(self._write_dump)
 
--- a/papayalink/settings.py
+++ b/papayalink/settings.py
@@ -381,7 +381,7 @@
             return ""
         except UnicodeDecodeError:
             key = ""
-    if not _is_key(key):
+    if not is_key(key):
         problems.append(
             SettingsProblem(
                 path,
@@ -392,7 +392,7 @@
     return key
 
 
-def _is_key(key: str) -> bool:
+def is_key(key: str) -> bool:
     try:
         return len(bytes.fromhex(key)) >= MIN_KEY_BYTES
     except ValueError:
--- a/papayalink/state/machine.py
+++ b/papayalink/state/machine.py
@@ -7,10 +7,21 @@
 
 from papayalink.state import configuration
 from papayalink.state import ledger
+from papayalink.state import numbered
 from papayalink.state import upstreams
 
-Command = configuration.ApplyDocument | ledger.Command | upstreams.Command
-Outcome = configuration.ApplyOutcome | ledger.Outcome | upstreams.Outcome
+Command = (
+    configuration.ApplyDocument
+    | ledger.Command
+    | upstreams.Command
+    | numbered.Command
+)
+Outcome = (
+    configuration.ApplyOutcome
+    | ledger.Outcome
+    | upstreams.Outcome
+    | numbered.Outcome
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _COMMANDS = msgspec.msgpack.Decoder(Command)
@@ -30,6 +41,7 @@
 
     configuration: configuration.Snapshot
     upstreams: upstreams.Content
+    numbered: "numbered.Content" = numbered.Content()
 
 
 _HEADS = msgspec.msgpack.Decoder(_Head)
@@ -43,12 +55,13 @@
     every member.
     """
 
-    __slots__ = ("_configuration", "_ledger", "_upstreams")
+    __slots__ = ("_configuration", "_ledger", "_upstreams", "_numbered")
 
     def __init__(self) -> None:
         self._configuration = configuration.make_configuration()
         self._ledger = ledger.make_ledger()
         self._upstreams = upstreams.make_upstreams()
+        self._numbered = numbered.make_numbered()
 
     @property
     def configuration(self) -> configuration.Configuration:
@@ -62,6 +75,10 @@
     def upstreams(self) -> upstreams.Upstreams:
         return self._upstreams
 
+    @property
+    def numbered(self) -> numbered.Numbered:
+        return self._numbered
+
     def apply(self, index: int, data: bytes) -> bytes:
         """Apply one committed entry.
 
@@ -79,7 +96,11 @@
             applied; to be closed when it is not read to the end.
         """
         head = _ENCODER.encode(
-            _Head(self._configuration.snapshot(), self._upstreams.snapshot())
+            _Head(
+                self._configuration.snapshot(),
+                self._upstreams.snapshot(),
+                self._numbered.snapshot(),
+            )
         )
         parts = _encode(head, self._ledger.open_view())
         # The generator closes the view only once it has begun.
@@ -93,6 +114,7 @@
         self._ledger.restore(map(_PARTS.decode, rest))
         self._configuration.restore(head.configuration)
         self._upstreams.restore(head.upstreams)
+        self._numbered.restore(head.numbered)
 
     def _apply(self, command: Command) -> Outcome:
         match command:
@@ -106,6 +128,8 @@
                 | ledger.Expire()
             ):
                 return self._ledger.apply(command)
+            case numbered.PutNumbered() | numbered.NameWeights():
+                return self._numbered.apply(command)
             case _:
                 return self._upstreams.apply(command)
 
