--- a/papayalink/logs.py
+++ b/papayalink/logs.py
@@ -46,7 +46,9 @@
             while not self._lines.empty():
                 lines.append(self._lines.get())
             if self._dropped:
-                lines.append(f"event=log_lines_dropped lines={self._dropped}\n")
+                lines.append(
+                    f"event=log_lines_dropped lines={self._dropped}\n"
+                )
                 self._dropped = 0
             try:
                 self._stream.write("".join(lines))
--- /dev/null
+++ b/tests/coordination/test_weight_loads.py
@@ -0,0 +1,54 @@
+"""Tests of the choice of replicas that load weights."""
+
+import pytest
+
+from papayalink.coordination import weight_loads
+from papayalink.state import replicas
+
+_READY = replicas.Condition.READY
+_LEAVING = replicas.Condition.LEAVING
+
+
+def _replica(name, version, condition=_READY):
+    return replicas.Replica(
+        replica_id=name,
+        service="models",
+        address="10.0.0.1:80",
+        zone="z",
+        slots=64,
+        condition=condition,
+        weights={"m": version},
+    )
+
+
+def _choose(fleet, ordered_at=None, now=100.0):
+    loads = weight_loads.choose(fleet, {"m": 2}, ordered_at or {}, now)
+    return [load.replica.replica_id for load in loads]
+
+
+def test_few_load_at_once():
+    fleet = [_replica(f"r{number}", 1) for number in range(6)]
+    assert _choose(fleet) == ["r0", "r1"]
+
+
+def test_loading_replicas_count():
+    fleet = [_replica(f"r{number}", 1) for number in range(6)]
+    assert _choose(fleet, {"r0": 99.5, "r1": 99.5}) == []
+    assert _choose(fleet, {"r0": 99.5}) == ["r1"]
+
+
+def test_order_without_effect_is_given_again_behind_the_others():
+    fleet = [_replica(f"r{number}", 1) for number in range(3)]
+    stale = 100.0 - weight_loads.REPEAT_S
+    assert _choose(fleet, {"r0": stale}) == ["r1", "r2"]
+    assert _choose(fleet[:1], {"r0": stale}) == ["r0"]
+
+
+def test_leaving_replicas_come_last():
+    fleet = [_replica("r0", 1, _LEAVING), _replica("r1", 1), _replica("r2", 1)]
+    assert _choose(fleet) == ["r1", "r2"]
+
+
+@pytest.mark.parametrize("version", [2, 3])
+def test_current_replicas_are_left_alone(version):
+    assert _choose([_replica("r0", version)]) == []
--- /dev/null
+++ b/tests/transport/test_upstream_channels.py
@@ -0,0 +1,194 @@
+"""Tests of exchanges with upstreams."""
+
+import struct
+
+import gevent
+from gevent import server as servers
+from gevent import socket
+import pytest
+
+from papayalink.transport import errors
+from papayalink.transport import upstream_channels
+
+_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_HEADERS = [(b"Host", b"x"), (b"Content-Length", b"2")]
+
+
+class _Upstream:
+    """Answers each request on a connection with the next script."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.received = []
+        self.accepted = 0
+        self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock, address):
+        self.accepted += 1
+        while self.script:
+            data = sock.recv(65536)
+            if not data:
+                return
+            self.received.append(data)
+            for step in self.script.pop(0):
+                if step == "reset":
+                    # Bytes that are under way must arrive first.
+                    gevent.sleep(0.02)
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                    sock.close()
+                    return
+                if step == "close":
+                    return
+                gevent.sleep(0.01)
+                sock.sendall(step)
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def make(*script):
+        started.append(_Upstream(*script))
+        return started[-1]
+
+    yield make
+    for upstream in started:
+        upstream.server.stop()
+
+
+def _left_s():
+    return 2.0
+
+
+def _call(channels, upstream, body=b"hi"):
+    """Returns: status and body, and keeps the connection if it can be."""
+    channel = channels.take(upstream.address, _left_s)
+    try:
+        headers = [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))]
+        channel.send(b"POST", b"/a?b=%2F", headers, body, _left_s)
+        head = channel.read_head(_left_s)
+        read = b""
+        while data := channel.read_data(_left_s):
+            read += data
+    except errors.TransportError:
+        channel.close()
+        raise
+    if channel.finish(None):
+        channels.give_back(upstream.address, channel)
+    else:
+        channel.close()
+    return head.status_code, read
+
+
+def test_connection_is_kept(start):
+    upstream = start([_OK], [_OK])
+    channels = upstream_channels.make_channels()
+    assert _call(channels, upstream) == (200, b"ok")
+    assert _call(channels, upstream) == (200, b"ok")
+    assert upstream.accepted == 1
+    assert upstream.received[0].startswith(b"POST /a?b=%2F HTTP/1.1\r\n")
+
+
+@pytest.mark.parametrize(
+    ("steps", "error"),
+    [
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "close"], True),
+        ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "reset"], True),
+        (
+            [
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"2\r\nok\r\n",
+                "close",
+            ],
+            True,
+        ),
+        ([b"HTTP/1.1 200 OK\r\n\r\nok", "reset"], True),
+        ([b"HTTP/1.1 200 OK\r\n\r\nok", "close"], False),
+        ([b"\x00\x01garbage\r\n\r\n", "close"], True),
+        (["close"], True),
+        (["reset"], True),
+        ([b"HTTP/1.1 100 Continue\r\n\r\n", _OK], False),
+    ],
+    ids=repr,
+)
+def test_cut_answers_are_lost(start, steps, error):
+    upstream = start(steps)
+    channels = upstream_channels.make_channels()
+    if error:
+        with pytest.raises(errors.ConnectionLost):
+            _call(channels, upstream)
+    else:
+        assert _call(channels, upstream) == (200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        [_OK + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"],
+        [_OK, b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"],
+        [
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+        ],
+        [_OK, "close"],
+    ],
+    ids=["extra", "extra-late", "close", "closed"],
+)
+def test_connection_with_more_than_the_answer_is_not_used_again(start, first):
+    # Bytes after an answer belong to no request.
+    upstream = start(first, [_OK], [_OK])
+    channels = upstream_channels.make_channels()
+    assert _call(channels, upstream) == (200, b"ok")
+    gevent.sleep(0.05)
+    assert _call(channels, upstream) == (200, b"ok")
+    assert upstream.accepted == 2
+
+
+def test_answer_before_the_body_was_read_ends_the_connection(start):
+    # The rest of the body must not be taken for the next request.
+    early = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+    class Early(_Upstream):
+        def _serve(self, sock, address):
+            self.accepted += 1
+            sock.recv(1)
+            sock.sendall(early)
+            gevent.sleep(1.0)
+
+    upstream = Early()
+    channels = upstream_channels.make_channels()
+    channel = channels.take(upstream.address, _left_s)
+    body = b"x" * 4_000_000
+    headers = [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))]
+    channel.send(b"POST", b"/", headers, body, _left_s)
+    assert channel.read_head(_left_s).status_code == 503
+    assert channel.read_data(_left_s) == b""
+    assert not channel.finish(None)
+    channel.close()
+    upstream.server.stop()
+
+
+def test_silence_is_a_timeout(start):
+    upstream = start([], [])
+    channels = upstream_channels.make_channels()
+    channel = channels.take(upstream.address, _left_s)
+    channel.send(b"POST", b"/", _HEADERS, b"hi", _left_s)
+    with pytest.raises(errors.Timeout):
+        channel.read_head(lambda: 0.05)
+    channel.close()
+
+
+def test_nobody_listens():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+        channels = upstream_channels.make_channels()
+        with pytest.raises(errors.NotConnected):
+            channels.take(address, _left_s)
