Save and fetch prompt parts at stores, and sum the entries' work

Change: control members follow the events of the stores and pass the changes on in one call with the work that other entries have; an entry fetches parts that a store reported whole, saves others once, predicts the first token from the summed work and a measured rate, and refuses prompts that would be late.

Ruled out: keeping a session at one replica. 470 sessions of 5,000 tokens do not fit six memories of 50,000.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -175,7 +175,12 @@
             exchange.close()
 
     def call_idempotent(
-        self, method: str, target: str, timeout_s: float, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: Headers = (),
     ) -> Reply:
         """Make one whole GET or PUT call, on a kept connection if any.
 
@@ -185,7 +190,7 @@
 
         Takes and raises the same as open().
         """
-        head = self._head(method, target, (), body, "keep-alive")
+        head = self._head(method, target, headers, body, "keep-alive")
         while self._idle:
             sock = self._idle.pop()
             try:
--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -1,17 +1,33 @@
 """Replicas that an entry may send to, their load, and the choice of one."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-import hashlib
 
 import msgspec
 
 from papayalink.protocol import calls
+from papayalink.protocol import messages
+from papayalink.state import part_directory
 from papayalink.state import replicas
 from papayalink.state import traffic
 
 # Prompt tokens that an engine reads in a second, until answers tell more.
 PREFILL_TOKENS_PER_S = 50_000.0
+# Bounds of what answers may tell; engines of any size are within them.
+LEAST_TOKENS_PER_S = 1_000.0
+MOST_TOKENS_PER_S = 5_000_000.0
+# Weight of the newest prompt in the measured rate, and least size of a prompt
+# whose time says something about the rate.
+RATE_ALPHA = 0.05
+LEAST_SAMPLE_TOKENS = 1_000
+# Time to a first token besides the prompt: round trips, a step, sampling.
+FIRST_TOKEN_S = 0.02
+# A transfer takes about this part of the time that reading would take.
+FETCH_COST = 0.2
+# Work of other entries is not counted any more after this; they report five
+# times a second.
+OTHERS_AGE_S = 1.5
 # Cost of another zone: a round trip, and the bytes that are paid for. A few
 # ms of queue at the own zone's replicas are better than that.
 ZONE_COST_S = 0.01
@@ -24,8 +40,9 @@
 FAILURE_ALPHA = 0.15
 # Cost of a failure that is certain: a repeat, or a call without answer.
 FAILURE_COST_S = 2.0
-# Parts of prompts that an entry remembers to be at a replica.
-MAX_HINTS = 2_000
+# Part of a replica's memory whose content an entry remembers. Others send
+# there as well, so what was read last is mostly gone soon.
+HINT_SHARE = 0.15
 
 
 class Member:
@@ -35,14 +52,16 @@
         replica: as listed.
         weights: newest version by model, from the list and from answers.
         in_flight: calls of this entry that are not finished.
-        prefill_tokens: prompt tokens of those that have no answer yet.
+        prefill: prompt tokens of those that have no answer yet, by urgency.
     """
 
     __slots__ = (
         "replica",
         "weights",
         "in_flight",
-        "prefill_tokens",
+        "prefill",
+        "_others",
+        "_others_at",
         "_told",
         "_told_at",
         "_own_when_told",
@@ -50,13 +69,16 @@
         "_avoid_until",
         "_failures",
         "_parts",
+        "_part_tokens",
     )
 
     def __init__(self, replica: replicas.Replica) -> None:
         self.replica = replica
         self.weights = dict(replica.weights)
         self.in_flight = 0
-        self.prefill_tokens = 0
+        self.prefill: dict[int, int] = {}
+        self._others: messages.ReplicaWork | None = None
+        self._others_at = 0.0
         self._told: calls.Load | None = None
         self._told_at = 0.0
         self._own_when_told = 0
@@ -64,6 +86,7 @@
         self._avoid_until = 0.0
         self._failures = 0.0
         self._parts: dict[str, int] = {}
+        self._part_tokens = 0
 
     @property
     def failures(self) -> float:
@@ -97,26 +120,58 @@
             self._unreached = 0
         self._failures += FAILURE_ALPHA * (failed - self._failures)
 
-    def note_parts(self, salt: str, parts: Iterable[calls.Part]) -> None:
-        """The replica reads these parts and keeps them for a while."""
+    def begin_prefill(self, urgency: int, tokens: int) -> None:
+        """Count a prompt that is sent."""
+        self.prefill[urgency] = self.prefill.get(urgency, 0) + tokens
+
+    def end_prefill(self, urgency: int, tokens: int) -> None:
+        """The prompt has its first token, or was given up."""
+        self.prefill[urgency] -= tokens
+
+    def take_others(
+        self, work: messages.ReplicaWork | None, now: float
+    ) -> None:
+        """Take the work that other entries have here."""
+        self._others = work
+        self._others_at = now
+
+    def queued_tokens(self, urgency: int, now: float) -> int:
+        """Returns: prompt tokens that are read before a new prompt's."""
+        prefill = list(self.prefill.items())
+        if self._others is not None and now - self._others_at < OTHERS_AGE_S:
+            prefill.extend(self._others.prefill)
+        return sum(tokens for rank, tokens in prefill if rank <= urgency)
+
+    def note_parts(
+        self, salt: str, parts: Iterable[calls.Part], room: float
+    ) -> None:
+        """The replica reads these parts and keeps them for a while.
+
+        Args:
+            room: tokens to remember.
+        """
         for part in parts:
-            key = f"{salt}/{part.part_id}"
-            self._parts.pop(key, None)
+            key = part_directory.part_key(salt, part.part_id)
+            self._part_tokens += part.tokens - self._parts.pop(key, 0)
             self._parts[key] = part.tokens
-        while len(self._parts) > MAX_HINTS:
-            del self._parts[next(iter(self._parts))]
+        while self._part_tokens > room and self._parts:
+            oldest = next(iter(self._parts))
+            self._part_tokens -= self._parts.pop(oldest)
 
     def held_tokens(self, salt: str, parts: Iterable[calls.Part]) -> int:
         """Returns: tokens at the prompt's start that it may hold."""
         held = 0
         for part in parts:
-            if f"{salt}/{part.part_id}" not in self._parts:
+            key = part_directory.part_key(salt, part.part_id)
+            if key not in self._parts:
                 break
             held += part.tokens
         return held
 
     def others(self, now: float) -> float:
-        """Returns: calls of other entries there, as last told."""
+        """Returns: calls of other entries there, as last known."""
+        if self._others is not None and now - self._others_at < OTHERS_AGE_S:
+            return self._others.in_flight
         if self._told is None:
             return 0.0
         age_s = now - self._told_at
@@ -125,41 +180,67 @@
         total = self._told.running + self._told.waiting
         return max(0, total - self._own_when_told) * (1 - age_s / TOLD_AGE_S)
 
-    def waiting(self, now: float) -> float:
-        """Returns: calls that wait there, as last told."""
-        if self._told is None:
-            return 0.0
-        age_s = now - self._told_at
-        return max(0.0, self._told.waiting * (1 - age_s / TOLD_AGE_S))
-
 
 class Wanted(msgspec.Struct, frozen=True, kw_only=True):
     """What the choice needs to know of a call.
 
     Attributes:
-        salt_of: unused for plain calls; see `Fleet.salt`.
+        isolated: workspace that shares no parts, "" for the others.
     """
 
     service: str
     model: str = ""
     parts: tuple[calls.Part, ...] = ()
     prompt_tokens: int = 0
+    urgency: int = 5
     isolated: str = ""
 
 
+class Choice(msgspec.Struct, frozen=True):
+    """A replica, and what is expected of it.
+
+    Attributes:
+        wait_s: time to the first token.
+        own_s: part of that for reading the prompt itself.
+    """
+
+    member: Member
+    wait_s: float = 0.0
+    own_s: float = 0.0
+
+
 class Fleet:
     """All replicas, by service.
 
     Args:
         zone: zone of this entry.
+        fetched_tokens: tells how many tokens at a prompt's start stores
+            hold under a salt.
     """
 
-    __slots__ = ("_zone", "_members", "_by_service")
+    __slots__ = (
+        "_zone",
+        "_fetched_tokens",
+        "_members",
+        "_by_service",
+        "_token_s",
+    )
 
-    def __init__(self, zone: str) -> None:
+    def __init__(
+        self,
+        zone: str,
+        fetched_tokens: Callable[[str, tuple[calls.Part, ...]], int],
+    ) -> None:
         self._zone = zone
+        self._fetched_tokens = fetched_tokens
         self._members: dict[str, Member] = {}
         self._by_service: dict[str, list[Member]] = {}
+        self._token_s = 1 / PREFILL_TOKENS_PER_S
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Prompt tokens that a replica reads in a second, as measured."""
+        return 1 / self._token_s
 
     def update(self, listed: Iterable[replicas.Replica]) -> list[Member]:
         """Take a newer list.
@@ -194,12 +275,46 @@
     def members(self, service: str) -> list[Member]:
         return self._by_service.get(service, [])
 
+    def own_work(self) -> tuple[messages.ReplicaWork, ...]:
+        """Returns: what this entry has at the replicas."""
+        return tuple(
+            messages.ReplicaWork(
+                replica_id,
+                member.in_flight,
+                tuple(
+                    (urgency, tokens)
+                    for urgency, tokens in member.prefill.items()
+                    if tokens
+                ),
+            )
+            for replica_id, member in self._members.items()
+            if member.in_flight
+        )
+
+    def take_others(
+        self, work: Iterable[messages.ReplicaWork], now: float
+    ) -> None:
+        """Take what all other entries have at the replicas."""
+        by_id = {each.replica_id: each for each in work}
+        for replica_id, member in self._members.items():
+            idle = messages.ReplicaWork(replica_id, 0)
+            member.take_others(by_id.get(replica_id, idle), now)
+
+    def note_first_token(self, tokens: int, first_s: float) -> None:
+        """Measure the rate from a prompt and what was read before it."""
+        if tokens < LEAST_SAMPLE_TOKENS:
+            return
+        sample = max(0.0, first_s - FIRST_TOKEN_S) / tokens
+        sample = min(1 / LEAST_TOKENS_PER_S, sample)
+        sample = max(1 / MOST_TOKENS_PER_S, sample)
+        self._token_s += RATE_ALPHA * (sample - self._token_s)
+
     def choose(
         self,
         wanted: Wanted,
         excluded: Collection[str],
         now: float,
-    ) -> Member | None:
+    ) -> Choice | None:
         """Returns: the replica that is expected to answer first."""
         members = [
             member
@@ -211,14 +326,24 @@
         if not members:
             return None
         if not wanted.model:
-            return min(members, key=lambda each: self._plain_cost(each, now))
-        home = _home(wanted, members)
-        return min(
-            members,
-            key=lambda each: self._prompt_cost(
-                each, wanted, each is home, now
-            ),
-        )
+            return Choice(
+                min(members, key=lambda each: self._plain_cost(each, now))
+            )
+        choices = [
+            (self._prompt_cost(each, wanted, now), each) for each in members
+        ]
+        (_, wait_s, own_s), member = min(choices, key=lambda each: each[0][0])
+        return Choice(member, wait_s, own_s)
+
+    def expected_tokens(
+        self, member: Member, wanted: Wanted, now: float
+    ) -> tuple[int, float]:
+        """Returns: tokens read before the prompt, and those of its own."""
+        salt = make_salt(wanted, member.weights[wanted.model])
+        held = member.held_tokens(salt, wanted.parts)
+        fetched = max(0, self._fetched_tokens(salt, wanted.parts) - held)
+        own = wanted.prompt_tokens - held - fetched + FETCH_COST * fetched
+        return member.queued_tokens(wanted.urgency, now), max(1.0, own)
 
     def _plain_cost(self, member: Member, now: float) -> float:
         load = member.in_flight + member.others(now)
@@ -230,29 +355,19 @@
         return cost + (1.0 if member.replica.cold_s else 0.0)
 
     def _prompt_cost(
-        self, member: Member, wanted: Wanted, is_home: bool, now: float
-    ) -> float:
-        salt = make_salt(wanted, member.weights[wanted.model])
-        held = member.held_tokens(salt, wanted.parts)
-        if is_home and len(wanted.parts) > 1:
-            # Calls of other entries with these parts go there as well.
-            shared = sum(part.tokens for part in wanted.parts[:-1])
-            held = max(held, shared // 2)
-        mean = max(1000, wanted.prompt_tokens)
-        tokens = (
-            member.prefill_tokens
-            + wanted.prompt_tokens
-            - held
-            + mean * member.waiting(now)
-        )
-        cost_s = tokens / PREFILL_TOKENS_PER_S
+        self, member: Member, wanted: Wanted, now: float
+    ) -> tuple[float, float, float]:
+        """Returns: cost, time to the first token, and its own part."""
+        queued, own = self.expected_tokens(member, wanted, now)
+        own_s = own * self._token_s + FIRST_TOKEN_S
+        wait_s = queued * self._token_s + own_s
         slots = max(1, member.replica.slots)
         load = (member.in_flight + member.others(now)) / slots
         # Each running request makes a step of the batch a little longer.
-        cost_s += 0.1 * load + FAILURE_COST_S * member.failures
+        cost_s = wait_s + 0.1 * load + FAILURE_COST_S * member.failures
         if member.replica.zone != self._zone:
             cost_s += ZONE_COST_S
-        return cost_s
+        return cost_s, wait_s, own_s
 
 
 def make_salt(wanted: Wanted, version: int) -> str:
@@ -264,26 +379,20 @@
     return f"{wanted.model}@{version}/{wanted.isolated}"
 
 
-def _home(wanted: Wanted, members: list[Member]) -> Member | None:
-    """Returns: where all entries send prompts with the same shared parts."""
-    if not wanted.parts:
-        return None
-    part = wanted.parts[-2] if len(wanted.parts) > 1 else wanted.parts[-1]
-    text = f"{wanted.isolated}/{part.part_id}/"
-    return max(
-        members,
-        key=lambda each: hashlib.blake2b(
-            (text + each.replica.replica_id).encode(), digest_size=8
-        ).digest(),
-    )
-
-
-def make_fleet(zone: str) -> Fleet:
-    return Fleet(zone)
+def make_fleet(
+    zone: str,
+    fetched_tokens: Callable[
+        [str, tuple[calls.Part, ...]], int
+    ] = lambda salt, parts: 0,
+) -> Fleet:
+    return Fleet(zone, fetched_tokens)
 
 
 def make_wanted(
-    call: calls.Call, service: str, workspace: traffic.Workspace | None
+    call: calls.Call,
+    service: str,
+    urgency: int,
+    workspace: traffic.Workspace | None,
 ) -> Wanted:
     """Returns: what the choice needs to know of a call."""
     isolated = workspace is not None and workspace.isolated
@@ -292,5 +401,6 @@
         model=call.model,
         parts=call.parts,
         prompt_tokens=call.prompt_tokens,
+        urgency=urgency,
         isolated=workspace.name if isolated else "",
     )
--- /dev/null
+++ b/papayalink/coordination/load_board.py
@@ -0,0 +1,67 @@
+"""Work that all entries have at each replica, summed at a control member."""
+
+from collections.abc import Iterable
+
+from papayalink.protocol import messages
+
+# An entry that did not report for this long has stopped, or has turned to
+# another member; its calls end or are counted there.
+REPORT_AGE_S = 2.0
+
+
+class LoadBoard:
+    """Newest report of each entry."""
+
+    __slots__ = ("_reports",)
+
+    def __init__(self) -> None:
+        self._reports: dict[
+            str, tuple[float, tuple[messages.ReplicaWork, ...]]
+        ] = {}
+
+    def report(
+        self,
+        entry: str,
+        work: tuple[messages.ReplicaWork, ...],
+        now: float,
+    ) -> None:
+        """Take what an entry has at the replicas."""
+        self._reports[entry] = (now, work)
+
+    def others(
+        self, entry: str, now: float
+    ) -> tuple[messages.ReplicaWork, ...]:
+        """Returns: sums over all other entries, by replica."""
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if now - report[0] < REPORT_AGE_S
+        }
+        return add_up(
+            work
+            for name, (_, reported) in self._reports.items()
+            if name != entry
+            for work in reported
+        )
+
+
+def add_up(
+    reported: Iterable[messages.ReplicaWork],
+) -> tuple[messages.ReplicaWork, ...]:
+    """Returns: one entry for each replica, ordered by its id."""
+    sums: dict[str, tuple[int, dict[int, int]]] = {}
+    for work in reported:
+        in_flight, prefill = sums.get(work.replica_id, (0, {}))
+        for urgency, tokens in work.prefill:
+            prefill[urgency] = prefill.get(urgency, 0) + tokens
+        sums[work.replica_id] = (in_flight + work.in_flight, prefill)
+    return tuple(
+        messages.ReplicaWork(
+            replica_id, in_flight, tuple(sorted(prefill.items()))
+        )
+        for replica_id, (in_flight, prefill) in sorted(sums.items())
+    )
+
+
+def make_load_board() -> LoadBoard:
+    return LoadBoard()
--- a/papayalink/coordination/upstream_client.py
+++ b/papayalink/coordination/upstream_client.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from papayalink.state import part_directory
 from papayalink.state import replicas
 
 
@@ -31,3 +32,10 @@
         Returns: whether the replica took the order or already holds it.
         Raises: UpstreamClientError; the order may still be carried out.
         """
+
+
+class StoreReader(Protocol):
+    """Follows what one store holds; raises UpstreamClientError."""
+
+    def read(self) -> list[part_directory.Change]:
+        """Wait for changes, about a second; begins with all that is held."""
--- a/papayalink/platform/daemon.py
+++ b/papayalink/platform/daemon.py
@@ -55,10 +55,16 @@
             ).run()
         case node_settings.Authority():
             from papayalink.platform import operator_api
+            from papayalink.platform import stores
             from papayalink.roles.authority import process
 
             return process.make_process(
-                node, path, operator_api.make_application, platform
+                node,
+                path,
+                operator_api.make_application,
+                platform,
+                document.translate,
+                stores.make_store_reader,
             ).run()
 
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from papayalink.protocol import errors
+from papayalink.state import part_directory
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -237,6 +238,7 @@
         weights: newest named weight version by model.
         members: RPC addresses of the control members.
         watchers: processes that watched this member lately.
+        leader: RPC address of the leader, "" when there is none.
     """
 
     number: int
@@ -244,6 +246,7 @@
     weights: dict[str, int] = {}
     members: tuple[str, ...] = ()
     watchers: int = 0
+    leader: str = ""
 
     @property
     def compact(self) -> bool:
@@ -255,6 +258,47 @@
         return zlib.decompress(self.document) if self.document else b""
 
 
+class ReplicaWork(msgspec.Struct, frozen=True, array_like=True):
+    """Calls at one replica that are not finished.
+
+    Attributes:
+        prefill: (urgency, prompt tokens) of those without a first token.
+    """
+
+    replica_id: str
+    in_flight: int
+    prefill: tuple[tuple[int, int], ...] = ()
+
+
+class Parts(Message):
+    """An entry tells its work, and asks for stored parts and others' work.
+
+    Attributes:
+        source: member and run that the number is of, "" at first.
+        number: changes of the directory that the entry has.
+    """
+
+    process: str
+    source: str = ""
+    number: int = 0
+    work: tuple[ReplicaWork, ...] = ()
+
+
+class PartsReply(Message):
+    """Changes of the directory of stored parts.
+
+    Attributes:
+        whole: the changes are all that is held; what the entry has is void.
+        work: work of all other entries.
+    """
+
+    source: str
+    number: int
+    whole: bool = False
+    changes: tuple[part_directory.Change, ...] = ()
+    work: tuple[ReplicaWork, ...] = ()
+
+
 class Lookup(Message):
     """Asks a store which pieces are published."""
 
@@ -293,6 +337,8 @@
     | OrderReply
     | Watch
     | WatchReply
+    | Parts
+    | PartsReply
     | Lookup
     | LookupReply
 )
--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -102,17 +102,20 @@
         """Commit an encoded command here; only the leader can."""
         return self.replica.propose(command, PROPOSE_TIMEOUT_S)
 
+    def leader_address(self) -> str:
+        """Returns: RPC address of the leader, "" when it is not known."""
+        if self._replica is None:
+            return ""
+        return self._peers.address_of(self._replica.leader_id)
+
     def refusal(
         self, error: errors.CoordinationError
     ) -> transport_errors.RpcRefused:
         """Returns: the error as another process gets it."""
         match error:
             case errors.NotLeader():
-                leader = ""
-                if self._replica is not None:
-                    leader = self._peers.address_of(self._replica.leader_id)
                 return transport_errors.RpcRefused(
-                    "not_leader", str(error), leader
+                    "not_leader", str(error), self.leader_address()
                 )
             case errors.Unknown():
                 return transport_errors.RpcRefused("unknown", str(error))
@@ -124,7 +127,7 @@
         try:
             return machines.decode_outcome(self.commit(data))
         except errors.NotLeader as error:
-            leader = self._peers.address_of(self.replica.leader_id)
+            leader = self.leader_address()
             if not leader:
                 raise errors.Unavailable("no leader") from error
         try:
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -16,11 +16,13 @@
 from papayalink.roles.authority import numbered_state
 from papayalink.roles.authority import observed
 from papayalink.roles.authority import service
+from papayalink.roles.authority import store_watch
 from papayalink.roles.authority import weights
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import peers
 from papayalink.state import log_store
 from papayalink.state import machine as machines
+from papayalink.state import traffic
 from papayalink.transport import http_server
 from papayalink.transport import rpc
 
@@ -43,6 +45,9 @@
         "_operator_server",
         "_client",
         "_reloading",
+        "_translate",
+        "_followed",
+        "_stores",
     )
 
     def __init__(
@@ -51,6 +56,8 @@
         settings_path: str,
         make_operator_app: MakeOperatorApp,
         client: upstream_client.UpstreamClient,
+        translate: Callable[[bytes], traffic.Traffic],
+        make_reader: store_watch.MakeReader,
     ) -> None:
         super().__init__(node)
         settings = node.settings
@@ -67,8 +74,11 @@
         self._state = numbered_state.make_numbered_state(
             self._machine, self._peers, node.rpc_client, node.metrics
         )
+        self._translate = translate
+        self._followed = 0
+        self._stores = store_watch.make_store_watch(make_reader)
         self._service = service.make_service(
-            self._state, self._machine, self._book, self._join
+            self._state, self._machine, self._book, self._join, self._stores
         )
         self._replica: replicas.Replica | None = None
         self._group: group.GroupUpkeep | None = None
@@ -131,6 +141,15 @@
         if self._group is not None:
             self._group.join(member_id)
 
+    def _note_applied(self) -> None:
+        """Follow the stores of a document that has come in force."""
+        numbered = self._machine.numbered
+        if numbered.number > self._followed:
+            self._followed = numbered.number
+            stores = self._translate(numbered.content).stores
+            self._stores.set_stores(stores)
+        self._service.note_applied()
+
     def _run_replica(self) -> None:
         settings = self._node.settings
         log_folder = os.path.join(settings.data_folder, "log")
@@ -139,7 +158,7 @@
         self._replica = replicas.make_replica(
             replica_loading.Settings(member_id=self._identity.member_id),
             log_store.DiskLogStore(log_folder),
-            observed.make_observed(self._machine, self._service.note_applied),
+            observed.make_observed(self._machine, self._note_applied),
             self._node.timers,
             self._peers.send,
             first_members,
@@ -197,5 +216,17 @@
     settings_path: str,
     make_operator_app: MakeOperatorApp,
     client: upstream_client.UpstreamClient,
+    translate: Callable[[bytes], traffic.Traffic],
+    make_reader: store_watch.MakeReader,
 ) -> AuthorityProcess:
-    return AuthorityProcess(node, settings_path, make_operator_app, client)
+    """Make a member.
+
+    Args:
+        make_operator_app: the operators' HTTP interface of the platform.
+        client: finds replicas and orders weights at them.
+        translate: decodes a document of the platform.
+        make_reader: opens one store of the platform.
+    """
+    return AuthorityProcess(
+        node, settings_path, make_operator_app, client, translate, make_reader
+    )
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import secrets
 import time
 import zlib
 
 from gevent import event
 
 from papayalink.coordination import errors
+from papayalink.coordination import load_board
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
 from papayalink.roles.authority import address_book
 from papayalink.roles.authority import numbered_state
+from papayalink.roles.authority import store_watch
 from papayalink.state import machine as machines
 from papayalink.transport import rpc
 
@@ -22,7 +25,7 @@
 WATCHER_AGE_S = 3.0
 # Level 6 takes twice as long for a document that is 8% smaller.
 _COMPRESSION_LEVEL = 1
-LIMITS = {"Watch": 400}
+LIMITS = {"Watch": 400, "Parts": 400}
 
 
 class AuthorityService:
@@ -30,6 +33,7 @@
 
     Args:
         join: asks the leader's upkeep to add a member.
+        stores: tells what the stores hold.
     """
 
     __slots__ = (
@@ -40,6 +44,9 @@
         "_changed",
         "_compressed",
         "_watched_at",
+        "_stores",
+        "_board",
+        "_source",
     )
 
     def __init__(
@@ -48,6 +55,7 @@
         machine: machines.Machine,
         book: address_book.AddressBook,
         join: Callable[[str], None],
+        stores: store_watch.StoreWatch,
     ) -> None:
         self._state = state
         self._machine = machine
@@ -56,10 +64,14 @@
         self._changed = event.Event()
         self._compressed = (0, b"")
         self._watched_at: dict[str, float] = {}
+        self._stores = stores
+        self._board = load_board.make_load_board()
+        self._source = secrets.token_hex(4)
 
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
             "Watch": self.watch,
+            "Parts": self.parts,
             "Propose": self.propose,
             "Deliver": self.deliver,
             "Join": self.join,
@@ -89,6 +101,25 @@
             raise self._state.refusal(error) from error
         return self._reply(watch)
 
+    def parts(self, message: messages.Parts) -> messages.PartsReply:
+        """Tell what the stores hold, and what other entries have to do."""
+        now = time.monotonic()
+        self._board.report(message.process, message.work, now)
+        directory = self._stores.directory
+        changes = None
+        if message.source == self._source:
+            changes = directory.since(message.number)
+        whole = changes is None
+        if whole:
+            changes = directory.everything()
+        return messages.PartsReply(
+            source=self._source,
+            number=directory.number,
+            whole=whole,
+            changes=tuple(changes),
+            work=self._board.others(message.process, now),
+        )
+
     def propose(self, message: messages.Propose) -> messages.Outcome:
         """Commit a command; only the leader can."""
         try:
@@ -143,6 +174,7 @@
             weights=held.weights,
             members=tuple(self._book[name] for name in sorted(names)),
             watchers=len(self._watched_at),
+            leader=self._state.leader_address(),
         )
 
 
@@ -151,5 +183,6 @@
     machine: machines.Machine,
     book: address_book.AddressBook,
     join: Callable[[str], None],
+    stores: store_watch.StoreWatch,
 ) -> AuthorityService:
-    return AuthorityService(state, machine, book, join)
+    return AuthorityService(state, machine, book, join, stores)
--- /dev/null
+++ b/papayalink/roles/authority/store_watch.py
@@ -0,0 +1,87 @@
+"""Tasks that follow what the stores hold, for all entries."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent import event
+
+from papayalink import logs
+from papayalink.coordination import upstream_client
+from papayalink.state import part_directory
+from papayalink.state import traffic
+
+# A store that was not reached is asked again after this; what it held counts
+# as gone until then.
+RETRY_S = 0.5
+# Changes are collected for this long, so that busy stores are not asked once
+# for each part.
+COLLECT_S = 0.1
+
+MakeReader = Callable[[traffic.CacheStore], upstream_client.StoreReader]
+
+
+class StoreWatch:
+    """Follows each store of the document with a task of its own.
+
+    Args:
+        make_reader: opens one store of the platform.
+    """
+
+    __slots__ = ("_make_reader", "_directory", "_tasks", "_changed", "_log")
+
+    def __init__(self, make_reader: MakeReader) -> None:
+        self._make_reader = make_reader
+        self._directory = part_directory.make_part_directory()
+        self._tasks: dict[traffic.CacheStore, gevent.Greenlet] = {}
+        self._changed = event.Event()
+        self._log = logs.get_logger()
+
+    @property
+    def directory(self) -> part_directory.PartDirectory:
+        return self._directory
+
+    def set_stores(self, stores: tuple[traffic.CacheStore, ...]) -> None:
+        """Follow these stores from now on."""
+        for store in list(self._tasks):
+            if store not in stores:
+                self._tasks.pop(store).kill()
+                self._apply([part_directory.Change(store.name, "")])
+        for store in stores:
+            if store not in self._tasks:
+                self._tasks[store] = gevent.spawn(self._follow, store)
+
+    def wait(self, number: int, timeout_s: float) -> None:
+        """Wait until there are changes behind a number."""
+        if self._directory.number <= number:
+            self._changed.wait(timeout_s)
+
+    def _follow(self, store: traffic.CacheStore) -> None:
+        reader = self._make_reader(store)
+        reached = True
+        while True:
+            try:
+                changes = reader.read()
+            except upstream_client.UpstreamClientError as error:
+                if reached:
+                    self._log.warning(
+                        "store_lost", store=store.name, reason=error
+                    )
+                    self._apply([part_directory.Change(store.name, "")])
+                reached = False
+                gevent.sleep(RETRY_S)
+                continue
+            if not reached:
+                self._log.info("store_reached", store=store.name)
+            reached = True
+            if changes:
+                self._apply(changes)
+            gevent.sleep(COLLECT_S)
+
+    def _apply(self, changes: list[part_directory.Change]) -> None:
+        self._directory.apply(changes)
+        self._changed.set()
+        self._changed.clear()
+
+
+def make_store_watch(make_reader: MakeReader) -> StoreWatch:
+    return StoreWatch(make_reader)
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -3,11 +3,15 @@
 import random
 import time
 
+import msgspec
+
 from papayalink import logs
 from papayalink import metrics as metrics_module
 from papayalink.coordination import attempts
+from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import retry
+from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import budgets
@@ -43,6 +47,7 @@
         "_fleet",
         "_channels",
         "_budgets",
+        "_placement",
         "_metrics",
         "_rng",
         "_log",
@@ -55,8 +60,10 @@
         fleet: fleets.Fleet,
         channels: upstream_channels.Channels,
         retry_budgets: budgets.Budgets,
+        placement: cache_placement.CachePlacement,
         metrics: metrics_module.Metrics,
     ) -> None:
+        self._placement = placement
         self._dialect = dialect
         self._watcher = watcher
         self._fleet = fleet
@@ -136,6 +143,9 @@
         "_service",
         "_tried",
         "_first_s",
+        "_urgency",
+        "_wanted",
+        "_expected_s",
     )
 
     def __init__(
@@ -168,6 +178,13 @@
         self._service = self._pick_service()
         self._tried: list[str] = []
         self._first_s: float | None = None
+        self._expected_s = 0.0
+        self._urgency = route.rank
+        if workspace is not None and workspace.rank is not None:
+            self._urgency = workspace.rank
+        self._wanted = fleets.make_wanted(
+            call, self._service, self._urgency, workspace
+        )
 
     def run(self) -> None:
         """Send the call until it is answered or given up."""
@@ -186,10 +203,15 @@
         if self._left_s() < LEAST_LEFT_S:
             unanswered = attempt.Unanswered(attempts.Expired())
             return self._follow(unanswered, budget)
-        member = self._choose(now)
-        if member is None:
+        fleet = self._owner._fleet
+        choice = fleet.choose(self._wanted, self._tried, now)
+        if choice is None:
             self._end_without_replica()
             return False
+        if self._is_shed(choice):
+            return False
+        member = choice.member
+        self._expected_s = choice.wait_s
         self._tried.append(member.replica.replica_id)
         result = self._send(member)
         match result:
@@ -200,20 +222,45 @@
             case attempt.Unanswered():
                 return self._follow(result, budget)
 
-    def _choose(self, now: float) -> fleets.Member | None:
-        wanted = fleets.make_wanted(self._call, self._service, self._workspace)
-        fleet = self._owner._fleet
-        return fleet.choose(wanted, self._tried, now)
+    def _is_shed(self, choice: fleets.Choice) -> bool:
+        """Refuse a prompt that would wait too long.
+
+        Returns: whether it was refused.
+        """
+        if not self._call.model or self._attempts.sent:
+            return False
+        prompt = shedding.Prompt(
+            wait_s=choice.wait_s,
+            own_s=choice.own_s,
+            objective_s=self._route.objective_s,
+            left_s=self._left_s(),
+            usual_s=self._route.timeout_s,
+        )
+        match shedding.decide(prompt, self._owner._rng.random()):
+            case shedding.Shed(retry_after_s):
+                self._refuse(
+                    retry_after_s,
+                    f"overloaded: first token in {choice.wait_s:.2f} s",
+                )
+                return True
+        return False
 
     def _send(
         self, member: fleets.Member
     ) -> attempt.Answered | attempt.Unanswered:
         now = time.monotonic()
-        tokens = self._call.prompt_tokens
-        prefilling = [tokens]
+        queued, own = 0, 0.0
+        if self._call.model:
+            fleet = self._owner._fleet
+            queued, own = fleet.expected_tokens(member, self._wanted, now)
+        prefilling = [int(own)]
 
         def note_answer(answer: calls.Answer) -> None:
-            member.prefill_tokens -= prefilling.pop()
+            member.end_prefill(self._urgency, prefilling.pop())
+            if answer.stamped and self._call.model:
+                self._owner._fleet.note_first_token(
+                    queued + int(own), time.monotonic() - now
+                )
             self._take_head(member, answer)
 
         sending = attempt.make_attempt(
@@ -232,22 +279,28 @@
         dispatch = self._make_dispatch(member)
         self._attempts.note_sending()
         member.in_flight += 1
-        member.prefill_tokens += tokens
+        member.begin_prefill(self._urgency, int(own))
         try:
             result = sending.run(dispatch, self._stream)
         finally:
             member.in_flight -= 1
             if prefilling:
-                member.prefill_tokens -= tokens
+                member.end_prefill(self._urgency, prefilling.pop())
         match result:
             case attempt.Answered():
                 member.note_result(False)
-                if self._call.model:
-                    member.note_parts(dispatch.salt, self._call.parts)
+                self._note_parts(member, dispatch.salt)
             case attempt.Unanswered(outcome):
                 self._note_failure(member, outcome, now)
         return result
 
+    def _note_parts(self, member: fleets.Member, salt: str) -> None:
+        service = self._directory.service(self._service)
+        if not self._call.model or service is None or service.engine is None:
+            return
+        room = service.engine.cache_tokens * fleets.HINT_SHARE
+        member.note_parts(salt, self._call.parts, room)
+
     def _note_failure(
         self, member: fleets.Member, outcome: attempts.Outcome, now: float
     ) -> None:
@@ -276,23 +329,27 @@
             member.weights[self._call.model] = max(known, newest)
 
     def _make_dispatch(self, member: fleets.Member) -> calls.Dispatch:
-        wanted = fleets.make_wanted(self._call, self._service, self._workspace)
         version = member.weights.get(self._call.model, 0)
         last_event = self._call.last_event
         if self._stream is not None and self._stream.begun:
             last_event = str(self._stream.last_event or "")
-        rank = self._route.rank
-        if self._workspace is not None and self._workspace.rank is not None:
-            rank = self._workspace.rank
-        return calls.Dispatch(
+        dispatch = calls.Dispatch(
             upstream=member.replica.replica_id,
             workspace=self._workspace.name if self._workspace else "",
             left_ms=int(self._left_s() * 1000),
-            urgency=rank,
-            salt=fleets.make_salt(wanted, version) if self._call.model else "",
+            urgency=self._urgency,
             weight_version=version,
             last_event=last_event,
         )
+        if not self._call.model:
+            return dispatch
+        salt = fleets.make_salt(self._wanted, version)
+        plan = self._owner._placement.plan(
+            salt, self._call.parts, member.replica.zone, time.monotonic()
+        )
+        return msgspec.structs.replace(
+            dispatch, salt=salt, fetch=plan.fetch, save=plan.save
+        )
 
     def _follow(
         self, result: attempt.Unanswered, budget: retry.Budget
@@ -393,6 +450,7 @@
             "status": status,
             "replicas": ",".join(self._tried),
             "took_ms": int(took_s * 1000),
+            "expected_ms": int(self._expected_s * 1000),
             "document": owner._watcher.number,
         }
         if outcome == "answered":
@@ -414,6 +472,9 @@
     fleet: fleets.Fleet,
     channels: upstream_channels.Channels,
     retry_budgets: budgets.Budgets,
+    placement: cache_placement.CachePlacement,
     metrics: metrics_module.Metrics,
 ) -> Handler:
-    return Handler(dialect, watcher, fleet, channels, retry_budgets, metrics)
+    return Handler(
+        dialect, watcher, fleet, channels, retry_budgets, placement, metrics
+    )
--- /dev/null
+++ b/papayalink/roles/gateway/parts.py
@@ -0,0 +1,110 @@
+"""Task that follows the directory of stored parts at a control member."""
+
+from collections.abc import Callable
+import time
+
+import gevent
+
+from papayalink import logs
+from papayalink import tasks
+from papayalink.coordination import fleet as fleets
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.state import part_directory
+from papayalink.transport import errors
+
+TIMEOUT_S = 0.8
+# Work of other entries is known this late; a replica reads a long prompt in
+# about as much time.
+PERIOD_S = 0.2
+PAUSE_S = 0.3
+# What a store holds may have changed without a word after this; a restarted
+# store is reported within about a second.
+STALE_S = 3.0
+
+
+class PartsFollower:
+    """Keeps a copy of a control member's directory, and shares work.
+
+    Args:
+        members: tells the addresses of members, the best first. All entries
+            should follow the same one, which then knows the work of all.
+        fleet: tells the work of this entry, and takes that of the others.
+    """
+
+    __slots__ = (
+        "_node",
+        "_members",
+        "_failures",
+        "_fleet",
+        "_directory",
+        "_source",
+        "_number",
+        "_read_at",
+        "_log",
+    )
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        members: Callable[[], list[str]],
+        fleet: fleets.Fleet,
+        directory: part_directory.PartDirectory,
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._failures = 0
+        self._fleet = fleet
+        self._directory = directory
+        self._source = ""
+        self._number = 0
+        self._read_at = time.monotonic()
+        self._log = logs.get_logger()
+
+    def start(self) -> None:
+        tasks.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            members = self._members()
+            if self._ask(members[self._failures % len(members)]):
+                self._failures = 0
+                gevent.sleep(PERIOD_S)
+                continue
+            self._failures += 1
+            if time.monotonic() - self._read_at > STALE_S:
+                self._directory.clear()
+                self._source = ""
+            gevent.sleep(PAUSE_S)
+
+    def _ask(self, address: str) -> bool:
+        message = messages.Parts(
+            self._node.settings.name,
+            self._source,
+            self._number,
+            self._fleet.own_work(),
+        )
+        try:
+            reply = self._node.rpc_client.call(
+                address, "Parts", message, TIMEOUT_S
+            )
+        except errors.TransportError as error:
+            self._log.debug("parts_not_read", member=address, reason=error)
+            return False
+        if reply.whole:
+            self._directory.clear()
+        self._directory.apply(reply.changes)
+        self._source = reply.source
+        self._number = reply.number
+        self._read_at = time.monotonic()
+        self._fleet.take_others(reply.work, self._read_at)
+        return True
+
+
+def make_parts_follower(
+    node: nodes.Node,
+    members: Callable[[], list[str]],
+    fleet: fleets.Fleet,
+    directory: part_directory.PartDirectory,
+) -> PartsFollower:
+    return PartsFollower(node, members, fleet, directory)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -7,6 +7,7 @@
 import gevent
 
 from papayalink import node_settings
+from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import upstream_client
 from papayalink.protocol import calls
@@ -16,7 +17,9 @@
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import listing
+from papayalink.roles.gateway import parts
 from papayalink.roles.gateway import watching
+from papayalink.state import part_directory
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import http_server
@@ -34,6 +37,8 @@
     __slots__ = (
         "_watcher",
         "_fleet",
+        "_placement",
+        "_parts",
         "_listing",
         "_channels",
         "_server",
@@ -56,9 +61,20 @@
             settings_path, settings, self._take_settings
         )
         self._draining = False
-        self._fleet = fleets.make_fleet(settings.zone)
+        directory = part_directory.make_part_directory()
+        self._placement = cache_placement.make_cache_placement(
+            settings.zone, directory
+        )
+        self._fleet = fleets.make_fleet(
+            settings.zone, self._placement.fetched_tokens
+        )
         self._channels = upstream_channels.make_channels()
-        self._watcher = watching.make_watcher(node, translate, lambda: None)
+        self._watcher = watching.make_watcher(
+            node, translate, self._take_document
+        )
+        self._parts = parts.make_parts_follower(
+            node, self._watcher.authorities, self._fleet, directory
+        )
         self._listing = listing.make_listing(
             client, self._fleet, self._channels.forget, node.metrics
         )
@@ -70,6 +86,7 @@
             budgets.make_budgets(
                 settings.bounds, lambda: self._watcher.watchers
             ),
+            self._placement,
             node.metrics,
         )
         self._server = caller_server.make_caller_server(
@@ -92,6 +109,7 @@
         self._ready_server.start()
         self._watcher.start()
         self._listing.start()
+        self._parts.start()
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
@@ -138,6 +156,11 @@
         """Take seeds that have changed; the rest needs a restart."""
         self._watcher.add_members(settings.seed_peers)
 
+    def _take_document(self) -> None:
+        directory = self._watcher.directory
+        if directory is not None:
+            self._placement.set_stores(directory.traffic.stores)
+
     def _limits(self) -> traffic.CallerLimits:
         directory = self._watcher.directory
         if directory is None:
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -46,6 +46,7 @@
         "_weights",
         "_watchers",
         "_confirmed_at",
+        "_leader",
         "_connected",
         "_log",
     )
@@ -66,6 +67,7 @@
         self._weights: dict[str, int] = {}
         self._watchers = 1
         self._confirmed_at: float | None = None
+        self._leader = ""
         self._connected = False
         self._log = logs.get_logger()
 
@@ -88,6 +90,11 @@
         """Entries that watched the same member lately."""
         return self._watchers
 
+    def authorities(self) -> list[str]:
+        """Returns: addresses of control members, the leader first."""
+        others = [each for each in self._members if each != self._leader]
+        return [self._leader, *others] if self._leader else others
+
     def age_s(self) -> float:
         """Returns: seconds since a member confirmed what is held."""
         if self._confirmed_at is None:
@@ -131,6 +138,7 @@
                     number=self._number,
                 )
             self._connected = False
+            self._leader = ""
             return False
         if not self._connected:
             self._log.info("control_reached", member=address)
@@ -143,6 +151,7 @@
     def _take(self, reply: messages.WatchReply, address: str) -> None:
         self._confirmed_at = time.monotonic()
         self._watchers = max(1, reply.watchers)
+        self._leader = reply.leader
         if reply.members:
             known = [each for each in self._members if each in reply.members]
             new = [each for each in reply.members if each not in known]
