Find silent replicas by a connection, and let urgent prompts bound the queue

Each call that met one waited 0.4 s for a connection or until its time was over, and summaries were queued for up to 0.8 s before quotes whose objective is 0.4 s.

Less urgent prompts queue for half of the tightest urgent objective, the most urgent ones as long as their callers wait.

Ruled out: a longer queue for callers that return; it delays urgent prompts that have not been late yet.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -33,9 +33,6 @@
 ZONE_COST_S = 0.01
 # Load that an answer told says little after this.
 TOLD_AGE_S = 1.0
-# A replica that was not reached is tried again after this, doubled each time.
-UNREACHED_BASE_S = 0.3
-UNREACHED_MAX_S = 5.0
 # Weight of the newest attempt in the share of failed ones.
 FAILURE_ALPHA = 0.15
 # Cost of a failure that is certain: a repeat, or a call without answer.
@@ -52,6 +49,7 @@
         replica: as listed.
         weights: newest version by model, from the list and from answers.
         in_flight: calls of this entry that are not finished.
+        heard_at: monotonic seconds of the last byte from it.
         prefill: prompt tokens of those that have no answer yet, by urgency.
     """
 
@@ -65,7 +63,8 @@
         "_told",
         "_told_at",
         "_own_when_told",
-        "_unreached",
+        "heard_at",
+        "_reachable",
         "_avoid_until",
         "_failures",
         "_parts",
@@ -82,7 +81,8 @@
         self._told: calls.Load | None = None
         self._told_at = 0.0
         self._own_when_told = 0
-        self._unreached = 0
+        self.heard_at = 0.0
+        self._reachable = True
         self._avoid_until = 0.0
         self._failures = 0.0
         self._parts: dict[str, int] = {}
@@ -96,6 +96,7 @@
     def usable(self, now: float) -> bool:
         return (
             self.replica.condition is replicas.Condition.READY
+            and self._reachable
             and now >= self._avoid_until
         )
 
@@ -105,10 +106,9 @@
         self._told_at = now
         self._own_when_told = self.in_flight
 
-    def note_not_reached(self, now: float) -> None:
-        self._unreached += 1
-        wait_s = UNREACHED_BASE_S * 2 ** min(10, self._unreached - 1)
-        self._avoid_until = now + min(UNREACHED_MAX_S, wait_s)
+    def set_reachable(self, reachable: bool) -> None:
+        """Keep calls away while no connection can be made."""
+        self._reachable = reachable
 
     def note_full(self, now: float, wait_s: float) -> None:
         """Keep away for a while after a refusal."""
@@ -116,8 +116,6 @@
 
     def note_result(self, failed: bool) -> None:
         """Count an attempt that arrived."""
-        if not failed:
-            self._unreached = 0
         self._failures += FAILURE_ALPHA * (failed - self._failures)
 
     def begin_prefill(self, urgency: int, tokens: int) -> None:
--- a/papayalink/coordination/shedding.py
+++ b/papayalink/coordination/shedding.py
@@ -2,15 +2,17 @@
 
 import msgspec
 
-# Part of the objective up to which prompts are queued. What waits longer is
-# late, and then so is everything behind it; the rest of the objective covers
-# estimates that are too low.
+# Part of the tightest objective of more urgent prompts that less urgent ones
+# may queue for at a replica. Admitted prompts are read one after the other,
+# so an urgent one waits for what was admitted before it.
+URGENT_SHARE = 0.5
+# Part of the objective up to which the most urgent prompts are queued while
+# they can be on time.
 QUEUE_SHARE = 0.8
-# Part of the time left within which a call that is late anyway is taken.
-LATE_SHARE = 0.6
-# A call with less than this part of the usual time has been here before, or
-# came late for another reason; it cannot meet its objective any more.
-RETURNED_SHARE = 0.93
+# A prompt that is late anyway is taken within this part of the time left.
+LATE_SHARE = 0.5
+# Callers give a stream up that stays silent for about 2 s.
+MOST_WAIT_S = 1.5
 LEAST_RETRY_S = 0.2
 # Callers that come back are spread over this part of the wait.
 JITTER = 0.5
@@ -38,30 +40,36 @@
         own_s: part of that for reading the prompt itself.
         objective_s: time to the first token that is on time.
         left_s: time left of the call.
-        usual_s: time that calls of the route have when they first come.
+        urgent_objective_s: tightest objective of more urgent prompts of the
+            same service, None when there are none.
     """
 
     wait_s: float
     own_s: float
     objective_s: float
     left_s: float
-    usual_s: float
+    urgent_objective_s: float | None = None
 
 
 def decide(prompt: Prompt, chance: float) -> Take | Shed:
     """Decide on one prompt.
 
-    A prompt on an idle replica is taken whatever its size: coming back
-    would not make it faster.
+    A prompt on an idle replica is taken whatever its size: coming back would
+    not make it faster. The most urgent prompts are taken as long as they can
+    be answered, since less urgent ones make room for them first.
 
     Args:
         chance: drawn evenly between 0 and 1, to spread callers that return.
     """
     queued_s = prompt.wait_s - prompt.own_s
-    returned = prompt.left_s < RETURNED_SHARE * prompt.usual_s
-    limit_s = QUEUE_SHARE * prompt.objective_s
-    if returned:
-        limit_s = LATE_SHARE * prompt.left_s
+    if prompt.urgent_objective_s is not None:
+        limit_s = min(
+            QUEUE_SHARE * prompt.objective_s,
+            prompt.own_s + URGENT_SHARE * prompt.urgent_objective_s,
+        )
+    else:
+        limit_s = min(MOST_WAIT_S, LATE_SHARE * prompt.left_s)
+        limit_s = max(limit_s, QUEUE_SHARE * prompt.objective_s)
     if prompt.wait_s <= limit_s or queued_s <= 0.1 * prompt.objective_s:
         return Take()
     excess_s = prompt.wait_s - limit_s
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -55,6 +55,7 @@
     Args:
         left_s: seconds that the call has left.
         note_answer: called with the head of the answer.
+        on_silence: see `upstream_channels.Channel`.
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "_responder",
         "_left_s",
         "_note_answer",
+        "_on_silence",
         "_channel",
         "_complete",
     )
@@ -78,6 +80,7 @@
         responder: caller_server.Responder,
         left_s: Callable[[], float],
         note_answer: Callable[[calls.Answer], None],
+        on_silence: Callable[[float], None],
     ) -> None:
         self._dialect = dialect
         self._channels = channels
@@ -86,6 +89,7 @@
         self._responder = responder
         self._left_s = left_s
         self._note_answer = note_answer
+        self._on_silence = on_silence
         self._channel: upstream_channels.Channel | None = None
         self._complete = False
 
@@ -96,6 +100,7 @@
             self._channel = self._channels.take(address, self._left_s)
         except errors.NotConnected:
             return False
+        self._channel.on_silence = self._on_silence
         return True
 
     def run(
@@ -146,6 +151,7 @@
     ) -> Answered | Unanswered:
         if answer.call_id and answer.call_id != self._call.call_id:
             raise errors.ConnectionLost("answer to another call")
+        self._member.heard_at = time.monotonic()
         self._note_answer(answer)
         if answer.not_run:
             self._read_body()
@@ -188,6 +194,7 @@
             stream.begun = True
             self._responder.begin(answer.status, answer.headers)
         while data := self._channel.read_data(self._left_s):
+            self._member.heard_at = time.monotonic()
             ready = b"".join(self._accept(reader.feed(data), stream))
             if ready:
                 self._responder.write(ready)
@@ -218,7 +225,15 @@
     responder: caller_server.Responder,
     left_s: Callable[[], float],
     note_answer: Callable[[calls.Answer], None],
+    on_silence: Callable[[float], None],
 ) -> Attempt:
     return Attempt(
-        dialect, channels, call, member, responder, left_s, note_answer
+        dialect,
+        channels,
+        call,
+        member,
+        responder,
+        left_s,
+        note_answer,
+        on_silence,
     )
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -15,6 +15,7 @@
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import liveness
 from papayalink.roles.gateway import watching
 from papayalink.state import traffic
 from papayalink.transport import caller_server
@@ -24,6 +25,13 @@
 # A replica that turned a call away gets none for this long, unless it said
 # when to come back.
 FULL_WAIT_S = 0.2
+# Objectives, and expected times to an answer, after which a call that may
+# run again is taken to another replica.
+PATIENCE = 3.0
+EXPECTED_PATIENCE = 2.0
+# The same within a stream: a replica that runs out of memory preempts
+# streams for about a second, and callers leave after 2 s or more.
+STREAM_PATIENCE_S = 1.6
 # Least time that an attempt is worth: a round trip and a short run.
 LEAST_LEFT_S = 0.02
 # Callers come back a third of their time later at most; before this a full
@@ -48,6 +56,7 @@
         "_channels",
         "_budgets",
         "_placement",
+        "_liveness",
         "_metrics",
         "_rng",
         "_log",
@@ -64,6 +73,7 @@
         metrics: metrics_module.Metrics,
     ) -> None:
         self._placement = placement
+        self._liveness = liveness.make_liveness(channels, metrics)
         self._dialect = dialect
         self._watcher = watcher
         self._fleet = fleet
@@ -234,7 +244,9 @@
             own_s=choice.own_s,
             objective_s=self._route.objective_s,
             left_s=self._left_s(),
-            usual_s=self._route.timeout_s,
+            urgent_objective_s=self._directory.urgent_objective_s(
+                self._service, self._route.rank
+            ),
         )
         match shedding.decide(prompt, self._owner._rng.random()):
             case shedding.Shed(retry_after_s):
@@ -271,9 +283,10 @@
             self._responder,
             self._left_s,
             note_answer,
+            lambda silent_s: self._check_silence(member, silent_s),
         )
         if not sending.connect():
-            member.note_not_reached(time.monotonic())
+            self._owner._liveness.note_not_reached(member)
             self._log_attempt(member, attempts.NotSent())
             return attempt.Unanswered(attempts.NotSent())
         dispatch = self._make_dispatch(member)
@@ -294,6 +307,27 @@
                 self._note_failure(member, outcome, now)
         return result
 
+    def _check_silence(self, member: fleets.Member, silent_s: float) -> None:
+        """End an exchange with a replica that cannot be reached any more.
+
+        A call that may run again is not left with one that is reached and
+        says nothing, either.
+        """
+        if not self._owner._liveness.is_reachable(member):
+            raise errors.ConnectionLost("replica not reachable")
+        if self._route.repeat is traffic.Repeat.ONCE:
+            return
+        if self._attempts.sent >= self._route.max_attempts:
+            return
+        patience_s = max(
+            PATIENCE * self._route.objective_s,
+            EXPECTED_PATIENCE * self._expected_s,
+        )
+        if self._stream is not None and self._stream.begun:
+            patience_s = max(patience_s, STREAM_PATIENCE_S)
+        if silent_s > patience_s:
+            raise errors.ConnectionLost(f"silent for {silent_s:.1f} s")
+
     def _note_parts(self, member: fleets.Member, salt: str) -> None:
         service = self._directory.service(self._service)
         if not self._call.model or service is None or service.engine is None:
--- a/papayalink/state/traffic.py
+++ b/papayalink/state/traffic.py
@@ -124,7 +124,7 @@
 class Directory:
     """Looks routes, services and keys of one version up."""
 
-    __slots__ = ("_traffic", "_by_host", "_services", "_keys")
+    __slots__ = ("_traffic", "_by_host", "_services", "_keys", "_objectives")
 
     def __init__(self, traffic: Traffic) -> None:
         self._traffic = traffic
@@ -133,6 +133,11 @@
             self._by_host.setdefault(route.host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
+        self._objectives: dict[str, set[tuple[int, float]]] = {}
+        for route in traffic.routes:
+            for target in route.targets if route.prompts else ():
+                known = self._objectives.setdefault(target.service, set())
+                known.add((route.rank, route.objective_s))
         self._services = {each.name: each for each in traffic.services}
         self._keys = {
             key: workspace
@@ -151,6 +156,17 @@
                 return route
         return None
 
+    def urgent_objective_s(self, service: str, rank: int) -> float | None:
+        """Returns: tightest objective of more urgent prompts of a service."""
+        return min(
+            (
+                objective_s
+                for known, objective_s in self._objectives.get(service, ())
+                if known < rank
+            ),
+            default=None,
+        )
+
     def service(self, name: str) -> Service | None:
         return self._services.get(name)
 
--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -12,7 +12,9 @@
 
 # Handshakes take one round trip of a few ms and 1 ms at the upstream; a SYN
 # that is lost comes again after a second.
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
+# Silence after which the owner of an exchange is asked whether to go on.
+SILENCE_S = 0.4
 # Part of an upstream's idle timeout after which a connection is not used any
 # more: the upstream's clock started earlier, at the end of its answer.
 _IDLE_SHARE = 0.7
@@ -28,9 +30,21 @@
 
 
 class Channel:
-    """One connection; carries one exchange at a time."""
-
-    __slots__ = ("_sock", "_connection", "_usable_until", "_whole", "used")
+    """One connection; carries one exchange at a time.
+
+    Attributes:
+        on_silence: called with the seconds without a byte while an answer
+            is waited for; ends the exchange by an error.
+    """
+
+    __slots__ = (
+        "on_silence",
+        "used",
+        "_sock",
+        "_connection",
+        "_usable_until",
+        "_whole",
+    )
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
@@ -38,6 +52,7 @@
         self._usable_until = 0.0
         self._whole = True
         self.used = False
+        self.on_silence: Callable[[float], None] = _go_on
 
     @property
     def fresh(self) -> bool:
@@ -128,11 +143,14 @@
         ):
             return False
         connection.start_next_cycle()
-        idle_s = DEFAULT_IDLE_S if keep_alive_s is None else keep_alive_s
-        self._usable_until = time.monotonic() + idle_s * _IDLE_SHARE
+        self.keep(DEFAULT_IDLE_S if keep_alive_s is None else keep_alive_s)
         self.used = True
         return True
 
+    def keep(self, idle_s: float) -> None:
+        """Use it again within most of the time it may be idle, in seconds."""
+        self._usable_until = time.monotonic() + idle_s * _IDLE_SHARE
+
     def close(self) -> None:
         self._sock.close()
 
@@ -148,14 +166,25 @@
                 raise errors.ConnectionLost(f"not HTTP: {error}") from error
             if part is not h11.NEED_DATA:
                 return part
-            self._sock.settimeout(max(0.001, left_s()))
+            self._connection.receive_data(self._receive(left_s))
+
+    def _receive(self, left_s: Callable[[], float]) -> bytes:
+        started = time.monotonic()
+        while True:
+            left = left_s()
+            self._sock.settimeout(max(0.001, min(SILENCE_S, left)))
             try:
-                data = self._sock.recv(_READ_BYTES)
+                return self._sock.recv(_READ_BYTES)
             except TimeoutError as error:
-                raise errors.Timeout("no answer in time") from error
+                if left <= SILENCE_S:
+                    raise errors.Timeout("no answer in time") from error
             except OSError as error:
                 raise errors.ConnectionLost(str(error)) from error
-            self._connection.receive_data(data)
+            self.on_silence(time.monotonic() - started)
+
+
+def _go_on(silent_s: float) -> None:
+    """Wait whatever happens."""
 
 
 class Channels:
@@ -197,6 +226,15 @@
         for channel in self._kept.pop(address, []):
             channel.close()
 
+    def check(self, address: str) -> None:
+        """Make a connection, which is kept.
+
+        Raises: errors.NotConnected
+        """
+        channel = self._connect(address, CONNECT_TIMEOUT_S)
+        channel.keep(DEFAULT_IDLE_S)
+        self.give_back(address, channel)
+
     def _connect(self, address: str, timeout_s: float) -> Channel:
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
