Take loading replicas out of the choice, and bound the use of old weights

Cause: a replica that loads weights turns calls away, and a route with one attempt then refuses its caller; requests on weights older than the time allowed break a rule, also when an order was lost.

Change: open orders travel with the watches, so entries leave a replica before its order is sent; the newest weights are preferred and older ones not used beyond 0.85 of the time allowed; an order without answer is given again after 0.5 s under a newer fence; a new leader closes orders that were left open. A 421 corrects what an entry believes of a replica's weights or address.

Ruled out: taking the end of an order for success. An order that failed would leave its replica without calls until the list says otherwise.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -33,6 +33,11 @@
 ZONE_COST_S = 0.01
 # Load that an answer told says little after this.
 TOLD_AGE_S = 1.0
+# Queue that is accepted to get an answer of the newest weights.
+OLD_WEIGHTS_COST_S = 0.15
+# Part of the time allowed for a change of weights after which older ones are
+# not used any more; the rest covers what the change took to arrive here.
+OLD_WEIGHTS_SHARE = 0.85
 # Weight of the newest attempt in the share of failed ones.
 FAILURE_ALPHA = 0.15
 # Cost of a failure that is certain: a repeat, or a call without answer.
@@ -49,6 +54,7 @@
         replica: as listed.
         weights: newest version by model, from the list and from answers.
         in_flight: calls of this entry that are not finished.
+        loading: it is to load weights and turns calls away meanwhile.
         heard_at: monotonic seconds of the last byte from it.
         prefill: prompt tokens of those that have no answer yet, by urgency.
     """
@@ -69,6 +75,7 @@
         "_failures",
         "_parts",
         "_part_tokens",
+        "loading",
     )
 
     def __init__(self, replica: replicas.Replica) -> None:
@@ -87,6 +94,7 @@
         self._failures = 0.0
         self._parts: dict[str, int] = {}
         self._part_tokens = 0
+        self.loading = False
 
     @property
     def failures(self) -> float:
@@ -97,6 +105,7 @@
         return (
             self.replica.condition is replicas.Condition.READY
             and self._reachable
+            and not self.loading
             and now >= self._avoid_until
         )
 
@@ -110,6 +119,14 @@
         """Keep calls away while no connection can be made."""
         self._reachable = reachable
 
+    def correct_weights(self, model: str, newest: int) -> None:
+        """Its weights are not the ones that it was thought to have."""
+        if self.weights.get(model, 0) < newest:
+            self.weights[model] = newest
+        else:
+            listed = self.replica.weights.get(model, 0)
+            self.weights[model] = min(self.weights.get(model, 0), listed)
+
     def note_full(self, now: float, wait_s: float) -> None:
         """Keep away for a while after a refusal."""
         self._avoid_until = max(self._avoid_until, now + wait_s)
@@ -212,6 +229,7 @@
 
     Args:
         zone: zone of this entry.
+        weights_s: seconds in which replicas are to have named weights.
         fetched_tokens: tells how many tokens at a prompt's start stores
             hold under a salt.
     """
@@ -222,18 +240,24 @@
         "_members",
         "_by_service",
         "_token_s",
+        "_named",
+        "_old_weights_s",
     )
 
     def __init__(
         self,
         zone: str,
+        weights_s: float,
         fetched_tokens: Callable[[str, tuple[calls.Part, ...]], int],
     ) -> None:
         self._zone = zone
+        self._old_weights_s = OLD_WEIGHTS_SHARE * weights_s
         self._fetched_tokens = fetched_tokens
         self._members: dict[str, Member] = {}
         self._by_service: dict[str, list[Member]] = {}
         self._token_s = 1 / PREFILL_TOKENS_PER_S
+        # Newest version and when it was named, by model.
+        self._named: dict[str, tuple[int, float]] = {}
 
     @property
     def tokens_per_s(self) -> float:
@@ -267,6 +291,25 @@
             service.append(member)
         return gone + list(before.values())
 
+    def name_weights(self, model: str, version: int, now: float) -> None:
+        """A newer version of a model's weights is wanted from now on."""
+        if version > self._named.get(model, (1, 0.0))[0]:
+            self._named[model] = (version, now)
+
+    def set_loading(self, loading: Iterable[messages.Loading]) -> None:
+        """Keep calls away from these replicas, and no longer from others."""
+        by_id = {each.replica_id: each for each in loading}
+        for replica_id, member in self._members.items():
+            member.loading = replica_id in by_id
+
+    def note_loaded(self, loaded: Iterable[messages.Loading]) -> None:
+        """These replicas have loaded the weights."""
+        for each in loaded:
+            member = self._members.get(each.replica_id)
+            if member is not None:
+                known = member.weights.get(each.model, 0)
+                member.weights[each.model] = max(known, each.version)
+
     def find(self, replica_id: str) -> Member | None:
         return self._members.get(replica_id)
 
@@ -319,7 +362,7 @@
             for member in self.members(wanted.service)
             if member.usable(now)
             and member.replica.replica_id not in excluded
-            and (not wanted.model or wanted.model in member.weights)
+            and (not wanted.model or self._has_weights(member, wanted, now))
         ]
         if not members:
             return None
@@ -343,6 +386,21 @@
         own = wanted.prompt_tokens - held - fetched + FETCH_COST * fetched
         return member.queued_tokens(wanted.urgency, now), max(1.0, own)
 
+    def _has_weights(self, member: Member, wanted: Wanted, now: float) -> bool:
+        """Returns: whether its weights may still be used."""
+        held = member.weights.get(wanted.model)
+        if held is None:
+            return False
+        version, named_at = self._named.get(wanted.model, (0, now))
+        return held >= version or now - named_at < self._old_weights_s
+
+    def _old_weights_cost_s(
+        self, member: Member, wanted: Wanted, now: float
+    ) -> float:
+        version, named_at = self._named.get(wanted.model, (0, now))
+        old = member.weights[wanted.model] < version
+        return OLD_WEIGHTS_COST_S if old and now - named_at > 1.0 else 0.0
+
     def _plain_cost(self, member: Member, now: float) -> float:
         load = member.in_flight + member.others(now)
         slots = max(1, member.replica.slots)
@@ -363,6 +421,7 @@
         load = (member.in_flight + member.others(now)) / slots
         # Each running request makes a step of the batch a little longer.
         cost_s = wait_s + 0.1 * load + FAILURE_COST_S * member.failures
+        cost_s += self._old_weights_cost_s(member, wanted, now)
         if member.replica.zone != self._zone:
             cost_s += ZONE_COST_S
         return cost_s, wait_s, own_s
@@ -379,11 +438,12 @@
 
 def make_fleet(
     zone: str,
+    weights_s: float,
     fetched_tokens: Callable[
         [str, tuple[calls.Part, ...]], int
     ] = lambda salt, parts: 0,
 ) -> Fleet:
-    return Fleet(zone, fetched_tokens)
+    return Fleet(zone, weights_s, fetched_tokens)
 
 
 def make_wanted(
--- a/papayalink/node_settings.py
+++ b/papayalink/node_settings.py
@@ -15,21 +15,19 @@
     """What the platform holds the processes to.
 
     Attributes:
-        drain_s: time in which a leaving upstream is to get no more work.
         grace_s: time between the signal to stop and the kill.
-        lease_s: time between orders of two holders to one upstream.
+        lease_ms: time between orders of two holders to one upstream.
         retry_ratio, retry_slack: attempts beyond the first of each call
             that all entries together may make in retry_window_s.
-        reuse_window_s: time after which a part read again is not counted.
+        weights_ms: time in which replicas are to have named weights.
     """
 
-    drain_s: float = 3.0
     grace_s: float = 8.0
-    lease_s: float = 3.0
+    lease_ms: int = 3_000
     retry_ratio: float = 0.2
     retry_slack: int = 50
     retry_window_s: float = 10.0
-    reuse_window_s: float = 20.0
+    weights_ms: int = 10_000
 
 
 class NodeSettings(
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -214,6 +214,14 @@
     text: str = ""
 
 
+class Loading(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that is to load weights and takes no calls meanwhile."""
+
+    replica_id: str
+    model: str
+    version: int
+
+
 class Watch(Message):
     """A process asks for numbered state that differs from what it holds.
 
@@ -227,6 +235,7 @@
     number: int = 0
     weights: dict[str, int] = {}
     wait_ms: int = 0
+    loading: tuple[Loading, ...] = ()
 
 
 class WatchReply(Message):
@@ -247,6 +256,7 @@
     members: tuple[str, ...] = ()
     watchers: int = 0
     leader: str = ""
+    loading: tuple[Loading, ...] = ()
 
     @property
     def compact(self) -> bool:
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -15,6 +15,7 @@
 from papayalink.roles.authority import address_book
 from papayalink.roles.authority import numbered_state
 from papayalink.roles.authority import store_watch
+from papayalink.roles.authority import weights
 from papayalink.state import machine as machines
 from papayalink.transport import rpc
 
@@ -149,7 +150,19 @@
 
     def _differs(self, watch: messages.Watch) -> bool:
         held = self._machine.numbered
-        return held.number != watch.number or held.weights != watch.weights
+        return (
+            held.number != watch.number
+            or held.weights != watch.weights
+            or self._loading() != watch.loading
+        )
+
+    def _loading(self) -> tuple[messages.Loading, ...]:
+        found = []
+        for order in self._machine.upstreams.open_orders:
+            load = weights.parse_argument(order.argument)
+            if order.action == weights.LOAD_WEIGHTS and load is not None:
+                found.append(messages.Loading(order.upstream, *load))
+        return tuple(found)
 
     def _reply(self, watch: messages.Watch) -> messages.WatchReply:
         held = self._machine.numbered
@@ -175,6 +188,7 @@
             members=tuple(self._book[name] for name in sorted(names)),
             watchers=len(self._watched_at),
             leader=self._state.leader_address(),
+            loading=self._loading(),
         )
 
 
--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -26,6 +26,22 @@
 STATUS_AFTER_S = 0.8
 PROPOSE_TIMEOUT_S = 0.8
 LOAD_WEIGHTS = "load_weights"
+# Entries learn of an open order by their watches within about 0.05 s; calls
+# that they sent before are on their way for a few ms.
+NOTICE_S = 0.15
+# An order without an answer is given again after this, under a newer fence.
+UNANSWERED_S = 0.5
+
+
+_SEPARATOR = "@"
+
+
+def parse_argument(argument: str) -> tuple[str, int] | None:
+    """Returns: model and version of an order, None for another's."""
+    model, separator, version = argument.rpartition(_SEPARATOR)
+    if not separator or not version.isdigit():
+        return None
+    return model, int(version)
 
 
 class _Due(msgspec.Struct):
@@ -44,6 +60,7 @@
         "_known",
         "_listed_at",
         "_ordered_at",
+        "_loading",
         "_leading_since",
         "_inbox",
         "_log",
@@ -65,6 +82,7 @@
         self._known: dict[str, replica_states.Replica] = {}
         self._listed_at = 0.0
         self._ordered_at: dict[str, float] = {}
+        self._loading: set[str] = set()
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
@@ -85,7 +103,8 @@
                 self._leading_since = now
             # An earlier leader may have ordered until it lost its quorum, and
             # two holders within the lease would take turns.
-            if now - self._leading_since < self._node.settings.bounds.lease_s:
+            lease_s = self._node.settings.bounds.lease_ms / 1000
+            if now - self._leading_since < lease_s:
                 continue
             try:
                 self._act(now)
@@ -96,6 +115,7 @@
                 self._log.warning("weights_upkeep_interrupted", reason=error)
 
     def _act(self, now: float) -> None:
+        self._close_abandoned()
         wanted = self._machine.numbered.weights
         if not wanted:
             return
@@ -112,8 +132,18 @@
             self._known.values(), wanted, self._ordered_at, now
         ):
             self._ordered_at[load.replica.replica_id] = now
+            self._loading.add(load.replica.replica_id)
             gevent.spawn(self._load, load)
 
+    def _close_abandoned(self) -> None:
+        """Close orders that an earlier leader, or a failure, left open.
+
+        Entries keep calls away from a replica while its order is open.
+        """
+        for order in self._machine.upstreams.open_orders:
+            if order.upstream not in self._loading:
+                self._close(order)
+
     def _read_list(self, now: float) -> None:
         """Take replicas from the list; it may lag behind what was seen."""
         listed = self._platform.list_replicas()
@@ -137,6 +167,7 @@
         )
         try:
             order = self._open(load)
+            gevent.sleep(NOTICE_S)
             # Leadership may have gone while this process stood still.
             self._state.confirm()
             if not self._replica.is_leader:
@@ -158,6 +189,12 @@
             upstream_client.UpstreamClientError,
         ) as error:
             log.warning("weights_not_ordered", reason=error)
+            again_at = time.monotonic() + UNANSWERED_S
+            self._ordered_at[replica.replica_id] = (
+                again_at - weight_loads.REPEAT_S
+            )
+        finally:
+            self._loading.discard(replica.replica_id)
 
     def _wait_loaded(self, load: weight_loads.Load) -> None:
         """Ask the replica until it holds the weights or is to be retried."""
@@ -194,7 +231,7 @@
             upstreams.OpenOrder(
                 load.replica.replica_id,
                 LOAD_WEIGHTS,
-                f"{load.model}@{load.version}",
+                f"{load.model}{_SEPARATOR}{load.version}",
                 self._node.settings.name,
             )
         )
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -34,6 +34,9 @@
 STREAM_PATIENCE_S = 1.6
 # Least time that an attempt is worth: a round trip and a short run.
 LEAST_LEFT_S = 0.02
+MISDIRECTED = 421
+# Longer than the list lags.
+ELSEWHERE_S = 3.0
 # Callers come back a third of their time later at most; before this a full
 # fleet has not changed.
 RETRY_AFTER_S = 0.5
@@ -356,11 +359,20 @@
             member.weights[self._call.model] = max(
                 known, answer.weight_version
             )
-        elif answer.status == 421 and self._call.model:
-            # The replica's weights have changed since they were last seen.
-            newest = self._owner._watcher.weights.get(self._call.model, 0)
-            known = member.weights.get(self._call.model, 0)
-            member.weights[self._call.model] = max(known, newest)
+        elif answer.status == MISDIRECTED:
+            self._correct(member, answer)
+
+    def _correct(self, member: fleets.Member, answer: calls.Answer) -> None:
+        """Learn from an upstream that is not the one that was meant."""
+        now = time.monotonic()
+        if answer.upstream and answer.upstream != member.replica.replica_id:
+            # Another replica has the address; the list will say so.
+            member.note_full(now, ELSEWHERE_S)
+        elif self._call.model:
+            member.correct_weights(
+                self._call.model,
+                self._owner._watcher.weights.get(self._call.model, 0),
+            )
 
     def _make_dispatch(self, member: fleets.Member) -> calls.Dispatch:
         version = member.weights.get(self._call.model, 0)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -66,11 +66,13 @@
             settings.zone, directory
         )
         self._fleet = fleets.make_fleet(
-            settings.zone, self._placement.fetched_tokens
+            settings.zone,
+            settings.bounds.weights_ms / 1000,
+            self._placement.fetched_tokens,
         )
         self._channels = upstream_channels.make_channels()
         self._watcher = watching.make_watcher(
-            node, translate, self._take_document
+            node, translate, self._take_changes
         )
         self._parts = parts.make_parts_follower(
             node, self._watcher.authorities, self._fleet, directory
@@ -156,10 +158,16 @@
         """Take seeds that have changed; the rest needs a restart."""
         self._watcher.add_members(settings.seed_peers)
 
-    def _take_document(self) -> None:
+    def _take_changes(self) -> None:
+        """Act on a newer document, newer weights or other loads."""
         directory = self._watcher.directory
         if directory is not None:
             self._placement.set_stores(directory.traffic.stores)
+        now = time.monotonic()
+        for model, version in self._watcher.weights.items():
+            self._fleet.name_weights(model, version, now)
+        self._fleet.set_loading(self._watcher.loading)
+        self._fleet.note_loaded(self._watcher.loaded)
 
     def _limits(self) -> traffic.CallerLimits:
         directory = self._watcher.directory
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -47,6 +47,8 @@
         "_watchers",
         "_confirmed_at",
         "_leader",
+        "_loading",
+        "_loaded",
         "_connected",
         "_log",
     )
@@ -68,6 +70,8 @@
         self._watchers = 1
         self._confirmed_at: float | None = None
         self._leader = ""
+        self._loading: tuple[messages.Loading, ...] = ()
+        self._loaded: tuple[messages.Loading, ...] = ()
         self._connected = False
         self._log = logs.get_logger()
 
@@ -95,6 +99,16 @@
         others = [each for each in self._members if each != self._leader]
         return [self._leader, *others] if self._leader else others
 
+    @property
+    def loading(self) -> tuple[messages.Loading, ...]:
+        """Replicas that are to load weights now."""
+        return self._loading
+
+    @property
+    def loaded(self) -> tuple[messages.Loading, ...]:
+        """Replicas whose load ended with the last change."""
+        return self._loaded
+
     def age_s(self) -> float:
         """Returns: seconds since a member confirmed what is held."""
         if self._confirmed_at is None:
@@ -123,6 +137,7 @@
             self._number,
             self._weights,
             WAIT_MS if self._number else 0,
+            self._loading,
         )
         timeout_s = TIMEOUT_S if self._number else FIRST_TIMEOUT_S
         try:
@@ -173,6 +188,12 @@
                 self._weights = {**self._weights, model: version}
                 changed = True
                 self._log.info("weights_named", model=model, version=version)
+        if reply.loading != self._loading:
+            self._loaded = tuple(
+                load for load in self._loading if load not in reply.loading
+            )
+            self._loading = reply.loading
+            changed = True
         if changed:
             self._on_change()
 
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -29,7 +29,7 @@
 
 
 def _fleet(*listed, fetched=0):
-    fleet = fleets.make_fleet("z1", lambda salt, parts: fetched)
+    fleet = fleets.make_fleet("z1", 10.0, lambda salt, parts: fetched)
     fleet.update(listed)
     return fleet
 
@@ -195,3 +195,47 @@
         return fleets.make_salt(wanted, version)
 
     assert (salt(*first) == salt(*second)) is same
+
+
+def test_replicas_that_load_weights_take_no_calls():
+    fleet = _fleet(_replica("r1"), _replica("r2", zone="z2"))
+    loading = messages.Loading("r1", "m", 2)
+    fleet.set_loading([loading])
+    assert _choose(fleet, _prompt()) == "r2"
+    fleet.set_loading([])
+    fleet.note_loaded([loading])
+    assert fleet.find("r1").weights == {"m": 2}
+    assert _choose(fleet, _prompt()) == "r1"
+
+
+@pytest.mark.parametrize(
+    ("age_s", "chosen"), [(0.5, "r1"), (2.0, "r2"), (9.0, "r2")]
+)
+def test_newest_weights_are_preferred(age_s, chosen):
+    fleet = _fleet(_replica("r1"), _replica("r2", "z2", weights={"m": 2}))
+    fleet.name_weights("m", 2, _NOW - age_s)
+    assert _choose(fleet, _prompt()) == chosen
+
+
+def test_old_weights_are_not_used_beyond_their_time():
+    fleet = _fleet(_replica("r1"))
+    fleet.name_weights("m", 2, _NOW - 8.0)
+    assert _choose(fleet, _prompt()) == "r1"
+    fleet.name_weights("m", 2, _NOW)
+    fleet = _fleet(_replica("r1"))
+    fleet.name_weights("m", 2, _NOW - 9.0)
+    assert _choose(fleet, _prompt()) is None
+
+
+@pytest.mark.parametrize(
+    ("believed", "listed", "newest", "corrected"),
+    [(1, 1, 2, 2), (2, 1, 2, 1), (2, 2, 2, 2), (3, 1, 3, 1)],
+)
+def test_wrong_belief_about_weights_is_corrected(
+    believed, listed, newest, corrected
+):
+    # An order that failed must not leave a replica without calls.
+    member = fleets.Member(_replica("r1", weights={"m": listed}))
+    member.weights["m"] = believed
+    member.correct_weights("m", newest)
+    assert member.weights["m"] == corrected
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -135,7 +135,7 @@
         placement = cache_placement.make_cache_placement(
             "z", part_directory.make_part_directory()
         )
-        self.fleet = fleets.make_fleet("z")
+        self.fleet = fleets.make_fleet("z", 10.0)
         self.metrics = metrics_module.make_metrics()
         channels = upstream_channels.make_channels()
         self.fleet.update(
