Share which replicas cannot be reached, and elect sooner after a start

Cause: each of seven entries found a dark replica with a call of its own, at 0.25 to 0.9 s each, up to 2 s after the first entry had found it. After a kill of all processes entries wait for the first election, 0.5 to 1 s. Connections were kept for 2.8 s whatever the replica says.

Change: entries tell the leader what they cannot reach; the others connect at once and decide by themselves. The first election of a member that has heard no leader comes after 0.15 to 0.25 s. The idle time that a replica tells is used.

Ruled out: trusting another entry's word; one zone may be cut off alone.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -28,9 +28,9 @@
 # Work of other entries is not counted any more after this; they report five
 # times a second.
 OTHERS_AGE_S = 1.5
-# Cost of another zone: a round trip, and the bytes that are paid for. A few
-# ms of queue at the own zone's replicas are better than that.
-ZONE_COST_S = 0.01
+# Cost of another zone: a round trip, and the bytes that are paid for. A short
+# queue at the own zone's replicas is better than that.
+ZONE_COST_S = 0.02
 # Load that an answer told says little after this.
 TOLD_AGE_S = 1.0
 # Prompt tokens of less urgent work that are read between the first tokens of
@@ -113,6 +113,11 @@
         """Share of recent attempts that failed, newest first."""
         return self._failures
 
+    @property
+    def reachable(self) -> bool:
+        """Whether connections to it can be made, as far as is known."""
+        return self._reachable
+
     def usable(self, now: float) -> bool:
         return (
             self.replica.condition is replicas.Condition.READY
@@ -371,6 +376,14 @@
             if member.in_flight
         )
 
+    def lost(self) -> tuple[str, ...]:
+        """Returns: replicas that this entry cannot reach."""
+        return tuple(
+            replica_id
+            for replica_id, member in self._members.items()
+            if not member.reachable
+        )
+
     def take_others(
         self, work: Iterable[messages.ReplicaWork], now: float
     ) -> None:
--- a/papayalink/coordination/load_board.py
+++ b/papayalink/coordination/load_board.py
@@ -13,21 +13,42 @@
 class LoadBoard:
     """Newest report of each entry."""
 
-    __slots__ = ("_reports",)
+    __slots__ = ("_reports", "_lost")
 
     def __init__(self) -> None:
         self._reports: dict[
             str, tuple[float, tuple[messages.ReplicaWork, ...]]
         ] = {}
+        self._lost: dict[str, tuple[float, tuple[str, ...]]] = {}
 
     def report(
         self,
         entry: str,
         work: tuple[messages.ReplicaWork, ...],
         now: float,
+        lost: tuple[str, ...] = (),
     ) -> None:
-        """Take what an entry has at the replicas."""
+        """Take what an entry has at the replicas, and cannot reach."""
         self._reports[entry] = (now, work)
+        self._lost[entry] = (now, lost)
+
+    def lost_to_others(self, entry: str, now: float) -> tuple[str, ...]:
+        """Returns: replicas that some other entry cannot reach."""
+        self._lost = {
+            name: report
+            for name, report in self._lost.items()
+            if now - report[0] < REPORT_AGE_S
+        }
+        return tuple(
+            sorted(
+                {
+                    replica_id
+                    for name, (_, lost) in self._lost.items()
+                    if name != entry
+                    for replica_id in lost
+                }
+            )
+        )
 
     def others(
         self, entry: str, now: float
--- a/papayalink/coordination/raft/inputs.py
+++ b/papayalink/coordination/raft/inputs.py
@@ -18,6 +18,8 @@
         hard_state: stored term and vote.
         snapshot: stored snapshot, None when the log starts at index 1.
         entries: stored entries after the snapshot.
+        first_election_ticks: the same for the time from the start to the
+            first message of a leader; None for no difference.
         election_ticks: shortest election timeout; the longest is below
             twice as long.
         heartbeat_ticks: ticks between heartbeats.
@@ -38,6 +40,7 @@
     snapshot: peer_messages.Snapshot | None = None
     entries: list[log_entries.Entry] = []
     election_ticks: int = 10
+    first_election_ticks: int | None = None
     heartbeat_ticks: int = 2
     # 5 s at the default tick, well above the transfer of a part, and of
     # the write and restore behind the last one.
--- a/papayalink/coordination/raft/node_state.py
+++ b/papayalink/coordination/raft/node_state.py
@@ -111,6 +111,7 @@
         "_dirty",
         "_held",
         "_next_write_id",
+        "_first_term",
     )
 
     def __init__(self, config: inputs.Config) -> None:
@@ -151,6 +152,7 @@
         self._dirty = False
         self._held: list[messages.PeerMessage] = []
         self._next_write_id = 1
+        self._first_term = self.term
         self.reset_election_timer()
 
     @property
@@ -193,6 +195,8 @@
     def reset_election_timer(self) -> None:
         """Start a new election timeout of a random length."""
         ticks = self.config.election_ticks
+        if self.leader_id is None and self.term == self._first_term:
+            ticks = self.config.first_election_ticks or ticks
         self.election_elapsed = 0
         self.election_timeout = self._random.randint(ticks, 2 * ticks - 1)
 
--- a/papayalink/coordination/replica_loading.py
+++ b/papayalink/coordination/replica_loading.py
@@ -40,6 +40,8 @@
         tick_s: seconds between ticks.
         election_ticks: shortest election timeout; the longest is below
             twice as long.
+        first_election_ticks: shortest timeout of the first election after
+            a start; pre-votes keep it from disturbing a living leader.
         heartbeat_ticks: ticks between heartbeats.
         snapshot_entries: applied entries after which a snapshot is taken.
         snapshot_bytes: applied bytes after which a snapshot is taken. Both
@@ -51,6 +53,7 @@
     member_id: str
     tick_s: float = 0.05
     election_ticks: int = 10
+    first_election_ticks: int | None = None
     heartbeat_ticks: int = 2
     snapshot_entries: int = 1000
     # A restart reads at most this much besides the snapshot, or as much
@@ -94,6 +97,7 @@
             snapshot=snapshot,
             entries=stored.entries,
             election_ticks=settings.election_ticks,
+            first_election_ticks=settings.first_election_ticks,
             heartbeat_ticks=settings.heartbeat_ticks,
             paced_reads=True,
         )
--- a/papayalink/platform/dialect.py
+++ b/papayalink/platform/dialect.py
@@ -129,6 +129,7 @@
             load=_load(found.get(_LOAD, "")),
             retry_after_s=_seconds(found.get(_RETRY_AFTER, "")),
             weight_version=_number(found.get(_VERSIONS, "")),
+            keep_alive_s=_keep_alive_s(found.get(b"keep-alive", "")),
             headers=_forwarded(headers, frozenset()),
         )
 
@@ -211,6 +212,14 @@
         return None
 
 
+def _keep_alive_s(text: str) -> float | None:
+    for word in text.split(","):
+        name, _, value = word.partition("=")
+        if name.strip().lower() == "timeout" and _number(value):
+            return float(_number(value))
+    return None
+
+
 def _addresses(addresses: tuple[str, ...]) -> str:
     """Returns: one address for each part, "-" where there is none."""
     return ",".join(address or "-" for address in addresses)
--- a/papayalink/protocol/calls.py
+++ b/papayalink/protocol/calls.py
@@ -90,6 +90,7 @@
         upstream: incarnation that answered, "" when it does not say.
         retry_after_s: when to come back, None when it does not say.
         weight_version: weights that the answer was made with, 0 unknown.
+        keep_alive_s: how long the connection may be idle, None unknown.
         headers: what the caller gets.
     """
 
@@ -101,6 +102,7 @@
     load: Load | None = None
     retry_after_s: float | None = None
     weight_version: int = 0
+    keep_alive_s: float | None = None
     headers: Headers = []
 
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -287,12 +287,14 @@
     Attributes:
         source: member and run that the number is of, "" at first.
         number: changes of the directory that the entry has.
+        lost: replicas that the entry cannot reach.
     """
 
     process: str
     source: str = ""
     number: int = 0
     work: tuple[ReplicaWork, ...] = ()
+    lost: tuple[str, ...] = ()
 
 
 class PartsReply(Message):
@@ -301,6 +303,7 @@
     Attributes:
         whole: the changes are all that is held; what the entry has is void.
         work: work of all other entries.
+        lost: replicas that some other entry cannot reach.
     """
 
     source: str
@@ -308,6 +311,7 @@
     whole: bool = False
     changes: tuple[part_directory.Change, ...] = ()
     work: tuple[ReplicaWork, ...] = ()
+    lost: tuple[str, ...] = ()
 
 
 class Lookup(Message):
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -26,6 +26,10 @@
 from papayalink.transport import http_server
 from papayalink.transport import rpc
 
+# 0.15 to 0.25 s after a start of the whole group, in which entries have no
+# document and turn calls away; heartbeats of a living leader come each 0.1 s.
+FIRST_ELECTION_TICKS = 3
+
 MakeOperatorApp = Callable[[numbered_state.NumberedState], http_server.WsgiApp]
 
 
@@ -156,7 +160,10 @@
         first_members = self._settle_identity(log_folder)
         self._peers.set_own(self._identity.member_id)
         self._replica = replicas.make_replica(
-            replica_loading.Settings(member_id=self._identity.member_id),
+            replica_loading.Settings(
+                member_id=self._identity.member_id,
+                first_election_ticks=FIRST_ELECTION_TICKS,
+            ),
             log_store.DiskLogStore(log_folder),
             observed.make_observed(self._machine, self._note_applied),
             self._node.timers,
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -105,7 +105,7 @@
     def parts(self, message: messages.Parts) -> messages.PartsReply:
         """Tell what the stores hold, and what other entries have to do."""
         now = time.monotonic()
-        self._board.report(message.process, message.work, now)
+        self._board.report(message.process, message.work, now, message.lost)
         directory = self._stores.directory
         changes = None
         if message.source == self._source:
@@ -119,6 +119,7 @@
             whole=whole,
             changes=tuple(changes),
             work=self._board.others(message.process, now),
+            lost=self._board.lost_to_others(message.process, now),
         )
 
     def propose(self, message: messages.Propose) -> messages.Outcome:
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -84,6 +84,7 @@
         "_on_silence",
         "_channel",
         "_complete",
+        "_keep_alive_s",
     )
 
     def __init__(
@@ -107,6 +108,7 @@
         self._on_silence = on_silence
         self._channel: upstream_channels.Channel | None = None
         self._complete = False
+        self._keep_alive_s: float | None = None
 
     def connect(self) -> bool:
         """Returns: whether there is a connection to send the call on."""
@@ -151,7 +153,7 @@
 
     def _finish(self) -> None:
         """Keep the connection after a whole answer, else close it."""
-        if self._complete and self._channel.finish(None):
+        if self._complete and self._channel.finish(self._keep_alive_s):
             address = self._member.replica.address
             self._channels.give_back(address, self._channel)
         else:
@@ -167,6 +169,7 @@
         if answer.call_id and answer.call_id != self._call.call_id:
             raise errors.ConnectionLost("answer to another call")
         self._member.heard_at = time.monotonic()
+        self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
         if answer.not_run:
             self._read_body()
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -15,7 +15,7 @@
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import budgets
-from papayalink.roles.gateway import liveness
+from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import watching
 from papayalink.state import traffic
 from papayalink.transport import caller_server
@@ -73,10 +73,11 @@
         channels: upstream_channels.Channels,
         retry_budgets: budgets.Budgets,
         placement: cache_placement.CachePlacement,
+        liveness: livenesses.Liveness,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._placement = placement
-        self._liveness = liveness.make_liveness(channels, metrics)
+        self._liveness = liveness
         self._dialect = dialect
         self._watcher = watcher
         self._fleet = fleet
@@ -526,8 +527,16 @@
     channels: upstream_channels.Channels,
     retry_budgets: budgets.Budgets,
     placement: cache_placement.CachePlacement,
+    liveness: livenesses.Liveness,
     metrics: metrics_module.Metrics,
 ) -> Handler:
     return Handler(
-        dialect, watcher, fleet, channels, retry_budgets, placement, metrics
+        dialect,
+        watcher,
+        fleet,
+        channels,
+        retry_budgets,
+        placement,
+        liveness,
+        metrics,
     )
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -10,6 +10,7 @@
 from papayalink.coordination import fleet as fleets
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
+from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import part_directory
 from papayalink.transport import errors
 
@@ -30,6 +31,7 @@
         members: tells the addresses of members, the best first. All entries
             should follow the same one, which then knows the work of all.
         fleet: tells the work of this entry, and takes that of the others.
+        liveness: looks at replicas that others cannot reach.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "_members",
         "_failures",
         "_fleet",
+        "_liveness",
         "_directory",
         "_source",
         "_number",
@@ -49,12 +52,14 @@
         node: nodes.Node,
         members: Callable[[], list[str]],
         fleet: fleets.Fleet,
+        liveness: livenesses.Liveness,
         directory: part_directory.PartDirectory,
     ) -> None:
         self._node = node
         self._members = members
         self._failures = 0
         self._fleet = fleet
+        self._liveness = liveness
         self._directory = directory
         self._source = ""
         self._number = 0
@@ -83,6 +88,7 @@
             self._source,
             self._number,
             self._fleet.own_work(),
+            self._fleet.lost(),
         )
         try:
             reply = self._node.rpc_client.call(
@@ -98,6 +104,10 @@
         self._number = reply.number
         self._read_at = time.monotonic()
         self._fleet.take_others(reply.work, self._read_at)
+        for replica_id in reply.lost:
+            member = self._fleet.find(replica_id)
+            if member is not None and member.reachable:
+                gevent.spawn(self._liveness.is_reachable, member)
         return True
 
 
@@ -105,6 +115,7 @@
     node: nodes.Node,
     members: Callable[[], list[str]],
     fleet: fleets.Fleet,
+    liveness: livenesses.Liveness,
     directory: part_directory.PartDirectory,
 ) -> PartsFollower:
-    return PartsFollower(node, members, fleet, directory)
+    return PartsFollower(node, members, fleet, liveness, directory)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -17,6 +17,7 @@
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import listing
+from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
 from papayalink.roles.gateway import watching
 from papayalink.state import part_directory
@@ -74,8 +75,9 @@
         self._watcher = watching.make_watcher(
             node, translate, self._take_changes
         )
+        liveness = livenesses.make_liveness(self._channels, node.metrics)
         self._parts = parts.make_parts_follower(
-            node, self._watcher.authorities, self._fleet, directory
+            node, self._watcher.authorities, self._fleet, liveness, directory
         )
         self._listing = listing.make_listing(
             client, self._fleet, self._channels.forget, node.metrics
@@ -89,6 +91,7 @@
                 settings.bounds, lambda: self._watcher.watchers
             ),
             self._placement,
+            liveness,
             node.metrics,
         )
         self._server = caller_server.make_caller_server(
--- a/tests/coordination/raft/test_core.py
+++ b/tests/coordination/raft/test_core.py
@@ -348,3 +348,16 @@
         node.step(inputs.Tick())
         found.append(node.first_index)
     assert found == [41, 81, 101, 101]
+
+
+def test_first_election_comes_early_and_later_ones_do_not():
+    # After a start of the whole group nobody else will lead.
+    node = _node(election_ticks=10, first_election_ticks=3)
+    _tick(node, 5)
+    assert node.role.value == "pre-candidate"
+    _receive(node, messages.Append, 0, 0, (), 0, term=1)
+    assert node.role.value == "follower"
+    _tick(node, 9)
+    assert node.role.value == "follower"
+    _tick(node, 10)
+    assert node.role.value == "pre-candidate"
--- a/tests/coordination/test_load_board.py
+++ b/tests/coordination/test_load_board.py
@@ -30,3 +30,15 @@
     board.report("e1", (_work("r1", 1),), 0.0)
     board.report("e1", (), 1.0)
     assert board.others("e2", 1.1) == ()
+
+
+def test_replicas_that_others_lost_are_told():
+    # One entry finds a dark replica; the others look at once, not each with
+    # a call of its own.
+    board = load_board.make_load_board()
+    board.report("e1", (), 0.0, ("r1",))
+    board.report("e2", (), 0.0, ("r1", "r2"))
+    board.report("e3", (), 0.0)
+    assert board.lost_to_others("e3", 0.1) == ("r1", "r2")
+    assert board.lost_to_others("e2", 0.1) == ("r1",)
+    assert board.lost_to_others("e3", load_board.REPORT_AGE_S) == ()
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -153,3 +153,18 @@
     ]
     answer = dialects.make_dialect().decode_answer(200, headers)
     assert answer.headers == [headers[0], headers[3]]
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        (b"timeout=5", 5.0),
+        (b"max=100, Timeout=7", 7.0),
+        (b"timeout=x", None),
+        (b"", None),
+    ],
+)
+def test_keep_alive(text, seconds):
+    headers = [(b"Keep-Alive", text)]
+    answer = dialects.make_dialect().decode_answer(200, headers)
+    assert answer.keep_alive_s == seconds
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -13,6 +13,7 @@
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import handling
+from papayalink.roles.gateway import liveness
 from papayalink.state import part_directory
 from papayalink.state import replicas
 from papayalink.state import traffic
@@ -159,6 +160,7 @@
             channels,
             budgets.make_budgets(node_settings.Bounds(), lambda: 1),
             placement,
+            liveness.make_liveness(channels, self.metrics),
             self.metrics,
         )
         self.server = caller_server.make_caller_server(
