--- /dev/null
+++ b/tests/roles/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the authority."""
--- /dev/null
+++ b/tests/roles/authority/test_authorities.py
@@ -0,0 +1,227 @@
+"""Tests of authorities on loopback, with operators and watching entries."""
+
+import json
+
+import gevent
+from gevent import socket
+import geventhttpclient
+import pytest
+
+from papayalink import node_settings
+from papayalink.coordination import upstream_client
+from papayalink.platform import document
+from papayalink.platform import operator_api
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.roles.authority import process
+from papayalink.roles.control import identity
+from papayalink.state import replicas
+from papayalink.transport import errors as transport_errors
+
+_KEY = "ab" * 32
+_PATIENCE_S = 20
+
+
+def _document(number, **changes):
+    value = {"version": number, "routes": [], "services": []} | changes
+    return json.dumps(value).encode()
+
+
+class _Replicas:
+    """Replicas that load weights when they are told."""
+
+    def __init__(self):
+        self.weights = {"r1": 1, "r2": 1, "r3": 1}
+        self.orders = []
+
+    def list_replicas(self):
+        return [
+            replicas.Replica(
+                replica_id=name,
+                service="s",
+                address="127.0.0.1:1",
+                zone="z",
+                slots=1,
+                condition=replicas.Condition.READY,
+                weights={"m": version},
+            )
+            for name, version in self.weights.items()
+        ]
+
+    def weights_of(self, replica):
+        return {"m": self.weights[replica.replica_id]}
+
+    def order_weights(self, replica, model, version, holder, fence):
+        self.orders.append((replica.replica_id, version, holder, fence))
+        if len(self.orders) == 1:
+            raise upstream_client.UpstreamClientError("no answer")
+        self.weights[replica.replica_id] = version
+        return True
+
+
+def _free_port(ip):
+    with socket.socket() as free:
+        free.bind((ip, 0))
+        return free.getsockname()[1]
+
+
+class _Member:
+    """One authority at an address of the loopback range."""
+
+    def __init__(self, ip, port, operator_port, folder, client, first=True):
+        self.ip = ip
+        self.operator = (ip, operator_port)
+        seeds = tuple(f"127.0.9.{each}:{operator_port}" for each in (1, 2, 3))
+        self.settings = node_settings.Authority(
+            name=f"a{ip}",
+            ip=ip,
+            zone="z",
+            region="r",
+            seeds=seeds,
+            peer_port=port,
+            platform_address="127.0.0.1:1",
+            inspect_listen=f"{ip}:{operator_port + 1}",
+            deployment_key=_KEY,
+            operator_listen=f"{ip}:{operator_port}",
+            data_folder=str(folder),
+            first_start=first,
+        )
+        self.node = nodes.make_node(self.settings)
+        self.process = process.make_process(
+            self.node,
+            "/nonexistent",
+            operator_api.make_application,
+            client,
+            document.translate,
+            lambda store: None,
+        )
+        self.process.start()
+
+    def call(self, method, path, body=b""):
+        client = geventhttpclient.HTTPClient(
+            *self.operator, connection_timeout=5, network_timeout=5
+        )
+        answer = client.request(method, path, body)
+        return answer.status_code, bytes(answer.read())
+
+    def put(self, body):
+        return self.call("PUT", "/-/config", body)[0]
+
+    def watch(self, **fields):
+        return self.node.rpc_client.call(
+            f"{self.ip}:{self.settings.peer_port}",
+            "Watch",
+            messages.Watch("e1", **fields),
+        )
+
+    def stop(self):
+        self.process.drain()
+        self.node.rpc_client.close()
+        self.node.timers.stop()
+
+
+def _until(condition):
+    with gevent.Timeout(_PATIENCE_S):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+@pytest.fixture
+def group(tmp_path):
+    client = _Replicas()
+    port = _free_port("127.0.9.1")
+    operator_port = _free_port("127.0.9.1")
+    members = [
+        _Member(
+            f"127.0.9.{place}",
+            port,
+            operator_port,
+            tmp_path / str(place),
+            client,
+        )
+        for place in (1, 2, 3)
+    ]
+    _until(lambda: all(member.process.accepting for member in members))
+    yield members, client, tmp_path
+    for member in members:
+        member.stop()
+
+
+def _put(member, body):
+    """Put until there is a clear answer, as operators do."""
+    _until(lambda: member.put(body) != 503)
+    return member.put(body)
+
+
+def test_operators_and_entries(group):
+    members, client, _ = group
+    assert members[0].call("GET", "/-/config")[0] == 503
+    first = _document(2)
+    assert _put(members[0], first) == 200
+    # The highest number wins at each member; others are acknowledged.
+    for member in members:
+        assert member.call("GET", "/-/config") == (200, first)
+        assert member.put(_document(2, routes=[], other=1)) == 200
+        assert member.put(_document(1)) == 200
+        assert member.put(b"{") == 400
+        assert member.call("GET", "/-/config") == (200, first)
+    # A watch is answered when a newer document is stored.
+    waiting = gevent.spawn(members[1].watch, number=2, wait_ms=1000)
+    gevent.sleep(0.1)
+    assert not waiting.ready()
+    assert members[2].put(_document(7)) == 200
+    reply = waiting.get(timeout=_PATIENCE_S)
+    assert (reply.number, reply.content) == (7, _document(7))
+    assert members[1].watch(number=7, wait_ms=1).content == b""
+    assert len(reply.members) == 3
+
+
+def test_weights_reach_all_replicas_also_when_an_order_is_lost(group):
+    members, client, _ = group
+    body = json.dumps({"model": "m", "version": 2}).encode()
+    _until(lambda: members[0].call("POST", "/-/version-put", body)[0] == 200)
+    _until(lambda: set(client.weights.values()) == {2})
+    # One holder, and fencing numbers that grow at each replica.
+    assert len({holder for _, _, holder, _ in client.orders}) == 1
+    for name in client.weights:
+        fences = [order[3] for order in client.orders if order[0] == name]
+        assert fences == sorted(set(fences))
+    _until(lambda: not members[0].watch(number=0).loading)
+
+
+def test_member_without_quorum_tells_nothing(group):
+    # An entry must not take an old document for the newest one.
+    members, _, _ = group
+    assert _put(members[0], _document(3)) == 200
+    for member in members[1:]:
+        member.process._rpc_server.stop()
+        member.process._replica.stop()
+    _until(lambda: members[0].call("GET", "/-/config")[0] == 503)
+    with pytest.raises(transport_errors.RpcRefused):
+        members[0].watch(number=3)
+    assert members[0].put(_document(4)) == 503
+
+
+@pytest.mark.parametrize(
+    ("first_start", "seed", "original"),
+    [(True, True, True), (False, True, False), (True, False, False)],
+)
+def test_only_a_first_start_makes_a_group(
+    tmp_path, first_start, seed, original
+):
+    # An empty disk at any other time must not vote under its old id.
+    ip = "127.0.9.1" if seed else "127.0.9.7"
+    member = _Member(
+        ip,
+        _free_port(ip),
+        _free_port(ip),
+        tmp_path,
+        _Replicas(),
+        first_start,
+    )
+    found = identity.make_identity(str(tmp_path), ip.replace(".", "-"))
+    assert found.original is original
+    assert member.process._replica.membership.ids == (
+        ("127-0-9-1", "127-0-9-2", "127-0-9-3") if original else ()
+    )
+    member.stop()
--- /dev/null
+++ b/tests/test_node_settings.py
@@ -0,0 +1,90 @@
+"""Tests of settings that a platform fills in."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from papayalink import node_settings
+
+_DEPLOY = pathlib.Path(__file__).parent.parent / "deploy"
+# What the platform gives, by the names that the templates use.
+_GIVEN = {
+    "nodeName": "edge-z1-1",
+    "ip": "10.1.0.9",
+    "zone": "z1",
+    "region": "r1",
+    "seeds": ["10.1.0.9:8745", "10.2.0.38:8745"],
+    "portRange.0": 7580,
+    "cloudApi.address": "10.200.0.157:8744",
+    "bounds.graceS": 8,
+    "bounds.leaseMs": 3000,
+    "bounds.versionMs": 10000,
+    "bounds.retryBudgetRatio": 0.2,
+    "bounds.retrySlack": 58,
+    "bounds.retryWindowS": 10,
+    "listen.frontend": "10.1.0.9:8749",
+    "listen.ready": "10.1.0.9:8741",
+    "listen.control": "10.1.0.9:8745",
+    "dataDir": "/data/authority",
+    "bootstrap": True,
+}
+
+
+def _render(role):
+    """Returns: the template as the platform fills it in."""
+
+    def value(found):
+        name, _, form = found[1].partition("|")
+        given = _GIVEN[name]
+        return json.dumps(given) if form == "json" else str(given)
+
+    text = (_DEPLOY / f"{role}.json").read_text()
+    return re.sub(r"\{\{([^}]+)\}\}", value, text)
+
+
+def _load(folder, role, **changes):
+    value = json.loads(_render(role)) | changes
+    value = {key: each for key, each in value.items() if each is not ...}
+    file = folder / "settings.json"
+    file.write_text(json.dumps(value))
+    return node_settings.load(file, role)
+
+
+@pytest.mark.parametrize("role", list(node_settings.ROLES))
+def test_templates_make_valid_settings(tmp_path, role):
+    settings = _load(tmp_path, role).unwrap()
+    assert settings.role == role
+    assert settings.seed_peers == ("10.1.0.9:7580", "10.2.0.38:7580")
+    assert settings.bounds.grace_s == 8
+    assert settings.deployment_key not in repr(settings)
+
+
+@pytest.mark.parametrize(
+    ("role", "changes", "path"),
+    [
+        ("gateway", {"listen": ...}, "$.listen"),
+        ("gateway", {"listen": "nowhere"}, "$.listen"),
+        ("gateway", {"seeds": []}, "$.seeds"),
+        ("gateway", {"seeds": ["10.1.0.9"]}, "$.seeds[0]"),
+        ("gateway", {"peer_port": 0}, "$.peer_port"),
+        ("gateway", {"deployment_key": "ab"}, "$.deployment_key"),
+        ("gateway", {"bounds": {"grace_s": "8"}}, "$.bounds.grace_s"),
+        ("gateway", {"lisen": "10.0.0.1:1"}, "$.lisen"),
+        ("gateway", {"zone": ""}, "$.zone"),
+        ("authority", {"data_folder": ""}, "$.data_folder"),
+        ("authority", {"data_folder": None}, "$.data_folder"),
+        ("authority", {"first_start": 1}, "$.first_start"),
+    ],
+)
+def test_problems_name_their_place(tmp_path, role, changes, path):
+    problems = _load(tmp_path, role, **changes).unwrap_err()
+    assert path in [problem.path for problem in problems]
+
+
+def test_unknown_role_and_missing_file(tmp_path):
+    assert _load(tmp_path, "gateway").is_ok()
+    file = tmp_path / "settings.json"
+    assert node_settings.load(file, "other").is_err()
+    assert node_settings.load(tmp_path / "none", "gateway").is_err()
