Close idle connections of a stopping gateway before late calls arrive

Gateways are restarted in turn from 9 s on; a stopping one took calls on kept connections until half of its grace, 4 s after the signal, and cut a stream that it had read 3.5 s after the signal when its own time was over (12.605 s to 16.604 s, run whole at the replica at 16.519).

Change: 2.3 s after the signal responses end their connections; 0.4 s later the queue of new connections is served once, the port and idle connections close, and only calls that were read are waited for.

Ruled out: a longer wait; the platform kills after graceS. Ruled out: closing at once; the balancer needs two misses.

--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -28,6 +28,9 @@
 
 # The balancer asks once a second and turns away after two misses.
 BALANCER_S = 2.3
+# Callers on kept connections learn from one more answer to go elsewhere. A
+# call taken later may not end before the process is killed.
+LAST_CALLS_S = 0.4
 # Part of the time before the kill that is left for the exit itself.
 EXIT_S = 0.5
 
@@ -123,11 +126,8 @@
         self._draining = True
         gevent.sleep(BALANCER_S)
         self._server.close_connections()
+        gevent.sleep(LAST_CALLS_S)
         grace_s = self._node.settings.bounds.grace_s
-        while time.monotonic() - started < grace_s / 2:
-            if not self._server.connections:
-                break
-            gevent.sleep(0.05)
         left_s = started + grace_s - EXIT_S - time.monotonic()
         if not self._server.stop(max(0.0, left_s)):
             self._node.log.warning(
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import event
+from gevent import select as gevent_select
 from gevent import server
 from gevent import socket
 import h11
@@ -20,6 +21,8 @@
 # size of one entry, twice over.
 BACKLOG = 512
 _READ_BYTES = 65_536
+# Time in which a caller that has just connected sends its request.
+_FIRST_READ_S = 0.05
 _SERVER_ERROR = 500
 
 
@@ -124,6 +127,8 @@
         "_limits",
         "_server",
         "_stopping",
+        "_leaving",
+        "_waiting",
         "_in_flight",
         "_idle",
         "_connections",
@@ -139,6 +144,9 @@
         self._handler = handler
         self._limits = limits
         self._stopping = False
+        self._leaving = False
+        # Tasks of connections between two requests.
+        self._waiting: set[gevent.Greenlet] = set()
         self._in_flight = 0
         self._connections = 0
         self._idle = event.Event()
@@ -168,15 +176,26 @@
         self._stopping = True
 
     def stop(self, timeout_s: float) -> bool:
-        """Stop accepting, and wait for requests in flight.
+        """Take no more requests, and wait for those that were read.
 
-        Returns: whether all of them were answered.
+        Connections in the accept queue are served once, idle ones closed:
+        their callers see that nothing of a next request was read.
+
+        Returns: whether all requests were answered.
         """
         self._stopping = True
+        self._leaving = True
+        if self._server.closed:
+            return bool(self._idle.wait(timeout_s))
         self._server.stop_accepting()
-        done = self._idle.wait(timeout_s)
+        while (accepted := self._server.do_read()) is not None:
+            self._server.do_handle(*accepted)
         self._server.close()
-        return bool(done)
+        for task in list(self._waiting):
+            task.kill(block=False)
+        # Connections that were just accepted have yet to be read.
+        gevent.sleep(_FIRST_READ_S)
+        return bool(self._idle.wait(timeout_s))
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -207,9 +226,21 @@
                 self._answer(request, responder, sock)
             if connection.our_state is not h11.DONE:
                 return
-            if connection.their_state is not h11.DONE:
+            if connection.their_state is not h11.DONE or self._leaving:
                 return
             connection.start_next_cycle()
+            if not connection.trailing_data[0]:
+                self._wait_readable(sock)
+
+    def _wait_readable(self, sock: socket.socket) -> None:
+        """Wait for a next request; the server may end the wait."""
+        task = gevent.getcurrent()
+        self._waiting.add(task)
+        try:
+            timeout_s = self._limits().idle_timeout_s
+            gevent_select.select([sock], [], [], timeout_s)
+        finally:
+            self._waiting.discard(task)
 
     @contextlib.contextmanager
     def _counted(self) -> Iterator[None]:
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -190,3 +190,42 @@
 
     server._handler = fail
     assert _exchange(server, _GET).startswith(b"HTTP/1.1 500")
+
+
+def test_stop_closes_idle_connections_without_reading(server, echo):
+    # Their callers know that a next request was not read.
+    with _connect(server) as sock:
+        sock.sendall(_GET)
+        _read_until(sock, b"/a%2Fb?c=1|")
+        assert server.stop(1.0)
+        assert sock.recv(100) == b""
+    assert len(echo.seen) == 1
+
+
+def test_stop_ends_a_connection_after_the_response_that_had_begun(
+    server, echo
+):
+    # The head was sent before the stop, so it promised another request.
+    def slow(request, responder):
+        responder.begin(200, [])
+        responder.write(b"a")
+        gevent.sleep(0.2)
+        responder.end()
+
+    server._handler = slow
+    with _connect(server) as sock:
+        sock.sendall(_GET)
+        sock.recv(10)
+        assert server.stop(5.0)
+        rest = b""
+        while part := sock.recv(100):
+            rest += part
+    assert rest.endswith(b"0\r\n\r\n")
+
+
+def test_stop_serves_connections_that_wait_to_be_accepted(server, echo):
+    server._server.stop_accepting()
+    with _connect(server) as sock:
+        sock.sendall(_GET)
+        assert server.stop(5.0)
+        assert b"Connection: close" in _read_until(sock, b"/a%2Fb?c=1|")
