Give the longest sessions a place in the large stores

Change: a part may take 1/75 of a store, which is above the longest session of both users.

Ruled out: lost saves and events (29 small parts in 20 s).

--- a/papayalink/coordination/cache_placement.py
+++ b/papayalink/coordination/cache_placement.py
@@ -11,8 +11,9 @@
 from papayalink.state import traffic
 
 # A store takes parts of this share of its room at most: fewer larger parts
-# would fill it before any of them returns.
-LARGEST_SHARE = 1 / 150
+# would fill it before any of them returns. Sessions of the users' largest
+# prompts, 13,300 tokens, have a place in their large stores.
+LARGEST_SHARE = 1 / 75
 # Room left for parts that are being written and are not reported yet.
 FULL_SHARE = 0.9
 # Shorter parts are read faster than a transfer begins.
--- a/tests/coordination/test_cache_placement.py
+++ b/tests/coordination/test_cache_placement.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from papayalink.coordination import cache_placement
 from papayalink.protocol import calls
@@ -90,6 +91,16 @@
     assert placement.plan("s", _PARTS, "z1", later).save[0] == "f:1"
 
 
+@pytest.mark.parametrize(
+    ("tokens", "address"),
+    [(600, "f:1"), (1_400, "f:1"), (5_000, "l:1"), (13_300, "l:1")],
+)
+def test_long_sessions_have_a_place(tokens, address):
+    # Each read of a long session costs as much as twenty short ones.
+    parts = (calls.Part("x", tokens), calls.Part("c", 1700))
+    assert _placement().plan("s", parts, "z1", 0.0).save[0] == address
+
+
 def test_full_stores_get_no_parts():
     full = part_directory.Change("fast", "s/x", 100_000)
     plan = _placement(full).plan("s", _PARTS, "z1", 0.0)
