--- a/tests/roles/gateway/test_handling.py
+++ b/tests/roles/gateway/test_handling.py
@@ -13,6 +13,7 @@
     stubs.make_route(
         "single", traffic.Repeat.IDEMPOTENT, max_attempts=1, public=True
     ),
+    stubs.make_route("hasty", traffic.Repeat.IDEMPOTENT, objective_s=0.1),
     stubs.make_route("brief", traffic.Repeat.ONCE, timeout_s=0.2),
     stubs.make_route("stream", traffic.Repeat.ONCE, stream=True),
     stubs.make_route("resumed", traffic.Repeat.RESUMABLE, stream=True),
@@ -225,3 +226,22 @@
     calling.get()
     assert gateway.fleet.own_work() == ()
     assert not any(gateway.fleet.find("models1").prefill.values())
+
+
+def test_call_that_may_run_again_leaves_a_silent_upstream(start):
+    # The answer is lost, and the connection stays open.
+    script = [[5.0]]
+    upstreams = [stubs.Upstream(f"desk{place}") for place in range(2)]
+    for upstream in upstreams:
+        upstream.script = script
+    gateway = start(*upstreams)
+    assert gateway.call(b"/hasty/")[0] == 200
+    assert _sent(gateway) == 2
+
+
+def test_call_that_may_run_once_waits_for_a_silent_upstream(start):
+    gateway = start(stubs.Upstream("desk1", [5.0]), stubs.Upstream("desk2"))
+    for upstream in gateway.upstreams:
+        upstream.script = [[5.0]]
+    assert gateway.call(b"/brief/")[0] == 504
+    assert _sent(gateway) == 1
--- /dev/null
+++ b/tests/roles/gateway/test_liveness.py
@@ -0,0 +1,89 @@
+"""Replicas that go dark: connections stay open, nothing answers.
+
+The pattern: a VM loses power while calls wait for it, and new connections to
+it are neither accepted nor refused.
+"""
+
+import gevent
+import pytest
+
+from papayalink import metrics as metrics_module
+from papayalink.coordination import fleet as fleets
+from papayalink.roles.gateway import liveness as livenesses
+from papayalink.state import replicas
+from papayalink.transport import errors
+
+
+class _Channels:
+    """Connections that can be made or not."""
+
+    def __init__(self):
+        self.reachable = False
+        self.checks = 0
+        self.forgotten = []
+
+    def check(self, address):
+        self.checks += 1
+        gevent.sleep(0.01)
+        if not self.reachable:
+            raise errors.NotConnected(address)
+
+    def forget(self, address):
+        self.forgotten.append(address)
+
+
+@pytest.fixture
+def parts():
+    member = fleets.Member(
+        replicas.Replica(
+            replica_id="r1",
+            service="s",
+            address="10.0.0.1:80",
+            zone="z",
+            slots=1,
+            condition=replicas.Condition.READY,
+        )
+    )
+    channels = _Channels()
+    metrics = metrics_module.make_metrics()
+    return member, channels, livenesses.make_liveness(channels, metrics)
+
+
+def test_calls_that_wait_share_one_look(parts):
+    member, channels, liveness = parts
+    looks = [gevent.spawn(liveness.is_reachable, member) for _ in range(20)]
+    gevent.joinall(looks, timeout=5)
+    assert not any(look.value for look in looks)
+    assert channels.checks == livenesses.ATTEMPTS
+    assert not member.usable(1e9)
+    assert channels.forgotten == ["10.0.0.1:80"]
+
+
+def test_one_lost_packet_is_no_loss(parts):
+    member, channels, liveness = parts
+    looking = gevent.spawn(liveness.is_reachable, member)
+    gevent.sleep(0.005)
+    channels.reachable = True
+    assert looking.get(timeout=5)
+    assert member.usable(1e9)
+
+
+def test_replica_that_was_heard_is_not_asked(parts):
+    member, channels, liveness = parts
+    channels.reachable = True
+    assert liveness.is_reachable(member)
+    assert liveness.is_reachable(member)
+    assert channels.checks == 1
+
+
+def test_replica_returns_once_it_is_reached(parts, monkeypatch):
+    monkeypatch.setattr(livenesses, "PROBE_PERIOD_S", 0.02)
+    member, channels, liveness = parts
+    liveness.note_not_reached(member)
+    liveness.note_not_reached(member)
+    gevent.sleep(0.1)
+    assert not member.usable(1e9)
+    channels.reachable = True
+    with gevent.Timeout(5):
+        while not member.usable(1e9):
+            gevent.sleep(0.01)
