Send callers back after an overload as long as it has lasted

Cause: callers of long prompts come back once.

Change: the time to come back is at least as long as prompts have been refused without a pause, 2 s at most.

Ruled out: taking callers that return first; the place goes to a caller that can still be on time.

--- a/papayalink/coordination/shedding.py
+++ b/papayalink/coordination/shedding.py
@@ -14,6 +14,11 @@
 # Callers give a stream up that stays silent for about 2 s.
 MOST_WAIT_S = 1.5
 LEAST_RETRY_S = 0.2
+# An overload that has lasted for some time is likely to last as long again.
+# Callers of long prompts have about 5 s, and come back once.
+MOST_RETRY_S = 2.0
+# An overload is over when nothing was refused for this long.
+CALM_S = 1.0
 # Callers that come back are spread over this part of the wait.
 JITTER = 0.5
 
@@ -51,7 +56,33 @@
     urgent_objective_s: float | None = None
 
 
-def decide(prompt: Prompt, chance: float) -> Take | Shed:
+class OverloadTimer:
+    """How long prompts of one service have been refused without a pause."""
+
+    __slots__ = ("_since", "_last")
+
+    def __init__(self) -> None:
+        self._since = 0.0
+        self._last = -CALM_S
+
+    def note_shed(self, now: float) -> None:
+        """A prompt is refused."""
+        if now - self._last >= CALM_S:
+            self._since = now
+        self._last = now
+
+    def age_s(self, now: float) -> float:
+        """Returns: seconds, 0 when there is no overload."""
+        return now - self._since if now - self._last < CALM_S else 0.0
+
+
+def make_overload_timer() -> OverloadTimer:
+    return OverloadTimer()
+
+
+def decide(
+    prompt: Prompt, chance: float, overload_s: float = 0.0
+) -> Take | Shed:
     """Decide on one prompt.
 
     A prompt on an idle replica is taken whatever its size: coming back would
@@ -60,6 +91,7 @@
 
     Args:
         chance: drawn evenly between 0 and 1, to spread callers that return.
+        overload_s: how long prompts have been refused.
     """
     queued_s = prompt.wait_s - prompt.own_s
     if prompt.urgent_objective_s is not None:
@@ -74,4 +106,5 @@
         return Take()
     excess_s = prompt.wait_s - limit_s
     spread_s = JITTER * chance * prompt.objective_s
-    return Shed(max(LEAST_RETRY_S, excess_s) + spread_s)
+    lasting_s = min(MOST_RETRY_S, overload_s)
+    return Shed(max(LEAST_RETRY_S, excess_s, lasting_s) + spread_s)
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -60,6 +60,7 @@
         "_budgets",
         "_placement",
         "_liveness",
+        "_overloads",
         "_metrics",
         "_rng",
         "_log",
@@ -78,6 +79,7 @@
     ) -> None:
         self._placement = placement
         self._liveness = liveness
+        self._overloads: dict[str, shedding.OverloadTimer] = {}
         self._dialect = dialect
         self._watcher = watcher
         self._fleet = fleet
@@ -252,8 +254,14 @@
                 self._service, self._route.rank
             ),
         )
-        match shedding.decide(prompt, self._owner._rng.random()):
+        now = time.monotonic()
+        timer = self._owner._overloads.setdefault(
+            self._service, shedding.make_overload_timer()
+        )
+        chance = self._owner._rng.random()
+        match shedding.decide(prompt, chance, timer.age_s(now)):
             case shedding.Shed(retry_after_s):
+                timer.note_shed(now)
                 self._refuse(
                     retry_after_s,
                     f"overloaded: first token in {choice.wait_s:.2f} s",
--- a/tests/coordination/test_shedding.py
+++ b/tests/coordination/test_shedding.py
@@ -93,3 +93,29 @@
         shedding.JITTER * _SUMMARY["objective_s"]
     )
     assert first >= shedding.LEAST_RETRY_S
+
+
+def test_callers_come_back_later_the_longer_an_overload_lasts():
+    # A caller that comes back once into the same flood is refused for good.
+    timer = shedding.make_overload_timer()
+    waits = []
+    for place in range(60):
+        now = place * 0.1
+        prompt = shedding.Prompt(wait_s=0.6, **_SUMMARY)
+        shed = shedding.decide(prompt, 0.0, timer.age_s(now))
+        timer.note_shed(now)
+        waits.append(shed.retry_after_s)
+    assert waits == sorted(waits)
+    assert waits[0] < 0.5
+    assert waits[-1] == shedding.MOST_RETRY_S
+
+
+def test_overload_is_over_after_a_pause():
+    timer = shedding.make_overload_timer()
+    assert timer.age_s(0.0) == 0.0
+    timer.note_shed(0.0)
+    timer.note_shed(0.75)
+    assert timer.age_s(1.5) == 1.5
+    assert timer.age_s(0.75 + shedding.CALM_S) == 0.0
+    timer.note_shed(5.0)
+    assert timer.age_s(5.5) == pytest.approx(0.5)
