Read the platform's list once for all entries

Change: the control member that entries follow reads the list each 0.6 s while they ask, and passes a reading on when it differs, with its age. An entry that gets no reading younger than 1.5 s reads the list by itself; an older reading never replaces a younger one.

Ruled out: one reader by election; the member that all entries follow is the leader while there is one, and any member serves otherwise.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -6,6 +6,7 @@
 
 from papayalink.protocol import errors
 from papayalink.state import part_directory
+from papayalink.state import replicas
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -288,6 +289,7 @@
         source: member and run that the number is of, "" at first.
         number: changes of the directory that the entry has.
         lost: replicas that the entry cannot reach.
+        list_number: reading of the platform's list that the entry has.
     """
 
     process: str
@@ -295,6 +297,7 @@
     number: int = 0
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
+    list_number: int = 0
 
 
 class PartsReply(Message):
@@ -304,6 +307,10 @@
         whole: the changes are all that is held; what the entry has is void.
         work: work of all other entries.
         lost: replicas that some other entry cannot reach.
+        list_number: newest reading of the list that differs from the one
+            before, 0 for none.
+        list_age_ms: time since the list was last read.
+        listed: its replicas, when the entry has another reading.
     """
 
     source: str
@@ -312,6 +319,9 @@
     changes: tuple[part_directory.Change, ...] = ()
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
+    list_number: int = 0
+    list_age_ms: int = 0
+    listed: tuple[replicas.Replica, ...] = ()
 
 
 class Lookup(Message):
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -13,6 +13,7 @@
 from papayalink.roles import reloading
 from papayalink.roles.authority import address_book
 from papayalink.roles.authority import group
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.roles.authority import observed
 from papayalink.roles.authority import service
@@ -52,6 +53,7 @@
         "_translate",
         "_followed",
         "_stores",
+        "_relay",
     )
 
     def __init__(
@@ -81,8 +83,14 @@
         self._translate = translate
         self._followed = 0
         self._stores = store_watch.make_store_watch(make_reader)
+        self._relay = list_relay.make_list_relay(client, node.metrics)
         self._service = service.make_service(
-            self._state, self._machine, self._book, self._join, self._stores
+            self._state,
+            self._machine,
+            self._book,
+            self._join,
+            self._stores,
+            self._relay,
         )
         self._replica: replicas.Replica | None = None
         self._group: group.GroupUpkeep | None = None
@@ -105,6 +113,7 @@
 
     def start(self) -> None:
         self._run_replica()
+        self._relay.start()
         self._rpc_server.start()
         self._operator_server.start()
         self._reloading.start(self._node.timers)
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -13,6 +13,7 @@
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
 from papayalink.roles.authority import address_book
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.roles.authority import store_watch
 from papayalink.roles.authority import weights
@@ -35,6 +36,7 @@
     Args:
         join: asks the leader's upkeep to add a member.
         stores: tells what the stores hold.
+        relay: reads the platform's list.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "_compressed",
         "_watched_at",
         "_stores",
+        "_relay",
         "_board",
         "_source",
     )
@@ -57,6 +60,7 @@
         book: address_book.AddressBook,
         join: Callable[[str], None],
         stores: store_watch.StoreWatch,
+        relay: list_relay.ListRelay,
     ) -> None:
         self._state = state
         self._machine = machine
@@ -66,6 +70,7 @@
         self._compressed = (0, b"")
         self._watched_at: dict[str, float] = {}
         self._stores = stores
+        self._relay = relay
         self._board = load_board.make_load_board()
         self._source = secrets.token_hex(4)
 
@@ -106,9 +111,11 @@
         """Tell what the stores hold, and what other entries have to do."""
         now = time.monotonic()
         self._board.report(message.process, message.work, now, message.lost)
+        self._relay.note_wanted()
         directory = self._stores.directory
         changes = None
-        if message.source == self._source:
+        known = message.source == self._source
+        if known:
             changes = directory.since(message.number)
         whole = changes is None
         if whole:
@@ -120,6 +127,13 @@
             changes=tuple(changes),
             work=self._board.others(message.process, now),
             lost=self._board.lost_to_others(message.process, now),
+            list_number=self._relay.number,
+            list_age_ms=self._relay.age_ms(),
+            listed=(
+                ()
+                if known and message.list_number == self._relay.number
+                else self._relay.listed
+            ),
         )
 
     def propose(self, message: messages.Propose) -> messages.Outcome:
@@ -199,5 +213,6 @@
     book: address_book.AddressBook,
     join: Callable[[str], None],
     stores: store_watch.StoreWatch,
+    relay: list_relay.ListRelay,
 ) -> AuthorityService:
-    return AuthorityService(state, machine, book, join, stores)
+    return AuthorityService(state, machine, book, join, stores, relay)
--- a/papayalink/roles/gateway/listing.py
+++ b/papayalink/roles/gateway/listing.py
@@ -1,6 +1,7 @@
 """Task that keeps the fleet as the platform lists it."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 
@@ -11,15 +12,17 @@
 from papayalink import tasks
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import upstream_client
+from papayalink.state import replicas
 
-# A leaving upstream gets no more work after 3 s; the list lags by up to a
-# second and an answer may be lost once.
-PERIOD_S = 1.0
-RETRY_S = 0.3
+# A leaving upstream gets no more work after 3 s. Control members read the list
+# each 0.6 s and pass it on; an entry that gets no reading as young as this
+# reads the list by itself, and again after the same time.
+LATEST_S = 1.5
+CHECK_S = 0.3
 
 
 class Listing:
-    """Reads the list once a period.
+    """Takes the list from control members, or reads it when they do not.
 
     Args:
         forget: called with the address of each replica that left.
@@ -32,6 +35,7 @@
         "_metrics",
         "_read_at",
         "_failing",
+        "_relayed",
         "_log",
     )
 
@@ -48,6 +52,7 @@
         self._metrics = metrics
         self._read_at: float | None = None
         self._failing = False
+        self._relayed = False
         self._log = logs.get_logger()
 
     def age_s(self) -> float:
@@ -59,25 +64,20 @@
     def start(self) -> None:
         tasks.spawn(self._run)
 
-    def _run(self) -> None:
-        while True:
-            period_s = PERIOD_S if self._read() else RETRY_S
-            gevent.sleep(period_s * random.uniform(0.9, 1.1))
+    @property
+    def relayed(self) -> bool:
+        """Whether the newest reading came from a control member."""
+        return self._relayed
 
-    def _read(self) -> bool:
-        try:
-            listed = self._client.list_replicas()
-        except upstream_client.UpstreamClientError as error:
-            if not self._failing:
-                self._log.warning("list_lost", reason=error)
-            self._failing = True
-            self._metrics.count("list_reads", result="failed")
-            return False
+    def take(
+        self, listed: Iterable[replicas.Replica], relayed: bool = True
+    ) -> None:
+        """Take a reading, of a control member or of this entry."""
+        listed = list(listed)
+        self._relayed = relayed
         if self._failing or self._read_at is None:
             self._log.info("list_read", replicas=len(listed))
         self._failing = False
-        self._read_at = time.monotonic()
-        self._metrics.count("list_reads", result="read")
         for member in self._fleet.update(listed):
             self._log.info(
                 "replica_leaves",
@@ -86,7 +86,33 @@
                 address=member.replica.address,
             )
             self._forget(member.replica.address)
-        return True
+        self._read_at = self._read_at or 0.0
+
+    def note_age(self, age_s: float) -> None:
+        """The list was read this many seconds ago, and is as taken."""
+        read_at = time.monotonic() - age_s
+        self._read_at = max(self._read_at or 0.0, read_at)
+
+    def _run(self) -> None:
+        while True:
+            if self.age_s() > LATEST_S:
+                self._read()
+            gevent.sleep(CHECK_S * random.uniform(0.9, 1.1))
+
+    def _read(self) -> None:
+        # The answer shows the list as it was when it was asked for.
+        asked_at = time.monotonic()
+        try:
+            listed = self._client.list_replicas()
+        except upstream_client.UpstreamClientError as error:
+            if not self._failing:
+                self._log.warning("list_lost", reason=error)
+            self._failing = True
+            self._metrics.count("list_reads", result="failed")
+            return
+        self._metrics.count("list_reads", result="read")
+        self.take(listed, False)
+        self.note_age(time.monotonic() - asked_at)
 
 
 def make_listing(
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -10,6 +10,7 @@
 from papayalink.coordination import fleet as fleets
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
+from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import part_directory
 from papayalink.transport import errors
@@ -32,6 +33,7 @@
             should follow the same one, which then knows the work of all.
         fleet: tells the work of this entry, and takes that of the others.
         liveness: looks at replicas that others cannot reach.
+        listing: takes the list that the member has read.
     """
 
     __slots__ = (
@@ -40,6 +42,8 @@
         "_failures",
         "_fleet",
         "_liveness",
+        "_listing",
+        "_list_number",
         "_directory",
         "_source",
         "_number",
@@ -53,6 +57,7 @@
         members: Callable[[], list[str]],
         fleet: fleets.Fleet,
         liveness: livenesses.Liveness,
+        listing: listings.Listing,
         directory: part_directory.PartDirectory,
     ) -> None:
         self._node = node
@@ -60,6 +65,8 @@
         self._failures = 0
         self._fleet = fleet
         self._liveness = liveness
+        self._listing = listing
+        self._list_number = 0
         self._directory = directory
         self._source = ""
         self._number = 0
@@ -89,6 +96,7 @@
             self._number,
             self._fleet.own_work(),
             self._fleet.lost(),
+            self._list_number if self._listing.relayed else 0,
         )
         try:
             reply = self._node.rpc_client.call(
@@ -100,6 +108,7 @@
         if reply.whole:
             self._directory.clear()
         self._directory.apply(reply.changes)
+        self._take_list(reply)
         self._source = reply.source
         self._number = reply.number
         self._read_at = time.monotonic()
@@ -110,12 +119,24 @@
                 gevent.spawn(self._liveness.is_reachable, member)
         return True
 
+    def _take_list(self, reply: messages.PartsReply) -> None:
+        """Take the member's reading of the list unless it is an older one."""
+        age_s = reply.list_age_ms / 1000
+        if not reply.list_number or age_s >= self._listing.age_s():
+            self._list_number = 0
+            return
+        if reply.listed:
+            self._listing.take(reply.listed)
+            self._list_number = reply.list_number
+        self._listing.note_age(age_s)
+
 
 def make_parts_follower(
     node: nodes.Node,
     members: Callable[[], list[str]],
     fleet: fleets.Fleet,
     liveness: livenesses.Liveness,
+    listing: listings.Listing,
     directory: part_directory.PartDirectory,
 ) -> PartsFollower:
-    return PartsFollower(node, members, fleet, liveness, directory)
+    return PartsFollower(node, members, fleet, liveness, listing, directory)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -79,12 +79,17 @@
             node, translate, self._take_changes
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
-        self._parts = parts.make_parts_follower(
-            node, self._watcher.authorities, self._fleet, liveness, directory
-        )
         self._listing = listing.make_listing(
             client, self._fleet, self._channels.forget, node.metrics
         )
+        self._parts = parts.make_parts_follower(
+            node,
+            self._watcher.authorities,
+            self._fleet,
+            liveness,
+            self._listing,
+            directory,
+        )
         handler = handling.make_handler(
             dialect,
             self._watcher,
