--- a/papayalink/cli/main.py
+++ b/papayalink/cli/main.py
@@ -8,6 +8,7 @@
 from papayalink.cli import client as clients
 from papayalink.cli import commands
 from papayalink.cli import errors
+from papayalink.cli import traces
 
 
 class Papayalink:
@@ -137,6 +138,29 @@
         record = self._client().call(workspace, key)
         self._print(record, commands.render_json(record))
 
+    @decorators.SetParseFns(call_id=str)
+    def trace(self, call_id: str, *logs: str) -> None:
+        """Print what logs tell of one call, and what may have caused it.
+
+        Args:
+            call_id: id that the caller sent.
+            logs: files with the output of gateways and authorities.
+        """
+        texts = [
+            text
+            for log in logs
+            for text in commands.read_file(log)
+            .decode(errors="replace")
+            .splitlines()
+        ]
+        found = traces.trace(call_id, texts)
+        if not found:
+            raise errors.Refused(f"no line on the call {call_id}")
+        self._print(
+            [line.fields for line in found],
+            "".join(f"{line.text}\n" for line in found),
+        )
+
     def _client(self) -> clients.Client:
         return commands.make_client(self._control, self._token_file)
 
