--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -1,4 +1,4 @@
-"""Replicas that an entry may send to, their load, and the choice of one."""
+"""Replicas that an entry may send to, and the choice of one."""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
 from papayalink.protocol import messages
-from papayalink.state import part_directory
 from papayalink.state import replicas
 from papayalink.state import traffic
 
@@ -25,14 +25,9 @@
 FIRST_TOKEN_S = 0.02
 # A transfer takes about this part of the time that reading would take.
 FETCH_COST = 0.2
-# Work of other entries is not counted any more after this; they report five
-# times a second.
-OTHERS_AGE_S = 1.5
 # Cost of another zone: a round trip, and the bytes that are paid for. A short
 # queue at the own zone's replicas is better than that.
 ZONE_COST_S = 0.02
-# Load that an answer told says little after this.
-TOLD_AGE_S = 1.0
 # Prompt tokens of less urgent work that are read between the first tokens of
 # an urgent answer: a piece of about 2,000 in each of the six steps that make
 # its first event.
@@ -45,203 +40,8 @@
 # Part of the time allowed for a change of weights after which older ones are
 # not used any more; the rest covers what the change took to arrive here.
 OLD_WEIGHTS_SHARE = 0.85
-# Weight of the newest attempt in the share of failed ones.
-FAILURE_ALPHA = 0.15
 # Cost of a failure that is certain: a repeat, or a call without answer.
 FAILURE_COST_S = 2.0
-# Part of a replica's memory whose content an entry remembers. Others send
-# there as well, so what was read last is mostly gone soon.
-HINT_SHARE = 0.15
-
-
-class Member:
-    """One replica as this entry knows it.
-
-    Attributes:
-        replica: as listed.
-        weights: newest version by model, from the list and from answers.
-        calls: calls of this entry that are not finished, by urgency.
-        loading: it is to load weights and turns calls away meanwhile.
-        heard_at: monotonic seconds of the last byte from it.
-        prefill: prompt tokens of those that have no answer yet, by urgency.
-    """
-
-    __slots__ = (
-        "replica",
-        "weights",
-        "calls",
-        "prefill",
-        "_others",
-        "_others_at",
-        "_told",
-        "_told_at",
-        "_own_when_told",
-        "heard_at",
-        "_reachable",
-        "_avoid_until",
-        "_failures",
-        "_parts",
-        "_part_tokens",
-        "loading",
-    )
-
-    def __init__(self, replica: replicas.Replica) -> None:
-        self.replica = replica
-        self.weights = dict(replica.weights)
-        self.calls: dict[int, int] = {}
-        self.prefill: dict[int, int] = {}
-        self._others: messages.ReplicaWork | None = None
-        self._others_at = 0.0
-        self._told: calls.Load | None = None
-        self._told_at = 0.0
-        self._own_when_told = 0
-        self.heard_at = 0.0
-        self._reachable = True
-        self._avoid_until = 0.0
-        self._failures = 0.0
-        self._parts: dict[str, int] = {}
-        self._part_tokens = 0
-        self.loading = False
-
-    @property
-    def in_flight(self) -> int:
-        """Calls of this entry that are not finished."""
-        return sum(self.calls.values())
-
-    @property
-    def failures(self) -> float:
-        """Share of recent attempts that failed, newest first."""
-        return self._failures
-
-    @property
-    def reachable(self) -> bool:
-        """Whether connections to it can be made, as far as is known."""
-        return self._reachable
-
-    def usable(self, now: float) -> bool:
-        return (
-            self.replica.condition is replicas.Condition.READY
-            and self._reachable
-            and not self.loading
-            and now >= self._avoid_until
-        )
-
-    def note_load(self, load: calls.Load, now: float) -> None:
-        """Take what an answer told."""
-        self._told = load
-        self._told_at = now
-        self._own_when_told = self.in_flight
-
-    def set_reachable(self, reachable: bool) -> None:
-        """Keep calls away while no connection can be made."""
-        self._reachable = reachable
-
-    def correct_weights(self, model: str, newest: int) -> None:
-        """Its weights are not the ones that it was thought to have."""
-        if self.weights.get(model, 0) < newest:
-            self.weights[model] = newest
-        else:
-            listed = self.replica.weights.get(model, 0)
-            self.weights[model] = min(self.weights.get(model, 0), listed)
-
-    def note_full(self, now: float, wait_s: float) -> None:
-        """Keep away for a while after a refusal."""
-        self._avoid_until = max(self._avoid_until, now + wait_s)
-
-    def note_result(self, failed: bool) -> None:
-        """Count an attempt that arrived."""
-        self._failures += FAILURE_ALPHA * (failed - self._failures)
-
-    def begin_call(self, urgency: int) -> None:
-        """Count a call that is sent."""
-        self.calls[urgency] = self.calls.get(urgency, 0) + 1
-
-    def end_call(self, urgency: int) -> None:
-        """The call is finished, or was given up."""
-        self.calls[urgency] -= 1
-
-    def begin_prefill(self, urgency: int, tokens: int) -> None:
-        """Count a prompt that is sent."""
-        self.prefill[urgency] = self.prefill.get(urgency, 0) + tokens
-
-    def end_prefill(self, urgency: int, tokens: int) -> None:
-        """The prompt has its first token, or was given up."""
-        self.prefill[urgency] -= tokens
-
-    def take_others(
-        self, work: messages.ReplicaWork | None, now: float
-    ) -> None:
-        """Take the work that other entries have here."""
-        self._others = work
-        self._others_at = now
-
-    def queued_tokens(self, urgency: int, now: float) -> int:
-        """Returns: prompt tokens that are read before a new prompt's."""
-        return sum(
-            tokens for rank, tokens in self._prefill(now) if rank <= urgency
-        )
-
-    def later_tokens(self, urgency: int, now: float) -> int:
-        """Returns: prompt tokens of less urgent prompts."""
-        return sum(
-            tokens for rank, tokens in self._prefill(now) if rank > urgency
-        )
-
-    def urgent_calls(self, urgency: int, now: float) -> int:
-        """Returns: calls in flight that are more urgent."""
-        found = list(self.calls.items())
-        if self._knows_others(now):
-            found.extend(self._others.calls)
-        return sum(count for rank, count in found if rank < urgency)
-
-    def _prefill(self, now: float) -> list[tuple[int, int]]:
-        found = list(self.prefill.items())
-        if self._knows_others(now):
-            found.extend(self._others.prefill)
-        return found
-
-    def _knows_others(self, now: float) -> bool:
-        return (
-            self._others is not None and now - self._others_at < OTHERS_AGE_S
-        )
-
-    def note_parts(
-        self, salt: str, parts: Iterable[calls.Part], room: float
-    ) -> None:
-        """The replica reads these parts and keeps them for a while.
-
-        Args:
-            room: tokens to remember.
-        """
-        for part in parts:
-            key = part_directory.part_key(salt, part.part_id)
-            self._part_tokens += part.tokens - self._parts.pop(key, 0)
-            self._parts[key] = part.tokens
-        while self._part_tokens > room and self._parts:
-            oldest = next(iter(self._parts))
-            self._part_tokens -= self._parts.pop(oldest)
-
-    def held_tokens(self, salt: str, parts: Iterable[calls.Part]) -> int:
-        """Returns: tokens at the prompt's start that it may hold."""
-        held = 0
-        for part in parts:
-            key = part_directory.part_key(salt, part.part_id)
-            if key not in self._parts:
-                break
-            held += part.tokens
-        return held
-
-    def others(self, now: float) -> float:
-        """Returns: calls of other entries there, as last known."""
-        if self._knows_others(now):
-            return sum(count for _, count in self._others.calls)
-        if self._told is None:
-            return 0.0
-        age_s = now - self._told_at
-        if age_s >= TOLD_AGE_S:
-            return 0.0
-        total = self._told.running + self._told.waiting
-        return max(0, total - self._own_when_told) * (1 - age_s / TOLD_AGE_S)
 
 
 class Wanted(msgspec.Struct, frozen=True, kw_only=True):
@@ -267,7 +67,7 @@
         own_s: part of that for reading the prompt itself.
     """
 
-    member: Member
+    member: fleet_member.Member
     wait_s: float = 0.0
     own_s: float = 0.0
 
@@ -301,8 +101,8 @@
         self._zone = zone
         self._old_weights_s = OLD_WEIGHTS_SHARE * weights_s
         self._fetched_tokens = fetched_tokens
-        self._members: dict[str, Member] = {}
-        self._by_service: dict[str, list[Member]] = {}
+        self._members: dict[str, fleet_member.Member] = {}
+        self._by_service: dict[str, list[fleet_member.Member]] = {}
         self._token_s = 1 / PREFILL_TOKENS_PER_S
         # Newest version and when it was named, by model.
         self._named: dict[str, tuple[int, float]] = {}
@@ -312,7 +112,9 @@
         """Prompt tokens that a replica reads in a second, as measured."""
         return 1 / self._token_s
 
-    def update(self, listed: Iterable[replicas.Replica]) -> list[Member]:
+    def update(
+        self, listed: Iterable[replicas.Replica]
+    ) -> list[fleet_member.Member]:
         """Take a newer list.
 
         Returns: members that are gone or leaving since the last one.
@@ -324,7 +126,7 @@
         for replica in listed:
             member = before.pop(replica.replica_id, None)
             if member is None:
-                member = Member(replica)
+                member = fleet_member.make_member(replica)
             elif (
                 member.replica.condition is replicas.Condition.READY
                 and replica.condition is not replicas.Condition.READY
@@ -358,10 +160,10 @@
                 known = member.weights.get(each.model, 0)
                 member.weights[each.model] = max(known, each.version)
 
-    def find(self, replica_id: str) -> Member | None:
+    def find(self, replica_id: str) -> fleet_member.Member | None:
         return self._members.get(replica_id)
 
-    def members(self, service: str) -> list[Member]:
+    def members(self, service: str) -> list[fleet_member.Member]:
         return self._by_service.get(service, [])
 
     def own_work(self) -> tuple[messages.ReplicaWork, ...]:
@@ -429,7 +231,7 @@
         return Choice(member, wait_s, own_s)
 
     def expected_tokens(
-        self, member: Member, wanted: Wanted, now: float
+        self, member: fleet_member.Member, wanted: Wanted, now: float
     ) -> tuple[int, float]:
         """Returns: tokens read before the prompt, and those of its own."""
         salt = make_salt(wanted, member.weights[wanted.model])
@@ -438,7 +240,9 @@
         own = wanted.prompt_tokens - held - fetched + FETCH_COST * fetched
         return member.queued_tokens(wanted.urgency, now), max(1.0, own)
 
-    def _has_weights(self, member: Member, wanted: Wanted, now: float) -> bool:
+    def _has_weights(
+        self, member: fleet_member.Member, wanted: Wanted, now: float
+    ) -> bool:
         """Returns: whether its weights may still be used."""
         held = member.weights.get(wanted.model)
         if held is None:
@@ -447,13 +251,13 @@
         return held >= version or now - named_at < self._old_weights_s
 
     def _old_weights_cost_s(
-        self, member: Member, wanted: Wanted, now: float
+        self, member: fleet_member.Member, wanted: Wanted, now: float
     ) -> float:
         version, named_at = self._named.get(wanted.model, (0, now))
         old = member.weights[wanted.model] < version
         return OLD_WEIGHTS_COST_S if old and now - named_at > 1.0 else 0.0
 
-    def _plain_cost(self, member: Member, now: float) -> float:
+    def _plain_cost(self, member: fleet_member.Member, now: float) -> float:
         load = member.in_flight + member.others(now)
         slots = max(1, member.replica.slots)
         cost = load / slots + FAILURE_COST_S * member.failures
@@ -463,7 +267,7 @@
         return cost + (1.0 if member.replica.cold_s else 0.0)
 
     def _prompt_cost(
-        self, member: Member, wanted: Wanted, now: float
+        self, member: fleet_member.Member, wanted: Wanted, now: float
     ) -> tuple[float, float, float]:
         """Returns: cost, time to the first token, and its own part."""
         queued, own = self.expected_tokens(member, wanted, now)
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from papayalink.coordination import attempts
-from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
 from papayalink.protocol import events
 from papayalink.transport import caller_server
@@ -92,7 +92,7 @@
         dialect: calls.Dialect,
         channels: upstream_channels.Channels,
         call: calls.Call,
-        member: fleets.Member,
+        member: fleet_member.Member,
         responder: caller_server.Responder,
         left_s: Callable[[], float],
         note_answer: Callable[[calls.Answer], None],
@@ -240,7 +240,7 @@
     dialect: calls.Dialect,
     channels: upstream_channels.Channels,
     call: calls.Call,
-    member: fleets.Member,
+    member: fleet_member.Member,
     responder: caller_server.Responder,
     left_s: Callable[[], float],
     note_answer: Callable[[calls.Answer], None],
--- /dev/null
+++ b/papayalink/roles/gateway/call_run.py
@@ -0,0 +1,445 @@
+"""One call of a caller, sent to replicas until it is answered."""
+
+import time
+
+import msgspec
+
+from papayalink.coordination import attempts
+from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
+from papayalink.coordination import retry
+from papayalink.coordination import shedding
+from papayalink.protocol import calls
+from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import shared as shared_parts
+from papayalink.state import traffic
+from papayalink.transport import caller_server
+from papayalink.transport import errors
+
+# A replica that turned a call away gets none for this long, unless it said
+# when to come back.
+FULL_WAIT_S = 0.2
+# Objectives, and expected times to an answer, after which a call that may
+# run again is taken to another replica.
+PATIENCE = 3.0
+EXPECTED_PATIENCE = 2.0
+# The same within a stream: a replica that runs out of memory preempts
+# streams for about a second, and callers leave after 2 s or more.
+STREAM_PATIENCE_S = 1.6
+# Least time that an attempt is worth: a round trip and a short run.
+LEAST_LEFT_S = 0.02
+MISDIRECTED = 421
+# Longer than the list lags.
+ELSEWHERE_S = 3.0
+# Callers come back a third of their time later at most; before this a full
+# fleet has not changed.
+RETRY_AFTER_S = 0.5
+
+
+class CallRun:
+    """One call that is to be sent to an upstream."""
+
+    __slots__ = (
+        "_shared",
+        "_call",
+        "_route",
+        "_workspace",
+        "_directory",
+        "_responder",
+        "_received_at",
+        "_deadline",
+        "_attempts",
+        "_stream",
+        "_service",
+        "_tried",
+        "_first_s",
+        "_urgency",
+        "_wanted",
+        "_expected_s",
+    )
+
+    def __init__(
+        self,
+        shared: shared_parts.Shared,
+        call: calls.Call,
+        route: traffic.Route,
+        workspace: traffic.Workspace | None,
+        directory: traffic.Directory,
+        responder: caller_server.Responder,
+        received_at: float,
+    ) -> None:
+        self._shared = shared
+        self._call = call
+        self._route = route
+        self._workspace = workspace
+        self._directory = directory
+        self._responder = responder
+        self._received_at = received_at
+        allowed_s = route.timeout_s
+        if call.budget_ms:
+            allowed_s = min(allowed_s, call.budget_ms / 1000)
+        self._deadline = received_at + allowed_s
+        self._attempts = attempts.make_attempts(
+            route.repeat, route.max_attempts
+        )
+        self._stream = attempt.StreamState() if route.stream else None
+        if self._stream is not None and call.last_event.isdigit():
+            self._stream.last_event = int(call.last_event)
+        self._service = self._pick_service()
+        self._tried: list[str] = []
+        self._first_s: float | None = None
+        self._expected_s = 0.0
+        self._urgency = route.rank
+        if workspace is not None and workspace.rank is not None:
+            self._urgency = workspace.rank
+        self._wanted = fleets.make_wanted(
+            call, self._service, self._urgency, workspace
+        )
+
+    def run(self) -> None:
+        """Send the call until it is answered or given up."""
+        budget = self._shared.budgets.of(self._service)
+        budget.note_request(time.monotonic())
+        try:
+            while self._try_once(budget):
+                pass
+        except errors.CallerGone:
+            self._note("caller_gone", 0, "caller hung up")
+            raise
+
+    def _try_once(self, budget: retry.Budget) -> bool:
+        """Returns: whether to try again."""
+        now = time.monotonic()
+        if self._left_s() < LEAST_LEFT_S:
+            unanswered = attempt.Unanswered(attempts.Expired())
+            return self._follow(unanswered, budget)
+        fleet = self._shared.fleet
+        choice = fleet.choose(self._wanted, self._tried, now)
+        if choice is None:
+            self._end_without_replica()
+            return False
+        if self._is_shed(choice):
+            return False
+        member = choice.member
+        self._expected_s = choice.wait_s
+        self._tried.append(member.replica.replica_id)
+        result = self._send(member)
+        match result:
+            case attempt.Answered(status, first_s):
+                self._first_s = first_s
+                self._note("answered", status, "")
+                return False
+            case attempt.Unanswered():
+                return self._follow(result, budget)
+
+    def _is_shed(self, choice: fleets.Choice) -> bool:
+        """Refuse a prompt that would wait too long.
+
+        Returns: whether it was refused.
+        """
+        if not self._call.model or self._attempts.sent:
+            return False
+        prompt = shedding.Prompt(
+            wait_s=choice.wait_s,
+            own_s=choice.own_s,
+            objective_s=self._route.objective_s,
+            left_s=self._left_s(),
+            urgent_objective_s=self._directory.urgent_objective_s(
+                self._service, self._route.rank
+            ),
+        )
+        now = time.monotonic()
+        timer = self._shared.overloads.setdefault(
+            self._service, shedding.make_overload_timer()
+        )
+        chance = self._shared.rng.random()
+        match shedding.decide(prompt, chance, timer.age_s(now)):
+            case shedding.Shed(retry_after_s):
+                timer.note_shed(now)
+                self._refuse(
+                    retry_after_s,
+                    f"overloaded: first token in {choice.wait_s:.2f} s",
+                )
+                return True
+        return False
+
+    def _send(
+        self, member: fleet_member.Member
+    ) -> attempt.Answered | attempt.Unanswered:
+        now = time.monotonic()
+        queued, own = 0, 0.0
+        if self._call.model:
+            fleet = self._shared.fleet
+            queued, own = fleet.expected_tokens(member, self._wanted, now)
+        prefilling = [int(own)]
+
+        def note_answer(answer: calls.Answer) -> None:
+            member.end_prefill(self._urgency, prefilling.pop())
+            if answer.stamped and self._call.model:
+                self._shared.fleet.note_first_token(
+                    queued + int(own), time.monotonic() - now
+                )
+            self._take_head(member, answer)
+
+        sending = attempt.make_attempt(
+            self._shared.dialect,
+            self._shared.channels,
+            self._call,
+            member,
+            self._responder,
+            self._left_s,
+            note_answer,
+            lambda silent_s: self._check_silence(member, silent_s),
+        )
+        if not sending.connect():
+            self._shared.liveness.note_not_reached(member)
+            self._log_attempt(member, attempts.NotSent())
+            return attempt.Unanswered(attempts.NotSent())
+        dispatch = self._make_dispatch(member)
+        self._attempts.note_sending()
+        member.begin_call(self._urgency)
+        member.begin_prefill(self._urgency, int(own))
+        try:
+            result = sending.run(dispatch, self._stream)
+        finally:
+            member.end_call(self._urgency)
+            if prefilling:
+                member.end_prefill(self._urgency, prefilling.pop())
+        match result:
+            case attempt.Answered():
+                member.note_result(False)
+                self._note_parts(member, dispatch.salt)
+            case attempt.Unanswered(outcome):
+                self._note_failure(member, outcome, now)
+        return result
+
+    def _check_silence(
+        self, member: fleet_member.Member, silent_s: float
+    ) -> None:
+        """End an exchange with a replica that cannot be reached any more.
+
+        A call that may run again is not left with one that is reached and
+        says nothing, either.
+        """
+        if not self._shared.liveness.is_reachable(member):
+            raise errors.ConnectionLost("replica not reachable")
+        if self._route.repeat is traffic.Repeat.ONCE:
+            return
+        if self._attempts.sent >= self._route.max_attempts:
+            return
+        patience_s = max(
+            PATIENCE * self._route.objective_s,
+            EXPECTED_PATIENCE * self._expected_s,
+        )
+        if self._stream is not None and self._stream.begun:
+            patience_s = max(patience_s, STREAM_PATIENCE_S)
+        if silent_s > patience_s:
+            raise errors.ConnectionLost(f"silent for {silent_s:.1f} s")
+
+    def _note_parts(self, member: fleet_member.Member, salt: str) -> None:
+        service = self._directory.service(self._service)
+        if not self._call.model or service is None or service.engine is None:
+            return
+        room = service.engine.cache_tokens * fleet_member.HINT_SHARE
+        member.note_parts(salt, self._call.parts, room)
+
+    def _note_failure(
+        self,
+        member: fleet_member.Member,
+        outcome: attempts.Outcome,
+        now: float,
+    ) -> None:
+        self._log_attempt(member, outcome)
+        match outcome:
+            case attempts.NotRun(retry_after_s):
+                wait_s = FULL_WAIT_S
+                if retry_after_s is not None:
+                    wait_s = min(1.0, retry_after_s)
+                member.note_full(now, wait_s)
+            case attempts.Lost() | attempts.Failed() | attempts.Expired():
+                member.note_result(True)
+
+    def _take_head(
+        self, member: fleet_member.Member, answer: calls.Answer
+    ) -> None:
+        if answer.load is not None:
+            member.note_load(answer.load, time.monotonic())
+        if answer.weight_version and self._call.model:
+            known = member.weights.get(self._call.model, 0)
+            member.weights[self._call.model] = max(
+                known, answer.weight_version
+            )
+        elif answer.status == MISDIRECTED:
+            self._correct(member, answer)
+
+    def _correct(
+        self, member: fleet_member.Member, answer: calls.Answer
+    ) -> None:
+        """Learn from an upstream that is not the one that was meant."""
+        now = time.monotonic()
+        if answer.upstream and answer.upstream != member.replica.replica_id:
+            # Another replica has the address; the list will say so.
+            member.note_full(now, ELSEWHERE_S)
+        elif self._call.model:
+            member.correct_weights(
+                self._call.model,
+                self._shared.watcher.weights.get(self._call.model, 0),
+            )
+
+    def _make_dispatch(self, member: fleet_member.Member) -> calls.Dispatch:
+        version = member.weights.get(self._call.model, 0)
+        last_event = self._call.last_event
+        if self._stream is not None and self._stream.begun:
+            last_event = str(self._stream.last_event or "")
+        dispatch = calls.Dispatch(
+            upstream=member.replica.replica_id,
+            workspace=self._workspace.name if self._workspace else "",
+            left_ms=int(self._left_s() * 1000),
+            urgency=self._urgency,
+            weight_version=version,
+            last_event=last_event,
+        )
+        if not self._call.model:
+            return dispatch
+        salt = fleets.make_salt(self._wanted, version)
+        plan = self._shared.placement.plan(
+            salt, self._call.parts, member.replica.zone, time.monotonic()
+        )
+        return msgspec.structs.replace(
+            dispatch, salt=salt, fetch=plan.fetch, save=plan.save
+        )
+
+    def _follow(
+        self, result: attempt.Unanswered, budget: retry.Budget
+    ) -> bool:
+        """Act on an attempt without answer. Returns: whether to try again."""
+        now = time.monotonic()
+        outcome = result.outcome
+        decision = self._attempts.decide(outcome, budget.has_room(now))
+        if isinstance(decision, attempts.TryAgain):
+            if not isinstance(outcome, attempts.NotSent):
+                budget.take(now)
+            return True
+        self._end(decision, result)
+        return False
+
+    def _end(
+        self, decision: attempts.Decision, result: attempt.Unanswered
+    ) -> None:
+        reason = repr(result.outcome)
+        if self._stream is not None and self._stream.begun:
+            self._note("stream_broken", 0, reason)
+            raise errors.ResponseAborted("stream broken")
+        match decision:
+            case attempts.PassOn():
+                self._note("failed_upstream", result.answer.status, reason)
+                self._responder.respond(
+                    result.answer.status, result.answer.headers, result.body
+                )
+            case attempts.Refuse(retry_after_s):
+                self._refuse(retry_after_s, reason)
+            case attempts.GiveUp(status):
+                self._note("given_up", status, reason)
+                self._respond(status)
+
+    def _end_without_replica(self) -> None:
+        """No replica is left that could take the call."""
+        if self._attempts.sent and self._attempts.may_have_run:
+            lost = attempt.Unanswered(attempts.Lost("no other replica"))
+            self._end(attempts.GiveUp(502), lost)
+        else:
+            self._refuse(None, "no usable replica")
+
+    def _refuse(self, retry_after_s: float | None, reason: str) -> None:
+        if retry_after_s is None:
+            retry_after_s = RETRY_AFTER_S
+        self._note("refused", 503, reason)
+        self._respond(503, retry_after_s)
+
+    def _respond(
+        self, status: int, retry_after_s: float | None = None
+    ) -> None:
+        headers = self._shared.dialect.refusal_headers(
+            self._call.call_id, retry_after_s
+        )
+        self._responder.respond(status, headers)
+
+    def _pick_service(self) -> str:
+        targets = self._route.targets
+        if len(targets) == 1:
+            return targets[0].service
+        weights = [target.weight for target in targets]
+        return self._shared.rng.choices(targets, weights)[0].service
+
+    def _left_s(self) -> float:
+        return self._deadline - time.monotonic()
+
+    def _log_attempt(
+        self, member: fleet_member.Member, outcome: attempts.Outcome
+    ) -> None:
+        self._shared.metrics.count(
+            "attempts", outcome=type(outcome).__name__.lower()
+        )
+        self._shared.log.failed(
+            "attempt_failed",
+            call=self._call.call_id,
+            replica=member.replica.replica_id,
+            address=member.replica.address,
+            outcome=repr(outcome),
+            failures=round(member.failures, 2),
+            in_flight=member.in_flight,
+            attempt=len(self._tried),
+        )
+
+    def _note(self, outcome: str, status: int, reason: str) -> None:
+        shared = self._shared
+        took_s = time.monotonic() - self._received_at
+        shared.metrics.count("calls", outcome=outcome)
+        shared.metrics.observe("call", took_s, route=self._route.name)
+        if self._first_s is not None:
+            shared.metrics.observe(
+                "first_answer", self._first_s, route=self._route.name
+            )
+        fields = {
+            "call": self._call.call_id,
+            "route": self._route.name,
+            "service": self._service,
+            "workspace": self._workspace.name if self._workspace else "",
+            "status": status,
+            "replicas": ",".join(self._tried),
+            "took_ms": int(took_s * 1000),
+            "expected_ms": int(self._expected_s * 1000),
+            "first_ms": int((self._first_s or 0.0) * 1000),
+            "document": shared.watcher.number,
+        }
+        if self._stream is not None:
+            gap_s = self._stream.longest_gap_s
+            shared.metrics.observe(
+                "longest_gap", gap_s, route=self._route.name
+            )
+            fields["longest_gap_ms"] = int(gap_s * 1000)
+        if outcome == "answered":
+            shared.log.passed("call_answered", **fields)
+            return
+        shared.log.failed(
+            "call_not_answered",
+            outcome=outcome,
+            reason=reason,
+            left_ms=int(self._left_s() * 1000),
+            sent=self._attempts.sent,
+            **fields,
+        )
+
+
+def make_call_run(
+    shared: shared_parts.Shared,
+    call: calls.Call,
+    route: traffic.Route,
+    workspace: traffic.Workspace | None,
+    directory: traffic.Directory,
+    responder: caller_server.Responder,
+    received_at: float,
+) -> CallRun:
+    return CallRun(
+        shared, call, route, workspace, directory, responder, received_at
+    )
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -6,7 +6,7 @@
 
 from papayalink import logs
 from papayalink import metrics as metrics_module
-from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.transport import errors
 from papayalink.transport import upstream_channels
 
@@ -40,7 +40,7 @@
         self._probing: set[str] = set()
         self._log = logs.get_logger()
 
-    def is_reachable(self, member: fleets.Member) -> bool:
+    def is_reachable(self, member: fleet_member.Member) -> bool:
         """Returns: whether the replica was heard lately or answers now."""
         if time.monotonic() - member.heard_at < FRESH_S:
             return True
@@ -51,7 +51,7 @@
             self._checking[name] = check
         return check.get()
 
-    def note_not_reached(self, member: fleets.Member) -> None:
+    def note_not_reached(self, member: fleet_member.Member) -> None:
         """Keep calls away until a connection was made."""
         member.set_reachable(False)
         name = member.replica.replica_id
@@ -64,7 +64,7 @@
             self._channels.forget(member.replica.address)
             gevent.spawn(self._probe, member)
 
-    def _check(self, member: fleets.Member) -> bool:
+    def _check(self, member: fleet_member.Member) -> bool:
         try:
             for _ in range(ATTEMPTS):
                 if self._connect(member):
@@ -74,7 +74,7 @@
         finally:
             del self._checking[member.replica.replica_id]
 
-    def _probe(self, member: fleets.Member) -> None:
+    def _probe(self, member: fleet_member.Member) -> None:
         name = member.replica.replica_id
         until = time.monotonic() + PROBE_FOR_S
         try:
@@ -87,7 +87,7 @@
         finally:
             self._probing.discard(name)
 
-    def _connect(self, member: fleets.Member) -> bool:
+    def _connect(self, member: fleet_member.Member) -> bool:
         try:
             self._channels.check(member.replica.address)
         except errors.NotConnected:
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -19,6 +19,7 @@
 from papayalink.roles.gateway import listing
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
+from papayalink.roles.gateway import shared
 from papayalink.roles.gateway import watching
 from papayalink.state import part_directory
 from papayalink.state import traffic
@@ -91,16 +92,18 @@
             directory,
         )
         handler = handling.make_handler(
-            dialect,
-            self._watcher,
-            self._fleet,
-            self._channels,
-            budgets.make_budgets(
-                settings.bounds, lambda: self._watcher.watchers
-            ),
-            self._placement,
-            liveness,
-            node.metrics,
+            shared.make_shared(
+                dialect,
+                self._watcher,
+                self._fleet,
+                self._channels,
+                budgets.make_budgets(
+                    settings.bounds, lambda: self._watcher.watchers
+                ),
+                self._placement,
+                liveness,
+                node.metrics,
+            )
         )
         self._server = caller_server.make_caller_server(
             nodes.parse_address(settings.listen), handler.handle, self._limits
--- /dev/null
+++ b/papayalink/roles/gateway/shared.py
@@ -0,0 +1,88 @@
+"""What all calls of a gateway share."""
+
+import random
+
+from papayalink import logs
+from papayalink import metrics as metrics_module
+from papayalink.coordination import cache_placement
+from papayalink.coordination import fleet as fleets
+from papayalink.coordination import shedding
+from papayalink.protocol import calls
+from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import liveness as livenesses
+from papayalink.roles.gateway import watching
+from papayalink.transport import upstream_channels
+
+
+class Shared:
+    """What all calls of a gateway share.
+
+    Attributes:
+        dialect: spelling of calls and answers.
+        watcher: holds routes, keys and weights.
+        fleet: replicas to choose from.
+        channels: connections to them.
+        budgets: attempts beyond the first of each call.
+        placement: stores for the parts of prompts.
+        liveness: finds out whether silent replicas can be reached.
+        overloads: how long prompts have been refused, by service.
+    """
+
+    __slots__ = (
+        "dialect",
+        "watcher",
+        "fleet",
+        "channels",
+        "budgets",
+        "placement",
+        "liveness",
+        "overloads",
+        "metrics",
+        "rng",
+        "log",
+    )
+
+    def __init__(
+        self,
+        dialect: calls.Dialect,
+        watcher: watching.Watcher,
+        fleet: fleets.Fleet,
+        channels: upstream_channels.Channels,
+        retry_budgets: budgets.Budgets,
+        placement: cache_placement.CachePlacement,
+        liveness: livenesses.Liveness,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self.dialect = dialect
+        self.watcher = watcher
+        self.fleet = fleet
+        self.channels = channels
+        self.budgets = retry_budgets
+        self.placement = placement
+        self.liveness = liveness
+        self.overloads: dict[str, shedding.OverloadTimer] = {}
+        self.metrics = metrics
+        self.rng = random.Random()
+        self.log = logs.get_decision_log()
+
+
+def make_shared(
+    dialect: calls.Dialect,
+    watcher: watching.Watcher,
+    fleet: fleets.Fleet,
+    channels: upstream_channels.Channels,
+    retry_budgets: budgets.Budgets,
+    placement: cache_placement.CachePlacement,
+    liveness: livenesses.Liveness,
+    metrics: metrics_module.Metrics,
+) -> Shared:
+    return Shared(
+        dialect,
+        watcher,
+        fleet,
+        channels,
+        retry_budgets,
+        placement,
+        liveness,
+        metrics,
+    )
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -3,6 +3,7 @@
 import pytest
 
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import replicas
@@ -67,7 +68,7 @@
 def test_old_reports_of_others_do_not_count():
     fleet = _fleet(_replica("r1"))
     work = messages.ReplicaWork("r1", ((2, 3),), ((2, 27_000),))
-    fleet.take_others([work], _NOW - fleets.OTHERS_AGE_S)
+    fleet.take_others([work], _NOW - fleet_member.OTHERS_AGE_S)
     assert fleet.find("r1").queued_tokens(2, _NOW) == 0
 
 
@@ -185,7 +186,7 @@
 
 
 def test_hints_are_bounded_by_the_room():
-    member = fleets.Member(_replica("r1"))
+    member = fleet_member.Member(_replica("r1"))
     member.note_parts("s", _PARTS[:1], 3000)
     assert member.held_tokens("s", _PARTS) == 2500
     assert member.held_tokens("other", _PARTS) == 0
@@ -251,7 +252,7 @@
     believed, listed, newest, corrected
 ):
     # An order that failed must not leave a replica without calls.
-    member = fleets.Member(_replica("r1", weights={"m": listed}))
+    member = fleet_member.Member(_replica("r1", weights={"m": listed}))
     member.weights["m"] = believed
     member.correct_weights("m", newest)
     assert member.weights["m"] == corrected
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -14,6 +14,7 @@
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import liveness
+from papayalink.roles.gateway import shared
 from papayalink.state import part_directory
 from papayalink.state import replicas
 from papayalink.state import traffic
@@ -154,14 +155,16 @@
             if upstream.name.startswith(service)
         )
         handler = handling.make_handler(
-            dialects.make_dialect(),
-            _Watcher(traffic.make_directory(document)),
-            self.fleet,
-            channels,
-            budgets.make_budgets(node_settings.Bounds(), lambda: 1),
-            placement,
-            liveness.make_liveness(channels, self.metrics),
-            self.metrics,
+            shared.make_shared(
+                dialects.make_dialect(),
+                _Watcher(traffic.make_directory(document)),
+                self.fleet,
+                channels,
+                budgets.make_budgets(node_settings.Bounds(), lambda: 1),
+                placement,
+                liveness.make_liveness(channels, self.metrics),
+                self.metrics,
+            )
         )
         self.server = caller_server.make_caller_server(
             ("127.0.0.1", 0), handler.handle, lambda: document.limits
--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -8,7 +8,7 @@
 import pytest
 
 from papayalink import metrics as metrics_module
-from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import replicas
 from papayalink.transport import errors
@@ -34,7 +34,7 @@
 
 @pytest.fixture
 def parts():
-    member = fleets.Member(
+    member = fleet_member.Member(
         replicas.Replica(
             replica_id="r1",
             service="s",
