Let a removed member of the group come back under a new id

Cause: a member that is cut off while another is replaced may be removed as the one that is silent; its replica stops for good and the process goes on without a part in the group.

Change: it leaves its log, takes a new id and ends; started again it joins as a learner. Only a member that was never admitted makes a new group.

Ruled out: building the replica anew in the process; services and upkeeps hold the old one.

--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -107,6 +107,7 @@
         "_read_due",
         "_snapshots",
         "_was_leader",
+        "_removed",
         "_failure",
         "_log",
         "_ticks",
@@ -139,6 +140,7 @@
         self._snapshots = snapshots.make_snapshots(
             settings, machine, self._inbox, stored
         )
+        self._removed = False
         self._was_leader = False
         self._failure: str | None = None
         self._log = logs.get_logger(member_id=settings.member_id)
@@ -155,6 +157,11 @@
     def leader_id(self) -> str | None:
         return self._node.leader_id
 
+    @property
+    def removed(self) -> bool:
+        """Whether the group has removed this member's id for good."""
+        return self._removed
+
     @property
     def membership(self) -> memberships.Membership:
         """Members in force at this member."""
@@ -366,6 +373,7 @@
             event = "leading" if self._was_leader else "not_leading"
             self._log.info(event, term=self._node.term)
         if ready.removed:
+            self._removed = True
             self._failure = "this member was removed"
 
     def _send_all(self, outgoing: list[messages.PeerMessage]) -> None:
--- a/papayalink/roles/authority/group.py
+++ b/papayalink/roles/authority/group.py
@@ -1,5 +1,6 @@
 """Membership of the control group, kept by its leader."""
 
+from collections.abc import Callable
 import time
 
 from gevent import queue
@@ -35,6 +36,7 @@
         "_replica",
         "_peers",
         "_book",
+        "_on_removed",
         "_joining",
         "_leading_since",
         "_inbox",
@@ -49,6 +51,7 @@
         replica: replicas.Replica,
         peers: peers_module.Peers,
         book: address_book.AddressBook,
+        on_removed: Callable[[], None],
     ) -> None:
         self._node = node
         self._own = own
@@ -56,6 +59,7 @@
         self._replica = replica
         self._peers = peers
         self._book = book
+        self._on_removed = on_removed
         self._joining: set[str] = set()
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
@@ -74,6 +78,9 @@
     def _run(self) -> None:
         while True:
             self._inbox.get()
+            if self._replica.removed:
+                self._on_removed()
+                return
             self._book.learn_members(self._replica.membership.ids)
             if self._replica.is_leader:
                 if self._leading_since is None:
@@ -144,5 +151,11 @@
     replica: replicas.Replica,
     peers: peers_module.Peers,
     book: address_book.AddressBook,
+    on_removed: Callable[[], None],
 ) -> GroupUpkeep:
-    return GroupUpkeep(node, own, original, replica, peers, book)
+    """Make the upkeep.
+
+    Args:
+        on_removed: called once when the group has removed this member.
+    """
+    return GroupUpkeep(node, own, original, replica, peers, book, on_removed)
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import os
+import shutil
 
 from papayalink import node_settings
 from papayalink.coordination import replica as replicas
@@ -31,6 +32,8 @@
 # document and turn calls away; heartbeats of a living leader come each 0.1 s.
 FIRST_ELECTION_TICKS = 3
 
+EXIT_REMOVED = 71
+
 MakeOperatorApp = Callable[[numbered_state.NumberedState], http_server.WsgiApp]
 
 
@@ -150,6 +153,10 @@
         """Take seeds that have changed; the rest needs a restart."""
         self._book.learn_addresses(settings.seeds)
 
+    @property
+    def _log_folder(self) -> str:
+        return os.path.join(self._node.settings.data_folder, "log")
+
     def _join(self, member_id: str) -> None:
         if self._group is not None:
             self._group.join(member_id)
@@ -164,8 +171,7 @@
         self._service.note_applied()
 
     def _run_replica(self) -> None:
-        settings = self._node.settings
-        log_folder = os.path.join(settings.data_folder, "log")
+        log_folder = self._log_folder
         first_members = self._settle_identity(log_folder)
         self._peers.set_own(self._identity.member_id)
         self._replica = replicas.make_replica(
@@ -187,6 +193,7 @@
             self._replica,
             self._peers,
             self._book,
+            self._start_anew,
         )
         self._group.start()
         weights.make_weight_upkeep(
@@ -197,6 +204,19 @@
             self._client,
         ).start()
 
+    def _start_anew(self) -> None:
+        """Leave nothing of a removed id, and join under a new one.
+
+        The process ends, since its parts hold the old replica; whoever
+        supervises it starts it again.
+        """
+        self._node.log.error(
+            "removed_from_group", member_id=self._identity.member_id
+        )
+        self._identity.renew()
+        shutil.rmtree(self._log_folder, ignore_errors=True)
+        os._exit(EXIT_REMOVED)
+
     def _settle_identity(
         self, log_folder: str
     ) -> membership.Membership | None:
@@ -217,7 +237,12 @@
         ]
         if self._identity.admitted and has_log:
             return None
-        if settings.first_start and own in seeds:
+        if self._identity.admitted:
+            # Removed from the group, or a log that was lost.
+            first_start = False
+        else:
+            first_start = settings.first_start and own in seeds
+        if first_start:
             self._identity.admit()
             return membership.make_membership(*sorted(seeds))
         self._identity.renew()
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -9,6 +9,7 @@
 
 from papayalink import node_settings
 from papayalink.coordination import upstream_client
+from papayalink.coordination.raft import membership
 from papayalink.platform import document
 from papayalink.platform import operator_api
 from papayalink.protocol import messages
@@ -202,6 +203,32 @@
     assert members[0].put(_document(4)) == 503
 
 
+def test_removed_member_comes_back_under_a_new_id(group, monkeypatch):
+    # A member that was cut off for long may find that it was replaced.
+    members, _, folder = group
+    ended = []
+
+    def end(code):
+        ended.append(code)
+
+    monkeypatch.setattr(process.os, "_exit", end)
+    # A leader changes members only once it has committed something.
+    assert _put(members[0], _document(2)) == 200
+    leader = next(each for each in members if each.process._replica.is_leader)
+    removed = next(each for each in members if each is not leader)
+    old_id = removed.process._identity.member_id
+    leader.process._replica.change_members(membership.RemoveMember(old_id))
+    _until(lambda: ended)
+    place = old_id.replace("-", ".")
+    kept = identity.make_identity(
+        str(folder / place.rpartition(".")[2]), old_id
+    )
+    assert not kept.original
+    assert kept.member_id != old_id
+    log_folder = folder / place.rpartition(".")[2] / "log"
+    assert not log_folder.exists()
+
+
 @pytest.mark.parametrize(
     ("first_start", "seed", "original"),
     [(True, True, True), (False, True, False), (True, False, False)],
