Tell a caller that cannot be written to from a lost upstream

Cause: a write to a caller that had reset its connection was taken for a loss of the replica whose stream was passed on: it counted as the replica's failure, and a stream that may be resumed went to another replica for nobody.

Change: such a write ends the call as a hang-up does.

Figures: found by reading; the test fails without the change.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -41,7 +41,10 @@
 
 
 class Responder:
-    """Writes the response to one request."""
+    """Writes the response to one request.
+
+    Raises CallerGone of each method when the caller cannot be written to.
+    """
 
     __slots__ = ("_connection", "_sock", "_closing", "_begun")
 
@@ -98,7 +101,8 @@
         try:
             self._sock.sendall(data)
         except OSError as error:
-            raise errors.ConnectionLost(f"caller: {error}") from error
+            # Not an error of the upstream whose answer is passed on.
+            raise errors.CallerGone(str(error)) from error
 
 
 Handler = Callable[[Request, Responder], None]
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -2,6 +2,7 @@
 
 import gevent
 from gevent import socket
+import h11
 import pytest
 
 from papayalink.state import traffic
@@ -229,3 +230,17 @@
         sock.sendall(_GET)
         assert server.stop(5.0)
         assert b"Connection: close" in _read_until(sock, b"/a%2Fb?c=1|")
+
+
+def test_caller_that_cannot_be_written_to_has_gone():
+    # The upstream whose answer is passed on must not be blamed for it.
+    near, far = socket.socketpair()
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(_GET)
+    while not isinstance(connection.next_event(), h11.EndOfMessage):
+        pass
+    responder = caller_server.Responder(connection, near, lambda: False)
+    far.close()
+    with pytest.raises(errors.CallerGone):
+        responder.respond(200, [], b"x")
+    near.close()
