--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -1,7 +1,5 @@
 """Upstreams and parts of a gateway for its tests."""
 
-import struct
-
 import gevent
 from gevent import server as servers
 from gevent import socket
@@ -20,6 +18,7 @@
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import upstream_channels
+from tests.transport import sockets
 
 STAMP = b"Papayalink-Server-Stamp: s\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + STAMP + b"Content-Length: 2\r\n\r\nok"
@@ -72,11 +71,7 @@
             for step in steps:
                 if step == "reset":
                     gevent.sleep(0.02)
-                    linger = struct.pack("ii", 1, 0)
-                    sock.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, linger
-                    )
-                    sock.close()
+                    sockets.reset(sock)
                     return
                 if step == "close":
                     return
--- a/tests/transport/test_upstream_channels.py
+++ b/tests/transport/test_upstream_channels.py
@@ -1,7 +1,5 @@
 """Tests of exchanges with upstreams."""
 
-import struct
-
 import gevent
 from gevent import server as servers
 from gevent import socket
@@ -9,6 +7,7 @@
 
 from papayalink.transport import errors
 from papayalink.transport import upstream_channels
+from tests.transport import sockets
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 _HEADERS = [(b"Host", b"x"), (b"Content-Length", b"2")]
@@ -39,11 +38,7 @@
                 if step == "reset":
                     # Bytes that are under way must arrive first.
                     gevent.sleep(0.02)
-                    linger = struct.pack("ii", 1, 0)
-                    sock.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, linger
-                    )
-                    sock.close()
+                    sockets.reset(sock)
                     return
                 if step == "close":
                     return
