Make the control group as large as the losses that it is to bear

Ruled out: an authority on each machine with a disk as a voter; six bear no more losses than five, and each one more costs messages. A share of the machines instead of a count: hundreds of processes at a large site.

Change: the leader keeps 2 * losses + 1 voters; members beyond that stand by as learners and take the place of a voter that is silent for 4 s.

--- a/papayalink/coordination/replacement.py
+++ b/papayalink/coordination/replacement.py
@@ -12,16 +12,27 @@
 LOST_AFTER_S = 4.0
 
 
+# A group of this many voters bears the loss of one.
+LEAST_VOTERS = 3
+
+
 class Joining(msgspec.Struct, frozen=True):
     """A member that asked to be added.
 
     Args:
         member_id: its id, used by no other disk.
         place: the same for all ids that one address ever had.
+        durable: it has a disk; others never vote.
     """
 
     member_id: str
     place: str
+    durable: bool = True
+
+
+def voters_wanted(losses: int) -> int:
+    """Returns: voters that bear this many losses at once."""
+    return max(LEAST_VOTERS, 2 * losses + 1)
 
 
 def next_change(
@@ -29,43 +40,65 @@
     joining: Collection[Joining],
     places: Mapping[str, str],
     silent_s: Mapping[str, float],
+    wanted: int = LEAST_VOTERS,
 ) -> membership.Change | None:
     """Choose the next change, one at a time.
 
-    A joining member becomes a learner, then a voter. The earlier id of its
-    place is removed after that, and an even group drops a voter that is
-    silent, whose machine was replaced at another address.
+    A joining member becomes a learner. A durable one becomes a voter while
+    there are fewer than wanted, or one of them is silent; the others stand
+    by. The earlier ids of its place are removed after that, and an even
+    group drops a voter that is silent, whose machine may be gone for good.
 
     Args:
         group: members now.
         joining: members that asked and are not known to be done.
         places: place of each member by id.
         silent_s: seconds since a member was reached; reached ones left out.
+        wanted: number of voters, odd.
     Returns: the change, None when nothing is to be done.
     """
+    voters = group.voters
+    lost = _longest_silent(voters, silent_s)
     for member in sorted(joining, key=lambda each: each.member_id):
         known = group.find(member.member_id)
         if known is None:
             if member.member_id not in group.removed:
                 return membership.AddLearner(member.member_id)
-        elif not known.voter:
-            return membership.PromoteLearner(member.member_id)
-        else:
-            for other in group.ids:
-                same_place = places.get(other) == member.place
-                if same_place and other != member.member_id:
-                    return membership.RemoveMember(other)
-    voters = group.voters
-    if len(voters) > 1 and len(voters) % 2 == 0:
-        lost = [
-            (silent_s[voter], voter)
-            for voter in voters
-            if silent_s.get(voter, 0.0) >= LOST_AFTER_S
-        ]
-        if lost:
-            return membership.RemoveMember(max(lost)[1])
+            continue
+        earlier = _earlier_ids(group, member, places)
+        if not known.voter and member.durable:
+            replaces = any(other in voters for other in earlier)
+            if replaces or lost is not None or len(voters) < wanted:
+                return membership.PromoteLearner(member.member_id)
+        if earlier:
+            return membership.RemoveMember(earlier[0])
+    if lost is not None and len(voters) > 1 and len(voters) % 2 == 0:
+        return membership.RemoveMember(lost)
     learners = [each for each in group.members if not each.voter]
     for learner in learners:
         if silent_s.get(learner.member_id, 0.0) >= 2 * LOST_AFTER_S:
             return membership.RemoveMember(learner.member_id)
     return None
+
+
+def _longest_silent(
+    voters: Collection[str], silent_s: Mapping[str, float]
+) -> str | None:
+    """Returns: the voter that counts as lost, None when all are reached."""
+    lost = [
+        (silent_s[voter], voter)
+        for voter in voters
+        if silent_s.get(voter, 0.0) >= LOST_AFTER_S
+    ]
+    return max(lost)[1] if lost else None
+
+
+def _earlier_ids(
+    group: membership.Membership, member: Joining, places: Mapping[str, str]
+) -> list[str]:
+    """Returns: other ids that a member's place has in the group."""
+    return [
+        other
+        for other in group.ids
+        if other != member.member_id and places.get(other) == member.place
+    ]
--- a/papayalink/node_settings.py
+++ b/papayalink/node_settings.py
@@ -20,6 +20,7 @@
         retry_ratio, retry_slack: attempts beyond the first of each call
             that all entries together may make in retry_window_s.
         weights_ms: time in which replicas are to have named weights.
+        losses: control members that may be lost at once.
     """
 
     grace_s: float = 8.0
@@ -28,6 +29,7 @@
     retry_slack: int = 50
     retry_window_s: float = 10.0
     weights_ms: int = 10_000
+    losses: int = 1
 
 
 class NodeSettings(
@@ -99,13 +101,14 @@
 
     Attributes:
         operator_listen: "IP:PORT" for operators.
-        data_folder: where all files are.
+        data_folder: where all files are; null on a VM without a disk, whose
+            member follows the group and never votes.
         first_start: the deployment starts for the first time, all disks
             are empty.
     """
 
     operator_listen: str
-    data_folder: str
+    data_folder: str | None
     first_start: bool = False
 
 
@@ -153,7 +156,7 @@
             addresses += ["listen", "ready_listen"]
         case Authority():
             addresses.append("operator_listen")
-            if not settings.data_folder:
+            if settings.data_folder == "":
                 problems.append(
                     shape.Problem("$.data_folder", "is empty", "name a folder")
                 )
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -184,9 +184,38 @@
 
 
 class Join(Message):
-    """A control member asks the leader to be added to the group."""
+    """A control member asks the leader to be added to the group.
+
+    Attributes:
+        durable: it has a disk and may vote.
+    """
 
     member_id: str
+    durable: bool = True
+
+
+class Describe(Message):
+    """A process asks a seed at its first start what the seed is.
+
+    Attributes:
+        name: its own name as a member.
+        durable: it has a disk.
+    """
+
+    name: str
+    durable: bool
+
+
+class Described(Message):
+    """What a seed is.
+
+    Attributes:
+        durable: the seed has a disk.
+        first: first process with a disk that asked the seed, "" for none.
+    """
+
+    durable: bool
+    first: str = ""
 
 
 class Acknowledge(Message):
@@ -356,6 +385,8 @@
     | Deliver
     | ShareLoads
     | Introduce
+    | Describe
+    | Described
     | Join
     | Acknowledge
     | Order
--- a/papayalink/roles/authority/group.py
+++ b/papayalink/roles/authority/group.py
@@ -20,6 +20,9 @@
 # A learner of a small group has caught up within one or two of these.
 PERIOD_S = 0.25
 JOIN_TIMEOUT_S = 0.5
+# A learner that stands by says so again after this, since the leader may be
+# another one by then.
+STAND_BY_PERIOD_S = 1.0
 
 
 class _Due(msgspec.Struct):
@@ -33,11 +36,15 @@
         "_node",
         "_own",
         "_original",
+        "_durable",
+        "_wanted",
         "_replica",
         "_peers",
         "_book",
         "_on_removed",
         "_joining",
+        "_asked_before",
+        "_asked_at",
         "_leading_since",
         "_inbox",
         "_log",
@@ -48,6 +55,7 @@
         node: nodes.Node,
         own: str,
         original: bool,
+        durable: bool,
         replica: replicas.Replica,
         peers: peers_module.Peers,
         book: address_book.AddressBook,
@@ -56,11 +64,16 @@
         self._node = node
         self._own = own
         self._original = original
+        self._durable = durable
+        losses = node.settings.bounds.losses
+        self._wanted = replacement.voters_wanted(losses)
         self._replica = replica
         self._peers = peers
         self._book = book
         self._on_removed = on_removed
-        self._joining: set[str] = set()
+        self._joining: dict[str, messages.Join] = {}
+        self._asked_before: set[str] = set()
+        self._asked_at = 0.0
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
@@ -69,11 +82,16 @@
         self._node.timers.every(PERIOD_S, self._inbox, _Due())
         tasks.spawn(self._run)
 
-    def join(self, member_id: str) -> None:
+    def join(self, message: messages.Join) -> None:
         """Add a member that asked for it."""
-        if member_id not in self._joining:
-            self._log.info("member_asks_to_join", member=member_id)
-        self._joining.add(member_id)
+        if message.member_id not in self._asked_before:
+            self._asked_before.add(message.member_id)
+            self._log.info(
+                "member_asks_to_join",
+                member=message.member_id,
+                durable=message.durable,
+            )
+        self._joining[message.member_id] = message
 
     def _run(self) -> None:
         while True:
@@ -96,11 +114,16 @@
         change = replacement.next_change(
             group,
             [
-                replacement.Joining(each, peers_module.name_of(each))
-                for each in self._joining
+                replacement.Joining(
+                    each.member_id,
+                    peers_module.name_of(each.member_id),
+                    each.durable,
+                )
+                for each in self._joining.values()
             ],
             {each: peers_module.name_of(each) for each in group.ids},
             self._silent_s(),
+            self._wanted,
         )
         if change is None:
             self._joining.clear()
@@ -123,23 +146,35 @@
         return silent
 
     def _ask_to_join(self) -> None:
-        """Ask to be a voter under a new id, until it is the only one."""
+        """Ask to be a voter under a new id, until it is the only one.
+
+        A member without a disk asks to be a learner; one that stands by
+        asks as long as it does.
+        """
         group = self._replica.membership
         known = group.find(self._own)
         name = peers_module.name_of(self._own)
-        places = [peers_module.name_of(each) for each in group.ids]
-        done = known is not None and known.voter and places.count(name) == 1
-        if self._original or done:
+        alone = [peers_module.name_of(each) for each in group.ids].count(name)
+        done = known is not None and alone == 1
+        if self._original or (done and (known.voter or not self._durable)):
+            return
+        now = time.monotonic()
+        if done and now - self._asked_at < STAND_BY_PERIOD_S:
             return
-        for address in self._peers.others():
+        self._asked_at = now
+        message = messages.Join(self._own, self._durable)
+        leader = self._peers.address_of(self._replica.leader_id)
+        addresses = [leader] if leader else self._peers.others()
+        for address in addresses:
             try:
                 self._node.rpc_client.call(
-                    address,
-                    "Join",
-                    messages.Join(self._own),
-                    JOIN_TIMEOUT_S,
+                    address, "Join", message, JOIN_TIMEOUT_S
                 )
                 return
+            except transport_errors.RpcRefused as error:
+                if error.leader:
+                    self._book.learn_addresses([error.leader])
+                self._log.info("join_not_taken", address=address, reason=error)
             except transport_errors.TransportError as error:
                 self._log.info("join_not_taken", address=address, reason=error)
 
@@ -148,6 +183,7 @@
     node: nodes.Node,
     own: str,
     original: bool,
+    durable: bool,
     replica: replicas.Replica,
     peers: peers_module.Peers,
     book: address_book.AddressBook,
@@ -156,6 +192,9 @@
     """Make the upkeep.
 
     Args:
+        durable: this member has a disk and may vote.
         on_removed: called once when the group has removed this member.
     """
-    return GroupUpkeep(node, own, original, replica, peers, book, on_removed)
+    return GroupUpkeep(
+        node, own, original, durable, replica, peers, book, on_removed
+    )
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -5,14 +5,17 @@
 import shutil
 
 from papayalink import node_settings
+from papayalink import tasks
 from papayalink.coordination import replica as replicas
 from papayalink.coordination import replica_loading
 from papayalink.coordination import upstream_client
 from papayalink.coordination.raft import membership
+from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles import process
 from papayalink.roles import reloading
 from papayalink.roles.authority import address_book
+from papayalink.roles.authority import founding
 from papayalink.roles.authority import group
 from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
@@ -91,6 +94,7 @@
             self._state,
             self._machine,
             self._book,
+            settings.data_folder is not None,
             self._join,
             self._stores,
             self._relay,
@@ -115,10 +119,11 @@
         )
 
     def start(self) -> None:
-        self._run_replica()
-        self._relay.start()
+        # Other members ask what this one is before it takes part.
         self._rpc_server.start()
         self._operator_server.start()
+        tasks.spawn(self._run_replica)
+        self._relay.start()
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
@@ -157,9 +162,14 @@
     def _log_folder(self) -> str:
         return os.path.join(self._node.settings.data_folder, "log")
 
-    def _join(self, member_id: str) -> None:
+    def _make_log_store(self) -> log_store.LogStore:
+        if self._node.settings.data_folder is None:
+            return log_store.MemoryLogStore()
+        return log_store.DiskLogStore(self._log_folder)
+
+    def _join(self, message: messages.Join) -> None:
         if self._group is not None:
-            self._group.join(member_id)
+            self._group.join(message)
 
     def _note_applied(self) -> None:
         """Follow the stores of a document that has come in force."""
@@ -171,15 +181,14 @@
         self._service.note_applied()
 
     def _run_replica(self) -> None:
-        log_folder = self._log_folder
-        first_members = self._settle_identity(log_folder)
+        first_members = self._settle_identity()
         self._peers.set_own(self._identity.member_id)
         self._replica = replicas.make_replica(
             replica_loading.Settings(
                 member_id=self._identity.member_id,
                 first_election_ticks=FIRST_ELECTION_TICKS,
             ),
-            log_store.DiskLogStore(log_folder),
+            self._make_log_store(),
             observed.make_observed(self._machine, self._note_applied),
             self._node.timers,
             self._peers.send,
@@ -190,6 +199,7 @@
             self._node,
             self._identity.member_id,
             self._identity.original,
+            self._node.settings.data_folder is not None,
             self._replica,
             self._peers,
             self._book,
@@ -214,12 +224,11 @@
             "removed_from_group", member_id=self._identity.member_id
         )
         self._identity.renew()
-        shutil.rmtree(self._log_folder, ignore_errors=True)
+        if self._node.settings.data_folder is not None:
+            shutil.rmtree(self._log_folder, ignore_errors=True)
         os._exit(EXIT_REMOVED)
 
-    def _settle_identity(
-        self, log_folder: str
-    ) -> membership.Membership | None:
+    def _settle_identity(self) -> membership.Membership | None:
         """Decide under which id this member takes part.
 
         Only the platform knows that the deployment starts for the first
@@ -230,27 +239,41 @@
         """
         settings = self._node.settings
         own = address_book.name_of_ip(settings.ip)
-        has_log = os.path.isdir(log_folder) and bool(os.listdir(log_folder))
-        seeds = [
-            address_book.name_of_ip(seed.rpartition(":")[0])
-            for seed in settings.seeds
-        ]
-        if self._identity.admitted and has_log:
-            return None
-        if self._identity.admitted:
-            # Removed from the group, or a log that was lost.
-            first_start = False
-        else:
-            first_start = settings.first_start and own in seeds
-        if first_start:
+        founders: tuple[str, ...] = ()
+        if settings.data_folder is not None:
+            folder = self._log_folder
+            has_log = os.path.isdir(folder) and bool(os.listdir(folder))
+            if self._identity.admitted and has_log:
+                return None
+            # Admitted without a log: removed from the group, or a log that
+            # was lost.
+            if settings.first_start and not self._identity.admitted:
+                founders = self._find_founders(own)
+        if own in founders:
             self._identity.admit()
-            return membership.make_membership(*sorted(seeds))
+            return membership.make_membership(*founders)
         self._identity.renew()
         self._node.log.warning(
             "joining_as_learner", member_id=self._identity.member_id
         )
         return None
 
+    def _find_founders(self, own: str) -> tuple[str, ...]:
+        """Returns: names of the members that make up the first group."""
+        settings = self._node.settings
+        seeds = {
+            address_book.name_of_ip(address.rpartition(":")[0]): address
+            for address in settings.seed_peers
+        }
+        founders = founding.find_founders(
+            messages.Describe(own, settings.data_folder is not None),
+            seeds,
+            self._node.rpc_client,
+            self._service.describe,
+        )
+        self._book.learn_members(founders)
+        return founders
+
 
 def make_process(
     node: nodes.Node,
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -18,6 +18,7 @@
 from papayalink.roles.authority import store_watch
 from papayalink.roles.authority import weights
 from papayalink.state import machine as machines
+from papayalink.transport import errors as transport_errors
 from papayalink.transport import rpc
 
 # A watch is answered in less than this, whatever its sender asks for, so
@@ -34,6 +35,7 @@
     """Answers watches, proposals, joins and replication messages.
 
     Args:
+        durable: this member has a disk.
         join: asks the leader's upkeep to add a member.
         stores: tells what the stores hold.
         relay: reads the platform's list.
@@ -51,6 +53,8 @@
         "_relay",
         "_board",
         "_source",
+        "_durable",
+        "_first_asking",
     )
 
     def __init__(
@@ -58,7 +62,8 @@
         state: numbered_state.NumberedState,
         machine: machines.Machine,
         book: address_book.AddressBook,
-        join: Callable[[str], None],
+        durable: bool,
+        join: Callable[[messages.Join], None],
         stores: store_watch.StoreWatch,
         relay: list_relay.ListRelay,
     ) -> None:
@@ -73,6 +78,8 @@
         self._relay = relay
         self._board = load_board.make_load_board()
         self._source = secrets.token_hex(4)
+        self._durable = durable
+        self._first_asking = ""
 
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
@@ -80,6 +87,7 @@
             "Parts": self.parts,
             "Propose": self.propose,
             "Deliver": self.deliver,
+            "Describe": self.describe,
             "Join": self.join,
         }
 
@@ -152,6 +160,12 @@
         replica.deliver(raft_messages.decode(message.batch))
         return messages.Acknowledge()
 
+    def describe(self, message: messages.Describe) -> messages.Described:
+        """Tell a process that starts whether this seed has a disk."""
+        if message.durable and not self._first_asking:
+            self._first_asking = message.name
+        return messages.Described(self._durable, self._first_asking)
+
     def join(self, message: messages.Join) -> messages.Acknowledge:
         """Add a member to the group; only the leader can."""
         try:
@@ -159,8 +173,14 @@
             if not replica.is_leader:
                 raise errors.NotLeader(replica.leader_id)
         except errors.CoordinationError as error:
-            raise self._state.refusal(error) from error
-        self._join(message.member_id)
+            leader = self._state.leader_address()
+            if not leader and self._first_asking:
+                # The only hint before this member takes part.
+                leader = self._book[self._first_asking]
+            raise transport_errors.RpcRefused(
+                "not_leader", str(error), leader
+            ) from error
+        self._join(message)
         return messages.Acknowledge()
 
     def _differs(self, watch: messages.Watch) -> bool:
@@ -211,8 +231,9 @@
     state: numbered_state.NumberedState,
     machine: machines.Machine,
     book: address_book.AddressBook,
-    join: Callable[[str], None],
+    durable: bool,
+    join: Callable[[messages.Join], None],
     stores: store_watch.StoreWatch,
     relay: list_relay.ListRelay,
 ) -> AuthorityService:
-    return AuthorityService(state, machine, book, join, stores, relay)
+    return AuthorityService(state, machine, book, durable, join, stores, relay)
--- a/papayalink/roles/control/identity.py
+++ b/papayalink/roles/control/identity.py
@@ -121,6 +121,18 @@
             os.close(folder)
 
 
+class MemoryIdentity(Identity):
+    """Twin for a member without a disk: a new id with each start."""
+
+    __slots__ = ()
+
+    def _read(self) -> Content:
+        return Content(self._name, secrets.token_hex(16))
+
+    def _write(self) -> None:
+        pass
+
+
 def introduce(
     identity: Identity,
     name: str,
@@ -161,5 +173,8 @@
         identity.admit()
 
 
-def make_identity(folder: str, name: str) -> Identity:
+def make_identity(folder: str | None, name: str) -> Identity:
+    """Make the identity of a data folder, or of a member without one."""
+    if folder is None:
+        return MemoryIdentity("", name)
     return Identity(folder, name)
--- a/papayalink/shape.py
+++ b/papayalink/shape.py
@@ -140,6 +140,10 @@
             if isinstance(value, str):
                 return value
             wanted = "a string"
+        case inspect.UnionType(types=(one, inspect.NoneType())):
+            if value is None:
+                return None
+            return build(value, one, path, problems)
         case _:
             raise TypeError(f"no check for {kind}")
     problems.append(
