Have calls at the start wait for the first document

Ruled out: keeping a copy of the document at entries, which have no disk.

Change: in the first second after its start an entry lets a call wait for the document, a third of the call's time at most. Later it refuses at once.

--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -7,6 +7,9 @@
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.transport import caller_server
 
+# Part of the time of a call that it waits for the first document.
+WAIT_SHARE = 1 / 3
+
 
 class Handler:
     """Finds out who calls what, and has the call run.
@@ -31,6 +34,9 @@
             request.method, request.target, request.headers, request.body
         )
         directory = self._shared.watcher.directory
+        if directory is None:
+            most_s = WAIT_SHARE * call.budget_ms / 1000
+            directory = self._shared.watcher.wait_directory(most_s)
         if directory is None:
             self._reject(
                 call, responder, 503, "no_document", call_run.RETRY_AFTER_S
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -6,6 +6,7 @@
 import time
 
 import gevent
+from gevent import event
 
 from papayalink import logs
 from papayalink import tasks
@@ -21,6 +22,9 @@
 # The first question must not wait: the entry serves nothing before it.
 FIRST_TIMEOUT_S = 0.8
 PAUSE_S = 0.1
+# Control members that start together with the entry have a leader after about
+# 0.5 s; calls that arrive before wait for the document until this time.
+FIRST_DOCUMENT_S = 1.0
 
 Translate = Callable[[bytes], traffic.Traffic]
 
@@ -50,6 +54,8 @@
         "_loading",
         "_loaded",
         "_connected",
+        "_started_at",
+        "_has_document",
         "_log",
     )
 
@@ -73,6 +79,8 @@
         self._loading: tuple[messages.Loading, ...] = ()
         self._loaded: tuple[messages.Loading, ...] = ()
         self._connected = False
+        self._started_at = time.monotonic()
+        self._has_document = event.Event()
         self._log = logs.get_logger()
 
     @property
@@ -115,7 +123,18 @@
             return float("inf")
         return time.monotonic() - self._confirmed_at
 
+    def wait_directory(self, most_s: float) -> traffic.Directory | None:
+        """Wait for the first document, shortly after the start only.
+
+        Returns: the document in force, None when there is none yet.
+        """
+        left_s = self._started_at + FIRST_DOCUMENT_S - time.monotonic()
+        if left_s > 0:
+            self._has_document.wait(min(left_s, most_s))
+        return self._directory
+
     def start(self) -> None:
+        self._started_at = time.monotonic()
         tasks.spawn(self._run)
 
     def add_members(self, addresses: Iterable[str]) -> None:
@@ -196,6 +215,8 @@
             changed = True
         if changed:
             self._on_change()
+            if self._directory is not None:
+                self._has_document.set()
 
 
 def make_watcher(
--- /dev/null
+++ b/tests/roles/gateway/test_watching.py
@@ -0,0 +1,55 @@
+"""The document that an entry follows."""
+
+import time
+
+import gevent
+import pytest
+
+from papayalink.roles.gateway import watching
+
+
+class _Settings:
+    name = "e1"
+    seed_peers = ("127.0.0.1:1",)
+
+
+class _Node:
+    settings = _Settings()
+
+
+class _Watcher(watching.Watcher):
+    """A watcher that asks nobody."""
+
+    def _run(self):
+        pass
+
+
+def _make_watcher():
+    watcher = _Watcher(_Node(), None, lambda: None)
+    watcher.start()
+    return watcher
+
+
+def test_call_at_the_start_waits_for_the_document():
+    # After a power loss of all machines entries are up before the control
+    # members have a leader.
+    watcher = _make_watcher()
+    waiting = gevent.spawn(watcher.wait_directory, 5.0)
+    gevent.sleep(0.05)
+    assert not waiting.ready()
+    watcher._directory = "document"
+    watcher._has_document.set()
+    assert waiting.get(timeout=5.0) == "document"
+
+
+@pytest.mark.parametrize("most_s", [0.0, 0.05])
+def test_call_does_not_wait_longer_than_it_can(most_s):
+    assert _make_watcher().wait_directory(most_s) is None
+
+
+def test_call_is_refused_at_once_when_no_document_comes():
+    # Holding calls back would not help once the control group is lost.
+    watcher = _make_watcher()
+    watcher._started_at = time.monotonic() - watching.FIRST_DOCUMENT_S
+    waiting = gevent.spawn(watcher.wait_directory, 60.0)
+    assert waiting.get(timeout=5.0) is None
