Add a fault soak of gateways and authorities as processes

Change: soak/ starts the real programs at addresses of the loopback range, with stand-ins for list and replicas behind proxies that delay, reset, silence or cut one way. It stops, kills, pauses and restarts processes, takes their disks, and has replicas refuse, fail, fall silent and leave, as a seed draws. Callers keep their connections; operators change and read the document. Clocks and full disks are not disturbed: nothing in the programs' settings allows it from outside.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := papayalink fakes bench tests
+SOURCES := papayalink fakes bench soak tests
 
-.PHONY: all test lint format demo bench clean
+.PHONY: all test lint format demo bench soak clean
 
 all: test
 
@@ -31,5 +31,9 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench.run
 
+# Some minutes of faults with fresh seeds.
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --fresh 10
+
 clean:
 	rm -rf $(VENV) build bench/out
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on the real programs, which run as processes."""
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,138 @@
+"""Callers that keep their connections, and operators that send again."""
+
+import itertools
+import time
+
+import gevent
+import geventhttpclient
+from geventhttpclient import response as responses
+
+from soak import nodes as node_module
+from soak import records
+from soak.platform import standins
+
+BUDGET_MS = 3_000
+TIMEOUT_S = 6.0
+# Answers of an operator's call that are worth another try.
+AGAIN_S = 0.2
+CALL_ERRORS = (
+    OSError,
+    ValueError,
+    responses.HTTPConnectionClosed,
+    responses.HTTPParseError,
+)
+
+
+class Caller:
+    """Sends one call after the other on one connection to one gateway."""
+
+    def __init__(self, name: str, history: records.History, rng) -> None:
+        self._name = name
+        self._history = history
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._clients: dict[str, geventhttpclient.HTTPClient] = {}
+
+    def call(self, gateway: node_module.Node) -> records.Call:
+        """Send a call of a random kind and take its answer."""
+        prefix = self._rng.choice(
+            (
+                standins.ONCE,
+                standins.LOOKUP,
+                standins.STREAM,
+                standins.CHANGING,
+            )
+        )
+        workspace = self._rng.choice(sorted(standins.KEYS))
+        call_id = f"{self._name}-{next(self._numbers)}"
+        call = records.Call(
+            call_id, prefix, workspace, gateway.name, time.monotonic()
+        )
+        self._history.calls.append(call)
+        client = self._clients.get(gateway.name)
+        if client is None:
+            client = self._clients[gateway.name] = geventhttpclient.HTTPClient(
+                gateway.ip,
+                node_module.LISTEN_PORT,
+                connection_timeout=1.0,
+                network_timeout=TIMEOUT_S,
+            )
+        method = "GET" if prefix == standins.LOOKUP else "POST"
+        headers = standins.make_headers(call_id, workspace, BUDGET_MS)
+        try:
+            answer = client.request(method, f"{prefix}{call_id}", b"", headers)
+            call.stamp = answer.get("papayalink-server-stamp", "")
+            while data := answer.read(4096):
+                call.body += bytes(data)
+            call.status = answer.status_code
+            call.whole = True
+        except CALL_ERRORS:
+            # Refused, cut or silent; nothing is promised then.
+            client.close()
+            del self._clients[gateway.name]
+        call.ended_at = time.monotonic()
+        return call
+
+    def run(self, gateways: list[node_module.Node], until: float) -> None:
+        while time.monotonic() < until:
+            self.call(self._rng.choice(gateways))
+            gevent.sleep(self._rng.random() * 0.06)
+
+
+class Operator:
+    """Sends documents under growing numbers, and reads them back."""
+
+    def __init__(self, history: records.History, rng) -> None:
+        self._history = history
+        self._rng = rng
+        self._numbers = itertools.count(1)
+
+    def put(self, members: list[node_module.Node], for_s: float) -> bool:
+        """Send the next document until it is accepted.
+
+        Returns: whether it was.
+        """
+        number = next(self._numbers) * 3
+        change = records.Change(
+            number, self._rng.random() < 0.5, time.monotonic()
+        )
+        self._history.changes.append(change)
+        body = standins.make_document(number, change.with_changing)
+        until = time.monotonic() + for_s
+        while time.monotonic() < until:
+            member = self._rng.choice(members)
+            status, _ = _call(member, "PUT", body)
+            if status == 200:
+                change.acked_at = time.monotonic()
+                return True
+            gevent.sleep(AGAIN_S)
+        return False
+
+    def read(self, members: list[node_module.Node]) -> None:
+        member = self._rng.choice(members)
+        sent_at = time.monotonic()
+        status, body = _call(member, "GET")
+        if status == 200:
+            number = int(body.partition(b'"version":')[2].split(b",")[0])
+            self._history.reads.append(
+                records.Read(sent_at, member.name, number)
+            )
+
+
+def _call(
+    member: node_module.Node, method: str, body: bytes = b""
+) -> tuple[int, bytes]:
+    """Returns: status and body, 0 without an answer."""
+    client = geventhttpclient.HTTPClient(
+        member.ip,
+        node_module.OPERATOR_PORT,
+        connection_timeout=1.0,
+        network_timeout=1.5,
+    )
+    try:
+        answer = client.request(method, "/-/config", body)
+        return answer.status_code, bytes(answer.read())
+    except CALL_ERRORS:
+        return 0, b""
+    finally:
+        client.close()
--- /dev/null
+++ b/soak/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the protocol of the platform."""
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,85 @@
+"""Loopback proxy whose connections misbehave."""
+
+import struct
+
+import gevent
+from gevent import server
+from gevent import socket
+
+CHUNK = 65_536
+CONNECT_S = 1.0
+
+
+class Proxy:
+    """Passes bytes on to one address.
+
+    Attributes:
+        mode: "pass", "delay" by `delay_s`, "silent" passes nothing,
+            "one_way" passes no answers, "refuse" resets new connections.
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self.mode = "pass"
+        self.delay_s = 0.0
+        self._server = server.StreamServer((target[0], 0), self._serve)
+        self._server.start()
+        self.address = f"{target[0]}:{self._server.server_port}"
+
+    def reset_all(self) -> None:
+        """Reset all connections that are open now."""
+        for pair in list(self._pairs):
+            for each in pair:
+                _reset(each)
+
+    def stop(self) -> None:
+        self._server.stop()
+        self.reset_all()
+
+    def _serve(self, caller: socket.socket, _: object) -> None:
+        if self.mode == "refuse":
+            _reset(caller)
+            return
+        try:
+            upstream = socket.create_connection(self._target, CONNECT_S)
+        except OSError:
+            _reset(caller)
+            return
+        upstream.settimeout(None)
+        pair = (caller, upstream)
+        self._pairs.add(pair)
+        answers = gevent.spawn(self._pass, upstream, caller, True)
+        self._pass(caller, upstream, False)
+        answers.join()
+        self._pairs.discard(pair)
+
+    def _pass(
+        self, source: socket.socket, sink: socket.socket, answers: bool
+    ) -> None:
+        try:
+            while data := source.recv(CHUNK):
+                while self.mode == "silent" or (
+                    answers and self.mode == "one_way"
+                ):
+                    gevent.sleep(0.05)
+                if self.mode == "delay":
+                    gevent.sleep(self.delay_s)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            _reset(sink)
+
+
+def _reset(connection: socket.socket) -> None:
+    try:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+    except OSError:
+        # Closed by the other direction already.
+        return
+
+
+def make_proxy(target: tuple[str, int]) -> Proxy:
+    return Proxy(target)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak, and short runs of it."""
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,24 @@
+"""Short runs of the soak with the real programs.
+
+Seeds that ever failed stay here, with a line on the cause.
+"""
+
+import pytest
+
+from soak import play as plays
+
+SECONDS = 5.0
+
+
+@pytest.mark.parametrize(
+    ("seed", "shape"),
+    [
+        (1, plays.Shape()),
+        # Six authorities, two of which are disturbed at once.
+        (2, plays.Shape(authorities=6, gateways=2, losses=2)),
+    ],
+)
+def test_promises_are_kept(seed, shape):
+    result = plays.play(seed, SECONDS, shape)
+    assert result.findings == []
+    assert result.calls > 50
