Leave no process behind when the soak is stopped

Cause: a soak that was stopped by SIGTERM left its gateways and authorities running; twelve were ended by their ids.

Change: the signal ends the run through its clean-up.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,12 +2,15 @@
 
 import os
 import random
+import signal
 import sys
 
 import fire
 
 from soak import play as plays
 
+EXIT_STOPPED = 143
+
 
 def main(
     seeds: tuple[int, ...] | int = (),
@@ -27,6 +30,8 @@
         losses: authorities that are disturbed at once.
         folder: keeps logs and data of each seed there.
     """
+    # Ends the run through its clean-up, so that no process is left behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_STOPPED))
     wanted = [seeds] if isinstance(seeds, int) else list(seeds)
     drawn = random.SystemRandom()
     wanted += [drawn.randrange(10**6) for _ in range(fresh)]
