Log a seed that is missing at the first start once

Cause: a seed that does not answer was logged ten times a second for as long as it was missing.

Change: one line a seed.

--- a/papayalink/roles/authority/founding.py
+++ b/papayalink/roles/authority/founding.py
@@ -32,6 +32,7 @@
     """
     log = logs.get_logger()
     known: dict[str, founding.Seed] = {}
+    missed: set[str] = set()
     while True:
         for name, address in seeds.items():
             if name in known and known[name].durable:
@@ -42,7 +43,9 @@
                 else:
                     reply = client.call(address, "Describe", own, TIMEOUT_S)
             except errors.TransportError as error:
-                log.info("seed_not_reached", seed=name, reason=error)
+                if name not in missed:
+                    log.info("seed_not_reached", seed=name, reason=error)
+                missed.add(name)
                 continue
             known[name] = founding.Seed(reply.durable, reply.first)
         if len(known) == len(seeds):
