--- a/tests/roles/authority/test_founding.py
+++ b/tests/roles/authority/test_founding.py
@@ -23,7 +23,7 @@
         self.asked.append(name)
         turn, durable = self._answers[name]
         if self.asked.count(name) < turn:
-            raise errors.RpcUnavailable("not yet")
+            raise errors.NotConnected("not yet")
         return messages.Described(durable, "x")
 
 
