Have the leader introduce itself to processes without a disk

Cause: settings may name only seeds without a disk (seed_turnover), which know no member after a power loss of all machines.

Ruled out: loss of the document; the group was elected and held it.

Change: the leader tells known addresses that do not vote where it is, twice a second; a process without a disk then asks it to join. New test of a restart of all with such seeds fails before (20 s without an answer) and passes now.

--- a/papayalink/roles/authority/group.py
+++ b/papayalink/roles/authority/group.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import time
 
+import gevent
 from gevent import queue
 import msgspec
 
@@ -23,6 +24,8 @@
 # A learner that stands by says so again after this, since the leader may be
 # another one by then.
 STAND_BY_PERIOD_S = 1.0
+# Processes that have lost what they knew wait for this to find the group.
+INTRODUCE_PERIOD_S = 0.5
 
 
 class _Due(msgspec.Struct):
@@ -45,6 +48,7 @@
         "_joining",
         "_asked_before",
         "_asked_at",
+        "_introduced_at",
         "_leading_since",
         "_inbox",
         "_log",
@@ -74,6 +78,7 @@
         self._joining: dict[str, messages.Join] = {}
         self._asked_before: set[str] = set()
         self._asked_at = 0.0
+        self._introduced_at = 0.0
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
@@ -104,6 +109,7 @@
                 if self._leading_since is None:
                     self._leading_since = time.monotonic()
                 self._change()
+                self._introduce()
             else:
                 self._leading_since = None
                 self._joining.clear()
@@ -135,6 +141,39 @@
             # The learner has not caught up, or another change is under way.
             self._log.info("membership_change_waits", reason=error)
 
+    def _introduce(self) -> None:
+        """Tell addresses that do not vote who leads the group.
+
+        Settings may name only seeds without a disk, which know no member
+        after a restart, and entries and new members ask only these. They
+        may still be learners under the id that they had before.
+        """
+        now = time.monotonic()
+        if now - self._introduced_at < INTRODUCE_PERIOD_S:
+            return
+        self._introduced_at = now
+        voters = self._replica.membership.voters
+        places = {peers_module.name_of(each) for each in voters}
+        own = peers_module.name_of(self._own)
+        for name in self._book:
+            if name not in places:
+                gevent.spawn(
+                    self._describe_to,
+                    self._book[name],
+                    messages.Describe(own, self._durable),
+                )
+
+    def _describe_to(self, address: str, message: messages.Describe) -> None:
+        try:
+            self._node.rpc_client.call(
+                address, "Describe", message, JOIN_TIMEOUT_S
+            )
+        except transport_errors.TransportError as error:
+            # Mostly a machine that was removed.
+            self._log.debug(
+                "introduction_not_taken", address=address, reason=error
+            )
+
     def _silent_s(self) -> dict[str, float]:
         now = time.monotonic()
         silent = {}
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -162,8 +162,9 @@
 
     def describe(self, message: messages.Describe) -> messages.Described:
         """Tell a process that starts whether this seed has a disk."""
-        if message.durable and not self._first_asking:
-            self._first_asking = message.name
+        if message.durable:
+            self._book.learn_members([message.name])
+            self._first_asking = self._first_asking or message.name
         return messages.Described(self._durable, self._first_asking)
 
     def join(self, message: messages.Join) -> messages.Acknowledge:
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -358,3 +358,46 @@
     finally:
         for member in members:
             member.stop()
+
+
+def test_group_is_found_after_a_restart_of_all(tmp_path):
+    """Seeds without a disk know nobody when they are back.
+
+    Found by days on which the settings name other seeds before all machines
+    lose power (deploy/days/core.toml, varied with seed 378891421930).
+    """
+    client = _Replicas()
+    port = _free_port("127.0.9.1")
+    operator_port = _free_port("127.0.9.1")
+    durable = {4, 5, 6}
+
+    def start(first, seeds):
+        return [
+            _Member(
+                f"127.0.9.{place}",
+                port,
+                operator_port,
+                tmp_path / str(place) if place in durable else None,
+                client,
+                first,
+                seeds,
+            )
+            for place in range(1, 7)
+        ]
+
+    members = start(True, (4, 5, 6))
+    try:
+        assert _put(members[3], _document(2)) == 200
+        for member in members:
+            member.stop()
+        members = start(False, (1, 2, 3))
+        _until(
+            lambda: all(
+                member.call("GET", "/-/config") == (200, _document(2))
+                for member in members
+            )
+        )
+        assert all(member.watch(number=0).number == 2 for member in members)
+    finally:
+        for member in members:
+            member.stop()
