Have the soak lose the power of all, with seeds that have no disk

Cause: the soak had no members without a disk, so it did not find that nobody found the group after a power loss.

Change: authorities without a disk, and a kill of all processes that come back with these as seeds; kept as seed 3.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,8 @@
     authorities: int = 3,
     gateways: int = 3,
     losses: int = 1,
+    diskless: int = 0,
+    power: bool = False,
     folder: str = "",
 ) -> None:
     """Play seeds, and print what each of them found.
@@ -28,6 +30,8 @@
         fresh: number of seeds to draw and play besides.
         seconds: length of the disturbed part.
         losses: authorities that are disturbed at once.
+        diskless: authorities without a disk, besides the others.
+        power: all lose power in the end, and have other seeds after it.
         folder: keeps logs and data of each seed there.
     """
     # Ends the run through its clean-up, so that no process is left behind.
@@ -35,7 +39,7 @@
     wanted = [seeds] if isinstance(seeds, int) else list(seeds)
     drawn = random.SystemRandom()
     wanted += [drawn.randrange(10**6) for _ in range(fresh)]
-    shape = plays.Shape(authorities, gateways, losses)
+    shape = plays.Shape(authorities, gateways, losses, diskless, power)
     bad = 0
     for seed in wanted:
         kept = os.path.join(folder, str(seed)) if folder else ""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -57,6 +57,25 @@
             gevent.sleep(self._rng.random() * 1.2)
         gevent.joinall(self._under_way, raise_error=True)
 
+    def lose_power(self) -> None:
+        """Kill all processes; they are back with other seeds.
+
+        Where some authorities have no disk the new seeds are these.
+        """
+        begin = self._begin("power", "authority-all")
+        for node in self._nodes:
+            node.kill()
+        seeds = [
+            f"{each.ip}:{node_module.OPERATOR_PORT}"
+            for each in self._nodes
+            if each.role == "authority" and not each.durable
+        ]
+        for node in self._nodes:
+            if seeds:
+                node.settings["seeds"] = seeds[:3]
+            node.start()
+        self._end("power", "authority-all", begin)
+
     def _inject(self, kind: str) -> None:
         if kind in ("stop", "kill", "pause", "wipe"):
             self._disturb_node(kind)
@@ -67,14 +86,14 @@
         node = self._rng.choice(self._nodes)
         if kind == "wipe":
             node = self._rng.choice(
-                [each for each in self._nodes if each.role == "authority"]
+                [each for each in self._nodes if each.durable]
             )
         disturbed = [
             each
             for each in self._nodes
-            if each.name in self._busy and each.role == "authority"
+            if each.name in self._busy and each.durable
         ]
-        full = len(disturbed) >= self._losses and node.role == "authority"
+        full = len(disturbed) >= self._losses and node.durable
         if node.name in self._busy or full:
             return
         self._busy.add(node.name)
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -101,6 +101,11 @@
     def pause(self, paused: bool) -> None:
         self.process.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
 
+    @property
+    def durable(self) -> bool:
+        """Whether the process has a disk."""
+        return self.settings.get("data_folder") is not None
+
     def wipe(self) -> None:
         """Lose the disk."""
         shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
@@ -113,11 +118,13 @@
     authorities: int,
     gateways: int,
     losses: int,
+    diskless: int = 0,
 ) -> list[Node]:
-    """Make the nodes, not yet started."""
+    """Make the nodes, not yet started; the first authorities have disks."""
     seeds = [f"{network.ip(10 + each)}:{OPERATOR_PORT}" for each in range(3)]
     nodes = []
-    for role, count in (("authority", authorities), ("gateway", gateways)):
+    counts = (("authority", authorities + diskless), ("gateway", gateways))
+    for role, count in counts:
         for place in range(count):
             name = f"{role}-{place + 1}"
             ip = network.ip((10 if role == "authority" else 100) + place)
@@ -139,7 +146,11 @@
             if role == "authority":
                 settings |= {
                     "operator_listen": f"{ip}:{OPERATOR_PORT}",
-                    "data_folder": os.path.join(own, "data"),
+                    "data_folder": (
+                        os.path.join(own, "data")
+                        if place < authorities
+                        else None
+                    ),
                     "first_start": True,
                 }
             else:
--- a/soak/play.py
+++ b/soak/play.py
@@ -23,11 +23,19 @@
 
 
 class Shape(msgspec.Struct, frozen=True):
-    """How many processes, and how many of them may be lost at once."""
+    """How many processes, and how many of them may be lost at once.
+
+    Attributes:
+        authorities: those with a disk.
+        diskless: authorities besides these.
+        power: whether all lose power in the end.
+    """
 
     authorities: int = 3
     gateways: int = 3
     losses: int = 1
+    diskless: int = 0
+    power: bool = False
 
 
 class Result(msgspec.Struct):
@@ -68,6 +76,7 @@
             shape.authorities,
             shape.gateways,
             shape.losses,
+            shape.diskless,
         )
         return _play(seed, seconds, shape, rng, history, platform, nodes)
     finally:
@@ -100,6 +109,8 @@
     tasks.append(gevent.spawn(_operate, operator, members, until, rng))
     injector.run(until)
     gevent.joinall(tasks, raise_error=True)
+    if shape.power:
+        injector.lose_power()
     gevent.sleep(SETTLE_S)
     last = clients.Caller(f"{seed}-last", history, rng)
     calls = [last.call(rng.choice(gateways)) for _ in range(LAST_CALLS)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,9 @@
         (1, plays.Shape()),
         # Six authorities, two of which are disturbed at once.
         (2, plays.Shape(authorities=6, gateways=2, losses=2)),
+        # All lose power, and only seeds without a disk are named after it:
+        # nobody found the group, which found itself.
+        (3, plays.Shape(gateways=2, diskless=3, power=True)),
     ],
 )
 def test_promises_are_kept(seed, shape):
