Accept scaled bounds and share the retry allowance without rounding

An entry's part of the slack was rounded down: 2 of 2.06 at 70 entries, 0 at 364. The window of the settings was read by nothing. Change: bounds are numbers of any kind, checked not to be below 0; the part of the slack is not rounded; budgets count over the window of the settings.

--- a/papayalink/coordination/retry.py
+++ b/papayalink/coordination/retry.py
@@ -14,8 +14,7 @@
 # entry with few requests can retry one.
 RETRY_CONSTANT = 3
 
-# Requests and retries are counted in the current and the previous window of
-# this length.
+# Default length of a window of a budget.
 BUDGET_WINDOW_S = 5.0
 
 # The backoff doubles from the first to the second value. The first is a few
@@ -67,18 +66,23 @@
 
     Args:
         ratio: retries allowed for each recent request.
-        constant: retries allowed in addition.
+        constant: retries allowed in addition; need not be whole.
+        window_s: requests and retries are counted in the current and the
+            previous window of this length.
     """
 
     __slots__ = ("constant", "_ratio", "_requests", "_spent")
 
     def __init__(
-        self, ratio: float = RETRY_RATIO, constant: int = RETRY_CONSTANT
+        self,
+        ratio: float = RETRY_RATIO,
+        constant: float = RETRY_CONSTANT,
+        window_s: float = BUDGET_WINDOW_S,
     ) -> None:
         self._ratio = ratio
         self.constant = constant
-        self._requests = windows.TwoWindows(BUDGET_WINDOW_S)
-        self._spent = windows.TwoWindows(BUDGET_WINDOW_S)
+        self._requests = windows.TwoWindows(window_s)
+        self._spent = windows.TwoWindows(window_s)
 
     def note_request(self, now: float) -> None:
         """Count the first attempt of a request."""
--- a/papayalink/node_settings.py
+++ b/papayalink/node_settings.py
@@ -18,17 +18,19 @@
         grace_s: time between the signal to stop and the kill.
         lease_ms: minimum time between orders of two holders to an upstream.
         retry_ratio, retry_slack: all entries together may make retries for
-            this fraction of the calls in retry_window_s, plus this number.
+            this fraction of the calls in retry_window_s, plus this number. A
+            platform that scales a deployment scales the number as well, so it
+            need not be whole.
         weights_ms: time in which replicas are to load named weights.
         losses: number of control members that may be lost at once.
     """
 
     grace_s: float = 8.0
-    lease_ms: int = 3_000
+    lease_ms: float = 3_000.0
     retry_ratio: float = 0.2
-    retry_slack: int = 50
+    retry_slack: float = 50.0
     retry_window_s: float = 10.0
-    weights_ms: int = 10_000
+    weights_ms: float = 10_000.0
     losses: int = 1
 
 
@@ -160,6 +162,7 @@
                 problems.append(
                     shape.Problem("$.data_folder", "is empty", "name a folder")
                 )
+    _check_bounds(settings.bounds, problems)
     for field in addresses:
         shape.check_address(getattr(settings, field), f"$.{field}", problems)
     if not settings.seeds:
@@ -178,3 +181,10 @@
                 f"give {2 * settings_module.MIN_KEY_BYTES} or more hex digits",
             )
         )
+
+
+def _check_bounds(bounds: Bounds, problems: list[shape.Problem]) -> None:
+    for field in bounds.__struct_fields__:
+        shape.check_range(
+            getattr(bounds, field), 0, None, f"$.bounds.{field}", problems
+        )
--- a/papayalink/roles/gateway/budgets.py
+++ b/papayalink/roles/gateway/budgets.py
@@ -32,12 +32,20 @@
         """Returns: the retry budget for calls to a service."""
         budget = self._by_service.get(service)
         if budget is None:
+            # A budget counts over two of its windows.
             budget = retry.Budget(
-                self._bounds.retry_ratio * ALLOWANCE_SHARE, 0
+                self._bounds.retry_ratio * ALLOWANCE_SHARE,
+                0,
+                self._bounds.retry_window_s / 2,
             )
             self._by_service[service] = budget
-        slack = self._bounds.retry_slack * ALLOWANCE_SHARE
-        budget.constant = int(slack / max(1, self._entries()))
+        # Not rounded: with many entries each one's part is below 1, and adds
+        # to what its calls allow.
+        budget.constant = (
+            self._bounds.retry_slack
+            * ALLOWANCE_SHARE
+            / max(1, self._entries())
+        )
         return budget
 
 
--- /dev/null
+++ b/tests/roles/gateway/test_budgets.py
@@ -0,0 +1,57 @@
+"""Tests of the shares of the retry allowance."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from papayalink import node_settings
+from papayalink.roles.gateway import budgets
+
+
+def _count_retries(budget, now):
+    """Returns: how many retries are allowed at once."""
+    count = 0
+    while budget.take(now):
+        count += 1
+    return count
+
+
+@given(
+    st.integers(1, 400),
+    st.floats(0, 300),
+    st.lists(st.integers(0, 40), max_size=5),
+)
+def test_retries_of_all_entries_stay_within_the_allowance(
+    entries, slack, requests
+):
+    bounds = node_settings.Bounds(retry_ratio=0.2, retry_slack=slack)
+    total = 0
+    for index in range(entries):
+        shares = budgets.make_budgets(bounds, lambda: entries)
+        budget = shares.for_service("s")
+        for _ in range(requests[index] if index < len(requests) else 0):
+            budget.note_request(1.0)
+        total += _count_retries(budget, 1.0)
+    assert total <= 0.2 * sum(requests[:entries]) + slack
+
+
+@pytest.mark.parametrize("entries", [70, 364])
+def test_share_of_many_entries_is_not_rounded_to_nothing(entries):
+    """Guards against entries of a large fleet that may never retry."""
+    bounds = node_settings.Bounds(retry_ratio=0.2, retry_slack=180.0)
+    shares = budgets.make_budgets(bounds, lambda: entries)
+    budget = shares.for_service("s")
+    for _ in range(10):
+        budget.note_request(1.0)
+    # 0.8 * (0.2 * 10 + 180 / entries)
+    assert _count_retries(budget, 1.0) == {70: 3, 364: 1}[entries]
+
+
+def test_retries_count_for_the_window_of_the_settings():
+    bounds = node_settings.Bounds(
+        retry_ratio=0.0, retry_slack=10.0, retry_window_s=10.0
+    )
+    budget = budgets.make_budgets(bounds, lambda: 1).for_service("s")
+    assert _count_retries(budget, 0.0) == 8
+    assert _count_retries(budget, 4.9) == 0
+    assert _count_retries(budget, 10.1) == 8
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -105,3 +105,32 @@
     file = tmp_path / "settings.json"
     assert node_settings.load(file, "other").is_err()
     assert node_settings.load(tmp_path / "none", "gateway").is_err()
+
+
+@pytest.mark.parametrize("role", list(node_settings.ROLES))
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("bounds.retrySlack", 40.909),
+        ("bounds.retrySlack", 58.0),
+        ("bounds.retryBudgetRatio", 0),
+        ("bounds.retryWindowS", 10.5),
+        ("bounds.graceS", 7.25),
+        ("bounds.versionMs", 10000.0),
+        ("bounds.versionMs", 9090.9),
+        ("bounds.leaseMs", 3000.5),
+    ],
+)
+def test_bounds_of_a_scaled_deployment_are_accepted(
+    tmp_path, role, field, value
+):
+    """Guards against processes that do not start on a scaled deployment."""
+    file = tmp_path / "settings.json"
+    file.write_text(_render(role, **{field: value}))
+    assert node_settings.load(file, role).is_ok()
+
+
+@pytest.mark.parametrize("field", ["retry_slack", "retry_ratio", "grace_s"])
+def test_bound_below_zero_is_refused(tmp_path, field):
+    problems = _load(tmp_path, "gateway", bounds={field: -1}).unwrap_err()
+    assert [each.path for each in problems] == [f"$.bounds.{field}"]
