Keep the sums of work up to date and count all entries

Cause: the leader summed the reports of all entries anew for each of five calls a second of each entry, so its work grew with the square of the entries. Entries shared the retry allowance with those that watch the same member, a third or a seventh of all, so together they might have exceeded it. Change: the sums change with each report; an entry's own work is subtracted. The leader tells how many entries report to it.

--- a/papayalink/coordination/load_reports.py
+++ b/papayalink/coordination/load_reports.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import msgspec
+
 from papayalink.protocol import messages
 
 # Reports are ignored after this time. By then the entry has stopped, so that
@@ -10,16 +12,61 @@
 MAX_REPORT_AGE_S = 2.0
 
 
+class _Report(msgspec.Struct, frozen=True):
+    """Newest report of one entry."""
+
+    reported_at: float
+    work: tuple[messages.ReplicaWork, ...]
+    lost: tuple[str, ...]
+
+
+class _Sum:
+    """Work of all entries at one replica, by urgency."""
+
+    __slots__ = ("calls", "prefill", "memory")
+
+    def __init__(self) -> None:
+        self.calls: dict[int, int] = {}
+        self.prefill: dict[int, int] = {}
+        self.memory: dict[int, int] = {}
+
+    def add(self, work: messages.ReplicaWork, sign: int) -> None:
+        _add_amounts(self.calls, work.calls, sign)
+        _add_amounts(self.prefill, work.prefill, sign)
+        _add_amounts(self.memory, work.memory, sign)
+
+    @property
+    def is_empty(self) -> bool:
+        return not (self.calls or self.prefill or self.memory)
+
+    def without(
+        self, replica_id: str, own: messages.ReplicaWork | None
+    ) -> messages.ReplicaWork:
+        """Returns: the sum less the work of one entry."""
+        own = own or messages.ReplicaWork(replica_id)
+        return messages.ReplicaWork(
+            replica_id,
+            _subtract(self.calls, own.calls),
+            _subtract(self.prefill, own.prefill),
+            _subtract(self.memory, own.memory),
+        )
+
+
 class LoadReports:
-    """Holds the newest report of each entry."""
+    """Sums up the newest report of each entry.
 
-    __slots__ = ("_reports", "_lost")
+    The sums change with each report and are not computed anew for each entry
+    that asks: its cost is that of the replicas, whatever the number of
+    entries.
+    """
+
+    __slots__ = ("_reports", "_sums", "_lost")
 
     def __init__(self) -> None:
-        self._reports: dict[
-            str, tuple[float, tuple[messages.ReplicaWork, ...]]
-        ] = {}
-        self._lost: dict[str, tuple[float, tuple[str, ...]]] = {}
+        # By entry, the oldest report first.
+        self._reports: dict[str, _Report] = {}
+        self._sums: dict[str, _Sum] = {}
+        self._lost: Counter[str] = Counter()
 
     def report(
         self,
@@ -34,24 +81,26 @@
             work: its unfinished work at replicas.
             lost: replicas that it cannot reach.
         """
-        self._reports[entry] = (now, work)
-        self._lost[entry] = (now, lost)
+        self._remove(entry)
+        self._reports[entry] = _Report(now, work, lost)
+        self._add(work, 1)
+        self._lost.update(lost)
+
+    def entries(self, now: float) -> int:
+        """Returns: number of entries that reported recently."""
+        self._expire(now)
+        return len(self._reports)
 
     def lost_to_others(self, entry: str, now: float) -> tuple[str, ...]:
         """Returns: replicas that at least one other entry cannot reach."""
-        self._lost = {
-            name: report
-            for name, report in self._lost.items()
-            if now - report[0] < MAX_REPORT_AGE_S
-        }
+        self._expire(now)
+        report = self._reports.get(entry)
+        own = report.lost if report else ()
         return tuple(
             sorted(
-                {
-                    replica_id
-                    for name, (_, lost) in self._lost.items()
-                    if name != entry
-                    for replica_id in lost
-                }
+                replica_id
+                for replica_id, count in self._lost.items()
+                if count > own.count(replica_id)
             )
         )
 
@@ -59,38 +108,65 @@
         self, entry: str, now: float
     ) -> tuple[messages.ReplicaWork, ...]:
         """Returns: sums of the work of all other entries, by replica."""
-        self._reports = {
-            name: report
-            for name, report in self._reports.items()
-            if now - report[0] < MAX_REPORT_AGE_S
+        self._expire(now)
+        report = self._reports.get(entry)
+        own = {
+            each.replica_id: each for each in (report.work if report else ())
         }
-        return add_up(
+        others = (
+            self._sums[replica_id].without(replica_id, own.get(replica_id))
+            for replica_id in sorted(self._sums)
+        )
+        return tuple(
             work
-            for name, (_, reported) in self._reports.items()
-            if name != entry
-            for work in reported
+            for work in others
+            if work.calls or work.prefill or work.memory
         )
 
+    def _expire(self, now: float) -> None:
+        while self._reports:
+            entry, report = next(iter(self._reports.items()))
+            if now - report.reported_at < MAX_REPORT_AGE_S:
+                return
+            self._remove(entry)
 
-def add_up(
-    reported: Iterable[messages.ReplicaWork],
-) -> tuple[messages.ReplicaWork, ...]:
-    """Returns: one sum for each replica, ordered by replica id."""
-    sums: dict[str, tuple[Counter[int], ...]] = {}
-    for work in reported:
-        counters = sums.setdefault(
-            work.replica_id, (Counter(), Counter(), Counter())
-        )
-        for counter, amounts in zip(
-            counters, (work.calls, work.prefill, work.memory)
-        ):
-            counter.update(dict(amounts))
+    def _remove(self, entry: str) -> None:
+        report = self._reports.pop(entry, None)
+        if report is None:
+            return
+        self._add(report.work, -1)
+        self._lost.subtract(report.lost)
+        self._lost = +self._lost
+
+    def _add(
+        self, reported: Iterable[messages.ReplicaWork], sign: int
+    ) -> None:
+        for work in reported:
+            total = self._sums.setdefault(work.replica_id, _Sum())
+            total.add(work, sign)
+            if total.is_empty:
+                del self._sums[work.replica_id]
+
+
+def _add_amounts(
+    totals: dict[int, int], amounts: Iterable[tuple[int, int]], sign: int
+) -> None:
+    for urgency, amount in amounts:
+        total = totals.get(urgency, 0) + sign * amount
+        if total:
+            totals[urgency] = total
+        else:
+            totals.pop(urgency, None)
+
+
+def _subtract(
+    totals: dict[int, int], amounts: Iterable[tuple[int, int]]
+) -> tuple[tuple[int, int], ...]:
+    own = dict(amounts)
     return tuple(
-        messages.ReplicaWork(
-            replica_id,
-            *(tuple(sorted(counter.items())) for counter in counters),
-        )
-        for replica_id, counters in sorted(sums.items())
+        (urgency, total - own.get(urgency, 0))
+        for urgency, total in sorted(totals.items())
+        if total != own.get(urgency, 0)
     )
 
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -347,6 +347,7 @@
             from the one before, 0 for none.
         list_age_ms: time since the list was last read.
         listed: replicas of that reading, empty when the entry already has it.
+        entries: number of entries that recently reported to the member.
     """
 
     source: str
@@ -355,6 +356,7 @@
     changes: tuple[part_directory.Change, ...] = ()
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
+    entries: int = 0
     list_number: int = 0
     list_age_ms: int = 0
     listed: tuple[replicas.Replica, ...] = ()
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -139,6 +139,7 @@
             changes=tuple(changes),
             work=self._load_reports.work_of_others(message.process, now),
             lost=self._load_reports.lost_to_others(message.process, now),
+            entries=self._load_reports.entries(now),
             list_number=self._relay.number,
             list_age_ms=self._relay.age_ms(),
             listed=(
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -8,6 +8,7 @@
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import windows
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.gateway import listing as listings
@@ -24,6 +25,9 @@
 # of stores may have changed; a restart of a store is reported within about a
 # second.
 DIRECTORY_TIMEOUT_S = 3.0
+# The number of entries counts for this long at least, since a new leader knows
+# few of them at first.
+ENTRIES_PERIOD_S = 10.0
 
 
 class PartsFollower:
@@ -50,6 +54,7 @@
         "_directory",
         "_source",
         "_number",
+        "_entries",
         "_read_at",
         "_log",
     )
@@ -73,9 +78,14 @@
         self._directory = directory
         self._source = ""
         self._number = 0
+        self._entries = windows.TwoWindows(ENTRIES_PERIOD_S)
         self._read_at = time.monotonic()
         self._log = logs.get_logger()
 
+    def entries(self) -> int:
+        """Returns: number of entries that use the same replicas."""
+        return int(self._entries.largest(time.monotonic()))
+
     def start(self) -> None:
         tasks.spawn(self._run)
 
@@ -115,6 +125,7 @@
         self._source = reply.source
         self._number = reply.number
         self._read_at = time.monotonic()
+        self._entries.raise_to(reply.entries, self._read_at)
         self._fleet.update_other_work(reply.work, self._read_at)
         for replica_id in reply.lost:
             member = self._fleet.find(replica_id)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -98,9 +98,7 @@
                 self._watcher,
                 self._fleet,
                 self._channels,
-                budgets.make_budgets(
-                    settings.bounds, lambda: self._watcher.watchers
-                ),
+                budgets.make_budgets(settings.bounds, self._count_entries),
                 self._placement,
                 liveness,
                 node.metrics,
@@ -183,6 +181,11 @@
         self._fleet.set_loading(self._watcher.loading)
         self._fleet.note_loaded(self._watcher.loaded)
 
+    def _count_entries(self) -> int:
+        # Before the first exchange of reports, only the entries that watch
+        # the same control member are known.
+        return max(self._watcher.watchers, self._parts.entries())
+
     def _limits(self) -> traffic.CallerLimits:
         directory = self._watcher.directory
         if directory is None:
