Keep long parts in the largest stores

Cause: a store takes parts up to 1/75 of its capacity. On the Kigali sites the largest store of further ends at 7,566 tokens, and sessions of return-draft have 8,610 on average: more than half were never saved and were read again for each prompt. Change: parts that are too long for all stores go to the largest ones, up to 1/16 of their capacity.

--- a/papayalink/coordination/cache_placement.py
+++ b/papayalink/coordination/cache_placement.py
@@ -11,9 +11,12 @@
 from papayalink.state import traffic
 
 # Largest part that a store takes, as a share of its capacity: a few larger
-# parts would fill it before any of them is fetched again. Sessions of the
-# users' largest prompts, 13,300 tokens, still fit into their large stores.
+# parts would fill it before any of them is fetched again.
 MAX_PART_SHARE = 1 / 75
+# Largest part that the largest stores take if it is too large for all of them
+# otherwise. A long part that is in no store is prefilled again for each prompt
+# of its session.
+MAX_LONG_PART_SHARE = 1 / 16
 # Share of its capacity up to which a store gets new parts. The rest is left
 # for parts that are being written and are not reported yet.
 MAX_FILL_SHARE = 0.9
@@ -132,10 +135,11 @@
             return ""
         if self._pending_until.get(key, 0.0) > now:
             return ""
+        max_tokens = self._max_part_tokens(part)
         stores = [
             store
             for store in self._stores.values()
-            if part.tokens <= store.capacity_tokens * MAX_PART_SHARE
+            if part.tokens <= max_tokens[store.name]
             and self._directory.used_tokens(store.name) + part.tokens
             < store.capacity_tokens * MAX_FILL_SHARE
         ]
@@ -152,6 +156,22 @@
             del self._pending_until[next(iter(self._pending_until))]
         return store.address
 
+    def _max_part_tokens(self, part: calls.Part) -> dict[str, float]:
+        """Returns: size of the largest part that each store takes."""
+        capacity = max(
+            store.capacity_tokens for store in self._stores.values()
+        )
+        long = part.tokens > capacity * MAX_PART_SHARE
+        return {
+            store.name: store.capacity_tokens
+            * (
+                MAX_LONG_PART_SHARE
+                if long and store.capacity_tokens == capacity
+                else MAX_PART_SHARE
+            )
+            for store in self._stores.values()
+        }
+
 
 def _transfer_s(
     store: traffic.CacheStore, part: calls.Part, zone: str
--- a/tests/coordination/test_cache_placement.py
+++ b/tests/coordination/test_cache_placement.py
@@ -152,3 +152,17 @@
         assert reader.used_tokens(store) == source.used_tokens(store)
         for key in ("k1", "k2", "k3"):
             assert reader.tokens(store, key) == source.tokens(store, key)
+
+
+@pytest.mark.parametrize(
+    ("tokens", "saved_to"),
+    [(1_000, "f:1"), (5_000, "l:1"), (20_000, "l:1"), (90_000, "")],
+)
+def test_long_parts_are_saved_to_the_largest_stores(tokens, saved_to):
+    """Guards against long sessions that no store takes.
+
+    Each of their prompts would be prefilled again from the start.
+    """
+    parts = (calls.Part("a", tokens), calls.Part("c", 100))
+    plan = _placement().plan("s", parts, "z1", 0.0)
+    assert plan.save_addresses == (saved_to, "")
