End answers without end, and skip late answers to other calls

A stalled stream that sent single bytes counted as alive. A late copy of another call's answer on a reused connection ended the next call with 502, although its own answer followed. Change: an event, interim responses, framing and a stream have limits in bytes; the deadline is checked before each read; whole events are the progress of a stream; answers to other calls are skipped, two at most. Ids and numbers of thousands of digits count as missing.

--- a/papayalink/platform/dialect.py
+++ b/papayalink/platform/dialect.py
@@ -55,6 +55,8 @@
 )
 _BEARER_PREFIX = "bearer "
 _MAX_URGENCY = 9
+# Longer numbers do not fit into 64 bits.
+_MAX_DIGITS = 18
 
 
 class PlatformDialect:
@@ -81,7 +83,7 @@
             output_tokens=output_tokens,
             hinted_tokens=_parse_int(values.get(_LENGTH_HINT, "")),
             parts=_parse_parts(values.get(_PARTS, "")),
-            last_event_id=values.get(_LAST_EVENT, ""),
+            last_event_id=str(_parse_int(values.get(_LAST_EVENT, "")) or ""),
             headers=_forwardable(headers, _RESERVED),
             body=body,
         )
@@ -190,7 +192,9 @@
 
 def _parse_int(text: str) -> int:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
+        return int(text)
+    return 0
 
 
 def _parse_ints(text: str, count: int) -> list[int]:
--- a/papayalink/protocol/errors.py
+++ b/papayalink/protocol/errors.py
@@ -13,5 +13,9 @@
     """A stream ended before it was complete."""
 
 
+class EventTooLarge(ProtocolError):
+    """A stream sends bytes without ever completing an event."""
+
+
 class PieceInvalid(ProtocolError):
     """The bytes are not the complete, unmodified piece of the expected key."""
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -9,6 +9,7 @@
 from papayalink.coordination import attempts
 from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
+from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import events
 from papayalink.transport import caller_server
 from papayalink.transport import errors
@@ -17,6 +18,9 @@
 # Largest answer that is not a stream. A larger one is an error of the service,
 # and the entry must not hold it in memory.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Largest stream: far above any answer of a model, and little enough that a
+# replica that never stops is noticed before the deadline.
+MAX_STREAM_BYTES = 64 * 1024 * 1024
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -142,15 +146,15 @@
                 self._call.body,
                 self._remaining_s,
             )
-            head = self._channel.read_head(self._remaining_s)
+            head, answer = self._read_own_head()
             first_s = time.monotonic() - started_at
-            answer = self._dialect.decode_answer(
-                head.status_code, head.headers.raw_items()
-            )
             result = self._relay(head, answer, stream, first_s)
         except errors.Timeout:
             return Unanswered(attempts.Expired())
-        except errors.ConnectionLost as error:
+        except (
+            errors.ConnectionLost,
+            protocol_errors.EventTooLarge,
+        ) as error:
             return Unanswered(attempts.Lost(str(error)))
         finally:
             self._release_channel()
@@ -164,6 +168,22 @@
         else:
             self._channel.close()
 
+    def _read_own_head(self) -> tuple[h11.Response, calls.Answer]:
+        """Read the head of the answer to this call.
+
+        An upstream may send an answer to an earlier call a second time, late
+        enough that the connection is in use again. It is skipped, so that a
+        call that may run only once still gets its answer.
+        """
+        while True:
+            head = self._channel.read_head(self._remaining_s)
+            answer = self._dialect.decode_answer(
+                head.status_code, head.headers.raw_items()
+            )
+            if not answer.call_id or answer.call_id == self._call.call_id:
+                return head, answer
+            self._channel.skip_answer(MAX_ANSWER_BYTES, self._remaining_s)
+
     def _relay(
         self,
         head: h11.Response,
@@ -171,10 +191,6 @@
         stream: StreamState | None,
         first_s: float,
     ) -> Answered | Unanswered:
-        if answer.call_id and answer.call_id != self._call.call_id:
-            raise errors.ConnectionLost(
-                "answer carries the id of another call"
-            )
         self._member.heard_at = time.monotonic()
         self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
@@ -220,10 +236,16 @@
         if not stream.begun:
             stream.begun = True
             self._responder.begin(answer.status, answer.headers)
-        while data := self._channel.read_data(self._remaining_s):
+        stream_bytes = 0
+        while data := self._channel.read_data(self._remaining_s, False):
             self._member.heard_at = time.monotonic()
+            stream_bytes += len(data)
+            if stream_bytes > MAX_STREAM_BYTES:
+                raise errors.ConnectionLost("stream is too large")
             ready = b"".join(self._accept_events(reader.feed(data), stream))
             if ready:
+                # Parts of an event do not show that a replica makes progress.
+                self._channel.note_progress()
                 stream.note_events(self._member.heard_at)
                 self._responder.write(ready)
         if reader.partial_event:
--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -13,9 +13,18 @@
 # A handshake takes one round trip of a few ms and 1 ms at the upstream; a lost
 # SYN is retransmitted only after a second.
 CONNECT_TIMEOUT_S = 0.25
-# Time without a byte after which on_silence decides whether to keep waiting.
+# Time without progress after which on_silence decides whether to keep waiting.
 # It is called again after each further period.
 SILENCE_PERIOD_S = 0.4
+# Interim responses before an answer; upstreams send none or one.
+MAX_INTERIM_RESPONSES = 8
+# Bytes of heads, chunk sizes, chunk extensions and trailers that an answer may
+# have: this many, and this many for each byte of its body. A chunk of one byte
+# needs five.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 16
+# Answers to earlier calls that are skipped before the answer to a call.
+MAX_SKIPPED_ANSWERS = 2
 # Fraction of an upstream's idle time-out for which a connection is reused. It
 # is below 1 because the upstream's time-out starts earlier, at the end of its
 # answer.
@@ -36,25 +45,34 @@
 
     Attributes:
         on_silence: called during the wait for an answer with the number of
-            seconds without a byte; it may end the call by raising an error.
-        used: whether the connection has carried a complete call.
+            seconds without progress; it may end the call by raising an error.
     """
 
     __slots__ = (
         "on_silence",
-        "used",
         "_sock",
         "_connection",
         "_usable_until",
+        "_method",
         "_request_complete",
+        "_received_bytes",
+        "_body_bytes",
+        "_progress_at",
+        "_check_at",
+        "_skipped_answers",
     )
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._connection = h11.Connection(h11.CLIENT)
         self._usable_until = 0.0
+        self._method = b""
         self._request_complete = True
-        self.used = False
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._progress_at = 0.0
+        self._check_at = 0.0
+        self._skipped_answers = 0
         self.on_silence: Callable[[float], None] = _keep_waiting
 
     @property
@@ -87,6 +105,9 @@
                 arrived.
             errors.Timeout: the request was not sent in time.
         """
+        self._method = method
+        self._skipped_answers = 0
+        self._begin_answer()
         connection = self._connection
         data = connection.send(
             h11.Request(method=method, target=target, headers=headers)
@@ -105,15 +126,26 @@
                 raise errors.Timeout("request was not sent in time") from error
             except OSError as error:
                 raise errors.ConnectionLost(str(error)) from error
+        self.note_progress()
+
+    def note_progress(self) -> None:
+        """Restart the time that on_silence is told.
+
+        Bytes of a body count as progress by themselves only if `read_data` is
+        told so.
+        """
+        self._progress_at = time.monotonic()
+        self._check_at = self._progress_at + SILENCE_PERIOD_S
 
     def read_head(self, remaining_s: Callable[[], float]) -> h11.Response:
         """Wait for the head of the answer.
 
         Raises: ConnectionLost, Timeout.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             match self._next_event(remaining_s):
                 case h11.Response() as head:
+                    self.note_progress()
                     return head
                 case h11.InformationalResponse():
                     pass
@@ -121,10 +153,54 @@
                     raise errors.ConnectionLost(
                         "connection ended before an answer"
                     )
+        raise errors.ConnectionLost("too many interim responses")
+
+    def skip_answer(
+        self, max_bytes: int, remaining_s: Callable[[], float]
+    ) -> None:
+        """Read and discard the rest of an answer to an earlier call.
 
-    def read_data(self, remaining_s: Callable[[], float]) -> bytes:
+        The answer to the call itself may follow; `read_head` reads it.
+
+        Args:
+            max_bytes: limit of the size of the body.
+        Raises: ConnectionLost, Timeout.
+        """
+        self._skipped_answers += 1
+        if self._skipped_answers > MAX_SKIPPED_ANSWERS:
+            raise errors.ConnectionLost("too many answers to other calls")
+        while self.read_data(remaining_s):
+            if self._body_bytes > max_bytes:
+                raise errors.ConnectionLost("answer to another call is large")
+        data, closed = self._connection.trailing_data
+        if (
+            closed
+            or not self._request_complete
+            or self._connection.their_state is not h11.DONE
+        ):
+            raise errors.ConnectionLost(
+                "connection ended with an answer to another call"
+            )
+        # A new parser expects one more answer to the request that was sent.
+        self._connection = h11.Connection(h11.CLIENT)
+        self._connection.send(
+            h11.Request(
+                method=self._method, target="/", headers=[("Host", "-")]
+            )
+        )
+        self._connection.send(h11.EndOfMessage())
+        self._begin_answer()
+        if data:
+            self._receive_data(data)
+
+    def read_data(
+        self, remaining_s: Callable[[], float], progress: bool = True
+    ) -> bytes:
         """Read more of the body.
 
+        Args:
+            progress: whether the bytes count as progress. If not, the caller
+                notes what does.
         Returns: the next bytes, b"" at the regular end of the body.
         Raises: ConnectionLost, Timeout.
         """
@@ -132,6 +208,9 @@
             match self._next_event(remaining_s):
                 case h11.Data(data):
                     if data:
+                        self._body_bytes += len(data)
+                        if progress:
+                            self.note_progress()
                         return bytes(data)
                 case h11.EndOfMessage():
                     return b""
@@ -155,7 +234,6 @@
         self.keep(
             DEFAULT_IDLE_TIMEOUT_S if keep_alive_s is None else keep_alive_s
         )
-        self.used = True
         return True
 
     def keep(self, idle_timeout_s: float) -> None:
@@ -181,23 +259,48 @@
                 ) from error
             if h11_event is not h11.NEED_DATA:
                 return h11_event
-            self._connection.receive_data(self._receive(remaining_s))
+            self._receive_data(self._receive(remaining_s))
+
+    def _begin_answer(self) -> None:
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self.note_progress()
+
+    def _receive_data(self, data: bytes) -> None:
+        """Pass bytes to the parser, within the limit of framing.
+
+        The parser itself limits a head, a chunk size and trailers, but not
+        how many chunk extensions there are.
+        """
+        self._received_bytes += len(data)
+        allowed = (
+            MAX_FRAMING_BYTES
+            + _READ_BYTES
+            + (1 + MAX_FRAMING_RATIO) * self._body_bytes
+        )
+        if self._received_bytes > allowed:
+            raise errors.ConnectionLost("answer has too little content")
+        self._connection.receive_data(data)
 
     def _receive(self, remaining_s: Callable[[], float]) -> bytes:
-        started_at = time.monotonic()
         while True:
+            # Bytes may arrive all the time, so the time left is checked
+            # before each read and not only when a read times out.
             time_left_s = remaining_s()
-            self._sock.settimeout(
-                max(0.001, min(SILENCE_PERIOD_S, time_left_s))
-            )
+            if time_left_s <= 0:
+                raise errors.Timeout("no answer in time")
+            if time.monotonic() >= self._check_at:
+                self.on_silence(time.monotonic() - self._progress_at)
+                self._check_at = time.monotonic() + SILENCE_PERIOD_S
+            check_in_s = self._check_at - time.monotonic()
+            self._sock.settimeout(max(0.001, min(check_in_s, time_left_s)))
             try:
                 return self._sock.recv(_READ_BYTES)
             except TimeoutError as error:
-                if time_left_s <= SILENCE_PERIOD_S:
+                if time_left_s <= check_in_s:
                     raise errors.Timeout("no answer in time") from error
             except OSError as error:
                 raise errors.ConnectionLost(str(error)) from error
-            self.on_silence(time.monotonic() - started_at)
 
 
 def _keep_waiting(silent_s: float) -> None:
