Tell the fixed part of the time to a first token from prefill

Cause: an engine sends its first event after several steps, each of them 40 ms long while it prefills other prompts. That time counted as prefill, so an engine of 56,600 tokens a second looked like one of 20,000 and waits were predicted two to three times too long; prompts were refused with replicas free. Change: a moving linear fit of the time over the tokens gives both parts. Ruled out for now: replicas kept for urgent prompts alone.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -7,23 +7,13 @@
 
 import msgspec
 
+from papayalink.coordination import first_token_times
 from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import replicas
 from papayalink.state import traffic
 
-# Assumed prefill rate of an engine until it is measured.
-PREFILL_TOKENS_PER_S = 50_000.0
-# Bounds of a measured rate. The rates of engines of any size lie within them.
-MIN_TOKENS_PER_S = 1_000.0
-MAX_TOKENS_PER_S = 5_000_000.0
-# Weight of the newest sample in the moving average of the time per token, and
-# minimum size of a prompt that is a sample.
-RATE_ALPHA = 0.05
-MIN_SAMPLE_TOKENS = 1_000
-# Time to a first token besides prefill: round trips, one step, and sampling.
-FIRST_TOKEN_S = 0.02
 # Time to fetch a token from a store, as a fraction of the time to prefill it.
 FETCH_COST_FRACTION = 0.2
 # Cost of another zone: a round trip, and traffic that is charged for. A short
@@ -112,7 +102,7 @@
         "_rng",
         "_members",
         "_by_service",
-        "_prefill_token_s",
+        "_first_token_times",
         "_mean_hold_s",
         "_named_versions",
         "_old_weights_s",
@@ -131,7 +121,7 @@
         self._rng = rng
         self._members: dict[str, fleet_member.Member] = {}
         self._by_service: dict[str, list[fleet_member.Member]] = {}
-        self._prefill_token_s = 1 / PREFILL_TOKENS_PER_S
+        self._first_token_times = first_token_times.make_first_token_times()
         self._mean_hold_s = HOLD_S
         # Newest version and when it was named, by model.
         self._named_versions: dict[str, tuple[int, float]] = {}
@@ -139,7 +129,7 @@
     @property
     def tokens_per_s(self) -> float:
         """Measured prefill rate of a replica, in tokens a second."""
-        return 1 / self._prefill_token_s
+        return 1 / self._first_token_times.token_s
 
     def update(
         self, listed: Iterable[replicas.Replica]
@@ -226,19 +216,14 @@
             member.update_other_work(by_id.get(replica_id, idle), now)
 
     def note_first_token(self, tokens: int, first_s: float) -> None:
-        """Update the measured prefill rate.
+        """Update the prediction of the time to a first token.
 
         Args:
             tokens: prompt tokens prefilled up to the first token, including
                 those of prompts queued before it.
             first_s: time to first token.
         """
-        if tokens < MIN_SAMPLE_TOKENS:
-            return
-        sample = max(0.0, first_s - FIRST_TOKEN_S) / tokens
-        sample = min(1 / MIN_TOKENS_PER_S, sample)
-        sample = max(1 / MAX_TOKENS_PER_S, sample)
-        self._prefill_token_s += RATE_ALPHA * (sample - self._prefill_token_s)
+        self._first_token_times.note(tokens, first_s)
 
     def note_memory_held(
         self, request: SelectionRequest, held_s: float
@@ -368,9 +353,10 @@
     ) -> tuple[float, float, float]:
         """Returns: cost, time to first token, and time for its own prefill."""
         queued_tokens, own_tokens = self.expected_tokens(member, request, now)
-        own_s = own_tokens * self._prefill_token_s + FIRST_TOKEN_S
+        token_s = self._first_token_times.token_s
+        own_s = own_tokens * token_s + self._first_token_times.base_s
         queue_s = max(
-            queued_tokens * self._prefill_token_s,
+            queued_tokens * token_s,
             self._memory_wait_s(member, request, now),
         )
         wait_s = queue_s + own_s
@@ -379,9 +365,7 @@
         # Each running request makes a step of the batch slightly longer.
         cost_s = wait_s + 0.1 * load + FAILURE_COST_S * member.failures
         less_urgent_tokens = member.less_urgent_tokens(request.urgency, now)
-        cost_s += (
-            min(less_urgent_tokens, FIRST_EVENT_TOKENS) * self._prefill_token_s
-        )
+        cost_s += min(less_urgent_tokens, FIRST_EVENT_TOKENS) * token_s
         urgent_calls = member.urgent_calls(request.urgency, now)
         cost_s += URGENT_CALL_COST_S * urgent_calls
         cost_s += self._old_weights_cost_s(member, request, now)
