Follow stores only on demand, and avoid widely lost replicas at once

Cause: each of ten authorities of the large site read the events of all 28 stores several times a second, also those that no entry ever asks, on machines of 0.387 cores that carry a gateway as well. When a replica went dark, each of 70 gateways found out by itself: two connection attempts, during which its calls still went there. Change: a member follows the stores while entries ask it; until its directory is complete, entries keep what they know from the member before. A replica that two other entries cannot reach gets no calls until this entry reaches it; one that it reached within 3 s is checked instead. The leader keeps the sum of each replica as it sends it.

--- a/papayalink/coordination/load_reports.py
+++ b/papayalink/coordination/load_reports.py
@@ -23,14 +23,18 @@
 class _Sum:
     """Work of all entries at one replica, by urgency."""
 
-    __slots__ = ("calls", "prefill", "memory")
+    __slots__ = ("calls", "prefill", "memory", "_replica_id", "_whole")
 
-    def __init__(self) -> None:
+    def __init__(self, replica_id: str) -> None:
+        self._replica_id = replica_id
+        # Sum over all entries, None after a change.
+        self._whole: messages.ReplicaWork | None = None
         self.calls: dict[int, int] = {}
         self.prefill: dict[int, int] = {}
         self.memory: dict[int, int] = {}
 
     def add(self, work: messages.ReplicaWork, sign: int) -> None:
+        self._whole = None
         _add_amounts(self.calls, work.calls, sign)
         _add_amounts(self.prefill, work.prefill, sign)
         _add_amounts(self.memory, work.memory, sign)
@@ -39,13 +43,16 @@
     def is_empty(self) -> bool:
         return not (self.calls or self.prefill or self.memory)
 
-    def without(
-        self, replica_id: str, own: messages.ReplicaWork | None
-    ) -> messages.ReplicaWork:
+    @property
+    def whole(self) -> messages.ReplicaWork:
+        if self._whole is None:
+            self._whole = self.without(messages.ReplicaWork(self._replica_id))
+        return self._whole
+
+    def without(self, own: messages.ReplicaWork) -> messages.ReplicaWork:
         """Returns: the sum less the work of one entry."""
-        own = own or messages.ReplicaWork(replica_id)
         return messages.ReplicaWork(
-            replica_id,
+            self._replica_id,
             _subtract(self.calls, own.calls),
             _subtract(self.prefill, own.prefill),
             _subtract(self.memory, own.memory),
@@ -91,8 +98,10 @@
         self._expire(now)
         return len(self._reports)
 
-    def lost_to_others(self, entry: str, now: float) -> tuple[str, ...]:
-        """Returns: replicas that at least one other entry cannot reach."""
+    def lost_to_others(
+        self, entry: str, now: float, min_entries: int = 1
+    ) -> tuple[str, ...]:
+        """Returns: replicas that so many other entries cannot reach."""
         self._expire(now)
         report = self._reports.get(entry)
         own = report.lost if report else ()
@@ -100,7 +109,7 @@
             sorted(
                 replica_id
                 for replica_id, count in self._lost.items()
-                if count > own.count(replica_id)
+                if count - own.count(replica_id) >= min_entries
             )
         )
 
@@ -114,8 +123,12 @@
             each.replica_id: each for each in (report.work if report else ())
         }
         others = (
-            self._sums[replica_id].without(replica_id, own.get(replica_id))
-            for replica_id in sorted(self._sums)
+            (
+                total.without(own[replica_id])
+                if replica_id in own
+                else total.whole
+            )
+            for replica_id, total in sorted(self._sums.items())
         )
         return tuple(
             work
@@ -142,7 +155,9 @@
         self, reported: Iterable[messages.ReplicaWork], sign: int
     ) -> None:
         for work in reported:
-            total = self._sums.setdefault(work.replica_id, _Sum())
+            total = self._sums.get(work.replica_id)
+            if total is None:
+                total = self._sums[work.replica_id] = _Sum(work.replica_id)
             total.add(work, sign)
             if total.is_empty:
                 del self._sums[work.replica_id]
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -343,6 +343,7 @@
             entry has.
         work: work of all other entries.
         lost: replicas that some other entry cannot reach.
+        widely_lost: those of them that several other entries cannot reach.
         list_number: number of the newest reading of the list that differs
             from the one before, 0 for none.
         list_age_ms: time since the list was last read.
@@ -356,6 +357,7 @@
     changes: tuple[part_directory.Change, ...] = ()
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
+    widely_lost: tuple[str, ...] = ()
     entries: int = 0
     list_number: int = 0
     list_age_ms: int = 0
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -29,6 +29,9 @@
 WATCHER_TIMEOUT_S = 3.0
 # Level 6 takes twice as long, for a document that is 8% smaller.
 _COMPRESSION_LEVEL = 1
+# Entries that cannot reach a replica, from which on it counts as lost for all.
+# A single one may itself be cut off.
+WIDE_LOSS = 2
 # Concurrent calls beyond which further ones are refused, by method.
 LIMITS = {"Watch": 400, "Parts": 400}
 
@@ -124,21 +127,31 @@
             message.process, message.work, now, message.lost
         )
         self._relay.note_demand()
+        self._stores.note_demand()
         directory = self._stores.directory
-        changes = None
         known = message.source == self._source
-        if known:
-            changes = directory.changes_since(message.number)
-        whole = changes is None
-        if whole:
-            changes = directory.full_changes()
+        source, number, whole = self._source, directory.number, False
+        if not self._stores.complete:
+            # The entry keeps what it knows from the member that it asked
+            # before, until this one knows as much.
+            source, number, changes = message.source, message.number, []
+        else:
+            changes = (
+                directory.changes_since(message.number) if known else None
+            )
+            whole = changes is None
+            if whole:
+                changes = directory.full_changes()
         return messages.PartsReply(
-            source=self._source,
-            number=directory.number,
+            source=source,
+            number=number,
             whole=whole,
             changes=tuple(changes),
             work=self._load_reports.work_of_others(message.process, now),
             lost=self._load_reports.lost_to_others(message.process, now),
+            widely_lost=self._load_reports.lost_to_others(
+                message.process, now, WIDE_LOSS
+            ),
             entries=self._load_reports.entries(now),
             list_number=self._relay.number,
             list_age_ms=self._relay.age_ms(),
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -18,6 +18,9 @@
 PROBE_PERIOD_S = 0.5
 # Probing stops after this; by then the list no longer has the replica.
 PROBE_DURATION_S = 30.0
+# A replica that this entry has reached within this time is checked again, and
+# not given up, when other entries have lost it.
+OWN_CONTACT_S = 3.0
 
 
 class Liveness:
@@ -27,7 +30,14 @@
     open. A new connection shows within a few round trips whether it is up.
     """
 
-    __slots__ = ("_channels", "_metrics", "_checking", "_probing", "_log")
+    __slots__ = (
+        "_channels",
+        "_metrics",
+        "_checking",
+        "_probing",
+        "_reached_at",
+        "_log",
+    )
 
     def __init__(
         self,
@@ -38,6 +48,8 @@
         self._metrics = metrics
         self._checking: dict[str, gevent.Greenlet] = {}
         self._probing: set[str] = set()
+        # When a new connection last succeeded, by replica.
+        self._reached_at: dict[str, float] = {}
         self._log = logs.get_logger()
 
     def is_reachable(self, member: fleet_member.Member) -> bool:
@@ -51,6 +63,19 @@
             self._checking[name] = check
         return check.get()
 
+    def note_lost_to_others(self, member: fleet_member.Member) -> None:
+        """Act on a replica that several other entries cannot reach.
+
+        It gets no calls until this entry has reached it, so that not each
+        entry finds out by calls of its own.
+        """
+        name = member.replica.replica_id
+        reached_at = self._reached_at.get(name, float("-inf"))
+        if time.monotonic() - reached_at > OWN_CONTACT_S:
+            self.note_not_reached(member)
+        else:
+            gevent.spawn(self.is_reachable, member)
+
     def note_not_reached(self, member: fleet_member.Member) -> None:
         """Send the replica no calls until a connection succeeds."""
         member.set_reachable(False)
@@ -62,6 +87,7 @@
             )
             self._metrics.count("replicas_lost")
             self._channels.close_idle(member.replica.address)
+            self._reached_at.pop(name, None)
             gevent.spawn(self._probe, member)
 
     def _check(self, member: fleet_member.Member) -> bool:
@@ -93,6 +119,7 @@
         except errors.NotConnected:
             return False
         member.heard_at = time.monotonic()
+        self._reached_at[member.replica.replica_id] = member.heard_at
         return True
 
 
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -129,7 +129,11 @@
         self._fleet.update_other_work(reply.work, self._read_at)
         for replica_id in reply.lost:
             member = self._fleet.find(replica_id)
-            if member is not None and member.reachable:
+            if member is None or not member.reachable:
+                continue
+            if replica_id in reply.widely_lost:
+                self._liveness.note_lost_to_others(member)
+            else:
                 gevent.spawn(self._liveness.is_reachable, member)
         return True
 
--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -87,3 +87,27 @@
     with gevent.Timeout(5):
         while not member.usable(1e9):
             gevent.sleep(0.01)
+
+
+def test_replica_lost_to_several_entries_gets_no_calls(
+    components, monkeypatch
+):
+    """Guards against each of many entries finding out by calls of its own."""
+    monkeypatch.setattr(livenesses, "PROBE_PERIOD_S", 0.02)
+    member, channels, liveness = components
+    liveness.note_lost_to_others(member)
+    assert not member.usable(1e9)
+    channels.reachable = True
+    with gevent.Timeout(5):
+        while not member.usable(1e9):
+            gevent.sleep(0.01)
+    # What this entry has found itself goes before what others report.
+    liveness.note_lost_to_others(member)
+    gevent.sleep(0.05)
+    assert member.usable(1e9)
+    channels.reachable = False
+    member.heard_at = 0.0
+    liveness.note_lost_to_others(member)
+    with gevent.Timeout(5):
+        while member.usable(1e9):
+            gevent.sleep(0.01)
