Limit replies of lists, stores and engines, and slow heads of callers

Cause: replies that are read whole had no limit in bytes, and none in time as long as single bytes kept coming; an idle connection was used again although a late second copy of a reply lay in it. A caller could keep a connection by sending one byte of a head now and then. Change: limits in bytes for a reply, a head and an event, and in time for a reply; idle connections with unread bytes are closed; the time for a head runs from its first byte. Result: tests against servers that never stop, that drip, and that answer twice.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -2,7 +2,9 @@
 
 from http import client as http_client
 import re
+import time
 
+from gevent import select
 from gevent import socket
 from geventhttpclient import response as responses
 import msgspec
@@ -17,6 +19,20 @@
 # reading one would take more than 30 system calls.
 READ_BLOCK_BYTES = 64 * 1024
 
+# Largest reply that is read whole, with its head. The list of a store's parts
+# is the largest one, with about 100 bytes for each of 60,000 parts.
+MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Largest head, and largest event of a stream.
+MAX_PIECE_BYTES = 1024 * 1024
+# A reply that is read whole ends within this many times the time allowed
+# without progress, so that single bytes do not keep it alive.
+MAX_TIMEOUTS = 4
+
+
+class ReplyTooLong(OSError):
+    """The reply has more bytes, or takes longer, than any sound one."""
+
+
 FAILURES = (OSError, http_client.HTTPException)
 
 _HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -26,6 +42,40 @@
 Headers = list[tuple[str, str]]
 
 
+class _LimitedSocket:
+    """Socket of a reply, with limits on bytes and time.
+
+    The HTTP library reads until a message or a line is complete, however long
+    that takes.
+    """
+
+    __slots__ = ("_sock", "_left_bytes", "_deadline")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._left_bytes = MAX_PIECE_BYTES
+        self._deadline: float | None = None
+
+    def allow(self, size_bytes: int, timeout_s: float | None) -> None:
+        """Set the limits of what is read next."""
+        self._left_bytes = size_bytes
+        self._deadline = (
+            None if timeout_s is None else time.monotonic() + timeout_s
+        )
+
+    def recv(self, size: int) -> bytes:
+        if self._deadline is not None and time.monotonic() > self._deadline:
+            raise ReplyTooLong("reply takes too long")
+        data = self._sock.recv(size)
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            raise ReplyTooLong("reply has too many bytes")
+        return data
+
+    def close(self) -> None:
+        self._sock.close()
+
+
 class Reply(msgspec.Struct, frozen=True):
     """A complete reply."""
 
@@ -46,12 +96,13 @@
         method: method of the request.
     """
 
-    __slots__ = ("_sock", "_method", "_response")
+    __slots__ = ("_sock", "_limited", "_method", "_response")
 
     def __init__(
         self, sock: socket.socket, request: bytes, method: str
     ) -> None:
         self._sock = sock
+        self._limited = _LimitedSocket(sock)
         self._method = method
         self._response = None
         try:
@@ -64,7 +115,7 @@
         """Wait until the reply's status and headers have arrived."""
         if self._response is None:
             self._response = responses.HTTPSocketResponse(
-                self._sock, block_size=READ_BLOCK_BYTES, method=self._method
+                self._limited, block_size=READ_BLOCK_BYTES, method=self._method
             )
 
     @property
@@ -79,14 +130,21 @@
 
     def read_reply(self) -> "Reply":
         """Returns: the complete reply; raises when it is truncated."""
-        self.wait_for_head()
-        return Reply(self.status, self.headers, self.read())
+        timeout_s = self._sock.gettimeout()
+        whole_s = timeout_s and MAX_TIMEOUTS * timeout_s
+        if self._response is None:
+            self._limited.allow(MAX_PIECE_BYTES, whole_s)
+            self.wait_for_head()
+        self._limited.allow(MAX_REPLY_BYTES, whole_s)
+        body = bytes(self._response.read())
+        return Reply(self.status, self.headers, body)
 
     def readline(self, separator: bytes) -> bytes:
         """Read up to the next separator.
 
         Returns: the bytes with the separator, b"" at the end of the body.
         """
+        self._limited.allow(MAX_PIECE_BYTES, None)
         return bytes(self._response.readline(separator))
 
     def read(self, length: int | None = None) -> bytes:
@@ -95,6 +153,7 @@
         Args:
             length: maximum number of bytes to read; None reads the rest.
         """
+        self._limited.allow(MAX_REPLY_BYTES, None)
         return bytes(self._response.read(length))
 
     def close(self) -> None:
@@ -204,6 +263,11 @@
         )
         while self._idle_sockets:
             sock = self._idle_sockets.pop()
+            if _has_unread_bytes(sock):
+                # Closed by the server, or a late second copy of a reply,
+                # which must not be read as the reply to this call.
+                sock.close()
+                continue
             try:
                 sock.settimeout(timeout_s)
                 return self._read_and_keep(Exchange(sock, request, method))
@@ -284,5 +348,10 @@
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
+def _has_unread_bytes(sock):
+    readable, _, _ = select.select([sock], [], [], 0)
+    return bool(readable)
+
+
 def _describe(error):
     return f"{type(error).__name__}: {error}"
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import time
 
 import gevent
 from gevent import event
@@ -284,6 +285,7 @@
         """Returns: the next request, None when the caller sends no more."""
         limits = self._limits()
         head: h11.Request | None = None
+        head_deadline = float("inf")
         body: list[bytes] = []
         body_size = 0
         sock.settimeout(limits.idle_timeout_s)
@@ -307,6 +309,14 @@
                     raise _Refused(
                         408, "time-out before the request was complete"
                     ) from None
+                now = time.monotonic()
+                if head is None:
+                    # Single bytes must not extend the time for the head.
+                    head_deadline = min(
+                        head_deadline, now + limits.header_timeout_s
+                    )
+                    if now >= head_deadline:
+                        raise _Refused(408, "head is not complete in time")
                 if data:
                     sock.settimeout(limits.header_timeout_s)
                 connection.receive_data(data)
--- a/tests/adapters/test_connection.py
+++ b/tests/adapters/test_connection.py
@@ -2,6 +2,7 @@
 
 import gevent
 from gevent import event
+from gevent import server as servers
 import pytest
 
 from papayalink.adapters import connection
@@ -77,3 +78,90 @@
     )
     reply = _make_connector(address).call("GET", "/x", 5.0)
     assert reply.headers[1:] == [("A", "1"), ("A", "2")]
+
+
+@pytest.fixture
+def endless_server():
+    """Returns: function that starts a server which never stops answering."""
+    started = []
+
+    def start(first, block, pause_s=0.0):
+        def serve(sock, address):
+            sock.recv(65536)
+            sock.sendall(first)
+            while True:
+                sock.sendall(block)
+                gevent.sleep(pause_s)
+
+        server = servers.StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        started.append(server)
+        return f"127.0.0.1:{server.server_port}"
+
+    yield start
+    for server in started:
+        server.stop()
+
+
+_ENDLESS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "block"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 8192),
+        (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 1000),
+        (_ENDLESS, b"2000\r\n" + b"x" * 8192 + b"\r\n"),
+    ],
+    ids=["header", "headers", "body"],
+)
+def test_reply_without_end_is_interrupted(
+    endless_server, monkeypatch, first, block
+):
+    monkeypatch.setattr(connection, "MAX_REPLY_BYTES", 2 * 1024 * 1024)
+    connector = _make_connector(endless_server(first, block))
+    with pytest.raises(errors.Interrupted):
+        connector.call_idempotent("GET", "/x", 5.0)
+
+
+def test_reply_that_drips_is_interrupted(endless_server):
+    """Guards against single bytes that keep a stalled reply alive."""
+    connector = _make_connector(endless_server(_ENDLESS, b"1\r\nx\r\n", 0.02))
+    with pytest.raises(errors.Interrupted):
+        connector.call_idempotent("GET", "/x", 0.1)
+
+
+def test_event_without_end_ends_the_stream(endless_server):
+    address = endless_server(_ENDLESS, b"2000\r\n" + b"x" * 8192 + b"\r\n")
+    exchange = _make_connector(address).open("GET", "/x", 5.0)
+    exchange.wait_for_head()
+    with pytest.raises(connection.FAILURES):
+        exchange.readline(b"\n\n")
+    exchange.close()
+
+
+def test_second_copy_of_a_reply_is_not_the_reply_to_the_next_call():
+    """Guards against a late copy on a connection that is used again."""
+    replies = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo",
+    ]
+    accepted = []
+
+    def serve(sock, address):
+        accepted.append(address)
+        reply = replies[len(accepted) - 1]
+        while sock.recv(65536):
+            sock.sendall(reply)
+            gevent.sleep(0.02)
+            sock.sendall(reply)
+
+    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    connector = _make_connector(f"127.0.0.1:{server.server_port}")
+    assert connector.call_idempotent("GET", "/1", 5.0).body == b"one"
+    gevent.sleep(0.1)
+    assert connector.call_idempotent("GET", "/2", 5.0).body == b"two"
+    assert len(accepted) == 2
+    connector.close()
+    server.stop()
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -248,3 +248,20 @@
     with pytest.raises(errors.CallerGone):
         responder.respond(200, [], b"x")
     near.close()
+
+
+def test_head_that_drips_is_refused_in_time(server, echo):
+    """Guards against single bytes that extend the time for the head."""
+    with _connect(server) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\nX: ")
+        received = b""
+        with gevent.Timeout(10):
+            while not received:
+                sock.sendall(b"y")
+                sock.settimeout(0.05)
+                try:
+                    received = sock.recv(100)
+                except TimeoutError:
+                    pass
+    assert received.startswith(b"HTTP/1.1 408 ")
+    assert not echo.requests
