Answer requests that arrive on an idle connection during a stop

Cause: stop() closed idle connections at once. Change: idle connections with unread bytes are served once more. Result: the new test fails before (ConnectionResetError) and passes now.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -134,7 +134,7 @@
         "_server",
         "_close_announced",
         "_stopping",
-        "_idle_tasks",
+        "_idle_sockets",
         "_in_flight",
         "_all_answered",
         "_connections",
@@ -151,8 +151,8 @@
         self._limits = limits
         self._close_announced = False
         self._stopping = False
-        # Greenlets of connections that wait for their next request.
-        self._idle_tasks: set[gevent.Greenlet] = set()
+        # Connections that wait for their next request, by greenlet.
+        self._idle_sockets: dict[gevent.Greenlet, socket.socket] = {}
         self._in_flight = 0
         self._connections = 0
         self._all_answered = event.Event()
@@ -184,7 +184,8 @@
     def stop(self, timeout_s: float) -> bool:
         """Stop accepting requests and wait for those already received.
 
-        Connections in the accept queue are served one request each. Idle
+        Connections in the accept queue are served one request each, and so
+        are idle connections on which a request has arrived. Other idle
         connections are closed, so their callers see that no further request
         was read.
 
@@ -198,8 +199,10 @@
         while (accepted := self._server.do_read()) is not None:
             self._server.do_handle(*accepted)
         self._server.close()
-        for task in list(self._idle_tasks):
-            task.kill(block=False)
+        for task, sock in list(self._idle_sockets.items()):
+            arrived, _, _ = gevent_select.select([sock], [], [], 0)
+            if not arrived:
+                task.kill(block=False)
         # Requests of newly accepted connections have not been read yet.
         gevent.sleep(_FIRST_REQUEST_WAIT_S)
         return bool(self._all_answered.wait(timeout_s))
@@ -244,12 +247,12 @@
     def _wait_readable(self, sock: socket.socket) -> None:
         """Wait for the next request; stop() may kill the greenlet here."""
         task = gevent.getcurrent()
-        self._idle_tasks.add(task)
+        self._idle_sockets[task] = sock
         try:
             timeout_s = self._limits().idle_timeout_s
             gevent_select.select([sock], [], [], timeout_s)
         finally:
-            self._idle_tasks.discard(task)
+            self._idle_sockets.pop(task, None)
 
     @contextlib.contextmanager
     def _count_request(self) -> Iterator[None]:
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -265,3 +265,20 @@
                     pass
     assert received.startswith(b"HTTP/1.1 408 ")
     assert not echo.requests
+
+
+def test_stop_answers_a_request_that_has_just_arrived(server, echo):
+    """Guards against an idle connection closed with its next request."""
+    with _connect(server) as sock:
+        sock.sendall(_GET)
+        assert sock.recv(1000).endswith(b"/a%2Fb?c=1|")
+        # Lets the connection become idle.
+        gevent.sleep(0.02)
+        sock.sendall(_GET)
+        assert server.stop(5)
+        received = b""
+        while data := sock.recv(1000):
+            received += data
+    assert received.endswith(b"/a%2Fb?c=1|")
+    assert b"Connection: close" in received
+    assert len(echo.requests) == 2
