--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -179,6 +179,11 @@
                 known = member.weights.get(each.model, 0)
                 member.weights[each.model] = max(known, each.version)
 
+    @property
+    def size(self) -> int:
+        """Number of replicas of all services."""
+        return len(self._members)
+
     def find(self, replica_id: str) -> fleet_member.Member | None:
         return self._members.get(replica_id)
 
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -28,6 +28,9 @@
 # The number of entries counts for this long at least, since a new leader knows
 # few of them at first.
 ENTRIES_PERIOD_S = 10.0
+# Share of the replicas up to which the reports of other entries are trusted
+# without a check. Outages take up to half of a service at once.
+MAX_LOST_SHARE = 0.5
 
 
 class PartsFollower:
@@ -127,15 +130,23 @@
         self._read_at = time.monotonic()
         self._entries.raise_to(reply.entries, self._read_at)
         self._fleet.update_other_work(reply.work, self._read_at)
+        self._note_lost(reply)
+        return True
+
+    def _note_lost(self, reply: messages.PartsReply) -> None:
+        """Act on replicas that other entries cannot reach."""
+        widely_lost: frozenset[str] = frozenset(reply.widely_lost)
+        if len(widely_lost) > MAX_LOST_SHARE * self._fleet.size:
+            # More likely the others are cut off than the replicas gone.
+            widely_lost = frozenset()
         for replica_id in reply.lost:
             member = self._fleet.find(replica_id)
             if member is None or not member.reachable:
                 continue
-            if replica_id in reply.widely_lost:
+            if replica_id in widely_lost:
                 self._liveness.note_lost_to_others(member)
             else:
                 gevent.spawn(self._liveness.is_reachable, member)
-        return True
 
     def _apply_list(self, reply: messages.PartsReply) -> None:
         """Apply the list that the member has read, unless it is older."""
--- /dev/null
+++ b/tests/roles/authority/test_weight_orders.py
@@ -0,0 +1,150 @@
+"""Tests of orders around a hand-over between two leaders.
+
+At no time may two members act as the holder: a new leader waits until the
+earlier one must have stopped, and a leader that has lost its quorum while it
+prepared an order does not send it.
+"""
+
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from papayalink import metrics as metrics_module
+from papayalink.coordination import errors
+from papayalink.roles.authority import weights
+from papayalink.state import replicas
+from papayalink.state import upstreams
+
+_LEASE_S = 0.3
+
+
+class _Platform:
+    """One replica that loads weights as ordered."""
+
+    def __init__(self):
+        self.version = 1
+        self.orders = []
+
+    def list_replicas(self):
+        return [
+            replicas.Replica(
+                replica_id="r1",
+                service="s",
+                address="127.0.0.1:1",
+                zone="z",
+                slots=1,
+                condition=replicas.Condition.READY,
+                weights={"m": self.version},
+            )
+        ]
+
+    def read_weights(self, replica):
+        return {"m": self.version}
+
+    def order_weights(self, replica, model, version, holder, fence):
+        self.orders.append((holder, fence))
+        self.version = version
+        return True
+
+
+class _Replica:
+    """Replica of the control group whose leadership the test decides."""
+
+    def __init__(self):
+        self.is_leader = False
+        self.reachable = True
+
+    def confirm(self):
+        if not self.reachable:
+            raise errors.Unavailable("no quorum")
+
+
+@pytest.fixture
+def member(monkeypatch):
+    monkeypatch.setattr(weights, "STATUS_DELAY_S", 0.01)
+    monkeypatch.setattr(weights, "ORDER_DELAY_S", 0.1)
+    machine = SimpleNamespace(
+        numbered=SimpleNamespace(weights={"m": 2}),
+        upstreams=SimpleNamespace(open_orders=()),
+    )
+    replica = _Replica()
+    platform = _Platform()
+    inboxes = []
+    node = SimpleNamespace(
+        settings=SimpleNamespace(
+            name="v1",
+            bounds=SimpleNamespace(lease_ms=1000 * _LEASE_S),
+        ),
+        timers=SimpleNamespace(
+            every=lambda period_s, inbox, message: inboxes.append(
+                (inbox, message)
+            )
+        ),
+        metrics=metrics_module.make_metrics(),
+    )
+    upkeep = weights.make_weight_upkeep(
+        node,
+        SimpleNamespace(confirm=replica.confirm),
+        replica,
+        machine,
+        platform,
+    )
+    opened = []
+
+    def propose(self, command):
+        opened.append(command)
+        order = upstreams.Order("r1", 7, "load_weights", "m@2", "v1")
+        return SimpleNamespace(order=order)
+
+    monkeypatch.setattr(weights.WeightUpkeep, "_propose", propose)
+    upkeep.start()
+
+    def wake():
+        for inbox, message in inboxes:
+            inbox.put(message)
+        gevent.sleep(0.01)
+
+    return SimpleNamespace(
+        replica=replica, platform=platform, wake=wake, opened=opened
+    )
+
+
+def test_new_leader_waits_for_the_lease_of_the_earlier_one(member):
+    member.replica.is_leader = True
+    member.wake()
+    gevent.sleep(_LEASE_S / 2)
+    member.wake()
+    assert not member.opened
+    gevent.sleep(_LEASE_S)
+    member.wake()
+    gevent.sleep(0.2)
+    assert member.platform.orders == [("v1", 7)]
+
+
+def test_wait_starts_again_after_a_lost_leadership(member):
+    member.replica.is_leader = True
+    member.wake()
+    gevent.sleep(1.5 * _LEASE_S)
+    member.replica.is_leader = False
+    member.wake()
+    member.replica.is_leader = True
+    member.wake()
+    member.wake()
+    gevent.sleep(0.2)
+    assert not member.platform.orders
+
+
+@pytest.mark.parametrize("loss", ["leadership", "quorum"])
+def test_order_in_preparation_is_not_sent_after_a_hand_over(member, loss):
+    member.replica.is_leader = True
+    member.wake()
+    gevent.sleep(1.5 * _LEASE_S)
+    member.wake()
+    assert member.opened
+    if loss == "leadership":
+        member.replica.is_leader = False
+    else:
+        member.replica.reachable = False
+    gevent.sleep(0.3)
+    assert not member.platform.orders
