Check in the soak that a planned stop cuts no stream

Cause: an answer whose head had come counted as answered, so a stream cut by a planned stop was not noticed; a constant on planned stops was read by nothing. Change: any incomplete answer around a planned stop alone is a violation.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,9 +10,6 @@
 # get calls.
 IN_FORCE_S = 2.0
 LEAVE_S = 3.0
-# Calls that began long enough before the end of a planned stop, or that were
-# accepted shortly before its start, are answered.
-PLANNED_STOP_S = 9.0
 # Fraction of answered calls that shows that the system has recovered.
 MIN_SERVED_FRACTION = 0.9
 
@@ -77,7 +74,7 @@
             and execution.began_at > leaving_since + LEAVE_S + 1.0
         ):
             yield f"sent to {execution.replica_id}, which had left"
-    if not call.status and _only_planned_stop(call, history):
+    if not call.complete and _only_planned_stop(call, history):
         yield "cut by a planned stop"
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -160,6 +160,14 @@
             "cut by a planned stop",
             _history(_call(status=0), [_execution()], [_fault("stop", "g1")]),
         ),
+        (
+            "cut by a planned stop",
+            _history(
+                _call(**_STREAM, body=b"".join(_EVENTS[:3]), complete=False),
+                [_execution()],
+                [_fault("stop", "g1")],
+            ),
+        ),
         (
             "route that was removed",
             _history(
