Compare two replicas for the most urgent prompts instead of four

Cause: urgent prompts are short, so entries send many of them within the 0.2 s after which they learn of each other's. Of four sampled replicas too many entries have the calmest one among theirs and send to it together. Change: two candidates for prompts that nothing takes precedence over.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -23,6 +23,10 @@
 # of each other's work with a delay of 0.2 s; if each of them chose the best of
 # all replicas, they would all send to the same one until then.
 CANDIDATES = 4
+# The same for the most urgent prompts. They are short, so entries send many of
+# them before they learn of each other's; of four sampled replicas, too many
+# entries have the least loaded one among theirs.
+URGENT_CANDIDATES = 2
 # Fraction of a replica's memory that prompts leave free while there may be
 # more urgent ones. Urgent prompts that arrive while a long prompt runs, for
 # about a second, would otherwise preempt it, and it would be prefilled again.
@@ -264,8 +268,9 @@
             return Choice(
                 min(members, key=lambda each: self._plain_cost(each, now))
             )
-        if len(members) > CANDIDATES:
-            members = self._rng.sample(members, CANDIDATES)
+        candidates = CANDIDATES if request.yields else URGENT_CANDIDATES
+        if len(members) > candidates:
+            members = self._rng.sample(members, candidates)
         choices = [
             (self._prompt_cost(each, request, now), each) for each in members
         ]
