--- a/papayalink/coordination/first_token_times.py
+++ b/papayalink/coordination/first_token_times.py
@@ -67,14 +67,10 @@
                 it was spent on something else, such as a replica that froze.
         """
         first_s = min(first_s, MAX_BASE_S + MAX_TOKEN_S * tokens)
-        for name, sample in (
-            ("_tokens", tokens),
-            ("_time_s", first_s),
-            ("_tokens_squared", tokens**2),
-            ("_product", tokens * first_s),
-        ):
-            mean = getattr(self, name)
-            setattr(self, name, mean + ALPHA * (sample - mean))
+        self._tokens += ALPHA * (tokens - self._tokens)
+        self._time_s += ALPHA * (first_s - self._time_s)
+        self._tokens_squared += ALPHA * (tokens**2 - self._tokens_squared)
+        self._product += ALPHA * (tokens * first_s - self._product)
 
 
 def make_first_token_times() -> FirstTokenTimes:
