Keep the time of the last contact with a replica

Cause: the times of replicas that are gone stayed in a table of their own. Change: the member of the fleet holds it. Same behaviour; tests pass.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -28,6 +28,8 @@
         calls: number of unfinished calls of this entry, by urgency.
         loading: whether it is to load weights and refuses calls meanwhile.
         heard_at: monotonic seconds of the last byte received from it.
+        reached_at: monotonic seconds of the last new connection to it since it
+            was last lost, minus infinity for none.
         prefill: prompt tokens of calls without a first token, by urgency.
         memory: tokens of memory that unfinished calls will hold, by urgency.
     """
@@ -44,6 +46,7 @@
         "_reported_load_at",
         "_in_flight_at_report",
         "heard_at",
+        "reached_at",
         "_reachable",
         "_avoid_until",
         "_failures",
@@ -64,6 +67,7 @@
         self._reported_load_at = 0.0
         self._in_flight_at_report = 0
         self.heard_at = 0.0
+        self.reached_at = float("-inf")
         self._reachable = True
         self._avoid_until = 0.0
         self._failures = 0.0
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -30,14 +30,7 @@
     open. A new connection shows within a few round trips whether it is up.
     """
 
-    __slots__ = (
-        "_channels",
-        "_metrics",
-        "_checking",
-        "_probing",
-        "_reached_at",
-        "_log",
-    )
+    __slots__ = ("_channels", "_metrics", "_checking", "_probing", "_log")
 
     def __init__(
         self,
@@ -48,8 +41,6 @@
         self._metrics = metrics
         self._checking: dict[str, gevent.Greenlet] = {}
         self._probing: set[str] = set()
-        # When a new connection last succeeded, by replica.
-        self._reached_at: dict[str, float] = {}
         self._log = logs.get_logger()
 
     def is_reachable(self, member: fleet_member.Member) -> bool:
@@ -69,9 +60,7 @@
         It gets no calls until this entry has reached it, so that not each
         entry finds out by calls of its own.
         """
-        name = member.replica.replica_id
-        reached_at = self._reached_at.get(name, float("-inf"))
-        if time.monotonic() - reached_at > OWN_CONTACT_S:
+        if time.monotonic() - member.reached_at > OWN_CONTACT_S:
             self.note_not_reached(member)
         else:
             gevent.spawn(self.is_reachable, member)
@@ -87,7 +76,7 @@
             )
             self._metrics.count("replicas_lost")
             self._channels.close_idle(member.replica.address)
-            self._reached_at.pop(name, None)
+            member.reached_at = float("-inf")
             gevent.spawn(self._probe, member)
 
     def _check(self, member: fleet_member.Member) -> bool:
@@ -119,7 +108,7 @@
         except errors.NotConnected:
             return False
         member.heard_at = time.monotonic()
-        self._reached_at[member.replica.replica_id] = member.heard_at
+        member.reached_at = member.heard_at
         return True
 
 
