Log the parts of a failed prompt and how far its answer was

What callers saw: streams break off as replica after replica ends.

Cause of the change: the lines on failed attempts tell neither which parts the lost prompts had nor whether their answers had begun, so that the hypotheses 'one part ends replicas' and 'replicas end under load' cannot be told apart from logs (docs/incidents/crashing-part.md).

Change: attempt_failed names the parts, and the progress of the answer: none, head or events. No decision changes.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a call: sends it to a replica and relays the answer."""
 
 from collections.abc import Callable
+import enum
 import time
 
 import h11
@@ -23,6 +24,14 @@
 MAX_STREAM_BYTES = 64 * 1024 * 1024
 
 
+class Progress(enum.Enum):
+    """How far a replica's answer had come when the attempt ended."""
+
+    NONE = "none"
+    HEAD = "head"
+    EVENTS = "events"
+
+
 class Answered(msgspec.Struct, frozen=True):
     """The caller has the whole answer.
 
@@ -41,11 +50,13 @@
         outcome: how the attempt ended.
         answer, body: failure reported by the upstream, which the caller may
             receive.
+        progress: how much of the answer had arrived.
     """
 
     outcome: attempts.Outcome
     answer: calls.Answer | None = None
     body: bytes = b""
+    progress: Progress = Progress.NONE
 
 
 class StreamState:
@@ -94,6 +105,7 @@
         "_channel",
         "_complete",
         "_keep_alive_s",
+        "_progress",
     )
 
     def __init__(
@@ -118,6 +130,7 @@
         self._channel: upstream_channels.Channel | None = None
         self._complete = False
         self._keep_alive_s: float | None = None
+        self._progress = Progress.NONE
 
     def connect(self) -> bool:
         """Returns: whether there is a connection to send the call on."""
@@ -150,12 +163,13 @@
             first_s = time.monotonic() - started_at
             result = self._relay(head, answer, stream, first_s)
         except errors.Timeout:
-            return Unanswered(attempts.Expired())
+            return Unanswered(attempts.Expired(), progress=self._progress)
         except (
             errors.ConnectionLost,
             protocol_errors.EventTooLarge,
         ) as error:
-            return Unanswered(attempts.Lost(str(error)))
+            lost = attempts.Lost(str(error))
+            return Unanswered(lost, progress=self._progress)
         finally:
             self._release_channel()
         return result
@@ -192,6 +206,7 @@
         first_s: float,
     ) -> Answered | Unanswered:
         self._member.heard_at = time.monotonic()
+        self._progress = Progress.HEAD
         self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
         if answer.not_run:
@@ -244,6 +259,7 @@
                 raise errors.ConnectionLost("stream is too large")
             ready = b"".join(self._accept_events(reader.feed(data), stream))
             if ready:
+                self._progress = Progress.EVENTS
                 # Parts of an event do not show that a replica makes progress.
                 self._channel.note_progress()
                 stream.note_events(self._member.heard_at)
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -201,8 +201,9 @@
         )
         if not sending_attempt.connect():
             self._shared.liveness.note_not_reached(member)
-            self._log_attempt(member, attempts.NotSent())
-            return attempt.Unanswered(attempts.NotSent())
+            not_sent = attempt.Unanswered(attempts.NotSent())
+            self._log_attempt(member, not_sent)
+            return not_sent
         dispatch = self._make_dispatch(member)
         self._attempts.note_sending()
         memory_tokens = self._selection_request.memory_tokens
@@ -222,8 +223,8 @@
                 )
                 member.note_result(False)
                 self._note_parts(member, dispatch.salt)
-            case attempt.Unanswered(outcome):
-                self._note_failure(member, outcome, now)
+            case attempt.Unanswered():
+                self._note_failure(member, result, now)
         return result
 
     def _check_silence(
@@ -263,11 +264,11 @@
     def _note_failure(
         self,
         member: fleet_member.Member,
-        outcome: attempts.Outcome,
+        result: attempt.Unanswered,
         now: float,
     ) -> None:
-        self._log_attempt(member, outcome)
-        match outcome:
+        self._log_attempt(member, result)
+        match result.outcome:
             case attempts.NotRun(retry_after_s):
                 backoff_s = FULL_BACKOFF_S
                 if retry_after_s is not None:
@@ -403,8 +404,9 @@
         return self._deadline - time.monotonic()
 
     def _log_attempt(
-        self, member: fleet_member.Member, outcome: attempts.Outcome
+        self, member: fleet_member.Member, result: attempt.Unanswered
     ) -> None:
+        outcome = result.outcome
         self._shared.metrics.count(
             "attempts", outcome=type(outcome).__name__.lower()
         )
@@ -414,6 +416,8 @@
             replica=member.replica.replica_id,
             address=member.replica.address,
             outcome=repr(outcome),
+            progress=result.progress.value,
+            parts=",".join(part.part_id for part in self._call.parts),
             failures=round(member.failures, 2),
             in_flight=member.in_flight,
             attempt=len(self._tried),
