--- /dev/null
+++ b/tests/roles/gateway/sites.py
@@ -0,0 +1,207 @@
+"""Gateways that share a control member, in front of stub replicas."""
+
+from types import SimpleNamespace
+
+import gevent
+from gevent import server as servers
+from gevent import socket
+
+from papayalink import metrics as metrics_module
+from papayalink.protocol import messages
+from papayalink.roles.authority import service as services
+from papayalink.roles.gateway import listing as listings
+from papayalink.roles.gateway import parts
+from papayalink.state import part_directory
+from papayalink.state import replicas
+from papayalink.state import traffic
+from tests.roles.gateway import stubs
+
+_STREAM_HEAD = b"HTTP/1.1 200 OK\r\n" + stubs.STAMP
+HALF_EVENT = _STREAM_HEAD + b"\r\nid: 1\nda"
+WHOLE_STREAM = _STREAM_HEAD + b"Content-Length: 16\r\n\r\nid: 1\ndata: ok\n\n"
+
+ROUTES = (
+    stubs.make_route("resumed", traffic.RepeatPolicy.RESUMABLE, stream=True),
+    stubs.make_route("stream", traffic.RepeatPolicy.ONCE, stream=True),
+)
+
+
+class Replica:
+    """Answers prompts, and ends when a prompt has a crashing part.
+
+    Args:
+        crashing: parts that end the replica unless they come last.
+        last_words: what it sends of the answer before it ends.
+    """
+
+    def __init__(self, site, name, crashing, last_words):
+        self.name = name
+        self._site = site
+        self._crashing = crashing
+        self._last_words = last_words
+        self._sockets = []
+        self._server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def _serve(self, sock, address):
+        self._sockets.append(sock)
+        while data := sock.recv(65536):
+            lines = data.lower().split(b"\r\n")
+            parts_line = next(
+                line for line in lines if b"prefix-hash" in line
+            ).decode()
+            part_ids = [
+                field.partition(":")[0]
+                for field in parts_line.partition(": ")[2].split(",")
+            ]
+            self._site.arrivals.append(part_ids)
+            gevent.sleep(0.01)
+            if self._crashing & set(part_ids[:-1]):
+                sock.sendall(self._last_words)
+                gevent.sleep(0.01)
+                self.crash()
+                return
+            sock.sendall(WHOLE_STREAM)
+
+    def crash(self):
+        self._server.stop()
+        for sock in self._sockets:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self._site.crashed.append(self.name)
+
+    def stop(self):
+        self._server.stop()
+
+
+class _Stores:
+    """Stores of a member that hold nothing."""
+
+    complete = True
+
+    def __init__(self):
+        self.directory = part_directory.make_part_directory()
+
+    def note_demand(self):
+        pass
+
+
+class _Relay:
+    number = 0
+    listed = ()
+
+    def age_ms(self):
+        return 0
+
+    def note_demand(self):
+        pass
+
+
+class Entry(stubs.Gateway):
+    """A gateway that exchanges reports with the site's member."""
+
+    def __init__(self, site, name):
+        super().__init__(site.replicas, ROUTES)
+        self._site = site
+        self._follower = parts.make_parts_follower(
+            SimpleNamespace(
+                settings=SimpleNamespace(name=name),
+                rpc_client=SimpleNamespace(call=self._ask),
+            ),
+            lambda: [""],
+            self.fleet,
+            self.liveness,
+            listings.make_listing(
+                None, self.fleet, None, metrics_module.make_metrics()
+            ),
+            part_directory.make_part_directory(),
+        )
+
+    def _ask(self, address, method, message, timeout_s):
+        message = messages.decode(messages.encode(message))
+        reply = self._site.member.parts(message)
+        return messages.decode(messages.encode(reply))
+
+    def exchange(self):
+        assert self._follower._exchange("")
+
+    def prompt(self, route, *part_ids):
+        """Returns: status and body of the answer to a prompt."""
+        listed = ",".join(f"{part_id}:10" for part_id in part_ids)
+        status, _, body = self.call(
+            f"/{route}/".encode(),
+            (
+                b"Papayalink-Model: m",
+                b"Papayalink-Token-Usage: 100,10",
+                b"Papayalink-Prefix-Hash: " + listed.encode(),
+            ),
+        )
+        return status, body
+
+
+class Site:
+    """Two gateways, replicas that return after a crash, and one member."""
+
+    def __init__(self, crashing=(), last_words=HALF_EVENT, size=6):
+        self.arrivals = []
+        self.crashed = []
+        self.replicas = []
+        self._crashing = set(crashing)
+        self._last_words = last_words
+        self._started = 0
+        self.replace_member()
+        for _ in range(size):
+            self._start_replica()
+        self.entries = [Entry(self, f"e{number}") for number in range(2)]
+        self.settle()
+
+    def replace_member(self):
+        """Let a member without any state lead."""
+        self.member = services.make_service(
+            None, None, None, True, None, _Stores(), _Relay()
+        )
+
+    def replace_entry(self):
+        """Start a gateway again, which forgets all it knew."""
+        self.entries[0].stop_serving()
+        self.entries[0] = Entry(self, "e0")
+
+    def settle(self):
+        """Start crashed replicas, and pass on lists and reports."""
+        for replica in list(self.replicas):
+            if replica.name in self.crashed:
+                self.replicas.remove(replica)
+                self._start_replica()
+        for entry in self.entries:
+            entry.fleet.update(
+                replicas.Replica(
+                    replica_id=replica.name,
+                    service="models",
+                    address=replica.address,
+                    zone="z",
+                    slots=8,
+                    condition=replicas.Condition.READY,
+                    weights={"m": 1},
+                )
+                for replica in self.replicas
+            )
+        # The second round brings each entry what the others reported.
+        for _ in range(2):
+            for entry in self.entries:
+                entry.exchange()
+
+    def _start_replica(self):
+        name = f"models{self._started}"
+        self._started += 1
+        self.replicas.append(
+            Replica(self, name, self._crashing, self._last_words)
+        )
+
+    def stop(self):
+        for entry in self.entries:
+            entry.stop_serving()
+        for replica in self.replicas:
+            replica.stop()
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -149,6 +149,7 @@
             for upstream in upstreams
             if upstream.name.startswith(service)
         )
+        self.liveness = liveness.make_liveness(channels, self.metrics)
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
@@ -157,7 +158,7 @@
                 channels,
                 budgets.make_budgets(node_settings.Bounds(), lambda: 1),
                 placement,
-                liveness.make_liveness(channels, self.metrics),
+                self.liveness,
                 self.metrics,
             )
         )
@@ -183,8 +184,11 @@
             sock.sendall(b"\r\n".join([*lines, b"", body]))
             return _read(sock)
 
-    def stop(self):
+    def stop_serving(self):
         self.server.stop(0.1)
+
+    def stop(self):
+        self.stop_serving()
         for upstream in self.upstreams:
             upstream.server.stop()
 
