Block parts of prompts that end replica after replica

Cause: a gateway knew that a replica had ended, but related it to no prompt. Each gateway sent such prompts on, and each lost one again to a second replica. The class: what a request does to a replica was neither observed nor shared.

Change: when an answer breaks off and the replica's machine refuses connections, or the replica disappears from the list without leaving first, the shared parts of the prompts lost with it are suspected; a part of a whole answer is cleared. Streams without an event that end with their connection are lost, not whole.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -30,6 +30,8 @@
         heard_at: monotonic seconds of the last byte received from it.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
+        refused_at: monotonic seconds at which its machine refused a connection
+            last, minus infinity for never.
         prefill: prompt tokens of calls without a first token, by urgency.
         memory: tokens of memory that unfinished calls will hold, by urgency.
     """
@@ -47,6 +49,7 @@
         "_in_flight_at_report",
         "heard_at",
         "reached_at",
+        "refused_at",
         "_reachable",
         "_avoid_until",
         "_failures",
@@ -68,6 +71,7 @@
         self._in_flight_at_report = 0
         self.heard_at = 0.0
         self.reached_at = float("-inf")
+        self.refused_at = float("-inf")
         self._reachable = True
         self._avoid_until = 0.0
         self._failures = 0.0
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -316,6 +316,35 @@
     memory: tuple[tuple[int, int], ...] = ()
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that ended before it answered a prompt with a part.
+
+    Attributes:
+        begun: whether the answer had begun, without a whole event.
+    """
+
+    replica_id: str
+    age_ms: int
+    begun: bool
+
+
+class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts that is suspected of ending replicas.
+
+    Attributes:
+        sound_age_ms: age of the last whole answer to a prompt with the part,
+            -1 for none.
+        trials: prompts that were let through while the part was blocked.
+        trial_age_ms: age of the last of these, -1 for none.
+    """
+
+    part: str
+    crashes: tuple[Crash, ...] = ()
+    sound_age_ms: int = -1
+    trials: int = 0
+    trial_age_ms: int = -1
+
+
 class Parts(Message):
     """An entry reports its work and asks for the state of stores and entries.
 
@@ -325,6 +354,10 @@
         lost: replicas that the entry cannot reach.
         list_number: number of the newest reading of the platform's replica
             list that the entry has, 0 for none.
+        suspects: suspected parts, if the member may not know all of them.
+        suspects_version: version of the member's suspected parts that the
+            entry has.
+        refused_parts: blocked parts for which the entry refused prompts.
     """
 
     process: str
@@ -333,6 +366,9 @@
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
     list_number: int = 0
+    suspects: tuple[SuspectPart, ...] = ()
+    suspects_version: int = 0
+    refused_parts: tuple[str, ...] = ()
 
 
 class PartsReply(Message):
@@ -349,6 +385,8 @@
         list_age_ms: time since the list was last read.
         listed: replicas of that reading, empty when the entry already has it.
         entries: number of entries that recently reported to the member.
+        suspects: suspected parts, empty if the entry has this version.
+        trials: blocked parts of which the entry may send one prompt each.
     """
 
     source: str
@@ -362,6 +400,9 @@
     list_number: int = 0
     list_age_ms: int = 0
     listed: tuple[replicas.Replica, ...] = ()
+    suspects: tuple[SuspectPart, ...] = ()
+    suspects_version: int = 0
+    trials: tuple[str, ...] = ()
 
 
 class Lookup(Message):
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -8,6 +8,7 @@
 
 from gevent import event
 
+from papayalink.coordination import crash_suspects
 from papayalink.coordination import errors
 from papayalink.coordination import load_reports
 from papayalink.coordination.raft import messages as raft_messages
@@ -57,6 +58,7 @@
         "_stores",
         "_relay",
         "_load_reports",
+        "_suspects",
         "_source",
         "_durable",
         "_first_asker",
@@ -82,6 +84,10 @@
         self._stores = stores
         self._relay = relay
         self._load_reports = load_reports.make_load_reports()
+        # A version of another member or of an earlier run must not match.
+        self._suspects = crash_suspects.make_crash_suspects(
+            secrets.randbits(48)
+        )
         self._source = secrets.token_hex(4)
         self._durable = durable
         self._first_asker = ""
@@ -126,6 +132,9 @@
         self._load_reports.report(
             message.process, message.work, now, message.lost
         )
+        self._suspects.expire(now)
+        self._suspects.merge(message.suspects, now)
+        trials = self._suspects.grant_trials(message.refused_parts, now)
         self._relay.note_demand()
         self._stores.note_demand()
         directory = self._stores.directory
@@ -160,6 +169,13 @@
                 if known and message.list_number == self._relay.number
                 else self._relay.listed
             ),
+            suspects=(
+                ()
+                if message.suspects_version == self._suspects.version
+                else self._suspects.encode(now)
+            ),
+            suspects_version=self._suspects.version,
+            trials=tuple(trials),
         )
 
     def propose(self, message: messages.Propose) -> messages.Outcome:
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -37,10 +37,13 @@
 
     Attributes:
         first_s: seconds until the head of the answer arrived.
+        ends_with_connection: whether nothing but the end of the connection
+            ended the answer.
     """
 
     status: int
     first_s: float
+    ends_with_connection: bool = False
 
 
 class Unanswered(msgspec.Struct, frozen=True):
@@ -228,7 +231,7 @@
             self._responder.respond(answer.status, answer.headers, body)
         else:
             self._relay_events(answer, stream)
-        return Answered(answer.status, first_s)
+        return Answered(answer.status, first_s, _ends_with_connection(head))
 
     def _read_body(self) -> bytes:
         chunks = []
@@ -266,6 +269,8 @@
                 self._responder.write(ready)
         if reader.partial_event:
             raise errors.ConnectionLost("stream ends within an event")
+        if self._progress is not Progress.EVENTS:
+            raise errors.ConnectionLost("stream has no event")
         self._complete = True
         self._responder.end()
 
@@ -287,6 +292,11 @@
         return accepted
 
 
+def _ends_with_connection(head: h11.Response) -> bool:
+    names = {bytes(name) for name, _ in head.headers}
+    return not names & {b"content-length", b"transfer-encoding"}
+
+
 def make_attempt(
     dialect: calls.Dialect,
     channels: upstream_channels.Channels,
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -11,6 +11,7 @@
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.state import traffic
 from papayalink.transport import caller_server
@@ -59,6 +60,8 @@
         "_urgency",
         "_selection_request",
         "_expected_s",
+        "_shared_parts",
+        "_lost",
     )
 
     def __init__(
@@ -92,6 +95,9 @@
         self._tried: list[str] = []
         self._first_s: float | None = None
         self._expected_s = 0.0
+        self._shared_parts = crashes.shared_parts(call)
+        # Whether a replica was lost with the prompt.
+        self._lost = False
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
         self._selection_request = fleets.make_selection_request(
@@ -120,10 +126,12 @@
         if self._remaining_s() < MIN_ATTEMPT_S:
             expired = attempt.Unanswered(attempts.Expired())
             return self._handle_unanswered(expired, budget)
+        if self._is_blocked():
+            return False
         fleet = self._shared.fleet
         choice = fleet.choose(self._selection_request, self._tried, now)
         if choice is None:
-            self._end_without_replica()
+            self._end_without_replica("no usable replica")
             return False
         if self._shed(choice):
             return False
@@ -139,6 +147,23 @@
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
 
+    def _is_blocked(self) -> bool:
+        """Refuse a prompt with a part that ends replicas.
+
+        Returns: whether it was refused.
+        """
+        part = self._shared.crashes.find_blocked(
+            self._shared_parts, self._lost
+        )
+        if part is None:
+            return False
+        suspects = self._shared.crashes.suspects
+        retry_after_s = max(
+            RETRY_AFTER_S, suspects.retry_after_s(part, time.monotonic())
+        )
+        self._end_without_replica(f"part {part} ends replicas", retry_after_s)
+        return True
+
     def _shed(self, choice: fleets.Choice) -> bool:
         """Refuse a prompt if its expected wait is too long.
 
@@ -223,6 +248,10 @@
                 )
                 member.note_result(False)
                 self._note_parts(member, dispatch.salt)
+                if result.status < 300:
+                    self._shared.crashes.note_whole_answer(
+                        member, self._shared_parts, result.ends_with_connection
+                    )
             case attempt.Unanswered():
                 self._note_failure(member, result, now)
         return result
@@ -276,6 +305,10 @@
                 member.note_full(now, backoff_s)
             case attempts.Lost() | attempts.Failed() | attempts.Expired():
                 member.note_result(True)
+        if isinstance(result.outcome, attempts.Lost):
+            self._lost = True
+            begun = result.progress is attempt.Progress.HEAD
+            self._shared.crashes.note_lost(member, self._shared_parts, begun)
 
     def _update_member(
         self, member: fleet_member.Member, answer: calls.Answer
@@ -366,13 +399,15 @@
                 self._record("given_up", status, reason)
                 self._respond(status)
 
-    def _end_without_replica(self) -> None:
-        """End the call when no replica is left that could run it."""
+    def _end_without_replica(
+        self, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """End the call when it can be sent to no replica."""
         if self._attempts.sent and self._attempts.may_have_run:
-            lost = attempt.Unanswered(attempts.Lost("no other replica"))
+            lost = attempt.Unanswered(attempts.Lost(reason))
             self._end_unanswered(attempts.GiveUp(502), lost)
         else:
-            self._refuse(None, "no usable replica")
+            self._refuse(retry_after_s, reason)
 
     def _refuse(self, retry_after_s: float | None, reason: str) -> None:
         if retry_after_s is None:
--- a/papayalink/roles/gateway/listing.py
+++ b/papayalink/roles/gateway/listing.py
@@ -11,6 +11,7 @@
 from papayalink import metrics as metrics_module
 from papayalink import tasks
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.coordination import upstream_client
 from papayalink.state import replicas
 
@@ -25,13 +26,13 @@
     """Applies lists from control members, or reads the list itself.
 
     Args:
-        close_idle: called with the address of each replica that has left.
+        note_left: called with each replica that is no longer ready or listed.
     """
 
     __slots__ = (
         "_client",
         "_fleet",
-        "_close_idle",
+        "_note_left",
         "_metrics",
         "_read_at",
         "_failing",
@@ -43,12 +44,12 @@
         self,
         client: upstream_client.UpstreamClient,
         fleet: fleets.Fleet,
-        close_idle: Callable[[str], None],
+        note_left: Callable[[fleet_member.Member], None],
         metrics: metrics_module.Metrics,
     ) -> None:
         self._client = client
         self._fleet = fleet
-        self._close_idle = close_idle
+        self._note_left = note_left
         self._metrics = metrics
         self._read_at: float | None = None
         self._failing = False
@@ -85,7 +86,7 @@
                 service=member.replica.service,
                 address=member.replica.address,
             )
-            self._close_idle(member.replica.address)
+            self._note_left(member)
         self._read_at = self._read_at or 0.0
 
     def note_age(self, age_s: float) -> None:
@@ -118,7 +119,7 @@
 def make_listing(
     client: upstream_client.UpstreamClient,
     fleet: fleets.Fleet,
-    close_idle: Callable[[str], None],
+    note_left: Callable[[fleet_member.Member], None],
     metrics: metrics_module.Metrics,
 ) -> Listing:
-    return Listing(client, fleet, close_idle, metrics)
+    return Listing(client, fleet, note_left, metrics)
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -47,12 +47,18 @@
         """Returns: whether the replica answered recently or accepts now."""
         if time.monotonic() - member.heard_at < HEARD_RECENTLY_S:
             return True
-        name = member.replica.replica_id
-        check = self._checking.get(name)
-        if check is None:
-            check = gevent.spawn(self._check, member)
-            self._checking[name] = check
-        return check.get()
+        return self._join_check(member)
+
+    def has_ended(self, member: fleet_member.Member) -> bool:
+        """Returns: whether the replica's process is gone.
+
+        Its machine refuses connections then. A replica that is silent or cut
+        off does not, and may go on.
+        """
+        if time.monotonic() - member.refused_at < HEARD_RECENTLY_S:
+            return True
+        self._join_check(member)
+        return time.monotonic() - member.refused_at < HEARD_RECENTLY_S
 
     def note_lost_to_others(self, member: fleet_member.Member) -> None:
         """Act on a replica that several other entries cannot reach.
@@ -79,6 +85,15 @@
             member.reached_at = float("-inf")
             gevent.spawn(self._probe, member)
 
+    def _join_check(self, member: fleet_member.Member) -> bool:
+        """Returns: whether a connection could be made."""
+        name = member.replica.replica_id
+        check = self._checking.get(name)
+        if check is None:
+            check = gevent.spawn(self._check, member)
+            self._checking[name] = check
+        return check.get()
+
     def _check(self, member: fleet_member.Member) -> bool:
         try:
             for _ in range(CONNECT_ATTEMPTS):
@@ -105,6 +120,9 @@
     def _connect(self, member: fleet_member.Member) -> bool:
         try:
             self._channels.probe(member.replica.address)
+        except errors.ConnectionRefused:
+            member.refused_at = time.monotonic()
+            return False
         except errors.NotConnected:
             return False
         member.heard_at = time.monotonic()
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -11,6 +11,7 @@
 from papayalink.coordination import windows
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
+from papayalink.roles.gateway import crashes as crash_observers
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import part_directory
@@ -42,6 +43,7 @@
             work of all of them.
         fleet: reports the work of this entry, and takes that of the others.
         liveness: checks replicas that other entries cannot reach.
+        crashes: exchanges the parts of prompts that end replicas.
         listing: applies the list that the member has read.
         directory: this entry's copy of the member's directory.
     """
@@ -52,6 +54,9 @@
         "_failures",
         "_fleet",
         "_liveness",
+        "_crashes",
+        "_suspects_version",
+        "_reported_suspects",
         "_listing",
         "_list_number",
         "_directory",
@@ -68,6 +73,7 @@
         members: Callable[[], list[str]],
         fleet: fleets.Fleet,
         liveness: livenesses.Liveness,
+        crashes: crash_observers.CrashObserver,
         listing: listings.Listing,
         directory: part_directory.PartDirectory,
     ) -> None:
@@ -76,6 +82,12 @@
         self._failures = 0
         self._fleet = fleet
         self._liveness = liveness
+        self._crashes = crashes
+        # Version of the member's suspected parts that was merged.
+        self._suspects_version = 0
+        # Versions of both tables at the last exchange that reported this
+        # entry's.
+        self._reported_suspects: tuple[int, int] | None = None
         self._listing = listing
         self._list_number = 0
         self._directory = directory
@@ -106,6 +118,8 @@
             gevent.sleep(RETRY_DELAY_S)
 
     def _exchange(self, address: str) -> bool:
+        suspects = self._crashes.suspects
+        versions = (suspects.version, self._suspects_version)
         message = messages.Parts(
             self._node.settings.name,
             self._source,
@@ -113,6 +127,13 @@
             self._fleet.own_work(),
             self._fleet.lost(),
             self._list_number if self._listing.relayed else 0,
+            (
+                suspects.encode(time.monotonic())
+                if versions != self._reported_suspects
+                else ()
+            ),
+            self._suspects_version,
+            self._crashes.refused_parts(),
         )
         try:
             reply = self._node.rpc_client.call(
@@ -131,8 +152,23 @@
         self._entries.raise_to(reply.entries, self._read_at)
         self._fleet.update_other_work(reply.work, self._read_at)
         self._note_lost(reply)
+        self._reported_suspects = versions
+        self._merge_suspects(reply)
         return True
 
+    def _merge_suspects(self, reply: messages.PartsReply) -> None:
+        """Merge the member's suspected parts.
+
+        A member that has changed its table, or another one, gets this
+        entry's whole table with the next exchange.
+        """
+        self._crashes.permit_trials(reply.trials)
+        self._crashes.suspects.expire(self._read_at)
+        if reply.suspects_version != self._suspects_version:
+            self._suspects_version = reply.suspects_version
+            self._crashes.suspects.merge(reply.suspects, self._read_at)
+            self._crashes.log_changes()
+
     def _note_lost(self, reply: messages.PartsReply) -> None:
         """Act on replicas that other entries cannot reach."""
         widely_lost: frozenset[str] = frozenset(reply.widely_lost)
@@ -165,7 +201,10 @@
     members: Callable[[], list[str]],
     fleet: fleets.Fleet,
     liveness: livenesses.Liveness,
+    crashes: crash_observers.CrashObserver,
     listing: listings.Listing,
     directory: part_directory.PartDirectory,
 ) -> PartsFollower:
-    return PartsFollower(node, members, fleet, liveness, listing, directory)
+    return PartsFollower(
+        node, members, fleet, liveness, crashes, listing, directory
+    )
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -9,12 +9,14 @@
 from papayalink import node_settings
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.coordination import upstream_client
 from papayalink.protocol import calls
 from papayalink.roles import node as nodes
 from papayalink.roles import process
 from papayalink.roles import reloading
 from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import listing
 from papayalink.roles.gateway import liveness as livenesses
@@ -47,6 +49,7 @@
         "_parts",
         "_listing",
         "_channels",
+        "_crashes",
         "_server",
         "_ready_server",
         "_draining",
@@ -81,14 +84,16 @@
             node, translate, self._apply_changes
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
+        self._crashes = crashes.make_crash_observer(liveness, node.metrics)
         self._listing = listing.make_listing(
-            client, self._fleet, self._channels.close_idle, node.metrics
+            client, self._fleet, self._note_left, node.metrics
         )
         self._parts = parts.make_parts_follower(
             node,
             self._watcher.authorities,
             self._fleet,
             liveness,
+            self._crashes,
             self._listing,
             directory,
         )
@@ -101,6 +106,7 @@
                 budgets.make_budgets(settings.bounds, self._count_entries),
                 self._placement,
                 liveness,
+                self._crashes,
                 node.metrics,
             )
         )
@@ -150,6 +156,7 @@
             "list_age_s": self._listing.age_s(),
             "in_flight": self._server.in_flight,
             "connections": self._server.connections,
+            "blocked_parts": self._crashes.suspects.blocked,
         }
 
     def gauges(self) -> dict[str, Callable[[], float]]:
@@ -160,6 +167,7 @@
                 self._channels.opened_connections
             ),
             "document_number": lambda: self._watcher.number,
+            "suspected_parts": lambda: len(self._crashes.suspects),
         }
 
     def reload(self) -> None:
@@ -181,6 +189,10 @@
         self._fleet.set_loading(self._watcher.loading)
         self._fleet.note_loaded(self._watcher.loaded)
 
+    def _note_left(self, member: fleet_member.Member) -> None:
+        self._channels.close_idle(member.replica.address)
+        self._crashes.note_left(member)
+
     def _count_entries(self) -> int:
         # Before the first exchange of reports, only the entries that watch
         # the same control member are known.
--- a/papayalink/roles/gateway/shared.py
+++ b/papayalink/roles/gateway/shared.py
@@ -9,6 +9,7 @@
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import crashes as crash_observers
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import watching
 from papayalink.transport import upstream_channels
@@ -25,6 +26,7 @@
         budgets: retry budgets by service.
         placement: chooses stores for the parts of prompts.
         liveness: checks whether silent replicas can be reached.
+        crashes: relates the ends of replicas to prompts.
         overloads: how long prompts have been refused, by service.
     """
 
@@ -36,6 +38,7 @@
         "budgets",
         "placement",
         "liveness",
+        "crashes",
         "overloads",
         "metrics",
         "rng",
@@ -51,6 +54,7 @@
         retry_budgets: budgets.Budgets,
         placement: cache_placement.CachePlacement,
         liveness: livenesses.Liveness,
+        crashes: crash_observers.CrashObserver,
         metrics: metrics_module.Metrics,
     ) -> None:
         self.dialect = dialect
@@ -60,6 +64,7 @@
         self.budgets = retry_budgets
         self.placement = placement
         self.liveness = liveness
+        self.crashes = crashes
         self.overloads: dict[str, shedding.OverloadTimer] = {}
         self.metrics = metrics
         self.rng = random.Random()
@@ -74,6 +79,7 @@
     retry_budgets: budgets.Budgets,
     placement: cache_placement.CachePlacement,
     liveness: livenesses.Liveness,
+    crashes: crash_observers.CrashObserver,
     metrics: metrics_module.Metrics,
 ) -> Shared:
     return Shared(
@@ -84,5 +90,6 @@
         retry_budgets,
         placement,
         liveness,
+        crashes,
         metrics,
     )
--- a/papayalink/transport/errors.py
+++ b/papayalink/transport/errors.py
@@ -9,6 +9,10 @@
     """No connection was opened, so nothing of the request was sent."""
 
 
+class ConnectionRefused(NotConnected):
+    """The machine answers, and no process listens at the address."""
+
+
 class ConnectionLost(TransportError):
     """The connection broke after the request may have been sent."""
 
--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -365,6 +365,9 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, _TCP_USER_TIMEOUT_OPTION, _USER_TIMEOUT_MS
             )
+        except ConnectionRefusedError as error:
+            sock.close()
+            raise errors.ConnectionRefused(f"{address}: {error}") from error
         except (OSError, ValueError) as error:
             sock.close()
             raise errors.NotConnected(f"{address}: {error}") from error
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -114,8 +114,12 @@
             lambda: [""],
             self.fleet,
             self.liveness,
+            self.crashes,
             listings.make_listing(
-                None, self.fleet, None, metrics_module.make_metrics()
+                None,
+                self.fleet,
+                self.crashes.note_left,
+                metrics_module.make_metrics(),
             ),
             part_directory.make_part_directory(),
         )
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -10,6 +10,7 @@
 from papayalink.coordination import fleet as fleets
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
+from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import liveness
 from papayalink.roles.gateway import shared
@@ -150,6 +151,7 @@
             if upstream.name.startswith(service)
         )
         self.liveness = liveness.make_liveness(channels, self.metrics)
+        self.crashes = crashes.make_crash_observer(self.liveness, self.metrics)
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
@@ -159,6 +161,7 @@
                 budgets.make_budgets(node_settings.Bounds(), lambda: 1),
                 placement,
                 self.liveness,
+                self.crashes,
                 self.metrics,
             )
         )
--- a/tests/roles/gateway/test_listing.py
+++ b/tests/roles/gateway/test_listing.py
@@ -53,7 +53,7 @@
         self.listing = listings.make_listing(
             client,
             self.fleet,
-            self.closed.append,
+            lambda member: self.closed.append(member.replica.address),
             metrics_module.make_metrics(),
         )
         self.follower = parts.make_parts_follower(
@@ -61,6 +61,7 @@
             lambda: [],
             self.fleet,
             None,
+            None,
             self.listing,
             part_directory.make_part_directory(),
         )
--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -9,6 +9,7 @@
 from papayalink.coordination import fleet as fleets
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
+from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import parts
 from papayalink.state import part_directory
@@ -92,6 +93,9 @@
             lambda: [""],
             self.fleet,
             self.liveness,
+            crashes.make_crash_observer(
+                self.liveness, metrics_module.make_metrics()
+            ),
             listings.make_listing(
                 None, self.fleet, None, metrics_module.make_metrics()
             ),
