Let the soak end replicas by a part of prompts

What it guards: prompts with one part that end replica after replica, beside gateways and members that are stopped, killed and paused.

Change: stand-in replicas end when they begin to answer a stream with the part, refuse connections, and return under a new id after a second. After five ends and 3 s, at most three such prompts may arrive from gateways that were not disturbed themselves. Also a fault of its own in other runs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     losses: int = 1,
     diskless: int = 0,
     power: bool = False,
+    crashing: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -37,6 +38,7 @@
         diskless: number of additional authorities without a disk.
         power: whether all processes lose power at the end and restart with
             other seed addresses.
+        crashing: whether prompts with one part end replicas all the time.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -45,7 +47,7 @@
     random_source = random.SystemRandom()
     all_seeds += [random_source.randrange(10**6) for _ in range(fresh)]
     scenario = seed_run.Scenario(
-        authorities, gateways, losses, diskless, power
+        authorities, gateways, losses, diskless, power, crashing
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,10 @@
 # get calls.
 IN_FORCE_S = 2.0
 LEAVE_S = 3.0
+# Crashes after which a part that ends replicas is known, and how many prompts
+# with it may arrive later.
+KNOWN_CRASHES = 5
+MAX_LATE_ARRIVALS = 3
 # Fraction of answered calls that shows that the system has recovered.
 MIN_SERVED_FRACTION = 0.9
 
@@ -27,7 +31,11 @@
     for call_id in history.executions.by_call:
         if call_id not in known:
             violations.append(f"{call_id}: ran, but no caller sent it")
-    return violations + list(_check_reads(history))
+    return [
+        *violations,
+        *_check_reads(history),
+        *_check_crashing_parts(history),
+    ]
 
 
 def check_recovered(calls: list[records.Call]) -> list[str]:
@@ -127,6 +135,35 @@
             )
 
 
+def _check_crashing_parts(history):
+    """Check that a part is known to all entries after five crashes."""
+    calls = {call.call_id: call for call in history.calls}
+    for part in {part for part, _ in history.crashes}:
+        times = sorted(at for each, at in history.crashes if each == part)
+        if len(times) < KNOWN_CRASHES:
+            continue
+        known_at = times[KNOWN_CRASHES - 1] + LEAVE_S
+        late = [
+            each
+            for each in history.part_arrivals
+            if each.part == part
+            and calls[each.call_id].sent_at > known_at
+            and not _is_recovering(calls[each.call_id], history)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            yield f"{len(late)} prompts with {part} after it was known"
+
+
+def _is_recovering(call, history):
+    """Whether the gateway of a call itself was disturbed around it."""
+    return any(
+        each.began_at <= call.ended_at
+        and each.ended_at + LEAVE_S >= call.sent_at
+        for each in history.disturbances
+        if each.target == call.gateway
+    )
+
+
 def _leaving_since(replica_id, history):
     times = [
         each.began_at
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,6 +14,8 @@
 DEADLINE_MS = 3_000
 TIMEOUT_S = 6.0
 RETRY_INTERVAL_S = 0.2
+# Every so many streams of a caller have the part that ends replicas.
+CRASHING_INTERVAL = 2
 CALL_ERRORS = (
     OSError,
     ValueError,
@@ -31,6 +33,7 @@
         self._rng = rng
         self._numbers = itertools.count(1)
         self._clients: dict[str, geventhttpclient.HTTPClient] = {}
+        self._streams = 0
 
     def call(self, gateway: node_module.Node) -> records.Call:
         """Send a call of a random kind and record its answer."""
@@ -58,6 +61,14 @@
             )
         method = "GET" if path_prefix == standins.LOOKUP else "POST"
         headers = standins.make_headers(call_id, workspace, DEADLINE_MS)
+        if path_prefix == standins.STREAM:
+            part = "sound"
+            self._streams += 1
+            if self._streams % CRASHING_INTERVAL == 0:
+                part = self._history.crashing_part or part
+            headers["Papayalink-Prefix-Hash"] = standins.make_prefix(
+                part, call_id
+            )
         try:
             answer = client.request(
                 method, f"{path_prefix}{call_id}", b"", headers
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,7 @@
     "reset": 2,
     "replica": 3,
     "leaves": 1,
+    "crashing": 1,
 }
 MAX_DURATION_S = 3.0
 
@@ -46,6 +47,7 @@
         self._rng = rng
         self._losses = losses
         self._disturbed: set[str] = set()
+        self._crashing_parts = 0
         self._greenlets: list[gevent.Greenlet] = []
         self.counts: dict[str, int] = {}
 
@@ -57,6 +59,16 @@
             gevent.sleep(self._rng.random() * 1.2)
         gevent.joinall(self._greenlets, raise_error=True)
 
+    def begin_crashing(self) -> None:
+        """Let a new part of prompts end the replicas that answer them."""
+        self._crashing_parts += 1
+        part = f"bad{self._crashing_parts}"
+        self._history.crashing_part = part
+        self.counts["crashing"] = self._crashing_parts
+
+    def end_crashing(self) -> None:
+        self._history.crashing_part = ""
+
     def lose_power(self) -> None:
         """Kill all processes and start them again.
 
@@ -78,7 +90,10 @@
         self._end("power", "authority-all", began_at)
 
     def _inject(self, kind: str) -> None:
-        if kind in ("stop", "kill", "pause", "wipe"):
+        if kind == "crashing":
+            if not self._history.crashing_part:
+                self.begin_crashing()
+        elif kind in ("stop", "kill", "pause", "wipe"):
             self._disturb_node(kind)
         else:
             self._disturb_replica(kind)
@@ -121,10 +136,14 @@
 
     def _disturb_replica(self, kind: str) -> None:
         replica = self._rng.choice(self._platform.replicas[1:])
-        if replica.replica_id in self._disturbed or replica.leaving:
+        proxy = self._platform.proxies.get(replica.replica_id)
+        if (
+            replica.replica_id in self._disturbed
+            or replica.leaving
+            or proxy is None
+        ):
             return
         self._disturbed.add(replica.replica_id)
-        proxy = self._platform.proxies[replica.replica_id]
         began_at = self._begin(kind, replica.replica_id)
         duration_s = self._rng.random() * MAX_DURATION_S
         match kind:
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform: list of replicas, replicas, documents."""
 
 import json
+import time
 
 import gevent
 from gevent import pywsgi
@@ -10,6 +11,8 @@
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
+# Time after which a crashed replica is back.
+RETURN_S = 1.0
 PLAIN_ANSWER_S = 0.05
 HOST = "soak.example"
 # API key of each workspace.
@@ -60,6 +63,11 @@
     ).encode()
 
 
+def make_prefix(part: str, own_part: str) -> str:
+    """Returns: the parts of a prompt, of which the last is its own."""
+    return f"base:10,{part}:10,{own_part}:5"
+
+
 class Replica(msgspec.Struct, eq=False):
     """One replica behind a proxy, with a fault mode.
 
@@ -72,6 +80,7 @@
     replica_id: str
     zone: str
     executions: records.Executions
+    platform: "Platform"
     mode: str = "well"
     leaving: bool = False
     address: str = ""
@@ -113,8 +122,26 @@
             return [records.make_body(call_id, self.replica_id)]
         headers.append(("Content-Type", "text/event-stream"))
         start_response("200 OK", headers)
+        part = _crashing_part(environ, self.platform.history)
+        if part:
+            self.platform.history.part_arrivals.append(
+                records.PartArrival(part, call_id, time.monotonic())
+            )
+            return self._crash(part)
         return _events(call_id, last_event_id)
 
+    def _crash(self, part: str):
+        """Begin an event, and end with all connections."""
+        yield b"id: 1\nda"
+        gevent.sleep(EVENT_INTERVAL_S)
+        self.platform.crash(self, part)
+
+
+def _crashing_part(environ: dict, history: records.History) -> str:
+    shared = environ.get("HTTP_PAPAYALINK_PREFIX_HASH", "").split(",")[:-1]
+    part_ids = {field.partition(":")[0] for field in shared}
+    return history.crashing_part if history.crashing_part in part_ids else ""
+
 
 def _events(call_id: str, last_event_id: int):
     for number in range(last_event_id + 1, EVENTS_PER_STREAM + 1):
@@ -127,17 +154,16 @@
 
     Args:
         ip: address that serves the list.
-        executions: where the replicas record the calls that they run.
+        history: where the replicas record what they run.
         make_proxy: makes a proxy for the address of a replica; the list
             names the address of the proxy.
     """
 
-    def __init__(
-        self, ip: str, executions: records.Executions, make_proxy
-    ) -> None:
-        self._executions = executions
+    def __init__(self, ip: str, history: records.History, make_proxy) -> None:
+        self.history = history
         self._make_proxy = make_proxy
-        self._servers = []
+        self._stopped = False
+        self._servers = {}
         self.replicas: list[Replica] = []
         self.proxies = {}
         self._list = pywsgi.WSGIServer((ip, 0), self._answer_list, log=None)
@@ -145,18 +171,41 @@
         self.address = f"{ip}:{self._list.server_port}"
 
     def add_replica(self, replica_id: str, zone: str, ip: str) -> Replica:
-        replica = Replica(replica_id, zone, self._executions)
+        replica = Replica(replica_id, zone, self.history.executions, self)
         server = pywsgi.WSGIServer((ip, 0), replica.answer, log=None)
         server.start()
-        self._servers.append(server)
+        self._servers[replica_id] = server
         proxy = self._make_proxy((ip, server.server_port))
         self.proxies[replica_id] = proxy
         replica.address = proxy.address
         self.replicas.append(replica)
         return replica
 
+    def crash(self, replica: Replica, part: str) -> None:
+        """End a replica; it returns under a new id after a while."""
+        if replica.replica_id not in self._servers:
+            return
+        self.history.crashes.append((part, time.monotonic()))
+        # The address refuses connections from now on.
+        self.proxies.pop(replica.replica_id).stop()
+        server = self._servers.pop(replica.replica_id)
+        gevent.spawn(server.stop, 0)
+        gevent.spawn_later(RETURN_S, self._return, replica, server.server_host)
+
+    def _return(self, replica: Replica, ip: str) -> None:
+        if self._stopped:
+            return
+        name, _, starts = replica.replica_id.partition("+")
+        self.add_replica(f"{name}+{int(starts or 0) + 1}", replica.zone, ip)
+        self.replicas.remove(replica)
+
     def stop(self) -> None:
-        for server in (self._list, *self._servers, *self.proxies.values()):
+        self._stopped = True
+        for server in (
+            self._list,
+            *self._servers.values(),
+            *self.proxies.values(),
+        ):
             server.stop()
 
     def _answer_list(self, environ, start_response):
--- a/soak/records.py
+++ b/soak/records.py
@@ -93,14 +93,30 @@
     number: int
 
 
+class PartArrival(msgspec.Struct, frozen=True):
+    """A prompt with a part that ends replicas has reached one."""
+
+    part: str
+    call_id: str
+    at: float
+
+
 class History(msgspec.Struct):
-    """All observations of one run."""
+    """All observations of one run.
+
+    Attributes:
+        crashing_part: part of prompts that ends replicas now, "" for none.
+        crashes: parts that have ended replicas, and when.
+    """
 
     executions: Executions
     calls: list[Call] = []
     disturbances: list[Disturbance] = []
     changes: list[Change] = []
     reads: list[Read] = []
+    crashing_part: str = ""
+    part_arrivals: list[PartArrival] = []
+    crashes: list[tuple[str, float]] = []
 
 
 def make_body(call_id: str, replica_id: str) -> bytes:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -30,6 +30,7 @@
         losses: maximum number of these that are disturbed at the same time.
         diskless: number of additional authorities without a disk.
         power: whether all processes lose power at the end.
+        crashing: whether prompts with one part end replicas all the time.
     """
 
     authorities: int = 3
@@ -37,6 +38,7 @@
     losses: int = 1
     diskless: int = 0
     power: bool = False
+    crashing: bool = False
 
 
 class Result(msgspec.Struct):
@@ -67,9 +69,7 @@
     rng = random.Random(seed)
     history = records.History(records.Executions())
     network = node_module.Network()
-    platform = standins.Platform(
-        network.ip(2), history.executions, proxy.make_proxy
-    )
+    platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
     nodes: list[node_module.Node] = []
     try:
         for index in range(REPLICAS):
@@ -114,7 +114,10 @@
         for index in range(CALLERS)
     ]
     tasks.append(gevent.spawn(_operate, operator, members, until, rng))
+    if scenario.crashing:
+        injector.begin_crashing()
     injector.run(until)
+    injector.end_crashing()
     gevent.joinall(tasks, raise_error=True)
     if scenario.power:
         injector.lose_power()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -62,6 +62,18 @@
     return records.Disturbance(kind, target, began_at, ended_at)
 
 
+def _crashing(arrivals, disturbances=()):
+    """A part that ends a replica each second, then `arrivals` more times."""
+    history = _history(
+        _call(sent_at=200.0, ended_at=200.1),
+        [_execution()],
+        disturbances=disturbances,
+    )
+    history.crashes = [("bad", 100.0 + second) for second in range(5)]
+    history.part_arrivals = [records.PartArrival("bad", "c", 200.0)] * arrivals
+    return history
+
+
 _STREAM = {"path_prefix": standins.STREAM, "server_stamp": "i1.c"}
 
 
@@ -98,6 +110,9 @@
             _call(standins.OPTIONAL, status=404),
             changes=[_change(3, True, 90.0), _change(6, False, 100.0)],
         ),
+        _crashing(3),
+        # A gateway that was just restarted may not know the part yet.
+        _crashing(4, [_fault("kill", "g1", 198.0, 199.0)]),
         _history(
             reads=[records.Read(100.0, "m1", 6)],
             changes=[_change(6, True, 90.0)],
@@ -112,6 +127,7 @@
     ("reason", "history"),
     [
         ("ran 2 times", _history(_call(), [_execution(), _execution()])),
+        ("4 prompts with bad after it was known", _crashing(4)),
         (
             "answered as not run, but ran",
             _history(_call(status=503), [_execution()]),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,8 @@
         # No process found the control group, although its members had found
         # each other.
         (3, seed_run.Scenario(gateways=2, diskless=3, power=True)),
+        # Prompts with one part end replica after replica.
+        (4, seed_run.Scenario(crashing=True)),
     ],
 )
 def test_guarantees_hold(seed, scenario):
