Log the limits that replicas name in their answers

Change: the adapter decodes the header, under its name and with the prefix of the others; a gateway logs each change of what a replica names to it. No decision changes. Numbers that are not finite or negative count as missing, for Retry-After too.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -32,6 +32,8 @@
             was last lost, minus infinity for none.
         refused_at: monotonic seconds at which its machine refused a connection
             last, minus infinity for never.
+        limit_per_s: requests a second that it takes from all entries, by its
+            last answer to this one; None without a limit.
         prefill: prompt tokens of calls without a first token, by urgency.
         memory: tokens of memory that unfinished calls will hold, by urgency.
     """
@@ -50,6 +52,7 @@
         "heard_at",
         "reached_at",
         "refused_at",
+        "limit_per_s",
         "_reachable",
         "_avoid_until",
         "_failures",
@@ -72,6 +75,7 @@
         self.heard_at = 0.0
         self.reached_at = float("-inf")
         self.refused_at = float("-inf")
+        self.limit_per_s: float | None = None
         self._reachable = True
         self._avoid_until = 0.0
         self._failures = 0.0
--- a/papayalink/platform/dialect.py
+++ b/papayalink/platform/dialect.py
@@ -11,6 +11,9 @@
 _STAMP = b"papayalink-server-stamp"
 _NOT_RUN = b"papayalink-not-executed"
 _LOAD = b"papayalink-server-load"
+# Named without the prefix of the other headers.
+_LIMIT = b"server-limit"
+_PREFIXED_LIMIT = b"papayalink-server-limit"
 _INSTANCE = b"papayalink-instance-id"
 _VERSIONS = b"papayalink-model-versions"
 _LAST_EVENT = b"last-event-id"
@@ -135,9 +138,12 @@
             has_server_stamp=_STAMP in values,
             upstream=values.get(_INSTANCE, ""),
             load=_parse_load(values.get(_LOAD, "")),
-            retry_after_s=_parse_seconds(values.get(_RETRY_AFTER, "")),
+            retry_after_s=_parse_decimal(values.get(_RETRY_AFTER, "")),
             weight_version=_parse_int(values.get(_VERSIONS, "")),
             keep_alive_s=_parse_keep_alive_s(values.get(b"keep-alive", "")),
+            limit_per_s=_parse_decimal(
+                values.get(_LIMIT, values.get(_PREFIXED_LIMIT, ""))
+            ),
             headers=_forwardable(headers, frozenset()),
         )
 
@@ -218,11 +224,13 @@
     return calls.Load(*_parse_ints(text, 3))
 
 
-def _parse_seconds(text: str) -> float | None:
+def _parse_decimal(text: str) -> float | None:
+    """Returns: the number if it is finite and not negative, else None."""
     try:
-        return max(0.0, float(text)) if text else None
+        number = float(text) if text else -1.0
     except ValueError:
         return None
+    return number if 0 <= number < float("inf") else None
 
 
 def _parse_keep_alive_s(text: str) -> float | None:
--- a/papayalink/protocol/calls.py
+++ b/papayalink/protocol/calls.py
@@ -109,6 +109,8 @@
         weight_version: weights that produced the answer, 0 when unknown.
         keep_alive_s: how long the connection may stay idle, None when
             unknown.
+        limit_per_s: requests a second that the upstream takes from all
+            entries together, None when it names no limit.
         headers: headers that are passed on to the caller.
     """
 
@@ -121,6 +123,7 @@
     retry_after_s: float | None = None
     weight_version: int = 0
     keep_alive_s: float | None = None
+    limit_per_s: float | None = None
     headers: Headers = []
 
 
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -315,6 +315,9 @@
     ) -> None:
         if answer.load is not None:
             member.note_load(answer.load, time.monotonic())
+        if answer.limit_per_s != member.limit_per_s:
+            self._log_limit(member, answer.limit_per_s)
+            member.limit_per_s = answer.limit_per_s
         if answer.weight_version and self._call.model:
             known = member.weights.get(self._call.model, 0)
             member.weights[self._call.model] = max(
@@ -458,6 +461,17 @@
             attempt=len(self._tried),
         )
 
+    def _log_limit(
+        self, member: fleet_member.Member, limit_per_s: float | None
+    ) -> None:
+        self._shared.log.failed(
+            "limit_named",
+            call=self._call.call_id,
+            replica=member.replica.replica_id,
+            limit_per_s=limit_per_s,
+            before=member.limit_per_s,
+        )
+
     def _record(self, outcome: str, status: int, reason: str) -> None:
         shared = self._shared
         took_s = time.monotonic() - self._received_at
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -168,3 +168,21 @@
     headers = [(b"Keep-Alive", text)]
     answer = dialects.make_dialect().decode_answer(200, headers)
     assert answer.keep_alive_s == seconds
+
+
+@pytest.mark.parametrize(
+    ("headers", "limit_per_s"),
+    [
+        ([(b"Server-Limit", b"3.6")], 3.6),
+        ([(b"Papayalink-Server-Limit", b"12")], 12.0),
+        ([(b"Server-Limit", b"0")], 0.0),
+        ([(b"Server-Limit", b"inf")], None),
+        ([(b"Server-Limit", b"nan")], None),
+        ([(b"Server-Limit", b"-1")], None),
+        ([(b"Server-Limit", b"few")], None),
+        ([], None),
+    ],
+)
+def test_limit_that_an_upstream_names(headers, limit_per_s):
+    answer = dialects.make_dialect().decode_answer(503, headers)
+    assert answer.limit_per_s == limit_per_s
