Add a failing test of replicas that name a limit

What callers saw: nothing yet; a replica that names a limit of 3.6 requests a second gets 32 in 4 s, where 27 are allowed.

The test lets two gateways that share a control member send 40 prompts a second to stub replicas, one of which names 4 a second. After 3 s at most 29 may arrive in any 4 s, also with a new leader, a restarted gateway, or answers that break off after their head.

--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -1,5 +1,6 @@
 """Gateways that share a control member, in front of stub replicas."""
 
+import time
 from types import SimpleNamespace
 
 import gevent
@@ -32,10 +33,18 @@
     Args:
         crashing: parts that end the replica unless they come last.
         last_words: what it sends of the answer before it ends.
+
+    Attributes:
+        limit_per_s: limit that its answers name, None for none.
+        breaks_off: whether its answers break off within an event.
+        arrived_at: when prompts arrived.
     """
 
     def __init__(self, site, name, crashing, last_words):
         self.name = name
+        self.limit_per_s = None
+        self.breaks_off = False
+        self.arrived_at = []
         self._site = site
         self._crashing = crashing
         self._last_words = last_words
@@ -56,13 +65,20 @@
                 for field in parts_line.partition(": ")[2].split(",")
             ]
             self._site.arrivals.append(part_ids)
+            self.arrived_at.append(time.monotonic())
             gevent.sleep(0.01)
             if self._crashing & set(part_ids[:-1]):
                 sock.sendall(self._last_words)
                 gevent.sleep(0.01)
                 self.crash()
                 return
-            sock.sendall(WHOLE_STREAM)
+            answer = HALF_EVENT if self.breaks_off else WHOLE_STREAM
+            if self.limit_per_s is not None:
+                limit = b"Server-Limit: %.1f\r\n" % self.limit_per_s
+                answer = answer.replace(stubs.STAMP, stubs.STAMP + limit)
+            sock.sendall(answer)
+            if self.breaks_off:
+                return
 
     def crash(self):
         self._server.stop()
@@ -197,6 +213,39 @@
             for entry in self.entries:
                 entry.exchange()
 
+    def run(self, prompts_per_s, seconds):
+        """Let each entry send prompts and exchange reports all the time.
+
+        Returns: status of each answer.
+        """
+        until = time.monotonic() + seconds
+        statuses = []
+
+        def send(entry):
+            statuses.append(entry.prompt("resumed", "base", "own")[0])
+
+        def send_all(entry):
+            tasks = []
+            while time.monotonic() < until:
+                tasks.append(gevent.spawn(send, entry))
+                gevent.sleep(1 / prompts_per_s)
+            gevent.joinall(tasks)
+
+        def exchange_all(entry):
+            while time.monotonic() < until:
+                entry.exchange()
+                gevent.sleep(0.2)
+
+        gevent.joinall(
+            [
+                gevent.spawn(work, entry)
+                for work in (send_all, exchange_all)
+                for entry in self.entries
+            ],
+            raise_error=True,
+        )
+        return statuses
+
     def _start_replica(self):
         name = f"models{self._started}"
         self._started += 1
