Keep to the limits of requests that replicas name

What callers saw: nothing yet; a replica that names a limit of 3.6 requests a second got 32 in 4 s, one that names 3 got 36; 27 and 23 are allowed.

Cause: no part of a gateway used what a replica says of its limit, so it got its usual share. The class: what a replica says of itself was neither obeyed nor shared.

Change: the head of an answer sets the limit of its replica, whatever becomes of the rest; a head without one ends it, if its request was sent after the limit was known. Gateways and the leading member merge their tables of limits as they do those of suspected parts. The member divides each limit into permits, which gateways with calls ask for five times a second; a permit lasts a second. A call waits for a permit up to half of its objective, if only limits keep it from being sent, and is then refused. Without a member, a gateway uses half of its even share. Replicas that say nothing for 30 s are forgotten.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -191,6 +191,10 @@
     def find(self, replica_id: str) -> fleet_member.Member | None:
         return self._members.get(replica_id)
 
+    def all_members(self) -> Iterable[fleet_member.Member]:
+        """Returns: the replicas of all services."""
+        return self._members.values()
+
     def members(self, service: str) -> list[fleet_member.Member]:
         return self._by_service.get(service, [])
 
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -15,6 +15,9 @@
 # Fraction of a replica's memory whose content an entry tracks. Other entries
 # send to the replica too, so older parts have mostly been evicted.
 TRACKED_MEMORY_FRACTION = 0.15
+# A permit for a request is not used after this time, so that permits that
+# were not needed do not add up.
+PERMIT_LIFETIME_S = 1.0
 # Weight of the newest attempt in the moving average of failures.
 FAILURE_ALPHA = 0.15
 
@@ -32,8 +35,8 @@
             was last lost, minus infinity for none.
         refused_at: monotonic seconds at which its machine refused a connection
             last, minus infinity for never.
-        limit_per_s: requests a second that it takes from all entries, by its
-            last answer to this one; None without a limit.
+        limit_per_s: requests a second that it takes from all entries, None
+            without a limit. Each request needs a permit while there is one.
         prefill: prompt tokens of calls without a first token, by urgency.
         memory: tokens of memory that unfinished calls will hold, by urgency.
     """
@@ -53,6 +56,7 @@
         "reached_at",
         "refused_at",
         "limit_per_s",
+        "_permits",
         "_reachable",
         "_avoid_until",
         "_failures",
@@ -76,6 +80,8 @@
         self.reached_at = float("-inf")
         self.refused_at = float("-inf")
         self.limit_per_s: float | None = None
+        # When each permit was granted.
+        self._permits: list[float] = []
         self._reachable = True
         self._avoid_until = 0.0
         self._failures = 0.0
@@ -99,6 +105,11 @@
         return self._reachable
 
     def usable(self, now: float) -> bool:
+        within_limit = self.limit_per_s is None or self.permits(now) > 0
+        return within_limit and self.usable_without_limit(now)
+
+    def usable_without_limit(self, now: float) -> bool:
+        """Returns: whether it is usable, given a permit if it needs one."""
         return (
             self.replica.condition is replicas.Condition.READY
             and self._reachable
@@ -106,6 +117,21 @@
             and now >= self._avoid_until
         )
 
+    def permits(self, now: float) -> int:
+        """Returns: number of requests that may be sent within its limit."""
+        self._permits = [
+            at for at in self._permits if now - at < PERMIT_LIFETIME_S
+        ]
+        return len(self._permits)
+
+    def add_permits(self, count: int, now: float) -> None:
+        self._permits.extend([now] * count)
+
+    def take_permit(self) -> None:
+        """Use a permit for a request that is sent."""
+        if self._permits:
+            self._permits.pop(0)
+
     def note_load(self, load: calls.Load, now: float) -> None:
         """Record the load that was reported with an answer."""
         self._reported_load = load
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -345,6 +345,18 @@
     trial_age_ms: int = -1
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica said last of the requests that it takes.
+
+    Attributes:
+        limit_per_s: requests a second from all entries, -1 for no limit.
+    """
+
+    replica_id: str
+    limit_per_s: float
+    age_ms: int
+
+
 class Parts(Message):
     """An entry reports its work and asks for the state of stores and entries.
 
@@ -358,6 +370,8 @@
         suspects_version: version of the member's suspected parts that the
             entry has.
         refused_parts: blocked parts for which the entry refused prompts.
+        limits, limits_version: limits that replicas have named, likewise.
+        wanted: number of permits that the entry asks for, by replica.
     """
 
     process: str
@@ -369,6 +383,9 @@
     suspects: tuple[SuspectPart, ...] = ()
     suspects_version: int = 0
     refused_parts: tuple[str, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
+    limits_version: int = 0
+    wanted: tuple[tuple[str, int], ...] = ()
 
 
 class PartsReply(Message):
@@ -387,6 +404,8 @@
         entries: number of entries that recently reported to the member.
         suspects: suspected parts, empty if the entry has this version.
         trials: blocked parts of which the entry may send one prompt each.
+        limits: limits that replicas name, empty if the entry has this version.
+        granted: number of requests that the entry may send, by replica.
     """
 
     source: str
@@ -403,6 +422,9 @@
     suspects: tuple[SuspectPart, ...] = ()
     suspects_version: int = 0
     trials: tuple[str, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
+    limits_version: int = 0
+    granted: tuple[tuple[str, int], ...] = ()
 
 
 class Lookup(Message):
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -11,6 +11,7 @@
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import errors
 from papayalink.coordination import load_reports
+from papayalink.coordination import named_limits
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
 from papayalink.roles.authority import address_book
@@ -59,6 +60,8 @@
         "_relay",
         "_load_reports",
         "_suspects",
+        "_limits",
+        "_permits",
         "_source",
         "_durable",
         "_first_asker",
@@ -88,6 +91,8 @@
         self._suspects = crash_suspects.make_crash_suspects(
             secrets.randbits(48)
         )
+        self._limits = named_limits.make_named_limits(secrets.randbits(48))
+        self._permits = named_limits.make_permit_source(self._limits)
         self._source = secrets.token_hex(4)
         self._durable = durable
         self._first_asker = ""
@@ -135,6 +140,8 @@
         self._suspects.expire(now)
         self._suspects.merge(message.suspects, now)
         trials = self._suspects.grant_trials(message.refused_parts, now)
+        self._limits.expire(now)
+        self._limits.merge(message.limits, now)
         self._relay.note_demand()
         self._stores.note_demand()
         directory = self._stores.directory
@@ -176,6 +183,13 @@
             ),
             suspects_version=self._suspects.version,
             trials=tuple(trials),
+            limits=(
+                ()
+                if message.limits_version == self._limits.version
+                else self._limits.encode(now)
+            ),
+            limits_version=self._limits.version,
+            granted=self._permits.grant(message.wanted, now),
         )
 
     def propose(self, message: messages.Propose) -> messages.Outcome:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -29,6 +29,9 @@
 # memory preempts streams for about a second, and callers leave after 2 s or
 # more.
 MIN_STREAM_SILENCE_LIMIT_S = 1.6
+# A call waits for replicas that are at their limit up to this fraction of its
+# objective, counted from its arrival; then its caller may try elsewhere.
+PERMIT_WAIT_FRACTION = 0.5
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
 MISDIRECTED_STATUS = 421
@@ -129,7 +132,10 @@
         if self._is_blocked():
             return False
         fleet = self._shared.fleet
+        self._shared.limits.note_call(self._service)
         choice = fleet.choose(self._selection_request, self._tried, now)
+        if choice is None and self._wait_for_permit():
+            return True
         if choice is None:
             self._end_without_replica("no usable replica")
             return False
@@ -147,6 +153,17 @@
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
 
+    def _wait_for_permit(self) -> bool:
+        """Wait if only the limits of replicas keep the call from being sent.
+
+        Returns: whether a replica may be usable now.
+        """
+        wait_until = (
+            self._received_at + PERMIT_WAIT_FRACTION * self._route.objective_s
+        )
+        left_s = min(wait_until, self._deadline) - time.monotonic()
+        return self._shared.limits.wait_for_permit(self._service, left_s)
+
     def _is_blocked(self) -> bool:
         """Refuse a prompt with a part that ends replicas.
 
@@ -197,6 +214,7 @@
         self, member: fleet_member.Member
     ) -> attempt.Answered | attempt.Unanswered:
         now = time.monotonic()
+        member.take_permit()
         queued_tokens, own_tokens = 0, 0.0
         if self._call.model:
             fleet = self._shared.fleet
@@ -213,6 +231,7 @@
                     queued_tokens + int(own_tokens), time.monotonic() - now
                 )
             self._update_member(member, answer)
+            self._note_limit(member, answer.limit_per_s, now)
 
         sending_attempt = attempt.make_attempt(
             self._shared.dialect,
@@ -315,9 +334,6 @@
     ) -> None:
         if answer.load is not None:
             member.note_load(answer.load, time.monotonic())
-        if answer.limit_per_s != member.limit_per_s:
-            self._log_limit(member, answer.limit_per_s)
-            member.limit_per_s = answer.limit_per_s
         if answer.weight_version and self._call.model:
             known = member.weights.get(self._call.model, 0)
             member.weights[self._call.model] = max(
@@ -461,16 +477,22 @@
             attempt=len(self._tried),
         )
 
-    def _log_limit(
-        self, member: fleet_member.Member, limit_per_s: float | None
+    def _note_limit(
+        self,
+        member: fleet_member.Member,
+        limit_per_s: float | None,
+        sent_at: float,
     ) -> None:
-        self._shared.log.failed(
-            "limit_named",
-            call=self._call.call_id,
-            replica=member.replica.replica_id,
-            limit_per_s=limit_per_s,
-            before=member.limit_per_s,
-        )
+        before = member.limit_per_s
+        self._shared.limits.note_answer(member, limit_per_s, sent_at)
+        if member.limit_per_s != before:
+            self._shared.log.failed(
+                "limit_named",
+                call=self._call.call_id,
+                replica=member.replica.replica_id,
+                limit_per_s=limit_per_s,
+                before=before,
+            )
 
     def _record(self, outcome: str, status: int, reason: str) -> None:
         shared = self._shared
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -12,8 +12,10 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.gateway import crashes as crash_observers
+from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import liveness as livenesses
+from papayalink.roles.gateway import table_exchange
 from papayalink.state import part_directory
 from papayalink.transport import errors
 
@@ -26,6 +28,9 @@
 # of stores may have changed; a restart of a store is reported within about a
 # second.
 DIRECTORY_TIMEOUT_S = 3.0
+# An entry uses a share of its own of the limits of replicas after this long
+# without a reply.
+PERMITS_TIMEOUT_S = 1.5
 # The number of entries counts for this long at least, since a new leader knows
 # few of them at first.
 ENTRIES_PERIOD_S = 10.0
@@ -44,6 +49,7 @@
         fleet: reports the work of this entry, and takes that of the others.
         liveness: checks replicas that other entries cannot reach.
         crashes: exchanges the parts of prompts that end replicas.
+        limit_keeper: exchanges the limits that replicas name.
         listing: applies the list that the member has read.
         directory: this entry's copy of the member's directory.
     """
@@ -55,8 +61,9 @@
         "_fleet",
         "_liveness",
         "_crashes",
-        "_suspects_version",
-        "_reported_suspects",
+        "_suspects",
+        "_limit_keeper",
+        "_limits",
         "_listing",
         "_list_number",
         "_directory",
@@ -74,6 +81,7 @@
         fleet: fleets.Fleet,
         liveness: livenesses.Liveness,
         crashes: crash_observers.CrashObserver,
+        limit_keeper: limit_keepers.LimitKeeper,
         listing: listings.Listing,
         directory: part_directory.PartDirectory,
     ) -> None:
@@ -83,11 +91,9 @@
         self._fleet = fleet
         self._liveness = liveness
         self._crashes = crashes
-        # Version of the member's suspected parts that was merged.
-        self._suspects_version = 0
-        # Versions of both tables at the last exchange that reported this
-        # entry's.
-        self._reported_suspects: tuple[int, int] | None = None
+        self._suspects = table_exchange.make_table_exchange(crashes.suspects)
+        self._limit_keeper = limit_keeper
+        self._limits = table_exchange.make_table_exchange(limit_keeper.limits)
         self._listing = listing
         self._list_number = 0
         self._directory = directory
@@ -112,14 +118,15 @@
                 gevent.sleep(EXCHANGE_PERIOD_S)
                 continue
             self._failures += 1
+            if time.monotonic() - self._read_at > PERMITS_TIMEOUT_S:
+                self._limit_keeper.add_own_permits(self.entries())
             if time.monotonic() - self._read_at > DIRECTORY_TIMEOUT_S:
                 self._directory.clear()
                 self._source = ""
             gevent.sleep(RETRY_DELAY_S)
 
     def _exchange(self, address: str) -> bool:
-        suspects = self._crashes.suspects
-        versions = (suspects.version, self._suspects_version)
+        now = time.monotonic()
         message = messages.Parts(
             self._node.settings.name,
             self._source,
@@ -127,13 +134,12 @@
             self._fleet.own_work(),
             self._fleet.lost(),
             self._list_number if self._listing.relayed else 0,
-            (
-                suspects.encode(time.monotonic())
-                if versions != self._reported_suspects
-                else ()
-            ),
-            self._suspects_version,
+            self._suspects.report(now),
+            self._suspects.known_version,
             self._crashes.refused_parts(),
+            self._limits.report(now),
+            self._limits.known_version,
+            self._limit_keeper.wanted(),
         )
         try:
             reply = self._node.rpc_client.call(
@@ -152,22 +158,19 @@
         self._entries.raise_to(reply.entries, self._read_at)
         self._fleet.update_other_work(reply.work, self._read_at)
         self._note_lost(reply)
-        self._reported_suspects = versions
-        self._merge_suspects(reply)
+        self._merge_tables(reply)
         return True
 
-    def _merge_suspects(self, reply: messages.PartsReply) -> None:
-        """Merge the member's suspected parts.
-
-        A member that has changed its table, or another one, gets this
-        entry's whole table with the next exchange.
-        """
+    def _merge_tables(self, reply: messages.PartsReply) -> None:
+        """Merge what the other entries know of parts and of limits."""
+        now = self._read_at
         self._crashes.permit_trials(reply.trials)
-        self._crashes.suspects.expire(self._read_at)
-        if reply.suspects_version != self._suspects_version:
-            self._suspects_version = reply.suspects_version
-            self._crashes.suspects.merge(reply.suspects, self._read_at)
+        if self._suspects.merge(reply.suspects, reply.suspects_version, now):
             self._crashes.log_changes()
+        self._limits.merge(reply.limits, reply.limits_version, now)
+        # Also applies them to replicas that are newly listed.
+        self._limit_keeper.apply()
+        self._limit_keeper.add_permits(reply.granted)
 
     def _note_lost(self, reply: messages.PartsReply) -> None:
         """Act on replicas that other entries cannot reach."""
@@ -202,9 +205,17 @@
     fleet: fleets.Fleet,
     liveness: livenesses.Liveness,
     crashes: crash_observers.CrashObserver,
+    limit_keeper: limit_keepers.LimitKeeper,
     listing: listings.Listing,
     directory: part_directory.PartDirectory,
 ) -> PartsFollower:
     return PartsFollower(
-        node, members, fleet, liveness, crashes, listing, directory
+        node,
+        members,
+        fleet,
+        liveness,
+        crashes,
+        limit_keeper,
+        listing,
+        directory,
     )
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -18,6 +18,7 @@
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import handling
+from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
@@ -85,6 +86,7 @@
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
         self._crashes = crashes.make_crash_observer(liveness, node.metrics)
+        limit_keeper = limits.make_limit_keeper(self._fleet)
         self._listing = listing.make_listing(
             client, self._fleet, self._note_left, node.metrics
         )
@@ -94,6 +96,7 @@
             self._fleet,
             liveness,
             self._crashes,
+            limit_keeper,
             self._listing,
             directory,
         )
@@ -107,6 +110,7 @@
                 self._placement,
                 liveness,
                 self._crashes,
+                limit_keeper,
                 node.metrics,
             )
         )
--- a/papayalink/roles/gateway/shared.py
+++ b/papayalink/roles/gateway/shared.py
@@ -10,6 +10,7 @@
 from papayalink.protocol import calls
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes as crash_observers
+from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import watching
 from papayalink.transport import upstream_channels
@@ -27,6 +28,7 @@
         placement: chooses stores for the parts of prompts.
         liveness: checks whether silent replicas can be reached.
         crashes: relates the ends of replicas to prompts.
+        limits: this entry's share of the limits that replicas name.
         overloads: how long prompts have been refused, by service.
     """
 
@@ -39,6 +41,7 @@
         "placement",
         "liveness",
         "crashes",
+        "limits",
         "overloads",
         "metrics",
         "rng",
@@ -55,6 +58,7 @@
         placement: cache_placement.CachePlacement,
         liveness: livenesses.Liveness,
         crashes: crash_observers.CrashObserver,
+        limits: limit_keepers.LimitKeeper,
         metrics: metrics_module.Metrics,
     ) -> None:
         self.dialect = dialect
@@ -65,6 +69,7 @@
         self.placement = placement
         self.liveness = liveness
         self.crashes = crashes
+        self.limits = limits
         self.overloads: dict[str, shedding.OverloadTimer] = {}
         self.metrics = metrics
         self.rng = random.Random()
@@ -80,6 +85,7 @@
     placement: cache_placement.CachePlacement,
     liveness: livenesses.Liveness,
     crashes: crash_observers.CrashObserver,
+    limits: limit_keepers.LimitKeeper,
     metrics: metrics_module.Metrics,
 ) -> Shared:
     return Shared(
@@ -91,5 +97,6 @@
         placement,
         liveness,
         crashes,
+        limits,
         metrics,
     )
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -131,6 +131,7 @@
             self.fleet,
             self.liveness,
             self.crashes,
+            self.limits,
             listings.make_listing(
                 None,
                 self.fleet,
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -12,6 +12,7 @@
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import handling
+from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import liveness
 from papayalink.roles.gateway import shared
 from papayalink.state import part_directory
@@ -151,6 +152,7 @@
             if upstream.name.startswith(service)
         )
         self.liveness = liveness.make_liveness(channels, self.metrics)
+        self.limits = limits.make_limit_keeper(self.fleet)
         self.crashes = crashes.make_crash_observer(self.liveness, self.metrics)
         handler = handling.make_handler(
             shared.make_shared(
@@ -162,6 +164,7 @@
                 placement,
                 self.liveness,
                 self.crashes,
+                self.limits,
                 self.metrics,
             )
         )
--- a/tests/roles/gateway/test_listing.py
+++ b/tests/roles/gateway/test_listing.py
@@ -12,6 +12,8 @@
 from papayalink.coordination import upstream_client
 from papayalink.protocol import messages
 from papayalink.roles.authority import list_relay
+from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import parts
 from papayalink.state import part_directory
@@ -61,7 +63,8 @@
             lambda: [],
             self.fleet,
             None,
-            None,
+            crashes.make_crash_observer(None, metrics_module.make_metrics()),
+            limits.make_limit_keeper(self.fleet),
             self.listing,
             part_directory.make_part_directory(),
         )
--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -10,6 +10,7 @@
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import parts
 from papayalink.state import part_directory
@@ -96,6 +97,7 @@
             crashes.make_crash_observer(
                 self.liveness, metrics_module.make_metrics()
             ),
+            limits.make_limit_keeper(self.fleet),
             listings.make_listing(
                 None, self.fleet, None, metrics_module.make_metrics()
             ),
