Move what a call shows of replicas out of the call's run

No other decision changes.

Tried and left out: permits of limited replicas for long prompts first, as a limit counts requests whatever their size, and a wait for permits where the expected wait is too long.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -12,14 +12,12 @@
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import errors
 
-# A replica that refused a call because it is full gets no calls for this long,
-# unless it said when to retry.
-FULL_BACKOFF_S = 0.2
 # A call that may run again is sent to another replica once its replica has
 # been silent for longer than both this many latency objectives and this many
 # expected times to an answer.
@@ -34,10 +32,6 @@
 PERMIT_WAIT_FRACTION = 0.5
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
-MISDIRECTED_STATUS = 421
-# Backoff of a replica whose address has been reassigned; longer than the list
-# of replicas lags behind.
-MISDIRECTED_BACKOFF_S = 3.0
 # Delay given to refused callers by default. They retry after a third of their
 # time at most; a fleet that is full stays full for at least this long.
 RETRY_AFTER_S = 0.5
@@ -64,6 +58,7 @@
         "_selection_request",
         "_expected_s",
         "_shared_parts",
+        "_observations",
         "_lost",
     )
 
@@ -103,6 +98,9 @@
         self._lost = False
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
+        self._observations = observations.make_observations(
+            shared, call, service and service.engine
+        )
         self._selection_request = fleets.make_selection_request(
             call,
             self._service,
@@ -230,8 +228,7 @@
                 self._shared.fleet.note_first_token(
                     queued_tokens + int(own_tokens), time.monotonic() - now
                 )
-            self._update_member(member, answer)
-            self._note_limit(member, answer.limit_per_s, now)
+            self._observations.note_head(member, answer, now)
 
         sending_attempt = attempt.make_attempt(
             self._shared.dialect,
@@ -265,14 +262,11 @@
                 fleet.note_memory_held(
                     self._selection_request, time.monotonic() - now
                 )
-                member.note_result(False)
-                self._note_parts(member, dispatch.salt)
-                if result.status < 300:
-                    self._shared.crashes.note_whole_answer(
-                        member, self._shared_parts, result.ends_with_connection
-                    )
+                self._observations.note_answer(member, dispatch.salt, result)
             case attempt.Unanswered():
-                self._note_failure(member, result, now)
+                self._log_attempt(member, result)
+                self._lost |= isinstance(result.outcome, attempts.Lost)
+                self._observations.note_failure(member, result, now)
         return result
 
     def _check_silence(
@@ -300,62 +294,6 @@
                 f"replica was silent for {silent_s:.1f} s"
             )
 
-    def _note_parts(self, member: fleet_member.Member, salt: str) -> None:
-        service = self._directory.service(self._service)
-        if not self._call.model or service is None or service.engine is None:
-            return
-        max_tokens = (
-            service.engine.cache_tokens * fleet_member.TRACKED_MEMORY_FRACTION
-        )
-        member.note_parts(salt, self._call.parts, max_tokens)
-
-    def _note_failure(
-        self,
-        member: fleet_member.Member,
-        result: attempt.Unanswered,
-        now: float,
-    ) -> None:
-        self._log_attempt(member, result)
-        match result.outcome:
-            case attempts.NotRun(retry_after_s):
-                backoff_s = FULL_BACKOFF_S
-                if retry_after_s is not None:
-                    backoff_s = min(1.0, retry_after_s)
-                member.note_full(now, backoff_s)
-            case attempts.Lost() | attempts.Failed() | attempts.Expired():
-                member.note_result(True)
-        if isinstance(result.outcome, attempts.Lost):
-            self._lost = True
-            begun = result.progress is attempt.Progress.HEAD
-            self._shared.crashes.note_lost(member, self._shared_parts, begun)
-
-    def _update_member(
-        self, member: fleet_member.Member, answer: calls.Answer
-    ) -> None:
-        if answer.load is not None:
-            member.note_load(answer.load, time.monotonic())
-        if answer.weight_version and self._call.model:
-            known = member.weights.get(self._call.model, 0)
-            member.weights[self._call.model] = max(
-                known, answer.weight_version
-            )
-        elif answer.status == MISDIRECTED_STATUS:
-            self._correct_member(member, answer)
-
-    def _correct_member(
-        self, member: fleet_member.Member, answer: calls.Answer
-    ) -> None:
-        """Correct what is known of a replica that refused as misdirected."""
-        now = time.monotonic()
-        if answer.upstream and answer.upstream != member.replica.replica_id:
-            # The address belongs to another replica; the list will show it.
-            member.note_full(now, MISDIRECTED_BACKOFF_S)
-        elif self._call.model:
-            member.correct_weights(
-                self._call.model,
-                self._shared.watcher.weights.get(self._call.model, 0),
-            )
-
     def _make_dispatch(self, member: fleet_member.Member) -> calls.Dispatch:
         version = member.weights.get(self._call.model, 0)
         last_event_id = self._call.last_event_id
@@ -477,23 +415,6 @@
             attempt=len(self._tried),
         )
 
-    def _note_limit(
-        self,
-        member: fleet_member.Member,
-        limit_per_s: float | None,
-        sent_at: float,
-    ) -> None:
-        before = member.limit_per_s
-        self._shared.limits.note_answer(member, limit_per_s, sent_at)
-        if member.limit_per_s != before:
-            self._shared.log.failed(
-                "limit_named",
-                call=self._call.call_id,
-                replica=member.replica.replica_id,
-                limit_per_s=limit_per_s,
-                before=before,
-            )
-
     def _record(self, outcome: str, status: int, reason: str) -> None:
         shared = self._shared
         took_s = time.monotonic() - self._received_at
