Keep suspected parts over a restart of all processes

What callers saw: nothing yet; after a power loss of all machines no process would know the parts that end replicas, and each would end three replicas again.

Cause: the table of suspected parts was only in memory, at entries and at the leading member.

Change: a member with a disk writes the table to its data folder, half a second after a change, and merges it at its start. A missing or damaged file is no error, and a disk that fails stops nothing.

The other members learn the table from the entries after a change of leader, but do not write it before.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -22,6 +22,7 @@
 from papayalink.roles.authority import observed_machine
 from papayalink.roles.authority import service
 from papayalink.roles.authority import store_watch
+from papayalink.roles.authority import suspects_keeper
 from papayalink.roles.authority import weights
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import peers
@@ -125,6 +126,10 @@
         self._operator_server.start()
         tasks.spawn(self._run_replica)
         self._relay.start()
+        if self._node.settings.data_folder is not None:
+            suspects_keeper.make_suspects_keeper(
+                self._node.settings.data_folder, self._service.suspects
+            ).start()
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
@@ -141,6 +146,7 @@
             "number": self._machine.numbered.number,
             "weights": self._machine.numbered.weights,
             "orders": self._machine.upstreams.open_orders,
+            "blocked_parts": self._service.suspects.blocked,
         }
 
     def gauges(self) -> dict[str, Callable[[], float]]:
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -97,6 +97,11 @@
         self._durable = durable
         self._first_asker = ""
 
+    @property
+    def suspects(self) -> crash_suspects.CrashSuspects:
+        """Parts of prompts that are suspected of ending replicas."""
+        return self._suspects
+
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
             "Watch": self.watch,
