Let a replica of the soak name a limit

What it guards: a replica that names a limit of calls a second, beside gateways and members that are stopped, killed and paused. From 3 s on it may get half more than its limit and 5 in any 4 s, from gateways that were not disturbed themselves.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     diskless: int = 0,
     power: bool = False,
     crashing: bool = False,
+    limited: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -38,6 +39,7 @@
         diskless: number of additional authorities without a disk.
         power: whether all processes lose power at the end and restart with
             other seed addresses.
+        limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
         folder: where to keep logs and data of each seed.
     """
@@ -47,7 +49,7 @@
     random_source = random.SystemRandom()
     all_seeds += [random_source.randrange(10**6) for _ in range(fresh)]
     scenario = seed_run.Scenario(
-        authorities, gateways, losses, diskless, power, crashing
+        authorities, gateways, losses, diskless, power, crashing, limited
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,8 @@
 # with it may arrive later.
 KNOWN_CRASHES = 5
 MAX_LATE_ARRIVALS = 3
+# Time in which a replica may get half more calls than its limit allows, and 5.
+LIMIT_WINDOW_S = 4.0
 # Fraction of answered calls that shows that the system has recovered.
 MIN_SERVED_FRACTION = 0.9
 
@@ -35,6 +37,7 @@
         *violations,
         *_check_reads(history),
         *_check_crashing_parts(history),
+        *_check_limits(history),
     ]
 
 
@@ -154,6 +157,29 @@
             yield f"{len(late)} prompts with {part} after it was known"
 
 
+def _check_limits(history):
+    """Check that no replica gets far more calls than the limit it names."""
+    calls = {call.call_id: call for call in history.calls}
+    for limit in history.limits:
+        times = sorted(
+            execution.began_at
+            for call_id, executions in history.executions.by_call.items()
+            for execution in executions
+            if execution.replica_id == limit.replica_id
+            and limit.since + LEAVE_S < execution.began_at < limit.until
+            and not _is_recovering(calls[call_id], history)
+        )
+        most = max(
+            (
+                sum(begin <= at < begin + LIMIT_WINDOW_S for at in times)
+                for begin in times
+            ),
+            default=0,
+        )
+        if most > 1.5 * limit.limit_per_s * LIMIT_WINDOW_S + 5:
+            yield f"{limit.replica_id} got {most} calls beside its limit"
+
+
 def _is_recovering(call, history):
     """Whether the gateway of a call itself was disturbed around it."""
     return any(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,7 +22,9 @@
     "replica": 3,
     "leaves": 1,
     "crashing": 1,
+    "limited": 1,
 }
+LIMIT_PER_S = 3.0
 MAX_DURATION_S = 3.0
 
 
@@ -69,6 +71,19 @@
     def end_crashing(self) -> None:
         self._history.crashing_part = ""
 
+    def begin_limit(self, replica: standins.Replica) -> None:
+        """Let a replica name a limit, until `end_limit`."""
+        replica.limit = records.NamedLimit(
+            replica.replica_id, LIMIT_PER_S, time.monotonic()
+        )
+        self._history.limits.append(replica.limit)
+        self.counts["limited"] = self.counts.get("limited", 0) + 1
+
+    def end_limit(self, replica: standins.Replica) -> None:
+        if replica.limit is not None:
+            replica.limit.until = time.monotonic()
+            replica.limit = None
+
     def lose_power(self) -> None:
         """Kill all processes and start them again.
 
@@ -160,6 +175,10 @@
                 replica.mode = "well"
             case "leaves":
                 replica.leaving = True
+            case "limited" if replica.limit is None:
+                self.begin_limit(replica)
+                gevent.sleep(duration_s)
+                self.end_limit(replica)
         self._end(kind, replica.replica_id, began_at)
         self._disturbed.discard(replica.replica_id)
 
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -75,6 +75,7 @@
         mode: "well" for no fault, "busy" refuses calls, "failing" answers
             500, "mute" runs calls and does not answer.
         address: address of the proxy, which the list names.
+        limit: limit that its answers name, None for none.
     """
 
     replica_id: str
@@ -84,6 +85,7 @@
     mode: str = "well"
     leaving: bool = False
     address: str = ""
+    limit: records.NamedLimit | None = None
 
     def answer(self, environ: dict, start_response):
         path = environ["PATH_INFO"]
@@ -96,6 +98,8 @@
         if expected != self.replica_id:
             start_response("421 Misdirected", headers)
             return [b""]
+        if self.limit is not None:
+            headers.append(("Server-Limit", str(self.limit.limit_per_s)))
         if self.mode == "busy":
             headers.append(("Papayalink-Not-Executed", "1"))
             start_response("503 Busy", headers)
--- a/soak/records.py
+++ b/soak/records.py
@@ -101,6 +101,19 @@
     at: float
 
 
+class NamedLimit(msgspec.Struct):
+    """A replica names a limit of calls a second.
+
+    Attributes:
+        until: infinite until it names none any more.
+    """
+
+    replica_id: str
+    limit_per_s: float
+    since: float
+    until: float = float("inf")
+
+
 class History(msgspec.Struct):
     """All observations of one run.
 
@@ -117,6 +130,7 @@
     crashing_part: str = ""
     part_arrivals: list[PartArrival] = []
     crashes: list[tuple[str, float]] = []
+    limits: list[NamedLimit] = []
 
 
 def make_body(call_id: str, replica_id: str) -> bytes:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -30,6 +30,7 @@
         losses: maximum number of these that are disturbed at the same time.
         diskless: number of additional authorities without a disk.
         power: whether all processes lose power at the end.
+        limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
     """
 
@@ -39,6 +40,7 @@
     diskless: int = 0
     power: bool = False
     crashing: bool = False
+    limited: bool = False
 
 
 class Result(msgspec.Struct):
@@ -116,8 +118,12 @@
     tasks.append(gevent.spawn(_operate, operator, members, until, rng))
     if scenario.crashing:
         injector.begin_crashing()
+    if scenario.limited:
+        injector.begin_limit(platform.replicas[0])
     injector.run(until)
     injector.end_crashing()
+    for replica in platform.replicas:
+        injector.end_limit(replica)
     gevent.joinall(tasks, raise_error=True)
     if scenario.power:
         injector.lose_power()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -74,6 +74,18 @@
     return history
 
 
+def _limited(count):
+    """A replica that names 2 calls a second gets `count` in 4 s."""
+    history = _history(_call(sent_at=110.0, ended_at=110.2))
+    history.limits = [records.NamedLimit("i1", 2.0, 100.0, 120.0)]
+    history.executions.by_call["c"] = [
+        _execution(began_at=110.0 + 0.1 * number, path="/look/c")
+        for number in range(count)
+    ]
+    history.calls[0].path_prefix = standins.LOOKUP
+    return history
+
+
 _STREAM = {"path_prefix": standins.STREAM, "server_stamp": "i1.c"}
 
 
@@ -111,6 +123,7 @@
             changes=[_change(3, True, 90.0), _change(6, False, 100.0)],
         ),
         _crashing(3),
+        _limited(17),
         # A gateway that was just restarted may not know the part yet.
         _crashing(4, [_fault("kill", "g1", 198.0, 199.0)]),
         _history(
@@ -128,6 +141,7 @@
     [
         ("ran 2 times", _history(_call(), [_execution(), _execution()])),
         ("4 prompts with bad after it was known", _crashing(4)),
+        ("got 18 calls beside its limit", _limited(18)),
         (
             "answered as not run, but ran",
             _history(_call(status=503), [_execution()]),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from soak import seed_run
 
 FAULT_INJECTION_S = 5.0
+LEARNING_S = 5.0
 
 
 @pytest.mark.parametrize(
@@ -22,9 +23,15 @@
         (3, seed_run.Scenario(gateways=2, diskless=3, power=True)),
         # Prompts with one part end replica after replica.
         (4, seed_run.Scenario(crashing=True)),
+        # A replica names a limit of calls a second.
+        (8, seed_run.Scenario(limited=True)),
     ],
 )
 def test_guarantees_hold(seed, scenario):
-    result = seed_run.run_seed(seed, FAULT_INJECTION_S, scenario)
+    seconds = FAULT_INJECTION_S
+    if scenario.crashing or scenario.limited:
+        # These show only after the time that entries have to learn of them.
+        seconds += LEARNING_S
+    result = seed_run.run_seed(seed, seconds, scenario)
     assert result.findings == []
     assert result.calls > 50
