Count an empty stream as broken off only if its connection ends it

What callers would see: a resumed stream with nothing left to send, which ends as the protocol wants it to, was taken for broken off since.

Cause: the check for a first event did not look at how the stream ends.

Change and result: only a stream that ends with its connection needs an event; a table of four cases, of which the empty one fails before.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -230,7 +230,7 @@
             body = self._read_body()
             self._responder.respond(answer.status, answer.headers, body)
         else:
-            self._relay_events(answer, stream)
+            self._relay_events(answer, stream, _ends_with_connection(head))
         return Answered(answer.status, first_s, _ends_with_connection(head))
 
     def _read_body(self) -> bytes:
@@ -244,11 +244,17 @@
         self._complete = True
         return b"".join(chunks)
 
-    def _relay_events(self, answer: calls.Answer, stream: StreamState) -> None:
+    def _relay_events(
+        self,
+        answer: calls.Answer,
+        stream: StreamState,
+        ends_with_connection: bool,
+    ) -> None:
         """Pass on whole events as they arrive.
 
         The caller gets no part of an incomplete event, so that another
-        replica can continue after the last whole one.
+        replica can continue after the last whole one. A stream that may end
+        with its connection, and does so before an event, has broken off.
         """
         reader = events.make_event_reader()
         if not stream.begun:
@@ -269,7 +275,7 @@
                 self._responder.write(ready)
         if reader.partial_event:
             raise errors.ConnectionLost("stream ends within an event")
-        if self._progress is not Progress.EVENTS:
+        if ends_with_connection and self._progress is not Progress.EVENTS:
             raise errors.ConnectionLost("stream has no event")
         self._complete = True
         self._responder.end()
--- a/tests/roles/gateway/test_handling.py
+++ b/tests/roles/gateway/test_handling.py
@@ -345,3 +345,32 @@
     assert any(
         gateway.fleet.find(upstream.name).failures for upstream in upstreams
     )
+
+
+_OPEN_HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    + stubs.STAMP
+    + b"Content-Type: text/event-stream\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("steps", "body"),
+    [
+        # Nothing but the connection ends the stream.
+        (
+            [_OPEN_HEAD + b"id: 1\ndata: p1\n\n", "close"],
+            b"id: 1\ndata: p1\n\n",
+        ),
+        ([_OPEN_HEAD + b"id: 1\ndata: p1\n\nid: 2", "close"], None),
+        ([_OPEN_HEAD, "close"], None),
+        # A stream that says that it has no further event is whole.
+        ([stubs.STREAM + stubs.END], b""),
+    ],
+    ids=["whole", "within-an-event", "no-event", "empty"],
+)
+def test_streams_that_end_with_their_connection(start, steps, body):
+    """Guards against a replica that ends at once and looks like an answer."""
+    gateway = start(stubs.Upstream("models0", steps))
+    answer = gateway.call(b"/stream/", _PROMPT)
+    assert answer[2] == body
