Give the merged tables a module of their own, and bound the permits of trials

Change: the rows of the tables are in protocol/shared_tables.py; permits that are over are dropped with the next one. Nothing on the wire changes.

Result: tests of the tables, the exchange and the protocol pass (85).

--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -11,7 +11,7 @@
 import hashlib
 import itertools
 
-from papayalink.protocol import messages
+from papayalink.protocol import shared_tables
 
 # Crashes after which prompts with a part are no longer sent, and crashes after
 # which a lost prompt is not sent again. A healthy part is seldom lost twice
@@ -224,6 +224,11 @@
 
     def permit_trial(self, part: str, now: float) -> None:
         """Let one prompt with a blocked part through."""
+        self._trials = {
+            other: until
+            for other, until in self._trials.items()
+            if until > now
+        }
         self._trials[part] = now + TRIAL_WINDOW_S
 
     def take_trial(self, part: str, now: float) -> bool:
@@ -262,13 +267,15 @@
             del self._suspects[part]
         self._note_change(bool(old))
 
-    def encode(self, now: float) -> tuple[messages.SuspectPart, ...]:
+    def encode(self, now: float) -> tuple[shared_tables.SuspectPart, ...]:
         """Returns: the table, with ages instead of times."""
         return tuple(
-            messages.SuspectPart(
+            shared_tables.SuspectPart(
                 part,
                 tuple(
-                    messages.Crash(replica_id, _ms(now - each.at), each.begun)
+                    shared_tables.Crash(
+                        replica_id, _ms(now - each.at), each.begun
+                    )
                     for replica_id, each in suspect.crashes.items()
                 ),
                 _age_ms(suspect.sound_at, now),
@@ -279,7 +286,7 @@
         )
 
     def merge(
-        self, reported: Iterable[messages.SuspectPart], now: float
+        self, reported: Iterable[shared_tables.SuspectPart], now: float
     ) -> None:
         """Add what another process knows."""
         changed = False
@@ -362,7 +369,7 @@
 
 
 def _merge_trials(
-    suspect: _Suspect, reported: messages.SuspectPart, now: float
+    suspect: _Suspect, reported: shared_tables.SuspectPart, now: float
 ) -> bool:
     changed = reported.trials > suspect.trials
     suspect.trials = max(suspect.trials, reported.trials)
--- a/papayalink/coordination/named_limits.py
+++ b/papayalink/coordination/named_limits.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from papayalink.protocol import messages
+from papayalink.protocol import shared_tables
 
 # A limit that is named all the time is reported again this often.
 REFRESH_S = 5.0
@@ -82,10 +82,10 @@
         elif limit_per_s is not None and now - known.at > REFRESH_S:
             self._set(replica_id, limit_per_s, now)
 
-    def encode(self, now: float) -> tuple[messages.NamedLimit, ...]:
+    def encode(self, now: float) -> tuple[shared_tables.NamedLimit, ...]:
         """Returns: the table, with ages instead of times."""
         return tuple(
-            messages.NamedLimit(
+            shared_tables.NamedLimit(
                 replica_id,
                 -1.0 if each.limit_per_s is None else each.limit_per_s,
                 max(0, int((now - each.at) * 1000)),
@@ -94,7 +94,7 @@
         )
 
     def merge(
-        self, reported: Iterable[messages.NamedLimit], now: float
+        self, reported: Iterable[shared_tables.NamedLimit], now: float
     ) -> None:
         """Add what another process knows; the newest statement holds."""
         for each in reported:
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from papayalink.protocol import errors
+from papayalink.protocol import shared_tables
 from papayalink.state import part_directory
 from papayalink.state import replicas
 
@@ -316,47 +317,6 @@
     memory: tuple[tuple[int, int], ...] = ()
 
 
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A replica that ended before it answered a prompt with a part.
-
-    Attributes:
-        begun: whether the answer had begun, without a whole event.
-    """
-
-    replica_id: str
-    age_ms: int
-    begun: bool
-
-
-class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
-    """A part of prompts that is suspected of ending replicas.
-
-    Attributes:
-        sound_age_ms: age of the last whole answer to a prompt with the part,
-            -1 for none.
-        trials: prompts that were let through while the part was blocked.
-        trial_age_ms: age of the last of these, -1 for none.
-    """
-
-    part: str
-    crashes: tuple[Crash, ...] = ()
-    sound_age_ms: int = -1
-    trials: int = 0
-    trial_age_ms: int = -1
-
-
-class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
-    """What a replica said last of the requests that it takes.
-
-    Attributes:
-        limit_per_s: requests a second from all entries, -1 for no limit.
-    """
-
-    replica_id: str
-    limit_per_s: float
-    age_ms: int
-
-
 class Parts(Message):
     """An entry reports its work and asks for the state of stores and entries.
 
@@ -380,10 +340,10 @@
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
     list_number: int = 0
-    suspects: tuple[SuspectPart, ...] = ()
+    suspects: tuple[shared_tables.SuspectPart, ...] = ()
     suspects_version: int = 0
     refused_parts: tuple[str, ...] = ()
-    limits: tuple[NamedLimit, ...] = ()
+    limits: tuple[shared_tables.NamedLimit, ...] = ()
     limits_version: int = 0
     wanted: tuple[tuple[str, int], ...] = ()
 
@@ -419,10 +379,10 @@
     list_number: int = 0
     list_age_ms: int = 0
     listed: tuple[replicas.Replica, ...] = ()
-    suspects: tuple[SuspectPart, ...] = ()
+    suspects: tuple[shared_tables.SuspectPart, ...] = ()
     suspects_version: int = 0
     trials: tuple[str, ...] = ()
-    limits: tuple[NamedLimit, ...] = ()
+    limits: tuple[shared_tables.NamedLimit, ...] = ()
     limits_version: int = 0
     granted: tuple[tuple[str, int], ...] = ()
 
--- a/papayalink/roles/authority/suspects_keeper.py
+++ b/papayalink/roles/authority/suspects_keeper.py
@@ -10,7 +10,7 @@
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import crash_suspects
-from papayalink.protocol import messages
+from papayalink.protocol import shared_tables
 
 # A change is on disk after about this time.
 WRITE_PERIOD_S = 0.5
@@ -26,7 +26,7 @@
     """
 
     written_at: float
-    suspects: tuple[messages.SuspectPart, ...]
+    suspects: tuple[shared_tables.SuspectPart, ...]
 
 
 class SuspectsKeeper:
