--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -1,4 +1,4 @@
-"""Task that follows a control member's directory of stored parts."""
+"""Task that exchanges reports with a control member five times a second."""
 
 from collections.abc import Callable
 import time
@@ -40,7 +40,10 @@
 
 
 class PartsFollower:
-    """Copies a control member's directory, and exchanges reports of work.
+    """Copies a member's directory of stored parts, and exchanges reports.
+
+    It reports work, lost replicas, suspected parts of prompts and limits of
+    replicas, and learns what the other entries reported.
 
     Args:
         members: returns the addresses of members, the preferred one first.
