Log which request a lost or refused call repeats

Change: attempt_failed and call_not_answered carry `request`, a hash of caller, method, host, target and body, which repetitions of a call share; call_not_answered also names the parts. The keys of calls get a module of their own. No decision uses the new key yet.

--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-import hashlib
 import itertools
 
+from papayalink.coordination import call_keys
 from papayalink.protocol import shared_tables
 
 # Crashes after which prompts with a part are no longer sent, and crashes after
@@ -42,14 +42,6 @@
 FORGET_S = 600.0
 # Reports that differ by less are the same: each transfer adds its delay.
 _SAME_REPORT_S = 1.0
-_MAX_ID_LENGTH = 32
-
-
-def part_key(part_id: str) -> str:
-    """Returns: the key of a part, of bounded length."""
-    if len(part_id) <= _MAX_ID_LENGTH:
-        return part_id
-    return hashlib.blake2b(part_id.encode(), digest_size=16).hexdigest()
 
 
 class _Crash:
@@ -291,7 +283,7 @@
         """Add what another process knows."""
         changed = False
         for each in itertools.islice(reported, MAX_PARTS):
-            part = part_key(each.part)
+            part = call_keys.part_key(each.part)
             for crash in each.crashes:
                 at = now - crash.age_ms / 1000
                 changed |= self._add_crash(
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from papayalink.coordination import attempts
+from papayalink.coordination import call_keys
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
 from papayalink.coordination import retry
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
-from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.state import traffic
@@ -57,7 +57,7 @@
         "_urgency",
         "_selection_request",
         "_expected_s",
-        "_shared_parts",
+        "_keys",
         "_observations",
         "_lost",
     )
@@ -93,13 +93,15 @@
         self._tried: list[str] = []
         self._first_s: float | None = None
         self._expected_s = 0.0
-        self._shared_parts = crashes.shared_parts(call)
+        self._keys = call_keys.make_call_keys(
+            call, workspace.name if workspace is not None else call.key
+        )
         # Whether a replica was lost with the prompt.
         self._lost = False
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
         self._observations = observations.make_observations(
-            shared, call, service and service.engine
+            shared, call, self._keys, service and service.engine
         )
         self._selection_request = fleets.make_selection_request(
             call,
@@ -167,9 +169,7 @@
 
         Returns: whether it was refused.
         """
-        part = self._shared.crashes.find_blocked(
-            self._shared_parts, self._lost
-        )
+        part = self._shared.crashes.find_blocked(self._keys.parts, self._lost)
         if part is None:
             return False
         suspects = self._shared.crashes.suspects
@@ -410,6 +410,7 @@
             outcome=repr(outcome),
             progress=result.progress.value,
             parts=",".join(part.part_id for part in self._call.parts),
+            request=self._keys.request,
             failures=round(member.failures, 2),
             in_flight=member.in_flight,
             attempt=len(self._tried),
@@ -451,6 +452,8 @@
             reason=reason,
             left_ms=int(self._remaining_s() * 1000),
             sent=self._attempts.sent,
+            parts=",".join(part.part_id for part in self._call.parts),
+            request=self._keys.request,
             **fields,
         )
 
--- a/papayalink/roles/gateway/crashes.py
+++ b/papayalink/roles/gateway/crashes.py
@@ -10,7 +10,6 @@
 from papayalink import metrics as metrics_module
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import fleet_member
-from papayalink.protocol import calls
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import replicas
 
@@ -34,13 +33,6 @@
     begun: bool
 
 
-def shared_parts(call: calls.Call) -> tuple[str, ...]:
-    """Returns: keys of all parts but the last, which is the prompt's own."""
-    return tuple(
-        crash_suspects.part_key(part.part_id) for part in call.parts[:-1]
-    )
-
-
 class CrashObserver:
     """Observes lost and whole answers for the table of suspected parts.
 
@@ -77,7 +69,7 @@
         """Returns: the part for which a prompt must not be sent, or None.
 
         Args:
-            parts: see `shared_parts`.
+            parts: see `call_keys.CallKeys`.
             repeated: whether a replica was lost with the prompt before.
         """
         part = self.suspects.find_blocked(parts, repeated)
--- a/papayalink/roles/gateway/observations.py
+++ b/papayalink/roles/gateway/observations.py
@@ -3,10 +3,10 @@
 import time
 
 from papayalink.coordination import attempts
+from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
-from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import shared as shared_components
 from papayalink.state import traffic
 
@@ -23,21 +23,23 @@
     """Updates the state of replicas from the answers to one call.
 
     Args:
+        keys: keys by which the call is related to others.
         engine: engine data of the call's service, None for a plain service.
     """
 
-    __slots__ = ("_shared", "_call", "_engine", "_shared_parts")
+    __slots__ = ("_shared", "_call", "_engine", "_keys")
 
     def __init__(
         self,
         shared: shared_components.Shared,
         call: calls.Call,
+        keys: call_keys.CallKeys,
         engine: traffic.Engine | None,
     ) -> None:
         self._shared = shared
         self._call = call
         self._engine = engine
-        self._shared_parts = crashes.shared_parts(call)
+        self._keys = keys
 
     def note_head(
         self,
@@ -78,7 +80,7 @@
             member.note_parts(salt, self._call.parts, max_tokens)
         if answered.status < 300:
             self._shared.crashes.note_whole_answer(
-                member, self._shared_parts, answered.ends_with_connection
+                member, self._keys.parts, answered.ends_with_connection
             )
 
     def note_failure(
@@ -97,9 +99,7 @@
             case attempts.Lost():
                 member.note_result(True)
                 begun = result.progress is attempt.Progress.HEAD
-                self._shared.crashes.note_lost(
-                    member, self._shared_parts, begun
-                )
+                self._shared.crashes.note_lost(member, self._keys.parts, begun)
             case attempts.Failed() | attempts.Expired():
                 member.note_result(True)
 
@@ -138,6 +138,7 @@
 def make_observations(
     shared: shared_components.Shared,
     call: calls.Call,
+    keys: call_keys.CallKeys,
     engine: traffic.Engine | None,
 ) -> Observations:
-    return Observations(shared, call, engine)
+    return Observations(shared, call, keys, engine)
--- a/tests/coordination/test_crash_suspects.py
+++ b/tests/coordination/test_crash_suspects.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from papayalink.coordination import call_keys
 from papayalink.coordination import crash_suspects
 from papayalink.protocol import messages
 
@@ -128,7 +129,7 @@
     for at in (0.0, 1.0, 2.0):
         _crash(table, at, "worst")
     for number in range(1000):
-        long_id = crash_suspects.part_key("y" * 5000 + str(number))
+        long_id = call_keys.part_key("y" * 5000 + str(number))
         _crash(table, 3.0 + number, f"x{number} {long_id}")
     assert len(table) == crash_suspects.MAX_PARTS
     assert table.find_blocked(["worst"]) == "worst"
