Add failing tests of requests that end each replica that runs them

What callers saw: sound calls can be refused with a deadly request, since only parts of prompts are compared.

The tests repeat a request that ends stub replicas behind two gateways and one member. After three ends at most three more repetitions may arrive, with shared parts, with its own part alone, or as a plain call; with a new leader and a restarted gateway as well. Calls with the same parts, the same path or the same body from another caller are to be served.

--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -27,8 +27,12 @@
 )
 
 
+# Body of requests that end the replicas that run them.
+DEADLY = b"deadly"
+
+
 class Replica:
-    """Answers prompts, and ends when a prompt has a crashing part.
+    """Answers calls, and ends with a crashing part or a deadly body.
 
     Args:
         crashing: parts that end the replica unless they come last.
@@ -55,10 +59,11 @@
 
     def _serve(self, sock, address):
         self._sockets.append(sock)
-        while data := sock.recv(65536):
-            lines = data.lower().split(b"\r\n")
+        while request := _receive(sock):
+            head, body = request
+            lines = head.lower().split(b"\r\n")
             parts_line = next(
-                line for line in lines if b"prefix-hash" in line
+                (line for line in lines if b"prefix-hash" in line), b""
             ).decode()
             part_ids = [
                 field.partition(":")[0]
@@ -67,7 +72,7 @@
             self._site.arrivals.append(part_ids)
             self.arrived_at.append(time.monotonic())
             gevent.sleep(0.01)
-            if self._crashing & set(part_ids[:-1]):
+            if self._crashing & set(part_ids[:-1]) or body == DEADLY:
                 sock.sendall(self._last_words)
                 gevent.sleep(0.01)
                 self.crash()
@@ -93,6 +98,21 @@
         self._server.stop()
 
 
+def _receive(sock):
+    """Returns: head and body of a request, None at the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        chunk = sock.recv(65536)
+        if not chunk:
+            return None
+        data += chunk
+    head, _, body = data.partition(b"\r\n\r\n")
+    fields = head.lower().partition(b"content-length:")[2]
+    while len(body) < int(fields.split(b"\r\n")[0] or 0):
+        body += sock.recv(65536)
+    return head, body
+
+
 class _Stores:
     """Stores of a member that hold nothing."""
 
@@ -149,17 +169,20 @@
     def exchange(self):
         assert self._follower._exchange("")
 
-    def prompt(self, route, *part_ids):
-        """Returns: status and body of the answer to a prompt."""
-        listed = ",".join(f"{part_id}:10" for part_id in part_ids)
-        status, _, body = self.call(
-            f"/{route}/".encode(),
-            (
+    def prompt(self, route, *part_ids, caller="k", body=b"hi"):
+        """Send a prompt, or a plain call if there are no parts.
+
+        Returns: status and body of the answer.
+        """
+        headers = [b"Authorization: Bearer " + caller.encode()]
+        if part_ids:
+            listed = ",".join(f"{part_id}:10" for part_id in part_ids)
+            headers += [
                 b"Papayalink-Model: m",
                 b"Papayalink-Token-Usage: 100,10",
                 b"Papayalink-Prefix-Hash: " + listed.encode(),
-            ),
-        )
+            ]
+        status, _, body = self.call(f"/{route}/".encode(), headers, body=body)
         return status, body
 
 
