Block a request that ends each replica that runs it

What callers saw: sound calls that share the parts of a deadly request could be refused, and a deadly request without shared parts ended replica after replica.

Cause: the ends of replicas were related to the shared parts of prompts alone.

Change: the table of suspects has rows for requests too, under a hash of caller, method, host, target and body. A request that alone had begun when two replicas ended is blocked, and any other after three. Ends that one request explains count once against its parts, so a part needs three different requests; ends that a blocked request explains do not count against other requests. Plain calls are watched as well. A blocked request is tried after 30 s, 2 min, 8 min, and forgotten ten minutes after it last came. 64 requests are kept.

--- a/papayalink/coordination/call_keys.py
+++ b/papayalink/coordination/call_keys.py
@@ -17,6 +17,11 @@
     return hashlib.blake2b(part_id.encode(), digest_size=16).hexdigest()
 
 
+def bounded_key(key: str) -> str:
+    """Returns: a key that another process has reported."""
+    return key if len(key) <= MAX_KEY_LENGTH else part_key(key)
+
+
 def request_key(call: calls.Call, caller: str) -> str:
     """Returns: the key that a call shares with its repetitions alone.
 
--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -1,137 +1,71 @@
-"""Parts of prompts that are suspected of ending replicas.
-
-A replica that ends takes all its unfinished prompts with it, so that each of
-their parts is suspected. A part that is in a whole answer afterwards is
-cleared; one that is lost with replica after replica is blocked. Entries and
-control members merge what they know, in any order and any number of times.
+"""Requests and parts of prompts that are suspected of ending replicas.
+
+A replica that ends takes all its unfinished calls with it, so that each of
+them is suspected, as is each of their parts. What is in a whole answer
+afterwards is cleared; what is lost with replica after replica is blocked. A
+request that explains several ends by itself counts once against its parts, so
+that other calls with these parts are served. Entries and control members merge
+what they know, in any order and any number of times.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 import itertools
 
 from papayalink.coordination import call_keys
+from papayalink.coordination import crash_counts
+from papayalink.coordination import suspects
 from papayalink.protocol import shared_tables
 
-# Crashes after which prompts with a part are no longer sent, and crashes after
-# which a lost prompt is not sent again. A healthy part is seldom lost twice
-# without a whole answer in between.
-MIN_CRASHES = 3
+# Crashes after which a lost call is not sent again.
 MIN_CRASHES_TO_REPEAT = 2
-# Replicas that end within this time count once: a rack or a zone that fails
-# ends several at the same moment, whatever they answer.
-SAME_MOMENT_S = 0.02
-# Bounds of the state. Beyond them the parts with the fewest and oldest crashes
-# are dropped, and the oldest crashes of a part.
+# Bounds of the state. Beyond them the parts or requests with the fewest and
+# oldest crashes are dropped.
 MAX_PARTS = 64
-MAX_CRASHES = 8
+MAX_REQUESTS = 64
 MAX_PARTS_OF_PROMPT = 32
-# Parts of whole answers that are remembered, since reports of earlier crashes
+# Keys of whole answers that are remembered, since reports of earlier crashes
 # may still arrive.
-MAX_SOUND_PARTS = 4096
+MAX_SOUND_KEYS = 4096
 SOUND_MEMORY_S = 30.0
-# A blocked part gets one prompt through after this time, and after four times
-# as long with each one that ends a replica again.
-FIRST_TRIAL_S = 5.0
-TRIAL_FACTOR = 4
-MAX_TRIAL_DELAY_S = 300.0
 # An entry uses its permission for a trial within this time.
 TRIAL_WINDOW_S = 5.0
-# A part without a crash for this long is forgotten. It is longer than the
-# longest delay of a trial, which renews it.
+# What has neither ended a replica nor been refused for this long is forgotten.
 FORGET_S = 600.0
+# Refusals renew that time this often at most, since each renewal is reported.
+REFUSAL_REFRESH_S = 60.0
 # Reports that differ by less are the same: each transfer adds its delay.
 _SAME_REPORT_S = 1.0
 
 
-class _Crash:
-    """A replica that ended with a part.
-
-    Attributes:
-        begun: whether an answer to a prompt with the part had begun, without
-            a whole event.
-    """
-
-    __slots__ = ("at", "begun")
-
-    def __init__(self, at: float, begun: bool) -> None:
-        self.at = at
-        self.begun = begun
-
-
-class _Suspect:
-    """What is known of one part."""
-
-    __slots__ = ("crashes", "sound_at", "trials", "trial_at")
-
-    def __init__(self) -> None:
-        self.crashes: dict[str, _Crash] = {}
-        self.sound_at = float("-inf")
-        self.trials = 0
-        self.trial_at = float("-inf")
-
-    @property
-    def last_crash_at(self) -> float:
-        return max(
-            (crash.at for crash in self.crashes.values()),
-            default=float("-inf"),
-        )
-
-    @property
-    def newest_at(self) -> float:
-        return max(self.last_crash_at, self.trial_at)
-
-    def next_trial_at(self) -> float:
-        delay_s = FIRST_TRIAL_S * TRIAL_FACTOR ** min(self.trials, 8)
-        return self.newest_at + min(MAX_TRIAL_DELAY_S, delay_s)
-
-    def clear(self, now: float) -> bool:
-        """Forget crashes up to now; returns whether there were any."""
-        self.sound_at = max(self.sound_at, now)
-        before = len(self.crashes)
-        self.crashes = {
-            replica_id: crash
-            for replica_id, crash in self.crashes.items()
-            if crash.at > now
-        }
-        if not self.crashes:
-            self.trials = 0
-            self.trial_at = float("-inf")
-        return len(self.crashes) < before
-
-    def add_crash(self, replica_id: str, at: float, begun: bool) -> bool:
-        """Returns: whether the crash or its kind was new."""
-        if at <= self.sound_at:
-            return False
-        known = self.crashes.get(replica_id)
-        if known is not None:
-            is_new = begun and not known.begun
-            known.begun = known.begun or begun
-            return is_new
-        self.crashes[replica_id] = _Crash(at, begun)
-        if len(self.crashes) > MAX_CRASHES:
-            oldest = min(self.crashes, key=lambda key: self.crashes[key].at)
-            del self.crashes[oldest]
-            return oldest != replica_id
-        return True
-
-
 class CrashSuspects:
-    """Table of suspected parts, at an entry or a control member.
+    """Table of suspected parts and requests, at an entry or a control member.
 
     Attributes:
         version: changes with the table.
     """
 
-    __slots__ = ("version", "_suspects", "_counted", "_sound", "_trials")
+    __slots__ = (
+        "version",
+        "_suspects",
+        "_counted",
+        "_counts",
+        "_blocked",
+        "_sound",
+        "_trials",
+    )
 
     def __init__(self, version: int = 0) -> None:
         self.version = version
-        self._suspects: dict[str, _Suspect] = {}
-        # By part, the times of the crashes that count against it.
+        self._suspects: dict[str, suspects.Suspect] = {}
+        # By key, the times of the crashes that count against it, by replica.
         self._counted: dict[str, dict[str, float]] = {}
+        # By key, the number of crashes that nothing else explains.
+        self._counts: dict[str, int] = {}
+        self._blocked: frozenset[str] = frozenset()
         self._sound: dict[str, float] = {}
-        # By part, until when a trial is permitted.
+        # By key, until when a trial is permitted.
         self._trials: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -139,56 +73,70 @@
 
     @property
     def blocked(self) -> dict[str, list[str]]:
-        """Blocked parts, each with the replicas that ended."""
+        """Blocked parts and requests, each with the replicas that ended."""
         return {
-            part: sorted(counted)
-            for part, counted in sorted(self._counted.items())
-            if _count_moments(counted.values()) >= MIN_CRASHES
+            key: sorted(self._counted[key]) for key in sorted(self._blocked)
         }
 
-    def suspected(self, parts: Iterable[str]) -> bool:
-        """Returns: whether a crash counts against any of the parts."""
-        return any(part in self._counted for part in parts)
+    @property
+    def has_requests(self) -> bool:
+        """Whether any request is suspected."""
+        return any(map(call_keys.is_request_key, self._counted))
+
+    def suspected(self, keys: Iterable[str]) -> bool:
+        """Returns: whether a crash counts against any of the keys."""
+        return any(key in self._counted for key in keys)
 
     def note_crash(
-        self, replica_id: str, parts: Collection[str], begun: bool, now: float
+        self,
+        replica_id: str,
+        parts: Collection[str],
+        begun: bool,
+        now: float,
+        request: str = "",
     ) -> None:
-        """Record that a replica ended before it answered a prompt.
+        """Record that a replica ended before it answered a call.
 
         Args:
-            parts: keys of the prompt's parts that other prompts share.
+            parts: keys of the call's parts that other prompts share.
             begun: whether the answer had begun, without a whole event.
+            request: key of the call itself.
         """
         changed = False
+        if request:
+            changed = self._add_crash(request, replica_id, now, begun)
         for part in itertools.islice(parts, MAX_PARTS_OF_PROMPT):
             changed |= self._add_crash(part, replica_id, now, begun)
         self._note_change(changed)
 
-    def note_whole_answer(self, parts: Iterable[str], now: float) -> list[str]:
-        """Clear the parts of a prompt that was answered whole.
+    def note_whole_answer(self, keys: Iterable[str], now: float) -> list[str]:
+        """Clear the parts of a call that was answered whole, and the call.
 
-        Returns: parts that were blocked until now.
+        Returns: keys that were blocked until now.
         """
         changed = False
         unblocked = []
-        for part in parts:
-            self._sound.pop(part, None)
-            self._sound[part] = now
-            suspect = self._suspects.get(part)
+        for key in keys:
+            self._sound.pop(key, None)
+            self._sound[key] = now
+            suspect = self._suspects.get(key)
             if suspect is None or not suspect.crashes:
                 continue
-            if self._count(part) >= MIN_CRASHES:
-                unblocked.append(part)
+            if key in self._blocked:
+                unblocked.append(key)
             changed |= suspect.clear(now)
-        while len(self._sound) > MAX_SOUND_PARTS:
+        while len(self._sound) > MAX_SOUND_KEYS:
             del self._sound[next(iter(self._sound))]
         self._note_change(changed)
         return unblocked
 
     def find_blocked(
-        self, parts: Collection[str], repeated: bool = False
+        self,
+        parts: Collection[str],
+        repeated: bool = False,
+        request: str = "",
     ) -> str | None:
-        """Returns: the part for which a prompt is not sent, None to send it.
+        """Returns: the key for which a call is not sent, None to send it.
 
         Another part explains the crashes of a suspected one as well if it was
         lost with all the same replicas. A prompt is only blocked if it has
@@ -196,74 +144,78 @@
         tell which part it is.
 
         Args:
-            parts: keys of the prompt's parts that other prompts share.
-            repeated: whether the prompt was lost with a replica before.
+            parts: keys of the call's parts that other prompts share.
+            repeated: whether the call was lost with a replica before.
+            request: key of the call itself.
         """
-        min_crashes = MIN_CRASHES_TO_REPEAT if repeated else MIN_CRASHES
+        if self._is_blocked(request, repeated):
+            return request
         prompt_parts = set(parts)
         blocked = [
             (len(self._counted[part]), part)
             for part in prompt_parts & self._counted.keys()
-            if self._count(part) >= min_crashes
+            if self._is_blocked(part, repeated)
             and prompt_parts.issuperset(self._explanations(part))
         ]
         return max(blocked)[1] if blocked else None
 
-    def retry_after_s(self, part: str, now: float) -> float:
-        """Returns: seconds until a prompt with the part may be let through."""
-        suspect = self._suspects.get(part)
+    def retry_after_s(self, key: str, now: float) -> float:
+        """Returns: seconds until a call with the key may be let through."""
+        suspect = self._suspects.get(key)
         return max(0.0, suspect.next_trial_at() - now) if suspect else 0.0
 
-    def permit_trial(self, part: str, now: float) -> None:
-        """Let one prompt with a blocked part through."""
+    def permit_trial(self, key: str, now: float) -> None:
+        """Let one call with a blocked key through."""
         self._trials = {
             other: until
             for other, until in self._trials.items()
             if until > now
         }
-        self._trials[part] = now + TRIAL_WINDOW_S
+        self._trials[key] = now + TRIAL_WINDOW_S
 
-    def take_trial(self, part: str, now: float) -> bool:
-        """Returns: whether a prompt with a blocked part may be sent."""
-        return self._trials.pop(part, now) > now
+    def take_trial(self, key: str, now: float) -> bool:
+        """Returns: whether a call with a blocked key may be sent."""
+        return self._trials.pop(key, now) > now
 
-    def grant_trials(self, parts: Iterable[str], now: float) -> list[str]:
+    def grant_trials(self, refused: Iterable[str], now: float) -> list[str]:
         """Grant the trials that are due; to be called at one member.
 
         Args:
-            parts: blocked parts for which an entry has prompts.
+            refused: blocked keys for which an entry refuses calls.
         """
         granted = []
-        for part in parts:
-            suspect = self._suspects.get(part)
-            if (
-                suspect is not None
-                and self._count(part) >= MIN_CRASHES
-                and now >= suspect.next_trial_at()
-            ):
+        renewed = False
+        for key in refused:
+            suspect = self._suspects.get(key)
+            if suspect is None or key not in self._blocked:
+                continue
+            if now - suspect.newest_at > REFUSAL_REFRESH_S:
+                suspect.refused_at = now
+                renewed = True
+            if now >= suspect.next_trial_at():
                 suspect.trials += 1
                 suspect.trial_at = now
-                granted.append(part)
-        self._note_change(bool(granted))
+                granted.append(key)
+        self._note_change(bool(granted) or renewed)
         return granted
 
     def expire(self, now: float) -> None:
-        """Forget parts without a crash for long."""
+        """Forget what has not ended a replica for long."""
         old = [
-            part
-            for part, suspect in self._suspects.items()
+            key
+            for key, suspect in self._suspects.items()
             if now - suspect.newest_at > FORGET_S
             and now - suspect.sound_at > SOUND_MEMORY_S
         ]
-        for part in old:
-            del self._suspects[part]
+        for key in old:
+            del self._suspects[key]
         self._note_change(bool(old))
 
-    def encode(self, now: float) -> tuple[shared_tables.SuspectPart, ...]:
+    def encode(self, now: float) -> tuple[shared_tables.Suspect, ...]:
         """Returns: the table, with ages instead of times."""
         return tuple(
-            shared_tables.SuspectPart(
-                part,
+            shared_tables.Suspect(
+                key,
                 tuple(
                     shared_tables.Crash(
                         replica_id, _ms(now - each.at), each.begun
@@ -273,23 +225,24 @@
                 _age_ms(suspect.sound_at, now),
                 suspect.trials,
                 _age_ms(suspect.trial_at, now),
+                _age_ms(suspect.refused_at, now),
             )
-            for part, suspect in self._suspects.items()
+            for key, suspect in self._suspects.items()
         )
 
     def merge(
-        self, reported: Iterable[shared_tables.SuspectPart], now: float
+        self, reported: Iterable[shared_tables.Suspect], now: float
     ) -> None:
         """Add what another process knows."""
         changed = False
-        for each in itertools.islice(reported, MAX_PARTS):
-            part = call_keys.part_key(each.part)
+        for each in itertools.islice(reported, MAX_PARTS + MAX_REQUESTS):
+            key = call_keys.bounded_key(each.key)
             for crash in each.crashes:
                 at = now - crash.age_ms / 1000
                 changed |= self._add_crash(
-                    part, crash.replica_id, at, crash.begun
+                    key, crash.replica_id, at, crash.begun
                 )
-            suspect = self._suspects.get(part)
+            suspect = self._suspects.get(key)
             if suspect is None:
                 continue
             if each.sound_age_ms >= 0:
@@ -299,18 +252,21 @@
         self._note_change(changed)
 
     def _add_crash(
-        self, part: str, replica_id: str, at: float, begun: bool
+        self, key: str, replica_id: str, at: float, begun: bool
     ) -> bool:
-        suspect = self._suspects.get(part)
+        suspect = self._suspects.get(key)
         is_new = suspect is None
         if suspect is None:
-            suspect = self._suspects[part] = _Suspect()
-            suspect.sound_at = self._sound.get(part, float("-inf"))
-        # Also tells the others if the part has been sound since.
+            is_request = call_keys.is_request_key(key)
+            suspect = self._suspects[key] = suspects.make_suspect(is_request)
+            suspect.sound_at = self._sound.get(key, float("-inf"))
+        # Also tells the others if the key has been sound since.
         return suspect.add_crash(replica_id, at, begun) or is_new
 
-    def _count(self, part: str) -> int:
-        return _count_moments(self._counted.get(part, {}).values())
+    def _is_blocked(self, key: str, repeated: bool) -> bool:
+        return key in self._blocked or (
+            repeated and self._counts.get(key, 0) >= MIN_CRASHES_TO_REPEAT
+        )
 
     def _explanations(self, part: str) -> list[str]:
         """Returns: parts lost with all the replicas that a part was."""
@@ -318,53 +274,96 @@
         return [
             other
             for other, counted in self._counted.items()
-            if replicas <= counted.keys()
+            if not call_keys.is_request_key(other)
+            and replicas <= counted.keys()
         ]
 
     def _note_change(self, changed: bool) -> None:
         if not changed:
             return
         self.version += 1
-        self._drop_excess()
+        self._drop_excess(True, MAX_REQUESTS)
+        self._drop_excess(False, MAX_PARTS)
+        requests_begun = collections.Counter(
+            replica_id
+            for key, suspect in self._suspects.items()
+            if call_keys.is_request_key(key)
+            for replica_id, crash in suspect.crashes.items()
+            if crash.begun
+        )
+        self._count_crashes()
+        requests = {
+            key: crashes
+            for key, crashes in self._counted.items()
+            if call_keys.is_request_key(key)
+        }
+        blocked = crash_counts.find_guilty(requests, requests_begun)
+        for key, crashes in self._counted.items():
+            times = crashes.values()
+            if key not in requests:
+                times = crash_counts.times_by_request(crashes, requests)
+            self._counts[key] = crash_counts.count_moments(times)
+            if (
+                key not in requests
+                and self._counts[key] >= crash_counts.MIN_CRASHES
+            ):
+                blocked.add(key)
+        self._blocked = frozenset(blocked)
+
+    def _count_crashes(self) -> None:
+        """Count crashes against calls that may have caused them.
+
+        Calls that still waited did not end a replica that had begun to answer
+        another one.
+        """
         begun_at = {
             replica_id
             for suspect in self._suspects.values()
             for replica_id, crash in suspect.crashes.items()
             if crash.begun
         }
-        # Prompts that still waited did not end a replica that had begun to
-        # answer another one.
         counted = {
-            part: {
+            key: {
                 replica_id: crash.at
                 for replica_id, crash in suspect.crashes.items()
                 if crash.begun or replica_id not in begun_at
             }
-            for part, suspect in self._suspects.items()
+            for key, suspect in self._suspects.items()
         }
         self._counted = {
-            part: crashes for part, crashes in counted.items() if crashes
+            key: crashes for key, crashes in counted.items() if crashes
         }
-
-    def _drop_excess(self) -> None:
-        if len(self._suspects) <= MAX_PARTS:
+        self._counts = {}
+
+    def _drop_excess(self, requests: bool, max_rows: int) -> None:
+        """Drop rows of requests, or of parts, beyond their bound."""
+        rows = [
+            key
+            for key in self._suspects
+            if call_keys.is_request_key(key) is requests
+        ]
+        if len(rows) <= max_rows:
             return
-        ordered = sorted(
-            self._suspects,
-            key=lambda part: (
-                len(self._suspects[part].crashes),
-                self._suspects[part].newest_at,
-            ),
-        )
-        for part in ordered[: len(ordered) - MAX_PARTS]:
-            del self._suspects[part]
+
+        def suspicion(key: str) -> tuple:
+            suspect = self._suspects[key]
+            return len(suspect.crashes), suspect.begun, suspect.newest_at
+
+        rows.sort(key=suspicion)
+        for key in rows[: len(rows) - max_rows]:
+            del self._suspects[key]
 
 
 def _merge_trials(
-    suspect: _Suspect, reported: shared_tables.SuspectPart, now: float
+    suspect: suspects.Suspect, reported: shared_tables.Suspect, now: float
 ) -> bool:
     changed = reported.trials > suspect.trials
     suspect.trials = max(suspect.trials, reported.trials)
+    if reported.refused_age_ms >= 0:
+        refused_at = now - reported.refused_age_ms / 1000
+        if refused_at > suspect.refused_at + _SAME_REPORT_S:
+            suspect.refused_at = refused_at
+            changed = True
     if reported.trial_age_ms >= 0:
         trial_at = now - reported.trial_age_ms / 1000
         if trial_at > suspect.trial_at + _SAME_REPORT_S:
@@ -373,17 +372,6 @@
     return changed
 
 
-def _count_moments(times: Iterable[float]) -> int:
-    """Returns: number of times that are not at the same moment."""
-    count = 0
-    moment = float("-inf")
-    for at in sorted(times):
-        if at - moment > SAME_MOMENT_S:
-            count += 1
-            moment = at
-    return count
-
-
 def _ms(seconds: float) -> int:
     return max(0, int(seconds * 1000))
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -326,10 +326,11 @@
         lost: replicas that the entry cannot reach.
         list_number: number of the newest reading of the platform's replica
             list that the entry has, 0 for none.
-        suspects: suspected parts, if the member may not know all of them.
-        suspects_version: version of the member's suspected parts that the
-            entry has.
-        refused_parts: blocked parts for which the entry refused prompts.
+        suspects: suspected parts and requests, if the member may not know
+            all of them.
+        suspects_version: version of the member's suspects that the entry
+            has.
+        refused: blocked keys for which the entry refused calls.
         limits, limits_version: limits that replicas have named, likewise.
         wanted: number of permits that the entry asks for, by replica.
     """
@@ -340,9 +341,9 @@
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
     list_number: int = 0
-    suspects: tuple[shared_tables.SuspectPart, ...] = ()
+    suspects: tuple[shared_tables.Suspect, ...] = ()
     suspects_version: int = 0
-    refused_parts: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
     limits: tuple[shared_tables.NamedLimit, ...] = ()
     limits_version: int = 0
     wanted: tuple[tuple[str, int], ...] = ()
@@ -362,8 +363,9 @@
         list_age_ms: time since the list was last read.
         listed: replicas of that reading, empty when the entry already has it.
         entries: number of entries that recently reported to the member.
-        suspects: suspected parts, empty if the entry has this version.
-        trials: blocked parts of which the entry may send one prompt each.
+        suspects: suspected parts and requests, empty if the entry has this
+            version.
+        trials: blocked keys of which the entry may send one call each.
         limits: limits that replicas name, empty if the entry has this version.
         granted: number of requests that the entry may send, by replica.
     """
@@ -379,7 +381,7 @@
     list_number: int = 0
     list_age_ms: int = 0
     listed: tuple[replicas.Replica, ...] = ()
-    suspects: tuple[shared_tables.SuspectPart, ...] = ()
+    suspects: tuple[shared_tables.Suspect, ...] = ()
     suspects_version: int = 0
     trials: tuple[str, ...] = ()
     limits: tuple[shared_tables.NamedLimit, ...] = ()
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -4,7 +4,7 @@
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A replica that ended before it answered a prompt with a part.
+    """A replica that ended before it answered a call.
 
     Attributes:
         begun: whether the answer had begun, without a whole event.
@@ -15,21 +15,25 @@
     begun: bool
 
 
-class SuspectPart(msgspec.Struct, frozen=True, array_like=True):
-    """A part of prompts that is suspected of ending replicas.
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts, or a request, that is suspected of ending replicas.
 
     Attributes:
-        sound_age_ms: age of the last whole answer to a prompt with the part,
-            -1 for none.
-        trials: prompts that were let through while the part was blocked.
+        key: see `coordination.call_keys`.
+        sound_age_ms: age of the last whole answer to a call with the key, -1
+            for none.
+        trials: calls that were let through while the key was blocked.
         trial_age_ms: age of the last of these, -1 for none.
+        refused_age_ms: age of a late refusal of a call with the key, -1 for
+            none.
     """
 
-    part: str
+    key: str
     crashes: tuple[Crash, ...] = ()
     sound_age_ms: int = -1
     trials: int = 0
     trial_age_ms: int = -1
+    refused_age_ms: int = -1
 
 
 class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -146,7 +146,7 @@
             "number": self._machine.numbered.number,
             "weights": self._machine.numbered.weights,
             "orders": self._machine.upstreams.open_orders,
-            "blocked_parts": self._service.suspects.blocked,
+            "blocked": self._service.suspects.blocked,
         }
 
     def gauges(self) -> dict[str, Callable[[], float]]:
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -144,7 +144,7 @@
         )
         self._suspects.expire(now)
         self._suspects.merge(message.suspects, now)
-        trials = self._suspects.grant_trials(message.refused_parts, now)
+        trials = self._suspects.grant_trials(message.refused, now)
         self._limits.expire(now)
         self._limits.merge(message.limits, now)
         self._relay.note_demand()
--- a/papayalink/roles/authority/suspects_keeper.py
+++ b/papayalink/roles/authority/suspects_keeper.py
@@ -26,7 +26,7 @@
     """
 
     written_at: float
-    suspects: tuple[shared_tables.SuspectPart, ...]
+    suspects: tuple[shared_tables.Suspect, ...]
 
 
 class SuspectsKeeper:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -96,7 +96,7 @@
         self._keys = call_keys.make_call_keys(
             call, workspace.name if workspace is not None else call.key
         )
-        # Whether a replica was lost with the prompt.
+        # Whether a replica was lost with the call.
         self._lost = False
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
@@ -165,18 +165,19 @@
         return self._shared.limits.wait_for_permit(self._service, left_s)
 
     def _is_blocked(self) -> bool:
-        """Refuse a prompt with a part that ends replicas.
+        """Refuse a call that ends replicas, or a prompt with such a part.
 
         Returns: whether it was refused.
         """
-        part = self._shared.crashes.find_blocked(self._keys.parts, self._lost)
-        if part is None:
+        key = self._shared.crashes.find_blocked(self._keys, self._lost)
+        if key is None:
             return False
         suspects = self._shared.crashes.suspects
         retry_after_s = max(
-            RETRY_AFTER_S, suspects.retry_after_s(part, time.monotonic())
+            RETRY_AFTER_S, suspects.retry_after_s(key, time.monotonic())
         )
-        self._end_without_replica(f"part {part} ends replicas", retry_after_s)
+        kind = "" if call_keys.is_request_key(key) else "part "
+        self._end_without_replica(f"{kind}{key} ends replicas", retry_after_s)
         return True
 
     def _shed(self, choice: fleets.Choice) -> bool:
--- a/papayalink/roles/gateway/crashes.py
+++ b/papayalink/roles/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Relates the ends of replicas to the prompts that they were answering."""
+"""Relates the ends of replicas to the calls that they were answering."""
 
 from collections.abc import Iterable
 import time
@@ -8,6 +8,7 @@
 
 from papayalink import logs
 from papayalink import metrics as metrics_module
+from papayalink.coordination import call_keys
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import fleet_member
 from papayalink.roles.gateway import liveness as livenesses
@@ -16,28 +17,29 @@
 # A lost call waits this long for the check whether its replica has ended; a
 # refused connection takes one round trip.
 CHECK_WAIT_S = 0.1
-# A lost prompt is remembered for this long, until the list of replicas shows
+# A lost call is remembered for this long, until the list of replicas shows
 # that its replica has gone, and as many of them for each replica.
 LOSS_MEMORY_S = 10.0
 MAX_LOSSES = 64
-# Blocked parts for which prompts were refused this recently are reported.
+# Blocked keys for which calls were refused this recently are reported.
 REFUSAL_MEMORY_S = 2.0
-MAX_REFUSED_PARTS = 8
+MAX_REFUSED_KEYS = 8
 
 
 class _Loss(msgspec.Struct, frozen=True):
-    """A prompt that was lost with a replica, see `CrashSuspects`."""
+    """A call that was lost with a replica, see `CrashSuspects`."""
 
     at: float
     parts: tuple[str, ...]
+    request: str
     begun: bool
 
 
 class CrashObserver:
-    """Observes lost and whole answers for the table of suspected parts.
+    """Observes lost and whole answers for the table of suspects.
 
     Attributes:
-        suspects: parts that this entry and the others suspect.
+        suspects: parts and requests that this entry and the others suspect.
     """
 
     __slots__ = (
@@ -64,46 +66,51 @@
         self._log = logs.get_logger()
 
     def find_blocked(
-        self, parts: tuple[str, ...], repeated: bool
+        self, keys: call_keys.CallKeys, repeated: bool
     ) -> str | None:
-        """Returns: the part for which a prompt must not be sent, or None.
+        """Returns: the key for which a call must not be sent, or None.
 
         Args:
-            parts: see `call_keys.CallKeys`.
-            repeated: whether a replica was lost with the prompt before.
+            repeated: whether a replica was lost with the call before.
         """
-        part = self.suspects.find_blocked(parts, repeated)
-        if part is None:
+        key = self.suspects.find_blocked(
+            keys.parts, repeated, self._request(keys)
+        )
+        if key is None:
             return None
         now = time.monotonic()
-        if self.suspects.take_trial(part, now):
-            self._log.info("part_tried", part=part)
+        if self.suspects.take_trial(key, now):
+            self._log.info("suspect_tried", key=key)
             return None
-        self._refused_at.pop(part, None)
-        self._refused_at[part] = now
-        self._metrics.count("blocked_parts", repeated=repeated)
-        return part
-
-    def refused_parts(self) -> tuple[str, ...]:
-        """Returns: blocked parts for which prompts were refused recently."""
+        self._refused_at.pop(key, None)
+        self._refused_at[key] = now
+        self._metrics.count(
+            "blocked_calls",
+            kind="request" if call_keys.is_request_key(key) else "part",
+            repeated=repeated,
+        )
+        return key
+
+    def refused_keys(self) -> tuple[str, ...]:
+        """Returns: blocked keys for which calls were refused recently."""
         oldest = time.monotonic() - REFUSAL_MEMORY_S
         self._refused_at = {
-            part: at
-            for part, at in list(self._refused_at.items())[-MAX_REFUSED_PARTS:]
+            key: at
+            for key, at in list(self._refused_at.items())[-MAX_REFUSED_KEYS:]
             if at > oldest
         }
         return tuple(self._refused_at)
 
-    def permit_trials(self, parts: Iterable[str]) -> None:
-        """Send one prompt each with blocked parts."""
+    def permit_trials(self, keys: Iterable[str]) -> None:
+        """Send one call for each of the blocked keys."""
         now = time.monotonic()
-        for part in parts:
-            self.suspects.permit_trial(part, now)
+        for key in keys:
+            self.suspects.permit_trial(key, now)
 
     def note_lost(
         self,
         member: fleet_member.Member,
-        parts: tuple[str, ...],
+        keys: call_keys.CallKeys,
         begun: bool,
     ) -> None:
         """Record that an answer broke off, if its replica has ended.
@@ -111,28 +118,31 @@
         Args:
             begun: whether the answer had begun, without a whole event.
         """
-        if not parts:
-            return
-        self._remember(member, _Loss(time.monotonic(), parts, begun))
+        self._remember(
+            member, _Loss(time.monotonic(), keys.parts, keys.request, begun)
+        )
         check = gevent.spawn(self._check, member)
         check.join(CHECK_WAIT_S)
 
     def note_whole_answer(
         self,
         member: fleet_member.Member,
-        parts: tuple[str, ...],
+        keys: call_keys.CallKeys,
         ends_with_connection: bool,
     ) -> None:
-        """Record that a prompt was answered.
+        """Record that a call was answered.
 
         Args:
             ends_with_connection: whether only the end of the connection ends
                 the answer, which looks the same if the replica has ended.
         """
+        all_keys = keys.parts
+        if request := self._request(keys):
+            all_keys = (*all_keys, request)
         if not ends_with_connection:
-            self._clear(parts)
-        elif self.suspects.suspected(parts):
-            gevent.spawn(self._check_whole_answer, member, parts)
+            self._clear(all_keys)
+        elif self.suspects.suspected(all_keys):
+            gevent.spawn(self._check_whole_answer, member, all_keys)
 
     def note_left(self, member: fleet_member.Member) -> None:
         """Record that a replica is no longer listed.
@@ -145,15 +155,15 @@
         self._losses.pop(member.replica.replica_id, None)
 
     def log_changes(self) -> None:
-        """Log which parts are blocked since the last call, or no longer."""
+        """Log which keys are blocked since the last call, or no longer."""
         blocked = self.suspects.blocked
-        for part in blocked.keys() - self._blocked:
-            self._metrics.count("parts_blocked")
+        for key in blocked.keys() - self._blocked:
+            self._metrics.count("suspects_blocked")
             self._log.warning(
-                "part_blocked", part=part, replicas=",".join(blocked[part])
+                "suspect_blocked", key=key, replicas=",".join(blocked[key])
             )
-        for part in self._blocked - blocked.keys():
-            self._log.info("part_unblocked", part=part)
+        for key in self._blocked - blocked.keys():
+            self._log.info("suspect_unblocked", key=key)
         self._blocked = frozenset(blocked)
 
     def _remember(self, member: fleet_member.Member, loss: _Loss) -> None:
@@ -170,15 +180,19 @@
         if self._liveness.has_ended(member):
             self._note_ended(member.replica.replica_id)
 
+    def _request(self, keys: call_keys.CallKeys) -> str:
+        """Returns: the key of the request, "" if none is suspected."""
+        return keys.request if self.suspects.has_requests else ""
+
     def _check_whole_answer(
-        self, member: fleet_member.Member, parts: tuple[str, ...]
+        self, member: fleet_member.Member, keys: tuple[str, ...]
     ) -> None:
         if not self._liveness.has_ended(member):
-            self._clear(parts)
+            self._clear(keys)
 
-    def _clear(self, parts: tuple[str, ...]) -> None:
+    def _clear(self, keys: tuple[str, ...]) -> None:
         version = self.suspects.version
-        self.suspects.note_whole_answer(parts, time.monotonic())
+        self.suspects.note_whole_answer(keys, time.monotonic())
         if self.suspects.version != version:
             self.log_changes()
 
@@ -188,12 +202,13 @@
         for loss in self._losses.pop(replica_id, ()):
             if now - loss.at < LOSS_MEMORY_S:
                 self.suspects.note_crash(
-                    replica_id, loss.parts, loss.begun, loss.at
+                    replica_id, loss.parts, loss.begun, loss.at, loss.request
                 )
                 self._log.info(
-                    "prompt_lost_with_replica",
+                    "call_lost_with_replica",
                     replica=replica_id,
                     parts=",".join(loss.parts),
+                    request=loss.request,
                     begun=loss.begun,
                 )
         self.log_changes()
--- a/papayalink/roles/gateway/observations.py
+++ b/papayalink/roles/gateway/observations.py
@@ -80,7 +80,7 @@
             member.note_parts(salt, self._call.parts, max_tokens)
         if answered.status < 300:
             self._shared.crashes.note_whole_answer(
-                member, self._keys.parts, answered.ends_with_connection
+                member, self._keys, answered.ends_with_connection
             )
 
     def note_failure(
@@ -99,7 +99,7 @@
             case attempts.Lost():
                 member.note_result(True)
                 begun = result.progress is attempt.Progress.HEAD
-                self._shared.crashes.note_lost(member, self._keys.parts, begun)
+                self._shared.crashes.note_lost(member, self._keys, begun)
             case attempts.Failed() | attempts.Expired():
                 member.note_result(True)
 
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -139,7 +139,7 @@
             self._list_number if self._listing.relayed else 0,
             self._suspects.report(now),
             self._suspects.known_version,
-            self._crashes.refused_parts(),
+            self._crashes.refused_keys(),
             self._limits.report(now),
             self._limits.known_version,
             self._limit_keeper.wanted(),
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -160,7 +160,7 @@
             "list_age_s": self._listing.age_s(),
             "in_flight": self._server.in_flight,
             "connections": self._server.connections,
-            "blocked_parts": self._crashes.suspects.blocked,
+            "blocked": self._crashes.suspects.blocked,
         }
 
     def gauges(self) -> dict[str, Callable[[], float]]:
