Keep the tables of entries at all members

What callers saw: nothing yet. After a restart of all processes another member may lead, and what was known of requests and parts that end replicas was only on the disk of the one that led before.

Cause: entries told the leading member alone, and members did not tell each other.

--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -211,8 +211,10 @@
             del self._suspects[key]
         self._note_change(bool(old))
 
-    def encode(self, now: float) -> tuple[shared_tables.Suspect, ...]:
-        """Returns: the table, with ages instead of times."""
+    def encode(
+        self, now: float, since: int = 0
+    ) -> tuple[shared_tables.Suspect, ...]:
+        """Returns: the whole table, with ages instead of times."""
         return tuple(
             shared_tables.Suspect(
                 key,
--- a/papayalink/coordination/named_limits.py
+++ b/papayalink/coordination/named_limits.py
@@ -82,8 +82,10 @@
         elif limit_per_s is not None and now - known.at > REFRESH_S:
             self._set(replica_id, limit_per_s, now)
 
-    def encode(self, now: float) -> tuple[shared_tables.NamedLimit, ...]:
-        """Returns: the table, with ages instead of times."""
+    def encode(
+        self, now: float, since: int = 0
+    ) -> tuple[shared_tables.NamedLimit, ...]:
+        """Returns: the whole table, with ages instead of times."""
         return tuple(
             shared_tables.NamedLimit(
                 replica_id,
--- /dev/null
+++ b/papayalink/coordination/table_exchange.py
@@ -0,0 +1,134 @@
+"""Keeps the tables of entries and control members in step.
+
+Entries and the other members ask the leading member. Each call carries what
+has changed at the caller since the member last answered it, and the reply what
+has changed at the member, so that the copies agree after one exchange of each,
+whatever the order. A member that is asked for the first time, or has
+restarted, gets whole tables.
+"""
+
+from collections.abc import Iterable
+import secrets
+from typing import Protocol
+
+from papayalink.coordination import crash_suspects
+from papayalink.coordination import named_limits
+from papayalink.protocol import shared_tables
+
+
+class Table(Protocol):
+    """A table whose copies are merged.
+
+    Attributes:
+        version: increases with each change of the table.
+    """
+
+    version: int
+
+    def encode(self, now: float, since: int = 0) -> tuple: ...
+
+    def merge(self, reported: Iterable, now: float) -> None: ...
+
+    def expire(self, now: float) -> None: ...
+
+
+class TableSet:
+    """Tables of one process.
+
+    Attributes:
+        run: tells the versions of this process from those of others, and of
+            its earlier runs.
+        suspects: requests and parts that may end replicas.
+        limits: limits that replicas name.
+    """
+
+    __slots__ = ("run", "suspects", "limits")
+
+    def __init__(self) -> None:
+        self.run = secrets.token_hex(4)
+        self.suspects = crash_suspects.make_crash_suspects()
+        self.limits = named_limits.make_named_limits()
+
+    def by_name(self) -> dict[str, Table]:
+        """Returns: the tables by their fields in `shared_tables.Tables`."""
+        return {"suspects": self.suspects, "limits": self.limits}
+
+    def answer(
+        self, told: shared_tables.Tables, now: float
+    ) -> shared_tables.Tables:
+        """Merge what a process tells, and return what it lacks."""
+        rows = {}
+        versions = {}
+        for name, table in self.by_name().items():
+            table.expire(now)
+            table.merge(getattr(told, name), now)
+            known = told.versions.get(name, 0) if told.run == self.run else 0
+            rows[name] = _changes(table, known, now)
+            versions[name] = table.version
+        return shared_tables.Tables(self.run, versions, **rows)
+
+
+class TableExchange:
+    """Tells one member after the other what changed, and learns from it.
+
+    Args:
+        tables: the tables of this process.
+    """
+
+    __slots__ = ("_tables", "_run", "_known", "_told", "_telling")
+
+    def __init__(self, tables: TableSet) -> None:
+        self._tables = tables.by_name()
+        # Run of the member that answered last, the versions of its tables, and
+        # the versions of the own tables that it knows.
+        self._run = ""
+        self._known: dict[str, int] = {}
+        self._told: dict[str, int] = {}
+        self._telling: dict[str, int] = {}
+
+    def report(self, now: float) -> shared_tables.Tables:
+        """Returns: what the member may not know."""
+        rows = {}
+        for name, table in self._tables.items():
+            table.expire(now)
+            self._telling[name] = table.version
+            rows[name] = _changes(table, self._told.get(name, 0), now)
+        return shared_tables.Tables(self._run, dict(self._known), **rows)
+
+    def merge(self, reply: shared_tables.Tables, now: float) -> frozenset[str]:
+        """Merge the member's reply to the last report.
+
+        Returns: names of the tables of which the member told something new.
+        """
+        # Another member than the one for which the report was made has got a
+        # part of the rows only, and gets all of them next time.
+        complete = reply.run == self._run or not self._told
+        self._run = reply.run
+        changed = set()
+        for name, table in self._tables.items():
+            rows = getattr(reply, name)
+            unchanged = table.version == self._telling[name]
+            if rows:
+                table.merge(rows, now)
+                changed.add(name)
+            # What the member has just told need not be told to it.
+            known = table.version if unchanged else self._telling[name]
+            self._told[name] = known if complete else 0
+        self._known = dict(reply.versions)
+        if not complete:
+            self._told = {}
+        return frozenset(changed)
+
+
+def _changes(table: Table, known_version: int, now: float) -> tuple:
+    if table.version == known_version:
+        return ()
+    return table.encode(now, known_version)
+
+
+def make_table_set() -> TableSet:
+    return TableSet()
+
+
+def make_table_exchange(tables: TableSet) -> TableExchange:
+    return TableExchange(tables)
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -326,12 +326,8 @@
         lost: replicas that the entry cannot reach.
         list_number: number of the newest reading of the platform's replica
             list that the entry has, 0 for none.
-        suspects: suspected parts and requests, if the member may not know
-            all of them.
-        suspects_version: version of the member's suspects that the entry
-            has.
+        tables: what the member may not know of the shared tables.
         refused: blocked keys for which the entry refused calls.
-        limits, limits_version: limits that replicas have named, likewise.
         wanted: number of permits that the entry asks for, by replica.
     """
 
@@ -341,11 +337,8 @@
     work: tuple[ReplicaWork, ...] = ()
     lost: tuple[str, ...] = ()
     list_number: int = 0
-    suspects: tuple[shared_tables.Suspect, ...] = ()
-    suspects_version: int = 0
+    tables: shared_tables.Tables = shared_tables.Tables()
     refused: tuple[str, ...] = ()
-    limits: tuple[shared_tables.NamedLimit, ...] = ()
-    limits_version: int = 0
     wanted: tuple[tuple[str, int], ...] = ()
 
 
@@ -363,10 +356,8 @@
         list_age_ms: time since the list was last read.
         listed: replicas of that reading, empty when the entry already has it.
         entries: number of entries that recently reported to the member.
-        suspects: suspected parts and requests, empty if the entry has this
-            version.
+        tables: what the entry does not know of the shared tables.
         trials: blocked keys of which the entry may send one call each.
-        limits: limits that replicas name, empty if the entry has this version.
         granted: number of requests that the entry may send, by replica.
     """
 
@@ -381,14 +372,17 @@
     list_number: int = 0
     list_age_ms: int = 0
     listed: tuple[replicas.Replica, ...] = ()
-    suspects: tuple[shared_tables.Suspect, ...] = ()
-    suspects_version: int = 0
+    tables: shared_tables.Tables = shared_tables.Tables()
     trials: tuple[str, ...] = ()
-    limits: tuple[shared_tables.NamedLimit, ...] = ()
-    limits_version: int = 0
     granted: tuple[tuple[str, int], ...] = ()
 
 
+class ShareTables(Message):
+    """A member exchanges tables with the leader, which replies likewise."""
+
+    tables: shared_tables.Tables
+
+
 class Lookup(Message):
     """Asks a store which pieces it has published."""
 
@@ -431,6 +425,7 @@
     | WatchReply
     | Parts
     | PartsReply
+    | ShareTables
     | Lookup
     | LookupReply
 )
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -46,3 +46,19 @@
     replica_id: str
     limit_per_s: float
     age_ms: int
+
+
+class Tables(msgspec.Struct, frozen=True, array_like=True):
+    """Changed rows of the tables of one process.
+
+    Attributes:
+        run: from a member, its run; to a member, the run that `versions` refer
+            to, "" for none.
+        versions: by table, the version of the member's copy that these rows
+            lead to, or that the caller has.
+    """
+
+    run: str = ""
+    versions: dict[str, int] = {}
+    suspects: tuple[Suspect, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -104,6 +104,10 @@
         """Commit an encoded command; only possible on the leader."""
         return self.replica.propose(command, PROPOSE_TIMEOUT_S)
 
+    @property
+    def is_leader(self) -> bool:
+        return self._replica is not None and self._replica.is_leader
+
     def leader_address(self) -> str:
         """Returns: RPC address of the leader, "" when it is not known."""
         if self._replica is None:
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -23,6 +23,7 @@
 from papayalink.roles.authority import service
 from papayalink.roles.authority import store_watch
 from papayalink.roles.authority import suspects_keeper
+from papayalink.roles.authority import table_follower
 from papayalink.roles.authority import weights
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import peers
@@ -128,8 +129,11 @@
         self._relay.start()
         if self._node.settings.data_folder is not None:
             suspects_keeper.make_suspects_keeper(
-                self._node.settings.data_folder, self._service.suspects
+                self._node.settings.data_folder, self._service.tables.suspects
             ).start()
+        table_follower.make_table_follower(
+            self._node, self._state, self._service.tables
+        ).start()
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
@@ -146,7 +150,7 @@
             "number": self._machine.numbered.number,
             "weights": self._machine.numbered.weights,
             "orders": self._machine.upstreams.open_orders,
-            "blocked": self._service.suspects.blocked,
+            "blocked": self._service.tables.suspects.blocked,
         }
 
     def gauges(self) -> dict[str, Callable[[], float]]:
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -8,10 +8,10 @@
 
 from gevent import event
 
-from papayalink.coordination import crash_suspects
 from papayalink.coordination import errors
 from papayalink.coordination import load_reports
 from papayalink.coordination import named_limits
+from papayalink.coordination import table_exchange
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
 from papayalink.roles.authority import address_book
@@ -59,8 +59,7 @@
         "_stores",
         "_relay",
         "_load_reports",
-        "_suspects",
-        "_limits",
+        "_tables",
         "_permits",
         "_source",
         "_durable",
@@ -87,25 +86,22 @@
         self._stores = stores
         self._relay = relay
         self._load_reports = load_reports.make_load_reports()
-        # A version of another member or of an earlier run must not match.
-        self._suspects = crash_suspects.make_crash_suspects(
-            secrets.randbits(48)
-        )
-        self._limits = named_limits.make_named_limits(secrets.randbits(48))
-        self._permits = named_limits.make_permit_source(self._limits)
+        self._tables = table_exchange.make_table_set()
+        self._permits = named_limits.make_permit_source(self._tables.limits)
         self._source = secrets.token_hex(4)
         self._durable = durable
         self._first_asker = ""
 
     @property
-    def suspects(self) -> crash_suspects.CrashSuspects:
-        """Parts of prompts that are suspected of ending replicas."""
-        return self._suspects
+    def tables(self) -> table_exchange.TableSet:
+        """What entries and members tell each other."""
+        return self._tables
 
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
             "Watch": self.watch,
             "Parts": self.parts,
+            "ShareTables": self.share_tables,
             "Propose": self.propose,
             "Deliver": self.deliver,
             "Describe": self.describe,
@@ -142,11 +138,8 @@
         self._load_reports.report(
             message.process, message.work, now, message.lost
         )
-        self._suspects.expire(now)
-        self._suspects.merge(message.suspects, now)
-        trials = self._suspects.grant_trials(message.refused, now)
-        self._limits.expire(now)
-        self._limits.merge(message.limits, now)
+        tables = self._tables.answer(message.tables, now)
+        trials = self._tables.suspects.grant_trials(message.refused, now)
         self._relay.note_demand()
         self._stores.note_demand()
         directory = self._stores.directory
@@ -181,22 +174,19 @@
                 if known and message.list_number == self._relay.number
                 else self._relay.listed
             ),
-            suspects=(
-                ()
-                if message.suspects_version == self._suspects.version
-                else self._suspects.encode(now)
-            ),
-            suspects_version=self._suspects.version,
+            tables=tables,
             trials=tuple(trials),
-            limits=(
-                ()
-                if message.limits_version == self._limits.version
-                else self._limits.encode(now)
-            ),
-            limits_version=self._limits.version,
             granted=self._permits.grant(message.wanted, now),
         )
 
+    def share_tables(
+        self, message: messages.ShareTables
+    ) -> messages.ShareTables:
+        """Exchange tables with another member."""
+        return messages.ShareTables(
+            self._tables.answer(message.tables, time.monotonic())
+        )
+
     def propose(self, message: messages.Propose) -> messages.Outcome:
         """Commit a command; only possible on the leader."""
         try:
--- a/papayalink/roles/gateway/crashes.py
+++ b/papayalink/roles/gateway/crashes.py
@@ -54,10 +54,11 @@
 
     def __init__(
         self,
+        suspects: crash_suspects.CrashSuspects,
         liveness: livenesses.Liveness,
         metrics: metrics_module.Metrics,
     ) -> None:
-        self.suspects = crash_suspects.make_crash_suspects()
+        self.suspects = suspects
         self._liveness = liveness
         self._metrics = metrics
         self._losses: dict[str, list[_Loss]] = {}
@@ -215,6 +216,8 @@
 
 
 def make_crash_observer(
-    liveness: livenesses.Liveness, metrics: metrics_module.Metrics
+    suspects: crash_suspects.CrashSuspects,
+    liveness: livenesses.Liveness,
+    metrics: metrics_module.Metrics,
 ) -> CrashObserver:
-    return CrashObserver(liveness, metrics)
+    return CrashObserver(suspects, liveness, metrics)
--- a/papayalink/roles/gateway/limits.py
+++ b/papayalink/roles/gateway/limits.py
@@ -27,8 +27,10 @@
 
     __slots__ = ("limits", "_fleet", "_called_at", "_granted", "_own")
 
-    def __init__(self, fleet: fleets.Fleet) -> None:
-        self.limits = named_limits.make_named_limits()
+    def __init__(
+        self, limits: named_limits.NamedLimits, fleet: fleets.Fleet
+    ) -> None:
+        self.limits = limits
         self._fleet = fleet
         self._called_at: dict[str, float] = {}
         self._granted = event.Event()
@@ -109,5 +111,7 @@
         return limited and timeout_s > 0 and self._granted.wait(timeout_s)
 
 
-def make_limit_keeper(fleet: fleets.Fleet) -> LimitKeeper:
-    return LimitKeeper(fleet)
+def make_limit_keeper(
+    limits: named_limits.NamedLimits, fleet: fleets.Fleet
+) -> LimitKeeper:
+    return LimitKeeper(limits, fleet)
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -8,6 +8,7 @@
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import table_exchange
 from papayalink.coordination import windows
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
@@ -15,7 +16,6 @@
 from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import liveness as livenesses
-from papayalink.roles.gateway import table_exchange
 from papayalink.state import part_directory
 from papayalink.transport import errors
 
@@ -51,8 +51,9 @@
             work of all of them.
         fleet: reports the work of this entry, and takes that of the others.
         liveness: checks replicas that other entries cannot reach.
-        crashes: exchanges the parts of prompts that end replicas.
-        limit_keeper: exchanges the limits that replicas name.
+        tables: shared with the other entries through the member.
+        crashes: relates the ends of replicas to calls.
+        limit_keeper: uses the limits that replicas name.
         listing: applies the list that the member has read.
         directory: this entry's copy of the member's directory.
     """
@@ -64,9 +65,8 @@
         "_fleet",
         "_liveness",
         "_crashes",
-        "_suspects",
+        "_tables",
         "_limit_keeper",
-        "_limits",
         "_listing",
         "_list_number",
         "_directory",
@@ -83,6 +83,7 @@
         members: Callable[[], list[str]],
         fleet: fleets.Fleet,
         liveness: livenesses.Liveness,
+        tables: table_exchange.TableSet,
         crashes: crash_observers.CrashObserver,
         limit_keeper: limit_keepers.LimitKeeper,
         listing: listings.Listing,
@@ -94,9 +95,8 @@
         self._fleet = fleet
         self._liveness = liveness
         self._crashes = crashes
-        self._suspects = table_exchange.make_table_exchange(crashes.suspects)
         self._limit_keeper = limit_keeper
-        self._limits = table_exchange.make_table_exchange(limit_keeper.limits)
+        self._tables = table_exchange.make_table_exchange(tables)
         self._listing = listing
         self._list_number = 0
         self._directory = directory
@@ -137,11 +137,8 @@
             self._fleet.own_work(),
             self._fleet.lost(),
             self._list_number if self._listing.relayed else 0,
-            self._suspects.report(now),
-            self._suspects.known_version,
+            self._tables.report(now),
             self._crashes.refused_keys(),
-            self._limits.report(now),
-            self._limits.known_version,
             self._limit_keeper.wanted(),
         )
         try:
@@ -168,9 +165,8 @@
         """Merge what the other entries know of parts and of limits."""
         now = self._read_at
         self._crashes.permit_trials(reply.trials)
-        if self._suspects.merge(reply.suspects, reply.suspects_version, now):
+        if "suspects" in self._tables.merge(reply.tables, now):
             self._crashes.log_changes()
-        self._limits.merge(reply.limits, reply.limits_version, now)
         # Also applies them to replicas that are newly listed.
         self._limit_keeper.apply()
         self._limit_keeper.add_permits(reply.granted)
@@ -207,6 +203,7 @@
     members: Callable[[], list[str]],
     fleet: fleets.Fleet,
     liveness: livenesses.Liveness,
+    tables: table_exchange.TableSet,
     crashes: crash_observers.CrashObserver,
     limit_keeper: limit_keepers.LimitKeeper,
     listing: listings.Listing,
@@ -217,6 +214,7 @@
         members,
         fleet,
         liveness,
+        tables,
         crashes,
         limit_keeper,
         listing,
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -10,6 +10,7 @@
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
+from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
 from papayalink.protocol import calls
 from papayalink.roles import node as nodes
@@ -85,8 +86,11 @@
             node, translate, self._apply_changes
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
-        self._crashes = crashes.make_crash_observer(liveness, node.metrics)
-        limit_keeper = limits.make_limit_keeper(self._fleet)
+        tables = table_exchange.make_table_set()
+        self._crashes = crashes.make_crash_observer(
+            tables.suspects, liveness, node.metrics
+        )
+        limit_keeper = limits.make_limit_keeper(tables.limits, self._fleet)
         self._listing = listing.make_listing(
             client, self._fleet, self._note_left, node.metrics
         )
@@ -95,6 +99,7 @@
             self._watcher.authorities,
             self._fleet,
             liveness,
+            tables,
             self._crashes,
             limit_keeper,
             self._listing,
--- a/tests/coordination/test_crash_suspects.py
+++ b/tests/coordination/test_crash_suspects.py
@@ -8,6 +8,7 @@
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import suspects
 from papayalink.protocol import messages
+from papayalink.protocol import shared_tables
 
 
 def _crash(table, at, *prompts, replica=None, begun=False):
@@ -136,12 +137,14 @@
     assert table.find_blocked(["worst"]) == "worst"
     for number in range(100):
         _crash(table, 2000.0 + number, "worst")
-    size = len(
-        messages.encode(messages.Parts("e", suspects=table.encode(3e3)))
-    )
+    size = len(messages.encode(_as_message(table.encode(3e3))))
     assert size < 8192
 
 
+def _as_message(rows):
+    return messages.Parts("e", tables=shared_tables.Tables(suspects=rows))
+
+
 def _lose(table, at, request, prompt, begun=True, replica=None):
     table.note_crash(
         replica or f"r{at}", prompt.split(), begun, at, f"request {request}"
@@ -223,7 +226,7 @@
     rows = table.encode(2000.0)
     assert len(rows) <= crash_suspects.MAX_REQUESTS + 1
     assert "request worst" in table.blocked
-    size = len(messages.encode(messages.Parts("e", suspects=rows)))
+    size = len(messages.encode(_as_message(rows)))
     assert size < 8192
 
 
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -1,6 +1,7 @@
 """Tests of authorities on loopback, with operators and watching entries."""
 
 import json
+import time
 
 import gevent
 from gevent import socket
@@ -9,6 +10,7 @@
 
 from papayalink import clock
 from papayalink import node_settings
+from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
 from papayalink.coordination.raft import membership
 from papayalink.platform import document
@@ -16,6 +18,7 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.authority import process
+from papayalink.roles.authority import suspects_keeper
 from papayalink.roles.control import identity
 from papayalink.state import replicas
 from papayalink.transport import auth
@@ -247,6 +250,67 @@
     assert not log_folder.exists()
 
 
+def test_any_member_knows_what_ends_replicas_after_a_restart_of_all(tmp_path):
+    """Guards against a known request that ends replicas after a power loss.
+
+    Entries tell the leader; after a restart of all another member may lead.
+    """
+    client = _Replicas()
+    ports = (_free_port("127.0.9.1"), _free_port("127.0.9.1"))
+
+    def start(first):
+        return [
+            _Member(
+                f"127.0.9.{host}",
+                *ports,
+                tmp_path / str(host),
+                client,
+                first,
+            )
+            for host in (1, 2, 3)
+        ]
+
+    def blocked(member):
+        return list(member.process.dump()["blocked"])
+
+    entry = table_exchange.make_table_set()
+    for number in range(2):
+        entry.suspects.note_crash(
+            f"r{number}", [], True, time.monotonic() - number, "request x"
+        )
+    members = start(True)
+    try:
+        _wait_until(
+            lambda: any(each.process._state.is_leader for each in members)
+        )
+        leader = next(
+            each for each in members if each.process._state.is_leader
+        )
+        leader.node.rpc_client.call(
+            f"{leader.ip}:{ports[0]}",
+            "Parts",
+            messages.Parts(
+                "e1",
+                tables=table_exchange.make_table_exchange(entry).report(
+                    time.monotonic()
+                ),
+            ),
+        )
+        _wait_until(
+            lambda: all(blocked(each) == ["request x"] for each in members)
+        )
+        gevent.sleep(2 * suspects_keeper.WRITE_PERIOD_S)
+        for member in members:
+            member.stop()
+        # Each one alone, as if it led.
+        members = start(False)
+        for member in members:
+            assert blocked(member) == ["request x"]
+    finally:
+        for member in members:
+            member.stop()
+
+
 def _describe(durable):
     def answer(message):
         return messages.Described(durable, message.name)
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -150,6 +150,7 @@
             lambda: [""],
             self.fleet,
             self.liveness,
+            self.tables,
             self.crashes,
             self.limits,
             listings.make_listing(
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -8,6 +8,7 @@
 from papayalink import node_settings
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import table_exchange
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
@@ -152,8 +153,11 @@
             if upstream.name.startswith(service)
         )
         self.liveness = liveness.make_liveness(channels, self.metrics)
-        self.limits = limits.make_limit_keeper(self.fleet)
-        self.crashes = crashes.make_crash_observer(self.liveness, self.metrics)
+        self.tables = table_exchange.make_table_set()
+        self.limits = limits.make_limit_keeper(self.tables.limits, self.fleet)
+        self.crashes = crashes.make_crash_observer(
+            self.tables.suspects, self.liveness, self.metrics
+        )
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -7,6 +7,7 @@
 
 from papayalink import metrics as metrics_module
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import table_exchange
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
 from papayalink.roles.gateway import crashes
@@ -86,6 +87,7 @@
         )
         self.liveness = _Liveness()
         self.directory = part_directory.make_part_directory()
+        tables = table_exchange.make_table_set()
         self.follower = parts.make_parts_follower(
             SimpleNamespace(
                 settings=SimpleNamespace(name=name),
@@ -94,10 +96,11 @@
             lambda: [""],
             self.fleet,
             self.liveness,
+            tables,
             crashes.make_crash_observer(
-                self.liveness, metrics_module.make_metrics()
+                tables.suspects, self.liveness, metrics_module.make_metrics()
             ),
-            limits.make_limit_keeper(self.fleet),
+            limits.make_limit_keeper(tables.limits, self.fleet),
             listings.make_listing(
                 None, self.fleet, None, metrics_module.make_metrics()
             ),
