--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     power: bool = False,
     crashing: bool = False,
     limited: bool = False,
+    crashing_request: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -41,6 +42,7 @@
             other seed addresses.
         limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
+        crashing_request: whether one repeated request does so.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -49,7 +51,14 @@
     random_source = random.SystemRandom()
     all_seeds += [random_source.randrange(10**6) for _ in range(fresh)]
     scenario = seed_run.Scenario(
-        authorities, gateways, losses, diskless, power, crashing, limited
+        authorities,
+        gateways,
+        losses,
+        diskless,
+        power,
+        crashing,
+        limited,
+        crashing_request,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,9 +10,10 @@
 # get calls.
 IN_FORCE_S = 2.0
 LEAVE_S = 3.0
-# Crashes after which a part that ends replicas is known, and how many prompts
-# with it may arrive later.
+# Crashes after which a part or a request that ends replicas is known, and how
+# many calls with it may arrive later.
 KNOWN_CRASHES = 5
+KNOWN_REQUEST_CRASHES = 3
 MAX_LATE_ARRIVALS = 3
 # Time in which a replica may get half more calls than its limit allows, and 5.
 LIMIT_WINDOW_S = 4.0
@@ -36,7 +37,7 @@
     return [
         *violations,
         *_check_reads(history),
-        *_check_crashing_parts(history),
+        *_check_crashes(history),
         *_check_limits(history),
     ]
 
@@ -138,23 +139,25 @@
             )
 
 
-def _check_crashing_parts(history):
-    """Check that a part is known to all entries after five crashes."""
+def _check_crashes(history):
+    """Check that all entries know what ends replicas after some crashes."""
     calls = {call.call_id: call for call in history.calls}
-    for part in {part for part, _ in history.crashes}:
-        times = sorted(at for each, at in history.crashes if each == part)
-        if len(times) < KNOWN_CRASHES:
+    for cause in {cause for cause, _ in history.crashes}:
+        times = sorted(at for each, at in history.crashes if each == cause)
+        is_request = "request" in cause
+        known = KNOWN_REQUEST_CRASHES if is_request else KNOWN_CRASHES
+        if len(times) < known:
             continue
-        known_at = times[KNOWN_CRASHES - 1] + LEAVE_S
+        known_at = times[known - 1] + LEAVE_S
         late = [
             each
-            for each in history.part_arrivals
-            if each.part == part
+            for each in history.arrivals
+            if each.cause == cause
             and calls[each.call_id].sent_at > known_at
             and not _is_recovering(calls[each.call_id], history)
         ]
         if len(late) > MAX_LATE_ARRIVALS:
-            yield f"{len(late)} prompts with {part} after it was known"
+            yield f"{len(late)} calls with {cause} after it was known"
 
 
 def _check_limits(history):
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -14,8 +14,10 @@
 DEADLINE_MS = 3_000
 TIMEOUT_S = 6.0
 RETRY_INTERVAL_S = 0.2
-# Every so many streams of a caller have the part that ends replicas.
+# Every so many streams of a caller have the part that ends replicas, and every
+# so many are the request that does.
 CRASHING_INTERVAL = 2
+CRASHING_REQUEST_INTERVAL = 3
 CALL_ERRORS = (
     OSError,
     ValueError,
@@ -60,19 +62,23 @@
                 network_timeout=TIMEOUT_S,
             )
         method = "GET" if path_prefix == standins.LOOKUP else "POST"
+        path = f"{path_prefix}{call_id}"
+        if path_prefix == standins.STREAM:
+            self._streams += 1
+            repeated = self._history.crashing_request
+            if repeated and self._streams % CRASHING_REQUEST_INTERVAL == 0:
+                path = f"{path_prefix}{repeated}"
+                call.workspace = workspace = min(standins.API_KEYS)
         headers = standins.make_headers(call_id, workspace, DEADLINE_MS)
         if path_prefix == standins.STREAM:
             part = "sound"
-            self._streams += 1
             if self._streams % CRASHING_INTERVAL == 0:
                 part = self._history.crashing_part or part
             headers["Papayalink-Prefix-Hash"] = standins.make_prefix(
                 part, call_id
             )
         try:
-            answer = client.request(
-                method, f"{path_prefix}{call_id}", b"", headers
-            )
+            answer = client.request(method, path, b"", headers)
             call.server_stamp = answer.get("papayalink-server-stamp", "")
             while data := answer.read(4096):
                 call.body += bytes(data)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,7 @@
     "replica": 3,
     "leaves": 1,
     "crashing": 1,
+    "crashing_request": 1,
     "limited": 1,
 }
 LIMIT_PER_S = 3.0
@@ -49,7 +50,7 @@
         self._rng = rng
         self._losses = losses
         self._disturbed: set[str] = set()
-        self._crashing_parts = 0
+        self._crash_causes = 0
         self._greenlets: list[gevent.Greenlet] = []
         self.counts: dict[str, int] = {}
 
@@ -63,13 +64,17 @@
 
     def begin_crashing(self) -> None:
         """Let a new part of prompts end the replicas that answer them."""
-        self._crashing_parts += 1
-        part = f"bad{self._crashing_parts}"
-        self._history.crashing_part = part
-        self.counts["crashing"] = self._crashing_parts
+        self._history.crashing_part = self._name_cause("part")
+        self._count("crashing")
+
+    def begin_crashing_request(self) -> None:
+        """Let a new request, which callers repeat, end the replicas."""
+        self._history.crashing_request = self._name_cause("request")
+        self._count("crashing_request")
 
     def end_crashing(self) -> None:
         self._history.crashing_part = ""
+        self._history.crashing_request = ""
 
     def begin_limit(self, replica: standins.Replica) -> None:
         """Let a replica name a limit, until `end_limit`."""
@@ -77,7 +82,7 @@
             replica.replica_id, LIMIT_PER_S, time.monotonic()
         )
         self._history.limits.append(replica.limit)
-        self.counts["limited"] = self.counts.get("limited", 0) + 1
+        self._count("limited")
 
     def end_limit(self, replica: standins.Replica) -> None:
         if replica.limit is not None:
@@ -108,6 +113,9 @@
         if kind == "crashing":
             if not self._history.crashing_part:
                 self.begin_crashing()
+        elif kind == "crashing_request":
+            if not self._history.crashing_request:
+                self.begin_crashing_request()
         elif kind in ("stop", "kill", "pause", "wipe"):
             self._disturb_node(kind)
         else:
@@ -183,7 +191,7 @@
         self._disturbed.discard(replica.replica_id)
 
     def _begin(self, kind: str, target: str) -> float:
-        self.counts[kind] = self.counts.get(kind, 0) + 1
+        self._count(kind)
         now = time.monotonic()
         # The end of a fault is infinite until _end() sets it.
         self._history.disturbances.append(
@@ -191,6 +199,13 @@
         )
         return now
 
+    def _name_cause(self, kind: str) -> str:
+        self._crash_causes += 1
+        return f"bad-{kind}-{self._crash_causes}"
+
+    def _count(self, kind: str) -> None:
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+
     def _end(self, kind: str, target: str, began_at: float) -> None:
         open_entry = records.Disturbance(kind, target, began_at, float("inf"))
         index = self._history.disturbances.index(open_entry)
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -126,22 +126,26 @@
             return [records.make_body(call_id, self.replica_id)]
         headers.append(("Content-Type", "text/event-stream"))
         start_response("200 OK", headers)
-        part = _crashing_part(environ, self.platform.history)
-        if part:
-            self.platform.history.part_arrivals.append(
-                records.PartArrival(part, call_id, time.monotonic())
+        cause = _crash_cause(environ, self.platform.history)
+        if cause:
+            self.platform.history.arrivals.append(
+                records.Arrival(cause, call_id, time.monotonic())
             )
-            return self._crash(part)
+            return self._crash(cause)
         return _events(call_id, last_event_id)
 
-    def _crash(self, part: str):
+    def _crash(self, cause: str):
         """Begin an event, and end with all connections."""
         yield b"id: 1\nda"
         gevent.sleep(EVENT_INTERVAL_S)
-        self.platform.crash(self, part)
+        self.platform.crash(self, cause)
 
 
-def _crashing_part(environ: dict, history: records.History) -> str:
+def _crash_cause(environ: dict, history: records.History) -> str:
+    """Returns: the request or part that ends the replica, "" for none."""
+    request = environ["PATH_INFO"].removeprefix(STREAM)
+    if request == history.crashing_request:
+        return request
     shared = environ.get("HTTP_PAPAYALINK_PREFIX_HASH", "").split(",")[:-1]
     part_ids = {field.partition(":")[0] for field in shared}
     return history.crashing_part if history.crashing_part in part_ids else ""
@@ -185,11 +189,11 @@
         self.replicas.append(replica)
         return replica
 
-    def crash(self, replica: Replica, part: str) -> None:
+    def crash(self, replica: Replica, cause: str) -> None:
         """End a replica; it returns under a new id after a while."""
         if replica.replica_id not in self._servers:
             return
-        self.history.crashes.append((part, time.monotonic()))
+        self.history.crashes.append((cause, time.monotonic()))
         # The address refuses connections from now on.
         self.proxies.pop(replica.replica_id).stop()
         server = self._servers.pop(replica.replica_id)
--- a/soak/records.py
+++ b/soak/records.py
@@ -93,10 +93,14 @@
     number: int
 
 
-class PartArrival(msgspec.Struct, frozen=True):
-    """A prompt with a part that ends replicas has reached one."""
+class Arrival(msgspec.Struct, frozen=True):
+    """A call that ends replicas has reached one.
 
-    part: str
+    Attributes:
+        cause: the part of its prompt, or the request, that ends replicas.
+    """
+
+    cause: str
     call_id: str
     at: float
 
@@ -119,7 +123,10 @@
 
     Attributes:
         crashing_part: part of prompts that ends replicas now, "" for none.
-        crashes: parts that have ended replicas, and when.
+        crashing_request: last segment of the path of the one request that
+            ends replicas now, "" for none.
+        arrivals: calls with such a part, and repetitions of such requests.
+        crashes: parts and requests that have ended replicas, and when.
     """
 
     executions: Executions
@@ -128,7 +135,8 @@
     changes: list[Change] = []
     reads: list[Read] = []
     crashing_part: str = ""
-    part_arrivals: list[PartArrival] = []
+    crashing_request: str = ""
+    arrivals: list[Arrival] = []
     crashes: list[tuple[str, float]] = []
     limits: list[NamedLimit] = []
 
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -32,6 +32,7 @@
         power: whether all processes lose power at the end.
         limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
+        crashing_request: whether one repeated request does so.
     """
 
     authorities: int = 3
@@ -41,6 +42,7 @@
     power: bool = False
     crashing: bool = False
     limited: bool = False
+    crashing_request: bool = False
 
 
 class Result(msgspec.Struct):
@@ -118,6 +120,8 @@
     tasks.append(gevent.spawn(_operate, operator, members, until, rng))
     if scenario.crashing:
         injector.begin_crashing()
+    if scenario.crashing_request:
+        injector.begin_crashing_request()
     if scenario.limited:
         injector.begin_limit(platform.replicas[0])
     injector.run(until)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -62,15 +62,15 @@
     return records.Disturbance(kind, target, began_at, ended_at)
 
 
-def _crashing(arrivals, disturbances=()):
-    """A part that ends a replica each second, then `arrivals` more times."""
+def _crashing(arrivals, disturbances=(), cause="bad-part", crashes=5):
+    """A cause that ends a replica each second, then `arrivals` more times."""
     history = _history(
         _call(sent_at=200.0, ended_at=200.1),
         [_execution()],
         disturbances=disturbances,
     )
-    history.crashes = [("bad", 100.0 + second) for second in range(5)]
-    history.part_arrivals = [records.PartArrival("bad", "c", 200.0)] * arrivals
+    history.crashes = [(cause, 100.0 + second) for second in range(crashes)]
+    history.arrivals = [records.Arrival(cause, "c", 200.0)] * arrivals
     return history
 
 
@@ -123,6 +123,9 @@
             changes=[_change(3, True, 90.0), _change(6, False, 100.0)],
         ),
         _crashing(3),
+        _crashing(4, crashes=4),
+        _crashing(3, cause="bad-request", crashes=3),
+        _crashing(4, cause="bad-request", crashes=2),
         _limited(17),
         # A gateway that was just restarted may not know the part yet.
         _crashing(4, [_fault("kill", "g1", 198.0, 199.0)]),
@@ -140,7 +143,11 @@
     ("reason", "history"),
     [
         ("ran 2 times", _history(_call(), [_execution(), _execution()])),
-        ("4 prompts with bad after it was known", _crashing(4)),
+        ("4 calls with bad-part after it was known", _crashing(4)),
+        (
+            "4 calls with bad-request after it was known",
+            _crashing(4, cause="bad-request", crashes=3),
+        ),
         ("got 18 calls beside its limit", _limited(18)),
         (
             "answered as not run, but ran",
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,13 +23,18 @@
         (3, seed_run.Scenario(gateways=2, diskless=3, power=True)),
         # Prompts with one part end replica after replica.
         (4, seed_run.Scenario(crashing=True)),
+        # One request, which callers repeat, ends replica after replica.
+        (21, seed_run.Scenario(crashing_request=True)),
         # A replica names a limit of calls a second.
         (8, seed_run.Scenario(limited=True)),
     ],
 )
 def test_guarantees_hold(seed, scenario):
     seconds = FAULT_INJECTION_S
-    if scenario.crashing or scenario.limited:
+    learning = (
+        scenario.crashing or scenario.crashing_request or scenario.limited
+    )
+    if learning:
         # These show only after the time that entries have to learn of them.
         seconds += LEARNING_S
     result = seed_run.run_seed(seed, seconds, scenario)
