--- a/tests/roles/gateway/test_listing.py
+++ b/tests/roles/gateway/test_listing.py
@@ -9,6 +9,7 @@
 
 from papayalink import metrics as metrics_module
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
 from papayalink.protocol import messages
 from papayalink.roles.authority import list_relay
@@ -58,13 +59,17 @@
             lambda member: self.closed.append(member.replica.address),
             metrics_module.make_metrics(),
         )
+        tables = table_exchange.make_table_set()
         self.follower = parts.make_parts_follower(
             None,
             lambda: [],
             self.fleet,
             None,
-            crashes.make_crash_observer(None, metrics_module.make_metrics()),
-            limits.make_limit_keeper(self.fleet),
+            tables,
+            crashes.make_crash_observer(
+                tables.suspects, None, metrics_module.make_metrics()
+            ),
+            limits.make_limit_keeper(tables.limits, self.fleet),
             self.listing,
             part_directory.make_part_directory(),
         )
