Log software versions of replicas and what streams take up

What callers saw: streams joined from two software versions. The logs tell neither versions nor take-ups, so a join within one answer and one over two attempts of a caller look alike.

Change: the list's `version` becomes `software` of a replica, and the header `Resumes` is read. Both are logged with streams and failed attempts; no decision uses them yet.

--- a/papayalink/platform/dialect.py
+++ b/papayalink/platform/dialect.py
@@ -17,6 +17,7 @@
 _INSTANCE = b"papayalink-instance-id"
 _VERSIONS = b"papayalink-model-versions"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _RETRY_AFTER = b"retry-after"
 
 # Headers that only the system sets; they are dropped from callers' requests.
@@ -86,6 +87,7 @@
             output_tokens=output_tokens,
             hinted_tokens=_parse_int(values.get(_LENGTH_HINT, "")),
             parts=_parse_parts(values.get(_PARTS, "")),
+            resumes=values.get(_RESUMES, ""),
             last_event_id=str(_parse_int(values.get(_LAST_EVENT, "")) or ""),
             headers=_forwardable(headers, _RESERVED),
             body=body,
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -31,6 +31,7 @@
     service: str
     address: str
     zone: str
+    version: str
     slots: int
     state: str
     cold_remaining_ms: float = 0.0
@@ -158,6 +159,7 @@
                 service=instance.service,
                 address=instance.address,
                 zone=instance.zone,
+                software=instance.version,
                 slots=instance.slots,
                 condition=_CONDITIONS[instance.state],
                 cold_s=instance.cold_remaining_ms / 1000,
--- a/papayalink/protocol/calls.py
+++ b/papayalink/protocol/calls.py
@@ -32,6 +32,8 @@
         parts: the prompt's parts in order.
         last_event_id: id of the last event that the caller received, "" for
             none.
+        resumes: id of the call that brought the first event of the stream that
+            this call takes up, "" for none.
         headers: headers that are forwarded to the upstream unchanged.
     """
 
@@ -48,6 +50,7 @@
     hinted_tokens: int = 0
     parts: tuple[Part, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
     headers: Headers = []
     body: bytes = b""
 
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -53,6 +53,7 @@
         "_stream",
         "_service",
         "_tried",
+        "_software",
         "_first_s",
         "_urgency",
         "_selection_request",
@@ -90,7 +91,9 @@
         if self._stream is not None and call.last_event_id.isdigit():
             self._stream.last_event_id = int(call.last_event_id)
         self._service = self._pick_service()
+        # Replicas that the call was sent to, and their software versions.
         self._tried: list[str] = []
+        self._software: list[str] = []
         self._first_s: float | None = None
         self._expected_s = 0.0
         self._keys = call_keys.make_call_keys(
@@ -144,6 +147,7 @@
         member = choice.member
         self._expected_s = choice.wait_s
         self._tried.append(member.replica.replica_id)
+        self._software.append(member.replica.software)
         result = self._send(member)
         match result:
             case attempt.Answered(status, first_s):
@@ -408,6 +412,7 @@
             call=self._call.call_id,
             replica=member.replica.replica_id,
             address=member.replica.address,
+            software=member.replica.software,
             outcome=repr(outcome),
             progress=result.progress.value,
             parts=",".join(part.part_id for part in self._call.parts),
@@ -439,6 +444,9 @@
             "document": shared.watcher.number,
         }
         if self._stream is not None:
+            fields["software"] = ",".join(self._software)
+            fields["resumes"] = self._call.resumes
+            fields["last_event"] = self._stream.last_event_id
             gap_s = self._stream.longest_gap_s
             shared.metrics.observe(
                 "longest_gap", gap_s, route=self._route.name
--- a/papayalink/state/replicas.py
+++ b/papayalink/state/replicas.py
@@ -19,6 +19,8 @@
         slots: calls that the replica runs concurrently.
         cold_s: time for which the replica is still slow after its start.
         weights: weight version by model.
+        software: version of its software, "" when unknown. What two versions
+            write of one stream does not fit together.
     """
 
     replica_id: str
@@ -29,3 +31,4 @@
     condition: Condition
     cold_s: float = 0.0
     weights: dict[str, int] = {}
+    software: str = ""
