Add failing tests of streams that are joined from two versions

The tests let streams of a stub replica break off after an event while others of another version serve, and have them go on within the answer, or taken up at either gateway; with a new leader and a restarted gateway as well. A take-up of a stream whose version has left, or is not known beside two versions, is to be refused; where one version serves it is to go on.

--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -19,7 +19,7 @@
 
 _STREAM_HEAD = b"HTTP/1.1 200 OK\r\n" + stubs.STAMP
 HALF_EVENT = _STREAM_HEAD + b"\r\nid: 1\nda"
-WHOLE_STREAM = _STREAM_HEAD + b"Content-Length: 16\r\n\r\nid: 1\ndata: ok\n\n"
+EVENTS = 4
 
 ROUTES = (
     stubs.make_route("resumed", traffic.RepeatPolicy.RESUMABLE, stream=True),
@@ -41,11 +41,15 @@
     Attributes:
         limit_per_s: limit that its answers name, None for none.
         breaks_off: whether its answers break off within an event.
+        breaks_after: number of the event after which they break off, None if
+            they do not.
         arrived_at: when prompts arrived.
     """
 
-    def __init__(self, site, name, crashing, last_words):
+    def __init__(self, site, name, crashing, last_words, software):
         self.name = name
+        self.software = software
+        self.breaks_after = None
         self.limit_per_s = None
         self.breaks_off = False
         self.arrived_at = []
@@ -77,14 +81,30 @@
                 gevent.sleep(0.01)
                 self.crash()
                 return
-            answer = HALF_EVENT if self.breaks_off else WHOLE_STREAM
-            if self.limit_per_s is not None:
-                limit = b"Server-Limit: %.1f\r\n" % self.limit_per_s
-                answer = answer.replace(stubs.STAMP, stubs.STAMP + limit)
-            sock.sendall(answer)
-            if self.breaks_off:
+            sock.sendall(self._answer(lines))
+            if self.breaks_off or self.breaks_after is not None:
                 return
 
+    def _answer(self, lines):
+        """Returns: the answer, whose events tell the software version."""
+        answer = stubs.STREAM
+        if self.breaks_off:
+            answer = HALF_EVENT
+        else:
+            last_event = b"0"
+            for line in lines:
+                if line.startswith(b"last-event-id:"):
+                    last_event = line.partition(b":")[2]
+            last = self.breaks_after or EVENTS
+            for number in range(int(last_event) + 1, last + 1):
+                answer += stubs.event(number, self.software)
+            if self.breaks_after is None:
+                answer += stubs.END
+        if self.limit_per_s is not None:
+            limit = b"Server-Limit: %.1f\r\n" % self.limit_per_s
+            answer = answer.replace(stubs.STAMP, stubs.STAMP + limit)
+        return answer
+
     def crash(self):
         self._server.stop()
         for sock in self._sockets:
@@ -164,7 +184,7 @@
 
     def _ask(self, address, method, message, timeout_s):
         message = messages.decode(messages.encode(message))
-        reply = self._site.member.parts(message)
+        reply = self._site.member.handlers()[method](message)
         return messages.decode(messages.encode(reply))
 
     def exchange(self):
@@ -191,11 +211,39 @@
         status, _, body = self.call(f"/{route}/".encode(), headers, body=body)
         return status, body
 
+    def stream(self, call_id, last_event=0, resumes=""):
+        """Send a prompt, or take up the stream of an earlier call.
+
+        Returns: status, the software version that wrote each event, and
+            whether the answer is whole.
+        """
+        headers = [
+            b"Papayalink-Model: m",
+            b"Papayalink-Token-Usage: 100,10",
+            b"Papayalink-Prefix-Hash: own:10",
+            b"Papayalink-Request-Id: " + call_id.encode(),
+        ]
+        if last_event:
+            headers.append(b"Last-Event-Id: %d" % last_event)
+        if resumes:
+            headers.append(b"Resumes: " + resumes.encode())
+        status, _, body = self.call(b"/resumed/", headers, partial=True)
+        data, whole = body
+        events = data.split(b"\n\n")[:-1]
+        versions = [each.rpartition(b": ")[2].decode() for each in events]
+        return status, versions, whole
+
 
 class Site:
-    """Two gateways, replicas that return after a crash, and one member."""
+    """Two gateways, replicas that return after a crash, and one member.
+
+    Args:
+        software: software version of each replica; `size` times v1 if empty.
+    """
 
-    def __init__(self, crashing=(), last_words=HALF_EVENT, size=6):
+    def __init__(
+        self, crashing=(), last_words=HALF_EVENT, size=6, software=()
+    ):
         self.arrivals = []
         self.crashed = []
         self.replicas = []
@@ -203,8 +251,8 @@
         self._last_words = last_words
         self._started = 0
         self.replace_member()
-        for _ in range(size):
-            self._start_replica()
+        for version in software or ["v1"] * size:
+            self.start_replica(version)
         self.entries = [Entry(self, f"e{number}") for number in range(2)]
         self.settle()
 
@@ -224,7 +272,7 @@
         for replica in list(self.replicas):
             if replica.name in self.crashed:
                 self.replicas.remove(replica)
-                self._start_replica()
+                self.start_replica(replica.software)
         for entry in self.entries:
             entry.fleet.update(
                 replicas.Replica(
@@ -235,6 +283,7 @@
                     slots=8,
                     condition=replicas.Condition.READY,
                     weights={"m": 1},
+                    software=replica.software,
                 )
                 for replica in self.replicas
             )
@@ -243,6 +292,9 @@
             for entry in self.entries:
                 entry.exchange()
 
+    def observe_for_long(self):
+        """Let the entries know the list for longer than a stream lasts."""
+
     def run(self, prompts_per_s, seconds):
         """Let each entry send prompts and exchange reports all the time.
 
@@ -276,12 +328,20 @@
         )
         return statuses
 
-    def _start_replica(self):
+    def start_replica(self, software):
+        """Returns: a replica that is listed from the next settling on."""
         name = f"models{self._started}"
         self._started += 1
         self.replicas.append(
-            Replica(self, name, self._crashing, self._last_words)
+            Replica(self, name, self._crashing, self._last_words, software)
         )
+        return self.replicas[-1]
+
+    def remove(self, replica):
+        """Let a replica end after it has left the list."""
+        self.replicas.remove(replica)
+        self.settle()
+        replica.stop()
 
     def stop(self):
         for entry in self.entries:
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -37,9 +37,10 @@
 END = b"0\r\n\r\n"
 
 
-def event(number):
+def event(number, text=None):
     """Returns: one event of a stream as a chunk."""
-    data = b"id: %d\ndata: p%d\n\n" % (number, number)
+    text = text or f"p{number}"
+    data = b"id: %d\ndata: %s\n\n" % (number, text.encode())
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
@@ -147,6 +148,7 @@
                 slots=8,
                 condition=replicas.Condition.READY,
                 weights={"m": 1} if service == "models" else {},
+                software=getattr(upstream, "software", "v1"),
             )
             for service in ("desk", "models")
             for upstream in upstreams
@@ -177,8 +179,20 @@
         )
         self.server.start()
 
-    def call(self, path, headers=(), method=b"POST", body=b"hi", timeout_s=5):
-        """Returns: status, headers and body; body None if it is incomplete."""
+    def call(
+        self,
+        path,
+        headers=(),
+        method=b"POST",
+        body=b"hi",
+        timeout_s=5,
+        partial=False,
+    ):
+        """Returns: status, headers and body; body None if it is incomplete.
+
+        Args:
+            partial: return what there is of the body, and whether it is whole.
+        """
         lines = [
             method + b" " + path + b" HTTP/1.1",
             b"Host: a.example",
@@ -192,7 +206,7 @@
             self.server.address, timeout=timeout_s
         ) as sock:
             sock.sendall(b"\r\n".join([*lines, b"", body]))
-            return _read(sock)
+            return _read(sock, partial)
 
     def stop_serving(self):
         self.server.stop(0.1)
@@ -203,13 +217,13 @@
             upstream.server.stop()
 
 
-def _read(sock):
+def _read(sock, partial):
     received = b""
     while chunk := sock.recv(65536):
         received += chunk
     head, _, body = received.partition(b"\r\n\r\n")
     if not head:
-        return None, {}, None
+        return None, {}, (b"", False) if partial else None
     lines = head.split(b"\r\n")
     headers = {
         name.lower(): value.strip()
@@ -217,17 +231,21 @@
     }
     status = int(lines[0].split()[1])
     if b"content-length" in headers:
-        complete = len(body) == int(headers[b"content-length"])
-        return status, headers, body if complete else None
-    return status, headers, _join_chunks(body)
+        whole = len(body) == int(headers[b"content-length"])
+    else:
+        body, whole = _join_chunks(body)
+    if partial:
+        return status, headers, (body, whole)
+    return status, headers, body if whole else None
 
 
 def _join_chunks(data):
+    """Returns: the content of the chunks, and whether the last one came."""
     joined = b""
     while data:
         size, _, data = data.partition(b"\r\n")
         if not int(size, 16):
-            return joined
+            return joined, True
         joined += data[: int(size, 16)]
         data = data[int(size, 16) + 2 :]
-    return None
+    return joined, False
--- /dev/null
+++ b/tests/roles/gateway/test_joined_versions.py
@@ -0,0 +1,144 @@
+"""Tests of streams while replicas of two software versions serve."""
+
+import pytest
+
+from tests.roles.gateway import sites
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def make(*software):
+        started.append(sites.Site(software=software))
+        return started[-1]
+
+    yield make
+    for site in started:
+        site.stop()
+
+
+def _begin(site, call_id="first"):
+    """Let a stream break off after its first event at the first replica.
+
+    Returns: software version of the replica that began it.
+    """
+    first = site.replicas[0]
+    for replica in site.replicas[1:]:
+        replica.breaks_after = 0
+    first.breaks_after = 1
+    _use_only(site, first)
+    status, versions, whole = site.entries[0].stream(call_id)
+    assert (status, versions, whole) == (200, [first.software], False)
+    _use_only(site, *site.replicas)
+    for replica in site.replicas:
+        replica.breaks_after = None
+    return first.software
+
+
+def _use_only(site, *replicas):
+    """Let new calls go to some of the replicas, as if the rest were full."""
+    for entry in site.entries:
+        for member in entry.fleet.all_members():
+            used = member.replica.replica_id in {
+                each.name for each in replicas
+            }
+            member.set_reachable(used)
+
+
+@pytest.mark.parametrize(
+    ("others", "whole"),
+    [(["v2"] * 4, False), (["v2", "v2", "v2", "v1"], True)],
+    ids=["no-other", "one-other"],
+)
+def test_stream_goes_on_only_at_its_version_within_an_answer(
+    start, others, whole
+):
+    """Guards against answers joined from two software versions."""
+    for _ in range(4):
+        site = start("v1", *others)
+        site.replicas[0].breaks_after = 1
+        answers = [site.entries[0].stream(f"c{each}") for each in range(4)]
+        for status, versions, was_whole in answers:
+            assert status == 200
+            assert len(set(versions)) == 1
+            assert was_whole or (not whole and versions == ["v1"])
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        None,
+        sites.Site.replace_member,
+        sites.Site.replace_entry,
+    ],
+    ids=["calm", "new-leader", "restarted-entry"],
+)
+def test_take_up_at_another_entry_goes_on_at_the_same_version(start, change):
+    """Guards against take-ups joined from two software versions."""
+    site = start("v1", "v2", "v2", "v2", "v1")
+    assert _begin(site) == "v1"
+    site.settle()
+    if change is not None:
+        change(site)
+        site.settle()
+    for number, entry in enumerate(site.entries * 3):
+        answer = entry.stream(f"again{number}", 1, "first")
+        assert answer == (200, ["v1"] * 3, True)
+
+
+def test_take_up_whose_version_has_left_is_refused(start):
+    site = start("v1", "v2", "v2")
+    _begin(site)
+    site.settle()
+    site.remove(site.replicas[0])
+    for entry in site.entries:
+        assert entry.stream("again", 1, "first")[0] == 503
+
+
+def _lose_all(site):
+    """Let all entries and the member start again without what they knew."""
+    site.replace_member()
+    for entry in site.entries:
+        entry.stop_serving()
+    site.entries = [sites.Entry(site, f"e{each}") for each in range(2)]
+
+
+@pytest.mark.parametrize("versions", [("v1", "v2"), ("v1", "v1", "v2")])
+def test_take_up_of_an_unknown_stream_is_refused_beside_two_versions(
+    start, versions
+):
+    """Guards against an unknown version that counts as any version."""
+    site = start(*versions)
+    _begin(site)
+    _lose_all(site)
+    site.settle()
+    for number, entry in enumerate(site.entries * 4):
+        assert entry.stream(f"again{number}", 1, "first")[0] == 503
+
+
+def test_take_up_of_an_unknown_stream_is_refused_if_a_version_just_left(start):
+    """The stream may have begun at the version that has left."""
+    site = start("v1", "v2", "v2")
+    _begin(site, "first")
+    site.remove(site.replicas[0])
+    for entry in site.entries:
+        assert entry.stream("again", 1, "unheard")[0] == 503
+
+
+def test_take_up_of_an_unknown_stream_goes_on_where_one_version_serves(start):
+    site = start("v1", "v1", "v1")
+    site.observe_for_long()
+    for entry in site.entries:
+        answer = entry.stream("again", 1, "unheard")
+        assert answer == (200, ["v1"] * 3, True)
+
+
+def test_new_streams_begin_at_any_version(start):
+    site = start("v1", "v2", "v1", "v2")
+    begun = set()
+    for number in range(20):
+        status, versions, whole = site.entries[number % 2].stream(f"c{number}")
+        assert (status, whole, len(set(versions))) == (200, True, 1)
+        begun.add(versions[0])
+    assert begun == {"v1", "v2"}
