Let a stream go on only at the software version that began it

Cause: nothing read the versions that the list names, so a stream went on at any replica, within an answer and when its caller took it up; and an entry at which a stream is taken up did not know where it had begun.

Change: within an answer the rest is sent to replicas of the version whose head was passed on. Entries report which version began each stream that may be resumed; members keep these rows for 30 s, tell each other and append them to a file, and entries ask for a stream that they do not know. Only new rows are sent. A stream that nobody knows goes on if only one version was in service for 35 s, by a table with one row for each service and version, and is refused otherwise. All tables of a member are kept in one file, in place of that of suspects.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -63,6 +63,8 @@
         memory_tokens: most tokens of memory that the call will hold.
         capacity_tokens: memory of a replica in tokens, 0 when not known.
         yields: whether there may be more urgent calls, which may preempt it.
+        software: software version that the replica must have, None for any;
+            no replica is known to have the version "".
     """
 
     service: str
@@ -74,6 +76,7 @@
     memory_tokens: int = 0
     capacity_tokens: int = 0
     yields: bool = False
+    software: str | None = None
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -198,6 +201,13 @@
     def members(self, service: str) -> list[fleet_member.Member]:
         return self._by_service.get(service, [])
 
+    def software(self) -> dict[str, set[str]]:
+        """Returns: software versions of the listed replicas, by service."""
+        return {
+            service: {member.replica.software for member in members}
+            for service, members in self._by_service.items()
+        }
+
     def own_work(self) -> tuple[messages.ReplicaWork, ...]:
         """Returns: unfinished work of this entry, by replica."""
         return tuple(
@@ -264,6 +274,7 @@
             for member in self.members(request.service)
             if member.usable(now)
             and member.replica.replica_id not in excluded
+            and _has_software(member, request.software)
             and (not request.model or self._has_weights(member, request, now))
         ]
         if not members:
@@ -388,6 +399,12 @@
         return cost_s, wait_s, own_s
 
 
+def _has_software(member: fleet_member.Member, software: str | None) -> bool:
+    if software is None:
+        return True
+    return bool(software) and member.replica.software == software
+
+
 def _nonzero(counts: dict[int, int]) -> tuple[tuple[int, int], ...]:
     return tuple(
         (urgency, count) for urgency, count in counts.items() if count
--- /dev/null
+++ b/papayalink/coordination/software_history.py
@@ -0,0 +1,150 @@
+"""Software versions that each service had lately.
+
+Tells which version began a stream that is not known itself: if only one
+version can have begun it, it goes on there. That needs a record of the whole
+time in which it may have begun.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Set
+
+from papayalink.coordination import stream_origins
+from papayalink.protocol import shared_tables
+
+# A version that stays in service is reported again this often.
+REFRESH_S = 5.0
+# No streams begin while all entries are down. A longer time without a record
+# may also be one in which others recorded what this process does not know.
+MAX_GAP_S = 10.0
+KEEP_S = stream_origins.STREAM_LIFETIME_S + REFRESH_S
+MAX_ROWS = 256
+# Key of the row that tells from when to when versions were recorded.
+_RECORD = ("", "")
+
+
+class _Span:
+    """Time in which a version was listed.
+
+    Attributes:
+        reported_until: the end that others may know.
+    """
+
+    __slots__ = ("since", "until", "reported_until")
+
+    def __init__(self, since: float, until: float) -> None:
+        self.since = since
+        self.until = until
+        self.reported_until = until
+
+
+class SoftwareHistory:
+    """Versions by service, at an entry or a control member.
+
+    Attributes:
+        version: changes with the table.
+    """
+
+    __slots__ = ("version", "_spans")
+
+    def __init__(self) -> None:
+        self.version = 0
+        # By service and software version.
+        self._spans: dict[tuple[str, str], _Span] = {}
+
+    def note(self, listed: Mapping[str, Set[str]], now: float) -> None:
+        """Record the versions that are listed now, by service."""
+        self._extend(_RECORD, now, now)
+        for service, versions in listed.items():
+            for software in versions:
+                self._extend((service, software), now, now)
+
+    def note_first_start(self, now: float) -> None:
+        """Record that no stream has begun before now."""
+        self._extend(_RECORD, now - KEEP_S, now)
+
+    def only_version(self, service: str, now: float) -> str | None:
+        """Returns: the version that began any stream to a service.
+
+        None if several may have, or if it is not known.
+        """
+        record = self._spans.get(_RECORD)
+        oldest = now - KEEP_S
+        if record is None or record.since > oldest:
+            return None
+        versions = {
+            software
+            for (each, software), span in self._spans.items()
+            if each == service and span.until >= oldest
+        }
+        if len(versions) != 1:
+            return None
+        # An unknown version may be any.
+        return versions.pop() or None
+
+    def encode(
+        self, now: float, since: int = 0
+    ) -> tuple[shared_tables.SoftwareSpan, ...]:
+        """Returns: the whole table, with ages instead of times."""
+        rows = []
+        for (service, software), span in self._spans.items():
+            span.reported_until = span.until
+            rows.append(
+                shared_tables.SoftwareSpan(
+                    service,
+                    software,
+                    _age_ms(span.since, now),
+                    _age_ms(span.until, now),
+                )
+            )
+        return tuple(rows)
+
+    def merge(
+        self, reported: Iterable[shared_tables.SoftwareSpan], now: float
+    ) -> None:
+        """Add what another process knows."""
+        for each in reported:
+            since = now - each.since_age_ms / 1000
+            until = now - each.until_age_ms / 1000
+            self._extend((each.service, each.software), since, until)
+
+    def expire(self, now: float) -> None:
+        """Forget versions that were in service long ago."""
+        self._spans = {
+            key: span
+            for key, span in self._spans.items()
+            if now - span.until <= 2 * KEEP_S
+        }
+
+    def _extend(
+        self, key: tuple[str, str], since: float, until: float
+    ) -> None:
+        span = self._spans.get(key)
+        if span is None:
+            if len(self._spans) < MAX_ROWS:
+                self._spans[key] = _Span(since, until)
+                self.version += 1
+            return
+        if key == _RECORD and since > span.until + MAX_GAP_S:
+            span.since = since
+            span.until = until
+            self.version += 1
+            return
+        if key == _RECORD and until < span.since - MAX_GAP_S:
+            return
+        # Older times than are kept make no difference.
+        if since < span.since - REFRESH_S and span.since > until - KEEP_S:
+            span.since = since
+            self.version += 1
+        span.until = max(span.until, until)
+        if span.until > span.reported_until + REFRESH_S:
+            span.reported_until = span.until
+            self.version += 1
+
+
+def _age_ms(at: float, now: float) -> int:
+    return max(0, int((now - at) * 1000))
+
+
+def make_software_history() -> SoftwareHistory:
+    return SoftwareHistory()
--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -8,11 +8,16 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import secrets
 from typing import Protocol
 
+import msgspec
+
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import named_limits
+from papayalink.coordination import software_history
+from papayalink.coordination import stream_origins
 from papayalink.protocol import shared_tables
 
 
@@ -40,32 +45,64 @@
             its earlier runs.
         suspects: requests and parts that may end replicas.
         limits: limits that replicas name.
+        origins: software versions that began streams.
+        software: software versions that services had.
     """
 
-    __slots__ = ("run", "suspects", "limits")
+    __slots__ = ("run", "suspects", "limits", "origins", "software")
 
     def __init__(self) -> None:
         self.run = secrets.token_hex(4)
         self.suspects = crash_suspects.make_crash_suspects()
         self.limits = named_limits.make_named_limits()
+        self.origins = stream_origins.make_stream_origins()
+        self.software = software_history.make_software_history()
 
     def by_name(self) -> dict[str, Table]:
         """Returns: the tables by their fields in `shared_tables.Tables`."""
-        return {"suspects": self.suspects, "limits": self.limits}
+        return {
+            "suspects": self.suspects,
+            "limits": self.limits,
+            "origins": self.origins,
+            "software": self.software,
+        }
+
+    def versions(self) -> dict[str, int]:
+        return {name: table.version for name, table in self.by_name().items()}
+
+    def changes(
+        self, since: Mapping[str, int], now: float
+    ) -> shared_tables.Tables:
+        """Returns: what has changed after these versions of the tables."""
+        rows = {
+            name: _changes(table, since.get(name, 0), now)
+            for name, table in self.by_name().items()
+        }
+        return shared_tables.Tables(self.run, self.versions(), **rows)
+
+    def merge(self, tables: shared_tables.Tables, now: float) -> None:
+        for name, table in self.by_name().items():
+            table.merge(getattr(tables, name), now)
+
+    def expire(self, now: float) -> None:
+        for table in self.by_name().values():
+            table.expire(now)
 
     def answer(
         self, told: shared_tables.Tables, now: float
     ) -> shared_tables.Tables:
         """Merge what a process tells, and return what it lacks."""
-        rows = {}
-        versions = {}
-        for name, table in self.by_name().items():
-            table.expire(now)
-            table.merge(getattr(told, name), now)
-            known = told.versions.get(name, 0) if told.run == self.run else 0
-            rows[name] = _changes(table, known, now)
-            versions[name] = table.version
-        return shared_tables.Tables(self.run, versions, **rows)
+        self.expire(now)
+        self.merge(told, now)
+        known = told.versions if told.run == self.run else {}
+        return self.changes(known, now)
+
+    def answer_entry(
+        self, told: shared_tables.Tables, now: float
+    ) -> shared_tables.Tables:
+        """The same for an entry, which asks for origins when it needs one."""
+        reply = self.answer(told, now)
+        return msgspec.structs.replace(reply, origins=())
 
 
 class TableExchange:
@@ -78,7 +115,7 @@
     __slots__ = ("_tables", "_run", "_known", "_told", "_telling")
 
     def __init__(self, tables: TableSet) -> None:
-        self._tables = tables.by_name()
+        self._tables = tables
         # Run of the member that answered last, the versions of its tables, and
         # the versions of the own tables that it knows.
         self._run = ""
@@ -88,12 +125,12 @@
 
     def report(self, now: float) -> shared_tables.Tables:
         """Returns: what the member may not know."""
-        rows = {}
-        for name, table in self._tables.items():
-            table.expire(now)
-            self._telling[name] = table.version
-            rows[name] = _changes(table, self._told.get(name, 0), now)
-        return shared_tables.Tables(self._run, dict(self._known), **rows)
+        self._tables.expire(now)
+        self._telling = self._tables.versions()
+        changes = self._tables.changes(self._told, now)
+        return msgspec.structs.replace(
+            changes, run=self._run, versions=dict(self._known)
+        )
 
     def merge(self, reply: shared_tables.Tables, now: float) -> frozenset[str]:
         """Merge the member's reply to the last report.
@@ -105,7 +142,7 @@
         complete = reply.run == self._run or not self._told
         self._run = reply.run
         changed = set()
-        for name, table in self._tables.items():
+        for name, table in self._tables.by_name().items():
             rows = getattr(reply, name)
             unchanged = table.version == self._telling[name]
             if rows:
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -383,6 +383,24 @@
     tables: shared_tables.Tables
 
 
+class FindOrigin(Message):
+    """An entry asks which software version began a stream."""
+
+    stream: str
+
+
+class OriginReply(Message):
+    """What a member knows of it.
+
+    Attributes:
+        origins: the stream's row, none if it is not known.
+        software: versions that services had lately.
+    """
+
+    origins: tuple[shared_tables.StreamOrigin, ...]
+    software: tuple[shared_tables.SoftwareSpan, ...]
+
+
 class Lookup(Message):
     """Asks a store which pieces it has published."""
 
@@ -426,6 +444,8 @@
     | Parts
     | PartsReply
     | ShareTables
+    | FindOrigin
+    | OriginReply
     | Lookup
     | LookupReply
 )
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -48,6 +48,32 @@
     age_ms: int
 
 
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """Where the newest part of a stream was written.
+
+    Attributes:
+        stream: id of the call that brought its first event.
+        age_ms: time since that part began.
+    """
+
+    stream: str
+    service: str
+    software: str
+    age_ms: int
+
+
+class SoftwareSpan(msgspec.Struct, frozen=True, array_like=True):
+    """Time in which replicas of a service had a software version.
+
+    Without a service and a version, the time in which that was recorded.
+    """
+
+    service: str
+    software: str
+    since_age_ms: int
+    until_age_ms: int
+
+
 class Tables(msgspec.Struct, frozen=True, array_like=True):
     """Changed rows of the tables of one process.
 
@@ -62,3 +88,5 @@
     versions: dict[str, int] = {}
     suspects: tuple[Suspect, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    origins: tuple[StreamOrigin, ...] = ()
+    software: tuple[SoftwareSpan, ...] = ()
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import os
 import shutil
+import time
 
 from papayalink import node_settings
 from papayalink import tasks
@@ -22,8 +23,8 @@
 from papayalink.roles.authority import observed_machine
 from papayalink.roles.authority import service
 from papayalink.roles.authority import store_watch
-from papayalink.roles.authority import suspects_keeper
 from papayalink.roles.authority import table_follower
+from papayalink.roles.authority import tables_keeper
 from papayalink.roles.authority import weights
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import peers
@@ -128,9 +129,11 @@
         tasks.spawn(self._run_replica)
         self._relay.start()
         if self._node.settings.data_folder is not None:
-            suspects_keeper.make_suspects_keeper(
-                self._node.settings.data_folder, self._service.tables.suspects
+            tables_keeper.make_tables_keeper(
+                self._node.settings.data_folder, self._service.tables
             ).start()
+        if self._node.settings.first_start:
+            self._service.tables.software.note_first_start(time.monotonic())
         table_follower.make_table_follower(
             self._node, self._state, self._service.tables
         ).start()
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -102,6 +102,7 @@
             "Watch": self.watch,
             "Parts": self.parts,
             "ShareTables": self.share_tables,
+            "FindOrigin": self.find_origin,
             "Propose": self.propose,
             "Deliver": self.deliver,
             "Describe": self.describe,
@@ -138,7 +139,7 @@
         self._load_reports.report(
             message.process, message.work, now, message.lost
         )
-        tables = self._tables.answer(message.tables, now)
+        tables = self._tables.answer_entry(message.tables, now)
         trials = self._tables.suspects.grant_trials(message.refused, now)
         self._relay.note_demand()
         self._stores.note_demand()
@@ -187,6 +188,16 @@
             self._tables.answer(message.tables, time.monotonic())
         )
 
+    def find_origin(
+        self, message: messages.FindOrigin
+    ) -> messages.OriginReply:
+        """Tell an entry which software version began a stream."""
+        now = time.monotonic()
+        return messages.OriginReply(
+            self._tables.origins.encode_one(message.stream, now),
+            self._tables.software.encode(now),
+        )
+
     def propose(self, message: messages.Propose) -> messages.Outcome:
         """Commit a command; only possible on the leader."""
         try:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -14,6 +14,7 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import shared as shared_parts
+from papayalink.roles.gateway import take_ups
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import errors
@@ -51,6 +52,7 @@
         "_deadline",
         "_attempts",
         "_stream",
+        "_version",
         "_service",
         "_tried",
         "_software",
@@ -72,6 +74,7 @@
         directory: traffic.TrafficDirectory,
         responder: caller_server.Responder,
         received_at: float,
+        version: take_ups.Version,
     ) -> None:
         self._shared = shared
         self._call = call
@@ -90,6 +93,7 @@
         self._stream = attempt.StreamState() if route.stream else None
         if self._stream is not None and call.last_event_id.isdigit():
             self._stream.last_event_id = int(call.last_event_id)
+        self._version = version
         self._service = self._pick_service()
         # Replicas that the call was sent to, and their software versions.
         self._tried: list[str] = []
@@ -114,11 +118,19 @@
             service and service.engine,
             self._urgent_objective_s() is not None,
         )
+        if (
+            isinstance(version, take_ups.OnlyVersion)
+            and version.service == self._service
+        ):
+            self._require_software(version.software)
 
     def run(self) -> None:
         """Send the call until it is answered, refused or given up."""
         budget = self._shared.budgets.for_service(self._service)
         budget.note_request(time.monotonic())
+        if isinstance(self._version, take_ups.UnknownVersion):
+            self._end_without_replica("version of the stream is not known")
+            return
         try:
             while self._try_once(budget):
                 pass
@@ -234,6 +246,7 @@
                     queued_tokens + int(own_tokens), time.monotonic() - now
                 )
             self._observations.note_head(member, answer, now)
+            self._note_begun(member, answer)
 
         sending_attempt = attempt.make_attempt(
             self._shared.dialect,
@@ -274,6 +287,25 @@
                 self._observations.note_failure(member, result, now)
         return result
 
+    def _note_begun(
+        self, member: fleet_member.Member, answer: calls.Answer
+    ) -> None:
+        """Let a stream that begins go on at the same version only."""
+        passed_on = answer.has_server_stamp and 200 <= answer.status < 300
+        if self._stream is None or answer.not_run or not passed_on:
+            return
+        software = member.replica.software
+        self._require_software(software)
+        if self._route.repeat is traffic.RepeatPolicy.RESUMABLE:
+            self._shared.take_ups.note_begun(
+                self._call, self._service, software
+            )
+
+    def _require_software(self, software: str) -> None:
+        self._selection_request = msgspec.structs.replace(
+            self._selection_request, software=software
+        )
+
     def _check_silence(
         self, member: fleet_member.Member, silent_s: float
     ) -> None:
@@ -392,6 +424,11 @@
 
     def _pick_service(self) -> str:
         targets = self._route.targets
+        match self._version:
+            case take_ups.OnlyVersion(service) if any(
+                target.service == service for target in targets
+            ):
+                return service
         if len(targets) == 1:
             return targets[0].service
         weights = [target.weight for target in targets]
@@ -475,7 +512,15 @@
     directory: traffic.TrafficDirectory,
     responder: caller_server.Responder,
     received_at: float,
+    version: take_ups.Version = take_ups.AnyVersion(),
 ) -> CallRun:
     return CallRun(
-        shared, call, route, workspace, directory, responder, received_at
+        shared,
+        call,
+        route,
+        workspace,
+        directory,
+        responder,
+        received_at,
+        version,
     )
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -63,6 +63,7 @@
             directory,
             responder,
             received_at,
+            self._shared.take_ups.find_version(call, route),
         ).run()
 
     def _reject(
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -65,6 +65,7 @@
         "_fleet",
         "_liveness",
         "_crashes",
+        "_shared_tables",
         "_tables",
         "_limit_keeper",
         "_listing",
@@ -96,6 +97,7 @@
         self._liveness = liveness
         self._crashes = crashes
         self._limit_keeper = limit_keeper
+        self._shared_tables = tables
         self._tables = table_exchange.make_table_exchange(tables)
         self._listing = listing
         self._list_number = 0
@@ -130,6 +132,7 @@
 
     def _exchange(self, address: str) -> bool:
         now = time.monotonic()
+        self._shared_tables.software.note(self._fleet.software(), now)
         message = messages.Parts(
             self._node.settings.name,
             self._source,
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -24,6 +24,7 @@
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
 from papayalink.roles.gateway import shared
+from papayalink.roles.gateway import take_ups
 from papayalink.roles.gateway import watching
 from papayalink.state import part_directory
 from papayalink.state import traffic
@@ -116,6 +117,9 @@
                 liveness,
                 self._crashes,
                 limit_keeper,
+                take_ups.make_take_ups(
+                    node, self._watcher.authorities, tables, node.metrics
+                ),
                 node.metrics,
             )
         )
--- a/papayalink/roles/gateway/shared.py
+++ b/papayalink/roles/gateway/shared.py
@@ -12,6 +12,7 @@
 from papayalink.roles.gateway import crashes as crash_observers
 from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import liveness as livenesses
+from papayalink.roles.gateway import take_ups
 from papayalink.roles.gateway import watching
 from papayalink.transport import upstream_channels
 
@@ -29,6 +30,7 @@
         liveness: checks whether silent replicas can be reached.
         crashes: relates the ends of replicas to prompts.
         limits: this entry's share of the limits that replicas name.
+        take_ups: finds the software versions at which streams go on.
         overloads: how long prompts have been refused, by service.
     """
 
@@ -42,6 +44,7 @@
         "liveness",
         "crashes",
         "limits",
+        "take_ups",
         "overloads",
         "metrics",
         "rng",
@@ -59,6 +62,7 @@
         liveness: livenesses.Liveness,
         crashes: crash_observers.CrashObserver,
         limits: limit_keepers.LimitKeeper,
+        take_up_finder: take_ups.TakeUps,
         metrics: metrics_module.Metrics,
     ) -> None:
         self.dialect = dialect
@@ -70,6 +74,7 @@
         self.liveness = liveness
         self.crashes = crashes
         self.limits = limits
+        self.take_ups = take_up_finder
         self.overloads: dict[str, shedding.OverloadTimer] = {}
         self.metrics = metrics
         self.rng = random.Random()
@@ -86,6 +91,7 @@
     liveness: livenesses.Liveness,
     crashes: crash_observers.CrashObserver,
     limits: limit_keepers.LimitKeeper,
+    take_up_finder: take_ups.TakeUps,
     metrics: metrics_module.Metrics,
 ) -> Shared:
     return Shared(
@@ -98,5 +104,6 @@
         liveness,
         crashes,
         limits,
+        take_up_finder,
         metrics,
     )
--- /dev/null
+++ b/papayalink/roles/gateway/take_ups.py
@@ -0,0 +1,158 @@
+"""Decides at which software version a call's stream may go on."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+import gevent
+import msgspec
+
+from papayalink import logs
+from papayalink import metrics as metrics_module
+from papayalink.coordination import table_exchange
+from papayalink.protocol import calls
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.state import traffic
+from papayalink.transport import errors
+
+# A member answers from memory within a few ms. The caller of a stream waits
+# meanwhile, twice at most.
+ASK_TIMEOUT_S = 0.4
+
+
+class AnyVersion(msgspec.Struct, frozen=True):
+    """The caller has no event yet, so that any version may begin."""
+
+
+class OnlyVersion(msgspec.Struct, frozen=True):
+    """The stream goes on at the version that began it.
+
+    Attributes:
+        service: the service that began it.
+    """
+
+    service: str
+    software: str
+
+
+class UnknownVersion(msgspec.Struct, frozen=True):
+    """The stream began at one of several versions, which is not known."""
+
+
+Version = AnyVersion | OnlyVersion | UnknownVersion
+
+
+def stream_key(call: calls.Call) -> str:
+    """Returns: id of the call that brought the first event of the stream."""
+    return call.resumes or call.call_id
+
+
+class TakeUps:
+    """Finds the versions that began streams which callers take up.
+
+    Args:
+        members: returns the addresses of members, the preferred one first.
+        tables: hold what this entry knows, and what it is told.
+    """
+
+    __slots__ = ("_node", "_members", "_tables", "_metrics", "_log")
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        members: Callable[[], list[str]],
+        tables: table_exchange.TableSet,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._tables = tables
+        self._metrics = metrics
+        self._log = logs.get_logger()
+
+    def find_version(self, call: calls.Call, route: traffic.Route) -> Version:
+        """Find out at which version the stream of a call may go on.
+
+        Asks members for a stream that began at another entry, unless only one
+        version can have begun it.
+        """
+        if (
+            route.repeat is not traffic.RepeatPolicy.RESUMABLE
+            or not call.last_event_id
+        ):
+            return AnyVersion()
+        version = self._find(call, route)
+        self._metrics.count("take_ups", version=type(version).__name__)
+        return version
+
+    def note_begun(
+        self, call: calls.Call, service: str, software: str
+    ) -> None:
+        """Record that a replica writes the stream of a call from now on."""
+        if software:
+            self._tables.origins.note(
+                stream_key(call), service, software, time.monotonic()
+            )
+
+    def _find(self, call: calls.Call, route: traffic.Route) -> Version:
+        version = self._look_up(call)
+        if version is None and len(route.targets) == 1:
+            version = self._only_version(route)
+        if version is None and call.resumes:
+            leader, *others = self._members() or [""]
+            for group in ([leader], others):
+                self._ask(call.resumes, group)
+                version = self._look_up(call)
+                if version is not None:
+                    break
+        return version or self._only_version(route) or UnknownVersion()
+
+    def _look_up(self, call: calls.Call) -> OnlyVersion | None:
+        origin = self._tables.origins.find(stream_key(call), time.monotonic())
+        return origin and OnlyVersion(origin.service, origin.software)
+
+    def _only_version(self, route: traffic.Route) -> OnlyVersion | None:
+        """Returns: the version, if each target has had only one."""
+        versions = []
+        for target in route.targets:
+            software = self._tables.software.only_version(
+                target.service, time.monotonic()
+            )
+            if software is None:
+                return None
+            versions.append(OnlyVersion(target.service, software))
+        return versions[0] if versions else None
+
+    def _ask(self, stream: str, members: Iterable[str]) -> None:
+        """Ask members at the same time, and merge what they know."""
+        asked = [
+            gevent.spawn(self._ask_member, member, stream)
+            for member in members
+            if member
+        ]
+        gevent.joinall(asked)
+
+    def _ask_member(self, member: str, stream: str) -> None:
+        try:
+            reply = self._node.rpc_client.call(
+                member,
+                "FindOrigin",
+                messages.FindOrigin(stream),
+                ASK_TIMEOUT_S,
+            )
+        except errors.TransportError as error:
+            self._log.debug("origin_not_read", member=member, reason=error)
+            return
+        now = time.monotonic()
+        self._tables.origins.merge(reply.origins, now)
+        self._tables.software.merge(reply.software, now)
+
+
+def make_take_ups(
+    node: nodes.Node,
+    members: Callable[[], list[str]],
+    tables: table_exchange.TableSet,
+    metrics: metrics_module.Metrics,
+) -> TakeUps:
+    return TakeUps(node, members, tables, metrics)
--- /dev/null
+++ b/tests/coordination/test_software_history.py
@@ -0,0 +1,93 @@
+"""Tests of the record of software versions that services had."""
+
+import pytest
+
+from papayalink.coordination import software_history
+
+_KEEP_S = software_history.KEEP_S
+
+
+def _observe(table, since, until, versions=("v1",)):
+    at = since
+    while at <= until:
+        table.note({"s": set(versions)}, at)
+        at += 1.0
+
+
+@pytest.mark.parametrize(
+    ("spans", "version"),
+    [
+        # Times in which versions were listed, up to second 100.
+        ([(0, 100, {"v1"})], "v1"),
+        ([(0, 100, {"v1", "v2"})], None),
+        ([(0, 90, {"v1"}), (91, 100, {"v2"})], None),
+        # Streams of the old version have all ended.
+        ([(0, 50, {"v1"}), (51, 100, {"v2"})], "v2"),
+        # The record does not go back far enough.
+        ([(80, 100, {"v1"})], None),
+        ([(0, 100, {""})], None),
+        ([(0, 100, {"v1", ""})], None),
+        # All were down for a while.
+        ([(0, 94, {"v1"}), (100, 100, {"v1"})], "v1"),
+        ([(0, 94, {"v1"}), (100, 100, {"v2"})], None),
+        ([(0, 80, {"v1"}), (100, 100, {"v1"})], None),
+    ],
+)
+def test_version_that_alone_can_have_begun_a_stream(spans, version):
+    """Guards against an unknown version that counts as any version."""
+    table = software_history.make_software_history()
+    for since, until, versions in spans:
+        _observe(table, since, until, versions)
+    assert table.only_version("s", 100.0) == version
+    assert table.only_version("other", 100.0) is None
+
+
+def test_first_start_is_a_record_of_all_time_before():
+    table = software_history.make_software_history()
+    table.note_first_start(0.0)
+    table.note({"s": {"v1"}}, 1.0)
+    assert table.only_version("s", 1.0) == "v1"
+
+
+def test_copies_learn_the_record_and_soon_stop_changing():
+    old = software_history.make_software_history()
+    _observe(old, 0.0, 99.0, {"v1"})
+    new = software_history.make_software_history()
+    new.note({"s": {"v1"}}, 100.0)
+    assert new.only_version("s", 100.0) is None
+    new.merge(old.encode(100.0), 100.1)
+    assert new.only_version("s", 100.1) == "v1"
+    for _ in range(2):
+        old.merge(new.encode(100.2), 100.3)
+        new.merge(old.encode(100.3), 100.4)
+    versions = old.version, new.version
+    old.merge(new.encode(100.5), 100.6)
+    new.merge(old.encode(100.6), 100.7)
+    assert (old.version, new.version) == versions
+
+
+def test_version_that_left_is_known_to_copies_for_long_enough():
+    """A copy hears of a version in service only now and then."""
+    entry = software_history.make_software_history()
+    member = software_history.make_software_history()
+    version = None
+    for tenth in range(2000):
+        now = tenth / 10
+        versions = {"v1", "v2"} if now < 100 else {"v2"}
+        entry.note({"s": versions}, now)
+        if entry.version != version:
+            version = entry.version
+            member.merge(entry.encode(now), now)
+        if 100 <= now < 130:
+            assert member.only_version("s", now) is None
+    assert version < 200
+    assert member.only_version("s", now) == "v2"
+
+
+def test_history_is_bounded():
+    table = software_history.make_software_history()
+    for number in range(1000):
+        table.note({f"s{number}": {"v1"}}, 0.0)
+    assert len(table.encode(0.0)) == software_history.MAX_ROWS
+    table.expire(3 * _KEEP_S)
+    assert not table.encode(0.0)
--- a/tests/coordination/test_table_exchange.py
+++ b/tests/coordination/test_table_exchange.py
@@ -18,15 +18,18 @@
 
     def ask(self, member, now):
         told = _transfer(self.exchange.report(now))
-        self.rows_sent = len(told.suspects) + len(told.limits)
+        self.rows_sent = _count_rows(told)
         reply = _transfer(member.tables.answer(told, now))
         return self.exchange.merge(reply, now), reply
 
     def state(self):
         limits = self.tables.limits
-        return self.tables.suspects.blocked, {
-            name: limits.limit_per_s(name) for name in limits.limited()
-        }
+        origins = self.tables.origins.encode(0.0)
+        return (
+            self.tables.suspects.blocked,
+            {name: limits.limit_per_s(name) for name in limits.limited()},
+            {(each.stream, each.software) for each in origins},
+        )
 
 
 def _transfer(tables):
@@ -34,12 +37,26 @@
     return msgspec.msgpack.decode(data, type=shared_tables.Tables)
 
 
+def _count_rows(tables):
+    return sum(
+        len(rows)
+        for rows in (
+            tables.suspects,
+            tables.limits,
+            tables.origins,
+            tables.software,
+        )
+    )
+
+
 def _learn(process, now):
     for number in range(2):
         process.tables.suspects.note_crash(
             f"r{number}", [], True, now - number, "request x"
         )
     process.tables.limits.note("r1", 2.0, now, now)
+    process.tables.origins.note("c1", "models", "v1", now)
+    process.tables.software.note({"models": {"v1"}}, now)
 
 
 def test_entries_know_after_one_exchange_of_each():
@@ -47,7 +64,7 @@
     _learn(first, 10.0)
     first.ask(member, 10.1)
     changed, _ = second.ask(member, 10.2)
-    assert changed == {"suspects", "limits"}
+    assert changed == {"suspects", "limits", "origins", "software"}
     assert second.state() == first.state() == member.state()
     assert first.state()[0]
 
@@ -61,7 +78,21 @@
     for entry in (first, second):
         changed, reply = entry.ask(member, 10.5)
         assert not entry.rows_sent
-        assert not reply.suspects and not reply.limits and not changed
+        assert not _count_rows(reply) and not changed
+
+
+def test_only_new_streams_are_sent():
+    """Guards against a table with a row for each stream that is sent whole."""
+    member, entry = _Process(), _Process()
+    for number in range(100):
+        now = 10.0 + number / 10
+        entry.tables.origins.note(f"c{number}", "models", "v1", now)
+        told = entry.exchange.report(now)
+        assert [row.stream for row in told.origins] == [f"c{number}"]
+        reply = member.tables.answer_entry(told, now)
+        assert not reply.origins
+        entry.exchange.merge(reply, now)
+    assert len(member.tables.origins) == 100
 
 
 def test_new_leader_learns_all_from_an_entry():
@@ -83,7 +114,7 @@
 _STEPS = st.lists(
     st.tuples(
         st.integers(0, 2),
-        st.sampled_from(["crash", "limit", "ask", "change_leader"]),
+        st.sampled_from(["crash", "limit", "stream", "ask", "change_leader"]),
         st.integers(0, 3),
     ),
     max_size=25,
@@ -106,6 +137,8 @@
                 )
             case "limit":
                 tables.limits.note(f"r{number}", 1.0 + index, now, now)
+            case "stream":
+                tables.origins.note(f"c{number}", "models", f"v{index}", now)
             case "ask":
                 entries[index].ask(leader, now)
             case "change_leader":
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -18,7 +18,7 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.authority import process
-from papayalink.roles.authority import suspects_keeper
+from papayalink.roles.authority import tables_keeper
 from papayalink.roles.control import identity
 from papayalink.state import replicas
 from papayalink.transport import auth
@@ -250,8 +250,8 @@
     assert not log_folder.exists()
 
 
-def test_any_member_knows_what_ends_replicas_after_a_restart_of_all(tmp_path):
-    """Guards against a known request that ends replicas after a power loss.
+def test_any_member_knows_the_tables_after_a_restart_of_all(tmp_path):
+    """Guards against suspects and streams that a power loss makes unknown.
 
     Entries tell the leader; after a restart of all another member may lead.
     """
@@ -278,6 +278,7 @@
         entry.suspects.note_crash(
             f"r{number}", [], True, time.monotonic() - number, "request x"
         )
+    entry.origins.note("c1", "models", "v1", time.monotonic())
     members = start(True)
     try:
         _wait_until(
@@ -299,13 +300,15 @@
         _wait_until(
             lambda: all(blocked(each) == ["request x"] for each in members)
         )
-        gevent.sleep(2 * suspects_keeper.WRITE_PERIOD_S)
+        gevent.sleep(2 * tables_keeper.WRITE_PERIOD_S)
         for member in members:
             member.stop()
         # Each one alone, as if it led.
         members = start(False)
         for member in members:
             assert blocked(member) == ["request x"]
+            tables = member.process._service.tables
+            assert tables.origins.find("c1", time.monotonic())
     finally:
         for member in members:
             member.stop()
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -165,7 +165,7 @@
         self._follower = parts.make_parts_follower(
             SimpleNamespace(
                 settings=SimpleNamespace(name=name),
-                rpc_client=SimpleNamespace(call=self._ask),
+                rpc_client=SimpleNamespace(call=self.ask_member),
             ),
             lambda: [""],
             self.fleet,
@@ -182,7 +182,7 @@
             part_directory.make_part_directory(),
         )
 
-    def _ask(self, address, method, message, timeout_s):
+    def ask_member(self, address, method, message, timeout_s):
         message = messages.decode(messages.encode(message))
         reply = self._site.member.handlers()[method](message)
         return messages.decode(messages.encode(reply))
@@ -294,6 +294,8 @@
 
     def observe_for_long(self):
         """Let the entries know the list for longer than a stream lasts."""
+        for entry in self.entries:
+            entry.tables.software.note_first_start(time.monotonic())
 
     def run(self, prompts_per_s, seconds):
         """Let each entry send prompts and exchange reports all the time.
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -1,5 +1,7 @@
 """Stub upstreams and a gateway without control members."""
 
+from types import SimpleNamespace
+
 import gevent
 from gevent import server as servers
 from gevent import socket
@@ -16,10 +18,12 @@
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import liveness
 from papayalink.roles.gateway import shared
+from papayalink.roles.gateway import take_ups
 from papayalink.state import part_directory
 from papayalink.state import replicas
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from papayalink.transport import errors
 from papayalink.transport import upstream_channels
 from tests.transport import sockets
 
@@ -171,6 +175,14 @@
                 self.liveness,
                 self.crashes,
                 self.limits,
+                take_ups.make_take_ups(
+                    SimpleNamespace(
+                        rpc_client=SimpleNamespace(call=self.ask_member)
+                    ),
+                    lambda: ["member"],
+                    self.tables,
+                    self.metrics,
+                ),
                 self.metrics,
             )
         )
@@ -208,6 +220,9 @@
             sock.sendall(b"\r\n".join([*lines, b"", body]))
             return _read(sock, partial)
 
+    def ask_member(self, address, method, message, timeout_s):
+        raise errors.NotConnected("there are no control members")
+
     def stop_serving(self):
         self.server.stop(0.1)
 
