Take no answer without an id on a connection that is reused

What callers saw: nothing on ours. Operators of similar systems report "not run, try again" for calls that a replica had run or was running, and such calls that ran at a second replica: a faulty replica wrote an earlier refusal once more on a kept connection.

Cause: an answer with the id of another call was skipped already, but one without an id counted as the call's own. A refusal, or a 421, without an id made a call that may run once be refused or sent to another replica.

Change: an answer without an id is the call's own only if it is the first on its connection, and the connection is not used again then. So a reused connection has only carried answers with ids, and one without is skipped like any other foreign answer.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -107,6 +107,7 @@
         "_on_silence",
         "_channel",
         "_complete",
+        "_has_id",
         "_keep_alive_s",
         "_progress",
     )
@@ -132,6 +133,7 @@
         self._on_silence = on_silence
         self._channel: upstream_channels.Channel | None = None
         self._complete = False
+        self._has_id = False
         self._keep_alive_s: float | None = None
         self._progress = Progress.NONE
 
@@ -178,8 +180,13 @@
         return result
 
     def _release_channel(self) -> None:
-        """Reuse the connection after a whole answer, else close it."""
-        if self._complete and self._channel.finish(self._keep_alive_s):
+        """Reuse the connection after a whole answer, else close it.
+
+        Without an id in the answer, a late second copy of it could not be
+        told from the answer to the next call.
+        """
+        reusable = self._complete and self._has_id
+        if reusable and self._channel.finish(self._keep_alive_s):
             address = self._member.replica.address
             self._channels.give_back(address, self._channel)
         else:
@@ -190,14 +197,18 @@
 
         An upstream may send an answer to an earlier call a second time, late
         enough that the connection is in use again. It is skipped, so that a
-        call that may run only once still gets its answer.
+        call that may run only once still gets its answer. On a connection that
+        is reused all answers have had an id, so one without belongs to no
+        call.
         """
         while True:
             head = self._channel.read_head(self._remaining_s)
             answer = self._dialect.decode_answer(
                 head.status_code, head.headers.raw_items()
             )
-            if not answer.call_id or answer.call_id == self._call.call_id:
+            is_own = answer.call_id == self._call.call_id
+            if is_own or not (answer.call_id or self._channel.used):
+                self._has_id = is_own
                 return head, answer
             self._channel.skip_answer(MAX_ANSWER_BYTES, self._remaining_s)
 
--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -60,6 +60,7 @@
         "_progress_at",
         "_check_at",
         "_skipped_answers",
+        "_used",
     )
 
     def __init__(self, sock: socket.socket) -> None:
@@ -73,8 +74,14 @@
         self._progress_at = 0.0
         self._check_at = 0.0
         self._skipped_answers = 0
+        self._used = False
         self.on_silence: Callable[[float], None] = _keep_waiting
 
+    @property
+    def used(self) -> bool:
+        """Whether the connection has carried a whole answer before."""
+        return self._used
+
     @property
     def usable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -231,6 +238,7 @@
         ):
             return False
         connection.start_next_cycle()
+        self._used = True
         self.keep(
             DEFAULT_IDLE_TIMEOUT_S if keep_alive_s is None else keep_alive_s
         )
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -59,6 +59,7 @@
         self.script = list(script)
         self.received = []
         self.hang_ups = 0
+        self.connections = 0
         self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
 
@@ -67,6 +68,7 @@
         return f"127.0.0.1:{self.server.server_port}"
 
     def _serve(self, sock, address):
+        self.connections += 1
         while True:
             data = b""
             while b"\r\n\r\n" not in data:
--- a/tests/roles/gateway/test_handling.py
+++ b/tests/roles/gateway/test_handling.py
@@ -129,6 +129,56 @@
     assert answer[2] == (b"ok" if status == 200 else b"")
 
 
+def _with_id(answer, call_id):
+    return answer.replace(
+        b"Content-Length",
+        b"Papayalink-Request-Id: %s\r\nContent-Length" % call_id,
+        1,
+    )
+
+
+_MISDIRECTED = b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "copy",
+    [
+        _with_id(stubs.BUSY, b"c1"),
+        stubs.BUSY,
+        _with_id(_MISDIRECTED, b"c1"),
+        _MISDIRECTED,
+    ],
+    ids=["busy", "busy-without-id", "misdirected", "misdirected-without-id"],
+)
+@pytest.mark.parametrize("answered", [True, False])
+def test_second_copy_of_a_refusal_is_not_taken_for_the_next_call(
+    start, copy, answered
+):
+    """Guards against "not run" for calls that a replica runs.
+
+    A faulty replica writes an earlier refusal once more, on a connection that
+    carries the next call by then.
+    """
+    replica = stubs.Upstream("desk1", [_with_id(stubs.OK, b"c1")])
+    own = _with_id(stubs.OK, b"c2")
+    replica.script.append([copy, 0.05, *([own] if answered else ["close"])])
+    gateway = start(replica)
+    assert gateway.call(b"/once/", [b"Papayalink-Request-Id: c1"])[0] == 200
+    connections = replica.connections
+    answer = gateway.call(b"/once/", [b"Papayalink-Request-Id: c2"])
+    assert answer[0] == (200 if answered else 502)
+    assert len(replica.received) == 2
+    if answered:
+        assert replica.connections == connections
+
+
+def test_connection_whose_answers_have_no_id_is_used_once(start):
+    gateway = start(stubs.Upstream("desk1"))
+    for _ in range(3):
+        assert gateway.call(b"/once/")[0] == 200
+    assert gateway.upstreams[0].connections == 3
+
+
 def test_call_without_a_replica_is_refused(start):
     status, headers, _ = start().call(b"/once/")
     assert status == 503
