Keep the error of the next replica out of a begun stream

What callers saw: nothing on ours. Operators of similar systems report an error's text, at times its whole head, in the middle of a stream that had begun and broken off, or streams that ended as if they were complete.

Cause: the rest of a stream was taken from any answer with a success status. A 206, a 200 of another media type, and an event without an id among events with ids were passed on, and the stream ended as whole. A 3xx or 4xx of the next replica raised an error inside the gateway, which cut the stream without trying a third replica.

Change: an answer is the rest of a stream only with the status and the media type of the head that was passed on, and its events need ids if those before had them. Anything else counts as a failure of that replica: the call goes to another one, or its connection is cut.

--- a/papayalink/protocol/events.py
+++ b/papayalink/protocol/events.py
@@ -19,6 +19,11 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it only keeps the connection alive."""
+        return all(line[:1] in (b":", b"") for line in self.data.split(b"\n"))
+
 
 class EventReader:
     """Splits a stream into events; never returns an incomplete one.
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -71,14 +71,32 @@
         longest_gap_s: longest time between two events so far.
     """
 
-    __slots__ = ("last_event_id", "begun", "longest_gap_s", "_event_at")
+    __slots__ = (
+        "last_event_id",
+        "begun",
+        "longest_gap_s",
+        "_kind",
+        "_event_at",
+    )
 
     def __init__(self) -> None:
         self.last_event_id = 0
         self.begun = False
+        # Status and media type of the head that was sent.
+        self._kind: tuple[int, bytes] | None = None
         self.longest_gap_s = 0.0
         self._event_at: float | None = None
 
+    def note_begun(self, answer: calls.Answer) -> None:
+        """Record that the head of an answer is sent to the caller."""
+        self.begun = True
+        self._kind = (answer.status, _media_type(answer))
+
+    def goes_on_with(self, answer: calls.Answer) -> bool:
+        """Returns: whether an answer may be the rest of the stream."""
+        kind = (answer.status, _media_type(answer))
+        return not self.begun or kind == self._kind
+
     def note_events(self, now: float) -> None:
         """Record that events are passed on."""
         if self._event_at is not None:
@@ -230,9 +248,11 @@
             raise errors.ConnectionLost(
                 f"answer {answer.status} has no server stamp"
             )
-        if not 200 <= answer.status < 300:
+        begun = stream is not None and stream.begun
+        rest = stream is None or stream.goes_on_with(answer)
+        if not 200 <= answer.status < 300 or not rest:
             body = self._read_body()
-            if answer.status < 500:
+            if answer.status < 500 and not begun:
                 self._responder.respond(answer.status, answer.headers, body)
                 return Answered(answer.status, first_s)
             failed = attempts.Failed(answer.status)
@@ -268,8 +288,9 @@
         with its connection, and does so before an event, has broken off.
         """
         reader = events.make_event_reader()
+        needs_ids = stream.last_event_id > 0
         if not stream.begun:
-            stream.begun = True
+            stream.note_begun(answer)
             self._responder.begin(answer.status, answer.headers)
         stream_bytes = 0
         while data := self._channel.read_data(self._remaining_s, False):
@@ -277,7 +298,8 @@
             stream_bytes += len(data)
             if stream_bytes > MAX_STREAM_BYTES:
                 raise errors.ConnectionLost("stream is too large")
-            ready = b"".join(self._accept_events(reader.feed(data), stream))
+            arrived = reader.feed(data)
+            ready = b"".join(self._accept_events(arrived, stream, needs_ids))
             if ready:
                 self._progress = Progress.EVENTS
                 # Parts of an event do not show that a replica makes progress.
@@ -292,16 +314,25 @@
         self._responder.end()
 
     def _accept_events(
-        self, arrived: list[events.Event], stream: StreamState
+        self,
+        arrived: list[events.Event],
+        stream: StreamState,
+        needs_ids: bool,
     ) -> list[bytes]:
         """Returns: the encoded events, after a check of their ids.
 
+        Args:
+            needs_ids: whether the stream goes on after an event with an id.
         Raises:
-            errors.ConnectionLost: the caller already has one of the events.
+            errors.ConnectionLost: the caller already has one of the events, or
+                it can't be told where one belongs.
         """
         accepted = []
         for event in arrived:
-            if event.event_id is not None:
+            if event.event_id is None:
+                if needs_ids and not event.is_comment:
+                    raise errors.ConnectionLost("event has no id")
+            else:
                 if event.event_id <= stream.last_event_id:
                     raise errors.ConnectionLost("stream repeats an event")
                 stream.last_event_id = event.event_id
@@ -309,6 +340,13 @@
         return accepted
 
 
+def _media_type(answer: calls.Answer) -> bytes:
+    for name, value in answer.headers:
+        if name.lower() == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return b""
+
+
 def _ends_with_connection(head: h11.Response) -> bool:
     names = {bytes(name) for name, _ in head.headers}
     return not names & {b"content-length", b"transfer-encoding"}
--- a/tests/roles/gateway/test_handling.py
+++ b/tests/roles/gateway/test_handling.py
@@ -286,6 +286,61 @@
     assert sum(b"Last-Event-Id: 1\r\n" in request for request in received) == 1
 
 
+_ERROR_TEXT = b"it failed: no such thing\n\n"
+_ERROR_HEAD = stubs.STAMP + b"Content-Length: %d\r\n" % len(_ERROR_TEXT)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 404 No\r\n" + _ERROR_HEAD,
+        b"HTTP/1.1 500 No\r\n" + _ERROR_HEAD,
+        b"HTTP/1.1 429 No\r\n"
+        + _ERROR_HEAD
+        + b"Papayalink-Not-Executed: 1\r\n",
+        b"HTTP/1.1 503 No\r\n" + _ERROR_HEAD,
+        b"HTTP/1.1 301 No\r\n" + _ERROR_HEAD,
+        b"HTTP/1.1 206 Part\r\n" + _ERROR_HEAD,
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + _ERROR_HEAD,
+        # An event without an id, among events with ids.
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        + _ERROR_HEAD,
+    ],
+    ids=["404", "500", "429", "503", "301", "206", "text", "no-id"],
+)
+@pytest.mark.parametrize("attempts", [2, 3])
+def test_error_of_the_next_upstream_stays_out_of_a_begun_stream(
+    start, answer, attempts
+):
+    """Guards against an error's text in the middle of a stream.
+
+    The stream goes on at a third upstream if the route allows one, and is cut
+    otherwise, so that it does not look complete.
+    """
+    route = stubs.make_route(
+        "resumed",
+        traffic.RepeatPolicy.RESUMABLE,
+        stream=True,
+        max_attempts=attempts,
+    )
+    upstreams = [stubs.Upstream(f"models{number}") for number in range(3)]
+    gateway = start(*upstreams, routes=[route])
+    script = [
+        [stubs.STREAM + stubs.event(1), "reset"],
+        [answer + b"\r\n" + _ERROR_TEXT],
+        [stubs.STREAM + stubs.event(2) + stubs.END],
+    ]
+    for upstream in upstreams:
+        upstream.script = script
+    status, _, (body, whole) = gateway.call(
+        b"/resumed/", _PROMPT, partial=True
+    )
+    events = b"id: 1\ndata: p1\n\n"
+    if attempts == 3:
+        events += b"id: 2\ndata: p2\n\n"
+    assert (status, body, whole) == (200, events, attempts == 3)
+
+
 def test_caller_that_leaves_ends_the_call_at_the_upstream(start):
     upstream = stubs.Upstream("models1", [stubs.STREAM, stubs.event(1), 30.0])
     gateway = start(upstream)
