Send nothing more to replicas that say that they leave

What callers saw: nothing yet. Announced by operators: a replica that leaves says so in all its answers, and wants no request of a machine later than the drain time after that machine has passed one on.

Cause: only the list told who leaves, which lags; a head that said so was passed on and not read.

Change: the head of an answer is read, whatever becomes of the rest, and the replica gets no more calls of that entry at once. The replicas of the soak that leave say so.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -29,6 +29,7 @@
         replica: its record in the last list.
         weights: newest version by model, from the list and from answers.
         calls: number of unfinished calls of this entry, by urgency.
+        leaving: whether it has said that it leaves.
         loading: whether it is to load weights and refuses calls meanwhile.
         heard_at: monotonic seconds of the last byte received from it.
         reached_at: monotonic seconds of the last new connection to it since it
@@ -62,6 +63,7 @@
         "_failures",
         "_parts",
         "_part_tokens",
+        "leaving",
         "loading",
     )
 
@@ -87,6 +89,7 @@
         self._failures = 0.0
         self._parts: dict[str, int] = {}
         self._part_tokens = 0
+        self.leaving = False
         self.loading = False
 
     @property
@@ -113,6 +116,7 @@
         return (
             self.replica.condition is replicas.Condition.READY
             and self._reachable
+            and not self.leaving
             and not self.loading
             and now >= self._avoid_until
         )
--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from papayalink.coordination import crash_suspects
+from papayalink.coordination import leaving_replicas
 from papayalink.coordination import named_limits
 from papayalink.coordination import software_history
 from papayalink.coordination import stream_origins
@@ -47,9 +48,17 @@
         limits: limits that replicas name.
         origins: software versions that began streams.
         software: software versions that services had.
+        leaving: replicas that say that they leave.
     """
 
-    __slots__ = ("run", "suspects", "limits", "origins", "software")
+    __slots__ = (
+        "run",
+        "suspects",
+        "limits",
+        "origins",
+        "software",
+        "leaving",
+    )
 
     def __init__(self) -> None:
         self.run = secrets.token_hex(4)
@@ -57,6 +66,7 @@
         self.limits = named_limits.make_named_limits()
         self.origins = stream_origins.make_stream_origins()
         self.software = software_history.make_software_history()
+        self.leaving = leaving_replicas.make_leaving_replicas()
 
     def by_name(self) -> dict[str, Table]:
         """Returns: the tables by their fields in `shared_tables.Tables`."""
@@ -65,6 +75,7 @@
             "limits": self.limits,
             "origins": self.origins,
             "software": self.software,
+            "leaving": self.leaving,
         }
 
     def versions(self) -> dict[str, int]:
--- a/papayalink/platform/dialect.py
+++ b/papayalink/platform/dialect.py
@@ -14,6 +14,7 @@
 # Named without the prefix of the other headers.
 _LIMIT = b"server-limit"
 _PREFIXED_LIMIT = b"papayalink-server-limit"
+_LEAVING = b"server-leaving"
 _INSTANCE = b"papayalink-instance-id"
 _VERSIONS = b"papayalink-model-versions"
 _LAST_EVENT = b"last-event-id"
@@ -146,6 +147,7 @@
             limit_per_s=_parse_decimal(
                 values.get(_LIMIT, values.get(_PREFIXED_LIMIT, ""))
             ),
+            leaving=values.get(_LEAVING, "").strip() == "1",
             headers=_forwardable(headers, frozenset()),
         )
 
--- a/papayalink/protocol/calls.py
+++ b/papayalink/protocol/calls.py
@@ -114,6 +114,7 @@
             unknown.
         limit_per_s: requests a second that the upstream takes from all
             entries together, None when it names no limit.
+        leaving: the upstream says that it leaves.
         headers: headers that are passed on to the caller.
     """
 
@@ -127,6 +128,7 @@
     weight_version: int = 0
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
     headers: Headers = []
 
 
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -48,6 +48,17 @@
     age_ms: int
 
 
+class LeavingReplica(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that has said that it leaves.
+
+    Attributes:
+        age_ms: time since it said so last, or nearly so.
+    """
+
+    replica_id: str
+    age_ms: int
+
+
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Where the newest part of a stream was written.
 
@@ -90,3 +101,4 @@
     limits: tuple[NamedLimit, ...] = ()
     origins: tuple[StreamOrigin, ...] = ()
     software: tuple[SoftwareSpan, ...] = ()
+    leaving: tuple[LeavingReplica, ...] = ()
--- a/papayalink/roles/gateway/observations.py
+++ b/papayalink/roles/gateway/observations.py
@@ -52,6 +52,7 @@
             member.note_load(answer.load, time.monotonic())
         if answer.upstream in ("", member.replica.replica_id):
             self._note_limit(member, answer.limit_per_s, sent_at)
+            self._shared.departures.note_answer(member, answer)
         if answer.weight_version and self._call.model:
             known = member.weights.get(self._call.model, 0)
             member.weights[self._call.model] = max(
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -13,6 +13,7 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.gateway import crashes as crash_observers
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import liveness as livenesses
@@ -54,6 +55,7 @@
         tables: shared with the other entries through the member.
         crashes: relates the ends of replicas to calls.
         limit_keeper: uses the limits that replicas name.
+        departing: avoids replicas that say that they leave.
         listing: applies the list that the member has read.
         directory: this entry's copy of the member's directory.
     """
@@ -68,6 +70,7 @@
         "_shared_tables",
         "_tables",
         "_limit_keeper",
+        "_departures",
         "_listing",
         "_list_number",
         "_directory",
@@ -87,6 +90,7 @@
         tables: table_exchange.TableSet,
         crashes: crash_observers.CrashObserver,
         limit_keeper: limit_keepers.LimitKeeper,
+        departing: departures.Departures,
         listing: listings.Listing,
         directory: part_directory.PartDirectory,
     ) -> None:
@@ -97,6 +101,7 @@
         self._liveness = liveness
         self._crashes = crashes
         self._limit_keeper = limit_keeper
+        self._departures = departing
         self._shared_tables = tables
         self._tables = table_exchange.make_table_exchange(tables)
         self._listing = listing
@@ -172,6 +177,7 @@
             self._crashes.log_changes()
         # Also applies them to replicas that are newly listed.
         self._limit_keeper.apply()
+        self._departures.apply()
         self._limit_keeper.add_permits(reply.granted)
 
     def _note_lost(self, reply: messages.PartsReply) -> None:
@@ -209,6 +215,7 @@
     tables: table_exchange.TableSet,
     crashes: crash_observers.CrashObserver,
     limit_keeper: limit_keepers.LimitKeeper,
+    departing: departures.Departures,
     listing: listings.Listing,
     directory: part_directory.PartDirectory,
 ) -> PartsFollower:
@@ -220,6 +227,7 @@
         tables,
         crashes,
         limit_keeper,
+        departing,
         listing,
         directory,
     )
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -18,6 +18,7 @@
 from papayalink.roles import reloading
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing
@@ -92,6 +93,9 @@
             tables.suspects, liveness, node.metrics
         )
         limit_keeper = limits.make_limit_keeper(tables.limits, self._fleet)
+        departing = departures.make_departures(
+            tables.leaving, self._fleet, self._channels
+        )
         self._listing = listing.make_listing(
             client, self._fleet, self._note_left, node.metrics
         )
@@ -103,6 +107,7 @@
             tables,
             self._crashes,
             limit_keeper,
+            departing,
             self._listing,
             directory,
         )
@@ -117,6 +122,7 @@
                 liveness,
                 self._crashes,
                 limit_keeper,
+                departing,
                 take_ups.make_take_ups(
                     node, self._watcher.authorities, tables, node.metrics
                 ),
--- a/papayalink/roles/gateway/shared.py
+++ b/papayalink/roles/gateway/shared.py
@@ -10,6 +10,7 @@
 from papayalink.protocol import calls
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes as crash_observers
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import take_ups
@@ -30,6 +31,7 @@
         liveness: checks whether silent replicas can be reached.
         crashes: relates the ends of replicas to prompts.
         limits: this entry's share of the limits that replicas name.
+        departures: replicas that say that they leave.
         take_ups: finds the software versions at which streams go on.
         overloads: how long prompts have been refused, by service.
     """
@@ -44,6 +46,7 @@
         "liveness",
         "crashes",
         "limits",
+        "departures",
         "take_ups",
         "overloads",
         "metrics",
@@ -62,6 +65,7 @@
         liveness: livenesses.Liveness,
         crashes: crash_observers.CrashObserver,
         limits: limit_keepers.LimitKeeper,
+        departing: departures.Departures,
         take_up_finder: take_ups.TakeUps,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -74,6 +78,7 @@
         self.liveness = liveness
         self.crashes = crashes
         self.limits = limits
+        self.departures = departing
         self.take_ups = take_up_finder
         self.overloads: dict[str, shedding.OverloadTimer] = {}
         self.metrics = metrics
@@ -91,6 +96,7 @@
     liveness: livenesses.Liveness,
     crashes: crash_observers.CrashObserver,
     limits: limit_keepers.LimitKeeper,
+    departing: departures.Departures,
     take_up_finder: take_ups.TakeUps,
     metrics: metrics_module.Metrics,
 ) -> Shared:
@@ -104,6 +110,7 @@
         liveness,
         crashes,
         limits,
+        departing,
         take_up_finder,
         metrics,
     )
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -98,6 +98,8 @@
         if expected != self.replica_id:
             start_response("421 Misdirected", headers)
             return [b""]
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         if self.limit is not None:
             headers.append(("Server-Limit", str(self.limit.limit_per_s)))
         if self.mode == "busy":
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -186,3 +186,28 @@
 def test_limit_that_an_upstream_names(headers, limit_per_s):
     answer = dialects.make_dialect().decode_answer(503, headers)
     assert answer.limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize(
+    ("headers", "leaving"),
+    [
+        ([(b"Server-Leaving", b"1")], True),
+        ([(b"server-leaving", b" 1 ")], True),
+        ([(b"Server-Leaving", b"0")], False),
+        ([(b"Server-Leaving", b"")], False),
+        ([], False),
+    ],
+)
+def test_upstream_that_says_it_leaves(headers, leaving):
+    answer = dialects.make_dialect().decode_answer(200, headers)
+    assert answer.leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("headers", "resumes"),
+    [([(b"Resumes", b"c1")], "c1"), ([], "")],
+)
+def test_stream_that_a_call_takes_up(headers, resumes):
+    call = dialects.make_dialect().decode_call(b"POST", b"/", headers, b"")
+    assert call.resumes == resumes
+    assert call.headers == headers
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -41,6 +41,7 @@
     Attributes:
         limit_per_s: limit that its answers name, None for none.
         breaks_off: whether its answers break off within an event.
+        headers: further header lines of its answers.
         breaks_after: number of the event after which they break off, None if
             they do not.
         arrived_at: when prompts arrived.
@@ -49,6 +50,7 @@
     def __init__(self, site, name, crashing, last_words, software):
         self.name = name
         self.software = software
+        self.headers = b""
         self.breaks_after = None
         self.limit_per_s = None
         self.breaks_off = False
@@ -103,7 +105,7 @@
         if self.limit_per_s is not None:
             limit = b"Server-Limit: %.1f\r\n" % self.limit_per_s
             answer = answer.replace(stubs.STAMP, stubs.STAMP + limit)
-        return answer
+        return answer.replace(stubs.STAMP, stubs.STAMP + self.headers)
 
     def crash(self):
         self._server.stop()
@@ -173,6 +175,7 @@
             self.tables,
             self.crashes,
             self.limits,
+            self.departures,
             listings.make_listing(
                 None,
                 self.fleet,
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -14,6 +14,7 @@
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import handling
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import liveness
@@ -166,6 +167,9 @@
         self.crashes = crashes.make_crash_observer(
             self.tables.suspects, self.liveness, self.metrics
         )
+        self.departures = departures.make_departures(
+            self.tables.leaving, self.fleet, channels
+        )
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
@@ -177,6 +181,7 @@
                 self.liveness,
                 self.crashes,
                 self.limits,
+                self.departures,
                 take_ups.make_take_ups(
                     SimpleNamespace(
                         rpc_client=SimpleNamespace(call=self.ask_member)
--- a/tests/roles/gateway/test_listing.py
+++ b/tests/roles/gateway/test_listing.py
@@ -14,6 +14,7 @@
 from papayalink.protocol import messages
 from papayalink.roles.authority import list_relay
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import parts
@@ -70,6 +71,7 @@
                 tables.suspects, None, metrics_module.make_metrics()
             ),
             limits.make_limit_keeper(tables.limits, self.fleet),
+            departures.make_departures(tables.leaving, self.fleet, None),
             self.listing,
             part_directory.make_part_directory(),
         )
--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -11,6 +11,7 @@
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
 from papayalink.roles.gateway import crashes
+from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing as listings
 from papayalink.roles.gateway import parts
@@ -101,6 +102,7 @@
                 tables.suspects, self.liveness, metrics_module.make_metrics()
             ),
             limits.make_limit_keeper(tables.limits, self.fleet),
+            departures.make_departures(tables.leaving, self.fleet, None),
             listings.make_listing(
                 None, self.fleet, None, metrics_module.make_metrics()
             ),
