Wait as long as a replica that turns calls away has asked for

What callers saw: nothing yet. Announced by operators: a replica that answers 503 with Retry-After wants nothing from that machine for so long.

Cause: the delay was cut to 1 s, and was lost when the answer broke off behind its head. Callers were told the delay of the last replica, which concerned this entry alone, or half a second while all replicas were avoided for longer.

Change: the head of a 503 or 429 with Retry-After keeps its replica from being chosen for that time, 300 s at most. A refused caller is told to return after half a second, or when the first replica of the service may be used again. The busy replicas of the soak name a delay, and a check counts what comes before it has ended.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -292,6 +292,13 @@
         (_, wait_s, own_s), member = min(choices, key=lambda each: each[0][0])
         return Choice(member, wait_s, own_s)
 
+    def next_usable_s(self, service: str, now: float) -> float:
+        """Returns: seconds until a replica is used that is avoided now."""
+        return min(
+            (member.avoided_s(now) for member in self.members(service)),
+            default=0.0,
+        )
+
     def expected_tokens(
         self,
         member: fleet_member.Member,
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -158,6 +158,10 @@
             listed = self.replica.weights.get(model, 0)
             self.weights[model] = min(self.weights.get(model, 0), listed)
 
+    def avoided_s(self, now: float) -> float:
+        """Returns: seconds for which it gets no calls after a refusal."""
+        return max(0.0, self._avoid_until - now)
+
     def note_full(self, now: float, wait_s: float) -> None:
         """Send no calls for `wait_s` after a refusal."""
         self._avoid_until = max(self._avoid_until, now + wait_s)
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -387,8 +387,9 @@
                 self._responder.respond(
                     result.answer.status, result.answer.headers, result.body
                 )
-            case attempts.Refuse(retry_after_s):
-                self._refuse(retry_after_s, reason)
+            case attempts.Refuse():
+                # The delay that a replica names is for calls to itself.
+                self._refuse(None, reason)
             case attempts.GiveUp(status):
                 self._record("given_up", status, reason)
                 self._respond(status)
@@ -405,7 +406,10 @@
 
     def _refuse(self, retry_after_s: float | None, reason: str) -> None:
         if retry_after_s is None:
-            retry_after_s = RETRY_AFTER_S
+            usable_s = self._shared.fleet.next_usable_s(
+                self._service, time.monotonic()
+            )
+            retry_after_s = max(RETRY_AFTER_S, usable_s)
         self._record("refused", 503, reason)
         self._respond(503, retry_after_s)
 
--- a/papayalink/roles/gateway/observations.py
+++ b/papayalink/roles/gateway/observations.py
@@ -13,6 +13,10 @@
 # A replica that refused a call because it is full gets no calls for this long,
 # unless it said when to retry.
 FULL_BACKOFF_S = 0.2
+# A longer delay would outlast what a replica can know of its load.
+MAX_NAMED_DELAY_S = 300.0
+# Statuses with which a replica that takes no calls names a delay.
+DELAY_STATUSES = (429, 503)
 MISDIRECTED_STATUS = 421
 # Backoff of a replica whose address has been reassigned; longer than the list
 # of replicas lags behind.
@@ -52,6 +56,7 @@
             member.note_load(answer.load, time.monotonic())
         if answer.upstream in ("", member.replica.replica_id):
             self._note_limit(member, answer.limit_per_s, sent_at)
+            self._note_delay(member, answer)
             self._shared.departures.note_answer(member, answer)
         if answer.weight_version and self._call.model:
             known = member.weights.get(self._call.model, 0)
@@ -92,11 +97,11 @@
     ) -> None:
         """Record an attempt without an answer for the caller."""
         match result.outcome:
+            case attempts.NotRun(None):
+                member.note_full(now, FULL_BACKOFF_S)
             case attempts.NotRun(retry_after_s):
-                backoff_s = FULL_BACKOFF_S
-                if retry_after_s is not None:
-                    backoff_s = min(1.0, retry_after_s)
-                member.note_full(now, backoff_s)
+                # The head may have told to wait for longer.
+                member.note_full(now, min(FULL_BACKOFF_S, retry_after_s))
             case attempts.Lost():
                 member.note_result(True)
                 begun = result.progress is attempt.Progress.HEAD
@@ -118,6 +123,15 @@
                 self._shared.watcher.weights.get(self._call.model, 0),
             )
 
+    def _note_delay(
+        self, member: fleet_member.Member, answer: calls.Answer
+    ) -> None:
+        if answer.retry_after_s is None:
+            return
+        if answer.status in DELAY_STATUSES:
+            delay_s = min(MAX_NAMED_DELAY_S, answer.retry_after_s)
+            member.note_full(time.monotonic(), delay_s)
+
     def _note_limit(
         self,
         member: fleet_member.Member,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,10 @@
 MAX_LATE_ARRIVALS = 3
 # Time in which a replica may get half more calls than its limit allows, and 5.
 LIMIT_WINDOW_S = 4.0
+# A delay that a replica names counts from this time on, and so many calls of
+# one gateway may arrive until it ends.
+DELAY_GRACE_S = 0.5
+MAX_DELAYED_ARRIVALS = 2
 # Fraction of answered calls that shows that the system has recovered.
 MIN_SERVED_FRACTION = 0.9
 
@@ -39,6 +43,7 @@
         *_check_reads(history),
         *_check_crashes(history),
         *_check_limits(history),
+        *_check_delays(history),
     ]
 
 
@@ -183,6 +188,44 @@
             yield f"{limit.replica_id} got {most} calls beside its limit"
 
 
+def _check_delays(history):
+    """Check that gateways wait as long as a replica has told them."""
+    calls = {call.call_id: call for call in history.calls}
+    arrivals = [
+        (each.replica_id, calls[each.call_id], each.at)
+        for each in history.refusals
+    ]
+    arrivals += [
+        (execution.replica_id, calls[call_id], execution.began_at)
+        for call_id, executions in history.executions.by_call.items()
+        for execution in executions
+        if call_id in calls
+    ]
+    for refusal in history.refusals:
+        call = calls[refusal.call_id]
+        begin = refusal.at + DELAY_GRACE_S
+        end = refusal.at + refusal.delay_s
+        excused = any(
+            each.began_at <= end and each.ended_at + LEAVE_S >= refusal.at
+            for each in history.disturbances
+            if each.target == call.gateway
+            or (each.target == refusal.replica_id and each.kind != "replica")
+        )
+        late = [
+            at
+            for replica_id, other, at in arrivals
+            if replica_id == refusal.replica_id
+            and other.gateway == call.gateway
+            and begin < at < end
+        ]
+        if len(late) > MAX_DELAYED_ARRIVALS and not excused:
+            yield (
+                f"{len(late)} calls of {call.gateway} came to"
+                f" {refusal.replica_id} before its delay had ended"
+            )
+            return
+
+
 def _is_recovering(call, history):
     """Whether the gateway of a call itself was disturbed around it."""
     return any(
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -11,6 +11,8 @@
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
+# Delay that replicas name while they refuse calls.
+REFUSAL_DELAY_S = 1.5
 # Time after which a crashed replica is back.
 RETURN_S = 1.0
 PLAIN_ANSWER_S = 0.05
@@ -72,7 +74,8 @@
     """One replica behind a proxy, with a fault mode.
 
     Attributes:
-        mode: "well" for no fault, "busy" refuses calls, "failing" answers
+        mode: "well" for no fault, "busy" refuses calls for a while that it
+            names, "failing" answers
             500, "mute" runs calls and does not answer.
         address: address of the proxy, which the list names.
         limit: limit that its answers name, None for none.
@@ -104,6 +107,15 @@
             headers.append(("Server-Limit", str(self.limit.limit_per_s)))
         if self.mode == "busy":
             headers.append(("Papayalink-Not-Executed", "1"))
+            headers.append(("Retry-After", str(REFUSAL_DELAY_S)))
+            self.platform.history.refusals.append(
+                records.Refusal(
+                    self.replica_id,
+                    call_id,
+                    time.monotonic(),
+                    REFUSAL_DELAY_S,
+                )
+            )
             start_response("503 Busy", headers)
             return [b""]
         last_event_id = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
--- a/soak/records.py
+++ b/soak/records.py
@@ -105,6 +105,15 @@
     at: float
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """A replica turned a call away and named a delay."""
+
+    replica_id: str
+    call_id: str
+    at: float
+    delay_s: float
+
+
 class NamedLimit(msgspec.Struct):
     """A replica names a limit of calls a second.
 
@@ -139,6 +148,7 @@
     arrivals: list[Arrival] = []
     crashes: list[tuple[str, float]] = []
     limits: list[NamedLimit] = []
+    refusals: list[Refusal] = []
 
 
 def make_body(call_id: str, replica_id: str) -> bytes:
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -42,6 +42,7 @@
         limit_per_s: limit that its answers name, None for none.
         breaks_off: whether its answers break off within an event.
         headers: further header lines of its answers.
+        refusal: answer to all calls, None to run them.
         breaks_after: number of the event after which they break off, None if
             they do not.
         arrived_at: when prompts arrived.
@@ -51,6 +52,7 @@
         self.name = name
         self.software = software
         self.headers = b""
+        self.refusal = None
         self.breaks_after = None
         self.limit_per_s = None
         self.breaks_off = False
@@ -83,6 +85,9 @@
                 gevent.sleep(0.01)
                 self.crash()
                 return
+            if self.refusal is not None:
+                sock.sendall(self.refusal)
+                return
             sock.sendall(self._answer(lines))
             if self.breaks_off or self.breaks_after is not None:
                 return
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -86,6 +86,17 @@
     return history
 
 
+def _delayed(count, disturbances=()):
+    """A replica refuses a call for 2 s, and gets `count` more after 1 s."""
+    history = _history(
+        _call(standins.LOOKUP, sent_at=100.0, ended_at=103.0),
+        [_execution(began_at=101.0, path="/look/c")] * count,
+        disturbances=disturbances,
+    )
+    history.refusals = [records.Refusal("i1", "c", 100.0, 2.0)]
+    return history
+
+
 _STREAM = {"path_prefix": standins.STREAM, "server_stamp": "i1.c"}
 
 
@@ -127,6 +138,9 @@
         _crashing(3, cause="bad-request", crashes=3),
         _crashing(4, cause="bad-request", crashes=2),
         _limited(17),
+        _delayed(2),
+        # The refusal may not have reached the gateway.
+        _delayed(3, [_fault("proxy", "i1", 100.0, 101.0)]),
         # A gateway that was just restarted may not know the part yet.
         _crashing(4, [_fault("kill", "g1", 198.0, 199.0)]),
         _history(
@@ -149,6 +163,7 @@
             _crashing(4, cause="bad-request", crashes=3),
         ),
         ("got 18 calls beside its limit", _limited(18)),
+        ("3 calls of g1 came to i1 before its delay", _delayed(3)),
         (
             "answered as not run, but ran",
             _history(_call(status=503), [_execution()]),
