Let the soak release software versions and take streams up

What callers saw: nothing new; no replica of the soak had another version than v1, and callers let go of streams that broke off.

Change: replicas are released one by one, each with a newer version beside those that go on, and end 5 s after they have said that they leave. Events tell which version wrote them. Callers take a stream that broke off up at any gateway, twice at most. A check finds streams that two versions wrote.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -43,6 +43,7 @@
         *_check_reads(history),
         *_check_crashes(history),
         *_check_limits(history),
+        *_check_versions(history),
         *_check_delays(history),
     ]
 
@@ -96,10 +97,16 @@
 
 
 def _check_stream(call):
+    versions = records.versions_of(call.body)
     events = b"".join(
-        records.make_event(call.call_id, number)
-        for number in range(1, standins.EVENTS_PER_STREAM + 1)
+        records.make_event(call.call_id, number, min(versions, default=""))
+        for number in range(
+            call.last_event + 1, standins.EVENTS_PER_STREAM + 1
+        )
     )
+    if len(versions) > 1:
+        # Reported for the whole stream.
+        return
     if call.complete and call.status == 200 and call.body != events:
         yield "events missing from a stream that ended cleanly"
     elif not events.startswith(call.body):
@@ -188,6 +195,20 @@
             yield f"{limit.replica_id} got {most} calls beside its limit"
 
 
+def _check_versions(history):
+    """Check that each stream was written by one software version."""
+    versions = {}
+    for call in history.calls:
+        if call.path_prefix == standins.STREAM:
+            stream = call.resumes or call.call_id
+            versions.setdefault(stream, set()).update(
+                records.versions_of(call.body)
+            )
+    for stream, written_by in versions.items():
+        if len(written_by) > 1:
+            yield f"{stream} joins versions {', '.join(sorted(written_by))}"
+
+
 def _check_delays(history):
     """Check that gateways wait as long as a replica has told them."""
     calls = {call.call_id: call for call in history.calls}
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -18,6 +18,7 @@
 # so many are the request that does.
 CRASHING_INTERVAL = 2
 CRASHING_REQUEST_INTERVAL = 3
+MAX_TAKE_UPS = 2
 CALL_ERRORS = (
     OSError,
     ValueError,
@@ -48,9 +49,37 @@
             )
         )
         workspace = self._rng.choice(sorted(standins.API_KEYS))
+        return self._send(gateway, path_prefix, workspace)
+
+    def take_up(
+        self, gateway: node_module.Node, broken: records.Call
+    ) -> records.Call:
+        """Take up a stream that broke off, and record the answer."""
+        return self._send(
+            gateway,
+            standins.STREAM,
+            broken.workspace,
+            broken.resumes or broken.call_id,
+            broken.last_event + broken.body.count(b"\n\n"),
+        )
+
+    def _send(
+        self,
+        gateway: node_module.Node,
+        path_prefix: str,
+        workspace: str,
+        resumes: str = "",
+        last_event: int = 0,
+    ) -> records.Call:
         call_id = f"{self._name}-{next(self._numbers)}"
         call = records.Call(
-            call_id, path_prefix, workspace, gateway.name, time.monotonic()
+            call_id,
+            path_prefix,
+            workspace,
+            gateway.name,
+            time.monotonic(),
+            resumes=resumes,
+            last_event=last_event,
         )
         self._history.calls.append(call)
         client = self._clients.get(gateway.name)
@@ -63,7 +92,7 @@
             )
         method = "GET" if path_prefix == standins.LOOKUP else "POST"
         path = f"{path_prefix}{call_id}"
-        if path_prefix == standins.STREAM:
+        if path_prefix == standins.STREAM and not resumes:
             self._streams += 1
             repeated = self._history.crashing_request
             if repeated and self._streams % CRASHING_REQUEST_INTERVAL == 0:
@@ -77,6 +106,9 @@
             headers["Papayalink-Prefix-Hash"] = standins.make_prefix(
                 part, call_id
             )
+        if resumes:
+            headers["Resumes"] = resumes
+            headers["Last-Event-Id"] = str(last_event)
         try:
             answer = client.request(method, path, b"", headers)
             call.server_stamp = answer.get("papayalink-server-stamp", "")
@@ -94,7 +126,13 @@
 
     def run(self, gateways: list[node_module.Node], until: float) -> None:
         while time.monotonic() < until:
-            self.call(self._rng.choice(gateways))
+            call = self.call(self._rng.choice(gateways))
+            for _ in range(MAX_TAKE_UPS):
+                if call.path_prefix != standins.STREAM or call.complete:
+                    break
+                if not call.resumes and b"\n\n" not in call.body:
+                    break
+                call = self.take_up(self._rng.choice(gateways), call)
             gevent.sleep(self._rng.random() * 0.06)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,12 +21,15 @@
     "reset": 2,
     "replica": 3,
     "leaves": 1,
+    "release": 2,
     "crashing": 1,
     "crashing_request": 1,
     "limited": 1,
 }
 LIMIT_PER_S = 3.0
 MAX_DURATION_S = 3.0
+# Time for which a replica that leaves still serves.
+DRAIN_S = 5.0
 
 
 class Injector:
@@ -183,6 +186,10 @@
                 replica.mode = "well"
             case "leaves":
                 replica.leaving = True
+            case "release":
+                self._platform.release(replica)
+                gevent.sleep(DRAIN_S)
+                self._platform.remove(replica)
             case "limited" if replica.limit is None:
                 self.begin_limit(replica)
                 gevent.sleep(duration_s)
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -78,6 +78,7 @@
             names, "failing" answers
             500, "mute" runs calls and does not answer.
         address: address of the proxy, which the list names.
+        software: version that the list names.
         limit: limit that its answers name, None for none.
     """
 
@@ -85,6 +86,7 @@
     zone: str
     executions: records.Executions
     platform: "Platform"
+    software: str = "v1"
     mode: str = "well"
     leaving: bool = False
     address: str = ""
@@ -146,7 +148,7 @@
                 records.Arrival(cause, call_id, time.monotonic())
             )
             return self._crash(cause)
-        return _events(call_id, last_event_id)
+        return _events(call_id, last_event_id, self.software)
 
     def _crash(self, cause: str):
         """Begin an event, and end with all connections."""
@@ -165,10 +167,10 @@
     return history.crashing_part if history.crashing_part in part_ids else ""
 
 
-def _events(call_id: str, last_event_id: int):
+def _events(call_id: str, last_event_id: int, software: str):
     for number in range(last_event_id + 1, EVENTS_PER_STREAM + 1):
         gevent.sleep(EVENT_INTERVAL_S)
-        yield records.make_event(call_id, number)
+        yield records.make_event(call_id, number, software)
 
 
 class Platform:
@@ -185,6 +187,7 @@
         self.history = history
         self._make_proxy = make_proxy
         self._stopped = False
+        self._releases = 0
         self._servers = {}
         self.replicas: list[Replica] = []
         self.proxies = {}
@@ -192,8 +195,12 @@
         self._list.start()
         self.address = f"{ip}:{self._list.server_port}"
 
-    def add_replica(self, replica_id: str, zone: str, ip: str) -> Replica:
-        replica = Replica(replica_id, zone, self.history.executions, self)
+    def add_replica(
+        self, replica_id: str, zone: str, ip: str, software: str = "v1"
+    ) -> Replica:
+        replica = Replica(
+            replica_id, zone, self.history.executions, self, software
+        )
         server = pywsgi.WSGIServer((ip, 0), replica.answer, log=None)
         server.start()
         self._servers[replica_id] = server
@@ -218,9 +225,36 @@
         if self._stopped:
             return
         name, _, starts = replica.replica_id.partition("+")
-        self.add_replica(f"{name}+{int(starts or 0) + 1}", replica.zone, ip)
+        self.add_replica(
+            f"{name}+{int(starts or 0) + 1}",
+            replica.zone,
+            ip,
+            replica.software,
+        )
         self.replicas.remove(replica)
 
+    def release(self, replica: Replica) -> None:
+        """Start a replica of a newer version, and let another one leave."""
+        server = self._servers.get(replica.replica_id)
+        if server is None:
+            return
+        self._releases += 1
+        self.add_replica(
+            f"{replica.replica_id}r{self._releases}",
+            replica.zone,
+            server.server_host,
+            f"v{self._releases + 1}",
+        )
+        replica.leaving = True
+
+    def remove(self, replica: Replica) -> None:
+        """End a replica that has left, with the streams that it writes."""
+        server = self._servers.pop(replica.replica_id, None)
+        if server is not None:
+            self.replicas.remove(replica)
+            self.proxies.pop(replica.replica_id).stop()
+            gevent.spawn(server.stop, 0)
+
     def stop(self) -> None:
         self._stopped = True
         for server in (
@@ -237,7 +271,7 @@
                 "service": "desk",
                 "address": each.address,
                 "zone": each.zone,
-                "version": "v1",
+                "version": each.software,
                 "slots": 16,
                 "state": "draining" if each.leaving else "ready",
                 "coldRemainingMs": 0,
--- a/soak/records.py
+++ b/soak/records.py
@@ -43,6 +43,8 @@
         status: 0 when the connection ended without an answer.
         complete: whether the answer ended cleanly.
         server_stamp: proof of origin: replica id, a dot and the call id.
+        resumes: first call of the stream that this call takes up, "" if none.
+        last_event: number of the event after which it does.
     """
 
     call_id: str
@@ -55,6 +57,8 @@
     complete: bool = False
     server_stamp: str = ""
     body: bytes = b""
+    resumes: str = ""
+    last_event: int = 0
 
 
 class Disturbance(msgspec.Struct, frozen=True):
@@ -155,5 +159,14 @@
     return f"{call_id} answered by {replica_id}\n".encode() * 4
 
 
-def make_event(call_id: str, number: int) -> bytes:
-    return f"id: {number}\ndata: {call_id}/{number}\n\n".encode()
+def make_event(call_id: str, number: int, software: str = "v1") -> bytes:
+    """Returns: an event of a stream, which tells who wrote it."""
+    return f"id: {number}\ndata: {call_id}/{number}/{software}\n\n".encode()
+
+
+def versions_of(body: bytes) -> set[str]:
+    """Returns: software versions that wrote the whole events of a stream."""
+    return {
+        event.rpartition(b"/")[2].decode()
+        for event in body.split(b"\n\n")[:-1]
+    }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -86,6 +86,29 @@
     return history
 
 
+_STREAM = {"path_prefix": standins.STREAM, "server_stamp": "i1.c"}
+
+
+def _taken_up(first, second):
+    """A stream breaks off after three events and is taken up."""
+    bodies = [
+        b"".join(records.make_event("c", each, first) for each in (1, 2, 3)),
+        b"".join(
+            records.make_event("d", each, second)
+            for each in range(4, standins.EVENTS_PER_STREAM + 1)
+        ),
+    ]
+    calls = [
+        _call(**_STREAM, body=bodies[0], complete=False),
+        _call(**_STREAM, body=bodies[1], resumes="c", last_event=3),
+    ]
+    calls[1].call_id = "d"
+    history = _history(calls[0], [_execution()])
+    history.calls.append(calls[1])
+    history.executions.by_call["d"] = [_execution()]
+    return history
+
+
 def _delayed(count, disturbances=()):
     """A replica refuses a call for 2 s, and gets `count` more after 1 s."""
     history = _history(
@@ -97,9 +120,6 @@
     return history
 
 
-_STREAM = {"path_prefix": standins.STREAM, "server_stamp": "i1.c"}
-
-
 @pytest.mark.parametrize(
     "history",
     [
@@ -139,6 +159,8 @@
         _crashing(4, cause="bad-request", crashes=2),
         _limited(17),
         _delayed(2),
+        _taken_up("v1", "v1"),
+        _taken_up("v2", "v2"),
         # The refusal may not have reached the gateway.
         _delayed(3, [_fault("proxy", "i1", 100.0, 101.0)]),
         # A gateway that was just restarted may not know the part yet.
@@ -163,6 +185,18 @@
             _crashing(4, cause="bad-request", crashes=3),
         ),
         ("got 18 calls beside its limit", _limited(18)),
+        ("c joins versions v1, v2", _taken_up("v1", "v2")),
+        (
+            "c joins versions v1, v2",
+            _history(
+                _call(
+                    **_STREAM,
+                    body=_EVENTS[0] + records.make_event("c", 2, "v2"),
+                    complete=False,
+                ),
+                [_execution()],
+            ),
+        ),
         ("3 calls of g1 came to i1 before its delay", _delayed(3)),
         (
             "answered as not run, but ran",
