--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -12,6 +12,7 @@
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import take_ups
@@ -54,12 +55,9 @@
         "_stream",
         "_version",
         "_service",
-        "_tried",
-        "_software",
-        "_first_s",
+        "_record",
         "_urgency",
         "_selection_request",
-        "_expected_s",
         "_keys",
         "_observations",
         "_lost",
@@ -95,14 +93,12 @@
             self._stream.last_event_id = int(call.last_event_id)
         self._version = version
         self._service = self._pick_service()
-        # Replicas that the call was sent to, and their software versions.
-        self._tried: list[str] = []
-        self._software: list[str] = []
-        self._first_s: float | None = None
-        self._expected_s = 0.0
         self._keys = call_keys.make_call_keys(
             call, workspace.name if workspace is not None else call.key
         )
+        self._record = call_record.make_call_record(
+            shared, call, self._keys, route, workspace, received_at
+        )
         # Whether a replica was lost with the call.
         self._lost = False
         self._urgency = directory.urgency(route, workspace)
@@ -135,7 +131,7 @@
             while self._try_once(budget):
                 pass
         except errors.CallerGone:
-            self._record("caller_gone", 0, "caller hung up")
+            self._end("caller_gone", 0, "caller hung up")
             raise
 
     def _try_once(self, budget: retry.Budget) -> bool:
@@ -148,7 +144,7 @@
             return False
         fleet = self._shared.fleet
         self._shared.limits.note_call(self._service)
-        choice = fleet.choose(self._selection_request, self._tried, now)
+        choice = fleet.choose(self._selection_request, self._record.tried, now)
         if choice is None and self._wait_for_permit():
             return True
         if choice is None:
@@ -157,14 +153,12 @@
         if self._shed(choice):
             return False
         member = choice.member
-        self._expected_s = choice.wait_s
-        self._tried.append(member.replica.replica_id)
-        self._software.append(member.replica.software)
+        self._record.note_choice(member, choice.wait_s)
         result = self._send(member)
         match result:
             case attempt.Answered(status, first_s):
-                self._first_s = first_s
-                self._record("answered", status, "")
+                self._record.first_s = first_s
+                self._end("answered", status, "")
                 return False
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
@@ -261,7 +255,7 @@
         if not sending_attempt.connect():
             self._shared.liveness.note_not_reached(member)
             not_sent = attempt.Unanswered(attempts.NotSent())
-            self._log_attempt(member, not_sent)
+            self._record.log_attempt(member, not_sent)
             return not_sent
         dispatch = self._make_dispatch(member)
         self._attempts.note_sending()
@@ -282,7 +276,7 @@
                 )
                 self._observations.note_answer(member, dispatch.salt, result)
             case attempt.Unanswered():
-                self._log_attempt(member, result)
+                self._record.log_attempt(member, result)
                 self._lost |= isinstance(result.outcome, attempts.Lost)
                 self._observations.note_failure(member, result, now)
         return result
@@ -322,7 +316,7 @@
             return
         max_silence_s = max(
             SILENCE_OBJECTIVE_FACTOR * self._route.objective_s,
-            SILENCE_EXPECTED_FACTOR * self._expected_s,
+            SILENCE_EXPECTED_FACTOR * self._record.expected_s,
         )
         if self._stream is not None and self._stream.begun:
             max_silence_s = max(max_silence_s, MIN_STREAM_SILENCE_LIMIT_S)
@@ -379,11 +373,11 @@
     ) -> None:
         reason = repr(result.outcome)
         if self._stream is not None and self._stream.begun:
-            self._record("stream_broken", 0, reason)
+            self._end("stream_broken", 0, reason)
             raise errors.ResponseAborted("upstream broke off the stream")
         match decision:
             case attempts.PassOn():
-                self._record("failed_upstream", result.answer.status, reason)
+                self._end("failed_upstream", result.answer.status, reason)
                 self._responder.respond(
                     result.answer.status, result.answer.headers, result.body
                 )
@@ -391,7 +385,7 @@
                 # The delay that a replica names is for calls to itself.
                 self._refuse(None, reason)
             case attempts.GiveUp(status):
-                self._record("given_up", status, reason)
+                self._end("given_up", status, reason)
                 self._respond(status)
 
     def _end_without_replica(
@@ -410,7 +404,7 @@
                 self._service, time.monotonic()
             )
             retry_after_s = max(RETRY_AFTER_S, usable_s)
-        self._record("refused", 503, reason)
+        self._end("refused", 503, reason)
         self._respond(503, retry_after_s)
 
     def _respond(
@@ -441,70 +435,16 @@
     def _remaining_s(self) -> float:
         return self._deadline - time.monotonic()
 
-    def _log_attempt(
-        self, member: fleet_member.Member, result: attempt.Unanswered
-    ) -> None:
-        outcome = result.outcome
-        self._shared.metrics.count(
-            "attempts", outcome=type(outcome).__name__.lower()
-        )
-        self._shared.log.failed(
-            "attempt_failed",
-            call=self._call.call_id,
-            replica=member.replica.replica_id,
-            address=member.replica.address,
-            software=member.replica.software,
-            outcome=repr(outcome),
-            progress=result.progress.value,
-            parts=",".join(part.part_id for part in self._call.parts),
-            request=self._keys.request,
-            failures=round(member.failures, 2),
-            in_flight=member.in_flight,
-            attempt=len(self._tried),
-        )
-
-    def _record(self, outcome: str, status: int, reason: str) -> None:
-        shared = self._shared
-        took_s = time.monotonic() - self._received_at
-        shared.metrics.count("calls", outcome=outcome)
-        shared.metrics.observe("call", took_s, route=self._route.name)
-        if self._first_s is not None:
-            shared.metrics.observe(
-                "first_answer", self._first_s, route=self._route.name
-            )
-        fields = {
-            "call": self._call.call_id,
-            "route": self._route.name,
-            "service": self._service,
-            "workspace": self._workspace.name if self._workspace else "",
-            "status": status,
-            "replicas": ",".join(self._tried),
-            "took_ms": int(took_s * 1000),
-            "expected_ms": int(self._expected_s * 1000),
-            "first_ms": int((self._first_s or 0.0) * 1000),
-            "document": shared.watcher.number,
-        }
-        if self._stream is not None:
-            fields["software"] = ",".join(self._software)
-            fields["resumes"] = self._call.resumes
-            fields["last_event"] = self._stream.last_event_id
-            gap_s = self._stream.longest_gap_s
-            shared.metrics.observe(
-                "longest_gap", gap_s, route=self._route.name
-            )
-            fields["longest_gap_ms"] = int(gap_s * 1000)
-        if outcome == "answered":
-            shared.log.passed("call_answered", **fields)
-            return
-        shared.log.failed(
-            "call_not_answered",
-            outcome=outcome,
-            reason=reason,
-            left_ms=int(self._remaining_s() * 1000),
-            sent=self._attempts.sent,
-            parts=",".join(part.part_id for part in self._call.parts),
-            request=self._keys.request,
-            **fields,
+    def _end(self, outcome: str, status: int, reason: str) -> None:
+        """Record the end of the call."""
+        self._record.write(
+            outcome,
+            status,
+            reason,
+            self._service,
+            self._stream,
+            self._remaining_s(),
+            self._attempts.sent,
         )
 
 
