Report versions in service as often when the table is read in between

What callers saw: nothing. Found by reading: each reading of the table, such as for an entry that asks for a stream, put off the next report of versions that go on serving, so that copies could take one for gone after 35 s of questions.

Change: reading changes nothing; the time of the last report moves with the version of the table only.

Result: the new test fails before (no report in 50 s) and passes.

--- a/papayalink/coordination/software_history.py
+++ b/papayalink/coordination/software_history.py
@@ -27,7 +27,7 @@
     """Time in which a version was listed.
 
     Attributes:
-        reported_until: the end that others may know.
+        reported_until: the end at the last change of the table's version.
     """
 
     __slots__ = ("since", "until", "reported_until")
@@ -86,18 +86,15 @@
         self, now: float, since: int = 0
     ) -> tuple[shared_tables.SoftwareSpan, ...]:
         """Returns: the whole table, with ages instead of times."""
-        rows = []
-        for (service, software), span in self._spans.items():
-            span.reported_until = span.until
-            rows.append(
-                shared_tables.SoftwareSpan(
-                    service,
-                    software,
-                    _age_ms(span.since, now),
-                    _age_ms(span.until, now),
-                )
+        return tuple(
+            shared_tables.SoftwareSpan(
+                service,
+                software,
+                _age_ms(span.since, now),
+                _age_ms(span.until, now),
             )
-        return tuple(rows)
+            for (service, software), span in self._spans.items()
+        )
 
     def merge(
         self, reported: Iterable[shared_tables.SoftwareSpan], now: float
@@ -138,7 +135,9 @@
             self.version += 1
         span.until = max(span.until, until)
         if span.until > span.reported_until + REFRESH_S:
-            span.reported_until = span.until
+            # All of them, so that they are not reported one by one.
+            for each in self._spans.values():
+                each.reported_until = each.until
             self.version += 1
 
 
--- a/tests/coordination/test_software_history.py
+++ b/tests/coordination/test_software_history.py
@@ -84,6 +84,25 @@
     assert member.only_version("s", now) == "v2"
 
 
+def test_reading_the_table_does_not_delay_the_next_report():
+    """Guards against copies that are told too late how long a version was.
+
+    Members read the table for each entry that asks for a stream.
+    """
+    member = software_history.make_software_history()
+    follower = software_history.make_software_history()
+    version = None
+    for tenth in range(500):
+        now = tenth / 10
+        member.note({"s": {"v1"}}, now)
+        member.encode(now)
+        if member.version != version:
+            version = member.version
+            follower.merge(member.encode(now), now)
+        ages_ms = [row.until_age_ms for row in follower.encode(now)]
+        assert max(ages_ms) <= 1000 * software_history.REFRESH_S + 200
+
+
 def test_history_is_bounded():
     table = software_history.make_software_history()
     for number in range(1000):
