--- a/tests/roles/gateway/test_crashing_parts.py
+++ b/tests/roles/gateway/test_crashing_parts.py
@@ -11,19 +11,6 @@
 _CRASH_INTERVAL_S = 0.1
 
 
-@pytest.fixture
-def start():
-    started = []
-
-    def make(**fields):
-        started.append(sites.Site(**fields))
-        return started[-1]
-
-    yield make
-    for site in started:
-        site.stop()
-
-
 def _crash_replicas(site, part, route="resumed"):
     """Send prompts with a part until it has ended five replicas."""
     number = 0
@@ -57,14 +44,14 @@
     ids=["calm", "new-leader", "restarted-entry"],
 )
 def test_crashing_part_is_not_sent_to_replica_after_replica(
-    start, change, last_words, route
+    start_site, change, last_words, route
 ):
     """Guards against prompts with one part that end all replicas in turn.
 
     All entries must know the part after five crashes, also with a new leader
     or after a restart, and if no byte of the answer arrives.
     """
-    site = start(crashing=["bad"], last_words=last_words)
+    site = start_site(crashing=["bad"], last_words=last_words)
     _crash_replicas(site, "bad", route)
     if change is not None:
         change(site)
--- a/tests/roles/gateway/test_crashing_requests.py
+++ b/tests/roles/gateway/test_crashing_requests.py
@@ -13,10 +13,8 @@
 
 
 @pytest.fixture
-def site():
-    made = sites.Site()
-    yield made
-    made.stop()
+def site(start_site):
+    return start_site()
 
 
 def _crash_replicas(site, route, *parts):
--- a/tests/roles/gateway/test_joined_versions.py
+++ b/tests/roles/gateway/test_joined_versions.py
@@ -5,19 +5,6 @@
 from tests.roles.gateway import sites
 
 
-@pytest.fixture
-def start():
-    started = []
-
-    def make(*software):
-        started.append(sites.Site(software=software))
-        return started[-1]
-
-    yield make
-    for site in started:
-        site.stop()
-
-
 def _begin(site, call_id="first"):
     """Let a stream break off after its first event at the first replica.
 
@@ -52,11 +39,11 @@
     ids=["no-other", "one-other"],
 )
 def test_stream_goes_on_only_at_its_version_within_an_answer(
-    start, others, whole
+    start_site, others, whole
 ):
     """Guards against answers joined from two software versions."""
     for _ in range(4):
-        site = start("v1", *others)
+        site = start_site(software=("v1", *others))
         site.replicas[0].breaks_after = 1
         answers = [site.entries[0].stream(f"c{each}") for each in range(4)]
         for status, versions, was_whole in answers:
@@ -74,9 +61,19 @@
     ],
     ids=["calm", "new-leader", "restarted-entry"],
 )
-def test_take_up_at_another_entry_goes_on_at_the_same_version(start, change):
+def test_take_up_at_another_entry_goes_on_at_the_same_version(
+    start_site, change
+):
     """Guards against take-ups joined from two software versions."""
-    site = start("v1", "v2", "v2", "v2", "v1")
+    site = start_site(
+        software=(
+            "v1",
+            "v2",
+            "v2",
+            "v2",
+            "v1",
+        )
+    )
     assert _begin(site) == "v1"
     site.settle()
     if change is not None:
@@ -87,8 +84,14 @@
         assert answer == (200, ["v1"] * 3, True)
 
 
-def test_take_up_whose_version_has_left_is_refused(start):
-    site = start("v1", "v2", "v2")
+def test_take_up_whose_version_has_left_is_refused(start_site):
+    site = start_site(
+        software=(
+            "v1",
+            "v2",
+            "v2",
+        )
+    )
     _begin(site)
     site.settle()
     site.remove(site.replicas[0])
@@ -106,10 +109,10 @@
 
 @pytest.mark.parametrize("versions", [("v1", "v2"), ("v1", "v1", "v2")])
 def test_take_up_of_an_unknown_stream_is_refused_beside_two_versions(
-    start, versions
+    start_site, versions
 ):
     """Guards against an unknown version that counts as any version."""
-    site = start(*versions)
+    site = start_site(software=versions)
     _begin(site)
     _lose_all(site)
     site.settle()
@@ -117,25 +120,48 @@
         assert entry.stream(f"again{number}", 1, "first")[0] == 503
 
 
-def test_take_up_of_an_unknown_stream_is_refused_if_a_version_just_left(start):
+def test_take_up_of_an_unknown_stream_is_refused_if_a_version_just_left(
+    start_site,
+):
     """The stream may have begun at the version that has left."""
-    site = start("v1", "v2", "v2")
+    site = start_site(
+        software=(
+            "v1",
+            "v2",
+            "v2",
+        )
+    )
     _begin(site, "first")
     site.remove(site.replicas[0])
     for entry in site.entries:
         assert entry.stream("again", 1, "unheard")[0] == 503
 
 
-def test_take_up_of_an_unknown_stream_goes_on_where_one_version_serves(start):
-    site = start("v1", "v1", "v1")
+def test_take_up_of_an_unknown_stream_goes_on_where_one_version_serves(
+    start_site,
+):
+    site = start_site(
+        software=(
+            "v1",
+            "v1",
+            "v1",
+        )
+    )
     site.observe_for_long()
     for entry in site.entries:
         answer = entry.stream("again", 1, "unheard")
         assert answer == (200, ["v1"] * 3, True)
 
 
-def test_new_streams_begin_at_any_version(start):
-    site = start("v1", "v2", "v1", "v2")
+def test_new_streams_begin_at_any_version(start_site):
+    site = start_site(
+        software=(
+            "v1",
+            "v2",
+            "v1",
+            "v2",
+        )
+    )
     begun = set()
     for number in range(20):
         status, versions, whole = site.entries[number % 2].stream(f"c{number}")
--- a/tests/roles/gateway/test_leaving_replicas.py
+++ b/tests/roles/gateway/test_leaving_replicas.py
@@ -8,19 +8,6 @@
 _LEAVING = b"Server-Leaving: 1\r\n"
 
 
-@pytest.fixture
-def start():
-    started = []
-
-    def make(**fields):
-        started.append(sites.Site(**fields))
-        return started[-1]
-
-    yield make
-    for site in started:
-        site.stop()
-
-
 def _send(site, count=12):
     """Returns: status of the answers to prompts at both entries in turn."""
     return [
@@ -34,9 +21,9 @@
     [None, sites.Site.replace_member, sites.Site.replace_entry],
     ids=["calm", "new-leader", "restarted-entry"],
 )
-def test_replica_that_says_it_leaves_gets_no_more_calls(start, change):
+def test_replica_that_says_it_leaves_gets_no_more_calls(start_site, change):
     """Guards against calls to a replica that the list still shows as ready."""
-    site = start(size=3)
+    site = start_site(size=3)
     leaving = site.replicas[0]
     leaving.headers = _LEAVING
     while not leaving.arrived_at:
@@ -50,8 +37,8 @@
     assert not leaving.arrived_at
 
 
-def test_entry_that_is_told_obeys_at_once(start):
-    site = start(size=2)
+def test_entry_that_is_told_obeys_at_once(start_site):
+    site = start_site(size=2)
     for replica in site.replicas:
         replica.headers = _LEAVING
     statuses = [
@@ -60,9 +47,9 @@
     assert statuses == [200, 200, 503, 503, 503, 503]
 
 
-def test_head_that_tells_it_counts_if_the_answer_breaks_off(start):
+def test_head_that_tells_it_counts_if_the_answer_breaks_off(start_site):
     """Guards against what is learnt from a head and lost with the answer."""
-    site = start(size=3)
+    site = start_site(size=3)
     leaving = site.replicas[0]
     leaving.headers = _LEAVING
     leaving.breaks_off = True
--- a/tests/roles/gateway/test_named_delays.py
+++ b/tests/roles/gateway/test_named_delays.py
@@ -5,8 +5,6 @@
 import gevent
 import pytest
 
-from tests.roles.gateway import sites
-
 # The delay counts from half a second after the answer on.
 _GRACE_S = 0.5
 _REFUSAL = (
@@ -15,19 +13,6 @@
 )
 
 
-@pytest.fixture
-def start():
-    started = []
-
-    def make(**fields):
-        started.append(sites.Site(**fields))
-        return started[-1]
-
-    yield make
-    for site in started:
-        site.stop()
-
-
 def _send_until(site, until):
     statuses = []
     while time.monotonic() < until:
@@ -40,10 +25,10 @@
     "content_length", [0, 10], ids=["whole", "broken-off"]
 )
 def test_replica_gets_no_calls_for_the_delay_that_it_names(
-    start, content_length
+    start_site, content_length
 ):
     """Guards against a delay that is cut, or lost with the answer."""
-    site = start(size=2)
+    site = start_site(size=2)
     refusing = site.replicas[0]
     refusing.refusal = _REFUSAL % (2.5, content_length)
     while not refusing.arrived_at:
@@ -59,9 +44,9 @@
         assert refusing.arrived_at[-1] > told_at + 2.5
 
 
-def test_call_is_refused_at_once_if_all_replicas_name_a_delay(start):
+def test_call_is_refused_at_once_if_all_replicas_name_a_delay(start_site):
     """Guards against calls that wait, or return too soon to be served."""
-    site = start(size=2)
+    site = start_site(size=2)
     for replica in site.replicas:
         replica.refusal = _REFUSAL % (4.0, 0)
     for _ in range(2):
@@ -73,9 +58,9 @@
     assert len(site.arrivals) == arrivals
 
 
-def test_caller_may_return_before_the_delay_of_one_replica_ends(start):
+def test_caller_may_return_before_the_delay_of_one_replica_ends(start_site):
     """The delay of a replica is for this entry's calls to itself."""
-    site = start(size=2)
+    site = start_site(size=2)
     site.replicas[0].refusal = _REFUSAL % (30.0, 0)
     site.replicas[1].refusal = _REFUSAL % (0.0, 0)
     for _ in range(2):
@@ -84,8 +69,8 @@
     assert float(headers[b"retry-after"]) < 1.0
 
 
-def test_absurd_delay_is_bounded(start):
-    site = start(size=1)
+def test_absurd_delay_is_bounded(start_site):
+    site = start_site(size=1)
     site.replicas[0].refusal = _REFUSAL % (1e9, 0)
     site.entries[0].prompt("stream", "base", "own")
     status, headers, _ = site.entries[0].call(b"/stream/")
--- a/tests/roles/gateway/test_named_limits.py
+++ b/tests/roles/gateway/test_named_limits.py
@@ -14,19 +14,6 @@
 _PROMPTS_PER_S = 20.0
 
 
-@pytest.fixture
-def start():
-    started = []
-
-    def make(**fields):
-        started.append(sites.Site(**fields))
-        return started[-1]
-
-    yield make
-    for site in started:
-        site.stop()
-
-
 def _most_in_a_window(times):
     return max(
         (
@@ -42,12 +29,12 @@
     [None, sites.Site.replace_member, sites.Site.replace_entry],
     ids=["calm", "new-leader", "restarted-entry"],
 )
-def test_replicas_get_no_more_than_the_limit_they_name(start, change):
+def test_replicas_get_no_more_than_the_limit_they_name(start_site, change):
     """Guards against replicas in need that get their usual share of calls.
 
     The limit is that of all entries together.
     """
-    site = start(size=3)
+    site = start_site(size=3)
     limited = site.replicas[0]
     limited.limit_per_s = _LIMIT_PER_S
     site.run(_PROMPTS_PER_S, _CONTACT_S)
@@ -63,9 +50,9 @@
     assert served >= 0.9 * len(statuses)
 
 
-def test_limit_holds_if_the_answers_that_name_it_break_off(start):
+def test_limit_holds_if_the_answers_that_name_it_break_off(start_site):
     """Guards against a limit that is only known from whole answers."""
-    site = start(size=1)
+    site = start_site(size=1)
     site.replicas[0].limit_per_s = _LIMIT_PER_S
     site.replicas[0].breaks_off = True
     site.run(_PROMPTS_PER_S, _CONTACT_S)
@@ -75,8 +62,8 @@
     assert 0 < _most_in_a_window(arrived_at) <= _MAX_ARRIVALS
 
 
-def test_replica_that_names_no_limit_any_more_gets_its_share_again(start):
-    site = start(size=2)
+def test_replica_that_names_no_limit_any_more_gets_its_share_again(start_site):
+    site = start_site(size=2)
     limited = site.replicas[0]
     limited.limit_per_s = 2.0
     site.run(_PROMPTS_PER_S, 2.0)
