Do not block a part of all prompts for a request and another part

Cause, from the logs: a request and a part ended replicas in the same seconds. A part that all prompts have was lost with both, so no other part was lost with all of its replicas, and it alone seemed to explain them. As no prompt was sent, none cleared it until the trial.

Change: what counts against a prompt for one of its parts are the ends that no blocked part explains which the prompt lacks. Before, a single other part had to explain all of them.

Result: the new test, with one and with two parts beside the request, fails before and passes, with those of the table and of crashing parts and requests.

--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -51,6 +51,7 @@
         "_suspects",
         "_counted",
         "_counts",
+        "_requests",
         "_blocked",
         "_sound",
         "_trials",
@@ -63,6 +64,8 @@
         self._counted: dict[str, dict[str, float]] = {}
         # By key, the number of crashes that nothing else explains.
         self._counts: dict[str, int] = {}
+        # The requests among the counted keys.
+        self._requests: dict[str, dict[str, float]] = {}
         self._blocked: frozenset[str] = frozenset()
         self._sound: dict[str, float] = {}
         # By key, until when a trial is permitted.
@@ -81,7 +84,7 @@
     @property
     def has_requests(self) -> bool:
         """Whether any request is suspected."""
-        return any(map(call_keys.is_request_key, self._counted))
+        return bool(self._requests)
 
     def suspected(self, keys: Iterable[str]) -> bool:
         """Returns: whether a crash counts against any of the keys."""
@@ -138,24 +141,36 @@
     ) -> str | None:
         """Returns: the key for which a call is not sent, None to send it.
 
-        Another part explains the crashes of a suspected one as well if it was
-        lost with all the same replicas. A prompt is only blocked if it has
-        all parts that explain them, so that prompts that lack one of them
-        tell which part it is.
+        Crashes of a part do not count against a prompt if it lacks another
+        part that explains them as well, so that prompts that lack one of two
+        parts tell which it is.
 
         Args:
             parts: keys of the call's parts that other prompts share.
             repeated: whether the call was lost with a replica before.
             request: key of the call itself.
         """
-        if self._is_blocked(request, repeated):
+        needed = (
+            MIN_CRASHES_TO_REPEAT if repeated else crash_counts.MIN_CRASHES
+        )
+        if request in self._blocked or (
+            repeated and self._counts.get(request, 0) >= needed
+        ):
             return request
-        prompt_parts = set(parts)
+        prompt_parts = {
+            part for part in parts if self._counts.get(part, 0) >= needed
+        }
+        if not prompt_parts:
+            return None
+        explained: set[str] = set()
+        for part, count in self._counts.items():
+            if count >= needed and part not in prompt_parts:
+                if not call_keys.is_request_key(part):
+                    explained.update(self._counted[part])
         blocked = [
             (len(self._counted[part]), part)
-            for part in prompt_parts & self._counted.keys()
-            if self._is_blocked(part, repeated)
-            and prompt_parts.issuperset(self._explanations(part))
+            for part in prompt_parts
+            if self._count_part(part, explained) >= needed
         ]
         return max(blocked)[1] if blocked else None
 
@@ -265,20 +280,20 @@
         # Also tells the others if the key has been sound since.
         return suspect.add_crash(replica_id, at, begun) or is_new
 
-    def _is_blocked(self, key: str, repeated: bool) -> bool:
-        return key in self._blocked or (
-            repeated and self._counts.get(key, 0) >= MIN_CRASHES_TO_REPEAT
-        )
+    def _count_part(self, part: str, explained: Collection[str] = ()) -> int:
+        """Returns: number of crashes of a part, one for each request.
 
-    def _explanations(self, part: str) -> list[str]:
-        """Returns: parts lost with all the replicas that a part was."""
-        replicas = self._counted[part].keys()
-        return [
-            other
-            for other, counted in self._counted.items()
-            if not call_keys.is_request_key(other)
-            and replicas <= counted.keys()
-        ]
+        Args:
+            explained: replicas whose ends do not count.
+        """
+        crashes = {
+            replica_id: at
+            for replica_id, at in self._counted[part].items()
+            if replica_id not in explained
+        }
+        return crash_counts.count_moments(
+            crash_counts.times_by_request(crashes, self._requests)
+        )
 
     def _note_change(self, changed: bool) -> None:
         if not changed:
@@ -294,22 +309,21 @@
             if crash.begun
         )
         self._count_crashes()
-        requests = {
+        requests = self._requests = {
             key: crashes
             for key, crashes in self._counted.items()
             if call_keys.is_request_key(key)
         }
         blocked = crash_counts.find_guilty(requests, requests_begun)
         for key, crashes in self._counted.items():
-            times = crashes.values()
-            if key not in requests:
-                times = crash_counts.times_by_request(crashes, requests)
-            self._counts[key] = crash_counts.count_moments(times)
-            if (
-                key not in requests
-                and self._counts[key] >= crash_counts.MIN_CRASHES
-            ):
-                blocked.add(key)
+            if key in requests:
+                self._counts[key] = crash_counts.count_moments(
+                    crashes.values()
+                )
+            else:
+                self._counts[key] = self._count_part(key)
+                if self._counts[key] >= crash_counts.MIN_CRASHES:
+                    blocked.add(key)
         self._blocked = frozenset(blocked)
 
     def _count_crashes(self) -> None:
--- a/tests/coordination/test_crash_suspects.py
+++ b/tests/coordination/test_crash_suspects.py
@@ -187,6 +187,27 @@
     assert other == ("part" if "part" in blocked else None)
 
 
+def test_base_of_all_prompts_is_not_blocked_for_a_request_and_a_part():
+    """Guards against sound prompts that are refused while two causes act.
+
+    A request ends replicas, and so does a part. Both have a part that all
+    prompts have, and no whole answer comes in between.
+    """
+    table = crash_suspects.make_crash_suspects()
+    for at in (1.0, 2.0):
+        _lose(table, at, "deadly", "base sound")
+    for at in (3.0, 4.0, 5.0):
+        _lose(table, at, f"other{at}", "base bad")
+    assert table.find_blocked(["base", "sound"], request="request s") is None
+    assert table.find_blocked(["base", "bad"], request="request b")
+    # A second part that ends replicas.
+    for at in (6.0, 7.0, 8.0):
+        _lose(table, at, f"other{at}", "base worse")
+    assert table.find_blocked(["base", "sound"], request="request s") is None
+    for part in ("bad", "worse"):
+        assert table.find_blocked(["base", part], request="request b")
+
+
 def test_request_without_an_answer_is_blocked_after_three_crashes():
     table = crash_suspects.make_crash_suspects()
     for replica in range(3):
