--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -14,7 +14,7 @@
     """Collects what became of a call, and writes it once it has ended.
 
     Attributes:
-        tried: replicas that were chosen for the call.
+        tried: replicas to which the call was assigned.
         expected_s: predicted time to the first token, 0 for a plain call.
         first_s: time to the head of the answer, None before it.
     """
@@ -55,7 +55,7 @@
     def note_choice(
         self, member: fleet_member.Member, expected_s: float
     ) -> None:
-        """Record that a replica was chosen."""
+        """Record that the call is assigned to a replica."""
         self.tried.append(member.replica.replica_id)
         self._software.append(member.replica.software)
         self.expected_s = expected_s
