--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -43,8 +43,8 @@
 class PartsFollower:
     """Copies a member's directory of stored parts, and exchanges reports.
 
-    It reports work, lost replicas, suspected parts of prompts and limits of
-    replicas, and learns what the other entries reported.
+    It reports work, lost replicas and changes of the shared tables, and learns
+    what the other entries reported.
 
     Args:
         members: returns the addresses of members, the preferred one first.
@@ -67,8 +67,8 @@
         "_fleet",
         "_liveness",
         "_crashes",
-        "_shared_tables",
         "_tables",
+        "_table_exchange",
         "_limit_keeper",
         "_departures",
         "_listing",
@@ -102,8 +102,8 @@
         self._crashes = crashes
         self._limit_keeper = limit_keeper
         self._departures = departing
-        self._shared_tables = tables
-        self._tables = table_exchange.make_table_exchange(tables)
+        self._tables = tables
+        self._table_exchange = table_exchange.make_table_exchange(tables)
         self._listing = listing
         self._list_number = 0
         self._directory = directory
@@ -137,7 +137,7 @@
 
     def _exchange(self, address: str) -> bool:
         now = time.monotonic()
-        self._shared_tables.software.note(self._fleet.software(), now)
+        self._tables.software.note(self._fleet.software(), now)
         message = messages.Parts(
             self._node.settings.name,
             self._source,
@@ -145,7 +145,7 @@
             self._fleet.own_work(),
             self._fleet.lost(),
             self._list_number if self._listing.relayed else 0,
-            self._tables.report(now),
+            self._table_exchange.report(now),
             self._crashes.refused_keys(),
             self._limit_keeper.wanted(),
         )
@@ -173,7 +173,7 @@
         """Merge what the other entries know of parts and of limits."""
         now = self._read_at
         self._crashes.permit_trials(reply.trials)
-        if "suspects" in self._tables.merge(reply.tables, now):
+        if "suspects" in self._table_exchange.merge(reply.tables, now):
             self._crashes.log_changes()
         # Also applies them to replicas that are newly listed.
         self._limit_keeper.apply()
