--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -239,8 +239,9 @@
         if server is None:
             return
         self._releases += 1
+        name = replica.replica_id.partition("+")[0]
         self.add_replica(
-            f"{replica.replica_id}r{self._releases}",
+            f"{name}-r{self._releases}",
             replica.zone,
             server.server_host,
             f"v{self._releases + 1}",
