Log the weights of the replicas that prompts are sent to

call_answered, call_not_answered and attempt_failed have `weights` and `outdated_ms`; the metric `outdated_weights` has the ages as quantiles. No change of logic.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -345,6 +345,11 @@
         )
         return member.queued_tokens(request.urgency, now), max(1.0, own_tokens)
 
+    def outdated_s(self, model: str, version: int, now: float) -> float:
+        """Returns: seconds since the version was replaced, 0 if it was not."""
+        newest, named_at = self._named_versions.get(model, (0, now))
+        return now - named_at if version < newest else 0.0
+
     def _memory_wait_s(
         self,
         member: fleet_member.Member,
--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -30,6 +30,8 @@
         "_workspace",
         "_received_at",
         "_software",
+        "_weights",
+        "_outdated_s",
     )
 
     def __init__(
@@ -49,6 +51,8 @@
         self._received_at = received_at
         self.tried: list[str] = []
         self._software: list[str] = []
+        self._weights: list[int] = []
+        self._outdated_s = 0.0
         self.expected_s = 0.0
         self.first_s: float | None = None
 
@@ -58,12 +62,23 @@
         """Record that the call is assigned to a replica."""
         self.tried.append(member.replica.replica_id)
         self._software.append(member.replica.software)
+        self._weights.append(member.weights.get(self._call.model, 0))
+        self._outdated_s = 0.0
         self.expected_s = expected_s
 
     def withdraw_choice(self) -> None:
         """Record that the call was not sent to the last chosen replica."""
         self.tried.pop()
         self._software.pop()
+        self._weights.pop()
+
+    def note_sending(self) -> None:
+        """Record how old the weights are to which the call is sent."""
+        self._outdated_s = self._shared.fleet.outdated_s(
+            self._call.model, self._weights[-1], time.monotonic()
+        )
+        if self._outdated_s:
+            self._shared.metrics.observe("outdated_weights", self._outdated_s)
 
     def log_attempt(
         self, member: fleet_member.Member, result: attempt.Unanswered
@@ -79,6 +94,8 @@
             replica=member.replica.replica_id,
             address=member.replica.address,
             software=member.replica.software,
+            weights=self._weights[-1],
+            outdated_ms=int(self._outdated_s * 1000),
             outcome=repr(outcome),
             progress=result.progress.value,
             parts=self._part_ids(),
@@ -126,6 +143,9 @@
             "first_ms": int((self.first_s or 0.0) * 1000),
             "document": shared.watcher.number,
         }
+        if self._call.model:
+            fields["weights"] = ",".join(map(str, self._weights))
+            fields["outdated_ms"] = int(self._outdated_s * 1000)
         if stream is not None:
             shared.metrics.observe(
                 "longest_gap", stream.longest_gap_s, route=self._route.name
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -286,6 +286,7 @@
         dispatch = self._make_dispatch(member)
         self._trial = None
         self._attempts.note_sending()
+        self._record.note_sending()
         memory_tokens = self._selection_request.memory_tokens
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
