--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -164,6 +164,10 @@
         pass
 
 
+EMPTY_STORES = _Stores()
+NO_LIST = _Relay()
+
+
 class Entry(stubs.Gateway):
     """A gateway that exchanges reports with the site's member.
 
