Count the age of old weights from when they were replaced

What callers saw: answers on weights that had been replaced 11.8 s before, where 10 s are allowed.

Cause: an entry kept one naming of a model, the newest, and the time at which it learned of it. Each newer naming replaced it, so that the time of all older weights started anew; with a naming each 5 s they were used without end. An entry that started, or was cut off, counted from its own learning.

Change: entries keep for each version when it was last known as the newest, by states that a quorum confirmed. What was replaced at an unknown time counts as old. Rows end after 120 s, and there are at most 256.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -9,6 +9,7 @@
 
 from papayalink.coordination import first_token_times
 from papayalink.coordination import fleet_member
+from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import replicas
@@ -48,6 +49,8 @@
 # Cost of a replica with old weights: a longer wait that is accepted for an
 # answer with the newest weights.
 OLD_WEIGHTS_COST_S = 0.15
+# They cost nothing for this long after they were replaced.
+OLD_WEIGHTS_FREE_S = 1.0
 # Old weights are not used after this fraction of the time allowed for a change
 # of weights; the rest covers the delay until the entry learns of the change.
 OLD_WEIGHTS_FRACTION = 0.85
@@ -102,6 +105,7 @@
         weights_s: time allowed for replicas to load newly named weights.
         fetched_tokens: returns the number of tokens of a prompt's parts that
             stores hold under a salt.
+        history: tells when weights were replaced.
         rng: source of randomness for sampling candidates.
     """
 
@@ -113,7 +117,7 @@
         "_by_service",
         "_first_token_times",
         "_mean_hold_s",
-        "_named_versions",
+        "_weight_history",
         "_old_weights_s",
     )
 
@@ -122,6 +126,7 @@
         zone: str,
         weights_s: float,
         fetched_tokens: Callable[[str, tuple[calls.Part, ...]], int],
+        history: weight_history.WeightHistory,
         rng: random.Random,
     ) -> None:
         self._zone = zone
@@ -132,8 +137,7 @@
         self._by_service: dict[str, list[fleet_member.Member]] = {}
         self._first_token_times = first_token_times.make_first_token_times()
         self._mean_hold_s = HOLD_S
-        # Newest version and when it was named, by model.
-        self._named_versions: dict[str, tuple[int, float]] = {}
+        self._weight_history = history
 
     @property
     def tokens_per_s(self) -> float:
@@ -169,11 +173,6 @@
             service.append(member)
         return unavailable + list(before.values())
 
-    def name_weights(self, model: str, version: int, now: float) -> None:
-        """Require a newer version of a model's weights from now on."""
-        if version > self._named_versions.get(model, (1, 0.0))[0]:
-            self._named_versions[model] = (version, now)
-
     def set_loading(self, loading: Iterable[messages.Loading]) -> None:
         """Mark these replicas as loading weights, and no others."""
         by_id = {each.replica_id: each for each in loading}
@@ -346,9 +345,8 @@
         return member.queued_tokens(request.urgency, now), max(1.0, own_tokens)
 
     def outdated_s(self, model: str, version: int, now: float) -> float:
-        """Returns: seconds since the version was replaced, 0 if it was not."""
-        newest, named_at = self._named_versions.get(model, (0, now))
-        return now - named_at if version < newest else 0.0
+        """Returns: seconds for which weights may have been replaced."""
+        return self._weight_history.outdated_s(model, version, now)
 
     def _memory_wait_s(
         self,
@@ -393,8 +391,8 @@
         held = member.weights.get(request.model)
         if held is None:
             return False
-        version, named_at = self._named_versions.get(request.model, (0, now))
-        return held >= version or now - named_at < self._old_weights_s
+        outdated_s = self.outdated_s(request.model, held, now)
+        return outdated_s < self._old_weights_s
 
     def _old_weights_cost_s(
         self,
@@ -402,9 +400,9 @@
         request: SelectionRequest,
         now: float,
     ) -> float:
-        version, named_at = self._named_versions.get(request.model, (0, now))
-        old = member.weights[request.model] < version
-        return OLD_WEIGHTS_COST_S if old and now - named_at > 1.0 else 0.0
+        held = member.weights[request.model]
+        outdated_s = self.outdated_s(request.model, held, now)
+        return OLD_WEIGHTS_COST_S if outdated_s > OLD_WEIGHTS_FREE_S else 0.0
 
     def _plain_cost(self, member: fleet_member.Member, now: float) -> float:
         load = member.in_flight + member.other_load(now)
@@ -471,9 +469,16 @@
     fetched_tokens: Callable[
         [str, tuple[calls.Part, ...]], int
     ] = lambda salt, parts: 0,
+    history: weight_history.WeightHistory | None = None,
     rng: random.Random | None = None,
 ) -> Fleet:
-    return Fleet(zone, weights_s, fetched_tokens, rng or random.Random())
+    return Fleet(
+        zone,
+        weights_s,
+        fetched_tokens,
+        history or weight_history.make_weight_history(),
+        rng or random.Random(),
+    )
 
 
 def make_selection_request(
--- /dev/null
+++ b/papayalink/coordination/weight_history.py
@@ -0,0 +1,86 @@
+"""When newer weight versions replaced older ones, as far as is known.
+
+Only confirmed states of the control group are evidence: a version that was the
+newest at some time was replaced later. Without such evidence a version that is
+not the newest counts as replaced long ago, so that neither a restart nor a
+newer version prolongs the time for which old weights are used.
+"""
+
+from collections.abc import Mapping
+
+# Longer than any time for which old weights are used.
+KEEP_S = 120.0
+MAX_ROWS = 256
+
+
+class WeightHistory:
+    """When each version of a model's weights was last known as the newest."""
+
+    __slots__ = ("_newest", "_observed_at", "_newest_at")
+
+    def __init__(self) -> None:
+        self._newest: Mapping[str, int] = {}
+        self._observed_at: float | None = None
+        # By model and version, 0 for the time before the first naming.
+        self._newest_at: dict[tuple[str, int], float] = {}
+
+    @property
+    def rows(self) -> int:
+        """Number of versions of which a time is known."""
+        return len(self._newest_at)
+
+    def observe(self, newest: Mapping[str, int], at: float) -> None:
+        """Record a confirmed state.
+
+        Args:
+            newest: the newest named version by model, none of which was
+                replaced before `at`.
+            at: monotonic seconds.
+        """
+        if self._observed_at is not None:
+            for model, version in newest.items():
+                before = self._newest.get(model, 0)
+                if version > before:
+                    self._note(model, before, self._observed_at)
+        self._newest = dict(newest)
+        self._observed_at = at
+        self._expire(at)
+
+    def newest(self, model: str) -> int:
+        """Returns: the newest named version, 0 if none was named."""
+        return self._newest.get(model, 0)
+
+    def outdated_s(self, model: str, version: int, now: float) -> float:
+        """Returns: seconds for which the version may have been replaced.
+
+        0 if it was not replaced, infinity if it is not known since when.
+        """
+        if version >= self.newest(model):
+            return 0.0
+        newest_at = max(
+            (
+                at
+                for (each, newest), at in self._newest_at.items()
+                if each == model and newest <= version
+            ),
+            default=float("-inf"),
+        )
+        return max(0.0, now - newest_at)
+
+    def _note(self, model: str, version: int, at: float) -> None:
+        key = (model, version)
+        if at <= self._newest_at.get(key, float("-inf")):
+            return
+        self._newest_at[key] = at
+        if len(self._newest_at) > MAX_ROWS:
+            del self._newest_at[min(self._newest_at, key=self._newest_at.get)]
+
+    def _expire(self, now: float) -> None:
+        """Forget versions that were replaced long ago."""
+        self._newest_at = {
+            key: at for key, at in self._newest_at.items() if now - at < KEEP_S
+        }
+
+
+def make_weight_history() -> WeightHistory:
+    return WeightHistory()
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -12,6 +12,7 @@
 from papayalink.coordination import fleet_member
 from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
+from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.roles import node as nodes
 from papayalink.roles import process
@@ -78,14 +79,16 @@
         self._placement = cache_placement.make_cache_placement(
             settings.zone, directory
         )
+        history = weight_history.make_weight_history()
         self._fleet = fleets.make_fleet(
             settings.zone,
             settings.bounds.weights_ms / 1000,
             self._placement.fetched_tokens,
+            history,
         )
         self._channels = upstream_channels.make_channels()
         self._watcher = watching.make_watcher(
-            node, translate, self._apply_changes
+            node, translate, self._apply_changes, history
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
         tables = table_exchange.make_table_set()
@@ -207,9 +210,6 @@
         directory = self._watcher.directory
         if directory is not None:
             self._placement.set_stores(directory.traffic.stores)
-        now = time.monotonic()
-        for model, version in self._watcher.weights.items():
-            self._fleet.name_weights(model, version, now)
         self._fleet.set_loading(self._watcher.loading)
         self._fleet.note_loaded(self._watcher.loaded)
 
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -10,6 +10,7 @@
 
 from papayalink import logs
 from papayalink import tasks
+from papayalink.coordination import weight_history
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.state import traffic
@@ -41,12 +42,14 @@
         translate: decodes an operator's document.
         on_change: called after a newer document or weight version, or a change
             in which replicas are loading weights.
+        history: learns which weights are the newest.
     """
 
     __slots__ = (
         "_node",
         "_translate",
         "_on_change",
+        "_history",
         "_members",
         "_number",
         "_directory",
@@ -67,10 +70,12 @@
         node: nodes.Node,
         translate: Translate,
         on_change: Callable[[], None],
+        history: weight_history.WeightHistory,
     ) -> None:
         self._node = node
         self._translate = translate
         self._on_change = on_change
+        self._history = history
         self._members = list(node.settings.seed_peers)
         random.shuffle(self._members)
         self._number = 0
@@ -164,6 +169,7 @@
             self._loading,
         )
         timeout_s = WATCH_TIMEOUT_S if self._number else FIRST_WATCH_TIMEOUT_S
+        asked_at = time.monotonic()
         try:
             reply = self._node.rpc_client.call(
                 address, "Watch", watch, timeout_s
@@ -182,12 +188,14 @@
         if not self._connected:
             self._log.info("control_reached", member=address)
         self._connected = True
-        self._apply_reply(reply, address)
+        self._apply_reply(reply, address, asked_at)
         if not self._number:
             gevent.sleep(RETRY_DELAY_S)
         return True
 
-    def _apply_reply(self, reply: messages.WatchReply, address: str) -> None:
+    def _apply_reply(
+        self, reply: messages.WatchReply, address: str, asked_at: float
+    ) -> None:
         self._confirmed_at = time.monotonic()
         self._watchers = max(1, reply.watchers)
         self._leader = reply.leader
@@ -214,6 +222,8 @@
                 self._weights = {**self._weights, model: version}
                 changed = True
                 self._log.info("weights_named", model=model, version=version)
+        # The member confirms its state after the request.
+        self._history.observe(self._weights, asked_at)
         if reply.loading != self._loading:
             self._loaded = tuple(
                 load for load in self._loading if load not in reply.loading
@@ -227,6 +237,9 @@
 
 
 def make_watcher(
-    node: nodes.Node, translate: Translate, on_change: Callable[[], None]
+    node: nodes.Node,
+    translate: Translate,
+    on_change: Callable[[], None],
+    history: weight_history.WeightHistory,
 ) -> Watcher:
-    return Watcher(node, translate, on_change)
+    return Watcher(node, translate, on_change, history)
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -5,6 +5,7 @@
 
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
+from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import replicas
@@ -30,8 +31,8 @@
     )
 
 
-def _fleet(*listed, fetched=0):
-    fleet = fleets.make_fleet("z1", 10.0, lambda salt, parts: fetched)
+def _fleet(*listed, fetched=0, history=None):
+    fleet = fleets.make_fleet("z1", 10.0, lambda salt, parts: fetched, history)
     fleet.update(listed)
     return fleet
 
@@ -229,23 +230,30 @@
     assert _choose(fleet, _prompt()) == "r1"
 
 
+def _named(age_s):
+    """Returns: history in which version 2 was named that long ago."""
+    history = weight_history.make_weight_history()
+    history.observe({}, _NOW - age_s)
+    history.observe({"m": 2}, _NOW - age_s)
+    return history
+
+
 @pytest.mark.parametrize(
     ("age_s", "chosen"), [(0.5, "r1"), (2.0, "r2"), (9.0, "r2")]
 )
 def test_newest_weights_are_preferred(age_s, chosen):
-    fleet = _fleet(_replica("r1"), _replica("r2", "z2", weights={"m": 2}))
-    fleet.name_weights("m", 2, _NOW - age_s)
+    fleet = _fleet(
+        _replica("r1"),
+        _replica("r2", "z2", weights={"m": 2}),
+        history=_named(age_s),
+    )
     assert _choose(fleet, _prompt()) == chosen
 
 
-def test_old_weights_are_not_used_after_their_time_limit():
-    fleet = _fleet(_replica("r1"))
-    fleet.name_weights("m", 2, _NOW - 8.0)
-    assert _choose(fleet, _prompt()) == "r1"
-    fleet.name_weights("m", 2, _NOW)
-    fleet = _fleet(_replica("r1"))
-    fleet.name_weights("m", 2, _NOW - 9.0)
-    assert _choose(fleet, _prompt()) is None
+@pytest.mark.parametrize(("age_s", "chosen"), [(8.0, "r1"), (9.0, None)])
+def test_old_weights_are_not_used_after_their_time_limit(age_s, chosen):
+    fleet = _fleet(_replica("r1"), history=_named(age_s))
+    assert _choose(fleet, _prompt()) == chosen
 
 
 @pytest.mark.parametrize(
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -11,6 +11,7 @@
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import table_exchange
+from papayalink.coordination import weight_history
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
@@ -150,7 +151,8 @@
         placement = cache_placement.make_cache_placement(
             "z", part_directory.make_part_directory()
         )
-        self.fleet = fleets.make_fleet("z", 10.0)
+        self.weight_history = weight_history.make_weight_history()
+        self.fleet = fleets.make_fleet("z", 10.0, history=self.weight_history)
         self.metrics = metrics_module.make_metrics()
         channels = upstream_channels.make_channels()
         self.fleet.update(
--- a/tests/roles/gateway/test_watching.py
+++ b/tests/roles/gateway/test_watching.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from papayalink.coordination import weight_history
 from papayalink.roles.gateway import watching
 
 
@@ -25,7 +26,9 @@
 
 
 def _make_watcher():
-    watcher = _Watcher(_Node(), None, lambda: None)
+    watcher = _Watcher(
+        _Node(), None, lambda: None, weight_history.make_weight_history()
+    )
     watcher.start()
     return watcher
 
