Let entries and members tell each other when weights were replaced

What callers saw: an entry that starts, or was cut off, knew no time of a naming.

Cause: neither replies to watches nor shared tables had an age, and a new leader knew none.

Change: the history is one of the tables that entries and members exchange, and that members keep on disk; a reply to a watch brings it too, so that an entry that starts has it with its first weights. Members note what they confirm to watches. Copies agree on the latest evidence, in whatever order it comes.

--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -19,6 +19,7 @@
 from papayalink.coordination import named_limits
 from papayalink.coordination import software_history
 from papayalink.coordination import stream_origins
+from papayalink.coordination import weight_history
 from papayalink.protocol import shared_tables
 
 
@@ -49,6 +50,7 @@
         origins: software versions that began streams.
         software: software versions that services had.
         leaving: replicas that say that they leave.
+        weights: when weight versions were replaced.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "origins",
         "software",
         "leaving",
+        "weights",
     )
 
     def __init__(self) -> None:
@@ -67,6 +70,7 @@
         self.origins = stream_origins.make_stream_origins()
         self.software = software_history.make_software_history()
         self.leaving = leaving_replicas.make_leaving_replicas()
+        self.weights = weight_history.make_weight_history()
 
     def by_name(self) -> dict[str, Table]:
         """Returns: the tables by their fields in `shared_tables.Tables`."""
@@ -76,6 +80,7 @@
             "origins": self.origins,
             "software": self.software,
             "leaving": self.leaving,
+            "weights": self.weights,
         }
 
     def versions(self) -> dict[str, int]:
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -282,6 +282,7 @@
         members: RPC addresses of the control members.
         watchers: number of processes that watched this member recently.
         leader: RPC address of the leader, "" when there is none.
+        replaced: what the member knows of earlier weight versions.
     """
 
     number: int
@@ -291,6 +292,7 @@
     watchers: int = 0
     leader: str = ""
     loading: tuple[Loading, ...] = ()
+    replaced: tuple[shared_tables.NewestWeights, ...] = ()
 
     @property
     def skips_compression(self) -> bool:
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -85,6 +85,19 @@
     until_age_ms: int
 
 
+class NewestWeights(msgspec.Struct, frozen=True, array_like=True):
+    """A weight version that was the newest of its model.
+
+    Attributes:
+        version: 0 for the time before the first one was named.
+        age_ms: time for which it may have been replaced at most.
+    """
+
+    model: str
+    version: int
+    age_ms: int
+
+
 class Tables(msgspec.Struct, frozen=True, array_like=True):
     """Changed rows of the tables of one process.
 
@@ -102,3 +115,4 @@
     origins: tuple[StreamOrigin, ...] = ()
     software: tuple[SoftwareSpan, ...] = ()
     leaving: tuple[LeavingReplica, ...] = ()
+    weights: tuple[NewestWeights, ...] = ()
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -127,10 +127,12 @@
             if left_s <= 0:
                 break
             self._changed.wait(left_s)
+        asked_at = time.monotonic()
         try:
             self._state.confirm()
         except errors.CoordinationError as error:
             raise self._state.make_refusal(error) from error
+        self._tables.weights.observe(self._machine.numbered.weights, asked_at)
         return self._make_reply(watch)
 
     def parts(self, message: messages.Parts) -> messages.PartsReply:
@@ -293,6 +295,7 @@
             watchers=len(self._watched_at),
             leader=self._state.leader_address(),
             loading=self._loading(),
+            replaced=self._tables.weights.encode(now),
         )
 
 
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -12,7 +12,6 @@
 from papayalink.coordination import fleet_member
 from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
-from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.roles import node as nodes
 from papayalink.roles import process
@@ -79,19 +78,18 @@
         self._placement = cache_placement.make_cache_placement(
             settings.zone, directory
         )
-        history = weight_history.make_weight_history()
+        tables = table_exchange.make_table_set()
         self._fleet = fleets.make_fleet(
             settings.zone,
             settings.bounds.weights_ms / 1000,
             self._placement.fetched_tokens,
-            history,
+            tables.weights,
         )
         self._channels = upstream_channels.make_channels()
         self._watcher = watching.make_watcher(
-            node, translate, self._apply_changes, history
+            node, translate, self._apply_changes, tables.weights
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
-        tables = table_exchange.make_table_set()
         self._crashes = crashes.make_crash_observer(
             tables.suspects, liveness, node.metrics
         )
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -224,6 +224,7 @@
                 self._log.info("weights_named", model=model, version=version)
         # The member confirms its state after the request.
         self._history.observe(self._weights, asked_at)
+        self._history.merge(reply.replaced, asked_at)
         if reply.loading != self._loading:
             self._loaded = tuple(
                 load for load in self._loading if load not in reply.loading
--- a/tests/coordination/test_weight_history.py
+++ b/tests/coordination/test_weight_history.py
@@ -11,6 +11,7 @@
     history = weight_history.make_weight_history()
     for newest, at in observed:
         history.observe({"m": newest} if newest else {}, at)
+    history.expire(20.0)
     return history
 
 
@@ -64,3 +65,30 @@
     assert history.outdated_s("m", 1, 20.0) == _INFINITE
     assert history.outdated_s("m", 998, 20.0) == pytest.approx(10.02)
     assert history.rows <= weight_history.MAX_ROWS
+
+
+# Guards against copies that count from when they learned.
+@pytest.mark.parametrize("order", [(0, 1), (1, 0), (0, 1, 0), (1, 1, 0)])
+def test_latest_evidence_counts_in_whatever_order_it_comes(order):
+    told = [
+        _history((0, 10.0), (2, 11.0)).encode(20.0),
+        _history((0, 12.5), (2, 13.0)).encode(20.0),
+    ]
+    history = weight_history.make_weight_history()
+    history.observe({"m": 2}, 30.0)
+    assert history.outdated_s("m", 1, 30.0) == _INFINITE
+    for each in order:
+        history.merge(told[each], 30.0)
+    # The rows were 10 s and 7.5 s old when they were told.
+    assert history.outdated_s("m", 1, 30.0) == pytest.approx(7.5)
+
+
+# Guards against copies that tell each other the same for ever.
+def test_known_rows_do_not_change_the_table():
+    history = _history((0, 10.0), (2, 11.0))
+    version = history.version
+    history.merge(history.encode(20.0), 20.0)
+    assert history.version == version
+    history.expire(10.0 + weight_history.KEEP_S)
+    assert history.version != version
+    assert history.rows == 0
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -11,7 +11,6 @@
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import table_exchange
-from papayalink.coordination import weight_history
 from papayalink.platform import dialect as dialects
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
@@ -151,8 +150,8 @@
         placement = cache_placement.make_cache_placement(
             "z", part_directory.make_part_directory()
         )
-        self.weight_history = weight_history.make_weight_history()
-        self.fleet = fleets.make_fleet("z", 10.0, history=self.weight_history)
+        self.tables = table_exchange.make_table_set()
+        self.fleet = fleets.make_fleet("z", 10.0, history=self.tables.weights)
         self.metrics = metrics_module.make_metrics()
         channels = upstream_channels.make_channels()
         self.fleet.update(
@@ -171,7 +170,6 @@
             if upstream.name.startswith(service)
         )
         self.liveness = liveness.make_liveness(channels, self.metrics)
-        self.tables = table_exchange.make_table_set()
         self.limits = limits.make_limit_keeper(self.tables.limits, self.fleet)
         self.crashes = crashes.make_crash_observer(
             self.tables.suspects, self.liveness, self.metrics
--- a/tests/roles/gateway/test_outdated_choices.py
+++ b/tests/roles/gateway/test_outdated_choices.py
@@ -131,8 +131,8 @@
     for each in gateway.fleet.all_members():
         if each is not member and each.weights:
             each.weights["m"] = 2
-    gateway.weight_history.observe({}, time.monotonic() - 100.0)
-    gateway.weight_history.observe({"m": 2}, time.monotonic())
+    gateway.tables.weights.observe({}, time.monotonic() - 100.0)
+    gateway.tables.weights.observe({"m": 2}, time.monotonic())
 
 
 def _limit(gateway, member):
