Add a failing test of ages over a restart with the time of day set back

A member that restarts computes the ages of its rows from the time of day. If that is set back meanwhile, rows look younger than they are, and they replace what the others know, as the latest evidence counts: old weights would be used for longer than allowed.

--- a/tests/roles/authority/test_tables_keeper.py
+++ b/tests/roles/authority/test_tables_keeper.py
@@ -100,3 +100,30 @@
     tables, keeper = _make(tmp_path)
     keeper.read()
     assert tables.suspects.blocked and len(tables.origins) == 1
+
+
+# Guards against ages that begin anew when the time of day is set back while a
+# member is down.
+@pytest.mark.parametrize(
+    ("set_back_s", "rebooted", "age_s"),
+    [(0.0, False, 7.0), (0.0, True, 7.0), (60.0, False, 7.0)],
+)
+def test_ages_go_on_while_a_member_is_down(
+    tmp_path, monkeypatch, set_back_s, rebooted, age_s
+):
+    tables, keeper = _make(tmp_path)
+    now = tables_keeper.time.monotonic()
+    today = tables_keeper.time.time()
+    tables.weights.observe({"m": 1}, now - 3.0)
+    tables.weights.observe({"m": 2}, now)
+    keeper.write_changes()
+    monkeypatch.setattr(
+        tables_keeper.time, "time", lambda: today + 4.0 - set_back_s
+    )
+    later = 1.0 if rebooted else now + 4.0
+    monkeypatch.setattr(tables_keeper.time, "monotonic", lambda: later)
+    tables, keeper = _make(tmp_path)
+    keeper.read()
+    tables.weights.observe({"m": 2}, later)
+    known_s = tables.weights.outdated_s("m", 1, later)
+    assert known_s == pytest.approx(age_s, abs=0.5)
