Let ages of shared rows go on when the time of day is set back

What callers would see: answers on old weights for longer than allowed, after the time of day was set back on a VM whose control member restarts.

Cause: TablesKeeper took the time of day alone for the time since a record was written. Class: a time that starts anew at a process that starts.

Evidence: test_ages_go_on_while_a_member_is_down[60.0-False-7.0] failed.

Change: records have the monotonic time as well. Within one run of the VM it tells the time exactly; after a reboot it is too small at most, and the time of day counts. Remains: both set back and rebooted.

--- a/papayalink/roles/authority/tables_keeper.py
+++ b/papayalink/roles/authority/tables_keeper.py
@@ -29,10 +29,25 @@
     Attributes:
         written_at: time of day, in seconds.
         tables: the rows, with ages at that time.
+        uptime_s: monotonic seconds of the VM.
     """
 
     written_at: float
     tables: shared_tables.Tables
+    uptime_s: float = float("inf")
+
+    def elapsed_s(self) -> float:
+        """Returns: seconds since it was written.
+
+        The time of day may have been set back, and the monotonic clock may
+        have begun anew; neither makes the time longer than it was, unless the
+        time of day was set forward.
+        """
+        return max(
+            0.0,
+            time.time() - self.written_at,
+            time.monotonic() - self.uptime_s,
+        )
 
 
 class TablesKeeper:
@@ -80,9 +95,9 @@
             return
         records = _decode_records(data)
         for record in records:
-            # The time of day may have been set back meanwhile.
-            elapsed_s = max(0.0, time.time() - record.written_at)
-            self._tables.merge(record.tables, time.monotonic() - elapsed_s)
+            self._tables.merge(
+                record.tables, time.monotonic() - record.elapsed_s()
+            )
         self._tables.expire(time.monotonic())
         self._log.info(
             "tables_read",
@@ -98,8 +113,9 @@
             return
         whole = not self._written or self._appended_bytes > MAX_APPENDED_BYTES
         since = {} if whole else self._written
-        rows = self._tables.changes(since, time.monotonic())
-        record = msgspec.msgpack.encode(Record(time.time(), rows))
+        now = time.monotonic()
+        rows = self._tables.changes(since, now)
+        record = msgspec.msgpack.encode(Record(time.time(), rows, now))
         data = _HEADER.pack(len(record), zlib.crc32(record)) + record
         write = _replace_file if whole else _append
         self._appended_bytes = 0 if whole else self._appended_bytes + len(data)
