Let prompts wait for weights that a replica is loading

What callers saw: while no replica has weights that may still be used, prompts were refused, although a replica had the new weights a moment later. All entries wait for the same replicas, so that a retry elsewhere met the same, and callers of long prompts have one.

The waits of a call are in a module of their own.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -313,6 +313,13 @@
             and self._suits(member, request, now)
         )
 
+    def is_loading(self, service: str) -> bool:
+        """Returns: whether a replica is to be usable once it has weights."""
+        return any(
+            member.loading and member.usable_after_load
+            for member in self.members(service)
+        )
+
     def next_usable_s(self, service: str, now: float) -> float:
         """Returns: seconds until a replica is used that is avoided now."""
         return min(
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -107,6 +107,15 @@
         """Whether connections to the replica can be made, as last known."""
         return self._reachable
 
+    @property
+    def usable_after_load(self) -> bool:
+        """Whether nothing but loading or a refusal keeps it from use."""
+        return (
+            self.replica.condition is replicas.Condition.READY
+            and self._reachable
+            and not self.leaving
+        )
+
     def usable(self, now: float) -> bool:
         within_limit = self.limit_per_s is None or self.permits(now) > 0
         return within_limit and self.usable_without_limit(now)
@@ -114,9 +123,7 @@
     def usable_without_limit(self, now: float) -> bool:
         """Returns: whether it is usable, given a permit if it needs one."""
         return (
-            self.replica.condition is replicas.Condition.READY
-            and self._reachable
-            and not self.leaving
+            self.usable_after_load
             and not self.loading
             and now >= self._avoid_until
         )
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -14,6 +14,7 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import observations
+from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import take_ups
 from papayalink.state import traffic
@@ -29,9 +30,6 @@
 # memory preempts streams for about a second, and callers leave after 2 s or
 # more.
 MIN_STREAM_SILENCE_LIMIT_S = 1.6
-# A call waits for replicas that are at their limit up to this fraction of its
-# objective, counted from its arrival; then its caller may try elsewhere.
-PERMIT_WAIT_FRACTION = 0.5
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
 # Delay given to refused callers by default. They retry after a third of their
@@ -58,6 +56,7 @@
         "_record",
         "_urgency",
         "_selection_request",
+        "_replica_wait",
         "_keys",
         "_observations",
         "_lost",
@@ -106,6 +105,14 @@
         self._suspects_version = 0
         # Blocked key for which the call may be sent once all the same.
         self._trial: str | None = None
+        self._replica_wait = replica_wait.make_replica_wait(
+            shared,
+            self._service,
+            bool(call.model),
+            received_at,
+            route.objective_s,
+            self._deadline,
+        )
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
         self._observations = observations.make_observations(
@@ -155,7 +162,7 @@
         fleet = self._shared.fleet
         self._shared.limits.note_call(self._service)
         choice = fleet.choose(self._selection_request, self._record.tried, now)
-        if choice is None and self._wait_for_permit():
+        if choice is None and self._replica_wait.wait():
             return True
         if choice is None:
             self._end_without_replica("no usable replica")
@@ -175,17 +182,6 @@
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
 
-    def _wait_for_permit(self) -> bool:
-        """Wait if only the limits of replicas keep the call from being sent.
-
-        Returns: whether a replica may be usable now.
-        """
-        wait_until = (
-            self._received_at + PERMIT_WAIT_FRACTION * self._route.objective_s
-        )
-        left_s = min(wait_until, self._deadline) - time.monotonic()
-        return self._shared.limits.wait_for_permit(self._service, left_s)
-
     def _is_blocked(self) -> bool:
         """Refuse a call that ends replicas, or a prompt with such a part.
 
