Merge the age of old weights at entries

Entries count the time for which old weights may be used from when they were replaced, and entries and members tell each other what they know of it.

--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -78,17 +78,18 @@
         self._placement = cache_placement.make_cache_placement(
             settings.zone, directory
         )
+        tables = table_exchange.make_table_set()
         self._fleet = fleets.make_fleet(
             settings.zone,
             settings.bounds.weights_ms / 1000,
             self._placement.fetched_tokens,
+            tables.weights,
         )
         self._channels = upstream_channels.make_channels()
         self._watcher = watching.make_watcher(
-            node, translate, self._apply_changes
+            node, translate, self._apply_changes, tables.weights
         )
         liveness = livenesses.make_liveness(self._channels, node.metrics)
-        tables = table_exchange.make_table_set()
         self._crashes = crashes.make_crash_observer(
             tables.suspects, liveness, node.metrics
         )
@@ -207,9 +208,6 @@
         directory = self._watcher.directory
         if directory is not None:
             self._placement.set_stores(directory.traffic.stores)
-        now = time.monotonic()
-        for model, version in self._watcher.weights.items():
-            self._fleet.name_weights(model, version, now)
         self._fleet.set_loading(self._watcher.loading)
         self._fleet.note_loaded(self._watcher.loaded)
 
