Count the queue at a replica towards the time of its old weights

What callers could see: a prompt that is sent to a replica with old weights shortly before their time ends waits there and begins after it.

Cause: the time was compared with the moment of sending. Queues of over 1.5 s, the part of the time that is left for them, are rare but not excluded.

Evidence: test_prompts_do_not_wait_for_old_weights_beyond_their_time_limit; one of its five cases failed before.

Change: a replica with old weights is used only if its predicted queue ends within the time. The prediction is the one by which replicas are compared.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -51,8 +51,8 @@
 OLD_WEIGHTS_COST_S = 0.15
 # They cost nothing for this long after they were replaced.
 OLD_WEIGHTS_FREE_S = 1.0
-# Old weights are not used after this fraction of the time allowed for a change
-# of weights; the rest covers the delay until the entry learns of the change.
+# Prompts are not sent to old weights after this fraction of the time allowed
+# for a change of weights; the rest is for queues longer than predicted.
 OLD_WEIGHTS_FRACTION = 0.85
 # Cost of a certain failure: a retry, or a call without an answer.
 FAILURE_COST_S = 2.0
@@ -118,7 +118,7 @@
         "_first_token_times",
         "_mean_hold_s",
         "_weight_history",
-        "_old_weights_s",
+        "_weights_s",
     )
 
     def __init__(
@@ -130,7 +130,7 @@
         rng: random.Random,
     ) -> None:
         self._zone = zone
-        self._old_weights_s = OLD_WEIGHTS_FRACTION * weights_s
+        self._weights_s = weights_s
         self._fetched_tokens = fetched_tokens
         self._rng = rng
         self._members: dict[str, fleet_member.Member] = {}
@@ -355,6 +355,19 @@
         """Returns: seconds for which weights may have been replaced."""
         return self._weight_history.outdated_s(model, version, now)
 
+    def _queue_s(
+        self,
+        member: fleet_member.Member,
+        request: SelectionRequest,
+        now: float,
+    ) -> float:
+        """Returns: predicted seconds until the replica begins the prompt."""
+        queued_tokens = member.queued_tokens(request.urgency, now)
+        return max(
+            queued_tokens * self._first_token_times.token_s,
+            self._memory_wait_s(member, request, now),
+        )
+
     def _memory_wait_s(
         self,
         member: fleet_member.Member,
@@ -399,7 +412,12 @@
         if held is None:
             return False
         outdated_s = self.outdated_s(request.model, held, now)
-        return outdated_s < self._old_weights_s
+        if not outdated_s:
+            return True
+        if outdated_s >= OLD_WEIGHTS_FRACTION * self._weights_s:
+            return False
+        queue_s = self._queue_s(member, request, now)
+        return outdated_s + queue_s < self._weights_s
 
     def _old_weights_cost_s(
         self,
@@ -427,14 +445,10 @@
         now: float,
     ) -> tuple[float, float, float]:
         """Returns: cost, time to first token, and time for its own prefill."""
-        queued_tokens, own_tokens = self.expected_tokens(member, request, now)
+        _, own_tokens = self.expected_tokens(member, request, now)
         token_s = self._first_token_times.token_s
         own_s = own_tokens * token_s + self._first_token_times.base_s
-        queue_s = max(
-            queued_tokens * token_s,
-            self._memory_wait_s(member, request, now),
-        )
-        wait_s = queue_s + own_s
+        wait_s = self._queue_s(member, request, now) + own_s
         slots = max(1, member.replica.slots)
         load = (member.in_flight + member.other_load(now)) / slots
         # Each running request makes a step of the batch slightly longer.
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -311,3 +311,24 @@
     for _ in range(50):
         fleet.note_memory_held(_memory_prompt(), 4.0)
     assert fleet.choose(_memory_prompt(), (), _NOW).wait_s > 2 * before
+
+
+# Guards against prompts that begin on old weights after their time limit,
+# because they waited at the replica.
+@pytest.mark.parametrize(
+    ("age_s", "queued_tokens", "chosen"),
+    [
+        (8.0, 0, "r1"),
+        (8.0, 50_000, "r1"),
+        (8.0, 150_000, None),
+        (4.0, 150_000, "r1"),
+        (0.0, 150_000, "r1"),
+    ],
+)
+def test_prompts_do_not_wait_for_old_weights_beyond_their_time_limit(
+    age_s, queued_tokens, chosen
+):
+    fleet = _fleet(_replica("r1"), history=_named(age_s))
+    assert fleet.tokens_per_s == pytest.approx(50_000)
+    fleet.find("r1").begin_prefill(2, queued_tokens)
+    assert _choose(fleet, _prompt()) == chosen
