Add failing tests of evidence that waits, and of members without watches

What callers would see: answers on weights replaced longer ago than allowed. A member that stands still reads a report seconds late and takes the ages in it for those of now, so that its evidence is later than the truth; as the latest counts, it replaces what all others know.

--- a/tests/roles/gateway/test_old_weights.py
+++ b/tests/roles/gateway/test_old_weights.py
@@ -68,6 +68,10 @@
             sites.NO_LIST,
         )
 
+    def observe(self):
+        """Let the member look at its own state."""
+        self.service.observe_weights()
+
     def name(self, version):
         self.state.name_weights("m", version)
 
@@ -77,6 +81,7 @@
 
     def __init__(self, group, versions):
         self.cut_off = False
+        self.delay_request = lambda: None
         self._group = group
         settings = node_settings.Gateway(
             name="e1",
@@ -124,6 +129,7 @@
         if method == "Watch":
             message = msgspec.structs.replace(message, wait_ms=0)
         message = messages.decode(messages.encode(message))
+        self.delay_request()
         reply = self._group.service.handlers()[method](message)
         return messages.decode(messages.encode(reply))
 
@@ -269,3 +275,39 @@
                     if now - named_at[version + 1] >= _LIMIT_S
                 ]
                 assert not set(too_old) & set(entry.may_use(now))
+
+
+# Guards against evidence that looks later than it is, because the request that
+# tells it waited for a member that stood still.
+@pytest.mark.parametrize(
+    ("waited_s", "usable"), [(0.0, ["v1", "v2"]), (8.0, ["v2"])]
+)
+def test_report_that_waited_for_a_member_prolongs_no_use_of_old_weights(
+    clock, waited_s, usable
+):
+    group = _Group()
+    entry = _Entry(group, (1, 2))
+    entry.exchange()
+    group.name(2)
+    entry._process._watcher._watch("a1")
+    clock(1.0)
+    entry.delay_request = lambda: clock(waited_s)
+    entry._process._parts._exchange("a1")
+    started = _Entry(group, (1, 2))
+    started.exchange()
+    assert started.may_use(clock()) == usable
+
+
+# Guards against a leader that knows less than the members that entries watch.
+def test_member_without_watches_knows_when_weights_were_replaced(clock):
+    group = _Group()
+    group.observe()
+    clock(1.0)
+    group.name(2)
+    clock(1.0)
+    group.observe()
+    entry = _Entry(group, (1, 2))
+    entry.exchange()
+    assert entry.may_use(clock()) == ["v1", "v2"]
+    clock(_LIMIT_S)
+    assert entry.may_use(clock()) == ["v2"]
