Take evidence on weights from replies only

What callers would see: answers on weights replaced longer ago than allowed, after a member stood still for some seconds.

Cause: rows that entries and members tell in their requests were taken for as old as the request was when it was read. One that waited for a member which stood still looked later than it was by that time. The class: a time that begins when something is learned.

Change: rows on weights in requests are neither sent nor believed; ages in replies count from the request, as before. So that the leader, which perhaps no entry watches, has evidence of its own, members confirm their state twice a second unless a watch did.

--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -109,7 +109,9 @@
     ) -> shared_tables.Tables:
         """Merge what a process tells, and return what it lacks."""
         self.expire(now)
-        self.merge(told, now)
+        # The request may have waited while this process stood still, and rows
+        # that look later than they are would prolong the use of old weights.
+        self.merge(msgspec.structs.replace(told, weights=()), now)
         known = told.versions if told.run == self.run else {}
         return self.changes(known, now)
 
@@ -145,7 +147,7 @@
         self._telling = self._tables.versions()
         changes = self._tables.changes(self._told, now)
         return msgspec.structs.replace(
-            changes, run=self._run, versions=dict(self._known)
+            changes, run=self._run, versions=dict(self._known), weights=()
         )
 
     def merge(
--- a/papayalink/coordination/weight_history.py
+++ b/papayalink/coordination/weight_history.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self.version = 0
         self._newest: Mapping[str, int] = {}
-        self._observed_at: float | None = None
+        self._observed_at = float("-inf")
         # By model and version, 0 for the time before the first naming.
         self._newest_at: dict[tuple[str, int], float] = {}
 
@@ -43,6 +43,11 @@
         """Number of versions of which a time is known."""
         return len(self._newest_at)
 
+    @property
+    def observed_at(self) -> float:
+        """Time of the last confirmed state, minus infinity for none."""
+        return self._observed_at
+
     def observe(self, newest: Mapping[str, int], at: float) -> None:
         """Record a confirmed state.
 
@@ -51,11 +56,10 @@
                 replaced before `at`.
             at: monotonic seconds.
         """
-        if self._observed_at is not None:
-            for model, version in newest.items():
-                before = self._newest.get(model, 0)
-                if version > before:
-                    self._note(model, before, self._observed_at)
+        for model, version in newest.items():
+            before = self._newest.get(model, 0)
+            if version > before and self._observed_at > float("-inf"):
+                self._note(model, before, self._observed_at)
         self._newest = dict(newest)
         self._observed_at = at
 
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -25,6 +25,7 @@
 from papayalink.roles.authority import store_watch
 from papayalink.roles.authority import table_follower
 from papayalink.roles.authority import tables_keeper
+from papayalink.roles.authority import weight_observer
 from papayalink.roles.authority import weights
 from papayalink.roles.control import identity as identities
 from papayalink.roles.control import peers
@@ -137,6 +138,9 @@
         table_follower.make_table_follower(
             self._node, self._state, self._service.tables
         ).start()
+        weight_observer.make_weight_observer(
+            self._node.timers, self._service
+        ).start()
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -127,14 +127,21 @@
             if left_s <= 0:
                 break
             self._changed.wait(left_s)
-        asked_at = time.monotonic()
         try:
-            self._state.confirm()
+            self.observe_weights()
         except errors.CoordinationError as error:
             raise self._state.make_refusal(error) from error
-        self._tables.weights.observe(self._machine.numbered.weights, asked_at)
         return self._make_reply(watch)
 
+    def observe_weights(self) -> None:
+        """Confirm the state, and note which weights are the newest.
+
+        Raises: errors.CoordinationError
+        """
+        asked_at = time.monotonic()
+        self._state.confirm()
+        self._tables.weights.observe(self._machine.numbered.weights, asked_at)
+
     def parts(self, message: messages.Parts) -> messages.PartsReply:
         """Report what the stores hold, and the work of other entries."""
         now = time.monotonic()
