Add failing tests of replicas that return under their id after a loss

Guards against a replica that a gateway never calls again. A gateway keeps the probe of a lost replica by its id. If the replica leaves the list and returns under that id, and the first connection to it fails, no probe of it begins, since that of its former run is under way; that one marks only its former record. A check of the former run is shared in the same way.

--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -111,3 +111,29 @@
     with gevent.Timeout(5):
         while member.usable(1e9):
             gevent.sleep(0.01)
+
+
+def test_replica_that_returns_under_its_id_is_probed(components, monkeypatch):
+    """Guards against a new replica that is never used as its id was lost."""
+    monkeypatch.setattr(livenesses, "PROBE_PERIOD_S", 0.02)
+    former, channels, liveness = components
+    liveness.note_not_reached(former)
+    # The list has dropped it and names it again.
+    member = fleet_member.Member(former.replica)
+    liveness.note_not_reached(member)
+    channels.reachable = True
+    with gevent.Timeout(2):
+        while not member.usable(1e9):
+            gevent.sleep(0.01)
+
+
+def test_check_of_a_replica_says_nothing_of_a_later_one(components):
+    """Guards against a replica that is lost by a check of its former run."""
+    former, channels, liveness = components
+    check = gevent.spawn(liveness.is_reachable, former)
+    gevent.sleep(0.005)
+    channels.reachable = True
+    member = fleet_member.Member(former.replica)
+    assert liveness.is_reachable(member)
+    assert member.reached_at > 0
+    assert check.get(timeout=5)
