Probe a replica that returns under the id of a lost one

Found while looking for times that a newer event or a restart starts anew.

Cause: the probe and the check of a lost replica were kept by its id. A replica that had left the list and returned under its id was another record; when the first connection to it failed while the probe of the former record went on (up to 30 s), no probe of it began, and it was never called again.

Change: both are kept by record.

--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -39,8 +39,9 @@
     ) -> None:
         self._channels = channels
         self._metrics = metrics
-        self._checking: dict[str, gevent.Greenlet] = {}
-        self._probing: set[str] = set()
+        # By record, not by id: a replica may start again under its id.
+        self._checking: dict[fleet_member.Member, gevent.Greenlet] = {}
+        self._probing: set[fleet_member.Member] = set()
         self._log = logs.get_logger()
 
     def is_reachable(self, member: fleet_member.Member) -> bool:
@@ -74,11 +75,12 @@
     def note_not_reached(self, member: fleet_member.Member) -> None:
         """Send the replica no calls until a connection succeeds."""
         member.set_reachable(False)
-        name = member.replica.replica_id
-        if name not in self._probing:
-            self._probing.add(name)
+        if member not in self._probing:
+            self._probing.add(member)
             self._log.warning(
-                "replica_lost", replica=name, address=member.replica.address
+                "replica_lost",
+                replica=member.replica.replica_id,
+                address=member.replica.address,
             )
             self._metrics.count("replicas_lost")
             self._channels.close_idle(member.replica.address)
@@ -87,11 +89,10 @@
 
     def _join_check(self, member: fleet_member.Member) -> bool:
         """Returns: whether a connection could be made."""
-        name = member.replica.replica_id
-        check = self._checking.get(name)
+        check = self._checking.get(member)
         if check is None:
             check = gevent.spawn(self._check, member)
-            self._checking[name] = check
+            self._checking[member] = check
         return check.get()
 
     def _check(self, member: fleet_member.Member) -> bool:
@@ -102,20 +103,21 @@
             self.note_not_reached(member)
             return False
         finally:
-            del self._checking[member.replica.replica_id]
+            del self._checking[member]
 
     def _probe(self, member: fleet_member.Member) -> None:
-        name = member.replica.replica_id
         probe_until = time.monotonic() + PROBE_DURATION_S
         try:
             while time.monotonic() < probe_until:
                 gevent.sleep(PROBE_PERIOD_S)
                 if self._connect(member):
                     member.set_reachable(True)
-                    self._log.info("replica_reached", replica=name)
+                    self._log.info(
+                        "replica_reached", replica=member.replica.replica_id
+                    )
                     return
         finally:
-            self._probing.discard(name)
+            self._probing.discard(member)
 
     def _connect(self, member: fleet_member.Member) -> bool:
         try:
