Add a failing test of entries that are cut off from all members

The number of entries is that of the last 10 to 20 s, and 0 after as long without a reply.

Evidence: the test fails, 0 entries of 5 after 30 s without a member.

--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -160,6 +160,25 @@
     assert entries[-1].follower.entries() == 5
 
 
+def test_entries_still_count_after_a_time_without_a_member(skip_time):
+    """Guards against entries that each use up what all of them share."""
+    member = _Member()
+    entries = [_Entry(f"e{number}", member) for number in range(5)]
+    for entry in entries:
+        entry.exchange()
+    follower = entries[-1].follower
+    skip_time(3 * parts.ENTRIES_PERIOD_S)
+    assert follower.entries() == 5
+    # Nor does a new leader know them at first.
+    entries[-1].members = [_Member()]
+    entries[-1].exchange()
+    assert follower.entries() == 5
+    for _ in range(3 * int(parts.ENTRIES_PERIOD_S)):
+        skip_time(1.0)
+        entries[-1].exchange()
+    assert follower.entries() == 1
+
+
 def test_directory_is_kept_until_a_new_leader_knows_the_stores():
     """Guards against prompts that are read again after a change of leader."""
     old, new = _Member(), _Member()
