Keep the number of entries while no member answers

Found while looking for times that run where they should not.

Cause: an entry counts the other entries over the last 10 to 20 s. Without a reply for longer it counted none, so that each entry used half of each named limit by itself and, with what its control member last told, a larger part of the retry allowance than its own.

Change: the window counts only time in which a member answers.

--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -77,6 +77,7 @@
         "_source",
         "_number",
         "_entries",
+        "_answered_s",
         "_read_at",
         "_log",
     )
@@ -110,12 +111,15 @@
         self._source = ""
         self._number = 0
         self._entries = windows.TwoWindows(ENTRIES_PERIOD_S)
+        # Time in which a member answered, for the number of entries: while
+        # none does, it stays as it was.
+        self._answered_s = 0.0
         self._read_at = time.monotonic()
         self._log = logs.get_logger()
 
     def entries(self) -> int:
         """Returns: number of entries that use the same replicas."""
-        return int(self._entries.largest(time.monotonic()))
+        return int(self._entries.largest(self._answered_s))
 
     def start(self) -> None:
         tasks.spawn(self._run)
@@ -165,8 +169,9 @@
         self._note_software()
         self._source = reply.source
         self._number = reply.number
+        self._answered_s += min(now - self._read_at, PERMITS_TIMEOUT_S)
         self._read_at = now
-        self._entries.raise_to(reply.entries, self._read_at)
+        self._entries.raise_to(reply.entries, self._answered_s)
         self._fleet.update_other_work(reply.work, self._read_at)
         self._note_lost(reply)
         self._merge_tables(reply)
