Add a failing test of a replica that is cut off for long

Guards against a gateway that never calls a replica again. Probing a lost replica ends after 30 s, since the list has dropped it by then; a replica that only this gateway cannot reach stays on the list.

Evidence: the test fails, the replica is not reached within 3 s after the cut has healed.

--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -210,6 +210,10 @@
     def exchange(self):
         assert self._follower._exchange("") is not self.cut_off
 
+    def exchange_all(self):
+        """Exchange reports until the task is killed."""
+        self._follower._run()
+
     def read_list(self):
         """Apply the list as it is now."""
         self.listing.apply(self._site.listed, False)
--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -5,6 +5,7 @@
 """
 
 import gevent
+import msgspec
 import pytest
 
 from papayalink import metrics as metrics_module
@@ -137,3 +138,28 @@
     assert liveness.is_reachable(member)
     assert member.reached_at > 0
     assert check.get(timeout=5)
+
+
+def test_replica_is_probed_while_it_is_listed(start_site, monkeypatch):
+    """Guards against a replica that is never used after a long cut."""
+    monkeypatch.setattr(livenesses, "PROBE_PERIOD_S", 0.02)
+    monkeypatch.setattr(livenesses, "PROBE_DURATION_S", 0.1)
+    site = start_site(size=2)
+    entry = site.entries[0]
+    member = entry.fleet.find(site.replicas[0].name)
+    address = member.replica.address
+    # Nothing listens there.
+    member.replica = msgspec.structs.replace(
+        member.replica, address="127.0.0.1:1"
+    )
+    entry.liveness.note_not_reached(member)
+    exchanges = gevent.spawn(entry.exchange_all)
+    gevent.sleep(0.4)
+    assert not member.reachable
+    member.replica = msgspec.structs.replace(member.replica, address=address)
+    try:
+        with gevent.Timeout(3):
+            while not member.reachable:
+                gevent.sleep(0.01)
+    finally:
+        exchanges.kill()
