Probe a lost replica for as long as it is listed

Cause: probing ended 30 s after the loss, on the ground that the list has dropped the replica by then. A replica that this gateway alone cannot reach stays listed, and got no call from it any more until one of the two started again.

Change: the loop that exchanges reports goes on with probing lost replicas that are listed.

Result: 1 test of tests/roles/gateway/test_liveness.py fails before and passes now.

--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -1,5 +1,6 @@
 """Checks whether a silent replica can still be reached."""
 
+from collections.abc import Iterable
 import time
 
 import gevent
@@ -16,7 +17,7 @@
 CONNECT_ATTEMPTS = 2
 # Calls avoid an unreachable replica; a probe tries to connect this often.
 PROBE_PERIOD_S = 0.5
-# Probing stops after this; by then the list no longer has the replica.
+# Probing stops after this, and goes on for replicas that are still listed.
 PROBE_DURATION_S = 30.0
 # A replica that this entry has reached within this time is checked again, and
 # not given up, when other entries have lost it.
@@ -76,7 +77,6 @@
         """Send the replica no calls until a connection succeeds."""
         member.set_reachable(False)
         if member not in self._probing:
-            self._probing.add(member)
             self._log.warning(
                 "replica_lost",
                 replica=member.replica.replica_id,
@@ -85,7 +85,13 @@
             self._metrics.count("replicas_lost")
             self._channels.close_idle(member.replica.address)
             member.reached_at = float("-inf")
-            gevent.spawn(self._probe, member)
+            self._start_probing(member)
+
+    def keep_probing(self, members: Iterable[fleet_member.Member]) -> None:
+        """Go on with the lost replicas among those that are listed."""
+        for member in members:
+            if not member.reachable and member not in self._probing:
+                self._start_probing(member)
 
     def _join_check(self, member: fleet_member.Member) -> bool:
         """Returns: whether a connection could be made."""
@@ -105,6 +111,10 @@
         finally:
             del self._checking[member]
 
+    def _start_probing(self, member: fleet_member.Member) -> None:
+        self._probing.add(member)
+        gevent.spawn(self._probe, member)
+
     def _probe(self, member: fleet_member.Member) -> None:
         probe_until = time.monotonic() + PROBE_DURATION_S
         try:
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -126,6 +126,7 @@
 
     def _run(self) -> None:
         while True:
+            self._liveness.keep_probing(self._fleet.all_members())
             members = self._members()
             if self._exchange(members[self._failures % len(members)]):
                 self._failures = 0
