Add failing tests of deadlines of further attempts

Guards against a request that starts long after its caller's target: an entry gives each agent that it tries the whole target as the time within which the request must start, whatever earlier attempts have used of it. A redirect from a stopping agent does not look at the deadline at all.

--- a/tests/coordination/test_forwarding.py
+++ b/tests/coordination/test_forwarding.py
@@ -45,6 +45,21 @@
         )
 
 
+class _SlowClient(_Client):
+    """Fake client whose attempts take a while, and that notes deadlines."""
+
+    def __init__(self, script, clock, attempt_s):
+        super().__init__(script)
+        self._clock = clock
+        self._attempt_s = attempt_s
+        self.deadlines_s = []
+
+    def send(self, address, method, path, body):
+        self.deadlines_s.append(relay.decode_relay(body).deadline_s)
+        self._clock.advance(self._attempt_s)
+        return super().send(address, method, path, body)
+
+
 class _Attempts(forwarding.Attempts):
     """Offers `count` agents and allows `retries` immediate retries."""
 
@@ -125,3 +140,21 @@
         return
     with pytest.raises(errors.CoordinationError):
         forwarder.open(REQUEST, attempts)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [STOPPING, NOT_CONNECTED, REFUSED, LOST],
+    ids=["stopping", "not-reached", "refused", "lost"],
+)
+def test_further_attempts_get_the_time_that_is_left(step):
+    """Guards against a deadline that starts anew with each attempt."""
+    clock = clocks.ManualClock()
+    client = _SlowClient([step] * 5, clock, 0.375)
+    forwarder = forwarding.make_forwarder(
+        client, clock, metrics_module.make_metrics()
+    )
+    with pytest.raises(errors.CoordinationError) as caught:
+        forwarder.open(REQUEST, _Attempts(5))
+    assert client.deadlines_s == [1.0, 0.625, 0.25]
+    assert isinstance(caught.value, errors.AnswerCut) is (step is LOST)
