Give further attempts only the time that is left

Found while looking for deadlines that start anew on a hop or a retry.

Cause: an agent counts the time within which a request must start from its arrival, and an entry named the caller's whole target with each attempt. A request that was refused by a stopping agent after 0.9 of its target could wait another whole target at the next one, and one redirected twice two of them.

Change: an attempt names what is left, and none follows when nothing is left.

--- a/papayalink/coordination/forwarding.py
+++ b/papayalink/coordination/forwarding.py
@@ -155,8 +155,8 @@
         """Send a request; try another agent when one does not accept it.
 
         Args:
-            request: its attempt id and weight version are set for each
-                attempt.
+            request: its attempt id, its weight version and the time that is
+                left to start are set for each attempt.
             attempts: chooses the upstreams.
         Returns: the answer, from its first frame on.
         Raises:
@@ -172,7 +172,11 @@
         # Once an attempt may have run, the request must not be reported as
         # "not run", whatever the outcome of later attempts.
         cut: errors.AnswerCut | None = None
+        start_until = self._clock.now() + request.deadline_s
         while True:
+            left_s = start_until - self._clock.now()
+            if tried and left_s <= 0:
+                raise cut or failure
             choice = attempts.choose(frozenset(tried))
             if choice is None:
                 raise cut or failure
@@ -180,7 +184,7 @@
             tried.add(name)
             started_at = self._clock.now()
             try:
-                answer = self._attempt(request, choice)
+                answer = self._attempt(request, choice, left_s)
             except errors.UpstreamRejected:
                 attempts.refused(name, False)
                 raise
@@ -215,13 +219,17 @@
             gevent.sleep(delay_s)
 
     def _attempt(
-        self, request: relay.RelayRequest, choice: selection.Choice
+        self,
+        request: relay.RelayRequest,
+        choice: selection.Choice,
+        left_s: float,
     ) -> Answer:
         upstream = choice.upstream
         attempt = msgspec.structs.replace(
             request,
             attempt_id=uuid.uuid4().hex,
             weight_version=choice.weight_version,
+            deadline_s=left_s,
         )
         self._log.debug(
             "attempt",
