--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import gevent
+from gevent import event as event_module
 from gevent import server as servers
 from gevent import socket
 
@@ -114,10 +115,18 @@
 
     def __init__(self, directory):
         self.directory = directory
+        self._changed = event_module.Event()
 
     def age_s(self):
         return 0.1
 
+    def note_change(self):
+        self._changed.set()
+        self._changed.clear()
+
+    def wait_change(self, timeout_s):
+        return self._changed.wait(timeout_s)
+
 
 def make_route(name, repeat, **fields):
     stream = fields.get("stream", False)
@@ -150,7 +159,8 @@
         placement = cache_placement.make_cache_placement(
             "z", part_directory.make_part_directory()
         )
-        self.fleet = fleets.make_fleet("z", 10.0)
+        self.tables = table_exchange.make_table_set()
+        self.fleet = fleets.make_fleet("z", 10.0, history=self.tables.weights)
         self.metrics = metrics_module.make_metrics()
         channels = upstream_channels.make_channels()
         self.fleet.update(
@@ -169,7 +179,6 @@
             if upstream.name.startswith(service)
         )
         self.liveness = liveness.make_liveness(channels, self.metrics)
-        self.tables = table_exchange.make_table_set()
         self.limits = limits.make_limit_keeper(self.tables.limits, self.fleet)
         self.crashes = crashes.make_crash_observer(
             self.tables.suspects, self.liveness, self.metrics
@@ -177,10 +186,11 @@
         self.departures = departures.make_departures(
             self.tables.leaving, self.fleet, channels
         )
+        self.watcher = _Watcher(traffic.make_directory(document))
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
-                _Watcher(traffic.make_directory(document)),
+                self.watcher,
                 self.fleet,
                 channels,
                 budgets.make_budgets(node_settings.Bounds(), lambda: 1),
