Put requests and results of a choice into a module of their own

No change of decisions; tests of coordination/test_fleet.py, roles/gateway/test_old_weights.py, tests/load and tests/platform pass.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -5,15 +5,13 @@
 from collections.abc import Iterable
 import random
 
-import msgspec
-
 from papayalink.coordination import first_token_times
 from papayalink.coordination import fleet_member
+from papayalink.coordination import replica_choice
 from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import replicas
-from papayalink.state import traffic
 
 # Time to fetch a token from a store, as a fraction of the time to prefill it.
 FETCH_COST_FRACTION = 0.2
@@ -58,45 +56,6 @@
 FAILURE_COST_S = 2.0
 
 
-class SelectionRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A call for which a replica is to be chosen.
-
-    Attributes:
-        isolated: workspace whose cached parts are not shared, "" for others.
-        memory_tokens: most tokens of memory that the call will hold.
-        capacity_tokens: memory of a replica in tokens, 0 when not known.
-        yields: whether there may be more urgent calls, which may preempt it.
-        software: software version that the replica must have, None for any;
-            no replica is known to have the version "".
-        settled: software versions that are preferred to others.
-    """
-
-    service: str
-    model: str = ""
-    parts: tuple[calls.Part, ...] = ()
-    prompt_tokens: int = 0
-    urgency: int = 5
-    isolated: str = ""
-    memory_tokens: int = 0
-    capacity_tokens: int = 0
-    yields: bool = False
-    software: str | None = None
-    settled: frozenset[str] = frozenset()
-
-
-class Choice(msgspec.Struct, frozen=True):
-    """A chosen replica with predicted times.
-
-    Attributes:
-        wait_s: predicted time to first token.
-        own_s: the part of `wait_s` for prefilling the prompt itself.
-    """
-
-    member: fleet_member.Member
-    wait_s: float = 0.0
-    own_s: float = 0.0
-
-
 class Fleet:
     """All replicas, by service.
 
@@ -250,7 +209,7 @@
         self._first_token_times.note(tokens, first_s)
 
     def note_memory_held(
-        self, request: SelectionRequest, held_s: float
+        self, request: replica_choice.SelectionRequest, held_s: float
     ) -> None:
         """Update the mean time that calls hold memory, weighted by tokens."""
         if request.capacity_tokens:
@@ -262,10 +221,10 @@
 
     def choose(
         self,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         excluded: Collection[str],
         now: float,
-    ) -> Choice | None:
+    ) -> replica_choice.Choice | None:
         """Returns: the sampled replica of lowest cost, None if none is usable.
 
         Without a model, all usable replicas are compared instead of a sample.
@@ -286,7 +245,7 @@
                 if member.replica.software in request.settled
             ] or members
         if not request.model:
-            return Choice(
+            return replica_choice.Choice(
                 min(members, key=lambda each: self._plain_cost(each, now))
             )
         candidates = CANDIDATES if request.yields else URGENT_CANDIDATES
@@ -296,12 +255,12 @@
             (self._prompt_cost(each, request, now), each) for each in members
         ]
         (_, wait_s, own_s), member = min(choices, key=lambda each: each[0][0])
-        return Choice(member, wait_s, own_s)
+        return replica_choice.Choice(member, wait_s, own_s)
 
     def is_current(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> bool:
         """Returns: whether a replica may still be chosen, given a permit."""
@@ -330,7 +289,7 @@
     def expected_tokens(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> tuple[int, float]:
         """Returns: tokens prefilled before the prompt, and its own tokens.
@@ -338,7 +297,7 @@
         Its own tokens leave out cached ones; those that are fetched from a
         store count as FETCH_COST_FRACTION each.
         """
-        salt = make_salt(request, member.weights[request.model])
+        salt = replica_choice.make_salt(request, member.weights[request.model])
         held_tokens = member.held_tokens(salt, request.parts)
         stored_tokens = max(
             0, self._fetched_tokens(salt, request.parts) - held_tokens
@@ -358,7 +317,7 @@
     def _queue_s(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> float:
         """Returns: predicted seconds until the replica begins the prompt."""
@@ -371,7 +330,7 @@
     def _memory_wait_s(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> float:
         """Returns: seconds until the replica has memory for the prompt.
@@ -393,7 +352,7 @@
     def _suits(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> bool:
         """Returns: whether its versions are those that the call needs."""
@@ -404,7 +363,7 @@
     def _has_weights(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> bool:
         """Returns: whether the weights of the member may still be used."""
@@ -414,15 +373,14 @@
         outdated_s = self.outdated_s(request.model, held, now)
         if not outdated_s:
             return True
-        if outdated_s >= OLD_WEIGHTS_FRACTION * self._weights_s:
-            return False
         queue_s = self._queue_s(member, request, now)
-        return outdated_s + queue_s < self._weights_s
+        slack_s = (1 - OLD_WEIGHTS_FRACTION) * self._weights_s
+        return outdated_s + max(queue_s, slack_s) < self._weights_s
 
     def _old_weights_cost_s(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> float:
         held = member.weights[request.model]
@@ -441,7 +399,7 @@
     def _prompt_cost(
         self,
         member: fleet_member.Member,
-        request: SelectionRequest,
+        request: replica_choice.SelectionRequest,
         now: float,
     ) -> tuple[float, float, float]:
         """Returns: cost, time to first token, and time for its own prefill."""
@@ -475,23 +433,14 @@
     )
 
 
-def make_salt(request: SelectionRequest, version: int) -> str:
-    """Returns: salt of the keys under which parts are cached for a call.
-
-    It contains the weight version, since neither replicas nor stores separate
-    the parts of different versions, and the workspace of isolated callers.
-    """
-    return f"{request.model}@{version}/{request.isolated}"
-
-
 def make_fleet(
     zone: str,
     weights_s: float,
     fetched_tokens: Callable[
         [str, tuple[calls.Part, ...]], int
     ] = lambda salt, parts: 0,
-    history: weight_history.WeightHistory | None = None,
     rng: random.Random | None = None,
+    history: weight_history.WeightHistory | None = None,
 ) -> Fleet:
     return Fleet(
         zone,
@@ -500,32 +449,3 @@
         history or weight_history.make_weight_history(),
         rng or random.Random(),
     )
-
-
-def make_selection_request(
-    call: calls.Call,
-    service: str,
-    urgency: int,
-    workspace: traffic.Workspace | None,
-    engine: traffic.Engine | None = None,
-    yields: bool = False,
-) -> SelectionRequest:
-    """Returns: the selection request of a call.
-
-    Args:
-        engine: engine data of the service's replicas, None for a plain
-            service.
-        yields: whether there may be more urgent prompts.
-    """
-    isolated = workspace is not None and workspace.isolated
-    return SelectionRequest(
-        service=service,
-        model=call.model,
-        parts=call.parts,
-        prompt_tokens=call.prompt_tokens,
-        urgency=urgency,
-        isolated=workspace.name if isolated else "",
-        memory_tokens=call.prompt_tokens + call.expected_tokens,
-        capacity_tokens=engine.cache_tokens if engine is not None else 0,
-        yields=yields,
-    )
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -6,8 +6,8 @@
 
 from papayalink.coordination import attempts
 from papayalink.coordination import call_keys
-from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
+from papayalink.coordination import replica_choice
 from papayalink.coordination import retry
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
@@ -118,7 +118,7 @@
         self._observations = observations.make_observations(
             shared, call, self._keys, service and service.engine
         )
-        self._selection_request = fleets.make_selection_request(
+        self._selection_request = replica_choice.make_selection_request(
             call,
             self._service,
             self._urgency,
@@ -204,7 +204,7 @@
         self._end_without_replica(f"{kind}{key} ends replicas", retry_after_s)
         return True
 
-    def _shed(self, choice: fleets.Choice) -> bool:
+    def _shed(self, choice: replica_choice.Choice) -> bool:
         """Refuse a prompt if its expected wait is too long.
 
         Returns: whether it was refused.
@@ -405,7 +405,7 @@
         )
         if not self._call.model:
             return dispatch
-        salt = fleets.make_salt(self._selection_request, version)
+        salt = replica_choice.make_salt(self._selection_request, version)
         plan = self._shared.placement.plan(
             salt, self._call.parts, member.replica.zone, time.monotonic()
         )
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -83,7 +83,7 @@
             settings.zone,
             settings.bounds.weights_ms / 1000,
             self._placement.fetched_tokens,
-            tables.weights,
+            history=tables.weights,
         )
         self._channels = upstream_channels.make_channels()
         self._watcher = watching.make_watcher(
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -5,6 +5,7 @@
 
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
+from papayalink.coordination import replica_choice
 from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.protocol import messages
@@ -32,13 +33,15 @@
 
 
 def _fleet(*listed, fetched=0, history=None):
-    fleet = fleets.make_fleet("z1", 10.0, lambda salt, parts: fetched, history)
+    fleet = fleets.make_fleet(
+        "z1", 10.0, lambda salt, parts: fetched, history=history
+    )
     fleet.update(listed)
     return fleet
 
 
 def _prompt(urgency=2):
-    return fleets.SelectionRequest(
+    return replica_choice.SelectionRequest(
         service="models",
         model="m",
         parts=_PARTS,
@@ -181,7 +184,7 @@
         _replica("p1", service="desk", slots=6, weights={}),
         _replica("p2", service="desk", slots=6, weights={}, zone="z2"),
     )
-    request = fleets.SelectionRequest(service="desk")
+    request = replica_choice.SelectionRequest(service="desk")
     assert _choose(fleet, request) == "p1"
     for _ in range(3):
         fleet.find("p1").begin_call(5)
@@ -211,10 +214,10 @@
 )
 def test_salt_separates_weights_and_isolated_workspaces(first, second, same):
     def salt(model, isolated, version):
-        request = fleets.SelectionRequest(
+        request = replica_choice.SelectionRequest(
             service="models", model=model, isolated=isolated
         )
-        return fleets.make_salt(request, version)
+        return replica_choice.make_salt(request, version)
 
     assert (salt(*first) == salt(*second)) is same
 
--- a/tests/load/entries.py
+++ b/tests/load/entries.py
@@ -6,6 +6,7 @@
 
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import load_reports
+from papayalink.coordination import replica_choice
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.state import replicas
@@ -144,7 +145,7 @@
             for each in self._kinds
             if each.urgency < kind.urgency
         ]
-        request = fleets.make_selection_request(
+        request = replica_choice.make_selection_request(
             calls.Call(
                 call_id="c",
                 method=b"POST",
--- a/tests/roles/gateway/test_old_weights.py
+++ b/tests/roles/gateway/test_old_weights.py
@@ -9,7 +9,7 @@
 
 from papayalink import metrics as metrics_module
 from papayalink import node_settings
-from papayalink.coordination import fleet as fleets
+from papayalink.coordination import replica_choice
 from papayalink.platform import dialect as dialects
 from papayalink.protocol import calls
 from papayalink.protocol import messages
@@ -22,7 +22,7 @@
 from papayalink.transport import errors
 from tests.roles.gateway import sites
 
-_PROMPT = fleets.SelectionRequest(
+_PROMPT = replica_choice.SelectionRequest(
     service="models",
     model="m",
     parts=(calls.Part("p", 100),),
