Add a failing test of the order in which replicas load

What callers would see: calls that are answered with weights older than allowed, or that find no replica, while a place for a load goes to a replica with newer weights.

--- a/tests/coordination/test_weight_loads.py
+++ b/tests/coordination/test_weight_loads.py
@@ -58,3 +58,20 @@
 @pytest.mark.parametrize("version", [2, 3])
 def test_replicas_with_current_weights_get_no_order(version):
     assert _choose([_replica("r0", version)]) == []
+
+
+def test_oldest_weights_are_replaced_first():
+    """Guards against a replica that waits on the oldest weights.
+
+    Calls can use it for the shortest time.
+    """
+    replica_list = [
+        _replica("r0", 8),
+        _replica("r1", 9),
+        _replica("r2", 7),
+        _replica("r3", 8, _LEAVING),
+        _replica("r4", 6, _LEAVING),
+        _replica("r5", 8),
+    ]
+    loads = weight_loads.choose_loads(replica_list, {"m": 10}, {}, 100.0)
+    assert [load.replica.replica_id for load in loads] == ["r2", "r0"]
