Replace the oldest weights first

What callers saw: replicas stayed on the oldest weights while others that had newer ones were ordered to load before them.

Cause: replicas that are behind were ordered by their ids.

Change: the oldest weights come first; replicas whose last order had no effect stay behind the others, since one that can't load would otherwise keep its place.

--- a/papayalink/coordination/weight_loads.py
+++ b/papayalink/coordination/weight_loads.py
@@ -42,7 +42,8 @@
         target_versions: latest named version by model.
         ordered_at: time of the last order to a replica, by its id.
         now: time in seconds.
-    Returns: the loads, for each model with leaving replicas last.
+    Returns: the loads, for each model the oldest weights first. Replicas whose
+        last order had no effect, and then leaving ones, come behind the rest.
     """
     by_model: dict[str, list[replica_states.Replica]] = {}
     for replica in replicas:
@@ -64,6 +65,8 @@
             key=lambda each: (
                 each.condition is replica_states.Condition.LEAVING,
                 each.replica_id in ordered_at,
+                each.weights[model],
+                ordered_at.get(each.replica_id, 0.0),
                 each.replica_id,
             )
         )
