Give back the place of a load that has ended

What callers saw: replicas that stayed on old weights for longer than allowed when versions were named a few seconds apart.

Cause: a place was held for 4 s from the order while the replica was behind the newest version. One that had loaded what it was ordered to load was behind again as soon as a newer version was named.

Change: a load that ended frees its place, whatever was named meanwhile.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -166,6 +166,7 @@
         log = self._log.bind(
             replica=replica.replica_id, model=load.model, version=load.version
         )
+        loaded = False
         try:
             order = self._open(load)
             gevent.sleep(ORDER_DELAY_S)
@@ -182,8 +183,7 @@
             )
             log.info("weights_ordered", fence=order.fence, taken=accepted)
             self._node.metrics.count("weight_orders", taken=str(accepted))
-            if accepted:
-                self._wait_loaded(load)
+            loaded = accepted and self._wait_loaded(load)
             self._close(order)
         except (
             errors.CoordinationError,
@@ -196,9 +196,17 @@
             )
         finally:
             self._loading_ids.discard(replica.replica_id)
+        if loaded:
+            # A version that was named meanwhile needs an order of its own.
+            self._ordered_at.pop(replica.replica_id, None)
+            # Choose the next load without waiting for the next period.
+            self._inbox.put(_UpkeepDue())
 
-    def _wait_loaded(self, load: weight_loads.Load) -> None:
-        """Poll the replica until it has the weights or a repeat is due."""
+    def _wait_loaded(self, load: weight_loads.Load) -> bool:
+        """Poll the replica until it has the weights or a repeat is due.
+
+        Returns: whether the replica has the weights.
+        """
         replica = load.replica
         deadline = (
             time.monotonic() + weight_loads.ORDER_REPEAT_S - STATUS_DELAY_S
@@ -224,10 +232,9 @@
                     replica=replica.replica_id,
                     version=load.version,
                 )
-                # Choose the next load without waiting for the next period.
-                self._inbox.put(_UpkeepDue())
-                return
+                return True
             gevent.sleep(PERIOD_S)
+        return False
 
     def _open(self, load: weight_loads.Load) -> upstreams.Order:
         outcome = self._propose(
