Add failing tests of orders and loads of replicas that have crashed

What callers would see: replicas that stay on old weights for longer than allowed, because crashed ones hold the places for loads.

The errors that tell these cases apart are declared here and raised by nothing yet.

--- a/papayalink/coordination/upstream_client.py
+++ b/papayalink/coordination/upstream_client.py
@@ -10,6 +10,14 @@
     """A request to the platform, a replica or a store failed."""
 
 
+class ReplicaNotReached(UpstreamClientError):
+    """No connection to the replica could be opened; nothing was sent."""
+
+
+class ReplicaEnded(ReplicaNotReached):
+    """Nothing listens at the replica's address, or another replica does."""
+
+
 class UpstreamClient(Protocol):
     """Client of one platform; raises UpstreamClientError."""
 
--- a/tests/coordination/test_weight_loads.py
+++ b/tests/coordination/test_weight_loads.py
@@ -75,3 +75,30 @@
     ]
     loads = weight_loads.choose_loads(replica_list, {"m": 10}, {}, 100.0)
     assert [load.replica.replica_id for load in loads] == ["r2", "r0"]
+
+
+def test_failed_orders_hold_no_place_and_come_behind_sound_replicas():
+    """Guards against crashed replicas that keep sound ones from loading."""
+    replica_list = [_replica("r0", 1), _replica("r1", 1), _replica("r2", 1)]
+    failure = weight_loads.note_failure(None, 99.9)
+    failures = {"r0": failure, "r1": failure}
+
+    def choose(now):
+        loads = weight_loads.choose_loads(
+            replica_list, {"m": 2}, {}, now, failures
+        )
+        return [load.replica.replica_id for load in loads]
+
+    assert choose(100.0) == ["r2"]
+    assert choose(failure.retry_at) == ["r2", "r0"]
+
+
+@pytest.mark.parametrize(
+    ("failures", "delay_s"), [(1, 0.5), (2, 1.0), (3, 2.0), (50, 2.0)]
+)
+def test_delay_after_failed_orders_grows_up_to_a_bound(failures, delay_s):
+    """Guards against orders that are repeated without a pause."""
+    failure = None
+    for _ in range(failures):
+        failure = weight_loads.note_failure(failure, 100.0)
+    assert failure.retry_at == 100.0 + delay_s
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -6,6 +6,7 @@
 
 import json
 import pickle
+import socket
 import types
 
 import gevent
@@ -14,6 +15,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from papayalink.coordination import upstream_client
 from papayalink.platform import errors
 from papayalink.platform import replicas as platforms
 from papayalink.protocol import messages
@@ -499,3 +501,62 @@
         ]
     )
     assert len(held) < 10_000
+
+
+def _replica_at(port):
+    return states.Replica(
+        replica_id="i-1",
+        service="desk",
+        address=f"127.0.0.1:{port}",
+        zone="a",
+        slots=4,
+        condition=states.Condition.READY,
+    )
+
+
+def _order(platform, replica):
+    return platform.order_weights(replica, "m", 2, "v1", 7)
+
+
+@pytest.mark.parametrize(
+    "call", [_order, platforms.Platform.read_weights], ids=["order", "report"]
+)
+def test_refused_connection_shows_that_the_replica_ended(call):
+    """Guards against waiting for the load of a replica that crashed."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+        platform = platforms.make_platform("127.0.0.1:1")
+        with pytest.raises(upstream_client.ReplicaEnded):
+            call(platform, _replica_at(port))
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [
+        ("200 OK", True),
+        ("202 Accepted", True),
+        ("409 Conflict", False),
+        ("412 Precondition Failed", False),
+        ("421 Misdirected Request", upstream_client.ReplicaEnded),
+    ],
+)
+def test_answer_to_an_order_shows_what_the_replica_does(status, outcome):
+    """Guards against waiting for a load that a replica does not begin."""
+
+    def answer(environ, start_response):
+        start_response(status, [("Content-Type", "application/json")])
+        return [b"{}"]
+
+    server = pywsgi.WSGIServer(("127.0.0.1", 0), answer, log=None)
+    server.start()
+    platform = platforms.make_platform("127.0.0.1:1")
+    replica = _replica_at(server.server_port)
+    try:
+        if isinstance(outcome, bool):
+            assert _order(platform, replica) is outcome
+        else:
+            with pytest.raises(outcome):
+                _order(platform, replica)
+    finally:
+        server.stop()
--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -10,6 +10,7 @@
 import pytest
 
 from papayalink import metrics as metrics_module
+from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
 from papayalink.roles.authority import weights
 from papayalink.state import replicas
@@ -27,6 +28,7 @@
         listed: weights of each replica on the list, which may differ.
         orders: replica and version of each order that arrived.
         reads: number of times that the list was read.
+        errors: error of each call to a replica, None for a rejected order.
     """
 
     def __init__(self, versions):
@@ -34,6 +36,7 @@
         self.listed = dict(versions)
         self.orders = []
         self.reads = 0
+        self.errors = {}
         self._loading = {}
 
     def list_replicas(self):
@@ -52,11 +55,18 @@
         ]
 
     def read_weights(self, replica):
-        return {"m": self.versions[replica.replica_id]}
+        name = replica.replica_id
+        if self.errors.get(name) is not None:
+            raise self.errors[name]
+        return {"m": self.versions[name]}
 
     def order_weights(self, replica, model, version, holder, fence):
         name = replica.replica_id
         self.orders.append((name, version))
+        if name in self.errors:
+            if self.errors[name] is None:
+                return False
+            raise self.errors[name]
         self._loading[name] = version
         return True
 
@@ -114,6 +124,10 @@
     monkeypatch.setattr(weights, "STATUS_DELAY_S", _PERIOD_S)
     monkeypatch.setattr(weights, "ORDER_DELAY_S", _PERIOD_S)
     monkeypatch.setattr(weight_loads, "ORDER_REPEAT_S", 1000.0)
+    monkeypatch.setattr(weights, "UNANSWERED_RETRY_S", 1000.0)
+    monkeypatch.setattr(
+        weight_loads, "FIRST_RETRY_S", _PERIOD_S, raising=False
+    )
 
     def propose(self, command):
         name = getattr(command, "upstream", "")
@@ -135,3 +149,64 @@
     platform.end_load("r1")
     leader.wait_for(lambda: len(platform.orders) == 4)
     assert platform.orders == [("r0", 2), ("r1", 2), ("r2", 3), ("r0", 3)]
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        upstream_client.ReplicaEnded("refused"),
+        upstream_client.ReplicaNotReached("timed out"),
+        None,
+    ],
+    ids=["ended", "not-reached", "rejected"],
+)
+def test_order_that_was_not_taken_holds_no_place(make_leader, error):
+    """Guards against crashed replicas that keep sound ones from loading."""
+    leader = make_leader({"r0": 1, "r1": 1, "r2": 1, "r3": 1})
+    platform = leader.platform
+    platform.errors = {"r0": error, "r1": error}
+    leader.wait_for(lambda: len(platform.orders) >= 4)
+    assert platform.orders[:4] == [("r0", 2), ("r1", 2), ("r2", 2), ("r3", 2)]
+
+
+def test_replica_that_ends_during_its_load_gives_its_place_back(make_leader):
+    """Guards against places that crashed replicas hold for seconds."""
+    leader = make_leader({"r0": 1, "r1": 1, "r2": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    platform.errors = {"r0": upstream_client.ReplicaEnded("refused")}
+    leader.wait_for(lambda: len(platform.orders) == 3)
+    assert platform.orders[2] == ("r2", 2)
+
+
+def test_replica_that_returns_is_ordered_again(make_leader):
+    """Guards against a replica under its old id that keeps old weights."""
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 1)
+    platform.errors = {"r0": upstream_client.ReplicaEnded("refused")}
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    platform.errors = {}
+    leader.wait_for(lambda: len(platform.orders) == 3)
+    platform.end_load("r0")
+    leader.pass_periods(10)
+    assert platform.orders == [("r0", 2)] * 3
+
+
+def test_replica_that_was_off_the_list_is_ordered_at_once(
+    make_leader, monkeypatch
+):
+    """Guards against a delay that is left from before a replica's return."""
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    monkeypatch.setattr(weight_loads, "FIRST_RETRY_S", 1000.0, raising=False)
+    monkeypatch.setattr(weight_loads, "MAX_RETRY_S", 1000.0, raising=False)
+    platform.errors = {"r0": upstream_client.ReplicaEnded("refused")}
+    leader.wait_for(lambda: len(platform.orders) == 1)
+    version = platform.listed.pop("r0")
+    platform.errors = {}
+    reads = platform.reads
+    leader.wait_for(lambda: platform.reads >= reads + 2)
+    platform.listed["r0"] = version
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    assert platform.orders == [("r0", 2)] * 2
