Give orders that are not taken no place for loads

What callers saw: replicas that stayed on old weights for longer than allowed while others crashed.

Cause: an order that failed held its place until it was repeated, each 0.5 s after a refused connection and each 4 s after a rejection. While a crashed replica stayed on the list, a place was lost.

Change: a refused connection, one that can't be opened, an answer of another replica (421) and a rejection hold no place. The order is repeated after 0.5 s, 1 s, 2 s and then each 2 s, behind sound replicas, and at once when the replica has been off the list. An order without an answer keeps its place as before, since it may be carried out. The log tells the delay.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -320,6 +320,9 @@
             # A name would be looked up, in a thread and for seconds.
             socket.inet_pton(family, self._host)
             sock.connect((self._host, self._port))
+        except ConnectionRefusedError as error:
+            sock.close()
+            raise errors.Refused(_describe(error)) from error
         except (OSError, ValueError, OverflowError) as error:
             sock.close()
             raise errors.Unreachable(_describe(error)) from error
--- a/papayalink/adapters/errors.py
+++ b/papayalink/adapters/errors.py
@@ -13,6 +13,10 @@
     """No connection could be opened, so nothing was sent."""
 
 
+class Refused(Unreachable):
+    """Nothing listens at the address."""
+
+
 class Interrupted(AdapterError):
     """The connection failed after sending began; the outcome is unknown."""
 
--- a/papayalink/coordination/upstream_client.py
+++ b/papayalink/coordination/upstream_client.py
@@ -25,7 +25,10 @@
         """Returns: all replicas on the platform's list, which may lag."""
 
     def read_weights(self, replica: replicas.Replica) -> dict[str, int]:
-        """Returns: weight version by model, as reported by the replica."""
+        """Returns: weight version by model, as reported by the replica.
+
+        Raises: UpstreamClientError, among them ReplicaNotReached.
+        """
 
     def order_weights(
         self,
@@ -41,7 +44,8 @@
             holder: name of the process that gives the order.
             fence: fencing token of the order.
         Returns: whether the replica accepted the order or already has it.
-        Raises: UpstreamClientError; the replica may still carry it out.
+        Raises: ReplicaNotReached, or UpstreamClientError when the replica may
+            still carry it out.
         """
 
 
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -26,6 +26,9 @@
 LOG_PERIOD_S = 60.0
 MAX_LOGGED_BYTES = 100
 
+# Answer of a replica that is not the expected one.
+_MISDIRECTED = 421
+
 _PORT = re.compile(r"[1-9][0-9]{0,4}")
 MAX_PORT = 65_535
 
@@ -122,8 +125,8 @@
         """Order a replica to load weights after its running requests.
 
         Returns: whether the replica accepted the order, now or before.
-        Raises: errors.CallFailed; the replica may still carry out the
-            order.
+        Raises: errors.ReplicaNotReached, or errors.CallFailed when the
+            replica may still carry out the order.
         """
         order = {
             "operation": "version",
@@ -147,20 +150,23 @@
                 msgspec.json.encode(order),
             )
         except adapter_errors.AdapterError as error:
-            raise errors.CallFailed(str(error)) from error
+            raise _make_error(error) from error
+        if reply.status == _MISDIRECTED:
+            raise errors.ReplicaEnded("another replica answers")
         return reply.status in (200, 202)
 
     def read_weights(self, replica: replicas.Replica) -> dict[str, int]:
         """Returns: weight version by model, as reported by the replica.
 
-        Raises: errors.CallFailed
+        Raises: errors.CallFailed, among them errors.ReplicaNotReached
         """
         connector = connection.Connector(replica.address, ORDER_TIMEOUT_S)
         try:
             reply = connector.call("GET", "/-/report", ORDER_TIMEOUT_S)
             report = msgspec.json.decode(reply.body, type=_Report)
+        except adapter_errors.AdapterError as error:
+            raise _make_error(error) from error
         except (
-            adapter_errors.AdapterError,
             msgspec.DecodeError,
             UnicodeDecodeError,
             RecursionError,
@@ -200,6 +206,16 @@
         return found
 
 
+def _make_error(error: adapter_errors.AdapterError) -> errors.CallFailed:
+    match error:
+        case adapter_errors.Refused():
+            return errors.ReplicaEnded(str(error))
+        case adapter_errors.Unreachable():
+            return errors.ReplicaNotReached(str(error))
+        case _:
+            return errors.CallFailed(str(error))
+
+
 def _add(
     found: dict[str, replicas.Replica], replica: replicas.Replica
 ) -> None:
--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -61,6 +61,7 @@
         "_known_replicas",
         "_listed_at",
         "_ordered_at",
+        "_failures",
         "_loading_ids",
         "_leading_since",
         "_inbox",
@@ -83,6 +84,7 @@
         self._known_replicas: dict[str, replica_states.Replica] = {}
         self._listed_at = 0.0
         self._ordered_at: dict[str, float] = {}
+        self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
@@ -99,6 +101,7 @@
             if not self._replica.is_leader:
                 self._leading_since = None
                 self._ordered_at.clear()
+                self._failures.clear()
                 continue
             if self._leading_since is None:
                 self._leading_since = now
@@ -130,7 +133,11 @@
         if now - self._listed_at >= period_s or not self._known_replicas:
             self._read_list(now)
         for load in weight_loads.choose_loads(
-            self._known_replicas.values(), wanted, self._ordered_at, now
+            self._known_replicas.values(),
+            wanted,
+            self._ordered_at,
+            now,
+            self._failures,
         ):
             self._ordered_at[load.replica.replica_id] = now
             self._loading_ids.add(load.replica.replica_id)
@@ -160,6 +167,8 @@
                 replica = msgspec.structs.replace(replica, weights=newer)
             known[replica.replica_id] = replica
         self._known_replicas = known
+        for gone in self._failures.keys() - known.keys():
+            del self._failures[gone]
 
     def _load(self, load: weight_loads.Load) -> None:
         replica = load.replica
@@ -183,8 +192,14 @@
             )
             log.info("weights_ordered", fence=order.fence, taken=accepted)
             self._node.metrics.count("weight_orders", taken=str(accepted))
-            loaded = accepted and self._wait_loaded(load)
+            if accepted:
+                self._failures.pop(replica.replica_id, None)
+                loaded = self._wait_loaded(load)
             self._close(order)
+            if not accepted:
+                self._note_failure(replica, "rejected")
+        except upstream_client.ReplicaNotReached as error:
+            self._note_failure(replica, error)
         except (
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
@@ -198,9 +213,30 @@
             self._loading_ids.discard(replica.replica_id)
         if loaded:
             # A version that was named meanwhile needs an order of its own.
-            self._ordered_at.pop(replica.replica_id, None)
-            # Choose the next load without waiting for the next period.
-            self._inbox.put(_UpkeepDue())
+            self._give_place_back(replica)
+
+    def _note_failure(
+        self, replica: replica_states.Replica, reason: object
+    ) -> None:
+        """Order the replica again after a delay, behind the others."""
+        now = time.monotonic()
+        failure = weight_loads.note_failure(
+            self._failures.get(replica.replica_id), now
+        )
+        self._failures[replica.replica_id] = failure
+        self._log.warning(
+            "weights_not_ordered",
+            replica=replica.replica_id,
+            reason=reason,
+            orders=failure.count,
+            retry_s=round(failure.retry_at - now, 3),
+        )
+        self._give_place_back(replica)
+
+    def _give_place_back(self, replica: replica_states.Replica) -> None:
+        self._ordered_at.pop(replica.replica_id, None)
+        # Choose the next load without waiting for the next period.
+        self._inbox.put(_UpkeepDue())
 
     def _wait_loaded(self, load: weight_loads.Load) -> bool:
         """Poll the replica until it has the weights or a repeat is due.
