Give back the place of a replica that ended during its load

What callers saw: replicas that stayed on old weights for longer than allowed while others crashed.

Cause: a report that a crashed replica refused counted as one that was not read, and its place was held until 4 s after the order.

Change: a refused report ends the wait.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -175,7 +175,7 @@
         log = self._log.bind(
             replica=replica.replica_id, model=load.model, version=load.version
         )
-        loaded = False
+        accepted = loaded = False
         try:
             order = self._open(load)
             gevent.sleep(ORDER_DELAY_S)
@@ -199,7 +199,7 @@
             if not accepted:
                 self._note_failure(replica, "rejected")
         except upstream_client.ReplicaNotReached as error:
-            self._note_failure(replica, error)
+            self._note_failure(replica, error, accepted)
         except (
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
@@ -216,7 +216,10 @@
             self._give_place_back(replica)
 
     def _note_failure(
-        self, replica: replica_states.Replica, reason: object
+        self,
+        replica: replica_states.Replica,
+        reason: object,
+        accepted: bool = False,
     ) -> None:
         """Order the replica again after a delay, behind the others."""
         now = time.monotonic()
@@ -225,7 +228,7 @@
         )
         self._failures[replica.replica_id] = failure
         self._log.warning(
-            "weights_not_ordered",
+            "load_interrupted" if accepted else "weights_not_ordered",
             replica=replica.replica_id,
             reason=reason,
             orders=failure.count,
@@ -242,6 +245,7 @@
         """Poll the replica until it has the weights or a repeat is due.
 
         Returns: whether the replica has the weights.
+        Raises: upstream_client.ReplicaEnded
         """
         replica = load.replica
         deadline = (
@@ -251,6 +255,8 @@
         while time.monotonic() < deadline:
             try:
                 weights = self._platform.read_weights(replica)
+            except upstream_client.ReplicaEnded:
+                raise
             except upstream_client.UpstreamClientError as error:
                 self._log.info(
                     "status_not_read",
