Add a failing test of a replica that restarts during its load

What callers would see: a replica under its old id that stays on old weights and keeps a place for loads for 4 s, as the restart has cleared its order.

A replica's report is read with the number of orders that it has accepted; the leader doesn't use it yet. The checks of what a report says are the same.

--- a/papayalink/coordination/upstream_client.py
+++ b/papayalink/coordination/upstream_client.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+import msgspec
+
 from papayalink.state import part_directory
 from papayalink.state import replicas
 
@@ -18,14 +20,26 @@
     """Nothing listens at the replica's address, or another replica does."""
 
 
+class Report(msgspec.Struct, frozen=True):
+    """A replica's report of itself, which may be some 100 ms old.
+
+    Attributes:
+        weights: weight version by model.
+        orders: orders that it accepted since its start, None if unknown.
+    """
+
+    weights: dict[str, int]
+    orders: int | None = None
+
+
 class UpstreamClient(Protocol):
     """Client of one platform; raises UpstreamClientError."""
 
     def list_replicas(self) -> list[replicas.Replica]:
         """Returns: all replicas on the platform's list, which may lag."""
 
-    def read_weights(self, replica: replicas.Replica) -> dict[str, int]:
-        """Returns: weight version by model, as reported by the replica.
+    def read_report(self, replica: replicas.Replica) -> Report:
+        """Returns: what the replica reports of itself.
 
         Raises: UpstreamClientError, among them ReplicaNotReached.
         """
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -12,6 +12,7 @@
 from papayalink import logs
 from papayalink.adapters import connection
 from papayalink.adapters import errors as adapter_errors
+from papayalink.coordination import upstream_client
 from papayalink.platform import errors
 from papayalink.platform import list_pages
 from papayalink.state import replicas
@@ -75,6 +76,7 @@
 
 class _Report(msgspec.Struct):
     models: list[_Model] = []
+    sequence: int | None = None
 
 
 class Platform:
@@ -155,8 +157,8 @@
             raise errors.ReplicaEnded("another replica answers")
         return reply.status in (200, 202)
 
-    def read_weights(self, replica: replicas.Replica) -> dict[str, int]:
-        """Returns: weight version by model, as reported by the replica.
+    def read_report(self, replica: replicas.Replica) -> upstream_client.Report:
+        """Returns: what the replica reports of itself.
 
         Raises: errors.CallFailed, among them errors.ReplicaNotReached
         """
@@ -172,7 +174,10 @@
             RecursionError,
         ) as error:
             raise errors.CallFailed(str(error)) from error
-        return {model.name: model.version for model in report.models}
+        return upstream_client.Report(
+            weights={model.name: model.version for model in report.models},
+            orders=report.sequence,
+        )
 
     def _read_page(self, path: str) -> list_pages.Page:
         try:
--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -254,7 +254,7 @@
         gevent.sleep(STATUS_DELAY_S)
         while time.monotonic() < deadline:
             try:
-                weights = self._platform.read_weights(replica)
+                weights = self._platform.read_report(replica).weights
             except upstream_client.ReplicaEnded:
                 raise
             except upstream_client.UpstreamClientError as error:
--- a/tests/platform/test_nesting.py
+++ b/tests/platform/test_nesting.py
@@ -61,7 +61,7 @@
     )
     platform = platforms.make_platform(server)
     try:
-        assert platform.read_weights(replica) == {}
+        assert platform.read_report(replica).weights == {}
     except errors.CallFailed:
         pass
 
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -519,7 +519,7 @@
 
 
 @pytest.mark.parametrize(
-    "call", [_order, platforms.Platform.read_weights], ids=["order", "report"]
+    "call", [_order, platforms.Platform.read_report], ids=["order", "report"]
 )
 def test_refused_connection_shows_that_the_replica_ended(call):
     """Guards against waiting for the load of a replica that crashed."""
@@ -560,3 +560,28 @@
                 _order(platform, replica)
     finally:
         server.stop()
+
+
+@pytest.mark.parametrize(
+    ("body", "report"),
+    [
+        (
+            b'{"models":[{"name":"m","version":3}],"sequence":2,"born":5}',
+            upstream_client.Report({"m": 3}, 2),
+        ),
+        (b'{"models":[]}', upstream_client.Report({})),
+    ],
+)
+def test_report_tells_weights_and_orders(body, report):
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [body]
+
+    server = pywsgi.WSGIServer(("127.0.0.1", 0), answer, log=None)
+    server.start()
+    platform = platforms.make_platform("127.0.0.1:1")
+    try:
+        replica = _replica_at(server.server_port)
+        assert platform.read_report(replica) == report
+    finally:
+        server.stop()
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -55,8 +55,9 @@
             for name, version in self.weights.items()
         ]
 
-    def read_weights(self, replica):
-        return {"m": self.weights[replica.replica_id]}
+    def read_report(self, replica):
+        weights = {"m": self.weights[replica.replica_id]}
+        return upstream_client.Report(weights)
 
     def order_weights(self, replica, model, version, holder, fence):
         self.orders.append((replica.replica_id, version, holder, fence))
--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -38,6 +38,7 @@
         self.reads = 0
         self.errors = {}
         self._loading = {}
+        self._order_counts = {}
 
     def list_replicas(self):
         self.reads += 1
@@ -54,11 +55,13 @@
             for name, version in self.listed.items()
         ]
 
-    def read_weights(self, replica):
+    def read_report(self, replica):
         name = replica.replica_id
         if self.errors.get(name) is not None:
             raise self.errors[name]
-        return {"m": self.versions[name]}
+        return upstream_client.Report(
+            {"m": self.versions[name]}, self._order_counts.get(name, 0)
+        )
 
     def order_weights(self, replica, model, version, holder, fence):
         name = replica.replica_id
@@ -68,8 +71,14 @@
                 return False
             raise self.errors[name]
         self._loading[name] = version
+        self._order_counts[name] = self._order_counts.get(name, 0) + 1
         return True
 
+    def restart(self, name):
+        """Let a replica start again under its id, with the same weights."""
+        del self._loading[name]
+        del self._order_counts[name]
+
     def end_load(self, name):
         self.versions[name] = self.listed[name] = self._loading.pop(name)
 
@@ -210,3 +219,14 @@
     platform.listed["r0"] = version
     leader.wait_for(lambda: len(platform.orders) == 2)
     assert platform.orders == [("r0", 2)] * 2
+
+
+def test_replica_that_restarts_during_its_load_is_ordered_again(make_leader):
+    """Guards against an order that a restart has cleared and is waited for."""
+    leader = make_leader({"r0": 1, "r1": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    platform.restart("r0")
+    leader.wait_for(lambda: len(platform.orders) == 3)
+    leader.pass_periods(10)
+    assert platform.orders == [("r0", 2), ("r1", 2), ("r0", 2)]
--- a/tests/roles/authority/test_weight_orders.py
+++ b/tests/roles/authority/test_weight_orders.py
@@ -12,6 +12,7 @@
 
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
+from papayalink.coordination import upstream_client
 from papayalink.roles.authority import weights
 from papayalink.state import replicas
 from papayalink.state import upstreams
@@ -39,8 +40,8 @@
             )
         ]
 
-    def read_weights(self, replica):
-        return {"m": self.version}
+    def read_report(self, replica):
+        return upstream_client.Report({"m": self.version})
 
     def order_weights(self, replica, model, version, holder, fence):
         self.orders.append((holder, fence))
