Repeat an order that a restart of its replica has cleared

What callers saw: a replica that restarted under its id during its load kept old weights, and a place for loads, until 4 s after the order.

Cause: the leader waited for weights that no order stood for any more.

A restart clears that count. The time of the start in the report isn't needed for this.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -254,7 +254,7 @@
         gevent.sleep(STATUS_DELAY_S)
         while time.monotonic() < deadline:
             try:
-                weights = self._platform.read_report(replica).weights
+                report = self._platform.read_report(replica)
             except upstream_client.ReplicaEnded:
                 raise
             except upstream_client.UpstreamClientError as error:
@@ -263,11 +263,11 @@
                     replica=replica.replica_id,
                     reason=error,
                 )
-                weights = {}
-            if weights.get(load.model, 0) >= load.version:
+                report = upstream_client.Report({})
+            if report.weights.get(load.model, 0) >= load.version:
                 known = self._known_replicas.get(replica.replica_id, replica)
                 self._known_replicas[replica.replica_id] = (
-                    msgspec.structs.replace(known, weights=weights)
+                    msgspec.structs.replace(known, weights=report.weights)
                 )
                 self._log.info(
                     "weights_loaded",
@@ -275,6 +275,8 @@
                     version=load.version,
                 )
                 return True
+            if report.orders == 0:
+                raise upstream_client.ReplicaEnded("a restart cleared it")
             gevent.sleep(PERIOD_S)
         return False
 
