Add a failing test of a replica that returns with older weights

What callers would see: a replica that restarts under its id with older weights than it had reported is never ordered to load again, as the leader keeps the larger version.

A test that passes shows that a list which lags behind a load causes no order.

--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -130,6 +130,7 @@
 def make_leader(monkeypatch):
     """Makes leaders whose places are given back by events alone."""
     monkeypatch.setattr(weights, "PERIOD_S", _PERIOD_S)
+    monkeypatch.setattr(weights, "IDLE_LIST_PERIOD_S", _PERIOD_S)
     monkeypatch.setattr(weights, "STATUS_DELAY_S", _PERIOD_S)
     monkeypatch.setattr(weights, "ORDER_DELAY_S", _PERIOD_S)
     monkeypatch.setattr(weight_loads, "ORDER_REPEAT_S", 1000.0)
@@ -230,3 +231,30 @@
     leader.wait_for(lambda: len(platform.orders) == 3)
     leader.pass_periods(10)
     assert platform.orders == [("r0", 2), ("r1", 2), ("r0", 2)]
+
+
+def test_replica_that_returns_with_older_weights_is_ordered_again(make_leader):
+    """Guards against a replica under its old id that keeps old weights.
+
+    It reported newer ones before it restarted.
+    """
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 1)
+    platform.end_load("r0")
+    leader.pass_periods(5)
+    platform.versions["r0"] = platform.listed["r0"] = 1
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    assert platform.orders == [("r0", 2)] * 2
+
+
+def test_list_that_lags_behind_a_load_causes_no_order(make_leader):
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 1)
+    platform.end_load("r0")
+    platform.listed["r0"] = 1
+    leader.pass_periods(20)
+    platform.listed["r0"] = 2
+    leader.pass_periods(20)
+    assert platform.orders == [("r0", 2)]
