Let the list override older reports of a replica's weights

What callers saw or would see: a replica that restarts under its id with older weights than it had reported is never ordered to load again.

Cause: the leader kept the larger of the listed version and the one known before, without a bound in time, since the list lags.

What is known of weights has a module of its own.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -9,6 +9,7 @@
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import errors
+from papayalink.coordination import known_weights
 from papayalink.coordination import replica as replicas
 from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
@@ -58,8 +59,7 @@
         "_replica",
         "_machine",
         "_platform",
-        "_known_replicas",
-        "_listed_at",
+        "_known",
         "_ordered_at",
         "_failures",
         "_loading_ids",
@@ -81,8 +81,7 @@
         self._replica = replica
         self._machine = machine
         self._platform = platform
-        self._known_replicas: dict[str, replica_states.Replica] = {}
-        self._listed_at = 0.0
+        self._known = known_weights.make_known_weights()
         self._ordered_at: dict[str, float] = {}
         self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
@@ -123,17 +122,12 @@
         wanted = self._machine.numbered.weights
         if not wanted:
             return
-        behind = any(
-            replica.weights.get(model, 0) < version
-            for replica in self._known_replicas.values()
-            for model, version in wanted.items()
-            if model in replica.weights
-        )
+        behind = self._known.is_behind(wanted)
         period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
-        if now - self._listed_at >= period_s or not self._known_replicas:
+        if now - self._known.listed_at >= period_s or not self._known.replicas:
             self._read_list(now)
         for load in weight_loads.choose_loads(
-            self._known_replicas.values(),
+            self._known.replicas,
             wanted,
             self._ordered_at,
             now,
@@ -153,21 +147,9 @@
                 self._close(order)
 
     def _read_list(self, now: float) -> None:
-        """Read the replicas; the list may lag behind their reports."""
-        listed = self._platform.list_replicas()
-        self._listed_at = now
-        known = {}
-        for replica in listed:
-            previous = self._known_replicas.get(replica.replica_id)
-            if previous is not None:
-                newer = {
-                    model: max(version, previous.weights.get(model, 0))
-                    for model, version in replica.weights.items()
-                }
-                replica = msgspec.structs.replace(replica, weights=newer)
-            known[replica.replica_id] = replica
-        self._known_replicas = known
-        for gone in self._failures.keys() - known.keys():
+        self._known.note_list(self._platform.list_replicas(), now)
+        listed = {replica.replica_id for replica in self._known.replicas}
+        for gone in self._failures.keys() - listed:
             del self._failures[gone]
 
     def _load(self, load: weight_loads.Load) -> None:
@@ -265,9 +247,8 @@
                 )
                 report = upstream_client.Report({})
             if report.weights.get(load.model, 0) >= load.version:
-                known = self._known_replicas.get(replica.replica_id, replica)
-                self._known_replicas[replica.replica_id] = (
-                    msgspec.structs.replace(known, weights=report.weights)
+                self._known.note_report(
+                    replica, report.weights, time.monotonic()
                 )
                 self._log.info(
                     "weights_loaded",
