Add failing tests of the list by which the leader finds old weights

What callers would see: a replica that comes back with old weights while no other is behind keeps them for up to 5 s before the leader sees it, though the member reads the list each 0.6 s for the entries.

The leader is given that list and doesn't use it yet.

--- a/papayalink/roles/authority/list_relay.py
+++ b/papayalink/roles/authority/list_relay.py
@@ -64,6 +64,11 @@
         """Software versions of the listed replicas, by service."""
         return self._software
 
+    @property
+    def read_at(self) -> float:
+        """Time in seconds at which the list was read, 0 before that."""
+        return self._read_at
+
     def age_ms(self) -> int:
         """Returns: milliseconds since the list was read."""
         return int((time.monotonic() - self._read_at) * 1000)
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -226,6 +226,7 @@
             self._replica,
             self._machine,
             self._client,
+            self._relay,
         ).start()
 
     def _exit_removed(self) -> None:
--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -14,6 +14,7 @@
 from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
 from papayalink.roles import node as nodes
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.state import machine as machines
 from papayalink.state import replicas as replica_states
@@ -59,6 +60,7 @@
         "_replica",
         "_machine",
         "_platform",
+        "_relay",
         "_known",
         "_ordered_at",
         "_failures",
@@ -75,12 +77,14 @@
         replica: replicas.Replica,
         machine: machines.Machine,
         platform: upstream_client.UpstreamClient,
+        relay: list_relay.ListRelay,
     ) -> None:
         self._node = node
         self._state = state
         self._replica = replica
         self._machine = machine
         self._platform = platform
+        self._relay = relay
         self._known = known_weights.make_known_weights()
         self._ordered_at: dict[str, float] = {}
         self._failures: dict[str, weight_loads.Failure] = {}
@@ -290,5 +294,12 @@
     replica: replicas.Replica,
     machine: machines.Machine,
     platform: upstream_client.UpstreamClient,
+    relay: list_relay.ListRelay,
 ) -> WeightUpkeep:
-    return WeightUpkeep(node, state, replica, machine, platform)
+    """Make the orders of a member, which it gives while it leads.
+
+    Args:
+        platform: gives the orders, and reads the list and reports.
+        relay: holds a list that is read for entries.
+    """
+    return WeightUpkeep(node, state, replica, machine, platform, relay)
--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -4,6 +4,7 @@
 on weights that are too old.
 """
 
+import time
 from types import SimpleNamespace
 
 import gevent
@@ -89,6 +90,7 @@
     def __init__(self, platform):
         self.platform = platform
         self.wanted = {"m": 2}
+        self.relay = SimpleNamespace(number=0, listed=(), read_at=0.0)
         self._inboxes = []
         node = SimpleNamespace(
             settings=SimpleNamespace(
@@ -110,9 +112,18 @@
                 upstreams=SimpleNamespace(open_orders=()),
             ),
             platform,
+            self.relay,
         )
         self.upkeep.start()
 
+    def relay_list(self):
+        """Hold a list that was just read for entries."""
+        reads = self.platform.reads
+        self.relay.listed = tuple(self.platform.list_replicas())
+        self.relay.number += 1
+        self.relay.read_at = time.monotonic()
+        self.platform.reads = reads
+
     def wait_for(self, is_reached):
         """Let periods pass until a condition holds, or fail."""
         with gevent.Timeout(_TIMEOUT_S, AssertionError(self.platform.orders)):
@@ -258,3 +269,38 @@
     platform.listed["r0"] = 2
     leader.pass_periods(20)
     assert platform.orders == [("r0", 2)]
+
+
+def test_replica_is_seen_soon_on_the_list_of_entries(make_leader, monkeypatch):
+    """Guards against a replica that returns with old weights unseen.
+
+    The leader itself seldom reads the list while no replica is behind.
+    """
+    leader = make_leader({"r0": 2})
+    platform = leader.platform
+    monkeypatch.setattr(weights, "IDLE_LIST_PERIOD_S", 1000.0)
+    leader.wait_for(lambda: platform.reads == 1)
+    platform.versions["r1"] = platform.listed["r1"] = 1
+    leader.relay_list()
+    leader.wait_for(lambda: platform.orders)
+    assert platform.orders == [("r1", 2)]
+    assert platform.reads == 1
+
+
+def test_leader_does_not_read_a_list_that_is_read_for_entries(make_leader):
+    """Guards against calls to the platform that tell nothing new."""
+    leader = make_leader({"r0": 1})
+    leader.relay_list()
+    leader.pass_periods(20)
+    assert leader.platform.orders == [("r0", 2)]
+    assert leader.platform.reads == 0
+
+
+@pytest.mark.parametrize("age_s", [0.0, 1000.0])
+def test_leader_reads_the_list_itself_when_no_entry_asks(make_leader, age_s):
+    leader = make_leader({"r0": 1})
+    if age_s:
+        leader.relay_list()
+        leader.relay.read_at -= age_s
+    leader.wait_for(lambda: leader.platform.reads >= 3)
+    assert leader.platform.orders == [("r0", 2)]
--- a/tests/roles/authority/test_weight_orders.py
+++ b/tests/roles/authority/test_weight_orders.py
@@ -13,6 +13,7 @@
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
 from papayalink.coordination import upstream_client
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import weights
 from papayalink.state import replicas
 from papayalink.state import upstreams
@@ -90,6 +91,7 @@
         replica,
         machine,
         platform,
+        list_relay.make_list_relay(platform, node.metrics),
     )
     opened = []
 
