Find replicas with old weights on the list that is read for entries

What callers saw: replicas that came back with old weights were ordered to load up to 5 s later, when no other replica was behind.

Cause: while no replica is behind, the leader reads the list each 5 s. The member reads it each 0.6 s for the entries, which ask the leader first.

Change: the leader takes that list while it is at most 1.5 s old, also while a replica is behind, and reads none of its own then. Calls to the platform get fewer; none is added. Without entries that ask, it reads as before.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -1,5 +1,7 @@
 """Orders replicas to load named weights; acts on the leader only."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import time
 
 import gevent
@@ -24,6 +26,8 @@
 # While no replica is behind, the list is read only to find replicas that start
 # with older weights, which is rare.
 IDLE_LIST_PERIOD_S = 5.0
+# A list that is read for entries is used instead until it is this old.
+MAX_RELAYED_AGE_S = 1.5
 # Loading takes about 0.8 s once the running requests have ended.
 STATUS_DELAY_S = 0.8
 PROPOSE_TIMEOUT_S = 0.8
@@ -126,10 +130,7 @@
         wanted = self._machine.numbered.weights
         if not wanted:
             return
-        behind = self._known.is_behind(wanted)
-        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
-        if now - self._known.listed_at >= period_s or not self._known.replicas:
-            self._read_list(now)
+        self._refresh_list(wanted, now)
         for load in weight_loads.choose_loads(
             self._known.replicas,
             wanted,
@@ -150,10 +151,24 @@
             if order.upstream not in self._loading_ids:
                 self._close(order)
 
-    def _read_list(self, now: float) -> None:
-        self._known.note_list(self._platform.list_replicas(), now)
-        listed = {replica.replica_id for replica in self._known.replicas}
-        for gone in self._failures.keys() - listed:
+    def _refresh_list(self, wanted: Mapping[str, int], now: float) -> None:
+        """Take over a newer list, and read it if none is read for entries."""
+        relay = self._relay
+        if relay.number and relay.read_at > self._known.listed_at:
+            self._note_list(relay.listed, relay.read_at)
+        if relay.number and now - relay.read_at <= MAX_RELAYED_AGE_S:
+            return
+        behind = self._known.is_behind(wanted)
+        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
+        if now - self._known.listed_at >= period_s or not self._known.replicas:
+            self._note_list(self._platform.list_replicas(), now)
+
+    def _note_list(
+        self, listed: Iterable[replica_states.Replica], listed_at: float
+    ) -> None:
+        self._known.note_list(listed, listed_at)
+        names = {replica.replica_id for replica in self._known.replicas}
+        for gone in self._failures.keys() - names:
             del self._failures[gone]
 
     def _load(self, load: weight_loads.Load) -> None:
