Add a failing test of an order that is repeated too soon

What callers would see: refusals by a replica that loads, since entries are not told of its order any more. An order is repeated 4 s after it was chosen, while its task may wait for a report for longer; at its end the task takes the replica for one without an order, and the repeated order is closed.

--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import gevent
+from gevent import event
 import pytest
 
 from papayalink import metrics as metrics_module
@@ -29,6 +30,7 @@
         listed: weights of each replica on the list, which may differ.
         orders: replica and version of each order that arrived.
         reads: number of times that the list was read.
+        reports_answered: unset while calls for reports hang.
         errors: error of each call to a replica, None for a rejected order.
     """
 
@@ -38,6 +40,8 @@
         self.orders = []
         self.reads = 0
         self.errors = {}
+        self.reports_answered = event.Event()
+        self.reports_answered.set()
         self._loading = {}
         self._order_counts = {}
 
@@ -57,6 +61,7 @@
         ]
 
     def read_report(self, replica):
+        self.reports_answered.wait()
         name = replica.replica_id
         if self.errors.get(name) is not None:
             raise self.errors[name]
@@ -304,3 +309,17 @@
         leader.relay.read_at -= age_s
     leader.wait_for(lambda: leader.platform.reads >= 3)
     assert leader.platform.orders == [("r0", 2)]
+
+
+def test_order_is_not_repeated_while_its_report_is_waited_for(
+    make_leader, monkeypatch
+):
+    """Guards against an open order that the end of an earlier one closes."""
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    monkeypatch.setattr(weight_loads, "ORDER_REPEAT_S", 5 * _PERIOD_S)
+    platform.reports_answered.clear()
+    leader.pass_periods(20)
+    assert platform.orders == [("r0", 2)]
+    platform.reports_answered.set()
+    leader.wait_for(lambda: len(platform.orders) == 2)
