Answer the calls that are unanswered as the grace period ends

What callers saw: the connection of a call that its replica ran for longer than the grace period lasts was closed without a word, whether the call may be repeated or not.

Cause: the stop waited for the calls in flight, and the process ended with those that were left.

Change: at the end of the grace period each handler is interrupted, and answers. 503 with Retry-After 0 tells the truth only if no replica may have run the call. One that a replica has gets 504, which promises nothing; 503 would cost a second run of a call that may run once. A stream that has begun can't get a status any more and ends visibly incomplete, as before. Nothing ends sooner than it did. Handlers are interrupted as by callers that hang up, so that what they hold is given back at any switch.

--- a/papayalink/coordination/attempts.py
+++ b/papayalink/coordination/attempts.py
@@ -83,6 +83,7 @@
         "_sent",
         "_not_sent",
         "_may_have_run",
+        "_sending",
     )
 
     def __init__(
@@ -93,6 +94,7 @@
         self._sent = 0
         self._not_sent = 0
         self._may_have_run = False
+        self._sending = False
 
     @property
     def sent(self) -> int:
@@ -102,11 +104,12 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream that the call was sent to may have run it."""
-        return self._may_have_run
+        return self._may_have_run or self._sending
 
     def note_sending(self) -> None:
         """Count an attempt whose sending begins; from now on it may run."""
         self._sent += 1
+        self._sending = True
 
     def decide(self, outcome: Outcome, budget_allows: bool) -> Decision:
         """Decide on an attempt that produced no answer for the caller.
@@ -116,6 +119,7 @@
             budget_allows: whether the retry budget has room for another
                 attempt; this method does not charge the budget.
         """
+        self._sending = False
         match outcome:
             case NotSent():
                 self._not_sent += 1
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -37,6 +37,8 @@
 # Delay given to refused callers by default. They retry after a third of their
 # time at most; a fleet that is full stays full for at least this long.
 RETRY_AFTER_S = 0.5
+# Delay for callers whose entry stops: the others may serve them at once.
+STOPPING_RETRY_AFTER_S = 0.0
 
 
 class CallRun:
@@ -143,6 +145,8 @@
         except errors.CallerGone:
             self._end("caller_gone", 0, "caller hung up")
             raise
+        except errors.ServerStops:
+            self._end_at_stop()
 
     def _try_once(self, budget: retry.Budget) -> bool:
         """Returns: whether to try again."""
@@ -456,6 +460,22 @@
                 self._end("given_up", status, reason)
                 self._respond(status)
 
+    def _end_at_stop(self) -> None:
+        """End the call, since the process ends before its answer does.
+
+        A replica may have run it, and may go on with it for a moment: only a
+        call that was not sent is refused.
+        """
+        reason = "the gateway stops"
+        if self._responder.head_sent:
+            self._end("stream_broken", 0, reason)
+            raise errors.ResponseAborted(reason)
+        if self._attempts.may_have_run:
+            self._end("given_up", 504, reason)
+            self._respond(504)
+        else:
+            self._refuse(STOPPING_RETRY_AFTER_S, reason)
+
     def _end_without_replica(
         self, reason: str, retry_after_s: float | None = None
     ) -> None:
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -10,8 +10,6 @@
 # Share of the caller's time budget that its call may wait for the first
 # document.
 DOCUMENT_WAIT_SHARE = 1 / 3
-# Delay for callers whose entry stops: the others may serve them at once.
-STOPPING_RETRY_AFTER_S = 0.0
 
 
 class Handler:
@@ -77,7 +75,9 @@
         call = self._shared.dialect.decode_call(
             request.method, request.target, request.headers, request.body
         )
-        self._reject(call, responder, 503, "stopping", STOPPING_RETRY_AFTER_S)
+        self._reject(
+            call, responder, 503, "stopping", call_run.STOPPING_RETRY_AFTER_S
+        )
 
     def _reject(
         self,
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -39,8 +39,10 @@
 # Callers on keep-alive connections learn from one more answer that their
 # connection closes. A call accepted later may not end before the kill.
 LAST_ANSWERS_S = 0.4
-# Part of the grace period that is left for the exit itself.
+# Part of the grace period that is left for the last answers and the exit.
 EXIT_MARGIN_S = 0.5
+# Part of that for the answers to calls that no replica has answered by then.
+END_S = 0.3
 
 
 class GatewayProcess(process.Process):
@@ -164,7 +166,14 @@
         gevent.sleep(LAST_ANSWERS_S)
         grace_s = self._node.settings.bounds.grace_s
         left_s = started_at + grace_s - EXIT_MARGIN_S - time.monotonic()
-        if not self._server.stop(max(0.0, left_s)):
+        if self._server.stop(max(0.0, left_s)):
+            return
+        self._node.log.warning(
+            "calls_ended_by_stop",
+            in_flight=self._server.in_flight,
+            connections=self._server.connections,
+        )
+        if not self._server.end_requests(END_S):
             self._node.log.warning(
                 "calls_cut_by_stop",
                 in_flight=self._server.in_flight,
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -129,11 +129,14 @@
     Args:
         address: (IP, port) to listen on; port 0 chooses a free port.
         handler: answers a request. It is interrupted by CallerGone when the
-            caller hangs up. When it raises TransportError, or any error after
-            the response has begun, the connection is closed.
+            caller hangs up, and by ServerStops when the server ends, which it
+            passes on only if the request was not run. When it raises
+            TransportError, or any error after the response has begun, the
+            connection is closed.
         reject: answers a request that comes after the server has begun to
-            stop, from a caller that could not know. It must not be run: it
-            might not end before the process does.
+            stop, from a caller that could not know, and one whose handler
+            ServerStops has interrupted. It must not be run: it might not end
+            before the process does.
         limits: returns the limits; called again for each request.
     """
 
@@ -144,7 +147,8 @@
         "_server",
         "_close_announced",
         "_waits",
-        "_in_flight",
+        "_handling",
+        "_ended",
         "_tasks",
         "_log",
     )
@@ -161,7 +165,9 @@
         self._limits = limits
         self._close_announced = False
         self._waits = request_wait.make_request_waits(_LAST_REQUEST_WAIT_S)
-        self._in_flight = 0
+        # Tasks whose request has been read and not answered.
+        self._handling: set[gevent.Greenlet] = set()
+        self._ended = False
         self._tasks = pool.Pool()
         self._log = logs.get_logger()
         self._server = server.StreamServer(
@@ -174,7 +180,7 @@
 
     @property
     def in_flight(self) -> int:
-        return self._in_flight
+        return len(self._handling)
 
     @property
     def connections(self) -> int:
@@ -207,11 +213,26 @@
                 "idle_connections_closed",
                 idle=len(self._waits),
                 connections=len(self._tasks),
-                in_flight=self._in_flight,
+                in_flight=self.in_flight,
             )
             self._waits.stop()
         return bool(self._tasks.join(timeout_s))
 
+    def end_requests(self, timeout_s: float) -> bool:
+        """Interrupt all handlers, after stop(), so that they answer now.
+
+        Returns: whether all connections ended within the time-out.
+        """
+        self._ended = True
+        gevent.get_hub().loop.run_callback(self._interrupt_handlers)
+        return bool(self._tasks.join(timeout_s))
+
+    def _interrupt_handlers(self) -> None:
+        """Raise ServerStops in each handler; runs in the hub."""
+        for task in list(self._handling):
+            if task in self._handling:
+                task.throw(errors.ServerStops("server ends"))
+
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -219,7 +240,12 @@
                 self._serve_requests(sock)
                 if readiness.has_unread_bytes(sock):
                     _linger(sock)
-        except (errors.TransportError, errors.CallerGone, OSError) as error:
+        except (
+            errors.TransportError,
+            errors.CallerGone,
+            errors.ServerStops,
+            OSError,
+        ) as error:
             self._log.debug("caller_connection_ended", reason=error)
 
     def _serve_requests(self, sock: socket.socket) -> None:
@@ -241,6 +267,8 @@
                 return
             if request is None:
                 return
+            if self._ended:
+                handler = self._reject
             try:
                 with self._count_request():
                     self._run_handler(handler, request, responder, sock)
@@ -258,11 +286,12 @@
 
     @contextlib.contextmanager
     def _count_request(self) -> Iterator[None]:
-        self._in_flight += 1
+        task = gevent.getcurrent()
+        self._handling.add(task)
         try:
             yield
         finally:
-            self._in_flight -= 1
+            self._handling.discard(task)
 
     def _run_handler(
         self,
@@ -275,6 +304,10 @@
         with watch:
             try:
                 handler(request, responder)
+            except errors.ServerStops:
+                if responder.head_sent:
+                    raise errors.ResponseAborted("server ends") from None
+                self._reject(request, responder)
             except errors.TransportError:
                 raise
             except gevent.GreenletExit:
--- a/papayalink/transport/errors.py
+++ b/papayalink/transport/errors.py
@@ -49,6 +49,14 @@
     """The response must be cut off, so that it does not look complete."""
 
 
+class ServerStops(BaseException):
+    """The server ends before the handler does: answer now, or not at all.
+
+    Like gevent.GreenletExit it is not an Exception: code that retries or
+    reports failed attempts must not treat it as a failure.
+    """
+
+
 class CallerGone(BaseException):
     """The caller hung up, so nobody waits for the answer.
 
--- a/tests/transport/test_planned_stop.py
+++ b/tests/transport/test_planned_stop.py
@@ -141,3 +141,33 @@
 
     permuted_hub.run(seed, play)
     assert sorted(calls.begun) == sorted(calls.answered)
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_requests_that_are_unanswered_at_the_end_are_answered(seed):
+    """Guards against a request that is cut when the process ends."""
+    rng = random.Random(seed)
+    calls = _Calls(0.02)
+    rejected = []
+
+    def reject(request, responder):
+        rejected.append(request.target)
+        responder.respond(200, [], request.target)
+
+    calls.reject = reject
+
+    def play():
+        server = _start(calls)
+        callers = [
+            gevent.spawn(_call_until_closed, server, name, calls, rng)
+            for name in range(_CALLERS)
+        ]
+        while len(calls.answered) <= 3 * _CALLERS:
+            gevent.sleep(0.001)
+        assert not server.stop(0.0)
+        assert server.end_requests(10.0)
+        gevent.joinall(callers)
+
+    permuted_hub.run(seed, play)
+    assert rejected
+    assert sorted({*calls.begun, *rejected}) == sorted(calls.answered)
