Fit the waits of a stop in any grace period

What callers saw: with a grace period of 3 s nothing was left for the calls taken last, and with 2.7 s or less the gateway was killed while it still waited for the balancer, so that all its calls were cut.

Cause: the waits were constants, and the grace period is a setting.

Change: each wait has an upper bound in its share of the grace period. From 4 s on the balancer has its two checks as before, and with the 8 s of the platform nothing changes. Below that most of the time goes to the notice, as a call that comes and is refused, or is served if it is short, is no worse off than one that finds the port closed. What is left for the end is an eighth at most, since a replica may be at work until the last sixth.

--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -25,6 +25,7 @@
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
 from papayalink.roles.gateway import shared
+from papayalink.roles.gateway import stop_plan
 from papayalink.roles.gateway import take_ups
 from papayalink.roles.gateway import watching
 from papayalink.state import part_directory
@@ -33,17 +34,6 @@
 from papayalink.transport import http_server
 from papayalink.transport import upstream_channels
 
-# The load balancer checks readiness once a second, and sends no more calls
-# after two failed checks.
-BALANCER_NOTICE_S = 2.3
-# Callers on keep-alive connections learn from one more answer that their
-# connection closes. A call accepted later may not end before the kill.
-LAST_ANSWERS_S = 0.4
-# Part of the grace period that is left for the last answers and the exit.
-EXIT_MARGIN_S = 0.5
-# Part of that for the answers to calls that no replica has answered by then.
-END_S = 0.3
-
 
 class GatewayProcess(process.Process):
     """One gateway."""
@@ -160,12 +150,12 @@
     def drain(self) -> None:
         """Report not ready to the balancer, then answer the accepted calls."""
         started_at = time.monotonic()
+        plan = stop_plan.make_stop_plan(self._node.settings.bounds.grace_s)
         self._draining = True
-        gevent.sleep(BALANCER_NOTICE_S)
+        gevent.sleep(plan.notice_s)
         self._server.close_after_responses()
-        gevent.sleep(LAST_ANSWERS_S)
-        grace_s = self._node.settings.bounds.grace_s
-        left_s = started_at + grace_s - EXIT_MARGIN_S - time.monotonic()
+        gevent.sleep(plan.last_answers_s)
+        left_s = started_at + plan.answer_s - time.monotonic()
         if self._server.stop(max(0.0, left_s)):
             return
         self._node.log.warning(
@@ -173,7 +163,7 @@
             in_flight=self._server.in_flight,
             connections=self._server.connections,
         )
-        if not self._server.end_requests(END_S):
+        if not self._server.end_requests(plan.end_s):
             self._node.log.warning(
                 "calls_cut_by_stop",
                 in_flight=self._server.in_flight,
