--- a/tests/roles/gateway/stopped.py
+++ b/tests/roles/gateway/stopped.py
@@ -64,7 +64,7 @@
                 zone="z",
                 slots=8,
                 condition=replicas.Condition.READY,
-                weights={},
+                weights={"m": 1} if service == "models" else {},
             )
             for service in ("desk", "models")
             for upstream in upstreams
