Refuse calls that can't end before a planned stop does

What callers saw: calls that came after SIGTERM, on new or kept connections, were taken and passed on however long they might run, and ended by the end of the grace period: by 504, cut in mid-stream or, before, without an answer.

Cause: only the close of the port bounded what is taken, and not the time that is left.

Change: once SIGTERM has come, a call is begun if its deadline is before the end of the grace period, or if recent calls of its route say that it will end by then: the time to the head, or the predicted time to the first token if that is longer, and the time for each output token that is allowed. A call that may run once has to end even as slowly as the slowest of 32 recent ones; for one that may be repeated the median is enough, as its caller goes on elsewhere. Without recent calls the whole time-out counts. A call that waits for the first document is no longer held.

--- /dev/null
+++ b/papayalink/coordination/run_times.py
@@ -0,0 +1,62 @@
+"""How long calls run, by what recent calls of the same route took."""
+
+import collections
+import statistics
+
+import msgspec
+
+# Calls of one route that are remembered.
+MAX_RUNS = 32
+# Routes that are remembered; operators replace routes by others.
+MAX_ROUTES = 1024
+
+
+class Run(msgspec.Struct, frozen=True):
+    """The time that one call took at a replica, in seconds.
+
+    Attributes:
+        first_s: until the head of a stream, or until the end of any other
+            answer.
+        token_s: after that, for each output token that was allowed.
+    """
+
+    first_s: float
+    token_s: float = 0.0
+
+
+class RunTimes:
+    """The recent calls of each route."""
+
+    __slots__ = ("_runs",)
+
+    def __init__(self) -> None:
+        self._runs: dict[str, collections.deque[Run]] = {}
+
+    def note(self, route: str, run: Run) -> None:
+        """Remember a call that has ended."""
+        runs = self._runs.get(route)
+        if runs is None:
+            if len(self._runs) >= MAX_ROUTES:
+                self._runs.pop(next(iter(self._runs)))
+            runs = self._runs[route] = collections.deque(maxlen=MAX_RUNS)
+        runs.append(run)
+
+    def slowest(self, route: str) -> Run | None:
+        """Returns: the longest times of the recent calls, None without any."""
+        runs = self._runs.get(route)
+        return runs and Run(
+            max(run.first_s for run in runs),
+            max(run.token_s for run in runs),
+        )
+
+    def typical(self, route: str) -> Run | None:
+        """Returns: the median times of the recent calls, None without any."""
+        runs = self._runs.get(route)
+        return runs and Run(
+            statistics.median(run.first_s for run in runs),
+            statistics.median(run.token_s for run in runs),
+        )
+
+
+def make_run_times() -> RunTimes:
+    return RunTimes()
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -9,6 +9,7 @@
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
 from papayalink.coordination import retry
+from papayalink.coordination import run_times
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
@@ -159,6 +160,8 @@
         fleet = self._shared.fleet
         self._shared.limits.note_call(self._service)
         choice = fleet.choose(self._selection_request, self._record.tried, now)
+        if self._ends_too_late(choice):
+            return False
         if choice is None and self._wait_for_permit():
             return True
         if choice is None:
@@ -179,6 +182,37 @@
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
 
+    def _ends_too_late(self, choice: fleets.Choice | None) -> bool:
+        """Refuse a call that would outlast the planned stop of the process.
+
+        Returns: whether it was refused.
+        """
+        if self._attempts.may_have_run:
+            return False
+        if self._shared.stopping.may_end(
+            self._route,
+            self._call.output_tokens,
+            choice.wait_s if choice is not None else 0.0,
+            self._remaining_s(),
+        ):
+            return False
+        self._refuse(STOPPING_RETRY_AFTER_S, "stopping: may not end in time")
+        return True
+
+    def _note_run(self, first_s: float, took_s: float) -> None:
+        """Remember how long the call ran at a replica."""
+        if self._call.last_event_id:
+            # The allowed tokens are those of the whole stream.
+            return
+        token_s = 0.0
+        if self._stream is None:
+            first_s = took_s
+        else:
+            tokens = max(1, self._call.output_tokens)
+            token_s = (took_s - first_s) / tokens
+        run = run_times.Run(first_s, token_s)
+        self._shared.run_times.note(self._route.name, run)
+
     def _wait_for_permit(self) -> bool:
         """Wait if only the limits of replicas keep the call from being sent.
 
@@ -299,15 +333,17 @@
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
+        took_s = time.monotonic() - now
         match result:
-            case attempt.Answered():
+            case attempt.Answered(_, first_s):
+                self._note_run(first_s, took_s)
                 fleet = self._shared.fleet
-                fleet.note_memory_held(
-                    self._selection_request, time.monotonic() - now
-                )
+                fleet.note_memory_held(self._selection_request, took_s)
                 self._observations.note_answer(member, dispatch.salt, result)
             case attempt.Unanswered():
                 self._record.log_attempt(member, result)
+                if isinstance(result.outcome, attempts.Expired):
+                    self._note_run(took_s, took_s)
                 self._lost |= isinstance(result.outcome, attempts.Lost)
                 self._observations.note_failure(member, result, now)
         return result
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -35,7 +35,7 @@
             request.method, request.target, request.headers, request.body
         )
         directory = self._shared.watcher.directory
-        if directory is None:
+        if directory is None and not self._shared.stopping.begun:
             max_wait_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
             directory = self._shared.watcher.wait_directory(max_wait_s)
         if directory is None:
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -49,6 +49,7 @@
         "_server",
         "_ready_server",
         "_draining",
+        "_stopping",
         "_reloading",
     )
 
@@ -103,24 +104,24 @@
             self._listing,
             directory,
         )
-        handler = handling.make_handler(
-            shared.make_shared(
-                dialect,
-                self._watcher,
-                self._fleet,
-                self._channels,
-                budgets.make_budgets(settings.bounds, self._count_entries),
-                self._placement,
-                liveness,
-                self._crashes,
-                limit_keeper,
-                departing,
-                take_ups.make_take_ups(
-                    node, self._watcher.authorities, tables, node.metrics
-                ),
-                node.metrics,
-            )
+        shared_parts = shared.make_shared(
+            dialect,
+            self._watcher,
+            self._fleet,
+            self._channels,
+            budgets.make_budgets(settings.bounds, self._count_entries),
+            self._placement,
+            liveness,
+            self._crashes,
+            limit_keeper,
+            departing,
+            take_ups.make_take_ups(
+                node, self._watcher.authorities, tables, node.metrics
+            ),
+            node.metrics,
         )
+        self._stopping = shared_parts.stopping
+        handler = handling.make_handler(shared_parts)
         self._server = caller_server.make_caller_server(
             nodes.parse_address(settings.listen),
             handler.handle,
@@ -152,6 +153,7 @@
         started_at = time.monotonic()
         plan = stop_plan.make_stop_plan(self._node.settings.bounds.grace_s)
         self._draining = True
+        self._stopping.begin(started_at + plan.answer_s)
         gevent.sleep(plan.notice_s)
         self._server.close_after_responses()
         gevent.sleep(plan.last_answers_s)
--- a/papayalink/roles/gateway/shared.py
+++ b/papayalink/roles/gateway/shared.py
@@ -6,6 +6,7 @@
 from papayalink import metrics as metrics_module
 from papayalink.coordination import cache_placement
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import run_times
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import budgets
@@ -13,6 +14,7 @@
 from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits as limit_keepers
 from papayalink.roles.gateway import liveness as livenesses
+from papayalink.roles.gateway import stopping as stoppings
 from papayalink.roles.gateway import take_ups
 from papayalink.roles.gateway import watching
 from papayalink.transport import upstream_channels
@@ -34,6 +36,8 @@
         departures: replicas that say that they leave.
         take_ups: finds the software versions at which streams go on.
         overloads: how long prompts have been refused, by service.
+        run_times: times that recent calls took.
+        stopping: the planned stop of the gateway.
     """
 
     __slots__ = (
@@ -49,6 +53,8 @@
         "departures",
         "take_ups",
         "overloads",
+        "run_times",
+        "stopping",
         "metrics",
         "rng",
         "log",
@@ -81,6 +87,8 @@
         self.departures = departing
         self.take_ups = take_up_finder
         self.overloads: dict[str, shedding.OverloadTimer] = {}
+        self.run_times = run_times.make_run_times()
+        self.stopping = stoppings.make_stopping(self.run_times)
         self.metrics = metrics
         self.rng = random.Random()
         self.log = logs.get_call_log()
--- /dev/null
+++ b/papayalink/roles/gateway/stopping.py
@@ -0,0 +1,72 @@
+"""Decides which calls a gateway still takes while it stops."""
+
+import time
+
+from papayalink.coordination import run_times
+from papayalink.state import traffic
+
+
+class Stopping:
+    """The planned stop of a gateway, once it has begun.
+
+    A caller that is refused at once loses a round trip, and another entry
+    serves it. One whose call is begun and can't end loses the time that the
+    call ran, and does not know what became of it.
+
+    Args:
+        times: times that recent calls took.
+    """
+
+    __slots__ = ("_times", "_ends_at")
+
+    def __init__(self, times: run_times.RunTimes) -> None:
+        self._times = times
+        self._ends_at: float | None = None
+
+    @property
+    def begun(self) -> bool:
+        return self._ends_at is not None
+
+    def begin(self, ends_at: float) -> None:
+        """Args: ends_at: monotonic time by which calls have to end."""
+        self._ends_at = ends_at
+
+    def may_end(
+        self,
+        route: traffic.Route,
+        output_tokens: int,
+        wait_s: float,
+        allowed_s: float,
+    ) -> bool:
+        """Returns: whether a call can be expected to end before the process.
+
+        A call that may run once is begun only if it would end even as slowly
+        as the slowest of the recent ones. One that may be repeated goes on
+        elsewhere if it is cut, so that the median is enough. Without recent
+        calls, each takes all the time that it may take.
+
+        Args:
+            output_tokens: largest number of tokens that it may generate.
+            wait_s: predicted time to its first token, 0 if there is none.
+            allowed_s: time left until its deadline, the earlier one of its
+                caller's and its route's.
+        """
+        if self._ends_at is None:
+            return True
+        left_s = self._ends_at - time.monotonic()
+        if allowed_s <= left_s:
+            return True
+        once = route.repeat is traffic.RepeatPolicy.ONCE
+        run = (
+            self._times.slowest(route.name)
+            if once
+            else self._times.typical(route.name)
+        )
+        if run is None:
+            return False
+        first_s = max(run.first_s, wait_s)
+        return first_s + run.token_s * output_tokens <= left_s
+
+
+def make_stopping(times: run_times.RunTimes) -> Stopping:
+    return Stopping(times)
