Add a failing test of reports that a member reads late

What callers would see: prompts on weights that were replaced longer ago than allowed, at entries that ran all the time.

Cause: the rows of a report have ages as of its sending. A member counts them from when it reads the report (TableSet.answer), though WeightHistory.merge asks for the earliest time at which they can have been told. A report that waits for a member that stands still, or for a link, makes the evidence later by that time, and all members and entries take the latest.

--- a/tests/roles/gateway/test_old_weights_review.py
+++ b/tests/roles/gateway/test_old_weights_review.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from papayalink.protocol import messages
 from tests.roles.gateway import test_old_weights as old_weights
 
 clock = old_weights.clock
@@ -142,3 +143,25 @@
     gevent.sleep(0)
     watcher._watch("a1")
     assert waiting.get(timeout=10)
+
+
+# Guards against the same through a member that stood still before it read a
+# report.
+@pytest.mark.parametrize("frozen_s", [0.0, 3.0, 6.0])
+def test_frozen_member_does_not_prolong_the_use_of_old_weights(
+    clock, frozen_s
+):
+    group = old_weights._Group()
+    entry = old_weights._Entry(group, (1, 2))
+    entry.exchange()
+    group.name(2)
+    named_at = clock()
+    entry._process._watcher._watch("a1")
+    report = entry._process._parts._table_exchange.report(clock())
+    # The member is frozen before it reads the report.
+    clock(frozen_s)
+    group.service.share_tables(messages.ShareTables(report))
+    clock(_LIMIT_S - frozen_s)
+    entry.exchange()
+    assert clock() - named_at >= _LIMIT_S
+    assert entry.may_use(clock()) == ["v2"]
