Add a failing test of prompts that wait for a replica that refused them

What callers would see: a prompt that reaches its replica as a load begins is refused by it, then held for up to 1.5 s, and refused once the load has ended and the replica could run it.

Cause: the wait looks at all replicas of the service, the choice leaves out those that the call was sent to.

--- a/tests/roles/gateway/test_load_wait_review.py
+++ b/tests/roles/gateway/test_load_wait_review.py
@@ -37,6 +37,12 @@
     gateway.fleet.set_loading([messages.Loading("models1", model, 2)])
 
 
+def _end_load(gateway):
+    gateway.fleet.set_loading([])
+    gateway.fleet.note_loaded([messages.Loading("models1", "m", 2)])
+    gateway.watcher.note_change()
+
+
 _ANSWER = [stubs.STREAM, stubs.event(1), stubs.END]
 
 
@@ -49,3 +55,20 @@
     gevent.sleep(0.3)
     assert waiting.ready()
     assert waiting.get()[0] == 503
+
+
+# Guards against prompts that wait for a replica that they are not sent to
+# again. They may be refused at once, or served after the load.
+def test_prompt_does_not_wait_in_vain_for_a_replica_that_has_refused_it(
+    start_gateway,
+):
+    gateway = start_gateway([[0.2, stubs.BUSY], _ANSWER])
+    waiting = gevent.spawn(gateway.call, b"/stream/", _PROMPT)
+    while not gateway.upstreams[0].received:
+        gevent.sleep(0.001)
+    _begin_load(gateway)
+    gevent.sleep(0.6)
+    refused_at_once = waiting.ready()
+    # The refusal holds for a moment only.
+    _end_load(gateway)
+    assert waiting.get(timeout=10)[0] == (503 if refused_at_once else 200)
