Add a failing test of a load that ends during a wait for a permit

What callers would see: a prompt is refused though a replica has new weights and is free.

Cause: ReplicaWait waits for a permit first, also for one of a replica whose weights are too old. A load that ends meanwhile is not noticed, and afterwards none is under way, so that the call is refused without another choice.

Evidence: 503, expected 200.

--- a/tests/roles/gateway/test_load_wait_review.py
+++ b/tests/roles/gateway/test_load_wait_review.py
@@ -72,3 +72,16 @@
     # The refusal holds for a moment only.
     _end_load(gateway)
     assert waiting.get(timeout=10)[0] == (503 if refused_at_once else 200)
+
+
+# Guards against prompts that are refused though a replica has new weights,
+# since they waited for a permit for another one meanwhile.
+def test_load_that_ends_during_a_wait_for_a_permit_is_noticed(start_gateway):
+    gateway = start_gateway([_ANSWER], [_ANSWER])
+    gateway.tables.weights.observe({"m": 2}, 0.0)
+    gateway.fleet.find("models2").limit_per_s = 1.0
+    _begin_load(gateway)
+    waiting = gevent.spawn(gateway.call, b"/stream/", _PROMPT)
+    gevent.sleep(0.1)
+    _end_load(gateway)
+    assert waiting.get(timeout=10)[0] == 200
