--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -1,5 +1,7 @@
 """Orders replicas to load named weights; acts on the leader only."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import time
 
 import gevent
@@ -9,10 +11,12 @@
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import errors
+from papayalink.coordination import known_weights
 from papayalink.coordination import replica as replicas
 from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
 from papayalink.roles import node as nodes
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.state import machine as machines
 from papayalink.state import replicas as replica_states
@@ -22,6 +26,8 @@
 # While no replica is behind, the list is read only to find replicas that start
 # with older weights, which is rare.
 IDLE_LIST_PERIOD_S = 5.0
+# A list that is read for entries is used instead until it is this old.
+MAX_RELAYED_AGE_S = 1.5
 # Loading takes about 0.8 s once the running requests have ended.
 STATUS_DELAY_S = 0.8
 PROPOSE_TIMEOUT_S = 0.8
@@ -58,9 +64,10 @@
         "_replica",
         "_machine",
         "_platform",
-        "_known_replicas",
-        "_listed_at",
+        "_relay",
+        "_known",
         "_ordered_at",
+        "_failures",
         "_loading_ids",
         "_leading_since",
         "_inbox",
@@ -74,15 +81,17 @@
         replica: replicas.Replica,
         machine: machines.Machine,
         platform: upstream_client.UpstreamClient,
+        relay: list_relay.ListRelay,
     ) -> None:
         self._node = node
         self._state = state
         self._replica = replica
         self._machine = machine
         self._platform = platform
-        self._known_replicas: dict[str, replica_states.Replica] = {}
-        self._listed_at = 0.0
+        self._relay = relay
+        self._known = known_weights.make_known_weights()
         self._ordered_at: dict[str, float] = {}
+        self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
         self._leading_since: float | None = None
         self._inbox = queue.Queue()
@@ -99,6 +108,7 @@
             if not self._replica.is_leader:
                 self._leading_since = None
                 self._ordered_at.clear()
+                self._failures.clear()
                 continue
             if self._leading_since is None:
                 self._leading_since = now
@@ -120,17 +130,13 @@
         wanted = self._machine.numbered.weights
         if not wanted:
             return
-        behind = any(
-            replica.weights.get(model, 0) < version
-            for replica in self._known_replicas.values()
-            for model, version in wanted.items()
-            if model in replica.weights
-        )
-        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
-        if now - self._listed_at >= period_s or not self._known_replicas:
-            self._read_list(now)
+        self._refresh_list(wanted, now)
         for load in weight_loads.choose_loads(
-            self._known_replicas.values(), wanted, self._ordered_at, now
+            self._known.replicas,
+            wanted,
+            self._ordered_at,
+            now,
+            self._failures,
         ):
             self._ordered_at[load.replica.replica_id] = now
             self._loading_ids.add(load.replica.replica_id)
@@ -145,27 +151,32 @@
             if order.upstream not in self._loading_ids:
                 self._close(order)
 
-    def _read_list(self, now: float) -> None:
-        """Read the replicas; the list may lag behind their reports."""
-        listed = self._platform.list_replicas()
-        self._listed_at = now
-        known = {}
-        for replica in listed:
-            previous = self._known_replicas.get(replica.replica_id)
-            if previous is not None:
-                newer = {
-                    model: max(version, previous.weights.get(model, 0))
-                    for model, version in replica.weights.items()
-                }
-                replica = msgspec.structs.replace(replica, weights=newer)
-            known[replica.replica_id] = replica
-        self._known_replicas = known
+    def _refresh_list(self, wanted: Mapping[str, int], now: float) -> None:
+        """Take over a newer list, and read it if none is read for entries."""
+        relay = self._relay
+        if relay.number and relay.read_at > self._known.listed_at:
+            self._note_list(relay.listed, relay.read_at)
+        if relay.number and now - relay.read_at <= MAX_RELAYED_AGE_S:
+            return
+        behind = self._known.is_behind(wanted)
+        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
+        if now - self._known.listed_at >= period_s or not self._known.replicas:
+            self._note_list(self._platform.list_replicas(), now)
+
+    def _note_list(
+        self, listed: Iterable[replica_states.Replica], listed_at: float
+    ) -> None:
+        self._known.note_list(listed, listed_at)
+        names = {replica.replica_id for replica in self._known.replicas}
+        for gone in self._failures.keys() - names:
+            del self._failures[gone]
 
     def _load(self, load: weight_loads.Load) -> None:
         replica = load.replica
         log = self._log.bind(
             replica=replica.replica_id, model=load.model, version=load.version
         )
+        accepted = loaded = False
         try:
             order = self._open(load)
             gevent.sleep(ORDER_DELAY_S)
@@ -183,8 +194,13 @@
             log.info("weights_ordered", fence=order.fence, taken=accepted)
             self._node.metrics.count("weight_orders", taken=str(accepted))
             if accepted:
-                self._wait_loaded(load)
+                self._failures.pop(replica.replica_id, None)
+                loaded = self._wait_loaded(load)
             self._close(order)
+            if not accepted:
+                self._note_failure(replica, "rejected")
+        except upstream_client.ReplicaNotReached as error:
+            self._note_failure(replica, error, accepted)
         except (
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
@@ -196,9 +212,42 @@
             )
         finally:
             self._loading_ids.discard(replica.replica_id)
+        if loaded:
+            # A version that was named meanwhile needs an order of its own.
+            self._give_place_back(replica)
 
-    def _wait_loaded(self, load: weight_loads.Load) -> None:
-        """Poll the replica until it has the weights or a repeat is due."""
+    def _note_failure(
+        self,
+        replica: replica_states.Replica,
+        reason: object,
+        accepted: bool = False,
+    ) -> None:
+        """Order the replica again after a delay, behind the others."""
+        now = time.monotonic()
+        failure = weight_loads.note_failure(
+            self._failures.get(replica.replica_id), now
+        )
+        self._failures[replica.replica_id] = failure
+        self._log.warning(
+            "load_interrupted" if accepted else "weights_not_ordered",
+            replica=replica.replica_id,
+            reason=reason,
+            orders=failure.count,
+            retry_s=round(failure.retry_at - now, 3),
+        )
+        self._give_place_back(replica)
+
+    def _give_place_back(self, replica: replica_states.Replica) -> None:
+        self._ordered_at.pop(replica.replica_id, None)
+        # Choose the next load without waiting for the next period.
+        self._inbox.put(_UpkeepDue())
+
+    def _wait_loaded(self, load: weight_loads.Load) -> bool:
+        """Poll the replica until it has the weights or a repeat is due.
+
+        Returns: whether the replica has the weights.
+        Raises: upstream_client.ReplicaEnded
+        """
         replica = load.replica
         deadline = (
             time.monotonic() + weight_loads.ORDER_REPEAT_S - STATUS_DELAY_S
@@ -206,28 +255,30 @@
         gevent.sleep(STATUS_DELAY_S)
         while time.monotonic() < deadline:
             try:
-                weights = self._platform.read_weights(replica)
+                report = self._platform.read_report(replica)
+            except upstream_client.ReplicaEnded:
+                raise
             except upstream_client.UpstreamClientError as error:
                 self._log.info(
                     "status_not_read",
                     replica=replica.replica_id,
                     reason=error,
                 )
-                weights = {}
-            if weights.get(load.model, 0) >= load.version:
-                known = self._known_replicas.get(replica.replica_id, replica)
-                self._known_replicas[replica.replica_id] = (
-                    msgspec.structs.replace(known, weights=weights)
+                report = upstream_client.Report({})
+            if report.weights.get(load.model, 0) >= load.version:
+                self._known.note_report(
+                    replica, report.weights, time.monotonic()
                 )
                 self._log.info(
                     "weights_loaded",
                     replica=replica.replica_id,
                     version=load.version,
                 )
-                # Choose the next load without waiting for the next period.
-                self._inbox.put(_UpkeepDue())
-                return
+                return True
+            if report.orders == 0:
+                raise upstream_client.ReplicaEnded("a restart cleared it")
             gevent.sleep(PERIOD_S)
+        return False
 
     def _open(self, load: weight_loads.Load) -> upstreams.Order:
         outcome = self._propose(
@@ -258,5 +309,12 @@
     replica: replicas.Replica,
     machine: machines.Machine,
     platform: upstream_client.UpstreamClient,
+    relay: list_relay.ListRelay,
 ) -> WeightUpkeep:
-    return WeightUpkeep(node, state, replica, machine, platform)
+    """Make the orders of a member, which it gives while it leads.
+
+    Args:
+        platform: gives the orders, and reads the list and reports.
+        relay: holds a list that is read for entries.
+    """
+    return WeightUpkeep(node, state, replica, machine, platform, relay)
--- a/tests/coordination/test_old_weights_prefill_review.py
+++ b/tests/coordination/test_old_weights_prefill_review.py
@@ -3,6 +3,7 @@
 import pytest
 
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import replica_choice
 from papayalink.coordination import weight_history
 from papayalink.protocol import calls
 from papayalink.state import replicas
@@ -44,7 +45,7 @@
         ]
     )
     fleet.find("r1").begin_prefill(2, queued_tokens)
-    request = fleets.SelectionRequest(
+    request = replica_choice.SelectionRequest(
         service="models",
         model="m",
         parts=(calls.Part("a", own_tokens),),
