Count a prompt's own prefill towards the time of old weights

What callers could see: a prompt that begins on weights replaced longer ago than allowed, since a run begins with its first token and only the queue before the prompt was counted.

Change: the predicted time to the first token counts. It is the time by which replicas are compared.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -314,18 +314,18 @@
         """Returns: seconds for which weights may have been replaced."""
         return self._weight_history.outdated_s(model, version, now)
 
-    def _queue_s(
+    def _wait_s(
         self,
         member: fleet_member.Member,
         request: replica_choice.SelectionRequest,
         now: float,
-    ) -> float:
-        """Returns: predicted seconds until the replica begins the prompt."""
-        queued_tokens = member.queued_tokens(request.urgency, now)
-        return max(
-            queued_tokens * self._first_token_times.token_s,
-            self._memory_wait_s(member, request, now),
-        )
+    ) -> tuple[float, float]:
+        """Returns: time to first token, and the part for its own prefill."""
+        queued_tokens, own_tokens = self.expected_tokens(member, request, now)
+        token_s = self._first_token_times.token_s
+        own_s = own_tokens * token_s + self._first_token_times.base_s
+        memory_s = self._memory_wait_s(member, request, now)
+        return max(queued_tokens * token_s, memory_s) + own_s, own_s
 
     def _memory_wait_s(
         self,
@@ -373,9 +373,10 @@
         outdated_s = self.outdated_s(request.model, held, now)
         if not outdated_s:
             return True
-        queue_s = self._queue_s(member, request, now)
+        # A run begins with its first token.
+        wait_s, _ = self._wait_s(member, request, now)
         slack_s = (1 - OLD_WEIGHTS_FRACTION) * self._weights_s
-        return outdated_s + max(queue_s, slack_s) < self._weights_s
+        return outdated_s + max(wait_s, slack_s) < self._weights_s
 
     def _old_weights_cost_s(
         self,
@@ -403,10 +404,8 @@
         now: float,
     ) -> tuple[float, float, float]:
         """Returns: cost, time to first token, and time for its own prefill."""
-        _, own_tokens = self.expected_tokens(member, request, now)
         token_s = self._first_token_times.token_s
-        own_s = own_tokens * token_s + self._first_token_times.base_s
-        wait_s = self._queue_s(member, request, now) + own_s
+        wait_s, own_s = self._wait_s(member, request, now)
         slots = max(1, member.replica.slots)
         load = (member.in_flight + member.other_load(now)) / slots
         # Each running request makes a step of the batch slightly longer.
