Wait only for what lets the waiting call be sent

What callers saw: a prompt was refused though a replica had got new weights while it waited for a permit of another one; a prompt waited for the weights of another model, or for a replica that had refused it, and was refused then.

Cause: the waits looked at the service of a call and not at what the call needs, and each had an event of its own, so that one did not end the other.

Evidence: the three tests of test_load_wait_review.py, written by the review, failed.

Change: the fleet tells for a request whether a permit or a load would let it be sent, and has one signal for both. The review's test that a watcher wakes those who wait looks at this signal; it failed with the signal taken out.

Result: the three tests pass, as do test_load_wait.py, test_named_limits.py, test_outdated_choices.py, test_outdated_permits.py and the tests on weights.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import random
 
+from papayalink.coordination import change_signal
 from papayalink.coordination import first_token_times
 from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
@@ -66,9 +67,14 @@
             stores hold under a salt.
         history: tells when weights were replaced.
         rng: source of randomness for sampling candidates.
+
+    Attributes:
+        changed: notified when replicas that load or have no permit may have
+            become usable.
     """
 
     __slots__ = (
+        "changed",
         "_zone",
         "_fetched_tokens",
         "_rng",
@@ -88,6 +94,7 @@
         history: weight_history.WeightHistory,
         rng: random.Random,
     ) -> None:
+        self.changed = change_signal.make_change_signal()
         self._zone = zone
         self._weights_s = weights_s
         self._fetched_tokens = fetched_tokens
@@ -134,9 +141,12 @@
 
     def set_loading(self, loading: Iterable[messages.Loading]) -> None:
         """Mark these replicas as loading weights, and no others."""
-        by_id = {each.replica_id: each for each in loading}
+        models: dict[str, set[str]] = {}
+        for each in loading:
+            models.setdefault(each.replica_id, set()).add(each.model)
         for replica_id, member in self._members.items():
-            member.loading = replica_id in by_id
+            member.loading = frozenset(models.get(replica_id, ()))
+        self.changed.notify()
 
     def note_loaded(self, loaded: Iterable[messages.Loading]) -> None:
         """Record that replicas have loaded weights."""
@@ -272,11 +282,33 @@
             and self._suits(member, request, now)
         )
 
-    def is_loading(self, service: str) -> bool:
-        """Returns: whether a replica is to be usable once it has weights."""
+    def awaits_permit(
+        self,
+        request: replica_choice.SelectionRequest,
+        excluded: Collection[str],
+        now: float,
+    ) -> bool:
+        """Returns: whether only limits keep a replica from being chosen."""
         return any(
-            member.loading and member.usable_after_load
-            for member in self.members(service)
+            member.limit_per_s is not None
+            and member.usable_without_limit(now)
+            and member.replica.replica_id not in excluded
+            and self._suits(member, request, now)
+            for member in self.members(request.service)
+        )
+
+    def awaits_load(
+        self,
+        request: replica_choice.SelectionRequest,
+        excluded: Collection[str],
+    ) -> bool:
+        """Returns: whether a replica is loading the weights of the model."""
+        return any(
+            request.model in member.loading
+            and member.usable_after_load
+            and member.replica.replica_id not in excluded
+            and _has_software(member, request.software)
+            for member in self.members(request.service)
         )
 
     def next_usable_s(self, service: str, now: float) -> float:
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -30,7 +30,8 @@
         weights: newest version by model, from the list and from answers.
         calls: number of unfinished calls of this entry, by urgency.
         leaving: whether it has said that it leaves.
-        loading: whether it is to load weights and refuses calls meanwhile.
+        loading: models whose weights it is to load; it refuses calls
+            meanwhile.
         heard_at: monotonic seconds of the last byte received from it.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
@@ -90,7 +91,7 @@
         self._parts: dict[str, int] = {}
         self._part_tokens = 0
         self.leaving = False
-        self.loading = False
+        self.loading: frozenset[str] = frozenset()
 
     @property
     def in_flight(self) -> int:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -109,12 +109,7 @@
         # Blocked key for which the call may be sent once all the same.
         self._trial: str | None = None
         self._replica_wait = replica_wait.make_replica_wait(
-            shared,
-            self._service,
-            bool(call.model),
-            received_at,
-            route.objective_s,
-            self._deadline,
+            shared.fleet, received_at, route.objective_s, self._deadline
         )
         self._urgency = directory.urgency(route, workspace)
         service = directory.service(self._service)
@@ -169,7 +164,9 @@
         choice = fleet.choose(self._selection_request, self._record.tried, now)
         if self._ends_too_late(choice):
             return False
-        if choice is None and self._replica_wait.wait():
+        if choice is None and self._replica_wait.wait(
+            self._selection_request, self._record.tried
+        ):
             return True
         if choice is None:
             self._end_without_replica("no usable replica")
--- a/papayalink/roles/gateway/limits.py
+++ b/papayalink/roles/gateway/limits.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterable
 import time
 
-from gevent import event
-
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import fleet_member
 from papayalink.coordination import named_limits
@@ -25,7 +23,7 @@
         limits: what replicas have named to this entry and the others.
     """
 
-    __slots__ = ("limits", "_fleet", "_called_at", "_granted", "_own")
+    __slots__ = ("limits", "_fleet", "_called_at", "_own")
 
     def __init__(
         self, limits: named_limits.NamedLimits, fleet: fleets.Fleet
@@ -33,7 +31,6 @@
         self.limits = limits
         self._fleet = fleet
         self._called_at: dict[str, float] = {}
-        self._granted = event.Event()
         # Used while no member answers.
         self._own = named_limits.make_permit_source(self.limits)
 
@@ -94,8 +91,7 @@
             member = self._fleet.find(replica_id)
             if member is not None:
                 member.add_permits(count, asked_at)
-        self._granted.set()
-        self._granted.clear()
+        self._fleet.changed.notify()
 
     def add_own_permits(self, entries: int) -> None:
         """Use a small share of the limits without a member's permits."""
@@ -103,18 +99,6 @@
         now = time.monotonic()
         self.add_permits(self._own.grant(self.wanted(), now, share), now)
 
-    def wait_for_permit(self, service: str, timeout_s: float) -> bool:
-        """Wait for permits if only limits keep replicas from being used.
-
-        Returns: whether a replica may be usable now.
-        """
-        now = time.monotonic()
-        limited = any(
-            member.limit_per_s is not None and member.usable_without_limit(now)
-            for member in self._fleet.members(service)
-        )
-        return limited and timeout_s > 0 and self._granted.wait(timeout_s)
-
 
 def make_limit_keeper(
     limits: named_limits.NamedLimits, fleet: fleets.Fleet
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -1,8 +1,10 @@
 """Waits of a call for which no replica is usable at the moment."""
 
+from collections.abc import Collection
 import time
 
-from papayalink.roles.gateway import shared as shared_parts
+from papayalink.coordination import fleet as fleets
+from papayalink.coordination import replica_choice
 
 # A call waits for replicas that are at their limit up to this fraction of its
 # objective, counted from its arrival; then its caller may try elsewhere.
@@ -19,32 +21,21 @@
     """Waits of one call.
 
     Args:
-        prompt: whether the call needs the weights of a model.
         received_at: when the call arrived, in monotonic seconds.
         objective_s: its latency objective.
         deadline: monotonic seconds.
     """
 
-    __slots__ = (
-        "_shared",
-        "_service",
-        "_prompt",
-        "_permits_until",
-        "_loads_until",
-    )
+    __slots__ = ("_fleet", "_permits_until", "_loads_until")
 
     def __init__(
         self,
-        shared: shared_parts.Shared,
-        service: str,
-        prompt: bool,
+        fleet: fleets.Fleet,
         received_at: float,
         objective_s: float,
         deadline: float,
     ) -> None:
-        self._shared = shared
-        self._service = service
-        self._prompt = prompt
+        self._fleet = fleet
         self._permits_until = min(
             received_at + PERMIT_WAIT_FRACTION * objective_s, deadline
         )
@@ -52,34 +43,28 @@
             LOAD_WAIT_FRACTION * (deadline - received_at), MAX_LOAD_WAIT_S
         )
 
-    def wait(self) -> bool:
+    def wait(
+        self, request: replica_choice.SelectionRequest, tried: Collection[str]
+    ) -> bool:
         """Wait for what keeps replicas from being used, if it ends in time.
 
+        Args:
+            tried: replicas that the call is not sent to again.
         Returns: whether a replica may be usable now.
         """
-        return self._wait_for_permit() or self._wait_for_load()
-
-    def _wait_for_permit(self) -> bool:
-        left_s = self._permits_until - time.monotonic()
-        return self._shared.limits.wait_for_permit(self._service, left_s)
-
-    def _wait_for_load(self) -> bool:
-        if not self._prompt or not self._shared.fleet.is_loading(
-            self._service
-        ):
-            return False
-        left_s = self._loads_until - time.monotonic()
-        return left_s > 0 and self._shared.watcher.wait_change(left_s)
+        now = time.monotonic()
+        until = now
+        if self._fleet.awaits_permit(request, tried, now):
+            until = max(until, self._permits_until)
+        if self._fleet.awaits_load(request, tried):
+            until = max(until, self._loads_until)
+        return until > now and self._fleet.changed.wait(until - now)
 
 
 def make_replica_wait(
-    shared: shared_parts.Shared,
-    service: str,
-    prompt: bool,
+    fleet: fleets.Fleet,
     received_at: float,
     objective_s: float,
     deadline: float,
 ) -> ReplicaWait:
-    return ReplicaWait(
-        shared, service, prompt, received_at, objective_s, deadline
-    )
+    return ReplicaWait(fleet, received_at, objective_s, deadline)
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -62,7 +62,6 @@
         "_connected",
         "_started_at",
         "_has_document",
-        "_changed",
         "_log",
     )
 
@@ -90,7 +89,6 @@
         self._connected = False
         self._started_at = time.monotonic()
         self._has_document = event.Event()
-        self._changed = event.Event()
         self._log = logs.get_logger()
 
     @property
@@ -145,13 +143,6 @@
             self._has_document.wait(min(left_s, max_wait_s))
         return self._directory
 
-    def wait_change(self, max_wait_s: float) -> bool:
-        """Wait for a newer document or version, or a change in loading.
-
-        Returns: whether there was one.
-        """
-        return self._changed.wait(max_wait_s)
-
     def start(self) -> None:
         self._started_at = time.monotonic()
         tasks.spawn(self._run)
@@ -242,8 +233,6 @@
             changed = True
         if changed:
             self._on_change()
-            self._changed.set()
-            self._changed.clear()
             if self._directory is not None:
                 self._has_document.set()
 
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -3,7 +3,6 @@
 from types import SimpleNamespace
 
 import gevent
-from gevent import event as event_module
 from gevent import server as servers
 from gevent import socket
 
@@ -115,18 +114,10 @@
 
     def __init__(self, directory):
         self.directory = directory
-        self._changed = event_module.Event()
 
     def age_s(self):
         return 0.1
 
-    def note_change(self):
-        self._changed.set()
-        self._changed.clear()
-
-    def wait_change(self, timeout_s):
-        return self._changed.wait(timeout_s)
-
 
 def make_route(name, repeat, **fields):
     stream = fields.get("stream", False)
@@ -186,11 +177,10 @@
         self.departures = departures.make_departures(
             self.tables.leaving, self.fleet, channels
         )
-        self.watcher = _Watcher(traffic.make_directory(document))
         handler = handling.make_handler(
             shared.make_shared(
                 dialects.make_dialect(),
-                self.watcher,
+                _Watcher(traffic.make_directory(document)),
                 self.fleet,
                 channels,
                 budgets.make_budgets(node_settings.Bounds(), lambda: 1),
--- a/tests/roles/gateway/test_load_wait.py
+++ b/tests/roles/gateway/test_load_wait.py
@@ -34,7 +34,6 @@
 def _end_load(gateway):
     gateway.fleet.set_loading([])
     gateway.fleet.note_loaded([messages.Loading("models1", "m", 2)])
-    gateway.watcher.note_change()
 
 
 def _nothing(gateway):
--- a/tests/roles/gateway/test_load_wait_review.py
+++ b/tests/roles/gateway/test_load_wait_review.py
@@ -40,7 +40,6 @@
 def _end_load(gateway):
     gateway.fleet.set_loading([])
     gateway.fleet.note_loaded([messages.Loading("models1", "m", 2)])
-    gateway.watcher.note_change()
 
 
 _ANSWER = [stubs.STREAM, stubs.event(1), stubs.END]
--- a/tests/roles/gateway/test_old_weights_review.py
+++ b/tests/roles/gateway/test_old_weights_review.py
@@ -138,10 +138,10 @@
 # Guards against prompts that are not woken when what they wait for has come.
 def test_watcher_wakes_those_who_wait_for_a_change():
     group = old_weights._Group()
-    watcher = old_weights._Entry(group, (1,))._process._watcher
-    waiting = gevent.spawn(watcher.wait_change, 60.0)
+    process = old_weights._Entry(group, (1,))._process
+    waiting = gevent.spawn(process._fleet.changed.wait, 60.0)
     gevent.sleep(0)
-    watcher._watch("a1")
+    process._watcher._watch("a1")
     assert waiting.get(timeout=10)
 
 
