Confirm which weights are the newest before newer ones are named

What callers could see: right after a naming all prompts were refused, until loads ended, if no member had confirmed its state for long before: after a restart of all members, or a time without a quorum. All older versions counted as replaced long ago.

Change: the member that an operator asks confirms its state before it proposes the version. Without a quorum the operator is refused a little sooner.

--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -1,5 +1,7 @@
 """Reads and changes the numbered document and the weight versions."""
 
+from collections.abc import Callable
+
 from papayalink import logs
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
@@ -29,6 +31,7 @@
         "_peers",
         "_client",
         "_metrics",
+        "_observe_weights",
         "_log",
     )
 
@@ -44,6 +47,7 @@
         self._peers = peers
         self._client = client
         self._metrics = metrics
+        self._observe_weights: Callable[[], None] | None = None
         self._log = logs.get_logger()
 
     @property
@@ -56,6 +60,14 @@
         """Use a replica for all reads and changes."""
         self._replica = replica
 
+    def observe_before_naming(self, observe: Callable[[], None]) -> None:
+        """Set what notes the newest weights before newer ones are named.
+
+        Args:
+            observe: raises CoordinationError if it cannot.
+        """
+        self._observe_weights = observe
+
     def put(self, number: int, content: bytes) -> int:
         """Store a document, unless its number is not above the stored one.
 
@@ -79,6 +91,8 @@
 
     def name_weights(self, model: str, version: int) -> None:
         """Set the weight version that all replicas of a model are to load."""
+        if self._observe_weights is not None:
+            self._observe_weights()
         stored = self._commit(numbered.NameWeights(model, version))
         self._record(
             "weights_named",
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -104,6 +104,7 @@
             self._stores,
             self._relay,
         )
+        self._state.observe_before_naming(self._service.observe_weights)
         self._replica: replicas.Replica | None = None
         self._group: group.GroupUpkeep | None = None
         self._rpc_server = rpc.make_server(
--- a/tests/roles/gateway/test_old_weights.py
+++ b/tests/roles/gateway/test_old_weights.py
@@ -67,6 +67,7 @@
             sites.EMPTY_STORES,
             sites.NO_LIST,
         )
+        self.state.observe_before_naming(self.service.observe_weights)
 
     def observe(self):
         """Let the member look at its own state."""
