Forget the evidence on weights if its age is not known

What callers would see: answers on old weights for longer than allowed, after a VM was rebooted while its time of day was set back.

Change: if neither clock has gone on since a record was written, its rows on weights are left out, and count as old until somebody tells better. Remains: a time of day set back by less than the VM was down.

--- a/papayalink/roles/authority/tables_keeper.py
+++ b/papayalink/roles/authority/tables_keeper.py
@@ -36,18 +36,17 @@
     tables: shared_tables.Tables
     uptime_s: float = float("inf")
 
-    def elapsed_s(self) -> float:
-        """Returns: seconds since it was written.
+    def elapsed_s(self) -> float | None:
+        """Returns: seconds since it was written, None if that is not known.
 
         The time of day may have been set back, and the monotonic clock may
         have begun anew; neither makes the time longer than it was, unless the
         time of day was set forward.
         """
-        return max(
-            0.0,
-            time.time() - self.written_at,
-            time.monotonic() - self.uptime_s,
+        elapsed_s = max(
+            time.time() - self.written_at, time.monotonic() - self.uptime_s
         )
+        return elapsed_s if elapsed_s >= 0 else None
 
 
 class TablesKeeper:
@@ -95,9 +94,13 @@
             return
         records = _decode_records(data)
         for record in records:
-            self._tables.merge(
-                record.tables, time.monotonic() - record.elapsed_s()
-            )
+            elapsed_s = record.elapsed_s()
+            tables = record.tables
+            if elapsed_s is None:
+                # Rows that look later than they are would prolong the use of
+                # old weights.
+                tables = msgspec.structs.replace(tables, weights=())
+            self._tables.merge(tables, time.monotonic() - (elapsed_s or 0.0))
         self._tables.expire(time.monotonic())
         self._log.info(
             "tables_read",
