Repeat no order while the task of the one before runs

What callers would see: refusals by a replica that loads, as its open order is closed by the task of an earlier one.

Change: a replica whose task runs counts as loading.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -131,10 +131,12 @@
         if not wanted:
             return
         self._refresh_list(wanted, now)
+        # A task waits for its replica's report for longer than for the load.
+        under_way = self._ordered_at | dict.fromkeys(self._loading_ids, now)
         for load in weight_loads.choose_loads(
             self._known.replicas,
             wanted,
-            self._ordered_at,
+            under_way,
             now,
             self._failures,
         ):
