Add a failing test of loads while the list is down

What callers would see: replicas that stay on old weights for as long as the platform's list can't be read.

--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -31,6 +31,7 @@
         orders: replica and version of each order that arrived.
         reads: number of times that the list was read.
         reports_answered: unset while calls for reports hang.
+        list_error: error of each reading of the list.
         errors: error of each call to a replica, None for a rejected order.
     """
 
@@ -39,6 +40,7 @@
         self.listed = dict(versions)
         self.orders = []
         self.reads = 0
+        self.list_error = None
         self.errors = {}
         self.reports_answered = event.Event()
         self.reports_answered.set()
@@ -47,6 +49,8 @@
 
     def list_replicas(self):
         self.reads += 1
+        if self.list_error is not None:
+            raise self.list_error
         return [
             replicas.Replica(
                 replica_id=name,
@@ -323,3 +327,14 @@
     assert platform.orders == [("r0", 2)]
     platform.reports_answered.set()
     leader.wait_for(lambda: len(platform.orders) == 2)
+
+
+def test_loads_go_on_while_the_list_is_down(make_leader):
+    """Guards against replicas that stay on old weights during an outage."""
+    leader = make_leader({"r0": 1, "r1": 1, "r2": 1})
+    platform = leader.platform
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    platform.list_error = upstream_client.UpstreamClientError("status 503")
+    platform.end_load("r0")
+    leader.wait_for(lambda: len(platform.orders) == 3)
+    assert platform.orders[2] == ("r2", 2)
