Go on with loads while the list is down

What callers would see: replicas that stay on old weights for as long as the platform's list can't be read.

Cause: a failed reading ended the period before replicas were chosen.

Change: the replicas known before hold. The list is tried again after 1 s, and the log tells when it was lost.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -26,6 +26,8 @@
 # While no replica is behind, the list is read only to find replicas that start
 # with older weights, which is rare.
 IDLE_LIST_PERIOD_S = 5.0
+# Wait after a failed reading, which may itself take a second.
+LIST_RETRY_S = 1.0
 # A list that is read for entries is used instead until it is this old.
 MAX_RELAYED_AGE_S = 1.5
 # Loading takes about 0.8 s once the running requests have ended.
@@ -66,6 +68,7 @@
         "_platform",
         "_relay",
         "_known",
+        "_list_failed_at",
         "_ordered_at",
         "_failures",
         "_loading_ids",
@@ -90,6 +93,7 @@
         self._platform = platform
         self._relay = relay
         self._known = known_weights.make_known_weights()
+        self._list_failed_at: float | None = None
         self._ordered_at: dict[str, float] = {}
         self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
@@ -119,10 +123,7 @@
                 continue
             try:
                 self._order_loads(now)
-            except (
-                errors.CoordinationError,
-                upstream_client.UpstreamClientError,
-            ) as error:
+            except errors.CoordinationError as error:
                 self._log.warning("weights_upkeep_interrupted", reason=error)
 
     def _order_loads(self, now: float) -> None:
@@ -160,10 +161,28 @@
             self._note_list(relay.listed, relay.read_at)
         if relay.number and now - relay.read_at <= MAX_RELAYED_AGE_S:
             return
-        behind = self._known.is_behind(wanted)
-        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
-        if now - self._known.listed_at >= period_s or not self._known.replicas:
-            self._note_list(self._platform.list_replicas(), now)
+        if self._known.is_behind(wanted) or not self._known.replicas:
+            period_s = PERIOD_S
+        else:
+            period_s = IDLE_LIST_PERIOD_S
+        if self._list_failed_at is not None:
+            due = now - self._list_failed_at >= LIST_RETRY_S
+        else:
+            due = now - self._known.listed_at >= period_s
+        if due:
+            self._read_list(now)
+
+    def _read_list(self, now: float) -> None:
+        """Read the list; the replicas known before hold if that fails."""
+        try:
+            listed = self._platform.list_replicas()
+        except upstream_client.UpstreamClientError as error:
+            if self._list_failed_at is None:
+                self._log.warning("weights_list_lost", reason=error)
+            self._list_failed_at = now
+            return
+        self._list_failed_at = None
+        self._note_list(listed, now)
 
     def _note_list(
         self, listed: Iterable[replica_states.Replica], listed_at: float
