Log which replicas are behind, and why they have no order yet

The log told orders and their ends; it could not tell when the leader saw a replica with old weights, whether one waited for a place or for the next try, or that a new leader waited for its lease.

A replica is logged once for each version that it lacks, those that wait once a second while there are any.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -16,6 +16,7 @@
 from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
 from papayalink.roles import node as nodes
+from papayalink.roles.authority import behind_log
 from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.state import machine as machines
@@ -73,6 +74,7 @@
         "_failures",
         "_loading_ids",
         "_leading_since",
+        "_behind_log",
         "_inbox",
         "_log",
     )
@@ -98,6 +100,7 @@
         self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
         self._leading_since: float | None = None
+        self._behind_log = behind_log.make_behind_log()
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
 
@@ -116,6 +119,7 @@
                 continue
             if self._leading_since is None:
                 self._leading_since = now
+                self._log.info("loads_wait_for_lease")
             # An earlier leader may have sent orders until it lost its quorum,
             # and the orders of two holders within one lease would alternate.
             lease_s = self._node.settings.bounds.lease_ms / 1000
@@ -144,6 +148,13 @@
             self._ordered_at[load.replica.replica_id] = now
             self._loading_ids.add(load.replica.replica_id)
             gevent.spawn(self._load, load)
+        self._behind_log.note(
+            self._known.replicas,
+            wanted,
+            self._loading_ids,
+            self._failures,
+            now,
+        )
 
     def _close_abandoned_orders(self) -> None:
         """Close orders left open by an earlier leader or a failure.
@@ -226,7 +237,9 @@
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
         ) as error:
-            log.warning("weights_not_ordered", reason=error)
+            log.warning(
+                "weights_not_ordered", reason=error, retry_s=UNANSWERED_RETRY_S
+            )
             retry_at = time.monotonic() + UNANSWERED_RETRY_S
             self._ordered_at[replica.replica_id] = (
                 retry_at - weight_loads.ORDER_REPEAT_S
