--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -16,6 +16,7 @@
 from papayalink.coordination import upstream_client
 from papayalink.coordination import weight_loads
 from papayalink.roles import node as nodes
+from papayalink.roles.authority import behind_log
 from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import numbered_state
 from papayalink.state import machine as machines
@@ -26,6 +27,8 @@
 # While no replica is behind, the list is read only to find replicas that start
 # with older weights, which is rare.
 IDLE_LIST_PERIOD_S = 5.0
+# Wait after a failed reading, which may itself take a second.
+LIST_RETRY_S = 1.0
 # A list that is read for entries is used instead until it is this old.
 MAX_RELAYED_AGE_S = 1.5
 # Loading takes about 0.8 s once the running requests have ended.
@@ -66,10 +69,12 @@
         "_platform",
         "_relay",
         "_known",
+        "_list_failed_at",
         "_ordered_at",
         "_failures",
         "_loading_ids",
         "_leading_since",
+        "_behind_log",
         "_inbox",
         "_log",
     )
@@ -90,10 +95,12 @@
         self._platform = platform
         self._relay = relay
         self._known = known_weights.make_known_weights()
+        self._list_failed_at: float | None = None
         self._ordered_at: dict[str, float] = {}
         self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
         self._leading_since: float | None = None
+        self._behind_log = behind_log.make_behind_log()
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
 
@@ -112,6 +119,7 @@
                 continue
             if self._leading_since is None:
                 self._leading_since = now
+                self._log.info("loads_wait_for_lease")
             # An earlier leader may have sent orders until it lost its quorum,
             # and the orders of two holders within one lease would alternate.
             lease_s = self._node.settings.bounds.lease_ms / 1000
@@ -119,10 +127,7 @@
                 continue
             try:
                 self._order_loads(now)
-            except (
-                errors.CoordinationError,
-                upstream_client.UpstreamClientError,
-            ) as error:
+            except errors.CoordinationError as error:
                 self._log.warning("weights_upkeep_interrupted", reason=error)
 
     def _order_loads(self, now: float) -> None:
@@ -131,16 +136,25 @@
         if not wanted:
             return
         self._refresh_list(wanted, now)
+        # A task waits for its replica's report for longer than for the load.
+        under_way = self._ordered_at | dict.fromkeys(self._loading_ids, now)
         for load in weight_loads.choose_loads(
             self._known.replicas,
             wanted,
-            self._ordered_at,
+            under_way,
             now,
             self._failures,
         ):
             self._ordered_at[load.replica.replica_id] = now
             self._loading_ids.add(load.replica.replica_id)
             gevent.spawn(self._load, load)
+        self._behind_log.note(
+            self._known.replicas,
+            wanted,
+            self._loading_ids,
+            self._failures,
+            now,
+        )
 
     def _close_abandoned_orders(self) -> None:
         """Close orders left open by an earlier leader or a failure.
@@ -158,10 +172,28 @@
             self._note_list(relay.listed, relay.read_at)
         if relay.number and now - relay.read_at <= MAX_RELAYED_AGE_S:
             return
-        behind = self._known.is_behind(wanted)
-        period_s = PERIOD_S if behind else IDLE_LIST_PERIOD_S
-        if now - self._known.listed_at >= period_s or not self._known.replicas:
-            self._note_list(self._platform.list_replicas(), now)
+        if self._known.is_behind(wanted) or not self._known.replicas:
+            period_s = PERIOD_S
+        else:
+            period_s = IDLE_LIST_PERIOD_S
+        if self._list_failed_at is not None:
+            due = now - self._list_failed_at >= LIST_RETRY_S
+        else:
+            due = now - self._known.listed_at >= period_s
+        if due:
+            self._read_list(now)
+
+    def _read_list(self, now: float) -> None:
+        """Read the list; the replicas known before hold if that fails."""
+        try:
+            listed = self._platform.list_replicas()
+        except upstream_client.UpstreamClientError as error:
+            if self._list_failed_at is None:
+                self._log.warning("weights_list_lost", reason=error)
+            self._list_failed_at = now
+            return
+        self._list_failed_at = None
+        self._note_list(listed, now)
 
     def _note_list(
         self, listed: Iterable[replica_states.Replica], listed_at: float
@@ -205,7 +237,9 @@
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
         ) as error:
-            log.warning("weights_not_ordered", reason=error)
+            log.warning(
+                "weights_not_ordered", reason=error, retry_s=UNANSWERED_RETRY_S
+            )
             retry_at = time.monotonic() + UNANSWERED_RETRY_S
             self._ordered_at[replica.replica_id] = (
                 retry_at - weight_loads.ORDER_REPEAT_S
