Bound a member's wait for operators' calls by the grace period

Cause: the stop of an HttpServer waits until the application has answered, and a call of which a part of the body is missing is begun. The authority knows its grace period and did not use it.

Change: HttpServer.stop takes a time-out. The other roles, which have no grace period in their settings, wait as before.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -15,6 +15,7 @@
 from papayalink.roles import node as nodes
 from papayalink.roles import process
 from papayalink.roles import reloading
+from papayalink.roles import stop_plan
 from papayalink.roles.authority import address_book
 from papayalink.roles.authority import founding
 from papayalink.roles.authority import group
@@ -140,7 +141,12 @@
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
-        self._operator_server.stop()
+        plan = stop_plan.make_stop_plan(self._node.settings.bounds.grace_s)
+        if not self._operator_server.stop(plan.answer_s):
+            self._node.log.warning(
+                "operators_cut_by_stop",
+                in_flight=self._operator_server.in_flight,
+            )
         self._rpc_server.stop()
         if self._replica is not None:
             self._replica.stop()
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -16,6 +16,7 @@
 from papayalink.roles import node as nodes
 from papayalink.roles import process
 from papayalink.roles import reloading
+from papayalink.roles import stop_plan
 from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import departures
@@ -25,7 +26,6 @@
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.roles.gateway import parts
 from papayalink.roles.gateway import shared
-from papayalink.roles.gateway import stop_plan
 from papayalink.roles.gateway import take_ups
 from papayalink.roles.gateway import watching
 from papayalink.state import part_directory
--- a/papayalink/transport/http_server.py
+++ b/papayalink/transport/http_server.py
@@ -163,13 +163,23 @@
     def start(self) -> None:
         self._server.start()
 
-    def stop(self) -> None:
+    def stop(self, timeout_s: float | None = None) -> bool:
         """Wait for requests in flight, then close all sockets.
 
         The application must already refuse new work. Requests on idle
         connections and on those in the accept queue are still answered,
         because otherwise their senders could not tell whether they were run.
+
+        Args:
+            timeout_s: longest wait, None to wait until all are answered.
+        Returns: whether all requests were answered within the time-out.
         """
+        with gevent.Timeout(timeout_s, False):
+            self._stop()
+            return True
+        return False
+
+    def _stop(self) -> None:
         self._server.is_stopping = True
         self._server.all_answered.wait()
         request_wait.accept_all(self._server)
