--- a/tests/roles/gateway/test_late_calls.py
+++ b/tests/roles/gateway/test_late_calls.py
@@ -183,3 +183,15 @@
     assert answer.startswith(b"HTTP/1.1 200" if served else b"HTTP/1.1 503")
     assert b"connection: close" in answer.lower()
     assert len(site.desk.received) == served
+
+
+def test_call_before_the_first_document_is_told_to_go_elsewhere():
+    """Guards against a delay for a caller whom other entries serve at once."""
+    gateway = stopped.Gateway(_SHORT_GRACE_S, [], ())
+    try:
+        stopping = gateway.begin_stop()
+        status, headers, _ = gateway.call(b"/once/")
+        stopping.get()
+    finally:
+        gateway.end()
+    _check_refused(status, headers, 0)
