Tell callers of a stopping gateway without a document to go elsewhere

Change: the refusal is the one of calls that come late, with Retry-After 0. An answer that is cut while it is written to its caller isn't logged as a broken stream.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -504,7 +504,8 @@
         """
         reason = "the gateway stops"
         if self._responder.head_sent:
-            self._end("stream_broken", 0, reason)
+            broken = self._stream is not None
+            self._end("stream_broken" if broken else "given_up", 0, reason)
             raise errors.ResponseAborted(reason)
         if self._attempts.may_have_run:
             self._end("given_up", 504, reason)
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -35,7 +35,10 @@
             request.method, request.target, request.headers, request.body
         )
         directory = self._shared.watcher.directory
-        if directory is None and not self._shared.stopping.begun:
+        if directory is None and self._shared.stopping.begun:
+            self.reject_late(request, responder)
+            return
+        if directory is None:
             max_wait_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
             directory = self._shared.watcher.wait_directory(max_wait_s)
         if directory is None:
