--- /dev/null
+++ b/tests/coordination/test_run_times.py
@@ -0,0 +1,50 @@
+"""Tests of the times that recent calls took."""
+
+import pytest
+
+from papayalink.coordination import run_times
+
+
+def _note(times, route, runs):
+    for first_s, token_s in runs:
+        times.note(route, run_times.Run(first_s, token_s))
+
+
+@pytest.mark.parametrize(
+    ("runs", "slowest", "typical"),
+    [
+        ([(0.1, 0.0)], (0.1, 0.0), (0.1, 0.0)),
+        (
+            [(0.1, 0.02), (0.9, 0.01), (0.2, 0.05)],
+            (0.9, 0.05),
+            (0.2, 0.02),
+        ),
+        (
+            [(9.0, 1.0)] + [(0.1, 0.01)] * run_times.MAX_RUNS,
+            (0.1, 0.01),
+            (0.1, 0.01),
+        ),
+    ],
+    ids=["one", "three", "oldest forgotten"],
+)
+def test_slowest_and_typical_run(runs, slowest, typical):
+    times = run_times.make_run_times()
+    _note(times, "r", runs)
+    _note(times, "other", [(50.0, 5.0)])
+    assert times.slowest("r") == run_times.Run(*slowest)
+    assert times.typical("r") == run_times.Run(*typical)
+
+
+def test_route_without_calls_has_no_times():
+    times = run_times.make_run_times()
+    assert times.slowest("r") is None
+    assert times.typical("r") is None
+
+
+def test_routes_that_are_replaced_are_forgotten():
+    """Guards against memory that grows with each change of the routes."""
+    times = run_times.make_run_times()
+    for number in range(run_times.MAX_ROUTES + 1):
+        _note(times, f"r{number}", [(0.1, 0.0)])
+    assert times.slowest("r0") is None
+    assert times.slowest("r1") == run_times.Run(0.1, 0.0)
