Let members learn of replaced weights from the control group alone

Requests could begin on weights that were replaced longer ago than allowed: what an entry told a member that stood still counted as told when the member went on. The latest evidence counts at all who ask, so that old weights were used for as much longer as the member had stood still (signed messages may wait for 30 s).

Cause: the ages that entries and followers tell count from when the member reads them; what a member answers counts from the question, which is safe.

Change: a member leaves out what it is told of weights.

--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -107,9 +107,14 @@
     def answer(
         self, told: shared_tables.Tables, now: float
     ) -> shared_tables.Tables:
-        """Merge what a process tells, and return what it lacks."""
+        """Merge what a process tells, and return what it lacks.
+
+        What is told may have waited while this process stood still, and would
+        count as later than it was. Replaced weights must not, so a member
+        learns of them from the control group alone.
+        """
         self.expire(now)
-        self.merge(told, now)
+        self.merge(msgspec.structs.replace(told, weights=()), now)
         known = told.versions if told.run == self.run else {}
         return self.changes(known, now)
 
--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -1,9 +1,12 @@
 """Reads and changes the numbered document and the weight versions."""
 
+import time
+
 from papayalink import logs
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
 from papayalink.coordination import replica as replicas
+from papayalink.coordination import weight_history
 from papayalink.protocol import messages
 from papayalink.roles.control import peers as peers_module
 from papayalink.state import machine as machines
@@ -96,6 +99,12 @@
         """Make sure that everything committed so far is applied here."""
         self.replica.confirm_read(CONFIRM_TIMEOUT_S)
 
+    def observe_weights(self, history: weight_history.WeightHistory) -> None:
+        """Record which weights are the newest, as confirmed by a quorum."""
+        asked_at = time.monotonic()
+        self.confirm()
+        history.observe(self._machine.numbered.weights, asked_at)
+
     def note_invalid(self, reason: str) -> None:
         """Record a document that was rejected before it was proposed."""
         self._record("document_invalid", reason=reason)
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -127,12 +127,10 @@
             if left_s <= 0:
                 break
             self._changed.wait(left_s)
-        asked_at = time.monotonic()
         try:
-            self._state.confirm()
+            self._state.observe_weights(self._tables.weights)
         except errors.CoordinationError as error:
             raise self._state.make_refusal(error) from error
-        self._tables.weights.observe(self._machine.numbered.weights, asked_at)
         return self._make_reply(watch)
 
     def parts(self, message: messages.Parts) -> messages.PartsReply:
--- a/papayalink/roles/authority/table_follower.py
+++ b/papayalink/roles/authority/table_follower.py
@@ -6,6 +6,7 @@
 
 from papayalink import logs
 from papayalink import tasks
+from papayalink.coordination import errors as coordination_errors
 from papayalink.coordination import table_exchange
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
@@ -19,9 +20,13 @@
 
 
 class TableFollower:
-    """Exchanges tables with the leader while this member does not lead."""
+    """Exchanges tables with the leader while this member does not lead.
 
-    __slots__ = ("_node", "_state", "_exchange", "_log")
+    Observes the newest weights on all members, also on those that no entry
+    watches, since entries may ask any of them when weights were replaced.
+    """
+
+    __slots__ = ("_node", "_state", "_tables", "_exchange", "_log")
 
     def __init__(
         self,
@@ -31,6 +36,7 @@
     ) -> None:
         self._node = node
         self._state = state
+        self._tables = tables
         self._exchange = table_exchange.make_table_exchange(tables)
         self._log = logs.get_logger()
 
@@ -40,10 +46,17 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(FOLLOW_PERIOD_S)
+            self._observe_weights()
             leader = self._state.leader_address()
             if leader and not self._state.is_leader:
                 self._follow(leader)
 
+    def _observe_weights(self) -> None:
+        try:
+            self._state.observe_weights(self._tables.weights)
+        except coordination_errors.CoordinationError as error:
+            self._log.debug("weights_not_confirmed", reason=error)
+
     def _follow(self, leader: str) -> None:
         # The reply may wait while this process stands still.
         asked_at = time.monotonic()
