--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -107,13 +107,10 @@
     def answer(
         self, told: shared_tables.Tables, now: float
     ) -> shared_tables.Tables:
-        """Merge what a process tells, and return what it lacks.
-
-        What is told may have waited while this process stood still, and would
-        count as later than it was. Replaced weights must not, so a member
-        learns of them from the control group alone.
-        """
+        """Merge what a process tells, and return what it lacks."""
         self.expire(now)
+        # The request may have waited while this process stood still, and rows
+        # that look later than they are would prolong the use of old weights.
         self.merge(msgspec.structs.replace(told, weights=()), now)
         known = told.versions if told.run == self.run else {}
         return self.changes(known, now)
@@ -150,7 +147,7 @@
         self._telling = self._tables.versions()
         changes = self._tables.changes(self._told, now)
         return msgspec.structs.replace(
-            changes, run=self._run, versions=dict(self._known)
+            changes, run=self._run, versions=dict(self._known), weights=()
         )
 
     def merge(
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -128,11 +128,20 @@
                 break
             self._changed.wait(left_s)
         try:
-            self._state.observe_weights(self._tables.weights)
+            self.observe_weights()
         except errors.CoordinationError as error:
             raise self._state.make_refusal(error) from error
         return self._make_reply(watch)
 
+    def observe_weights(self) -> None:
+        """Confirm the state, and note which weights are the newest.
+
+        Raises: errors.CoordinationError
+        """
+        asked_at = time.monotonic()
+        self._state.confirm()
+        self._tables.weights.observe(self._machine.numbered.weights, asked_at)
+
     def parts(self, message: messages.Parts) -> messages.PartsReply:
         """Report what the stores hold, and the work of other entries."""
         now = time.monotonic()
