Let the soak name weights again before the last are in place

The check: no call begins on weights that were replaced longer ago than the settings allow, whatever the processes did; only a gateway that stood still and a way to a replica that was harmed excuse a call.

Each case of the check has a broken history in tests/soak/test_checks.py. One more short run plays with the tests.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
     stops: bool = False,
     odd: bool = False,
     cut_offs: bool = False,
+    weights: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -50,6 +51,7 @@
         stops: whether there is planned work instead of faults.
         odd: whether the list of replicas has an odd entry all the time.
         cut_offs: whether gateways miss releases.
+        weights: whether weights are named again and again.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -69,6 +71,7 @@
         stops,
         odd,
         cut_offs,
+        weights,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks the guarantees on what was observed from outside."""
 
+from soak import nodes
 from soak import records
 from soak.platform import standins
 
@@ -51,6 +52,7 @@
         *_check_limits(history),
         *_check_versions(history),
         *_check_delays(history),
+        *_check_weights(history),
     ]
 
 
@@ -281,6 +283,38 @@
             return
 
 
+def _check_weights(history):
+    """Check that nothing begins on weights that were replaced long ago.
+
+    A call may be late if its gateway or the way to its replica stood still.
+    """
+    calls = {call.call_id: call for call in history.calls}
+    for call_id, executions in history.executions.by_call.items():
+        for execution in executions:
+            replaced_at = min(
+                (
+                    each.accepted_at
+                    for each in history.namings
+                    if each.accepted_at and each.version > execution.weights
+                ),
+                default=float("inf"),
+            )
+            outdated_s = execution.began_at - replaced_at
+            if not execution.weights or outdated_s <= nodes.WEIGHTS_S:
+                continue
+            held_up = {
+                (calls[call_id].gateway, "pause"),
+                (calls[call_id].gateway, "frozen"),
+                (execution.replica_id, "proxy"),
+            }
+            around = _disturbances_around(calls[call_id], history)
+            if not any((each.target, each.kind) in held_up for each in around):
+                yield (
+                    f"{call_id} began on weights {execution.weights},"
+                    f" replaced {outdated_s:.3f} s before"
+                )
+
+
 def _is_recovering(call, history):
     """Whether the gateway of a call itself was disturbed around it."""
     return any(
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,6 +1,7 @@
 """Callers with persistent connections, and operators that retry."""
 
 import itertools
+import json
 import time
 
 import gevent
@@ -124,6 +125,9 @@
             headers["Papayalink-Prefix-Hash"] = standins.make_prefix(
                 part, call_id
             )
+            if self._history.model:
+                headers["Papayalink-Model"] = self._history.model
+                headers["Papayalink-Token-Usage"] = "25,12"
         if resumes:
             headers["Resumes"] = resumes
             headers["Last-Event-Id"] = str(last_event)
@@ -204,8 +208,28 @@
             gevent.sleep(RETRY_INTERVAL_S)
         return False
 
-    def pause(self) -> None:
-        gevent.sleep(self._rng.random() * READ_PAUSE_S)
+    def name_weights(
+        self, members: list[node_module.Node], timeout_s: float
+    ) -> None:
+        """Name the next weight version, until it is accepted or given up."""
+        version = 2 + len(self._history.namings)
+        naming = records.Naming(version, time.monotonic())
+        self._history.namings.append(naming)
+        self._history.count("weights_named")
+        body = json.dumps(
+            {"model": self._history.model, "version": version}
+        ).encode()
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            member = self._rng.choice(members)
+            status, _ = _call(member, "POST", body, "/-/version-put")
+            if status == 200:
+                naming.accepted_at = time.monotonic()
+                return
+            gevent.sleep(RETRY_INTERVAL_S)
+
+    def pause(self, longest_s: float = READ_PAUSE_S) -> None:
+        gevent.sleep(self._rng.random() * longest_s)
 
     def read(self, members: list[node_module.Node]) -> None:
         member = self._rng.choice(members)
@@ -219,7 +243,10 @@
 
 
 def _call(
-    member: node_module.Node, method: str, body: bytes = b""
+    member: node_module.Node,
+    method: str,
+    body: bytes = b"",
+    path: str = "/-/config",
 ) -> tuple[int, bytes]:
     """Returns: status and body; status 0 when there is no answer."""
     client = geventhttpclient.HTTPClient(
@@ -229,7 +256,7 @@
         network_timeout=1.5,
     )
     try:
-        answer = client.request(method, "/-/config", body)
+        answer = client.request(method, path, body)
         return answer.status_code, bytes(answer.read())
     except CALL_ERRORS:
         return 0, b""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from soak import checks
 from soak import nodes as node_module
 from soak import records
+from soak.platform import model_weights
 from soak.platform import odd_entries
 from soak.platform import standins
 
@@ -47,11 +48,25 @@
     "release": 1,
     "odd_entry": 1,
 }
+# Kinds beside weights that are named again and again.
+KINDS_BESIDE_WEIGHTS = {
+    "stop": 1,
+    "kill": 3,
+    "pause": 2,
+    "proxy": 1,
+    "release": 1,
+    "restart": 3,
+    "late_orders": 3,
+    "refused_orders": 3,
+    "reload": 1,
+}
 # Resets of all replicas that use up the attempts of a stream.
 RESETS = 3
 RESET_INTERVAL_S = 0.06
 LIMIT_PER_S = 3.0
 MAX_DURATION_S = 3.0
+# Longer than the time in which weights are to be loaded.
+REFUSED_ORDERS_S = 6.0
 # Longest time for which one of many odd entries is listed. Lists are read
 # each 0.6 s.
 ODD_ENTRY_S = 1.5
@@ -99,6 +114,10 @@
         self._kinds = KINDS_BESIDE_CUT_OFFS
         self._greenlets.append(gevent.spawn(self._cut_off_all, until))
 
+    def begin_weights(self) -> None:
+        """Disturb the loading of weights."""
+        self._kinds = KINDS_BESIDE_WEIGHTS
+
     def begin_odd_entries(self, until: float) -> None:
         """Let one odd entry after the other come, of which the last stays."""
         self._greenlets.append(gevent.spawn(self._replace_odd_entries, until))
@@ -298,6 +317,22 @@
                 self._platform.release(replica)
                 gevent.sleep(DRAIN_S)
                 self._platform.remove(replica)
+            case "restart":
+                # Mostly under its old id, with the weights that it had.
+                next_id = replica.replica_id
+                if self._rng.random() < 0.3:
+                    next_id += "+"
+                self._platform.end(replica, next_id)
+            case "late_orders":
+                replica.weights.late_s = self._rng.uniform(
+                    1.0, model_weights.MAX_LATE_S
+                )
+                gevent.sleep(duration_s)
+                replica.weights.late_s = 0.0
+            case "refused_orders":
+                replica.weights.refusing = True
+                gevent.sleep(REFUSED_ORDERS_S)
+                replica.weights.refusing = False
             case "limited" if replica.limit is None:
                 self.begin_limit(replica)
                 gevent.sleep(duration_s)
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -24,6 +24,8 @@
 INSPECT_PORT = 9464
 RESERVATION_PORT = 7000
 GRACE_S = 8.0
+# Time in which replicas are to load named weights.
+WEIGHTS_S = 5.0
 START_TIMEOUT_S = 20.0
 # Time in which a member without a port for readiness has started.
 MEMBER_START_S = 4.0
@@ -237,7 +239,11 @@
                 "platform_address": platform_address,
                 "inspect_listen": f"{ip}:{INSPECT_PORT}",
                 "deployment_key": _DEPLOYMENT_KEY,
-                "bounds": {"grace_s": GRACE_S, "losses": losses},
+                "bounds": {
+                    "grace_s": GRACE_S,
+                    "losses": losses,
+                    "weights_ms": WEIGHTS_S * 1000,
+                },
             }
             if role == "authority":
                 settings |= {
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from soak import records
+from soak.platform import model_weights
 from soak.platform import odd_entries
 
 EVENTS_PER_STREAM = 12
@@ -81,6 +82,7 @@
         address: address of the proxy, which the list names.
         software: version that the list names.
         limit: limit that its answers name, None for none.
+        weights: weights of its model, None without a model.
     """
 
     replica_id: str
@@ -92,9 +94,12 @@
     leaving: bool = False
     address: str = ""
     limit: records.NamedLimit | None = None
+    weights: model_weights.ModelWeights | None = None
 
     def answer(self, environ: dict, start_response):
         path = environ["PATH_INFO"]
+        if self.weights is not None and path == model_weights.REPORT_PATH:
+            return self.weights.report(start_response)
         call_id = environ.get("HTTP_PAPAYALINK_REQUEST_ID", "")
         headers = [
             ("Papayalink-Request-Id", call_id),
@@ -104,6 +109,19 @@
         if expected != self.replica_id:
             start_response("421 Misdirected", headers)
             return [b""]
+        weights = self.weights
+        if weights is not None:
+            if path == model_weights.ORDER_PATH:
+                return weights.order(environ, start_response)
+            wanted = environ.get("HTTP_PAPAYALINK_EXPECT_VERSION")
+            headers.append(("Papayalink-Model-Versions", str(weights.version)))
+            if wanted and wanted != str(weights.version):
+                start_response("421 Misdirected", headers)
+                return [b""]
+            if wanted and weights.loading:
+                headers.append(("Papayalink-Not-Executed", "1"))
+                start_response("503 Loading", headers)
+                return [b""]
         if self.leaving:
             headers.append(("Server-Leaving", "1"))
         if self.limit is not None:
@@ -130,6 +148,7 @@
             "HTTP_AUTHORIZATION" in environ,
             last_event_id,
             self.leaving,
+            self.weights.version if self.weights and wanted else 0,
         )
         if self.mode == "mute":
             gevent.sleep(30)
@@ -207,10 +226,20 @@
         return list_proxy
 
     def add_replica(
-        self, replica_id: str, zone: str, ip: str, software: str = "v1"
+        self,
+        replica_id: str,
+        zone: str,
+        ip: str,
+        software: str = "v1",
+        weights: model_weights.ModelWeights | None = None,
     ) -> Replica:
         replica = Replica(
-            replica_id, zone, self.history.executions, self, software
+            replica_id,
+            zone,
+            self.history.executions,
+            self,
+            software,
+            weights=weights,
         )
         server = pywsgi.WSGIServer((ip, 0), replica.answer, log=None)
         server.start()
@@ -225,24 +254,31 @@
         """End a replica; it returns under a new id after a while."""
         if replica.replica_id not in self._servers:
             return
+        name, _, starts = replica.replica_id.partition("+")
         self.history.crashes.append((cause, time.monotonic()))
+        self.end(replica, f"{name}+{int(starts or 0) + 1}")
+
+    def end(self, replica: Replica, next_id: str) -> None:
+        """End a replica, which returns under an id after a while."""
+        if replica.replica_id not in self._servers:
+            return
         end = self.history.begin("crash", replica.replica_id)
         end.ended_at = end.began_at
         # The address refuses connections from now on.
         self.proxies.pop(replica.replica_id).stop()
         server = self._servers.pop(replica.replica_id)
         gevent.spawn(server.stop, 0)
-        gevent.spawn_later(RETURN_S, self._return, replica, server.server_host)
+        if replica.weights is not None:
+            replica.weights.restart()
+        gevent.spawn_later(
+            RETURN_S, self._return, replica, next_id, server.server_host
+        )
 
-    def _return(self, replica: Replica, ip: str) -> None:
+    def _return(self, replica: Replica, next_id: str, ip: str) -> None:
         if self._stopped:
             return
-        name, _, starts = replica.replica_id.partition("+")
         self.add_replica(
-            f"{name}+{int(starts or 0) + 1}",
-            replica.zone,
-            ip,
-            replica.software,
+            next_id, replica.zone, ip, replica.software, replica.weights
         )
         self.replicas.remove(replica)
 
@@ -258,9 +294,19 @@
             replica.zone,
             server.server_host,
             f"v{self._releases + 1}",
+            self._newest_weights(),
         )
         replica.leaving = True
 
+    def _newest_weights(self) -> model_weights.ModelWeights | None:
+        """Returns: what a new replica holds, None without a model."""
+        if not self.history.model:
+            return None
+        named = [
+            each.version for each in self.history.namings if each.accepted_at
+        ]
+        return model_weights.ModelWeights(max(named, default=1))
+
     def remove(self, replica: Replica) -> None:
         """End a replica that has left, with the streams that it writes."""
         server = self._servers.pop(replica.replica_id, None)
@@ -290,6 +336,7 @@
                 "slots": 16,
                 "state": "draining" if each.leaving else "ready",
                 "coldRemainingMs": 0,
+                "models": each.weights.listed if each.weights else [],
             }
             for each in self.replicas
         ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -12,6 +12,7 @@
         key_passed_on: whether the replica got an Authorization header.
         last_event_id: number of the event after which a stream continues.
         leaving: whether the replica was leaving.
+        weights: version of the replica's weights, 0 without a model.
     """
 
     began_at: float
@@ -21,6 +22,7 @@
     key_passed_on: bool
     last_event_id: int
     leaving: bool
+    weights: int = 0
 
 
 class Executions:
@@ -121,6 +123,18 @@
     delay_s: float
 
 
+class Naming(msgspec.Struct, eq=False):
+    """A weight version that an operator named.
+
+    Attributes:
+        accepted_at: 0 unless it was accepted.
+    """
+
+    version: int
+    sent_at: float
+    accepted_at: float = 0.0
+
+
 class NamedLimit(msgspec.Struct):
     """A replica names a limit of calls a second.
 
@@ -143,6 +157,8 @@
             ends replicas now, "" for none.
         arrivals: calls with such a part, and repetitions of such requests.
         crashes: parts and requests that have ended replicas, and when.
+        model: model that streams name, "" for none.
+        namings: weight versions that operators named.
         take_up_at: gateway at which callers take up broken streams, "" for
             any.
         counts: number of faults and planned work by kind.
@@ -159,6 +175,8 @@
     crashes: list[tuple[str, float]] = []
     limits: list[NamedLimit] = []
     refusals: list[Refusal] = []
+    model: str = ""
+    namings: list[Naming] = []
     take_up_at: str = ""
     counts: dict[str, int] = {}
 
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -15,6 +15,7 @@
 from soak import planned_work
 from soak import proxy
 from soak import records
+from soak.platform import model_weights
 from soak.platform import standins
 
 REPLICAS = 4
@@ -26,6 +27,8 @@
 STOP_CONNECTIONS = 4
 RECOVERY_S = 8.0
 FINAL_CALLS = 60
+# Longest time between two namings of weights.
+NAMING_INTERVAL_S = 3.0
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -44,6 +47,8 @@
         odd: whether the list of replicas has an odd entry all the time.
         cut_offs: whether gateways miss releases while they are frozen, or
             while neither the list nor a member answers.
+        weights: whether weights are named again before all replicas have the
+            last, while these are late with them.
     """
 
     authorities: int = 3
@@ -57,6 +62,7 @@
     stops: bool = False
     odd: bool = False
     cut_offs: bool = False
+    weights: bool = False
 
 
 class Result(msgspec.Struct):
@@ -85,13 +91,20 @@
         with tempfile.TemporaryDirectory() as temporary:
             return run_seed(seed, seconds, scenario, temporary)
     history = records.History(records.Executions())
+    if scenario.weights:
+        history.model = model_weights.MODEL
     network = node_module.Network()
     platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
     nodes: list[node_module.Node] = []
     try:
         for index in range(REPLICAS):
             platform.add_replica(
-                f"i-{seed}-{index}", f"z{index % 3}", network.ip(200 + index)
+                f"i-{seed}-{index}",
+                f"z{index % 3}",
+                network.ip(200 + index),
+                weights=(
+                    model_weights.ModelWeights() if scenario.weights else None
+                ),
             )
         nodes = node_module.make_nodes(
             network,
@@ -138,6 +151,9 @@
     if scenario.stops:
         # Documents overlap as well.
         operating.append(gevent.spawn(_operate, operator, members, ended))
+    if scenario.weights:
+        injector.begin_weights()
+        operating.append(gevent.spawn(_name_weights, operator, members, ended))
     if scenario.crashing:
         injector.begin_crashing()
     if scenario.crashing_request:
@@ -200,6 +216,12 @@
     return callers
 
 
+def _name_weights(operator, members, ended) -> None:
+    while not ended.is_set():
+        operator.name_weights(members, 3.0)
+        operator.pause(NAMING_INTERVAL_S)
+
+
 def _operate(operator, members, ended) -> None:
     while not ended.is_set():
         operator.put(members, 3.0)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -363,3 +363,54 @@
     ]
     assert len(checks.check_recovered(calls)) == violations
     assert len(checks.check_recovered([])) == 1
+
+
+def _weights_history(weights, began_at, namings, disturbances=()):
+    history = _history(
+        _call(sent_at=began_at - 0.05, ended_at=began_at + 0.05),
+        [_execution(began_at=began_at, weights=weights)],
+        disturbances,
+    )
+    history.namings = [
+        records.Naming(version, accepted_at - 0.1, accepted_at)
+        for version, accepted_at in namings
+    ]
+    return history
+
+
+@pytest.mark.parametrize(
+    ("weights", "began_at", "namings", "findings"),
+    [
+        (1, 104.9, [(2, 100.0)], 0),
+        (1, 105.1, [(2, 100.0)], 1),
+        (2, 109.0, [(2, 100.0)], 0),
+        # Each version counts from its own naming.
+        (1, 105.1, [(2, 100.0), (3, 104.0)], 1),
+        (2, 105.1, [(2, 100.0), (3, 104.0)], 0),
+        # What was not accepted replaces nothing.
+        (1, 109.0, [(2, 0.0)], 0),
+        (0, 109.0, [(2, 100.0)], 0),
+    ],
+)
+def test_weights_are_not_used_for_longer_than_allowed(
+    weights, began_at, namings, findings
+):
+    history = _weights_history(weights, began_at, namings)
+    assert len(checks.check(history)) == findings
+
+
+@pytest.mark.parametrize(
+    ("kind", "target", "findings"),
+    [
+        ("pause", "g1", 0),
+        ("proxy", "i1", 0),
+        ("kill", "g1", 1),
+        ("stop", "g1", 1),
+        ("pause", "authority-1", 1),
+        ("crash", "i1", 1),
+    ],
+)
+def test_only_what_holds_up_a_call_excuses_old_weights(kind, target, findings):
+    disturbance = records.Disturbance(kind, target, 105.0, 106.0)
+    history = _weights_history(1, 107.0, [(2, 100.0)], [disturbance])
+    assert len(checks.check(history)) == findings
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 
 FAULT_INJECTION_S = 5.0
 LEARNING_S = 5.0
+OLD_WEIGHTS_S = 3.0
 
 
 @pytest.mark.parametrize(
@@ -34,6 +35,9 @@
         pytest.param(1, seed_run.Scenario(cut_offs=True), id="cut_offs"),
         # An odd entry in the list. It ended all processes.
         pytest.param(2, seed_run.Scenario(odd=True), id="odd"),
+        # Weights are named again before the last are in place. Calls began on
+        # weights that were replaced long ago.
+        pytest.param(2, seed_run.Scenario(weights=True), id="weights"),
     ],
 )
 def test_guarantees_hold(seed, scenario):
@@ -44,6 +48,9 @@
     if learning:
         # These show only after the time that entries have to learn of them.
         seconds += LEARNING_S
+    elif scenario.weights:
+        # Longer than old weights may be used.
+        seconds += OLD_WEIGHTS_S
     result = seed_run.run_seed(seed, seconds, scenario)
     assert result.findings == []
     assert result.calls > 50
