--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -12,6 +12,7 @@
 from papayalink import logs
 from papayalink.adapters import connection
 from papayalink.adapters import errors as adapter_errors
+from papayalink.coordination import upstream_client
 from papayalink.platform import errors
 from papayalink.platform import list_pages
 from papayalink.state import replicas
@@ -26,6 +27,9 @@
 LOG_PERIOD_S = 60.0
 MAX_LOGGED_BYTES = 100
 
+# Answer of a replica that is not the expected one.
+_MISDIRECTED = 421
+
 _PORT = re.compile(r"[1-9][0-9]{0,4}")
 MAX_PORT = 65_535
 
@@ -72,6 +76,7 @@
 
 class _Report(msgspec.Struct):
     models: list[_Model] = []
+    sequence: int | None = None
 
 
 class Platform:
@@ -122,8 +127,8 @@
         """Order a replica to load weights after its running requests.
 
         Returns: whether the replica accepted the order, now or before.
-        Raises: errors.CallFailed; the replica may still carry out the
-            order.
+        Raises: errors.ReplicaNotReached, or errors.CallFailed when the
+            replica may still carry out the order.
         """
         order = {
             "operation": "version",
@@ -147,26 +152,32 @@
                 msgspec.json.encode(order),
             )
         except adapter_errors.AdapterError as error:
-            raise errors.CallFailed(str(error)) from error
+            raise _make_error(error) from error
+        if reply.status == _MISDIRECTED:
+            raise errors.ReplicaEnded("another replica answers")
         return reply.status in (200, 202)
 
-    def read_weights(self, replica: replicas.Replica) -> dict[str, int]:
-        """Returns: weight version by model, as reported by the replica.
+    def read_report(self, replica: replicas.Replica) -> upstream_client.Report:
+        """Returns: what the replica reports of itself.
 
-        Raises: errors.CallFailed
+        Raises: errors.CallFailed, among them errors.ReplicaNotReached
         """
         connector = connection.Connector(replica.address, ORDER_TIMEOUT_S)
         try:
             reply = connector.call("GET", "/-/report", ORDER_TIMEOUT_S)
             report = msgspec.json.decode(reply.body, type=_Report)
+        except adapter_errors.AdapterError as error:
+            raise _make_error(error) from error
         except (
-            adapter_errors.AdapterError,
             msgspec.DecodeError,
             UnicodeDecodeError,
             RecursionError,
         ) as error:
             raise errors.CallFailed(str(error)) from error
-        return {model.name: model.version for model in report.models}
+        return upstream_client.Report(
+            weights={model.name: model.version for model in report.models},
+            orders=report.sequence,
+        )
 
     def _read_page(self, path: str) -> list_pages.Page:
         try:
@@ -200,6 +211,16 @@
         return found
 
 
+def _make_error(error: adapter_errors.AdapterError) -> errors.CallFailed:
+    match error:
+        case adapter_errors.Refused():
+            return errors.ReplicaEnded(str(error))
+        case adapter_errors.Unreachable():
+            return errors.ReplicaNotReached(str(error))
+        case _:
+            return errors.CallFailed(str(error))
+
+
 def _add(
     found: dict[str, replicas.Replica], replica: replicas.Replica
 ) -> None:
--- a/tests/roles/authority/test_weight_orders.py
+++ b/tests/roles/authority/test_weight_orders.py
@@ -12,6 +12,8 @@
 
 from papayalink import metrics as metrics_module
 from papayalink.coordination import errors
+from papayalink.coordination import upstream_client
+from papayalink.roles.authority import list_relay
 from papayalink.roles.authority import weights
 from papayalink.state import replicas
 from papayalink.state import upstreams
@@ -39,8 +41,8 @@
             )
         ]
 
-    def read_weights(self, replica):
-        return {"m": self.version}
+    def read_report(self, replica):
+        return upstream_client.Report({"m": self.version})
 
     def order_weights(self, replica, model, version, holder, fence):
         self.orders.append((holder, fence))
@@ -89,6 +91,7 @@
         replica,
         machine,
         platform,
+        list_relay.make_list_relay(platform, node.metrics),
     )
     opened = []
 
