Add a failing test of a replica that starts again under its id

Guards against callers that are refused while restarted replicas are idle: the platform lets a replica start again under its id, and what it said before it ended, that it leaves, holds for up to 120 s.

--- a/tests/roles/gateway/test_leaving_replicas.py
+++ b/tests/roles/gateway/test_leaving_replicas.py
@@ -61,6 +61,34 @@
     assert not leaving.arrived_at
 
 
+def test_replica_that_starts_again_under_its_id_is_used(start_site):
+    """Guards against a restarted replica that gets no calls for minutes."""
+    site = start_site(size=2)
+    replica = site.replicas[0]
+    replica.headers = _LEAVING
+    while not replica.arrived_at:
+        site.entries[0].prompt("resumed", "base", "own")
+    site.settle()
+    # It leaves the list and returns.
+    site.replicas.remove(replica)
+    site.settle()
+    site.replicas.append(replica)
+    site.settle()
+    del replica.arrived_at[:]
+    replica.headers = b""
+    assert _send(site) == [200] * 12
+    assert replica.arrived_at
+    # What it says now counts.
+    replica.headers = _LEAVING
+    del replica.arrived_at[:]
+    while not replica.arrived_at:
+        site.entries[0].prompt("resumed", "base", "own")
+    site.settle()
+    del replica.arrived_at[:]
+    assert _send(site) == [200] * 12
+    assert not replica.arrived_at
+
+
 def test_replica_of_the_same_id_is_used_again_in_time():
     table = leaving_replicas.make_leaving_replicas()
     table.note("r", 0.0)
