Add a failing test of a replica that is ended again and again

Guards against a part of prompts that ends the only replica of a service for good: ends count once for each id, and a replica may start again under its id.

--- a/tests/coordination/test_crash_suspects.py
+++ b/tests/coordination/test_crash_suspects.py
@@ -298,3 +298,11 @@
         exchange(entry)
     assert versions == [table.version for table in (member, *entries)]
     assert all(entry.blocked == member.blocked for entry in entries)
+
+
+def test_each_end_of_a_replica_under_its_id_counts():
+    """Guards against a part that ends the only replica again and again."""
+    table = crash_suspects.make_crash_suspects()
+    for number in range(6):
+        _crash(table, 10.0 * number, "bad", replica="r")
+    assert table.find_blocked(["bad"]) == "bad"
