Take a leaving replica for ended only after two seconds without it

What callers could see: calls to a replica that leaves, after its entry of the list could not be read once: what it had said was forgotten as if another run had begun, at the next list that has it.

Change: it has to be missing for 2 s.

--- a/papayalink/coordination/leaving_replicas.py
+++ b/papayalink/coordination/leaving_replicas.py
@@ -11,6 +11,9 @@
 # used when it is listed again, or after this time where nobody saw it go.
 KEEP_S = 120.0
 MAX_REPLICAS = 1024
+# A replica that is missing in the list for this long has ended. Its entry may
+# be unreadable in a single list.
+GONE_S = 2.0
 # Reports that differ by less are the same: each transfer adds its delay.
 _SAME_REPORT_S = 1.0
 
@@ -25,14 +28,21 @@
         version: changes with the table.
     """
 
-    __slots__ = ("version", "_said_at", "_listed", "_gone_at")
+    __slots__ = (
+        "version",
+        "_said_at",
+        "_listed",
+        "_missing_since",
+        "_gone_at",
+    )
 
     def __init__(self) -> None:
         self.version = 0
         self._said_at: dict[str, float] = {}
-        # Those of them that this process has seen in the list, and since when
-        # they were not in it any more.
+        # Those of them that this process has seen in the list, since when they
+        # are missing in it, and when they were last missing for long.
         self._listed: set[str] = set()
+        self._missing_since: dict[str, float] = {}
         self._gone_at: dict[str, float] = {}
 
     def __contains__(self, replica_id: str) -> bool:
@@ -48,8 +58,11 @@
         for replica_id in self._said_at:
             if replica_id in listed:
                 self._listed.add(replica_id)
+                self._missing_since.pop(replica_id, None)
             elif replica_id in self._listed:
-                self._gone_at[replica_id] = now
+                since = self._missing_since.setdefault(replica_id, now)
+                if now - since >= GONE_S:
+                    self._gone_at[replica_id] = now
 
     def note(self, replica_id: str, now: float) -> None:
         """Record that a replica says that it leaves."""
@@ -104,6 +117,7 @@
     def _forget(self, replica_id: str) -> None:
         del self._said_at[replica_id]
         self._listed.discard(replica_id)
+        self._missing_since.pop(replica_id, None)
         self._gone_at.pop(replica_id, None)
 
     def _last_gone(self, replica_id: str) -> float:
