Route all file operations of the log store through Files

Tests can refuse only writes and syncs so far. Opening, truncating, renaming and removing files go the same way now, so that a full or failing disk can be simulated at each of them. No change in behaviour, except that a file that is already gone is not an error when it is removed.

--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -248,7 +248,7 @@
     def load(self) -> log_entries.StoredLog:
         try:
             for leftover in self._folder.glob("*.tmp"):
-                leftover.unlink()
+                self._files.remove(leftover)
             snapshot = self._load_snapshot()
             self._load_segments()
         except OSError as error:
@@ -319,10 +319,10 @@
                 # leaves no gap.
                 oldest = self._segments.pop(0)
                 oldest.close()
-                oldest.path.unlink()
+                self._files.remove(oldest.path)
                 segments.sync_folder(self._files, self._folder)
             for path in self._snapshot_paths()[:-1]:
-                path.unlink()
+                self._files.remove(path)
         except OSError as error:
             raise self._fail(errors.LogFailed(str(error))) from error
 
@@ -368,7 +368,7 @@
             if not valid_bytes:
                 # The process ended before the first record was synced.
                 self._segments.pop().close()
-                path.unlink()
+                self._files.remove(path)
                 break
             if not self._next_sequence:
                 self._next_sequence = int(path.stem)
@@ -421,7 +421,7 @@
                 )
             except errors.StateError:
                 segment.close()
-                path.unlink()
+                self._files.remove(path)
                 raise
             segments.sync_folder(self._files, self._folder)
         except OSError as error:
--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -22,6 +22,13 @@
 
     __slots__ = ()
 
+    def open(self, path: pathlib.Path, flags: int) -> int:
+        """Open a file for writing, and create it when it does not exist.
+
+        Returns: its descriptor.
+        """
+        return os.open(path, os.O_WRONLY | os.O_CREAT | flags, 0o600)
+
     def write(self, descriptor: int, data: bytes) -> None:
         """Write all bytes at the file position."""
         view = memoryview(data)
@@ -32,6 +39,19 @@
         """Make a file or folder durable."""
         os.fsync(descriptor)
 
+    def truncate(self, descriptor: int, size: int) -> None:
+        """Set the size of a file in bytes; its position becomes the end."""
+        os.ftruncate(descriptor, size)
+        os.lseek(descriptor, size, os.SEEK_SET)
+
+    def rename(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        """Rename a file; an existing target is replaced."""
+        os.rename(source, target)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """Remove a file, which may be missing."""
+        path.unlink(missing_ok=True)
+
 
 def encode(sequence: int, payload: bytes) -> bytes:
     """Returns: the payload as a record with header and checksum."""
@@ -139,19 +159,17 @@
     """
     temporary = path.with_suffix(".tmp")
     try:
-        descriptor = os.open(
-            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
-        )
+        descriptor = files.open(temporary, os.O_TRUNC)
         try:
             for record in records:
                 files.write(descriptor, record)
             files.sync(descriptor)
         finally:
             os.close(descriptor)
-        os.rename(temporary, path)
+        files.rename(temporary, path)
         sync_folder(files, path.parent)
     except OSError:
-        temporary.unlink(missing_ok=True)
+        files.remove(temporary)
         raise
 
 
@@ -173,9 +191,8 @@
         self.last_index = 0
         self._files = files
         self._size = size
-        self._descriptor = os.open(path, os.O_WRONLY | os.O_CREAT, 0o600)
-        os.ftruncate(self._descriptor, size)
-        os.lseek(self._descriptor, size, os.SEEK_SET)
+        self._descriptor = files.open(path, 0)
+        files.truncate(self._descriptor, size)
 
     @property
     def size(self) -> int:
@@ -210,7 +227,6 @@
         # A partly written record in front of the next one would be reported
         # as damage.
         try:
-            os.ftruncate(self._descriptor, self._size)
-            os.lseek(self._descriptor, self._size, os.SEEK_SET)
+            self._files.truncate(self._descriptor, self._size)
         except OSError as error:
             raise errors.LogFailed(str(error)) from error
