Count a full disk as full when it refuses to truncate a record

What callers would see: a member whose disk was full for a moment answers and acknowledges nothing more, although its process runs; once two of three members have had this, changes are refused until somebody restarts them.

Cause: a record that was written in part is cut off at once, on the disk that has just refused it. If the disk refuses that too, the error was LogFailed, which no path leaves. Changed: the record is cut off before the next one is written; until then it is a torn record at the end of the file, which loading drops.

Measured: test_disk_is_full_from_any_operation_on[file-content] fails before in both cases, passes now. Whether a disk refuses to shrink a file depends on its file system.

--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -183,7 +183,14 @@
             it.
     """
 
-    __slots__ = ("path", "last_index", "_files", "_descriptor", "_size")
+    __slots__ = (
+        "path",
+        "last_index",
+        "_files",
+        "_descriptor",
+        "_size",
+        "_truncation_due",
+    )
 
     def __init__(self, path: pathlib.Path, files: Files, size: int) -> None:
         self.path = path
@@ -193,6 +200,8 @@
         self._size = size
         self._descriptor = files.open(path, 0)
         files.truncate(self._descriptor, size)
+        # Whether a refused record may be partly written after the valid ones.
+        self._truncation_due = False
 
     @property
     def size(self) -> int:
@@ -206,12 +215,16 @@
             LogFailed: the file can no longer be trusted.
         """
         try:
+            if self._truncation_due:
+                # A partly written record in front of the next one would be
+                # reported as damage. A full disk may refuse this as well.
+                self._files.truncate(self._descriptor, self._size)
+            self._truncation_due = True
             self._files.write(self._descriptor, record)
             self._files.sync(self._descriptor)
         except OSError as error:
-            if error.errno in _DISK_FULL_ERRNOS:
-                self._truncate()
             raise to_state_error(error) from error
+        self._truncation_due = False
         self._size += len(record)
 
     def sync(self) -> None:
@@ -222,11 +235,3 @@
         if self._descriptor != -1:
             os.close(self._descriptor)
             self._descriptor = -1
-
-    def _truncate(self) -> None:
-        # A partly written record in front of the next one would be reported
-        # as damage.
-        try:
-            self._files.truncate(self._descriptor, self._size)
-        except OSError as error:
-            raise errors.LogFailed(str(error)) from error
