Count a full disk as full during a compaction

Cause: every error while old segments are removed counted as a failed store. Changed: such an error is LogFull if the disk is full. A segment is forgotten only once its removal is durable, so that a repeated compaction goes on with the oldest one and leaves no gap.

--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -317,14 +317,15 @@
             ):
                 # Removed oldest first and synced one by one, so that a crash
                 # leaves no gap.
-                oldest = self._segments.pop(0)
-                oldest.close()
+                oldest = self._segments[0]
                 self._files.remove(oldest.path)
                 segments.sync_folder(self._files, self._folder)
+                del self._segments[0]
+                oldest.close()
             for path in self._snapshot_paths()[:-1]:
                 self._files.remove(path)
         except OSError as error:
-            raise self._fail(errors.LogFailed(str(error))) from error
+            raise self._fail(segments.to_state_error(error)) from error
 
     def close(self) -> None:
         for segment in self._segments:
