Write no record next to a segment whose start was refused

What callers would see: after a restart, a member whose disk was full during a compaction does not come back: it exits at each start.

Cause: a refused start of a segment may leave its file behind (the folder could not be synced, or the file not removed). The next records went to the older segment under the sequence numbers of the file left behind, and loading finds them out of order. Changed: once the start of a segment was tried, the next record waits for it, and it is written again from its first byte. A torn record is removed for good before another segment follows.

--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -214,6 +214,7 @@
         "_content",
         "_snapshot_index",
         "_segments",
+        "_segment_due",
         "_next_sequence",
         "_lock_descriptor",
         "_failed",
@@ -231,6 +232,10 @@
         self._content = _Content()
         self._snapshot_index = -1
         self._segments: list[segments.Segment] = []
+        # Whether a new segment must be started before the next record is
+        # written. A refused start may leave a file behind, and a record next
+        # to it, in an older segment, would have the same sequence number.
+        self._segment_due = False
         self._next_sequence = 0
         self._failed = False
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -411,29 +416,31 @@
         # The first sequence number is 1; 0 means that no segment was loaded.
         self._next_sequence = max(self._next_sequence, 1)
         path = self._folder / f"{self._next_sequence:020}{_SEGMENT_SUFFIX}"
+        self._segment_due = True
+        segment = None
         try:
+            if self._segments:
+                self._segments[-1].remove_torn_record()
             segment = segments.Segment(path, self._files, 0)
             first_record = _Added([], self._content.hard_state)
-            try:
-                segment.append(
-                    segments.encode(
-                        self._next_sequence, _ENCODER.encode(first_record)
-                    )
+            segment.append(
+                segments.encode(
+                    self._next_sequence, _ENCODER.encode(first_record)
                 )
-            except errors.StateError:
-                segment.close()
-                self._files.remove(path)
-                raise
+            )
             segments.sync_folder(self._files, self._folder)
-        except OSError as error:
-            raise self._fail(segments.to_state_error(error)) from error
-        except errors.LogFailed as error:
-            raise self._fail(error)
+        except (OSError, errors.StateError) as error:
+            if segment is not None:
+                segment.close()
+            raise self._fail(segments.to_state_error(error))
+        self._segment_due = False
         self._next_sequence += 1
         self._segments.append(segment)
 
     def _write(self, record: _Added | _Reset) -> None:
         self._check_usable()
+        if self._segment_due:
+            self._start_segment()
         payload = _ENCODER.encode(record)
         try:
             self._segments[-1].append(
--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -136,8 +136,12 @@
         os.close(descriptor)
 
 
-def to_state_error(error: OSError) -> errors.StateError:
+def to_state_error(
+    error: OSError | errors.StateError,
+) -> errors.StateError:
     """Returns: the state layer's error for a failed file operation."""
+    if isinstance(error, errors.StateError):
+        return error
     if error.errno in _DISK_FULL_ERRNOS:
         return errors.LogFull(str(error))
     return errors.LogFailed(str(error))
@@ -227,6 +231,17 @@
         self._truncation_due = False
         self._size += len(record)
 
+    def remove_torn_record(self) -> None:
+        """Remove a partly written record for good, before a later segment.
+
+        Raises:
+            OSError: it may still be there.
+        """
+        if self._truncation_due:
+            self._files.truncate(self._descriptor, self._size)
+            self._files.sync(self._descriptor)
+            self._truncation_due = False
+
     def sync(self) -> None:
         """Sync the file after a torn record was truncated on opening."""
         self._files.sync(self._descriptor)
