Repeat of a refused write only what is not durable yet

What callers would see: a change that was acknowledged is gone after restarts, if the members that held it had a full disk during a compaction.

Cause: while a disk is full, writes wait and form one group. Changed: what the store has taken is removed from the jobs of the group.

--- a/papayalink/coordination/log_writer.py
+++ b/papayalink/coordination/log_writer.py
@@ -105,8 +105,7 @@
         else:
             error = _write_group(self._store, group)
         if error is not None:
-            # All calls of the store can be repeated, so retry() repeats the
-            # whole group.
+            # retry() repeats what the jobs still hold.
             self._waiting = group + self._waiting
         write_ids = [job.write_id for job in group if job.write_id is not None]
         replica_snapshots = [
@@ -142,27 +141,35 @@
 
 
 def _store_group(store: log_store.LogStore, group: list[Job]) -> None:
-    entries: list[log_entries.Entry] = []
-    hard_state = None
-
-    def flush() -> None:
-        nonlocal entries, hard_state
-        if entries or hard_state is not None:
-            store.append(entries, hard_state)
-        entries = []
-        hard_state = None
+    """Write a group of jobs, and remove from them what is durable.
 
+    A repeated group must not append its entries again: a snapshot of the
+    group may have replaced them meanwhile.
+    """
+    unsynced: list[Job] = []
     for job in group:
         if job.snapshot is not None:
-            flush()
+            _append(store, unsynced)
+            unsynced = []
             index = job.snapshot.index
             parts = messages.encode_snapshot(job.snapshot)
             store.save_snapshot(index, job.snapshot.term, parts)
             store.compact(index)
-        entries.extend(job.entries)
-        if job.hard_state is not None:
-            hard_state = job.hard_state
-    flush()
+        unsynced.append(job)
+    _append(store, unsynced)
+
+
+def _append(store: log_store.LogStore, jobs: list[Job]) -> None:
+    """Append what the jobs hold in one sync."""
+    entries = [entry for job in jobs for entry in job.entries]
+    hard_states = [
+        job.hard_state for job in jobs if job.hard_state is not None
+    ]
+    if entries or hard_states:
+        store.append(entries, hard_states[-1] if hard_states else None)
+    for job in jobs:
+        job.entries = []
+        job.hard_state = None
 
 
 def make_log_writer(
