--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -1,5 +1,6 @@
 """Tests of a group of replicas."""
 
+import contextlib
 import errno
 
 import gevent
@@ -59,6 +60,15 @@
     )
 
 
+def _propose(group, data):
+    """Returns: whether the leader committed the command."""
+    try:
+        group.leader().propose(data, 5)
+    except errors.NotLeader:
+        return False
+    return True
+
+
 def test_command_is_applied_everywhere(group):
     leader = group.leader()
     assert leader.propose(b"x", 5) == b"1:x"
@@ -286,3 +296,28 @@
     group.leader().propose(b"x", 5)
     assert only.confirm_read(5) >= 2
     group.stop()
+
+
+def test_members_that_fail_in_turn_return_from_their_disks(disk_group):
+    """Guards against members that are lost for good after a failed write."""
+    expected = [b"0"]
+    disk_group.leader().propose(b"0", 5)
+    for member_id in _IDS:
+        failing = disk_group.replicas[member_id]
+        disk_group.files[member_id].error = errno.EIO
+        # A leader that fails may not know the outcome of its own command.
+        with contextlib.suppress(errors.CoordinationError):
+            disk_group.leader().propose(member_id.encode(), 5)
+        with pytest.raises(errors.StorageFailed):
+            failing.join()
+        disk_group.files[member_id].error = None
+        disk_group.stop(member_id)
+        disk_group.start(member_id)
+        expected.append(b"after " + member_id.encode())
+        disk_group.wait_for(lambda: _propose(disk_group, expected[-1]))
+    disk_group.wait_for(
+        lambda: all(
+            [each for each in machine.commands if each in expected] == expected
+            for machine in disk_group.machines.values()
+        )
+    )
--- /dev/null
+++ b/tests/roles/authority/test_disk_failures.py
@@ -0,0 +1,141 @@
+"""Tests of authorities whose disks fail or are full for a while."""
+
+import errno
+import pathlib
+
+import pytest
+
+from papayalink import tasks
+from papayalink.roles.authority import process
+from papayalink.state import log_store
+from tests.roles.authority import test_authorities as authorities
+from tests.state import faulty_files
+
+_HOSTS = (1, 2, 3)
+
+
+class Group:
+    """Three authorities whose file operations a test can make fail.
+
+    Attributes:
+        files: file operations of the log of each member, by host.
+        members: running members, by host.
+        exit_codes: exit codes of processes that ended by themselves.
+    """
+
+    def __init__(self, folder, monkeypatch):
+        self.files = {host: faulty_files.FaultyFiles() for host in _HOSTS}
+        self.members = {}
+        self.exit_codes = []
+        self._folder = folder
+        self._ports = [authorities._free_port("127.0.9.1") for _ in range(2)]
+        self._client = authorities._Replicas()
+        make_store = log_store.DiskLogStore
+        monkeypatch.setattr(
+            process.log_store,
+            "DiskLogStore",
+            lambda path: make_store(path, self._files_of(path)),
+        )
+        monkeypatch.setattr(tasks.os, "_exit", self.exit_codes.append)
+        monkeypatch.setattr(tasks.logs, "close", lambda: None)
+
+    def start(self, host, first_start=False):
+        self.members[host] = authorities._Member(
+            f"127.0.9.{host}",
+            *self._ports,
+            self._folder / str(host),
+            self._client,
+            first_start,
+        )
+
+    def replica(self, host):
+        return self.members[host].process._replica
+
+    def put(self, number):
+        """Store a document through any member, as operators do."""
+        body = authorities._document(number)
+        authorities._wait_until(
+            lambda: any(
+                member.put(body) == 200 for member in self.members.values()
+            )
+        )
+
+    def wait_until_all_take_part(self):
+        """Wait until the disk of each member holds the newest change."""
+        self.wait_until(self._all_take_part)
+
+    wait_until = staticmethod(authorities._wait_until)
+
+    def _all_take_part(self):
+        replicas = [self.replica(host) for host in self.members]
+        if None in replicas:
+            return False
+        states = [replica.status() for replica in replicas]
+        newest = max(state["commit"] for state in states)
+        return newest > 0 and all(
+            state["persisted"] >= newest
+            and not state["disk_full"]
+            and state["failure"] is None
+            for state in states
+        )
+
+    def _files_of(self, path):
+        return self.files[int(pathlib.Path(path).parent.name)]
+
+
+@pytest.fixture
+def group(tmp_path, monkeypatch):
+    new_group = Group(tmp_path, monkeypatch)
+    for host in _HOSTS:
+        new_group.start(host, first_start=True)
+    new_group.put(2)
+    new_group.wait_until_all_take_part()
+    yield new_group
+    for member in new_group.members.values():
+        member.stop()
+
+
+@pytest.mark.parametrize("host", _HOSTS)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param({"error": errno.EIO}, id="write"),
+        pytest.param({"sync_error": errno.EIO}, id="sync"),
+        pytest.param({"error": errno.EROFS}, id="read-only"),
+    ],
+)
+def test_failed_log_ends_the_process(group, host, fault):
+    """Guards against a process that runs on without its replica.
+
+    Nobody restarts such a process, and two of them leave a group of three
+    without a quorum.
+    """
+    for name, value in fault.items():
+        setattr(group.files[host], name, value)
+    group.put(3)
+    group.wait_until(lambda: group.exit_codes == [tasks.EXIT_TASK_FAILED])
+    group.put(4)
+
+
+def test_failed_command_ends_the_process(group, monkeypatch):
+    """Guards against a process that runs on without its replica."""
+
+    monkeypatch.setattr(group.replica(2), "_machine", None)
+    group.put(3)
+    group.wait_until(lambda: group.exit_codes == [tasks.EXIT_TASK_FAILED])
+
+
+def test_disks_full_in_turn_cost_no_member(group):
+    """Guards against changes that stay refused after disks have room again."""
+    number = 2
+    for host in 2 * _HOSTS:
+        group.files[host].error = errno.ENOSPC
+        for _ in range(3):
+            number += 1
+            group.put(number)
+        group.wait_until(lambda: group.replica(host).status()["disk_full"])
+        group.files[host].error = None
+        group.wait_until_all_take_part()
+    group.put(number + 1)
+    group.wait_until_all_take_part()
+    assert not group.exit_codes
