End the process whose replica has failed

What callers see: after a write of the log failed at two of three members, not necessarily at the same time, changes are refused or stay unanswered until somebody restarts the members, while all processes run.

Cause: a replica stops when its store fails or its machine raises, and leaves its process running. The process answers neither reads nor changes then, and no supervisor restarts it. The restarted process reads from its disk what is durable.

--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -111,6 +111,7 @@
         "_was_leader",
         "_removed",
         "_stop_reason",
+        "_failure",
         "_log",
         "_ticks",
         "_task",
@@ -145,6 +146,7 @@
         self._removed = False
         self._was_leader = False
         self._stop_reason: str | None = None
+        self._failure: Exception | None = None
         self._log = logs.get_logger(member_id=settings.member_id)
         self._ticks = timer_service.every(
             settings.tick_s, self._inbox, _Tick()
@@ -243,6 +245,17 @@
             self._inbox.put(_Stop())
         self._task.join()
 
+    def join(self) -> None:
+        """Wait until the task has ended.
+
+        Raises:
+            StorageFailed: it ended because the store failed.
+            Exception: the machine raised it.
+        """
+        self._task.join()
+        if self._failure is not None:
+            raise self._failure
+
     def _put(self, request: _Propose | _Change | _Read) -> None:
         if self._stop_reason is not None:
             raise errors.Unavailable(self._stop_reason)
@@ -265,6 +278,7 @@
             # next one.
             self._log.exception("replica failed")
             self._stop_reason = f"the replica failed: {error!r}"
+            self._failure = error
         self._ticks.cancel()
         self._log.info("replica_stopped", reason=self._stop_reason)
         self._fail_waiters()
@@ -347,6 +361,7 @@
             return
         if written.error is not None:
             self._stop_reason = f"the log store failed: {written.error}"
+            self._failure = errors.StorageFailed(self._stop_reason)
             return
         if self._node.disk_full:
             self._log.info("disk_has_room_again")
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -208,6 +208,8 @@
             self._peers.send,
             first_members,
         )
+        # The supervisor restarts a process whose replica has failed.
+        tasks.spawn(self._replica.join)
         self._state.attach(self._replica)
         self._group = group.make_group_upkeep(
             self._node,
--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -149,6 +149,8 @@
             self._peers.send,
             first_members,
         )
+        # The supervisor restarts a process whose replica has failed.
+        tasks.spawn(self._replica.join)
         platform = None
         if settings.platform_address:
             platform = platforms.make_platform(settings.platform_address)
