--- a/tests/roles/authority/test_disk_failures.py
+++ b/tests/roles/authority/test_disk_failures.py
@@ -7,11 +7,14 @@
 
 from papayalink import tasks
 from papayalink.roles.authority import process
+from papayalink.state import log_entries
 from papayalink.state import log_store
 from tests.roles.authority import test_authorities as authorities
 from tests.state import faulty_files
+from tests.state import full_disk
 
 _HOSTS = (1, 2, 3)
+_COMMAND = log_entries.EntryKind.COMMAND
 
 
 class Group:
@@ -139,3 +142,94 @@
     group.put(number + 1)
     group.wait_until_all_take_part()
     assert not group.exit_codes
+
+
+seeds = authorities.seeds
+
+
+@pytest.mark.parametrize("first_start", [False, True])
+@pytest.mark.parametrize("first_refused", range(12))
+def test_founder_returns_from_a_disk_full_at_its_first_start(
+    tmp_path, seeds, monkeypatch, first_start, first_refused
+):
+    """Guards against a founder that never knows the members of its group.
+
+    It votes and is no candidate; nobody can lead once the group needs its
+    log.
+    """
+    exit_codes = []
+    monkeypatch.setattr(tasks.os, "_exit", exit_codes.append)
+    monkeypatch.setattr(tasks.logs, "close", lambda: None)
+    disk = full_disk.FullDisk(first=first_refused)
+    make_store = log_store.DiskLogStore
+    monkeypatch.setattr(
+        process.log_store, "DiskLogStore", lambda path: make_store(path, disk)
+    )
+    port = seeds(s2=True, s3=True)
+
+    def start(is_first):
+        return authorities._Member(
+            "127.0.9.1",
+            port,
+            authorities._free_port("127.0.9.1"),
+            tmp_path,
+            authorities._Replicas(),
+            is_first,
+        )
+
+    def settled():
+        return exit_codes or member.process._replica is not None
+
+    member = start(True)
+    authorities._wait_until(settled)
+    member.stop()
+    exit_codes.clear()
+    disk.first = None
+    member = start(first_start)
+    authorities._wait_until(settled)
+    try:
+        assert not exit_codes
+        assert member.process._identity.has_first_id
+        assert member.process._replica.membership.voters == (
+            "127-0-9-1",
+            "127-0-9-2",
+            "127-0-9-3",
+        )
+    finally:
+        member.stop()
+
+
+def test_log_is_discarded_at_once_or_not_at_all(tmp_path, seeds, monkeypatch):
+    """Guards against a member that can't start with a part of its old log."""
+
+    class Killed(BaseException):
+        pass
+
+    def remove_snapshots(folder, **_):
+        for path in pathlib.Path(folder).glob("*.snapshot"):
+            path.unlink()
+            raise Killed
+
+    port = seeds(s2=True, s3=True)
+    member = authorities._Member(
+        "127.0.9.1",
+        port,
+        authorities._free_port("127.0.9.1"),
+        tmp_path,
+        authorities._Replicas(),
+    )
+    authorities._wait_until(lambda: member.process._replica is not None)
+    member.process._replica.stop()
+    log_folder = tmp_path / "log"
+    store = log_store.DiskLogStore(log_folder)
+    store.load()
+    store.append([log_entries.Entry(1, 1, _COMMAND, b"x")], None)
+    store.save_snapshot(1, 1, (b"state",))
+    store.compact(1)
+    store.append([log_entries.Entry(2, 1, _COMMAND, b"y")], None)
+    store.close()
+    monkeypatch.setattr(process.shutil, "rmtree", remove_snapshots)
+    with pytest.raises(Killed):
+        member.process._exit_removed()
+    member.stop()
+    log_store.DiskLogStore(log_folder).load()
--- a/tests/roles/test_identity.py
+++ b/tests/roles/test_identity.py
@@ -1,5 +1,6 @@
 """Tests of the identity of control members."""
 
+import errno
 import shutil
 
 import pytest
@@ -95,3 +96,22 @@
     group.down = {"c3"}
     group.introduce("c1", rounds=3)
     assert not group.members["c1"].admitted
+
+
+def test_token_that_was_not_written_is_not_known(group, monkeypatch):
+    """Guards against a first token that a restart forgets.
+
+    The member would then take the token of an emptied folder for the first.
+    """
+    member = group.members["c1"]
+
+    def refuse(*_):
+        raise OSError(errno.ENOSPC, "no space left")
+
+    with monkeypatch.context() as full_disk:
+        full_disk.setattr(identities.os, "fsync", refuse)
+        for _ in range(2):
+            with pytest.raises(OSError):
+                member.register_token("c2", "first")
+    assert member.register_token("c2", "first")
+    assert not group.open("c1").register_token("c2", "other")
