Let a founder return from a disk that was full at its first start

What callers would see: nothing at first. Once the founder's log is the newest one of the group, as when one member is lost and another one is behind, nobody is elected and changes stay refused.

Cause: the founder recorded that it may use its log before the log held the first members. If the disk was full in between, or the process was killed, it came back under its first id with an empty log and knew no members: it acknowledges and votes, but is no candidate, also after later restarts. Changed: the identity file names the founders, and a founder whose log is empty founds it again; it cannot have voted before. The log folder is created before the identity is written, as an admitted member without one has lost its log.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -251,7 +251,8 @@
         time. At any other time an empty folder means that the disk was lost
         or that the machine replaces another one.
 
-        Returns: members of a new group, None to join an existing one.
+        Returns: members of a new group, for a log that is still empty; None
+            to join an existing group.
         """
         settings = self._node.settings
         own = address_book.name_of_ip(settings.ip)
@@ -260,13 +261,20 @@
             folder = self._log_folder
             has_log = os.path.isdir(folder) and bool(os.listdir(folder))
             if self._identity.admitted and has_log:
-                return None
+                # A founder may have ended before its log held the members.
+                founders = self._identity.founders
+                return (
+                    membership.make_membership(*founders) if founders else None
+                )
             # A member that was admitted and has no log was removed from the
             # group, or has lost its log.
             if settings.first_start and not self._identity.admitted:
                 founders = self._find_founders(own)
         if own in founders:
-            self._identity.admit()
+            # The log folder comes first: an admitted member without one has
+            # lost its log.
+            self._make_log_store().close()
+            self._identity.admit(founders)
             return membership.make_membership(*founders)
         self._identity.renew()
         self._node.log.warning(
--- a/papayalink/roles/control/identity.py
+++ b/papayalink/roles/control/identity.py
@@ -29,12 +29,14 @@
         token: random token of the data folder.
         admitted: whether the member may use its log.
         tokens: first token of each other member, by name.
+        founders: first members of the group, if this one founded it.
     """
 
     member_id: str
     token: str
     admitted: bool = False
     tokens: dict[str, str] = {}
+    founders: tuple[str, ...] = ()
 
 
 class Identity:
@@ -69,13 +71,19 @@
         """Whether this is the first id of a member of this name."""
         return self._content.member_id == self._name
 
-    def admit(self) -> None:
+    @property
+    def founders(self) -> tuple[str, ...]:
+        """First members of the group, empty if this one did not found it."""
+        return self._content.founders
+
+    def admit(self, founders: tuple[str, ...] = ()) -> None:
         """Record that the member may use its log.
 
         A control member does so once every other member knows its token, an
         authority when it founds the group.
         """
         self._content.admitted = True
+        self._content.founders = founders
         self._write()
 
     def renew(self) -> None:
