Keep no change of the identity that could not be written

What operators would see: a control member whose disk was full while another one introduced itself forgets that one's first token at its next restart, and would take the token of an emptied folder for the first one.

Cause: the token was kept in memory before it was written, so that the repeated introduction was accepted. Changed: the file is written first.

--- a/papayalink/roles/control/identity.py
+++ b/papayalink/roles/control/identity.py
@@ -82,15 +82,16 @@
         A control member does so once every other member knows its token, an
         authority when it founds the group.
         """
-        self._content.admitted = True
-        self._content.founders = founders
-        self._write()
+        self._replace(
+            msgspec.structs.replace(
+                self._content, admitted=True, founders=founders
+            )
+        )
 
     def renew(self) -> None:
         """Create a new id, under which the member joins as a learner."""
         token = secrets.token_hex(16)
-        self._content = Content(f"{self._name}.{token[:8]}", token, True)
-        self._write()
+        self._replace(Content(f"{self._name}.{token[:8]}", token, True))
 
     def register_token(self, name: str, token: str) -> bool:
         """Record another member's first token.
@@ -103,8 +104,10 @@
             return False
         known = self._content.tokens.get(name)
         if known is None:
-            self._content.tokens[name] = token
-            self._write()
+            tokens = {**self._content.tokens, name: token}
+            self._replace(
+                msgspec.structs.replace(self._content, tokens=tokens)
+            )
             return True
         return known == token
 
@@ -114,15 +117,19 @@
                 return msgspec.json.decode(file.read(), type=Content)
         except FileNotFoundError:
             content = Content(self._name, secrets.token_hex(16))
-        self._content = content
-        self._write()
+        self._write(content)
         return content
 
-    def _write(self) -> None:
+    def _replace(self, content: Content) -> None:
+        # Written first: what a restart would forget must not be answered.
+        self._write(content)
+        self._content = content
+
+    def _write(self, content: Content) -> None:
         os.makedirs(os.path.dirname(self._path), exist_ok=True)
         temporary = self._path + ".tmp"
         with open(temporary, "wb") as file:
-            file.write(msgspec.json.encode(self._content))
+            file.write(msgspec.json.encode(content))
             file.flush()
             os.fsync(file.fileno())
         os.replace(temporary, self._path)
@@ -141,7 +148,7 @@
     def _read(self) -> Content:
         return Content(self._name, secrets.token_hex(16))
 
-    def _write(self) -> None:
+    def _write(self, content: Content) -> None:
         pass
 
 
