Discard the log of a removed member at once

What operators would see: a member that was removed from the group, and killed while it removed its log, exits at each start (70, damaged log).

Cause: the files of the log were removed one by one. Changed: the folder is renamed first.

Measured: test_log_is_discarded_at_once_or_not_at_all fails before, passes now.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -1,6 +1,7 @@
 """The authority process: a control member for numbered documents."""
 
 from collections.abc import Callable
+import contextlib
 import os
 import shutil
 import time
@@ -241,7 +242,7 @@
         )
         self._identity.renew()
         if self._node.settings.data_folder is not None:
-            shutil.rmtree(self._log_folder, ignore_errors=True)
+            _discard_log(self._log_folder)
         os._exit(EXIT_REMOVED)
 
     def _choose_identity(self) -> membership.Membership | None:
@@ -299,6 +300,20 @@
         return founders
 
 
+def _discard_log(folder: str) -> None:
+    """Remove a log folder, so that a kill leaves all of it or none.
+
+    A part of a log counts as damage. The whole log of a former id does no
+    harm: the group sends what follows it, or replaces it.
+    """
+    discarded = folder + ".discarded"
+    # Of a removal that was interrupted.
+    shutil.rmtree(discarded, ignore_errors=True)
+    with contextlib.suppress(OSError):
+        os.rename(folder, discarded)
+    shutil.rmtree(discarded, ignore_errors=True)
+
+
 def make_process(
     node: nodes.Node,
     settings_path: str,
