--- a/tests/coordination/test_replica.py
+++ b/tests/coordination/test_replica.py
@@ -321,3 +321,56 @@
             for machine in disk_group.machines.values()
         )
     )
+
+
+class _FullStore(log_store.MemoryLogStore):
+    """Store in memory that refuses entries while its disk is full."""
+
+    __slots__ = ("is_full",)
+
+    def __init__(self):
+        super().__init__()
+        self.is_full = False
+
+    def append(self, entries, hard_state):
+        if self.is_full:
+            raise state_errors.LogFull("no space left")
+        super().append(entries, hard_state)
+
+
+def test_disks_full_right_after_each_other_leave_a_quorum():
+    """Guards against two members out of three that wait to write at once.
+
+    A member whose disk has room again must be back before operators repeat a
+    change that was refused, which they do after a second.
+    """
+    clock = clocks.ManualClock()
+    stores = {member_id: _FullStore() for member_id in _IDS}
+    group = _start(stores.get, clock=clock)
+
+    def pass_ms(count):
+        for _ in range(count):
+            clock.advance(0.001)
+            group.timers.deliver_due()
+            for _ in range(20):
+                gevent.sleep(0)
+
+    def committed(data):
+        for replica in group.replicas.values():
+            if replica.is_leader:
+                task = gevent.spawn(replica.propose, data, 60)
+                pass_ms(50)
+                return task.successful()
+        return False
+
+    pass_ms(500)
+    for member_id in (*_IDS, *_IDS):
+        stores[member_id].is_full = True
+        # Some member notices only when there is something to write.
+        committed(b"while full")
+        pass_ms(500)
+        stores[member_id].is_full = False
+        pass_ms(300)
+        assert not group.replicas[member_id].status()["disk_full"]
+    assert committed(b"at last")
+    group.stop()
