Write again within a quarter of a second after a full disk has room

What callers would see: changes refused for up to a second more when the disk of one member gets full as soon as that of another one has room; two of three members don't write then, although the disks are never full at the same time.

Cause: a refused write was repeated after 1 s. Changed: after 0.25 s.

Measured: test_disks_full_right_after_each_other_leave_a_quorum fails before, passes now.

--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -27,8 +27,8 @@
 # Messages beyond this are dropped; peers repeat them. A stalled task could
 # not handle them in time anyway.
 _MAX_INBOX_MESSAGES = 20_000
-# An operator has to free space on a full disk, so retries are infrequent.
-_DISK_FULL_RETRY_S = 1.0
+# The disk of another member may get full as soon as this one has room.
+_DISK_FULL_RETRY_S = 0.25
 # Period of the read requests of a member and of the leader's read rounds.
 # Without a pause between rounds, 250 polls/s in a group of seven use a whole
 # core of the leader. The delay is negligible for a poll, which is due once a
