--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -1,6 +1,7 @@
 """The authority process: a control member for numbered documents."""
 
 from collections.abc import Callable
+import contextlib
 import os
 import shutil
 import time
@@ -219,6 +220,8 @@
             self._peers.send,
             first_members,
         )
+        # The supervisor restarts a process whose replica has failed.
+        tasks.spawn(self._replica.join)
         self._state.attach(self._replica)
         self._group = group.make_group_upkeep(
             self._node,
@@ -251,7 +254,7 @@
         )
         self._identity.renew()
         if self._node.settings.data_folder is not None:
-            shutil.rmtree(self._log_folder, ignore_errors=True)
+            _discard_log(self._log_folder)
         os._exit(EXIT_REMOVED)
 
     def _choose_identity(self) -> membership.Membership | None:
@@ -261,7 +264,8 @@
         time. At any other time an empty folder means that the disk was lost
         or that the machine replaces another one.
 
-        Returns: members of a new group, None to join an existing one.
+        Returns: members of a new group, for a log that is still empty; None
+            to join an existing group.
         """
         settings = self._node.settings
         own = address_book.name_of_ip(settings.ip)
@@ -270,13 +274,20 @@
             folder = self._log_folder
             has_log = os.path.isdir(folder) and bool(os.listdir(folder))
             if self._identity.admitted and has_log:
-                return None
+                # A founder may have ended before its log held the members.
+                founders = self._identity.founders
+                return (
+                    membership.make_membership(*founders) if founders else None
+                )
             # A member that was admitted and has no log was removed from the
             # group, or has lost its log.
             if settings.first_start and not self._identity.admitted:
                 founders = self._find_founders(own)
         if own in founders:
-            self._identity.admit()
+            # The log folder comes first: an admitted member without one has
+            # lost its log.
+            self._make_log_store().close()
+            self._identity.admit(founders)
             return membership.make_membership(*founders)
         self._identity.renew()
         self._node.log.warning(
@@ -301,6 +312,20 @@
         return founders
 
 
+def _discard_log(folder: str) -> None:
+    """Remove a log folder, so that a kill leaves all of it or none.
+
+    A part of a log counts as damage. The whole log of a former id does no
+    harm: the group sends what follows it, or replaces it.
+    """
+    discarded = folder + ".discarded"
+    # Of a removal that was interrupted.
+    shutil.rmtree(discarded, ignore_errors=True)
+    with contextlib.suppress(OSError):
+        os.rename(folder, discarded)
+    shutil.rmtree(discarded, ignore_errors=True)
+
+
 def make_process(
     node: nodes.Node,
     settings_path: str,
--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -22,6 +22,13 @@
 
     __slots__ = ()
 
+    def open(self, path: pathlib.Path, flags: int) -> int:
+        """Open a file for writing, and create it when it does not exist.
+
+        Returns: its descriptor.
+        """
+        return os.open(path, os.O_WRONLY | os.O_CREAT | flags, 0o600)
+
     def write(self, descriptor: int, data: bytes) -> None:
         """Write all bytes at the file position."""
         view = memoryview(data)
@@ -32,6 +39,19 @@
         """Make a file or folder durable."""
         os.fsync(descriptor)
 
+    def truncate(self, descriptor: int, size: int) -> None:
+        """Set the size of a file in bytes; its position becomes the end."""
+        os.ftruncate(descriptor, size)
+        os.lseek(descriptor, size, os.SEEK_SET)
+
+    def rename(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        """Rename a file; an existing target is replaced."""
+        os.rename(source, target)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """Remove a file, which may be missing."""
+        path.unlink(missing_ok=True)
+
 
 def encode(sequence: int, payload: bytes) -> bytes:
     """Returns: the payload as a record with header and checksum."""
@@ -116,8 +136,12 @@
         os.close(descriptor)
 
 
-def to_state_error(error: OSError) -> errors.StateError:
+def to_state_error(
+    error: OSError | errors.StateError,
+) -> errors.StateError:
     """Returns: the state layer's error for a failed file operation."""
+    if isinstance(error, errors.StateError):
+        return error
     if error.errno in _DISK_FULL_ERRNOS:
         return errors.LogFull(str(error))
     return errors.LogFailed(str(error))
@@ -139,19 +163,17 @@
     """
     temporary = path.with_suffix(".tmp")
     try:
-        descriptor = os.open(
-            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
-        )
+        descriptor = files.open(temporary, os.O_TRUNC)
         try:
             for record in records:
                 files.write(descriptor, record)
             files.sync(descriptor)
         finally:
             os.close(descriptor)
-        os.rename(temporary, path)
+        files.rename(temporary, path)
         sync_folder(files, path.parent)
     except OSError:
-        temporary.unlink(missing_ok=True)
+        files.remove(temporary)
         raise
 
 
@@ -165,7 +187,14 @@
             it.
     """
 
-    __slots__ = ("path", "last_index", "_files", "_descriptor", "_size")
+    __slots__ = (
+        "path",
+        "last_index",
+        "_files",
+        "_descriptor",
+        "_size",
+        "_truncation_due",
+    )
 
     def __init__(self, path: pathlib.Path, files: Files, size: int) -> None:
         self.path = path
@@ -173,9 +202,10 @@
         self.last_index = 0
         self._files = files
         self._size = size
-        self._descriptor = os.open(path, os.O_WRONLY | os.O_CREAT, 0o600)
-        os.ftruncate(self._descriptor, size)
-        os.lseek(self._descriptor, size, os.SEEK_SET)
+        self._descriptor = files.open(path, 0)
+        files.truncate(self._descriptor, size)
+        # Whether a refused record may be partly written after the valid ones.
+        self._truncation_due = False
 
     @property
     def size(self) -> int:
@@ -189,14 +219,29 @@
             LogFailed: the file can no longer be trusted.
         """
         try:
+            if self._truncation_due:
+                # A partly written record in front of the next one would be
+                # reported as damage. A full disk may refuse this as well.
+                self._files.truncate(self._descriptor, self._size)
+            self._truncation_due = True
             self._files.write(self._descriptor, record)
             self._files.sync(self._descriptor)
         except OSError as error:
-            if error.errno in _DISK_FULL_ERRNOS:
-                self._truncate()
             raise to_state_error(error) from error
+        self._truncation_due = False
         self._size += len(record)
 
+    def remove_torn_record(self) -> None:
+        """Remove a partly written record for good, before a later segment.
+
+        Raises:
+            OSError: it may still be there.
+        """
+        if self._truncation_due:
+            self._files.truncate(self._descriptor, self._size)
+            self._files.sync(self._descriptor)
+            self._truncation_due = False
+
     def sync(self) -> None:
         """Sync the file after a torn record was truncated on opening."""
         self._files.sync(self._descriptor)
@@ -205,12 +250,3 @@
         if self._descriptor != -1:
             os.close(self._descriptor)
             self._descriptor = -1
-
-    def _truncate(self) -> None:
-        # A partly written record in front of the next one would be reported
-        # as damage.
-        try:
-            os.ftruncate(self._descriptor, self._size)
-            os.lseek(self._descriptor, self._size, os.SEEK_SET)
-        except OSError as error:
-            raise errors.LogFailed(str(error)) from error
