Use the constant part of the retries once a window has passed

What replicas would see: more retries than allowed, after entries started again within a window: each start gave its part of the constant anew.

It passes the time of the start to the entry now, instead of leaving it to the clock of the machine; what it asks for is the same.

Change: an entry does without the constant part for one window after its start, and retries for a part of its own requests meanwhile. At the start of a deployment callers come later than that.

--- a/papayalink/roles/gateway/budgets.py
+++ b/papayalink/roles/gateway/budgets.py
@@ -1,6 +1,7 @@
 """Retry budgets of one entry, by service."""
 
 from collections.abc import Callable
+import time
 
 from papayalink import node_settings
 from papayalink.coordination import retry
@@ -17,18 +18,24 @@
     Args:
         bounds: retry allowance of the deployment.
         entries: returns the number of entries that share it.
+        started_at: monotonic seconds. An earlier run of this entry may have
+            used its part of the constant shortly before.
     """
 
-    __slots__ = ("_bounds", "_entries", "_by_service")
+    __slots__ = ("_bounds", "_entries", "_constant_from", "_by_service")
 
     def __init__(
-        self, bounds: node_settings.Bounds, entries: Callable[[], int]
+        self,
+        bounds: node_settings.Bounds,
+        entries: Callable[[], int],
+        started_at: float,
     ) -> None:
         self._bounds = bounds
         self._entries = entries
+        self._constant_from = started_at + bounds.retry_window_s
         self._by_service: dict[str, retry.Budget] = {}
 
-    def for_service(self, service: str) -> retry.Budget:
+    def for_service(self, service: str, now: float) -> retry.Budget:
         """Returns: the retry budget for calls to a service."""
         budget = self._by_service.get(service)
         if budget is None:
@@ -45,11 +52,18 @@
             self._bounds.retry_slack
             * ALLOWANCE_SHARE
             / max(1, self._entries())
+            if now >= self._constant_from
+            else 0.0
         )
         return budget
 
 
 def make_budgets(
-    bounds: node_settings.Bounds, entries: Callable[[], int]
+    bounds: node_settings.Bounds,
+    entries: Callable[[], int],
+    started_at: float | None = None,
 ) -> Budgets:
-    return Budgets(bounds, entries)
+    """Args: started_at: now if None."""
+    if started_at is None:
+        started_at = time.monotonic()
+    return Budgets(bounds, entries, started_at)
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -137,8 +137,9 @@
 
     def run(self) -> None:
         """Send the call until it is answered, refused or given up."""
-        budget = self._shared.budgets.for_service(self._service)
-        budget.note_request(time.monotonic())
+        now = time.monotonic()
+        budget = self._shared.budgets.for_service(self._service, now)
+        budget.note_request(now)
         if isinstance(self._version, take_ups.UnknownVersion):
             self._end_without_replica("version of the stream is not known")
             return
--- a/tests/coordination/test_time_limits.py
+++ b/tests/coordination/test_time_limits.py
@@ -366,7 +366,8 @@
     )
     taken = 0
     for started_at in (_AT, _AT + 3):
-        budget = budgets.make_budgets(bounds, lambda: 1).for_service("s")
+        shares = budgets.make_budgets(bounds, lambda: 1, started_at)
+        budget = shares.for_service("s", started_at)
         while budget.take(started_at):
             taken += 1
     assert taken <= 10
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -183,7 +183,9 @@
                 _Watcher(traffic.make_directory(document)),
                 self.fleet,
                 channels,
-                budgets.make_budgets(node_settings.Bounds(), lambda: 1),
+                budgets.make_budgets(
+                    node_settings.Bounds(), lambda: 1, float("-inf")
+                ),
                 placement,
                 self.liveness,
                 self.crashes,
