--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -30,6 +30,7 @@
         listed: weights of each replica on the list, which may differ.
         orders: replica and version of each order that arrived.
         reads: number of times that the list was read.
+        reports: replica of each report that was asked for.
         reports_answered: unset while calls for reports hang.
         list_error: error of each reading of the list.
         errors: error of each call to a replica, None for a rejected order.
@@ -40,6 +41,7 @@
         self.listed = dict(versions)
         self.orders = []
         self.reads = 0
+        self.reports = []
         self.list_error = None
         self.errors = {}
         self.reports_answered = event.Event()
@@ -67,6 +69,7 @@
     def read_report(self, replica):
         self.reports_answered.wait()
         name = replica.replica_id
+        self.reports.append(name)
         if self.errors.get(name) is not None:
             raise self.errors[name]
         return upstream_client.Report(
@@ -338,3 +341,31 @@
     platform.end_load("r0")
     leader.wait_for(lambda: len(platform.orders) == 3)
     assert platform.orders[2] == ("r2", 2)
+
+
+def test_reports_are_read_for_as_long_as_a_load_holds_its_place(
+    make_leader, monkeypatch
+):
+    """Guards against a place that is held while nothing watches its load."""
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    monkeypatch.setattr(weight_loads, "ORDER_REPEAT_S", 30 * _PERIOD_S)
+    monkeypatch.setattr(weights, "STATUS_DELAY_S", 20 * _PERIOD_S)
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    assert platform.reports[:1] == ["r0"]
+
+
+def test_replica_whose_load_the_list_shows_is_not_put_behind(
+    make_leader, monkeypatch
+):
+    """Guards against orders without a known end that put replicas last."""
+    leader = make_leader({"r0": 1, "r1": 2, "r2": 2})
+    platform = leader.platform
+    monkeypatch.setattr(weight_loads, "ORDER_REPEAT_S", 5 * _PERIOD_S)
+    leader.wait_for(lambda: len(platform.orders) == 1)
+    platform.errors = {"r0": upstream_client.UpstreamClientError("no answer")}
+    platform.end_load("r0")
+    leader.pass_periods(20)
+    leader.wanted["m"] = 3
+    leader.wait_for(lambda: len(platform.orders) == 3)
+    assert sorted(platform.orders[1:]) == [("r0", 3), ("r1", 3)]
