Read reports for as long as a load holds its place

What callers saw: replicas that stayed on old weights for longer than needed.

Change: they are read until the order is due to be repeated.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -283,9 +283,7 @@
         Raises: upstream_client.ReplicaEnded
         """
         replica = load.replica
-        deadline = (
-            time.monotonic() + weight_loads.ORDER_REPEAT_S - STATUS_DELAY_S
-        )
+        deadline = time.monotonic() + weight_loads.ORDER_REPEAT_S
         gevent.sleep(STATUS_DELAY_S)
         while time.monotonic() < deadline:
             try:
