Do not put replicas behind whose load the list has shown

What callers saw: replicas that stayed on old weights while orders went to one that left them unanswered.

Cause: an order counted as one without effect until a report told its end. Where only the list showed the new weights, the replica came behind others when the next version was named, beside those that don't answer.

Change: weights on the list end an order like those of a report. What is kept of orders to replicas that are off the list is dropped.

--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -71,6 +71,7 @@
         "_known",
         "_list_failed_at",
         "_ordered_at",
+        "_last_loads",
         "_failures",
         "_loading_ids",
         "_leading_since",
@@ -96,7 +97,10 @@
         self._relay = relay
         self._known = known_weights.make_known_weights()
         self._list_failed_at: float | None = None
+        # Time and content of the last order of each replica that is not known
+        # to have carried it out.
         self._ordered_at: dict[str, float] = {}
+        self._last_loads: dict[str, weight_loads.Load] = {}
         self._failures: dict[str, weight_loads.Failure] = {}
         self._loading_ids: set[str] = set()
         self._leading_since: float | None = None
@@ -115,6 +119,7 @@
             if not self._replica.is_leader:
                 self._leading_since = None
                 self._ordered_at.clear()
+                self._last_loads.clear()
                 self._failures.clear()
                 continue
             if self._leading_since is None:
@@ -146,6 +151,7 @@
             self._failures,
         ):
             self._ordered_at[load.replica.replica_id] = now
+            self._last_loads[load.replica.replica_id] = load
             self._loading_ids.add(load.replica.replica_id)
             gevent.spawn(self._load, load)
         self._behind_log.note(
@@ -202,6 +208,12 @@
         names = {replica.replica_id for replica in self._known.replicas}
         for gone in self._failures.keys() - names:
             del self._failures[gone]
+        for gone in self._last_loads.keys() - names - self._loading_ids:
+            self._forget_order(gone)
+        for replica in self._known.replicas:
+            load = self._last_loads.get(replica.replica_id)
+            if load and replica.weights.get(load.model, 0) >= load.version:
+                self._forget_order(replica.replica_id)
 
     def _load(self, load: weight_loads.Load) -> None:
         replica = load.replica
@@ -271,8 +283,12 @@
         )
         self._give_place_back(replica)
 
+    def _forget_order(self, name: str) -> None:
+        self._ordered_at.pop(name, None)
+        self._last_loads.pop(name, None)
+
     def _give_place_back(self, replica: replica_states.Replica) -> None:
-        self._ordered_at.pop(replica.replica_id, None)
+        self._forget_order(replica.replica_id)
         # Choose the next load without waiting for the next period.
         self._inbox.put(_UpkeepDue())
 
