--- a/tests/state/test_log_store_full_disk.py
+++ b/tests/state/test_log_store_full_disk.py
@@ -23,7 +23,7 @@
 
 # A life of a log: entries, own snapshots, and a received one that replaces
 # entries of another history.
-_STEPS = (
+STEPS = (
     lambda store: store.append(_entries(1, 4), log_entries.HardState(1, "a")),
     lambda store: store.append(_entries(5, 4), None),
     lambda store: store.save_snapshot(6, 1, (b"st", b"ate")),
@@ -96,7 +96,7 @@
         disk.count = 0
         disk.first = first
         model = log_store.MemoryLogStore()
-        for step in _STEPS:
+        for step in STEPS:
             before = model.load()
             step(model)
             after = model.load()
