--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,6 @@
 """Tests of the limits of logging."""
 
+import errno
 import io
 import subprocess
 import sys
@@ -7,6 +8,7 @@
 import time
 
 from papayalink import logs
+from papayalink import tasks
 
 
 class _FakeClock:
@@ -121,3 +123,72 @@
     assert "event=call_failed" in line
     assert "at the end" in line
     assert len(line) < logs.MAX_TRACEBACK_CHARS + 500
+
+
+class _FullStream(io.StringIO):
+    """Stream whose disk is full at the first write."""
+
+    def __init__(self):
+        super().__init__()
+        self.refused = threading.Event()
+
+    def write(self, text):
+        if not self.refused.is_set():
+            self.refused.set()
+            raise OSError(errno.ENOSPC, "no space left")
+        return super().write(text)
+
+
+def test_lines_are_written_again_after_a_full_disk():
+    """Guards against a log that ends with the first refused line."""
+    stream = _FullStream()
+    writer = logs._ThreadedWriter(stream)
+    writer.write("refused\n")
+    assert stream.refused.wait(20)
+    writer.write("written\n")
+    writer.close()
+    assert stream.getvalue().endswith("written\n")
+
+
+def _run_with_a_full_log(tmp_path, program):
+    """Run a program whose standard error refuses writes until full(False)."""
+    path = tmp_path / "log"
+    head = (
+        "import resource, sys\n"
+        "from papayalink import logs, tasks\n"
+        "hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]\n"
+        "def full(is_full):\n"
+        "    limit = 0 if is_full else hard\n"
+        "    resource.setrlimit(resource.RLIMIT_FSIZE, (limit, hard))\n"
+        "logs.configure('entry-1', 'entry')\n"
+        "full(True)\n"
+    )
+    with open(path, "wb") as log:
+        ended = subprocess.run(
+            [sys.executable, "-c", head + program], stderr=log, timeout=60
+        )
+    return ended.returncode, path.read_text()
+
+
+def test_refused_line_does_not_fail_its_writer(tmp_path):
+    """Guards against tasks that end because a line could not be written."""
+    code, text = _run_with_a_full_log(
+        tmp_path,
+        "logs.get_logger().info('refused')\n"
+        "full(False)\n"
+        "logs.get_logger().info('written')\n",
+    )
+    assert code == 0
+    assert "event=written" in text
+
+
+def test_failed_task_ends_the_process_without_a_log(tmp_path):
+    """Guards against a process that runs on because it could not log."""
+    code, _ = _run_with_a_full_log(
+        tmp_path,
+        "import gevent\n"
+        "def fail(): raise ValueError('failed')\n"
+        "tasks.spawn(fail)\n"
+        "gevent.sleep(1)\n",
+    )
+    assert code == tasks.EXIT_TASK_FAILED
