Keep logging after a line that a full disk refused

What operators would see, where the log is on the full disk: an authority or a gateway writes no line any more after the disk has room again; the control member, and other processes that log without a thread, lose the task that logged, such as the one of the replica, with the requests that wait for it.

Cause: any error ended the thread that writes the log, and without a thread it was raised in the caller. Changed: a refused line is omitted; only a reader that is gone ends the thread.

Measured: test_lines_are_written_again_after_a_full_disk and test_refused_line_does_not_fail_its_writer fail before, pass now.

--- a/papayalink/logs.py
+++ b/papayalink/logs.py
@@ -2,6 +2,7 @@
 
 import atexit
 from collections.abc import Callable
+import contextlib
 import logging
 import queue
 import sys
@@ -75,10 +76,30 @@
             try:
                 self._stream.write("".join(lines))
                 self._stream.flush()
-            except OSError:
+            except BrokenPipeError:
                 # The reader of the stream is gone, so this cannot be logged
                 # either.
                 return
+            except OSError:
+                # The disk may have room again for later lines.
+                continue
+
+
+class _DirectWriter:
+    """Writes lines at once, and omits those that the stream refuses."""
+
+    __slots__ = ("_stream", "__weakref__")
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def write(self, text: str) -> None:
+        with contextlib.suppress(OSError):
+            self._stream.write(text)
+
+    def flush(self) -> None:
+        with contextlib.suppress(OSError):
+            self._stream.flush()
 
 
 _threaded_writers: list[_ThreadedWriter] = []
@@ -93,7 +114,7 @@
         stream: stream to which a thread writes the lines; None for standard
             error, which is written to without a thread.
     """
-    writer: TextIO | _ThreadedWriter = sys.stderr
+    writer: _DirectWriter | _ThreadedWriter = _DirectWriter(sys.stderr)
     if stream is not None:
         writer = _ThreadedWriter(stream)
         _threaded_writers.append(writer)
