End the process of a failed task even if that can't be logged

What operators would see: as for a failed replica, while the log is on a disk that refuses it.

Cause: the line that tells of the failure raised before the exit. Changed: the process exits in any case. The test of a control member waited for the restarted member by a dump, which is refused until the member listens; it waits until the member accepts work now.

--- a/papayalink/tasks.py
+++ b/papayalink/tasks.py
@@ -24,10 +24,13 @@
 
 
 def _end_process(task: gevent.Greenlet) -> None:
-    lines = traceback.format_exception(*task.exc_info)
-    logs.get_logger().error("task_failed", traceback="".join(lines)[-2000:])
-    sys.stderr.flush()
-    logs.close()
-    # Exit at once, without clean-up: other tasks must not run on without the
-    # failed one.
-    os._exit(EXIT_TASK_FAILED)
+    try:
+        lines = traceback.format_exception(*task.exc_info)
+        text = "".join(lines)[-2000:]
+        logs.get_logger().error("task_failed", traceback=text)
+        sys.stderr.flush()
+        logs.close()
+    finally:
+        # Exit at once, without clean-up: other tasks must not run on without
+        # the failed one.
+        os._exit(EXIT_TASK_FAILED)
--- a/tests/processes/test_failed_log.py
+++ b/tests/processes/test_failed_log.py
@@ -33,6 +33,7 @@
         helpers.wait_until(lambda: program.poll() is not None)
         assert program.poll() == tasks.EXIT_TASK_FAILED
         deployment.restart(failing)
+        deployment.wait_accepting([failing])
         helpers.wait_until(
             lambda: deployment.dump(failing)["version"] == fleet.version
         )
