--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -10,8 +10,6 @@
 # Share of the caller's time budget that its call may wait for the first
 # document.
 DOCUMENT_WAIT_SHARE = 1 / 3
-# Delay for callers whose entry stops: the others may serve them at once.
-STOPPING_RETRY_AFTER_S = 0.0
 
 
 class Handler:
@@ -37,7 +35,7 @@
             request.method, request.target, request.headers, request.body
         )
         directory = self._shared.watcher.directory
-        if directory is None:
+        if directory is None and not self._shared.stopping.begun:
             max_wait_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
             directory = self._shared.watcher.wait_directory(max_wait_s)
         if directory is None:
@@ -77,7 +75,9 @@
         call = self._shared.dialect.decode_call(
             request.method, request.target, request.headers, request.body
         )
-        self._reject(call, responder, 503, "stopping", STOPPING_RETRY_AFTER_S)
+        self._reject(
+            call, responder, 503, "stopping", call_run.STOPPING_RETRY_AFTER_S
+        )
 
     def _reject(
         self,
