--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -146,14 +146,12 @@
     injector = faults.Injector(nodes, platform, history, rng, scenario.losses)
     work = planned_work.make_planned_work(nodes, history, rng)
     ended = event.Event()
+    watching = gevent.spawn(_watch_stalls, history)
     callers = _make_callers(seed, scenario, gateways, history)
     calling = [
         gevent.spawn(caller.run, targets, ended) for caller, targets in callers
     ]
-    operating = [
-        gevent.spawn(_operate, operator, members, ended),
-        gevent.spawn(_watch_stalls, history, ended),
-    ]
+    operating = [gevent.spawn(_operate, operator, members, ended)]
     if scenario.stops:
         # Documents overlap as well.
         operating.append(gevent.spawn(_operate, operator, members, ended))
@@ -193,6 +191,7 @@
     ]
     for _ in range(6):
         operator.read(members)
+    watching.kill()
     findings = checks.check(history) + checks.check_recovered(always_routed)
     for node in nodes:
         node.note_own_end()
@@ -222,9 +221,9 @@
     return callers
 
 
-def _watch_stalls(history, ended) -> None:
+def _watch_stalls(history) -> None:
     """Record when this process, and with it all replicas, stands still."""
-    while not ended.is_set():
+    while True:
         asleep_at = time.monotonic()
         gevent.sleep(STALL_PERIOD_S)
         if time.monotonic() - asleep_at > MIN_STALL_S:
