--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -99,6 +99,7 @@
     network = node_module.Network()
     platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
     nodes: list[node_module.Node] = []
+    watching = gevent.spawn(_watch_stalls, history)
     try:
         for index in range(REPLICAS):
             platform.add_replica(
@@ -124,6 +125,7 @@
                 node.settings["platform_address"] = node.list_proxy.address
         return _run(seed, seconds, scenario, history, platform, nodes)
     finally:
+        watching.kill()
         for node in nodes:
             if node.running:
                 node.kill()
@@ -146,7 +148,6 @@
     injector = faults.Injector(nodes, platform, history, rng, scenario.losses)
     work = planned_work.make_planned_work(nodes, history, rng)
     ended = event.Event()
-    watching = gevent.spawn(_watch_stalls, history)
     callers = _make_callers(seed, scenario, gateways, history)
     calling = [
         gevent.spawn(caller.run, targets, ended) for caller, targets in callers
@@ -191,7 +192,6 @@
     ]
     for _ in range(6):
         operator.read(members)
-    watching.kill()
     findings = checks.check(history) + checks.check_recovered(always_routed)
     for node in nodes:
         node.note_own_end()
