--- a/soak/faults.py
+++ b/soak/faults.py
@@ -319,10 +319,7 @@
                 self._platform.remove(replica)
             case "restart":
                 # Mostly under its old id, with the weights that it had.
-                next_id = replica.replica_id
-                if self._rng.random() < 0.3:
-                    next_id += "+"
-                self._platform.end(replica, next_id)
+                self._platform.end(replica, self._rng.random() < 0.7)
             case "late_orders":
                 replica.weights.late_s = self._rng.uniform(
                     1.0, model_weights.MAX_LATE_S
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -254,14 +254,17 @@
         """End a replica; it returns under a new id after a while."""
         if replica.replica_id not in self._servers:
             return
-        name, _, starts = replica.replica_id.partition("+")
         self.history.crashes.append((cause, time.monotonic()))
-        self.end(replica, f"{name}+{int(starts or 0) + 1}")
+        self.end(replica)
 
-    def end(self, replica: Replica, next_id: str) -> None:
-        """End a replica, which returns under an id after a while."""
+    def end(self, replica: Replica, keeps_id: bool = False) -> None:
+        """End a replica, which returns after a while."""
         if replica.replica_id not in self._servers:
             return
+        next_id = replica.replica_id
+        if not keeps_id:
+            name, _, starts = next_id.partition("+")
+            next_id = f"{name}+{int(starts or 0) + 1}"
         end = self.history.begin("crash", replica.replica_id)
         end.ended_at = end.began_at
         # The address refuses connections from now on.
