--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -99,6 +99,7 @@
     network = node_module.Network()
     platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
     nodes: list[node_module.Node] = []
+    watching = gevent.spawn(_watch_stalls, history)
     try:
         for index in range(REPLICAS):
             platform.add_replica(
@@ -124,6 +125,7 @@
                 node.settings["platform_address"] = node.list_proxy.address
         return _run(seed, seconds, scenario, history, platform, nodes)
     finally:
+        watching.kill()
         for node in nodes:
             if node.running:
                 node.kill()
@@ -150,10 +152,7 @@
     calling = [
         gevent.spawn(caller.run, targets, ended) for caller, targets in callers
     ]
-    operating = [
-        gevent.spawn(_operate, operator, members, ended),
-        gevent.spawn(_watch_stalls, history, ended),
-    ]
+    operating = [gevent.spawn(_operate, operator, members, ended)]
     if scenario.stops:
         # Documents overlap as well.
         operating.append(gevent.spawn(_operate, operator, members, ended))
@@ -222,9 +221,9 @@
     return callers
 
 
-def _watch_stalls(history, ended) -> None:
+def _watch_stalls(history) -> None:
     """Record when this process, and with it all replicas, stands still."""
-    while not ended.is_set():
+    while True:
         asleep_at = time.monotonic()
         gevent.sleep(STALL_PERIOD_S)
         if time.monotonic() - asleep_at > MIN_STALL_S:
