Test starts of the log store while its disk is full

Creating a file is told from opening one, which needs no space. After each refused operation the log is loaded on a disk that is still full, which may say so, and then on one with room.

--- a/tests/state/full_disk.py
+++ b/tests/state/full_disk.py
@@ -7,9 +7,10 @@
 from papayalink.state import segments
 
 # A disk without free space refuses what needs some.
-NEEDS_SPACE = ("open", "write")
+NEEDS_SPACE = ("create", "write")
 # "A full disk refuses every write": whatever changes a file or a folder.
 EVERYTHING = (
+    "create",
     "open",
     "write",
     "truncate",
@@ -40,7 +41,7 @@
         self.refusals = 0
 
     def open(self, path, flags):
-        self._check("open")
+        self._check("open" if path.exists() else "create")
         return super().open(path, flags)
 
     def write(self, descriptor, data):
--- a/tests/state/test_log_store_full_disk.py
+++ b/tests/state/test_log_store_full_disk.py
@@ -1,5 +1,6 @@
 """Tests of the log store on a disk that is full at any file operation."""
 
+import contextlib
 import itertools
 import shutil
 
@@ -42,8 +43,8 @@
 )
 
 
-def _load(folder):
-    store = log_store.DiskLogStore(folder)
+def _load(folder, files=None):
+    store = log_store.DiskLogStore(folder, files)
     try:
         return store.load()
     finally:
@@ -54,6 +55,10 @@
     """Returns: what a process finds that starts after a kill."""
     shutil.rmtree(copy, ignore_errors=True)
     shutil.copytree(folder, copy)
+    # A process that starts while the disk is full may have to wait for room,
+    # and must find everything afterwards.
+    with contextlib.suppress(errors.LogFull):
+        _load(copy, full_disk.FullDisk(full_disk.NEEDS_SPACE, first=0))
     return _load(copy)
 
 
