--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -214,6 +214,7 @@
         "_content",
         "_snapshot_index",
         "_segments",
+        "_segment_due",
         "_next_sequence",
         "_lock_descriptor",
         "_failed",
@@ -231,6 +232,10 @@
         self._content = _Content()
         self._snapshot_index = -1
         self._segments: list[segments.Segment] = []
+        # Whether a new segment must be started before the next record is
+        # written. A refused start may leave a file behind, and a record next
+        # to it, in an older segment, would have the same sequence number.
+        self._segment_due = False
         self._next_sequence = 0
         self._failed = False
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -248,7 +253,7 @@
     def load(self) -> log_entries.StoredLog:
         try:
             for leftover in self._folder.glob("*.tmp"):
-                leftover.unlink()
+                self._files.remove(leftover)
             snapshot = self._load_snapshot()
             self._load_segments()
         except OSError as error:
@@ -317,14 +322,15 @@
             ):
                 # Removed oldest first and synced one by one, so that a crash
                 # leaves no gap.
-                oldest = self._segments.pop(0)
-                oldest.close()
-                oldest.path.unlink()
+                oldest = self._segments[0]
+                self._files.remove(oldest.path)
                 segments.sync_folder(self._files, self._folder)
+                del self._segments[0]
+                oldest.close()
             for path in self._snapshot_paths()[:-1]:
-                path.unlink()
+                self._files.remove(path)
         except OSError as error:
-            raise self._fail(errors.LogFailed(str(error))) from error
+            raise self._fail(segments.to_state_error(error)) from error
 
     def close(self) -> None:
         for segment in self._segments:
@@ -368,7 +374,7 @@
             if not valid_bytes:
                 # The process ended before the first record was synced.
                 self._segments.pop().close()
-                path.unlink()
+                self._files.remove(path)
                 break
             if not self._next_sequence:
                 self._next_sequence = int(path.stem)
@@ -410,29 +416,31 @@
         # The first sequence number is 1; 0 means that no segment was loaded.
         self._next_sequence = max(self._next_sequence, 1)
         path = self._folder / f"{self._next_sequence:020}{_SEGMENT_SUFFIX}"
+        self._segment_due = True
+        segment = None
         try:
+            if self._segments:
+                self._segments[-1].remove_torn_record()
             segment = segments.Segment(path, self._files, 0)
             first_record = _Added([], self._content.hard_state)
-            try:
-                segment.append(
-                    segments.encode(
-                        self._next_sequence, _ENCODER.encode(first_record)
-                    )
+            segment.append(
+                segments.encode(
+                    self._next_sequence, _ENCODER.encode(first_record)
                 )
-            except errors.StateError:
-                segment.close()
-                path.unlink()
-                raise
+            )
             segments.sync_folder(self._files, self._folder)
-        except OSError as error:
-            raise self._fail(segments.to_state_error(error)) from error
-        except errors.LogFailed as error:
-            raise self._fail(error)
+        except (OSError, errors.StateError) as error:
+            if segment is not None:
+                segment.close()
+            raise self._fail(segments.to_state_error(error))
+        self._segment_due = False
         self._next_sequence += 1
         self._segments.append(segment)
 
     def _write(self, record: _Added | _Reset) -> None:
         self._check_usable()
+        if self._segment_due:
+            self._start_segment()
         payload = _ENCODER.encode(record)
         try:
             self._segments[-1].append(
