--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -244,7 +244,7 @@
             for member in self.members(request.service)
             if member.usable(now)
             and member.replica.replica_id not in excluded
-            and self._suits(member, request, now)
+            and self.suits(member, request, now)
         ]
         if not members:
             return None
@@ -279,36 +279,18 @@
             self._members.get(replica.replica_id) is member
             and replica.service == request.service
             and member.usable_without_limit(now)
-            and self._suits(member, request, now)
+            and self.suits(member, request, now)
         )
 
-    def awaits_permit(
+    def suits(
         self,
+        member: fleet_member.Member,
         request: replica_choice.SelectionRequest,
-        excluded: Collection[str],
         now: float,
     ) -> bool:
-        """Returns: whether only limits keep a replica from being chosen."""
-        return any(
-            member.limit_per_s is not None
-            and member.usable_without_limit(now)
-            and member.replica.replica_id not in excluded
-            and self._suits(member, request, now)
-            for member in self.members(request.service)
-        )
-
-    def awaits_load(
-        self,
-        request: replica_choice.SelectionRequest,
-        excluded: Collection[str],
-    ) -> bool:
-        """Returns: whether a replica is loading the weights of the model."""
-        return any(
-            request.model in member.loading
-            and member.usable_after_load
-            and member.replica.replica_id not in excluded
-            and _has_software(member, request.software)
-            for member in self.members(request.service)
+        """Returns: whether its versions are those that the call needs."""
+        return request.has_software(member) and (
+            not request.model or self._has_weights(member, request, now)
         )
 
     def next_usable_s(self, service: str, now: float) -> float:
@@ -381,17 +363,6 @@
             return 0.0
         return self._mean_hold_s * excess / used
 
-    def _suits(
-        self,
-        member: fleet_member.Member,
-        request: replica_choice.SelectionRequest,
-        now: float,
-    ) -> bool:
-        """Returns: whether its versions are those that the call needs."""
-        return _has_software(member, request.software) and (
-            not request.model or self._has_weights(member, request, now)
-        )
-
     def _has_weights(
         self,
         member: fleet_member.Member,
@@ -452,12 +423,6 @@
         return cost_s, wait_s, own_s
 
 
-def _has_software(member: fleet_member.Member, software: str | None) -> bool:
-    if software is None:
-        return True
-    return bool(software) and member.replica.software == software
-
-
 def _nonzero(counts: dict[int, int]) -> tuple[tuple[int, int], ...]:
     return tuple(
         (urgency, count) for urgency, count in counts.items() if count
--- a/papayalink/coordination/replica_choice.py
+++ b/papayalink/coordination/replica_choice.py
@@ -32,6 +32,14 @@
     software: str | None = None
     settled: frozenset[str] = frozenset()
 
+    def has_software(self, member: fleet_member.Member) -> bool:
+        """Returns: whether a replica has the software that is needed."""
+        if self.software is None:
+            return True
+        return bool(self.software) and (
+            member.replica.software == self.software
+        )
+
 
 class Choice(msgspec.Struct, frozen=True):
     """A chosen replica with predicted times.
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -4,6 +4,7 @@
 import time
 
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
 
 # A call waits for replicas that are at their limit up to this fraction of its
@@ -54,12 +55,39 @@
         """
         now = time.monotonic()
         until = now
-        if self._fleet.awaits_permit(request, tried, now):
-            until = max(until, self._permits_until)
-        if self._fleet.awaits_load(request, tried):
-            until = max(until, self._loads_until)
+        for member in self._fleet.members(request.service):
+            if member.replica.replica_id in tried:
+                continue
+            if self._lacks_permit(member, request, now):
+                until = max(until, self._permits_until)
+            if _lacks_weights(member, request):
+                until = max(until, self._loads_until)
         return until > now and self._fleet.changed.wait(until - now)
 
+    def _lacks_permit(
+        self,
+        member: fleet_member.Member,
+        request: replica_choice.SelectionRequest,
+        now: float,
+    ) -> bool:
+        """Returns: whether only its limit keeps the replica from use."""
+        return (
+            member.limit_per_s is not None
+            and member.usable_without_limit(now)
+            and self._fleet.suits(member, request, now)
+        )
+
+
+def _lacks_weights(
+    member: fleet_member.Member, request: replica_choice.SelectionRequest
+) -> bool:
+    """Returns: whether the replica is loading the weights of the model."""
+    return (
+        request.model in member.loading
+        and member.usable_after_load
+        and request.has_software(member)
+    )
+
 
 def make_replica_wait(
     fleet: fleets.Fleet,
