Put the end of a call into a module of its own

What a caller gets at the end of its call, and the record of it, are in call_ending.py; call_run.py keeps the attempts. No change of decisions: test_handling.py, test_late_calls.py, test_unanswered_at_stop.py and five other modules of the gateway pass.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -13,6 +13,7 @@
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import replica_wait
@@ -33,11 +34,6 @@
 MIN_STREAM_SILENCE_LIMIT_S = 1.6
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
-# Delay given to refused callers by default. They retry after a third of their
-# time at most; a fleet that is full stays full for at least this long.
-RETRY_AFTER_S = 0.5
-# Delay for callers whose entry stops: the others may serve them at once.
-STOPPING_RETRY_AFTER_S = 0.0
 
 
 class CallRun:
@@ -57,6 +53,7 @@
         "_version",
         "_service",
         "_record",
+        "_ending",
         "_urgency",
         "_selection_request",
         "_replica_wait",
@@ -103,6 +100,16 @@
         self._record = call_record.make_call_record(
             shared, call, self._keys, route, workspace, received_at
         )
+        self._ending = call_ending.make_call_ending(
+            shared,
+            call,
+            responder,
+            self._service,
+            self._deadline,
+            self._attempts,
+            self._stream,
+            self._record,
+        )
         # Whether a replica was lost with the call.
         self._lost = False
         self._suspects_version = 0
@@ -141,16 +148,16 @@
         budget = self._shared.budgets.for_service(self._service, now)
         budget.note_request(now)
         if isinstance(self._version, take_ups.UnknownVersion):
-            self._end_without_replica("version of the stream is not known")
+            self._ending.without_replica("version of the stream is not known")
             return
         try:
             while self._try_once(budget):
                 pass
         except errors.CallerGone:
-            self._end("caller_gone", 0, "caller hung up")
+            self._ending.record("caller_gone", 0, "caller hung up")
             raise
         except errors.ServerStops:
-            self._end_at_stop()
+            self._ending.at_stop()
 
     def _try_once(self, budget: retry.Budget) -> bool:
         """Returns: whether to try again."""
@@ -170,7 +177,7 @@
         ):
             return True
         if choice is None:
-            self._end_without_replica("no usable replica")
+            self._ending.without_replica("no usable replica")
             return False
         if self._shed(choice):
             return False
@@ -182,7 +189,7 @@
                 return True
             case attempt.Answered(status, first_s):
                 self._record.first_s = first_s
-                self._end("answered", status, "")
+                self._ending.record("answered", status, "")
                 return False
             case attempt.Unanswered():
                 return self._handle_unanswered(result, budget)
@@ -201,7 +208,9 @@
             self._remaining_s(),
         ):
             return False
-        self._refuse(STOPPING_RETRY_AFTER_S, "stopping: may not end in time")
+        self._ending.refuse(
+            call_ending.STOPPING_RETRY_AFTER_S, "stopping: may not end in time"
+        )
         return True
 
     def _note_run(self, first_s: float, took_s: float) -> None:
@@ -234,10 +243,13 @@
             self._trial = blocked
             return False
         retry_after_s = max(
-            RETRY_AFTER_S, suspects.retry_after_s(key, time.monotonic())
+            call_ending.RETRY_AFTER_S,
+            suspects.retry_after_s(key, time.monotonic()),
         )
         kind = "" if call_keys.is_request_key(key) else "part "
-        self._end_without_replica(f"{kind}{key} ends replicas", retry_after_s)
+        self._ending.without_replica(
+            f"{kind}{key} ends replicas", retry_after_s
+        )
         return True
 
     def _shed(self, choice: replica_choice.Choice) -> bool:
@@ -262,7 +274,7 @@
         match shedding.decide(prompt, chance, timer.age_s(now)):
             case shedding.Shed(retry_after_s):
                 timer.note_shed(now)
-                self._refuse(
+                self._ending.refuse(
                     retry_after_s,
                     f"overloaded: first token in {choice.wait_s:.2f} s",
                 )
@@ -468,73 +480,9 @@
             if not isinstance(outcome, attempts.NotSent):
                 budget.take(now)
             return True
-        self._end_unanswered(decision, result)
+        self._ending.unanswered(decision, result)
         return False
 
-    def _end_unanswered(
-        self, decision: attempts.Decision, result: attempt.Unanswered
-    ) -> None:
-        reason = repr(result.outcome)
-        if self._stream is not None and self._stream.begun:
-            self._end("stream_broken", 0, reason)
-            raise errors.ResponseAborted("upstream broke off the stream")
-        match decision:
-            case attempts.PassOn():
-                self._end("failed_upstream", result.answer.status, reason)
-                self._responder.respond(
-                    result.answer.status, result.answer.headers, result.body
-                )
-            case attempts.Refuse():
-                # The delay that a replica names is for calls to itself.
-                self._refuse(None, reason)
-            case attempts.GiveUp(status):
-                self._end("given_up", status, reason)
-                self._respond(status)
-
-    def _end_at_stop(self) -> None:
-        """End the call, since the process ends before its answer does.
-
-        A replica may have run it, and may go on with it for a moment: only a
-        call that was not sent is refused.
-        """
-        reason = "the gateway stops"
-        if self._responder.head_sent:
-            broken = self._stream is not None
-            self._end("stream_broken" if broken else "given_up", 0, reason)
-            raise errors.ResponseAborted(reason)
-        if self._attempts.may_have_run:
-            self._end("given_up", 504, reason)
-            self._respond(504)
-        else:
-            self._refuse(STOPPING_RETRY_AFTER_S, reason)
-
-    def _end_without_replica(
-        self, reason: str, retry_after_s: float | None = None
-    ) -> None:
-        """End the call when it can be sent to no replica."""
-        if self._attempts.sent and self._attempts.may_have_run:
-            lost = attempt.Unanswered(attempts.Lost(reason))
-            self._end_unanswered(attempts.GiveUp(502), lost)
-        else:
-            self._refuse(retry_after_s, reason)
-
-    def _refuse(self, retry_after_s: float | None, reason: str) -> None:
-        if retry_after_s is None:
-            usable_s = self._shared.fleet.next_usable_s(
-                self._service, time.monotonic()
-            )
-            retry_after_s = max(RETRY_AFTER_S, usable_s)
-        self._end("refused", 503, reason)
-        self._respond(503, retry_after_s)
-
-    def _respond(
-        self, status: int, retry_after_s: float | None = None
-    ) -> None:
-        headers = self._shared.dialect.refusal_headers(
-            self._call.call_id, retry_after_s
-        )
-        self._responder.respond(status, headers)
-
     def _urgent_objective_s(self) -> float | None:
         return self._directory.urgent_objective_s(
             self._service, self._route.rank
@@ -555,18 +503,6 @@
     def _remaining_s(self) -> float:
         return self._deadline - time.monotonic()
 
-    def _end(self, outcome: str, status: int, reason: str) -> None:
-        """Record the end of the call."""
-        self._record.write(
-            outcome,
-            status,
-            reason,
-            self._service,
-            self._stream,
-            self._remaining_s(),
-            self._attempts.sent,
-        )
-
 
 def make_call_run(
     shared: shared_parts.Shared,
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -3,6 +3,7 @@
 import time
 
 from papayalink.protocol import calls
+from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_run
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.transport import caller_server
@@ -43,7 +44,7 @@
             directory = self._shared.watcher.wait_directory(max_wait_s)
         if directory is None:
             self._reject(
-                call, responder, 503, "no_document", call_run.RETRY_AFTER_S
+                call, responder, 503, "no_document", call_ending.RETRY_AFTER_S
             )
             return
         route = directory.route(call.host, call.path)
@@ -79,7 +80,11 @@
             request.method, request.target, request.headers, request.body
         )
         self._reject(
-            call, responder, 503, "stopping", call_run.STOPPING_RETRY_AFTER_S
+            call,
+            responder,
+            503,
+            "stopping",
+            call_ending.STOPPING_RETRY_AFTER_S,
         )
 
     def _reject(
