Collect the children of a test by the process that started them

Two new tests of failed logs failed in the whole run (status 0 for 70), and a test of the soak was listed for the same: both look at the status of a process.

Cause: tests/fakes/test_serving.py used gevent's subprocess, whose watcher collects all children of the process from then on, so that others read 0.

Evidence: the two tests fail behind that module and pass alone.

Change: the module uses the standard library; it waits for nothing else meanwhile. What it asserts is the same.

--- a/tests/fakes/test_serving.py
+++ b/tests/fakes/test_serving.py
@@ -1,9 +1,9 @@
 """Tests of running the stand-ins as commands."""
 
 import signal
+import subprocess
 import sys
 
-from gevent import subprocess
 import pytest
 
 from papayalink.adapters import connection
