Stop the clock of a test of new versions between its steps

Cause: the clock of the test ran on while 12 streams were served, so that on a slow machine a list was too old, or a version settled, before the step that asks for it.

Change: its clock stands still between the steps. What it asserts is the same.

--- a/tests/roles/gateway/conftest.py
+++ b/tests/roles/gateway/conftest.py
@@ -28,3 +28,11 @@
     skipped = []
     monkeypatch.setattr(time, "monotonic", lambda: monotonic() + sum(skipped))
     return skipped.append
+
+
+@pytest.fixture
+def skip_stopped_time(monkeypatch):
+    """The same, for clocks that stand still in between."""
+    now = [time.monotonic()]
+    monkeypatch.setattr(time, "monotonic", lambda: sum(now))
+    return now.append
--- a/tests/roles/gateway/test_joined_versions.py
+++ b/tests/roles/gateway/test_joined_versions.py
@@ -225,24 +225,24 @@
 
 
 def test_streams_begin_at_a_new_version_once_all_entries_know_it(
-    start_site, skip_time
+    start_site, skip_stopped_time
 ):
     """Guards against streams of versions that other entries cannot know."""
     site = start_site(software=("v1",) * 3)
     site.observe_for_long()
     for _ in range(6):
-        skip_time(0.5)
+        skip_stopped_time(0.5)
         site.settle()
     site.start_replica("v2")
     entry = site.entries[1]
     entry.read_list()
     assert _begun_versions(entry, "a") == {"v1"}
     entry.exchange()
-    skip_time(1.0)
+    skip_stopped_time(1.0)
     entry.read_list()
     assert _begun_versions(entry, "b") == {"v1"}
     for _ in range(3):
-        skip_time(0.5)
+        skip_stopped_time(0.5)
         entry.read_list()
         entry.exchange()
     assert _begun_versions(entry, "c") == {"v1", "v2"}
