--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -14,10 +14,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PEER_PORT = 7580
@@ -302,6 +304,8 @@
 
 def run(folder, case):
     """Run a case and exit with its result."""
+    # SystemExit ends the processes that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record.write(f"disruption: {'yes' if DISRUPTED else 'no'}")
     fleet = None
@@ -314,8 +318,9 @@
     except CannotRun as error:
         record.write(f"the case could not run: {error}")
     except Exception as error:
+        # An uncaught error would exit with 1, as if the rule were broken.
         record.write(f"the case could not run: {error!r}")
-        raise
+        traceback.print_exc()
     finally:
         if fleet is not None:
             fleet.close()
