Drop connections between processes that fall silent

Callers saw: after the open connections between three machines had gone silent, each change and each read of the document got 503 for the 45 s that were watched, and the acknowledged document could not be read back.

Cause: RpcClient left a connection in use after a call on it had timed out. Members call each other all the time, so it was never idle for the 10 s after which it would have been closed, and no new one was made.

Change: during a call, half a second without any byte makes the client ping; without a byte in another half second it aborts the connection. Idle connections to other addresses are closed with it. Receivers ping their connections, too, so that dropped ones do not pile up. Readers of lists and stores, and calls to replicas, had the same fault in a weaker form: each further idle connection cost a call.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -274,6 +274,8 @@
                 sock.settimeout(timeout_s)
                 return self._read_and_keep(Exchange(sock, request, method))
             except TimeoutError as error:
+                # What has made it silent may have done so to all of them.
+                self.close()
                 raise errors.Interrupted(_describe(error)) from error
             except FAILURES:
                 continue
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -206,6 +206,9 @@
             first_s = time.monotonic() - started_at
             result = self._relay(head, answer, stream, first_s)
         except errors.Timeout:
+            if self._channel.used and self._progress is Progress.NONE:
+                # What has made it silent may have done so to all of them.
+                self._channels.close_idle(self._address)
             return Unanswered(attempts.Expired(), progress=self._progress)
         except (
             errors.ConnectionLost,
--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -1,12 +1,12 @@
 """Unary RPC calls between processes over grpclib."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
 import time
 import zlib
 
 import grpclib.client
+import grpclib.config
 import grpclib.const
 import grpclib.encoding.base
 import grpclib.exceptions
@@ -18,6 +18,7 @@
 from papayalink.transport import auth
 from papayalink.transport import errors
 from papayalink.transport import event_loop
+from papayalink.transport import rpc_connection
 
 Handler = Callable[[messages.Message], messages.Message]
 
@@ -27,12 +28,15 @@
 # polls repeat names and numbers, and are the largest part of what control
 # costs a node.
 _MIN_COMPRESS_BYTES = 512
-CONNECT_TIMEOUT_S = 1.0
 # A connection costs its receiver 0.1 MB. Under overload, pollers move from
 # member to member, and without this time-out each member would keep a
 # connection of every poller. Polls, the least frequent calls to an address in
 # use, are a second apart.
 IDLE_TIMEOUT_S = 10.0
+# A receiver pings each connection in this interval, and closes those that do
+# not answer: their clients have dropped them without a close that arrived.
+_RECEIVER_PING_S = 20.0
+_RECEIVER_PING_TIMEOUT_S = 10.0
 
 
 class _Request(msgspec.Struct, array_like=True):
@@ -116,7 +120,18 @@
         }
 
     async def _serve(self) -> None:
-        self._server = grpclib.server.Server([self], codec=_BytesCodec())
+        self._server = grpclib.server.Server(
+            [self],
+            codec=_BytesCodec(),
+            config=grpclib.config.Configuration(
+                _keepalive_time=_RECEIVER_PING_S,
+                _keepalive_timeout=_RECEIVER_PING_TIMEOUT_S,
+                _keepalive_permit_without_calls=True,
+                _http2_max_pings_without_data=0,
+                _http2_min_sent_ping_interval_without_data=_RECEIVER_PING_S
+                / 2,
+            ),
+        )
         host, port = self._address
         await self._server.start(host, port)
         bound = self._server._server.sockets[0].getsockname()
@@ -174,14 +189,6 @@
         return msgspec.msgpack.encode(_Reply(signature, body, compressed))
 
 
-class _Connection(msgspec.Struct):
-    """A connection, its calls in flight, and when the last one began."""
-
-    channel: grpclib.client.Channel
-    calls_in_flight: int = 0
-    last_call_at: float = 0.0
-
-
 class RpcClient:
     """Calls other processes over one connection to each address in use.
 
@@ -197,7 +204,7 @@
         self._signer = signer
         self._idle_timeout_s = idle_timeout_s
         self._loop = event_loop.get_event_loop_thread()
-        self._connections: dict[str, _Connection] = {}
+        self._connections: dict[str, rpc_connection.RpcConnection] = {}
 
     @property
     def connected_addresses(self) -> list[str]:
@@ -250,20 +257,21 @@
 
     async def _close(self) -> None:
         for connection in self._connections.values():
-            connection.channel.close()
+            connection.close()
         self._connections.clear()
 
     async def _call(
         self, address: str, method: str, request: bytes, timeout_s: float
     ) -> bytes:
         connection = self._get_connection(address)
-        connection.calls_in_flight += 1
+        connection.begin_call()
         try:
+            await connection.connect(timeout_s)
             return await self._call_on(
                 connection.channel, address, method, request, timeout_s
             )
         finally:
-            connection.calls_in_flight -= 1
+            connection.end_call()
 
     async def _call_on(
         self,
@@ -273,12 +281,6 @@
         request: bytes,
         timeout_s: float,
     ) -> bytes:
-        try:
-            await asyncio.wait_for(
-                channel.__connect__(), min(timeout_s, CONNECT_TIMEOUT_S)
-            )
-        except (OSError, TimeoutError) as error:
-            raise errors.NotConnected(f"{address}: {error}") from error
         stub = grpclib.client.UnaryUnaryMethod(
             channel, _SERVICE + method, bytes, bytes
         )
@@ -293,26 +295,32 @@
         except (OSError, grpclib.exceptions.StreamTerminatedError) as error:
             raise errors.ConnectionLost(f"{address}: {error}") from error
 
-    def _get_connection(self, address: str) -> _Connection:
-        now = time.monotonic()
+    def _get_connection(self, address: str) -> rpc_connection.RpcConnection:
+        self._close_idle(self._idle_timeout_s)
         connection = self._connections.get(address)
         if connection is None:
-            host, _, port = address.rpartition(":")
-            connection = _Connection(
-                grpclib.client.Channel(host, int(port), codec=_BytesCodec())
+            connection = rpc_connection.make_rpc_connection(
+                address, _BytesCodec(), self._drop_silent
             )
             self._connections[address] = connection
-        connection.last_call_at = now
-        self._close_idle(now)
         return connection
 
-    def _close_idle(self, now: float) -> None:
+    def _drop_silent(self, silent: rpc_connection.RpcConnection) -> None:
+        """Use a new connection from the next call on.
+
+        What has made one connection silent may have done so to others. Those
+        in use find out by themselves; idle ones would cost a call each.
+        """
+        for address, connection in list(self._connections.items()):
+            if connection is silent:
+                del self._connections[address]
+        self._close_idle(0.0)
+
+    def _close_idle(self, timeout_s: float) -> None:
+        oldest = time.monotonic() - timeout_s
         for address, connection in list(self._connections.items()):
-            if (
-                not connection.calls_in_flight
-                and now - connection.last_call_at > self._idle_timeout_s
-            ):
-                connection.channel.close()
+            if not connection.in_use and connection.last_call_at < oldest:
+                connection.close()
                 del self._connections[address]
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -24,13 +24,18 @@
         address: HOST:PORT of the proxy.
     """
 
-    def __init__(self, target: tuple[str, int]) -> None:
+    def __init__(
+        self, target: tuple[str, int], listen: tuple[str, int] | None = None
+    ) -> None:
         self._target = target
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self._silenced: set[tuple[socket.socket, socket.socket]] = set()
         self.mode = "pass"
         self.delay_s = 0.0
         self.head_bytes = 0
-        self._server = server.StreamServer((target[0], 0), self._serve)
+        self._server = server.StreamServer(
+            listen or (target[0], 0), self._serve
+        )
         self._server.start()
         self.address = f"{target[0]}:{self._server.server_port}"
 
@@ -40,6 +45,16 @@
             for each in pair:
                 _reset(each)
 
+    def silence_open(self) -> int:
+        """Pass on nothing more on the open connections; new ones work.
+
+        What their ends send is still taken from them.
+
+        Returns: number of these connections.
+        """
+        self._silenced |= self._pairs
+        return len(self._pairs)
+
     def stop(self) -> None:
         self._server.stop()
         self.reset_all()
@@ -58,16 +73,25 @@
         upstream.settimeout(None)
         pair = (caller, upstream)
         self._pairs.add(pair)
-        responses = gevent.spawn(self._forward, upstream, caller, True)
-        self._forward(caller, upstream, False)
+        responses = gevent.spawn(self._forward, pair, upstream, caller)
+        self._forward(pair, caller, upstream)
         responses.join()
         self._pairs.discard(pair)
+        self._silenced.discard(pair)
+        for each in pair:
+            each.close()
 
     def _forward(
-        self, source: socket.socket, sink: socket.socket, is_response: bool
+        self,
+        pair: tuple[socket.socket, socket.socket],
+        source: socket.socket,
+        sink: socket.socket,
     ) -> None:
+        is_response = sink is pair[0]
         try:
             while data := source.recv(CHUNK_BYTES):
+                if pair in self._silenced:
+                    continue
                 while self.mode == "silent" or (
                     is_response and self.mode == "one_way"
                 ):
@@ -81,7 +105,8 @@
                     _reset(source)
                     break
                 sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+            if pair not in self._silenced:
+                sink.shutdown(socket.SHUT_WR)
         except OSError:
             _reset(sink)
 
@@ -96,5 +121,8 @@
         return
 
 
-def make_proxy(target: tuple[str, int]) -> Proxy:
-    return Proxy(target)
+def make_proxy(
+    target: tuple[str, int], listen: tuple[str, int] | None = None
+) -> Proxy:
+    """Args: listen: (IP, port) of the proxy; None chooses a free port."""
+    return Proxy(target, listen)
