Ask all members when the one that is watched stands still

Callers saw: while machines outside the core stood still, gateways in touch went on with an older document for up to 4.8 s after a change was acknowledged, and sent calls on a route that had been dropped.

Cause: a gateway watched one member at a time. One that stood still cost 1.6 s, one that was dark 1 s, before the next one was asked, so that the sum grew with the number of such members. Exchanges of reports, joins and the search for founders went from one to the next as well, and a lost watch made the gateway forget the leader.

Change: a member that is 0.3 s late is left waiting while all others are asked; the first reply counts. One that gave no answer is passed over by exchanges of reports, and a new leader comes first. Joins and seeds are asked at once.

--- a/papayalink/roles/authority/founding.py
+++ b/papayalink/roles/authority/founding.py
@@ -33,23 +33,29 @@
     log = logs.get_logger()
     described: dict[str, founding.Seed] = {}
     logged: set[str] = set()
+
+    def ask(name: str, address: str) -> None:
+        try:
+            if name == own.name:
+                reply = describe(own)
+            else:
+                reply = client.call(address, "Describe", own, CALL_TIMEOUT_S)
+        except errors.TransportError as error:
+            if name not in logged:
+                log.info("seed_not_reached", seed=name, reason=error)
+            logged.add(name)
+            return
+        described[name] = founding.Seed(reply.durable, reply.first)
+
     while True:
-        for name, address in seeds.items():
-            if name in described and described[name].durable:
-                continue
-            try:
-                if name == own.name:
-                    reply = describe(own)
-                else:
-                    reply = client.call(
-                        address, "Describe", own, CALL_TIMEOUT_S
-                    )
-            except errors.TransportError as error:
-                if name not in logged:
-                    log.info("seed_not_reached", seed=name, reason=error)
-                logged.add(name)
-                continue
-            described[name] = founding.Seed(reply.durable, reply.first)
+        gevent.joinall(
+            [
+                gevent.spawn(ask, name, address)
+                for name, address in seeds.items()
+                if name not in described or not described[name].durable
+            ],
+            raise_error=True,
+        )
         if len(described) == len(seeds):
             founders = founding.choose_founders(described)
             if founders:
--- a/papayalink/roles/authority/group.py
+++ b/papayalink/roles/authority/group.py
@@ -212,18 +212,24 @@
         message = messages.Join(self._own_id, self._durable)
         leader = self._peers.address_of(self._replica.leader_id)
         addresses = [leader] if leader else self._peers.others()
-        for address in addresses:
-            try:
-                self._node.rpc_client.call(
-                    address, "Join", message, JOIN_TIMEOUT_S
-                )
-                return
-            except transport_errors.RpcRefused as error:
-                if error.leader:
-                    self._book.learn_addresses([error.leader])
-                self._log.info("join_not_taken", address=address, reason=error)
-            except transport_errors.TransportError as error:
-                self._log.info("join_not_taken", address=address, reason=error)
+        # All at once: some of the addresses may be those of silent machines.
+        gevent.joinall(
+            [
+                gevent.spawn(self._send_join, address, message)
+                for address in addresses
+            ]
+        )
+
+    def _send_join(self, address: str, message: messages.Join) -> None:
+        try:
+            self._node.rpc_client.call(
+                address, "Join", message, JOIN_TIMEOUT_S
+            )
+        except transport_errors.TransportError as error:
+            match error:
+                case transport_errors.RpcRefused(leader=leader) if leader:
+                    self._book.learn_addresses([leader])
+            self._log.info("join_not_taken", address=address, reason=error)
 
 
 def make_group_upkeep(
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -25,6 +25,9 @@
 # the time that a replica takes to prefill a long prompt.
 EXCHANGE_PERIOD_S = 0.2
 RETRY_DELAY_S = 0.3
+# A member that did not answer is asked again after this, unless no other one
+# has answered since.
+FAILURE_MEMORY_S = 1.0
 # The directory is cleared after this long without a reply, since the contents
 # of stores may have changed; a restart of a store is reported within about a
 # second.
@@ -63,7 +66,7 @@
     __slots__ = (
         "_node",
         "_members",
-        "_failures",
+        "_failed_at",
         "_fleet",
         "_liveness",
         "_crashes",
@@ -97,7 +100,8 @@
     ) -> None:
         self._node = node
         self._members = members
-        self._failures = 0
+        # By address of a member, when it last gave no answer.
+        self._failed_at: dict[str, float] = {}
         self._fleet = fleet
         self._liveness = liveness
         self._crashes = crashes
@@ -127,12 +131,11 @@
     def _run(self) -> None:
         while True:
             self._liveness.keep_probing(self._fleet.all_members())
-            members = self._members()
-            if self._exchange(members[self._failures % len(members)]):
-                self._failures = 0
+            member = self._choose_member()
+            if self._exchange(member):
                 gevent.sleep(EXCHANGE_PERIOD_S)
                 continue
-            self._failures += 1
+            self._failed_at[member] = time.monotonic()
             if time.monotonic() - self._read_at > PERMITS_TIMEOUT_S:
                 self._limit_keeper.add_own_permits(self.entries())
             if time.monotonic() - self._read_at > DIRECTORY_TIMEOUT_S:
@@ -140,6 +143,23 @@
                 self._source = ""
             gevent.sleep(RETRY_DELAY_S)
 
+    def _choose_member(self) -> str:
+        """Returns: the preferred member of those that may answer.
+
+        A member that is preferred since the last failure, for example a new
+        leader, comes before those that have yet to fail.
+        """
+        oldest = time.monotonic() - FAILURE_MEMORY_S
+        self._failed_at = {
+            member: failed_at
+            for member, failed_at in self._failed_at.items()
+            if failed_at > oldest
+        }
+        return min(
+            self._members(),
+            key=lambda member: self._failed_at.get(member, float("-inf")),
+        )
+
     def _exchange(self, address: str) -> bool:
         now = time.monotonic()
         self._note_software()
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -7,6 +7,8 @@
 
 import gevent
 from gevent import event
+from gevent import queue
+import msgspec
 
 from papayalink import logs
 from papayalink import tasks
@@ -16,14 +18,19 @@
 from papayalink.state import traffic
 from papayalink.transport import errors
 
-# A member delays its reply this long if nothing has changed. An entry leaves a
-# member without a quorum for another one after this and the time that the
-# member needs to find that it cannot confirm its state.
+# A member delays its reply this long if nothing has changed.
 LONG_POLL_MS = 800
+# Time beyond that for which one member is waited for alone. After it all
+# others are asked at once: with one after the other, the delay of a change
+# would grow with the number of members that stand still.
+OVERDUE_S = 0.3
+# A member without a quorum needs this long to find that it cannot confirm its
+# state.
 WATCH_TIMEOUT_S = 1.6
-# The first watch must not wait: the entry serves nothing before its reply.
-FIRST_WATCH_TIMEOUT_S = 0.8
 RETRY_DELAY_S = 0.1
+# All members are asked at once this often at most. While none can answer, they
+# are asked one after the other in between.
+ASK_ALL_PERIOD_S = 0.5
 # Control members that start together with the entry have a leader after about
 # 0.5 s. Calls that arrive within this time after the start wait for the
 # document.
@@ -32,6 +39,14 @@
 Translate = Callable[[bytes], traffic.TrafficDocument]
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    """Reply of a member, or why there is none."""
+
+    address: str
+    asked_at: float
+    reply: messages.WatchReply | errors.TransportError
+
+
 class Watcher:
     """Holds the newest document that a control member confirmed.
 
@@ -51,6 +66,10 @@
         "_on_change",
         "_history",
         "_members",
+        "_answers",
+        "_asked_all_at",
+        "_applied_at",
+        "_failure",
         "_number",
         "_directory",
         "_weights",
@@ -78,6 +97,12 @@
         self._history = history
         self._members = list(node.settings.seed_peers)
         random.shuffle(self._members)
+        self._answers: queue.Queue[_Answer] = queue.Queue()
+        # When all members were asked, and when the last reply that was applied
+        # was asked for.
+        self._asked_all_at = float("-inf")
+        self._applied_at = float("-inf")
+        self._failure: object = ""
         self._number = 0
         self._directory: traffic.TrafficDirectory | None = None
         self._weights: dict[str, int] = {}
@@ -155,43 +180,108 @@
 
     def _run(self) -> None:
         while True:
-            if not self._watch(self._members[0]):
+            first = self._members[0]
+            if self._watch(first):
+                if not self._number:
+                    gevent.sleep(RETRY_DELAY_S)
+                continue
+            if self._members[0] == first:
                 self._members.append(self._members.pop(0))
-                gevent.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
+            gevent.sleep(RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
     def _watch(self, address: str) -> bool:
-        """Returns: whether the member replied."""
+        """Watch one member, and ask all if it does not answer in time.
+
+        Returns: whether a reply was applied.
+        """
+        # Nothing is known of what changed while no member answered.
+        wait_ms = LONG_POLL_MS if self._connected else 0
+        began_at = time.monotonic()
+        asked = {address}
+        self._ask(address, wait_ms)
+        overdue_s = wait_ms / 1000 + OVERDUE_S
+        if self._wait_for_reply(asked, began_at, began_at + overdue_s):
+            return True
+        now = time.monotonic()
+        self._note_lost(address)
+        if now - self._asked_all_at < ASK_ALL_PERIOD_S:
+            return False
+        self._asked_all_at = now
+        for member in self._members:
+            if member != address:
+                asked.add(member)
+                self._ask(member, 0)
+        return self._wait_for_reply(asked, began_at, now + WATCH_TIMEOUT_S)
+
+    def _ask(self, address: str, wait_ms: int) -> None:
         watch = messages.Watch(
             self._node.settings.name,
             self._number,
             self._weights,
-            LONG_POLL_MS if self._number else 0,
+            wait_ms,
             self._loading,
         )
-        timeout_s = WATCH_TIMEOUT_S if self._number else FIRST_WATCH_TIMEOUT_S
+        tasks.spawn(self._call, address, watch)
+
+    def _call(self, address: str, watch: messages.Watch) -> None:
         asked_at = time.monotonic()
+        reply: messages.WatchReply | errors.TransportError
         try:
             reply = self._node.rpc_client.call(
-                address, "Watch", watch, timeout_s
+                address, "Watch", watch, WATCH_TIMEOUT_S
             )
         except errors.TransportError as error:
-            if self._connected:
-                self._log.warning(
-                    "control_lost",
-                    member=address,
-                    reason=error,
-                    number=self._number,
-                )
-            self._connected = False
-            self._leader = ""
-            return False
+            reply = error
+        self._answers.put(_Answer(address, asked_at, reply))
+
+    def _wait_for_reply(
+        self, asked: set[str], began_at: float, until: float
+    ) -> bool:
+        """Apply the first reply that comes.
+
+        Args:
+            asked: members that have not answered yet, which is updated.
+            began_at: when the first of them was asked.
+        Returns: whether there was one in time.
+        """
+        while asked:
+            left_s = max(0.0, until - time.monotonic())
+            try:
+                answer = self._answers.get(timeout=left_s)
+            except queue.Empty:
+                self._failure = "no reply in time"
+                return False
+            if answer.asked_at < self._applied_at:
+                # Another reply to the same question came first.
+                continue
+            if answer.asked_at >= began_at:
+                asked.discard(answer.address)
+            match answer.reply:
+                case messages.WatchReply() as reply:
+                    self._applied_at = time.monotonic()
+                    self._note_reached(answer.address)
+                    self._apply_reply(reply, answer.address, answer.asked_at)
+                    return True
+                case failure:
+                    self._failure = failure
+        return False
+
+    def _note_reached(self, address: str) -> None:
         if not self._connected:
             self._log.info("control_reached", member=address)
         self._connected = True
-        self._apply_reply(reply, address, asked_at)
-        if not self._number:
-            gevent.sleep(RETRY_DELAY_S)
-        return True
+
+    def _note_lost(self, address: str) -> None:
+        if self._connected:
+            self._log.warning(
+                "control_lost",
+                member=address,
+                reason=self._failure,
+                number=self._number,
+            )
+        self._connected = False
+        if self._leader == address:
+            self._leader = ""
 
     def _apply_reply(
         self, reply: messages.WatchReply, address: str, asked_at: float
