Tell the lifetimes of a replica under one id apart

Cause: ends of replicas were counted by the replica's id, so that two replicas never made the three ends after which a part is blocked. The start of a lifetime (`born`), which the list names, was not read. Marks of leaving, named limits, permits, pauses and parts held outlived their replica for the same reason.

Change: ends are numbered for each id. Each process numbers by what it knows of earlier ends, so that processes agree; `born` tells lifetimes apart, or else the time between two losses. A replica that is listed with a later start is another member of the fleet, and statements hold for the lifetime that made them. Members merge a whole answer before the crashes that a row names.

--- a/papayalink/coordination/crash_counts.py
+++ b/papayalink/coordination/crash_counts.py
@@ -1,7 +1,9 @@
 """Counts the ends of replicas against the calls that may have caused them."""
 
+from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import TypeAlias
 
 # Crashes after which a request, or prompts with a part, are no longer sent.
 # Healthy ones are seldom lost twice without a whole answer in between.
@@ -13,9 +15,12 @@
 # ends several at the same moment, whatever they answer.
 SAME_MOMENT_S = 0.02
 
+# What identifies the end of one lifetime of a replica.
+End: TypeAlias = Hashable
+
 
 def find_guilty(
-    requests: dict[str, dict[str, float]], begun: Mapping[str, int]
+    requests: dict[str, dict[End, float]], begun: Mapping[End, int]
 ) -> set[str]:
     """Find the requests that end replicas.
 
@@ -23,15 +28,15 @@
     that was lost with fewer replicas.
 
     Args:
-        requests: by key, times of crashes by replica.
-        begun: by replica, number of requests whose answer had begun.
+        requests: by key, times of crashes by the end of a replica.
+        begun: by end, number of requests whose answer had begun.
     """
     guilty = set()
     left = dict(requests)
     while left:
         key = max(left, key=lambda each: (len(left[each]), each))
         crashes = left.pop(key)
-        certain = all(begun[replica_id] == 1 for replica_id in crashes)
+        certain = all(begun[end] == 1 for end in crashes)
         needed = MIN_CERTAIN_CRASHES if certain else MIN_CRASHES
         if count_moments(crashes.values()) < needed:
             continue
@@ -39,15 +44,15 @@
         for other, counted in left.items():
             if counted.keys() != crashes.keys():
                 left[other] = {
-                    replica_id: at
-                    for replica_id, at in counted.items()
-                    if replica_id not in crashes
+                    end: at
+                    for end, at in counted.items()
+                    if end not in crashes
                 }
     return guilty
 
 
 def times_by_request(
-    crashes: dict[str, float], requests: dict[str, dict[str, float]]
+    crashes: dict[End, float], requests: dict[str, dict[End, float]]
 ) -> list[float]:
     """Returns: times of a part's crashes, one for each request they show.
 
@@ -55,7 +60,7 @@
     are counted.
 
     Args:
-        crashes: times of the part's crashes by replica.
+        crashes: times of the part's crashes by the end of a replica.
         requests: the same by request.
     """
     times = []
@@ -68,7 +73,7 @@
         )
         if len(explained) < 2:
             return times + list(left.values())
-        times.append(min(left.pop(replica_id) for replica_id in explained))
+        times.append(min(left.pop(end) for end in explained))
     return times
 
 
--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -15,6 +15,7 @@
 
 from papayalink.coordination import call_keys
 from papayalink.coordination import crash_counts
+from papayalink.coordination import replica_ends
 from papayalink.coordination import suspects
 from papayalink.protocol import shared_tables
 
@@ -49,6 +50,7 @@
     __slots__ = (
         "version",
         "_suspects",
+        "_ends",
         "_counted",
         "_counts",
         "_requests",
@@ -60,12 +62,13 @@
     def __init__(self, version: int = 0) -> None:
         self.version = version
         self._suspects: dict[str, suspects.Suspect] = {}
-        # By key, the times of the crashes that count against it, by replica.
-        self._counted: dict[str, dict[str, float]] = {}
+        self._ends = replica_ends.make_replica_ends()
+        # By key, the times of the crashes that count against it.
+        self._counted: dict[str, dict[replica_ends.ReplicaEnd, float]] = {}
         # By key, the number of crashes that nothing else explains.
         self._counts: dict[str, int] = {}
         # The requests among the counted keys.
-        self._requests: dict[str, dict[str, float]] = {}
+        self._requests: dict[str, dict[replica_ends.ReplicaEnd, float]] = {}
         self._blocked: frozenset[str] = frozenset()
         self._sound: dict[str, float] = {}
         # By key, until when a trial is permitted.
@@ -78,7 +81,8 @@
     def blocked(self) -> dict[str, list[str]]:
         """Blocked parts and requests, each with the replicas that ended."""
         return {
-            key: sorted(self._counted[key]) for key in sorted(self._blocked)
+            key: sorted({end.replica_id for end in self._counted[key]})
+            for key in sorted(self._blocked)
         }
 
     @property
@@ -97,6 +101,7 @@
         begun: bool,
         now: float,
         request: str = "",
+        born_ms: int = 0,
     ) -> None:
         """Record that a replica ended before it answered a call.
 
@@ -104,12 +109,14 @@
             parts: keys of the call's parts that other prompts share.
             begun: whether the answer had begun, without a whole event.
             request: key of the call itself.
+            born_ms: start of the lifetime that ended, 0 when unknown.
         """
+        end = self._ends.find(replica_id, now, born_ms)
         changed = False
         if request:
-            changed = self._add_crash(request, replica_id, now, begun)
+            changed = self._add_crash(request, end, now, begun)
         for part in itertools.islice(parts, MAX_PARTS_OF_PROMPT):
-            changed |= self._add_crash(part, replica_id, now, begun)
+            changed |= self._add_crash(part, end, now, begun)
         self._note_change(changed)
 
     def note_whole_answer(self, keys: Iterable[str], now: float) -> list[str]:
@@ -162,7 +169,7 @@
         }
         if not prompt_parts:
             return None
-        explained: set[str] = set()
+        explained: set[replica_ends.ReplicaEnd] = set()
         for part, count in self._counts.items():
             if count >= needed and part not in prompt_parts:
                 if not call_keys.is_request_key(part):
@@ -235,9 +242,13 @@
                 key,
                 tuple(
                     shared_tables.Crash(
-                        replica_id, _ms(now - each.at), each.begun
+                        end.replica_id,
+                        _ms(now - each.at),
+                        each.begun,
+                        end.number,
+                        self._ends.born_ms(end),
                     )
-                    for replica_id, each in suspect.crashes.items()
+                    for end, each in suspect.crashes.items()
                 ),
                 _age_ms(suspect.sound_at, now),
                 suspect.trials,
@@ -254,22 +265,31 @@
         changed = False
         for each in itertools.islice(reported, MAX_PARTS + MAX_REQUESTS):
             key = call_keys.bounded_key(each.key)
+            sound_at = float("-inf")
+            if each.sound_age_ms >= 0:
+                sound_at = now - each.sound_age_ms / 1000
+            # A crash after a whole answer may have the number of one before.
+            changed |= self._clear(key, sound_at)
             for crash in each.crashes:
                 at = now - crash.age_ms / 1000
-                changed |= self._add_crash(
-                    key, crash.replica_id, at, crash.begun
+                end = self._ends.merge(
+                    crash.replica_id, crash.number, at, crash.born_ms
                 )
+                changed |= self._add_crash(key, end, at, crash.begun)
+            changed |= self._clear(key, sound_at)
             suspect = self._suspects.get(key)
             if suspect is None:
                 continue
-            if each.sound_age_ms >= 0:
-                changed |= suspect.clear(now - each.sound_age_ms / 1000)
             if suspect.crashes:
                 changed |= _merge_trials(suspect, each, now)
         self._note_change(changed)
 
+    def _clear(self, key: str, sound_at: float) -> bool:
+        suspect = self._suspects.get(key)
+        return suspect is not None and suspect.clear(sound_at)
+
     def _add_crash(
-        self, key: str, replica_id: str, at: float, begun: bool
+        self, key: str, end: replica_ends.ReplicaEnd, at: float, begun: bool
     ) -> bool:
         suspect = self._suspects.get(key)
         is_new = suspect is None
@@ -278,18 +298,20 @@
             suspect = self._suspects[key] = suspects.make_suspect(is_request)
             suspect.sound_at = self._sound.get(key, float("-inf"))
         # Also tells the others if the key has been sound since.
-        return suspect.add_crash(replica_id, at, begun) or is_new
+        return suspect.add_crash(end, at, begun) or is_new
 
-    def _count_part(self, part: str, explained: Collection[str] = ()) -> int:
+    def _count_part(
+        self, part: str, explained: Collection[replica_ends.ReplicaEnd] = ()
+    ) -> int:
         """Returns: number of crashes of a part, one for each request.
 
         Args:
-            explained: replicas whose ends do not count.
+            explained: ends of replicas that do not count.
         """
         crashes = {
-            replica_id: at
-            for replica_id, at in self._counted[part].items()
-            if replica_id not in explained
+            end: at
+            for end, at in self._counted[part].items()
+            if end not in explained
         }
         return crash_counts.count_moments(
             crash_counts.times_by_request(crashes, self._requests)
@@ -302,10 +324,10 @@
         self._drop_excess(True, MAX_REQUESTS)
         self._drop_excess(False, MAX_PARTS)
         requests_begun = collections.Counter(
-            replica_id
+            end
             for key, suspect in self._suspects.items()
             if call_keys.is_request_key(key)
-            for replica_id, crash in suspect.crashes.items()
+            for end, crash in suspect.crashes.items()
             if crash.begun
         )
         self._count_crashes()
@@ -333,16 +355,16 @@
         another one.
         """
         begun_at = {
-            replica_id
+            end
             for suspect in self._suspects.values()
-            for replica_id, crash in suspect.crashes.items()
+            for end, crash in suspect.crashes.items()
             if crash.begun
         }
         counted = {
             key: {
-                replica_id: crash.at
-                for replica_id, crash in suspect.crashes.items()
-                if crash.begun or replica_id not in begun_at
+                end: crash.at
+                for end, crash in suspect.crashes.items()
+                if crash.begun or end not in begun_at
             }
             for key, suspect in self._suspects.items()
         }
--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -115,6 +115,9 @@
     ) -> list[fleet_member.Member]:
         """Apply a newer list of replicas.
 
+        A replica that has started again under its id is another member, which
+        holds and knows nothing of before.
+
         Returns: members that were removed or are no longer READY.
         """
         before = self._members
@@ -125,6 +128,14 @@
             member = before.pop(replica.replica_id, None)
             if member is None:
                 member = fleet_member.make_member(replica)
+            elif not replicas.same_lifetime(
+                member.replica.born_ms, replica.born_ms
+            ):
+                unavailable.append(member)
+                loading = member.loading
+                member = fleet_member.make_member(replica)
+                # An order outlasts the lifetime in which it was given.
+                member.loading = loading
             elif (
                 member.replica.condition is replicas.Condition.READY
                 and replica.condition is not replicas.Condition.READY
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -23,7 +23,7 @@
 
 
 class Member:
-    """State of one replica at this entry.
+    """State of one lifetime of a replica at this entry.
 
     Attributes:
         replica: its record in the last list.
@@ -93,6 +93,14 @@
         self.leaving = False
         self.loading: frozenset[str] = frozenset()
 
+    @property
+    def born_ms(self) -> int:
+        """Start of the lifetime that answers now, 0 when unknown.
+
+        The list lags: a replica whose end was seen may have started again.
+        """
+        return 0 if self.refused_at > float("-inf") else self.replica.born_ms
+
     @property
     def in_flight(self) -> int:
         """Number of unfinished calls of this entry."""
--- a/papayalink/coordination/named_limits.py
+++ b/papayalink/coordination/named_limits.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from papayalink.protocol import shared_tables
+from papayalink.state import replicas
 
 # A limit that is named all the time is reported again this often.
 REFRESH_S = 5.0
@@ -22,11 +23,14 @@
 class _Statement:
     """What a replica said last; `limit_per_s` is None for no limit."""
 
-    __slots__ = ("limit_per_s", "at")
+    __slots__ = ("limit_per_s", "at", "born_ms")
 
-    def __init__(self, limit_per_s: float | None, at: float) -> None:
+    def __init__(
+        self, limit_per_s: float | None, at: float, born_ms: int
+    ) -> None:
         self.limit_per_s = limit_per_s
         self.at = at
+        self.born_ms = born_ms
 
 
 class NamedLimits:
@@ -45,10 +49,17 @@
         self.version = version
         self._statements: dict[str, _Statement] = {}
 
-    def limit_per_s(self, replica_id: str) -> float | None:
-        """Returns: requests a second for all entries, None for no limit."""
+    def limit_per_s(self, replica_id: str, born_ms: int = 0) -> float | None:
+        """Returns: requests a second for all entries, None for no limit.
+
+        Args: born_ms: start of the lifetime asked for, 0 when unknown.
+        """
         statement = self._statements.get(replica_id)
-        if statement is None or statement.limit_per_s is None:
+        if (
+            statement is None
+            or statement.limit_per_s is None
+            or not replicas.same_lifetime(statement.born_ms, born_ms)
+        ):
             return None
         return max(MIN_LIMIT_PER_S, statement.limit_per_s)
 
@@ -66,21 +77,27 @@
         limit_per_s: float | None,
         sent_at: float,
         now: float,
+        born_ms: int = 0,
     ) -> None:
         """Record what the head of an answer says.
 
         An answer without a limit ends one only if its request was sent after
         the limit was known.
+
+        Args: born_ms: start of the replica's lifetime, 0 when unknown.
         """
         known = self._statements.get(replica_id)
         if known is None:
             if limit_per_s is not None:
-                self._set(replica_id, limit_per_s, now)
+                self._set(replica_id, limit_per_s, now, born_ms)
         elif limit_per_s != known.limit_per_s:
             if limit_per_s is not None or sent_at > known.at:
-                self._set(replica_id, limit_per_s, now)
-        elif limit_per_s is not None and now - known.at > REFRESH_S:
-            self._set(replica_id, limit_per_s, now)
+                self._set(replica_id, limit_per_s, now, born_ms)
+        elif limit_per_s is not None and (
+            now - known.at > REFRESH_S
+            or not replicas.same_lifetime(known.born_ms, born_ms)
+        ):
+            self._set(replica_id, limit_per_s, now, born_ms)
 
     def encode(
         self, now: float, since: int = 0
@@ -91,6 +108,7 @@
                 replica_id,
                 -1.0 if each.limit_per_s is None else each.limit_per_s,
                 max(0, int((now - each.at) * 1000)),
+                each.born_ms,
             )
             for replica_id, each in self._statements.items()
         )
@@ -104,11 +122,14 @@
             limit_per_s = None if each.limit_per_s < 0 else each.limit_per_s
             known = self._statements.get(each.replica_id)
             if known is not None:
-                is_same = limit_per_s == known.limit_per_s
+                is_same = (
+                    limit_per_s == known.limit_per_s
+                    and replicas.same_lifetime(known.born_ms, each.born_ms)
+                )
                 if at <= known.at + (_SAME_REPORT_S if is_same else 0.0):
                     continue
             if now - at < KEEP_S:
-                self._set(each.replica_id, limit_per_s, at)
+                self._set(each.replica_id, limit_per_s, at, each.born_ms)
 
     def expire(self, now: float) -> None:
         """Forget replicas that have said nothing for long."""
@@ -122,10 +143,14 @@
         self.version += bool(old)
 
     def _set(
-        self, replica_id: str, limit_per_s: float | None, at: float
+        self,
+        replica_id: str,
+        limit_per_s: float | None,
+        at: float,
+        born_ms: int,
     ) -> None:
         self._statements.pop(replica_id, None)
-        self._statements[replica_id] = _Statement(limit_per_s, at)
+        self._statements[replica_id] = _Statement(limit_per_s, at, born_ms)
         if len(self._statements) > MAX_REPLICAS:
             del self._statements[next(iter(self._statements))]
         self.version += 1
--- a/papayalink/coordination/suspects.py
+++ b/papayalink/coordination/suspects.py
@@ -1,5 +1,7 @@
 """What is known of one part or request that may end replicas."""
 
+from papayalink.coordination import replica_ends
+
 # Number of crashes that are remembered of each.
 MAX_CRASHES = 8
 # A blocked part gets one prompt through after this time, and after four times
@@ -40,7 +42,7 @@
     )
 
     def __init__(self, is_request: bool) -> None:
-        self.crashes: dict[str, Crash] = {}
+        self.crashes: dict[replica_ends.ReplicaEnd, Crash] = {}
         self.sound_at = float("-inf")
         self.trials = 0
         self.trial_at = float("-inf")
@@ -80,29 +82,29 @@
         self.sound_at = max(self.sound_at, now)
         before = len(self.crashes)
         self.crashes = {
-            replica_id: crash
-            for replica_id, crash in self.crashes.items()
-            if crash.at > now
+            end: crash for end, crash in self.crashes.items() if crash.at > now
         }
         if not self.crashes:
             self.trials = 0
             self.trial_at = float("-inf")
         return len(self.crashes) < before
 
-    def add_crash(self, replica_id: str, at: float, begun: bool) -> bool:
+    def add_crash(
+        self, end: replica_ends.ReplicaEnd, at: float, begun: bool
+    ) -> bool:
         """Returns: whether the crash or its kind was new."""
         if at <= self.sound_at:
             return False
-        known = self.crashes.get(replica_id)
+        known = self.crashes.get(end)
         if known is not None:
             is_new = begun and not known.begun
             known.begun = known.begun or begun
             return is_new
-        self.crashes[replica_id] = Crash(at, begun)
+        self.crashes[end] = Crash(at, begun)
         if len(self.crashes) > MAX_CRASHES:
             oldest = min(self.crashes, key=lambda key: self.crashes[key].at)
             del self.crashes[oldest]
-            return oldest != replica_id
+            return oldest != end
         return True
 
 
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -72,6 +72,7 @@
     state: str
     cold_remaining_ms: _Milliseconds
     models: Annotated[list[_Model], msgspec.Meta(max_length=_MAX_MODELS)] = []
+    born: Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 0
 
 
 class _Report(msgspec.Struct):
@@ -262,6 +263,7 @@
             condition=_CONDITIONS[instance.state],
             cold_s=instance.cold_remaining_ms / 1000,
             weights={model.name: model.version for model in instance.models},
+            born_ms=instance.born,
         )
     except (
         msgspec.DecodeError,
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -8,11 +8,15 @@
 
     Attributes:
         begun: whether the answer had begun, without a whole event.
+        number: counts the ends of the replica.
+        born_ms: start of the lifetime that ended, 0 when unknown.
     """
 
     replica_id: str
     age_ms: int
     begun: bool
+    number: int = 1
+    born_ms: int = 0
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
@@ -41,11 +45,13 @@
 
     Attributes:
         limit_per_s: requests a second from all entries, -1 for no limit.
+        born_ms: start of the lifetime that said so, 0 when unknown.
     """
 
     replica_id: str
     limit_per_s: float
     age_ms: int
+    born_ms: int = 0
 
 
 class LeavingReplica(msgspec.Struct, frozen=True, array_like=True):
@@ -53,10 +59,12 @@
 
     Attributes:
         age_ms: time since it said so last, or nearly so.
+        born_ms: start of the lifetime that said so, 0 when unknown.
     """
 
     replica_id: str
     age_ms: int
+    born_ms: int = 0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
--- a/papayalink/roles/gateway/crashes.py
+++ b/papayalink/roles/gateway/crashes.py
@@ -33,6 +33,7 @@
     parts: tuple[str, ...]
     request: str
     begun: bool
+    born_ms: int
 
 
 class CrashObserver:
@@ -61,7 +62,8 @@
         self.suspects = suspects
         self._liveness = liveness
         self._metrics = metrics
-        self._losses: dict[str, list[_Loss]] = {}
+        # By record, not by id: a replica may start again under its id.
+        self._losses: dict[fleet_member.Member, list[_Loss]] = {}
         self._refused_at: dict[str, float] = {}
         self._blocked: frozenset[str] = frozenset()
         self._log = logs.get_logger()
@@ -128,7 +130,14 @@
             begun: whether the answer had begun, without a whole event.
         """
         self._remember(
-            member, _Loss(time.monotonic(), keys.parts, keys.request, begun)
+            member,
+            _Loss(
+                time.monotonic(),
+                keys.parts,
+                keys.request,
+                begun,
+                member.born_ms,
+            ),
         )
         check = gevent.spawn(self._check, member)
         check.join(CHECK_WAIT_S)
@@ -160,8 +169,8 @@
         answers; one that disappears has crashed.
         """
         if member.replica.condition is replicas.Condition.READY:
-            self._note_ended(member.replica.replica_id)
-        self._losses.pop(member.replica.replica_id, None)
+            self._note_ended(member)
+        self._losses.pop(member, None)
 
     def log_changes(self) -> None:
         """Log which keys are blocked since the last call, or no longer."""
@@ -177,17 +186,17 @@
 
     def _remember(self, member: fleet_member.Member, loss: _Loss) -> None:
         self._losses = {
-            replica_id: losses
-            for replica_id, losses in self._losses.items()
+            lost_from: losses
+            for lost_from, losses in self._losses.items()
             if loss.at - losses[-1].at < LOSS_MEMORY_S
         }
-        losses = self._losses.setdefault(member.replica.replica_id, [])
+        losses = self._losses.setdefault(member, [])
         losses.append(loss)
         del losses[:-MAX_LOSSES]
 
     def _check(self, member: fleet_member.Member) -> None:
         if self._liveness.has_ended(member):
-            self._note_ended(member.replica.replica_id)
+            self._note_ended(member)
 
     def _request(self, keys: call_keys.CallKeys) -> str:
         """Returns: the key of the request, "" if none is suspected."""
@@ -205,13 +214,19 @@
         if self.suspects.version != version:
             self.log_changes()
 
-    def _note_ended(self, replica_id: str) -> None:
+    def _note_ended(self, member: fleet_member.Member) -> None:
         """Count the losses that the end of a replica explains."""
         now = time.monotonic()
-        for loss in self._losses.pop(replica_id, ()):
+        replica_id = member.replica.replica_id
+        for loss in self._losses.pop(member, ()):
             if now - loss.at < LOSS_MEMORY_S:
                 self.suspects.note_crash(
-                    replica_id, loss.parts, loss.begun, loss.at, loss.request
+                    replica_id,
+                    loss.parts,
+                    loss.begun,
+                    loss.at,
+                    loss.request,
+                    loss.born_ms,
                 )
                 self._log.info(
                     "call_lost_with_replica",
--- a/papayalink/roles/gateway/departures.py
+++ b/papayalink/roles/gateway/departures.py
@@ -37,7 +37,9 @@
     ) -> None:
         """Record what the head of an answer says of its replica."""
         if answer.leaving:
-            self._leaving.note(member.replica.replica_id, time.monotonic())
+            self._leaving.note(
+                member.replica.replica_id, time.monotonic(), member.born_ms
+            )
             self._apply_to(member)
 
     def apply(self) -> None:
@@ -51,7 +53,9 @@
             self._apply_to(member)
 
     def _apply_to(self, member: fleet_member.Member) -> None:
-        leaving = member.replica.replica_id in self._leaving
+        leaving = self._leaving.is_leaving(
+            member.replica.replica_id, member.replica.born_ms
+        )
         if leaving and not member.leaving:
             self._log.info(
                 "replica_says_it_leaves",
--- a/papayalink/roles/gateway/limits.py
+++ b/papayalink/roles/gateway/limits.py
@@ -48,7 +48,11 @@
         """Record what the head of an answer says of its replica."""
         version = self.limits.version
         self.limits.note(
-            member.replica.replica_id, limit_per_s, sent_at, time.monotonic()
+            member.replica.replica_id,
+            limit_per_s,
+            sent_at,
+            time.monotonic(),
+            member.born_ms,
         )
         if self.limits.version != version:
             self.apply()
@@ -57,7 +61,7 @@
         """Apply the limits to the replicas that are listed."""
         for member in self._fleet.all_members():
             member.limit_per_s = self.limits.limit_per_s(
-                member.replica.replica_id
+                member.replica.replica_id, member.replica.born_ms
             )
 
     def wanted(self) -> tuple[tuple[str, int], ...]:
--- a/papayalink/state/replicas.py
+++ b/papayalink/state/replicas.py
@@ -11,11 +11,13 @@
 
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
-    """One incarnation of an upstream.
+    """One lifetime of an upstream.
 
     Attributes:
-        replica_id: unique for each incarnation, except when a replica
-            restarts under its old id.
+        replica_id: unique for each lifetime, except when a replica restarts
+            under its old id.
+        born_ms: start of the lifetime, in Unix milliseconds of the upstream's
+            clock, 0 when unknown. It tells lifetimes under one id apart.
         slots: calls that the replica runs concurrently.
         cold_s: time for which the replica is still slow after its start.
         weights: weight version by model.
@@ -32,3 +34,12 @@
     cold_s: float = 0.0
     weights: dict[str, int] = {}
     software: str = ""
+    born_ms: int = 0
+
+
+def same_lifetime(born_ms: int, other_born_ms: int) -> bool:
+    """Returns: whether two statements of an id may be of one lifetime.
+
+    Args: starts of their lifetimes, 0 when unknown.
+    """
+    return not born_ms or not other_born_ms or born_ms == other_born_ms
--- a/tests/coordination/test_time_limits.py
+++ b/tests/coordination/test_time_limits.py
@@ -198,7 +198,7 @@
     ),
     "leaving": (
         lambda tables: tables.leaving.note("r", _AT),
-        lambda now, tables: "r" in tables.leaving,
+        lambda now, tables: tables.leaving.is_leaving("r"),
         leaving_replicas.KEEP_S,
     ),
     "origins": (
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -387,6 +387,7 @@
         {"models": []},
         {"address": "10.128.0.9:65535"},
         {"unknown": {"a": [{"b": [None, 1e300]}]}},
+        {"born": 1_771_038_262_656},
     ],
 )
 def test_sound_entry_is_taken(listed, fields):
@@ -395,6 +396,21 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("fields", "born_ms"),
+    [({}, 0), ({"born": 1_771_038_262_656}, 1_771_038_262_656)],
+)
+def test_lifetime_of_a_replica_is_read(listed, fields, born_ms):
+    listed.pages = encode_page(make_entry(**fields))
+    (found,) = listed.platform.list_replicas()
+    assert found.born_ms == born_ms
+
+
+@pytest.mark.parametrize("born", [-1, 1.5, "1", None, 2**60])
+def test_entry_with_an_odd_lifetime_is_left_out(listed, born):
+    assert listed.read(encode_page(make_entry(born=born))) == []
+
+
 _NUMBERS = st.one_of(st.integers(), st.floats(), st.booleans(), st.none())
 _JSON = st.recursive(
     st.one_of(_NUMBERS, st.text()),
--- a/tests/roles/gateway/test_leaving_replicas.py
+++ b/tests/roles/gateway/test_leaving_replicas.py
@@ -109,7 +109,7 @@
         table.note_listed(names, 1.0 + second)
     if said_again_at is not None:
         table.note("r", said_again_at)
-    assert ("r" in table) is leaving
+    assert table.is_leaving("r") is leaving
 
 
 def test_replica_of_the_same_id_is_used_again_in_time():
@@ -119,9 +119,9 @@
     copy.merge(table.encode(10.0), 10.1)
     for each in (table, copy):
         each.expire(100.0)
-        assert "r" in each
+        assert each.is_leaving("r")
         each.expire(0.2 + leaving_replicas.KEEP_S)
-        assert "r" not in each
+        assert not each.is_leaving("r")
 
 
 def test_table_is_bounded_and_changes_seldom():
