Soak: silent links, members that stand still, restarts under one id

What callers saw in three reviewed cases could not come up in the soak: its proxies stood before replicas and the list only, members never stood still together, and crashed replicas returned under new ids.

Change: with `--links` each pair of processes has a link, whose open connections fall silent while new ones work, and the authorities without a disk stand still for 2 to 6 s, in turn and beside restarts of replicas under their ids. Every other crash of a replica returns under its id. Repeats are checked against the retry budget in each period, and a read must succeed at the end. A short seeded run joins the tests.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,7 @@
     odd: bool = False,
     cut_offs: bool = False,
     weights: bool = False,
+    links: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -52,6 +53,8 @@
         odd: whether the list of replicas has an odd entry all the time.
         cut_offs: whether gateways miss releases.
         weights: whether weights are named again and again.
+        links: whether connections between processes fall silent, and
+            authorities without a disk stand still.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -72,6 +75,7 @@
         odd,
         cut_offs,
         weights,
+        links,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks the guarantees on what was observed from outside."""
 
+from papayalink import node_settings
 from soak import nodes
 from soak import records
 from soak.platform import standins
@@ -26,6 +27,8 @@
 # which calls may be cut because they have run out of time.
 CROSSING_S = 0.5
 OUT_OF_TIME_S = 2.8
+# Allowance of repeats, which processes have by default.
+RETRY_BOUNDS = node_settings.Bounds()
 # Target of disturbances of all authorities.
 ALL_MEMBERS = "authority-all"
 # Target of the time in which the soak itself stood still, and with it all
@@ -56,6 +59,7 @@
         *_check_versions(history),
         *_check_delays(history),
         *_check_weights(history),
+        *_check_repeats(history),
     ]
 
 
@@ -235,6 +239,29 @@
             yield f"{limit.replica_id} got {most} calls beside its limit"
 
 
+def _check_repeats(history):
+    """Check that repeats of calls keep to their budget in each period."""
+    period_s = RETRY_BOUNDS.retry_window_s
+    repeats = sorted(
+        execution.began_at
+        for executions in history.executions.by_call.values()
+        for execution in sorted(executions, key=lambda each: each.began_at)[1:]
+    )
+    sent = sorted(call.sent_at for call in history.calls)
+    for at in repeats:
+        most = sum(at - period_s < each <= at for each in repeats)
+        requests = max(
+            sum(end - period_s < each <= end for each in sent)
+            for end in (at, at - period_s / 2, at - period_s)
+        )
+        allowed = (
+            RETRY_BOUNDS.retry_ratio * requests + RETRY_BOUNDS.retry_slack
+        )
+        if most > allowed:
+            yield f"{most} repeats in {period_s} s, {allowed:.0f} are allowed"
+            return
+
+
 def _check_versions(history):
     """Check that each stream was written by one software version."""
     versions = {}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 
 from soak import checks
 from soak import nodes as node_module
+from soak import proxy
 from soak import records
 from soak.platform import model_weights
 from soak.platform import odd_entries
@@ -60,6 +61,18 @@
     "refused_orders": 3,
     "reload": 1,
 }
+# Kinds beside connections that fall silent and members that stand still.
+KINDS_BESIDE_LINKS = {
+    "proxy": 2,
+    "replica": 2,
+    "restart": 3,
+    "leaves": 1,
+    "reload": 1,
+}
+# Longer than gateways may go on with an older document.
+STANDING_STILL_S = 4.0
+# Time after connections have fallen silent in which processes must agree.
+SILENCE_INTERVAL_S = 6.0
 # Resets of all replicas that use up the attempts of a stream.
 RESETS = 3
 RESET_INTERVAL_S = 0.06
@@ -114,6 +127,11 @@
         self._kinds = KINDS_BESIDE_CUT_OFFS
         self._greenlets.append(gevent.spawn(self._cut_off_all, until))
 
+    def begin_links(self, links: list[proxy.Proxy], until: float) -> None:
+        """Disturb what processes tell each other, beside other faults."""
+        self._kinds = KINDS_BESIDE_LINKS
+        self._greenlets.append(gevent.spawn(self._disturb_links, links, until))
+
     def begin_weights(self) -> None:
         """Disturb the loading of weights."""
         self._kinds = KINDS_BESIDE_WEIGHTS
@@ -286,13 +304,29 @@
         for each in disturbances:
             each.ended_at = time.monotonic()
 
+    def _disturb_links(self, links: list[proxy.Proxy], until: float) -> None:
+        """Let connections fall silent and members stand still in turn."""
+        while time.monotonic() < until:
+            for node in self._nodes:
+                if node.role == "authority" and not node.durable:
+                    node.pause(True)
+            self._history.count("standing_still")
+            gevent.sleep(STANDING_STILL_S * self._rng.uniform(0.5, 1.5))
+            for node in self._nodes:
+                node.pause(False)
+            silence = self._history.begin("silence", checks.ALL_MEMBERS)
+            for link in links:
+                link.silence_open()
+            silence.ended_at = time.monotonic()
+            gevent.sleep(SILENCE_INTERVAL_S * self._rng.uniform(0.7, 1.3))
+
     def _disturb_replica(self, kind: str) -> None:
         replica = self._rng.choice(self._platform.replicas[1:])
-        proxy = self._platform.proxies.get(replica.replica_id)
+        link = self._platform.proxies.get(replica.replica_id)
         if (
             replica.replica_id in self._disturbed
             or replica.leaving
-            or proxy is None
+            or link is None
         ):
             return
         self._disturbed.add(replica.replica_id)
@@ -300,13 +334,13 @@
         duration_s = self._rng.random() * MAX_DURATION_S
         match kind:
             case "proxy":
-                proxy.mode = self._rng.choice(PROXY_MODES)
-                proxy.delay_s = self._rng.random() * 0.3
-                proxy.head_bytes = self._rng.randrange(MAX_HEAD_BYTES)
+                link.mode = self._rng.choice(PROXY_MODES)
+                link.delay_s = self._rng.random() * 0.3
+                link.head_bytes = self._rng.randrange(MAX_HEAD_BYTES)
                 gevent.sleep(duration_s)
-                proxy.mode = "pass"
+                link.mode = "pass"
             case "reset":
-                proxy.reset_all()
+                link.reset_all()
             case "replica":
                 replica.mode = self._rng.choice(REPLICA_MODES)
                 gevent.sleep(duration_s)
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -83,6 +83,7 @@
         software: version that the list names.
         limit: limit that its answers name, None for none.
         weights: weights of its model, None without a model.
+        born_ms: Unix milliseconds at which its lifetime began.
     """
 
     replica_id: str
@@ -95,6 +96,7 @@
     address: str = ""
     limit: records.NamedLimit | None = None
     weights: model_weights.ModelWeights | None = None
+    born_ms: int = msgspec.field(default_factory=lambda: _now_ms())
 
     def answer(self, environ: dict, start_response):
         path = environ["PATH_INFO"]
@@ -177,6 +179,10 @@
         self.platform.crash(self, cause)
 
 
+def _now_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def _crash_cause(environ: dict, history: records.History) -> str:
     """Returns: the request or part that ends the replica, "" for none."""
     request = environ["PATH_INFO"].removeprefix(STREAM)
@@ -251,11 +257,11 @@
         return replica
 
     def crash(self, replica: Replica, cause: str) -> None:
-        """End a replica; it returns under a new id after a while."""
+        """End a replica; every other time it returns under its id."""
         if replica.replica_id not in self._servers:
             return
         self.history.crashes.append((cause, time.monotonic()))
-        self.end(replica)
+        self.end(replica, len(self.history.crashes) % 2 == 0)
 
     def end(self, replica: Replica, keeps_id: bool = False) -> None:
         """End a replica, which returns after a while."""
@@ -340,6 +346,7 @@
                 "state": "draining" if each.leaving else "ready",
                 "coldRemainingMs": 0,
                 "models": each.weights.listed if each.weights else [],
+                "born": each.born_ms,
             }
             for each in self.replicas
         ]
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -52,6 +52,8 @@
             while neither the list nor a member answers.
         weights: whether weights are named again before all replicas have the
             last, while these are late with them.
+        links: whether the open connections between processes fall silent, and
+            authorities without a disk stand still, again and again.
     """
 
     authorities: int = 3
@@ -66,6 +68,7 @@
     odd: bool = False
     cut_offs: bool = False
     weights: bool = False
+    links: bool = False
 
 
 class Result(msgspec.Struct):
@@ -99,6 +102,7 @@
     network = node_module.Network()
     platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
     nodes: list[node_module.Node] = []
+    links: list[proxy.Proxy] = []
     watching = gevent.spawn(_watch_stalls, history)
     try:
         for index in range(REPLICAS):
@@ -123,17 +127,21 @@
             if node.role == "gateway":
                 node.list_proxy = platform.add_list_proxy()
                 node.settings["platform_address"] = node.list_proxy.address
-        return _run(seed, seconds, scenario, history, platform, nodes)
+        if scenario.links:
+            links += node_module.connect(nodes)
+        return _run(seed, seconds, scenario, history, platform, nodes, links)
     finally:
         watching.kill()
         for node in nodes:
             if node.running:
                 node.kill()
+        for link in links:
+            link.stop()
         platform.stop()
         network.close()
 
 
-def _run(seed, seconds, scenario, history, platform, nodes) -> Result:
+def _run(seed, seconds, scenario, history, platform, nodes, links) -> Result:
     members = [each for each in nodes if each.role == "authority"]
     gateways = [each for each in nodes if each.role == "gateway"]
     for node in nodes:
@@ -169,6 +177,8 @@
         injector.begin_odd_entries(until)
     if scenario.cut_offs:
         injector.begin_cut_offs(until)
+    if scenario.links:
+        injector.begin_links(links, until)
     if scenario.stops:
         work.run(until)
     else:
@@ -190,9 +200,12 @@
     always_routed = [
         each for each in final_calls if each.path_prefix != standins.OPTIONAL
     ]
+    reads = len(history.reads)
     for _ in range(6):
         operator.read(members)
     findings = checks.check(history) + checks.check_recovered(always_routed)
+    if len(history.reads) == reads:
+        findings.append("no member returns the document at the end")
     for node in nodes:
         node.note_own_end()
         findings += node.failures
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 FAULT_INJECTION_S = 5.0
 LEARNING_S = 5.0
 OLD_WEIGHTS_S = 2.0
+SILENCE_S = 8.0
 
 
 @pytest.mark.parametrize(
@@ -38,6 +39,13 @@
         # Weights are named again before the last are in place. Calls began on
         # weights that were replaced long ago.
         pytest.param(2, seed_run.Scenario(weights=True), id="weights"),
+        # Connections between processes fall silent, and authorities without a
+        # disk stand still. No leader was found again, and changes came late.
+        pytest.param(
+            3,
+            seed_run.Scenario(gateways=2, diskless=3, links=True),
+            id="links",
+        ),
     ],
 )
 def test_guarantees_hold(seed, scenario):
@@ -51,6 +59,9 @@
     elif scenario.weights:
         # Longer than old weights may be used.
         seconds += OLD_WEIGHTS_S
+    elif scenario.links:
+        # Members stand still before connections fall silent.
+        seconds += SILENCE_S
     result = seed_run.run_seed(seed, seconds, scenario)
     assert result.findings == []
     assert result.calls > 50
