Bound what all answers of replicas hold together

Callers of systems like this one saw: a replica sent bytes without end, the machine that had called it ran out of memory, and the calls of others ended with it.

Cause: a body was bounded by 8 MB for each call, and orders and reports of replicas by 32 MB; nothing bounded all calls together.

Evidence: 64 calls to a replica whose bodies never end take a gateway to 533 MB, of 300 MB that a process may have. Heads, framing and streams had bounds that hold.

Change: answers that are kept until they are whole share 64 MB, and each may hold 256 KB beside that, so that small answers still pass. Orders and reports may have 1 MB.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -19,8 +19,9 @@
 # reading one would take more than 30 system calls.
 READ_BLOCK_BYTES = 64 * 1024
 
-# Largest reply that is read whole, with its head. The list of a store's parts
-# is the largest one, with about 100 bytes for each of 60,000 parts.
+# Largest reply that is read whole, with its head, unless the caller allows
+# less. The list of a store's parts is the largest one, with about 100 bytes
+# for each of 60,000 parts.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
 # Largest head, and largest event of a stream.
 MAX_PIECE_BYTES = 1024 * 1024
@@ -129,14 +130,18 @@
         """Headers of the reply."""
         return [(name, str(value)) for name, value in self._response.items()]
 
-    def read_reply(self) -> "Reply":
-        """Returns: the complete reply; raises when it is truncated."""
+    def read_reply(self, max_bytes: int | None = None) -> "Reply":
+        """Returns: the complete reply; raises when it is truncated.
+
+        Args:
+            max_bytes: limit of its size, MAX_REPLY_BYTES if None.
+        """
         timeout_s = self._sock.gettimeout()
         whole_s = timeout_s and MAX_TIMEOUTS * timeout_s
         if self._response is None:
             self._limited.allow(MAX_PIECE_BYTES, whole_s)
             self.wait_for_head()
-        self._limited.allow(MAX_REPLY_BYTES, whole_s)
+        self._limited.allow(max_bytes or MAX_REPLY_BYTES, whole_s)
         body = bytes(self._response.read())
         return Reply(self.status, self.headers, body)
 
@@ -231,14 +236,18 @@
         timeout_s: float,
         headers: Headers = (),
         body: bytes = b"",
+        max_bytes: int | None = None,
     ) -> Reply:
         """Make a call on a new connection and read the complete reply.
 
         Takes the same arguments and raises the same errors as open().
+
+        Args:
+            max_bytes: limit of the size of the reply.
         """
         exchange = self.open(method, target, timeout_s, headers, body)
         try:
-            return exchange.read_reply()
+            return exchange.read_reply(max_bytes)
         except FAILURES as error:
             raise errors.Interrupted(_describe(error)) from error
         finally:
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -21,6 +21,9 @@
 # failed, and the caller asks again in its next period.
 LIST_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 1.0
+# Largest answer of a replica to an order, or report of its state, which has
+# some dozens of bytes for each running call. Many replicas are asked at once.
+MAX_REPORT_BYTES = 1024 * 1024
 # A list of hundreds of replicas has only a few pages.
 MAX_PAGES = 100
 # Entries that name no replica stay in the list, and may differ each time.
@@ -151,6 +154,7 @@
                 ORDER_TIMEOUT_S,
                 headers,
                 msgspec.json.encode(order),
+                MAX_REPORT_BYTES,
             )
         except adapter_errors.AdapterError as error:
             raise _make_error(error) from error
@@ -165,7 +169,12 @@
         """
         connector = connection.Connector(replica.address, ORDER_TIMEOUT_S)
         try:
-            reply = connector.call("GET", "/-/report", ORDER_TIMEOUT_S)
+            reply = connector.call(
+                "GET",
+                "/-/report",
+                ORDER_TIMEOUT_S,
+                max_bytes=MAX_REPORT_BYTES,
+            )
             report = msgspec.json.decode(reply.body, type=_Report)
         except adapter_errors.AdapterError as error:
             raise _make_error(error) from error
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -125,6 +125,7 @@
         "_on_silence",
         "_address",
         "_channel",
+        "_held_bytes",
         "_complete",
         "_has_id",
         "_keep_alive_s",
@@ -152,6 +153,7 @@
         self._on_silence = on_silence
         self._address = ""
         self._channel: upstream_channels.Channel | None = None
+        self._held_bytes = 0
         self._complete = False
         self._has_id = False
         self._keep_alive_s: float | None = None
@@ -217,6 +219,8 @@
             lost = attempts.Lost(str(error))
             return Unanswered(lost, progress=self._progress)
         finally:
+            self._channels.held.give_back(self._held_bytes)
+            self._held_bytes = 0
             self._release_channel()
         return result
 
@@ -293,11 +297,12 @@
 
     def _read_body(self) -> bytes:
         chunks = []
-        size_bytes = 0
         while data := self._channel.read_data(self._remaining_s):
             chunks.append(data)
-            size_bytes += len(data)
-            if size_bytes > MAX_ANSWER_BYTES:
+            if not self._channels.held.take(len(data), self._held_bytes):
+                raise errors.ConnectionLost("no memory for the answer")
+            self._held_bytes += len(data)
+            if self._held_bytes > MAX_ANSWER_BYTES:
                 raise errors.ConnectionLost("answer is too large")
         self._complete = True
         return b"".join(chunks)
--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -9,6 +9,7 @@
 
 from papayalink import readiness
 from papayalink.protocol import calls
+from papayalink.transport import byte_budget
 from papayalink.transport import errors
 
 # A handshake takes one round trip of a few ms and 1 ms at the upstream; a lost
@@ -35,6 +36,11 @@
 # Idle connections kept for each upstream.
 MAX_IDLE_CONNECTIONS = 64
 _READ_BYTES = 65_536
+# Bytes of answers that are held until they are whole, for all calls together,
+# and what each answer may hold beside that. A replica that sends without end
+# would otherwise fill the memory through many calls at once.
+MAX_HELD_BYTES = 64 * 1024 * 1024
+OWN_HELD_BYTES = 256 * 1024
 _SEND_BYTES = 16_384
 # Time without acknowledgement of sent data after which a peer counts as lost.
 _USER_TIMEOUT_MS = 3_000
@@ -357,11 +363,18 @@
 
 
 class Channels:
-    """Idle connections by upstream address."""
+    """Idle connections by upstream address.
 
-    __slots__ = ("_idle_channels", "_opened_connections")
+    Attributes:
+        held: bytes of answers that are held until they are whole.
+    """
+
+    __slots__ = ("held", "_idle_channels", "_opened_connections")
 
     def __init__(self) -> None:
+        self.held = byte_budget.make_byte_budget(
+            MAX_HELD_BYTES, OWN_HELD_BYTES
+        )
         self._idle_channels: dict[str, list[Channel]] = {}
         self._opened_connections = 0
 
