Fail only the call when a connection is lost while it is made

Callers saw: processes that ended and started again, and their calls cut, while peers dropped connections that had just been accepted.

Cause: grpclib takes a connection that is reset between the handshake and its first use for an open one, and fails with an AttributeError. No caller of RPC handles that, so the task and with it the process ended.

The test of a connection that is lost before its first use failed on with this error.

Change: such a connection does not count as open, and any error of a call whose connection has ended means that it was lost.

--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -275,7 +275,7 @@
 
     async def _call_on(
         self,
-        channel: grpclib.client.Channel,
+        channel: rpc_connection.Channel,
         address: str,
         method: str,
         request: bytes,
@@ -294,6 +294,12 @@
             raise _to_transport_error(address, error) from error
         except (OSError, grpclib.exceptions.StreamTerminatedError) as error:
             raise errors.ConnectionLost(f"{address}: {error}") from error
+        except Exception as error:
+            # The library raises errors of many kinds where a connection ends
+            # between two of its steps.
+            if not channel.ended:
+                raise
+            raise errors.ConnectionLost(f"{address}: {error!r}") from error
 
     def _get_connection(self, address: str) -> rpc_connection.RpcConnection:
         self._close_idle(self._idle_timeout_s)
--- a/papayalink/transport/rpc_connection.py
+++ b/papayalink/transport/rpc_connection.py
@@ -33,7 +33,20 @@
         super().data_received(data)
 
 
-class _Channel(grpclib.client.Channel):
+class Channel(grpclib.client.Channel):
+    """Does not take a connection for open that is lost while it is made."""
+
+    @property
+    def ended(self) -> bool:
+        """Whether the last connection that was made is closed or closing."""
+        return self._protocol is None or self._protocol.connection.is_closing()
+
+    async def __connect__(self) -> _Protocol:
+        protocol = await super().__connect__()
+        if self.ended:
+            raise ConnectionResetError("connection was lost while it was made")
+        return protocol
+
     def _protocol_factory(self) -> _Protocol:
         return _Protocol(
             grpclib.client.Handler(), self._config, self._h2_config
@@ -70,7 +83,7 @@
         on_silent: Callable[["RpcConnection"], None],
     ) -> None:
         host, _, port = address.rpartition(":")
-        self.channel = _Channel(host, int(port), codec=codec)
+        self.channel = Channel(host, int(port), codec=codec)
         self.last_call_at = 0.0
         self._address = address
         self._on_silent = on_silent
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -4,6 +4,8 @@
 
 import gevent
 from gevent import event
+from gevent import server as servers
+import grpclib.client
 import pytest
 
 from papayalink import clock as clocks
@@ -11,6 +13,7 @@
 from papayalink.transport import auth
 from papayalink.transport import errors
 from papayalink.transport import rpc
+from tests.transport import sockets
 
 _KEY = b"k" * 32
 
@@ -116,3 +119,75 @@
         call.get()
     gevent.sleep(0.05)
     assert len(handled_polls) == 1
+
+
+_SETTINGS_FRAME = b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+_GOAWAY_FRAME = b"\x00\x00\x08\x07" + bytes(13)
+
+
+@pytest.mark.parametrize(
+    "begin",
+    [b"", _SETTINGS_FRAME, _SETTINGS_FRAME + _GOAWAY_FRAME, b"HTTP/1.1 400"],
+    ids=["nothing", "settings", "goaway", "other-protocol"],
+)
+@pytest.mark.parametrize("reads", [False, True])
+@pytest.mark.parametrize("delay_s", [0.0, 0.001])
+@pytest.mark.parametrize("end", ["reset", "close"])
+def test_connection_that_ends_while_it_is_made_fails_the_call_only(
+    client, begin, reads, delay_s, end
+):
+    """Guards against processes that end because a peer drops a connection.
+
+    The task that called failed with an error of the library, and with it the
+    process.
+    """
+
+    def drop(sock, address):
+        if reads:
+            sock.recv(65536)
+        sock.sendall(begin)
+        gevent.sleep(delay_s)
+        if end == "reset":
+            sockets.reset(sock)
+        else:
+            sock.close()
+
+    server = servers.StreamServer(("127.0.0.1", 0), drop)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+
+    def call():
+        try:
+            _send_poll(client, address, 5.0)
+        except errors.TransportError as error:
+            return type(error)
+
+    calls = [gevent.spawn(call) for _ in range(8)]
+    for _ in range(10):
+        calls += [gevent.spawn(call) for _ in range(4)]
+        gevent.sleep(0.002)
+    gevent.joinall(calls, raise_error=True)
+    server.stop()
+    assert None not in {each.get() for each in calls}
+
+
+def test_connection_that_is_lost_before_its_first_use_fails_the_call_only(
+    client, serve, monkeypatch
+):
+    """Guards against the same where the loss comes before the request."""
+    create = grpclib.client.Channel._create_connection
+
+    async def create_and_lose(channel):
+        protocol = await create(channel)
+        protocol.connection_lost(ConnectionResetError("peer ended"))
+        return protocol
+
+    address = serve(lambda poll: messages.Acknowledge())
+    with monkeypatch.context() as patch:
+        patch.setattr(
+            grpclib.client.Channel, "_create_connection", create_and_lose
+        )
+        for _ in range(2):
+            with pytest.raises(errors.TransportError):
+                _send_poll(client, address)
+    _send_poll(client, address)
