Answer callers whose handler fails before its response

Callers could see: a request that was read got neither an answer nor a refusal; its connection was closed.

Cause, found by reading: a TransportError that left a handler closed the connection even if nothing had been sent, and a response that the parser refused counted as begun. No path that does the first was found.

Evidence: 16 of 20 new cases failed before, with no byte of an answer.

Change: what has been written decides. Without a byte the caller gets 502 after an error of transport and 500 after others, and the connection is closed; a response that has begun is cut as before.

Result: the 20 cases pass, with all tests of the server and of stops.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -28,6 +28,8 @@
 # connected, or has just had an answer that could not announce the close.
 _LAST_REQUEST_WAIT_S = 0.05
 _INTERNAL_SERVER_ERROR = 500
+# Promises nothing: the request may have been passed on.
+_BAD_GATEWAY = 502
 # Time within which a caller reads the last answer of a connection on which it
 # has sent more.
 _LINGERING_CLOSE_S = 2.0
@@ -53,7 +55,13 @@
     Each method that sends raises CallerGone when writing to the caller fails.
     """
 
-    __slots__ = ("_connection", "_sock", "_must_close", "_head_sent")
+    __slots__ = (
+        "_connection",
+        "_sock",
+        "_must_close",
+        "_head_sent",
+        "_written",
+    )
 
     def __init__(
         self,
@@ -65,6 +73,7 @@
         self._sock = sock
         self._must_close = must_close
         self._head_sent = False
+        self._written = False
 
     @property
     def head_sent(self) -> bool:
@@ -104,7 +113,22 @@
         if data:
             self._write_to_socket(data)
 
+    def respond_after_failure(self, status: int) -> None:
+        """Send the last response of the connection, if none has begun.
+
+        Bypasses the parser, which may have refused what the handler sent and
+        sends nothing more then.
+
+        Raises: errors.ResponseAborted if something has been written.
+        """
+        if self._written:
+            raise errors.ResponseAborted("handler failed in its response")
+        self._connection.send_failed()
+        self._head_sent = True
+        self._write_to_socket(_encode_last_response(status))
+
     def _write_to_socket(self, data: bytes) -> None:
+        self._written = True
         try:
             self._sock.sendall(data)
         except OSError as error:
@@ -130,9 +154,9 @@
         address: (IP, port) to listen on; port 0 chooses a free port.
         handler: answers a request. It is interrupted by CallerGone when the
             caller hangs up, and by ServerStops when the server ends, which it
-            passes on only if the request was not run. When it raises
-            TransportError, or any error after the response has begun, the
-            connection is closed.
+            passes on only if the request was not run. When it raises any
+            other error, the caller is answered if nothing has been sent, and
+            the connection is closed.
         reject: answers a request that comes after the server has begun to
             stop, from a caller that could not know, and one whose handler
             ServerStops has interrupted. It must not be run: it might not end
@@ -308,7 +332,7 @@
                 if responder.head_sent:
                     raise errors.ResponseAborted("server ends") from None
                 self._reject(request, responder)
-            except errors.TransportError:
+            except errors.ResponseAborted:
                 raise
             except gevent.GreenletExit:
                 self._log.warning(
@@ -317,13 +341,12 @@
                     head_sent=responder.head_sent,
                 )
                 raise
-            except Exception:
+            except Exception as error:
                 self._log.exception("call_failed", target=request.target)
-                if responder.head_sent:
-                    raise errors.ResponseAborted(
-                        "handler failed after the head was sent"
-                    ) from None
-                responder.respond(_INTERNAL_SERVER_ERROR, [])
+                lost = isinstance(error, errors.TransportError)
+                responder.respond_after_failure(
+                    _BAD_GATEWAY if lost else _INTERNAL_SERVER_ERROR
+                )
 
     def _read_request(
         self, connection: h11.Connection, sock: socket.socket
@@ -395,12 +418,16 @@
         self._log.info(
             "request_not_readable", status=refused.status, reason=refused
         )
-        head = b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n" % refused.status
         with contextlib.suppress(OSError):
-            sock.sendall(head + b"Connection: close\r\n\r\n")
+            sock.sendall(_encode_last_response(refused.status))
         _linger(sock)
 
 
+def _encode_last_response(status: int) -> bytes:
+    head = b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n" % status
+    return head + b"Connection: close\r\n\r\n"
+
+
 def _linger(sock: socket.socket) -> None:
     """Wait until a caller that has sent more has read its last answer.
 
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -355,3 +355,86 @@
                     pass
     finally:
         server.stop(0.1)
+
+
+@pytest.fixture
+def serve():
+    """Returns: function that starts a server with a handler."""
+    started = []
+
+    def start(handler):
+        started.append(
+            caller_server.make_caller_server(
+                ("127.0.0.1", 0), handler, handler, lambda: _LIMITS
+            )
+        )
+        started[-1].start()
+        return started[-1]
+
+    yield start
+    for each in started:
+        each.stop(0.1)
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [
+        (errors.NotConnected("a"), b"502"),
+        (errors.ConnectionRefused("a"), b"502"),
+        (errors.ConnectionLost("a"), b"502"),
+        (errors.Timeout("a"), b"502"),
+        (errors.RpcRefused("a"), b"502"),
+        (ValueError("a"), b"500"),
+    ],
+    ids=lambda value: type(value).__name__,
+)
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_handler_that_fails_before_its_response_is_answered(
+    serve, error, status, version
+):
+    """Guards against a request that got neither an answer nor a refusal."""
+
+    def fail(request, responder):
+        raise error
+
+    request = _GET.replace(b"1.1", version)
+    received = _send_and_read_all(serve(fail), request)
+    assert received.startswith(b"HTTP/1.1 " + status)
+    assert received.endswith(b"\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "body"),
+    [
+        (200, [(b"A B", b"x")], b""),
+        (200, [(b"A", b"x\ny")], b""),
+        (99, [], b""),
+        (204, [], b"text"),
+        (304, [], b"text"),
+        (200, [(b"Content-Length", b"1"), (b"Content-Length", b"2")], b""),
+    ],
+)
+def test_response_that_cannot_be_sent_becomes_an_error(
+    serve, status, headers, body
+):
+    """Guards against the same where the parser refuses the response."""
+    server = serve(
+        lambda request, responder: responder.respond(status, headers, body)
+    )
+    received = _send_and_read_all(server, _GET)
+    assert received.startswith((b"HTTP/1.1 500", b"HTTP/1.1 %d" % status))
+    assert b"\r\n\r\n" in received
+
+
+@pytest.mark.parametrize(
+    "error", [errors.ConnectionLost("a"), ValueError("a")]
+)
+def test_response_that_has_begun_is_cut_by_an_error(serve, error):
+    def fail(request, responder):
+        responder.begin(200, [])
+        responder.write(b"text")
+        raise error
+
+    received = _send_and_read_all(serve(fail), _GET)
+    assert received.count(b"HTTP/1.1") == 1
+    assert not received.endswith(b"0\r\n\r\n")
