--- a/papayalink/roles/gateway/listing.py
+++ b/papayalink/roles/gateway/listing.py
@@ -80,8 +80,10 @@
             self._log.info("list_read", replicas=len(listed))
         self._failing = False
         for member in self._fleet.update(listed):
+            again = self._fleet.find(member.replica.replica_id)
+            starts_again = again is not None and again is not member
             self._log.info(
-                "replica_leaves",
+                "replica_starts_again" if starts_again else "replica_leaves",
                 replica=member.replica.replica_id,
                 service=member.replica.service,
                 address=member.replica.address,
--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -13,6 +13,7 @@
 import grpclib.server
 import msgspec
 
+from papayalink import logs
 from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import messages
 from papayalink.transport import auth
@@ -320,8 +321,14 @@
         for address, connection in list(self._connections.items()):
             if connection is silent:
                 del self._connections[address]
+                self._loop.call_in_hub(
+                    lambda address=address: self._log_silence(address)
+                )
         self._close_idle(0.0)
 
+    def _log_silence(self, address: str) -> None:
+        logs.get_logger().warning("connection_silent", address=address)
+
     def _close_idle(self, timeout_s: float) -> None:
         oldest = time.monotonic() - timeout_s
         for address, connection in list(self._connections.items()):
