--- a/tests/roles/gateway/test_old_weights.py
+++ b/tests/roles/gateway/test_old_weights.py
@@ -240,6 +240,28 @@
     assert entry.may_use(clock()) == ["v2"]
 
 
+# Guards against the same because all members, or also the entries, start again
+# once the time of the old weights is over.
+@pytest.mark.parametrize("starts", [1, 3])
+@pytest.mark.parametrize("entry_starts", [False, True])
+def test_restart_of_the_group_allows_no_weights_whose_time_is_over(
+    clock, starts, entry_starts
+):
+    group = _Group()
+    entry = _Entry(group, (1, 2))
+    entry.exchange()
+    group.name(2)
+    entry.exchange()
+    _wait([entry], clock, _LIMIT_S + 0.5)
+    assert entry.may_use(clock()) == ["v2"]
+    for _ in range(starts):
+        group.restart()
+        if entry_starts:
+            entry = _Entry(group, (1, 2))
+        entry.exchange()
+        assert entry.may_use(clock(0.5)) == ["v2"]
+
+
 # Guards against any order of namings, restarts and cuts that has such an end.
 @pytest.mark.parametrize("seed", range(6))
 def test_no_order_of_events_prolongs_the_use_of_old_weights(clock, seed):
