Split the responder from the server of callers

The responder and the last answer of a connection are a module of their own, and what a replica's member knows of its work and its successor is with the member. Nothing that callers see changes.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -132,10 +132,7 @@
                 member.replica.born_ms, replica.born_ms
             ):
                 unavailable.append(member)
-                loading = member.loading
-                member = fleet_member.make_member(replica)
-                # An order outlasts the lifetime in which it was given.
-                member.loading = loading
+                member = fleet_member.make_successor(member, replica)
             elif (
                 member.replica.condition is replicas.Condition.READY
                 and replica.condition is not replicas.Condition.READY
@@ -192,13 +189,8 @@
     def own_work(self) -> tuple[messages.ReplicaWork, ...]:
         """Returns: unfinished work of this entry, by replica."""
         return tuple(
-            messages.ReplicaWork(
-                replica_id,
-                _nonzero(member.calls),
-                _nonzero(member.prefill),
-                _nonzero(member.memory),
-            )
-            for replica_id, member in self._members.items()
+            member.own_work()
+            for member in self._members.values()
             if member.in_flight
         )
 
@@ -434,12 +426,6 @@
         return cost_s, wait_s, own_s
 
 
-def _nonzero(counts: dict[int, int]) -> tuple[tuple[int, int], ...]:
-    return tuple(
-        (urgency, count) for urgency, count in counts.items() if count
-    )
-
-
 def make_fleet(
     zone: str,
     weights_s: float,
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -221,6 +221,15 @@
         """Stop counting a prompt that has its first token or was abandoned."""
         self.prefill[urgency] -= tokens
 
+    def own_work(self) -> messages.ReplicaWork:
+        """Returns: unfinished work of this entry."""
+        return messages.ReplicaWork(
+            self.replica.replica_id,
+            _nonzero(self.calls),
+            _nonzero(self.prefill),
+            _nonzero(self.memory),
+        )
+
     def update_other_work(
         self, work: messages.ReplicaWork | None, now: float
     ) -> None:
@@ -323,5 +332,19 @@
         )
 
 
+def _nonzero(counts: dict[int, int]) -> tuple[tuple[int, int], ...]:
+    return tuple(
+        (urgency, count) for urgency, count in counts.items() if count
+    )
+
+
 def make_member(replica: replicas.Replica) -> Member:
     return Member(replica)
+
+
+def make_successor(member: Member, replica: replicas.Replica) -> Member:
+    """Make the member of a later lifetime under the same id."""
+    successor = make_member(replica)
+    # An order outlasts the lifetime in which it was given.
+    successor.loading = member.loading
+    return successor
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -12,8 +12,8 @@
 from papayalink.protocol import calls
 from papayalink.protocol import errors as protocol_errors
 from papayalink.protocol import events
-from papayalink.transport import caller_server
 from papayalink.transport import errors
+from papayalink.transport import responders
 from papayalink.transport import upstream_channels
 
 # Largest answer that is not a stream. A larger one is an error of the service,
@@ -138,7 +138,7 @@
         channels: upstream_channels.Channels,
         call: calls.Call,
         member: fleet_member.Member,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
         remaining_s: Callable[[], float],
         note_answer: Callable[[calls.Answer], None],
         on_silence: Callable[[float], None],
@@ -389,7 +389,7 @@
     channels: upstream_channels.Channels,
     call: calls.Call,
     member: fleet_member.Member,
-    responder: caller_server.Responder,
+    responder: responders.Responder,
     remaining_s: Callable[[], float],
     note_answer: Callable[[calls.Answer], None],
     on_silence: Callable[[float], None],
--- a/papayalink/roles/gateway/call_ending.py
+++ b/papayalink/roles/gateway/call_ending.py
@@ -7,8 +7,8 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import shared as shared_parts
-from papayalink.transport import caller_server
 from papayalink.transport import errors
+from papayalink.transport import responders
 
 # Delay given to refused callers by default. They retry after a third of their
 # time at most; a fleet that is full stays full for at least this long.
@@ -41,7 +41,7 @@
         self,
         shared: shared_parts.Shared,
         call: calls.Call,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
         service: str,
         deadline: float,
         call_attempts: attempts.Attempts,
@@ -146,7 +146,7 @@
 def make_call_ending(
     shared: shared_parts.Shared,
     call: calls.Call,
-    responder: caller_server.Responder,
+    responder: responders.Responder,
     service: str,
     deadline: float,
     call_attempts: attempts.Attempts,
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -20,8 +20,8 @@
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import take_ups
 from papayalink.state import traffic
-from papayalink.transport import caller_server
 from papayalink.transport import errors
+from papayalink.transport import responders
 
 # A call that may run again is sent to another replica once its replica has
 # been silent for longer than both this many latency objectives and this many
@@ -71,7 +71,7 @@
         route: traffic.Route,
         workspace: traffic.Workspace | None,
         directory: traffic.TrafficDirectory,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
         received_at: float,
         version: take_ups.Version,
     ) -> None:
@@ -510,7 +510,7 @@
     route: traffic.Route,
     workspace: traffic.Workspace | None,
     directory: traffic.TrafficDirectory,
-    responder: caller_server.Responder,
+    responder: responders.Responder,
     received_at: float,
     version: take_ups.Version = take_ups.AnyVersion(),
 ) -> CallRun:
--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -7,6 +7,7 @@
 from papayalink.roles.gateway import call_run
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.transport import caller_server
+from papayalink.transport import responders
 
 # Share of the caller's time budget that its call may wait for the first
 # document.
@@ -28,7 +29,7 @@
     def handle(
         self,
         request: caller_server.Request,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
     ) -> None:
         """Answer one request."""
         received_at = time.monotonic()
@@ -73,7 +74,7 @@
     def reject_late(
         self,
         request: caller_server.Request,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
     ) -> None:
         """Answer a request that arrives while the entry stops."""
         call = self._shared.dialect.decode_call(
@@ -90,7 +91,7 @@
     def _reject(
         self,
         call: calls.Call,
-        responder: caller_server.Responder,
+        responder: responders.Responder,
         status: int,
         reason: str,
         retry_after_s: float | None = None,
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -19,6 +19,7 @@
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
 from papayalink.transport import request_wait
+from papayalink.transport import responders
 
 # Length of the accept queue: twice the number of connections that arrive
 # within a second at one entry of a deployment of the design size.
@@ -49,94 +50,7 @@
         self.body = body
 
 
-class Responder:
-    """Writes the response to one request.
-
-    Each method that sends raises CallerGone when writing to the caller fails.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_sock",
-        "_must_close",
-        "_head_sent",
-        "_written",
-    )
-
-    def __init__(
-        self,
-        connection: h11.Connection,
-        sock: socket.socket,
-        must_close: Callable[[], bool],
-    ) -> None:
-        self._connection = connection
-        self._sock = sock
-        self._must_close = must_close
-        self._head_sent = False
-        self._written = False
-
-    @property
-    def head_sent(self) -> bool:
-        """Whether sending of the response's head has begun."""
-        return self._head_sent
-
-    def begin(self, status: int, headers: calls.Headers) -> None:
-        """Send the head; without Content-Length the body is chunked."""
-        if self._must_close():
-            headers = [*headers, (b"Connection", b"close")]
-        self._head_sent = True
-        self._send(h11.Response(status_code=status, headers=headers))
-
-    def write(self, data: bytes) -> None:
-        self._send(h11.Data(data=data))
-
-    def end(self) -> None:
-        self._send(h11.EndOfMessage())
-
-    def respond(
-        self, status: int, headers: calls.Headers, body: bytes = b""
-    ) -> None:
-        """Send a complete response in one write."""
-        length = (b"Content-Length", str(len(body)).encode())
-        if self._must_close():
-            headers = [*headers, (b"Connection", b"close")]
-        self._head_sent = True
-        head = h11.Response(status_code=status, headers=[*headers, length])
-        parts = [self._connection.send(head)]
-        if body:
-            parts.append(self._connection.send(h11.Data(data=body)))
-        parts.append(self._connection.send(h11.EndOfMessage()))
-        self._write_to_socket(b"".join(parts))
-
-    def _send(self, h11_event: h11.Event) -> None:
-        data = self._connection.send(h11_event)
-        if data:
-            self._write_to_socket(data)
-
-    def respond_after_failure(self, status: int) -> None:
-        """Send the last response of the connection, if none has begun.
-
-        Bypasses the parser, which may have refused what the handler sent and
-        sends nothing more then.
-
-        Raises: errors.ResponseAborted if something has been written.
-        """
-        if self._written:
-            raise errors.ResponseAborted("handler failed in its response")
-        self._connection.send_failed()
-        self._head_sent = True
-        self._write_to_socket(_encode_last_response(status))
-
-    def _write_to_socket(self, data: bytes) -> None:
-        self._written = True
-        try:
-            self._sock.sendall(data)
-        except OSError as error:
-            # Must not count as a fault of the upstream whose answer is sent.
-            raise errors.CallerGone(str(error)) from error
-
-
-Handler = Callable[[Request, Responder], None]
+Handler = Callable[[Request, responders.Responder], None]
 
 
 class _Refused(errors.TransportError):
@@ -281,7 +195,7 @@
         while connection.trailing_data[0] or self._waits.wait(
             sock, self._limits().idle_timeout_s
         ):
-            responder = Responder(
+            responder = responders.make_responder(
                 connection, sock, lambda: self._close_announced
             )
             try:
@@ -321,7 +235,7 @@
         self,
         handler: Handler,
         request: Request,
-        responder: Responder,
+        responder: responders.Responder,
         sock: socket.socket,
     ) -> None:
         watch = caller_watch.CallerWatch(sock, "HTTP/1.1", False)
@@ -419,15 +333,10 @@
             "request_not_readable", status=refused.status, reason=refused
         )
         with contextlib.suppress(OSError):
-            sock.sendall(_encode_last_response(refused.status))
+            sock.sendall(responders.encode_last_response(refused.status))
         _linger(sock)
 
 
-def _encode_last_response(status: int) -> bytes:
-    head = b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n" % status
-    return head + b"Connection: close\r\n\r\n"
-
-
 def _linger(sock: socket.socket) -> None:
     """Wait until a caller that has sent more has read its last answer.
 
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -8,6 +8,7 @@
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import errors
+from papayalink.transport import responders
 
 _LIMITS = traffic.CallerLimits(
     header_bytes=4096,
@@ -246,7 +247,7 @@
     connection.receive_data(_GET)
     while not isinstance(connection.next_event(), h11.EndOfMessage):
         pass
-    responder = caller_server.Responder(connection, near, lambda: False)
+    responder = responders.make_responder(connection, near, lambda: False)
     far.close()
     with pytest.raises(errors.CallerGone):
         responder.respond(200, [], b"x")
