--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -98,8 +98,7 @@
         self._members = list(node.settings.seed_peers)
         random.shuffle(self._members)
         self._answers: queue.Queue[_Answer] = queue.Queue()
-        # When all members were asked, and when the last reply that was applied
-        # was asked for.
+        # When all members were asked last, and when a reply was applied.
         self._asked_all_at = float("-inf")
         self._applied_at = float("-inf")
         self._failure: object = ""
@@ -252,7 +251,7 @@
                 self._failure = "no reply in time"
                 return False
             if answer.asked_at < self._applied_at:
-                # Another reply to the same question came first.
+                # A reply that came first may be newer.
                 continue
             if answer.asked_at >= began_at:
                 asked.discard(answer.address)
