Take the first document once the group bears the loss of a disk

Operators saw: the first document was acknowledged, the machine that had done so lost its disk, and the document was gone; all machines answered 503 for good.

Cause: only seeds with a disk found the group. With one such seed the group had one voter when it acknowledged, 0.7 s before the others with a disk had joined.

Change: a leader without a document takes the first change once the group has the voters for the losses of its settings, or after 3 s, as there may be fewer disks. A group that holds a document never waits.

--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -1,6 +1,7 @@
 """Reads and changes the numbered document and the weight versions."""
 
 from collections.abc import Callable
+import time
 
 from papayalink import logs
 from papayalink import metrics as metrics_module
@@ -16,6 +17,9 @@
 # Operators ask another member after one second without an answer.
 PROPOSE_TIMEOUT_S = 0.8
 CONFIRM_TIMEOUT_S = 0.6
+# A new group waits this long at most for the voters that it needs to bear the
+# loss of a disk, since there may be fewer machines with a disk.
+FOUNDING_TIMEOUT_S = 3.0
 
 
 class NumberedState:
@@ -28,6 +32,8 @@
     __slots__ = (
         "_machine",
         "_replica",
+        "_required_voters",
+        "_founding_since",
         "_peers",
         "_client",
         "_metrics",
@@ -44,6 +50,8 @@
     ) -> None:
         self._machine = machine
         self._replica: replicas.Replica | None = None
+        self._required_voters = 0
+        self._founding_since: float | None = None
         self._peers = peers
         self._client = client
         self._metrics = metrics
@@ -56,9 +64,17 @@
             raise errors.Unavailable("the member does not take part yet")
         return self._replica
 
-    def attach(self, replica: replicas.Replica) -> None:
-        """Use a replica for all reads and changes."""
+    def attach(
+        self, replica: replicas.Replica, required_voters: int = 0
+    ) -> None:
+        """Use a replica for all reads and changes.
+
+        Args:
+            required_voters: number of voters that the group is to have before
+                it takes the first document.
+        """
         self._replica = replica
+        self._required_voters = required_voters
 
     def observe_before_naming(self, observe: Callable[[], None]) -> None:
         """Set what notes the newest weights before newer ones are named.
@@ -115,7 +131,13 @@
         self._record("document_invalid", reason=reason)
 
     def commit(self, command: bytes) -> bytes:
-        """Commit an encoded command; only possible on the leader."""
+        """Commit an encoded command; only possible on the leader.
+
+        A new group takes none before its members have joined: what the seeds
+        alone have acknowledged would be lost with the disk of one of them.
+        """
+        if self.is_leader and self._is_founding():
+            raise errors.Unavailable("members have yet to join")
         return self.replica.propose(command, PROPOSE_TIMEOUT_S)
 
     @property
@@ -142,6 +164,17 @@
             case _:
                 return transport_errors.RpcRefused("unavailable", str(error))
 
+    def _is_founding(self) -> bool:
+        if self._machine.numbered.number or not self._required_voters:
+            return False
+        voters = self.replica.membership.voters
+        if len(voters) >= self._required_voters:
+            return False
+        now = time.monotonic()
+        if self._founding_since is None:
+            self._founding_since = now
+        return now - self._founding_since < FOUNDING_TIMEOUT_S
+
     def _commit(self, command: machines.Command) -> numbered.Stored:
         data = machines.encode_command(command)
         try:
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -8,6 +8,7 @@
 
 from papayalink import node_settings
 from papayalink import tasks
+from papayalink.coordination import replacement
 from papayalink.coordination import replica as replicas
 from papayalink.coordination import replica_loading
 from papayalink.coordination import upstream_client
@@ -222,7 +223,8 @@
         )
         # The supervisor restarts a process whose replica has failed.
         tasks.spawn(self._replica.join)
-        self._state.attach(self._replica)
+        losses = self._node.settings.bounds.losses
+        self._state.attach(self._replica, replacement.required_voters(losses))
         self._group = group.make_group_upkeep(
             self._node,
             self._identity.member_id,
