Soak: end the limit of a replica with its lifetime

By its logs the replica had crashed and started again under its id, and named no limit from then on (gateways log that it names none at 02:55:46, and use it).

The calls are allowed, so the record is narrowed to what the replica said: its limit ends when it ends.

--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -273,6 +273,10 @@
             next_id = f"{name}+{int(starts or 0) + 1}"
         end = self.history.begin("crash", replica.replica_id)
         end.ended_at = end.began_at
+        if replica.limit is not None:
+            # Its next lifetime names none, also under the same id.
+            replica.limit.until = time.monotonic()
+            replica.limit = None
         # The address refuses connections from now on.
         self.proxies.pop(replica.replica_id).stop()
         server = self._servers.pop(replica.replica_id)
