Let calls wait for replicas that take no connections for a moment

What callers saw: 503 with seconds left, as soon as no replica of the service took a connection for 0.25 s.

Cause: a failed connection holds a replica for lost until a probe reaches it, and a call without a usable replica was refused at once; after three failed connections it was refused as well, and a replica that it could not connect to was not tried again once it was reached.

Change: a call waits for replicas that have been lost for less than 2 s, for half of its time at most, and is woken when one is reached. Replicas that are lost for longer are refused at once, as before. A class of fault: a time-out that is shorter than the pause of a sound peer is taken for its loss.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -35,6 +35,8 @@
         heard_at: monotonic seconds of the last byte received from it.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
+        lost_at: monotonic seconds since which it cannot be reached, minus
+            infinity if it was never lost.
         refused_at: monotonic seconds at which its machine refused a connection
             last, minus infinity for never.
         limit_per_s: requests a second that it takes from all entries, None
@@ -56,6 +58,7 @@
         "_in_flight_at_report",
         "heard_at",
         "reached_at",
+        "lost_at",
         "refused_at",
         "limit_per_s",
         "_permits",
@@ -81,6 +84,7 @@
         self._in_flight_at_report = 0
         self.heard_at = 0.0
         self.reached_at = float("-inf")
+        self.lost_at = float("-inf")
         self.refused_at = float("-inf")
         self.limit_per_s: float | None = None
         # When each permit was granted.
@@ -119,9 +123,13 @@
     @property
     def usable_after_load(self) -> bool:
         """Whether nothing but loading or a refusal keeps it from use."""
+        return self._reachable and self._stays
+
+    @property
+    def _stays(self) -> bool:
+        """Whether neither the list nor the replica says that it leaves."""
         return (
             self.replica.condition is replicas.Condition.READY
-            and self._reachable
             and not self.leaving
         )
 
@@ -131,11 +139,11 @@
 
     def usable_without_limit(self, now: float) -> bool:
         """Returns: whether it is usable, given a permit if it needs one."""
-        return (
-            self.usable_after_load
-            and not self.loading
-            and now >= self._avoid_until
-        )
+        return self._reachable and self.usable_if_reached(now)
+
+    def usable_if_reached(self, now: float) -> bool:
+        """Returns: whether it is usable with a permit, once it is reached."""
+        return self._stays and not self.loading and now >= self._avoid_until
 
     def permits(self, now: float) -> int:
         """Returns: number of requests that may be sent within its limit."""
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -322,6 +322,8 @@
             self._shared.liveness.note_not_reached(member)
             not_sent = attempt.Unanswered(attempts.NotSent())
             self._record.log_attempt(member, not_sent)
+            # It may be used once it is reached again.
+            self._record.withdraw_choice()
             return not_sent
         # Other greenlets ran meanwhile. From here on none does until the call
         # is sent.
@@ -453,11 +455,16 @@
         """
         now = time.monotonic()
         outcome = result.outcome
+        not_sent = isinstance(outcome, attempts.NotSent)
         decision = self._attempts.decide(outcome, budget.has_room(now))
         if isinstance(decision, attempts.TryAgain):
-            if not isinstance(outcome, attempts.NotSent):
+            if not not_sent:
                 budget.take(now)
             return True
+        if not_sent and self._replica_wait.wait(
+            self._selection_request, self._record.tried
+        ):
+            return True
         self._ending.unanswered(decision, result)
         return False
 
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -7,6 +7,7 @@
 
 from papayalink import logs
 from papayalink import metrics as metrics_module
+from papayalink.coordination import change_signal
 from papayalink.coordination import fleet_member
 from papayalink.transport import errors
 from papayalink.transport import upstream_channels
@@ -29,17 +30,29 @@
 
     A machine that lost power answers nothing, and connections to it stay
     open. A new connection shows within a few round trips whether it is up.
+
+    Args:
+        changed: notified when a lost replica is reached.
     """
 
-    __slots__ = ("_channels", "_metrics", "_checking", "_probing", "_log")
+    __slots__ = (
+        "_channels",
+        "_metrics",
+        "_changed",
+        "_checking",
+        "_probing",
+        "_log",
+    )
 
     def __init__(
         self,
         channels: upstream_channels.Channels,
         metrics: metrics_module.Metrics,
+        changed: change_signal.ChangeSignal,
     ) -> None:
         self._channels = channels
         self._metrics = metrics
+        self._changed = changed
         # By record, not by id: a replica may start again under its id.
         self._checking: dict[fleet_member.Member, gevent.Greenlet] = {}
         self._probing: set[fleet_member.Member] = set()
@@ -75,6 +88,8 @@
 
     def note_not_reached(self, member: fleet_member.Member) -> None:
         """Send the replica no calls until a connection succeeds."""
+        if member.reachable:
+            member.lost_at = time.monotonic()
         member.set_reachable(False)
         if member not in self._probing:
             self._log.warning(
@@ -122,6 +137,7 @@
                 gevent.sleep(PROBE_PERIOD_S)
                 if self._connect(member):
                     member.set_reachable(True)
+                    self._changed.notify()
                     self._log.info(
                         "replica_reached", replica=member.replica.replica_id
                     )
@@ -143,6 +159,8 @@
 
 
 def make_liveness(
-    channels: upstream_channels.Channels, metrics: metrics_module.Metrics
+    channels: upstream_channels.Channels,
+    metrics: metrics_module.Metrics,
+    changed: change_signal.ChangeSignal,
 ) -> Liveness:
-    return Liveness(channels, metrics)
+    return Liveness(channels, metrics, changed)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -82,7 +82,9 @@
         self._watcher = watching.make_watcher(
             node, translate, self._apply_changes, tables.weights
         )
-        liveness = livenesses.make_liveness(self._channels, node.metrics)
+        liveness = livenesses.make_liveness(
+            self._channels, node.metrics, self._fleet.changed
+        )
         self._crashes = crashes.make_crash_observer(
             tables.suspects, liveness, node.metrics
         )
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -16,6 +16,11 @@
 # callers abandon a stream that sends nothing for about 2 s.
 LOAD_WAIT_FRACTION = 0.5
 MAX_LOAD_WAIT_S = 1.5
+# A call waits for replicas that have just been lost up to this fraction of its
+# time, and until they have been lost for this long. A sound replica may take
+# no connections for a second or so.
+RETURN_WAIT_FRACTION = 0.5
+MAX_RETURN_S = 2.0
 
 
 class ReplicaWait:
@@ -27,7 +32,7 @@
         deadline: monotonic seconds.
     """
 
-    __slots__ = ("_fleet", "_permits_until", "_loads_until")
+    __slots__ = ("_fleet", "_permits_until", "_loads_until", "_returns_until")
 
     def __init__(
         self,
@@ -43,6 +48,9 @@
         self._loads_until = received_at + min(
             LOAD_WAIT_FRACTION * (deadline - received_at), MAX_LOAD_WAIT_S
         )
+        self._returns_until = received_at + RETURN_WAIT_FRACTION * (
+            deadline - received_at
+        )
 
     def wait(
         self, request: replica_choice.SelectionRequest, tried: Collection[str]
@@ -62,6 +70,11 @@
                 until = max(until, self._permits_until)
             if _lacks_weights(member, request):
                 until = max(until, self._loads_until)
+            if self._may_return(member, request, now):
+                returns_until = min(
+                    member.lost_at + MAX_RETURN_S, self._returns_until
+                )
+                until = max(until, returns_until)
         return until > now and self._fleet.changed.wait(until - now)
 
     def _lacks_permit(
@@ -77,6 +90,19 @@
             and self._fleet.suits(member, request, now)
         )
 
+    def _may_return(
+        self,
+        member: fleet_member.Member,
+        request: replica_choice.SelectionRequest,
+        now: float,
+    ) -> bool:
+        """Returns: whether only a lost connection keeps it from use."""
+        return (
+            not member.reachable
+            and member.usable_if_reached(now)
+            and self._fleet.suits(member, request, now)
+        )
+
 
 def _lacks_weights(
     member: fleet_member.Member, request: replica_choice.SelectionRequest
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -68,6 +68,10 @@
     def address(self):
         return f"127.0.0.1:{self.server.server_port}"
 
+    def next_steps(self, request):
+        """Returns: the steps of the answer to a request."""
+        return self.script.pop(0) if self.script else [OK]
+
     def _serve(self, sock, address):
         self.connections += 1
         while True:
@@ -78,8 +82,7 @@
                     return
                 data += chunk
             self.received.append(data)
-            steps = self.script.pop(0) if self.script else [OK]
-            for step in steps:
+            for step in self.next_steps(data):
                 if step == "reset":
                     gevent.sleep(0.02)
                     sockets.reset(sock)
@@ -153,7 +156,7 @@
         self.tables = table_exchange.make_table_set()
         self.fleet = fleets.make_fleet("z", 10.0, history=self.tables.weights)
         self.metrics = metrics_module.make_metrics()
-        channels = upstream_channels.make_channels()
+        self.channels = upstream_channels.make_channels()
         self.fleet.update(
             replicas.Replica(
                 replica_id=upstream.name,
@@ -169,39 +172,40 @@
             for upstream in upstreams
             if upstream.name.startswith(service)
         )
-        self.liveness = liveness.make_liveness(channels, self.metrics)
+        self.liveness = liveness.make_liveness(
+            self.channels, self.metrics, self.fleet.changed
+        )
         self.limits = limits.make_limit_keeper(self.tables.limits, self.fleet)
         self.crashes = crashes.make_crash_observer(
             self.tables.suspects, self.liveness, self.metrics
         )
         self.departures = departures.make_departures(
-            self.tables.leaving, self.fleet, channels
+            self.tables.leaving, self.fleet, self.channels
         )
-        handler = handling.make_handler(
-            shared.make_shared(
-                dialects.make_dialect(),
-                _Watcher(traffic.make_directory(document)),
-                self.fleet,
-                channels,
-                budgets.make_budgets(
-                    node_settings.Bounds(), lambda: 1, float("-inf")
-                ),
-                placement,
-                self.liveness,
-                self.crashes,
-                self.limits,
-                self.departures,
-                take_ups.make_take_ups(
-                    SimpleNamespace(
-                        rpc_client=SimpleNamespace(call=self.ask_member)
-                    ),
-                    lambda: ["member"],
-                    self.tables,
-                    self.metrics,
+        self.shared = shared.make_shared(
+            dialects.make_dialect(),
+            _Watcher(traffic.make_directory(document)),
+            self.fleet,
+            self.channels,
+            budgets.make_budgets(
+                node_settings.Bounds(), lambda: 1, float("-inf")
+            ),
+            placement,
+            self.liveness,
+            self.crashes,
+            self.limits,
+            self.departures,
+            take_ups.make_take_ups(
+                SimpleNamespace(
+                    rpc_client=SimpleNamespace(call=self.ask_member)
                 ),
+                lambda: ["member"],
+                self.tables,
                 self.metrics,
-            )
+            ),
+            self.metrics,
         )
+        handler = handling.make_handler(self.shared)
         self.server = caller_server.make_caller_server(
             ("127.0.0.1", 0),
             handler.handle,
--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -9,6 +9,7 @@
 import pytest
 
 from papayalink import metrics as metrics_module
+from papayalink.coordination import change_signal
 from papayalink.coordination import fleet_member
 from papayalink.roles.gateway import liveness as livenesses
 from papayalink.state import replicas
@@ -47,7 +48,9 @@
     )
     channels = _Channels()
     metrics = metrics_module.make_metrics()
-    return member, channels, livenesses.make_liveness(channels, metrics)
+    changed = change_signal.make_change_signal()
+    liveness = livenesses.make_liveness(channels, metrics, changed)
+    return member, channels, liveness
 
 
 def test_waiting_calls_share_one_check(components):
--- /dev/null
+++ b/tests/roles/gateway/test_silent_replicas.py
@@ -0,0 +1,130 @@
+"""Tests of replicas that fall silent for about a second and go on."""
+
+import gevent
+import pytest
+
+from papayalink.state import traffic
+from tests.roles.gateway import standing_still
+from tests.roles.gateway import stubs
+
+_ROUTES = (
+    stubs.make_route(
+        "once", traffic.RepeatPolicy.ONCE, timeout_s=6.0, max_attempts=3
+    ),
+    stubs.make_route(
+        "safe", traffic.RepeatPolicy.IDEMPOTENT, timeout_s=6.0, max_attempts=3
+    ),
+    stubs.make_route(
+        "single",
+        traffic.RepeatPolicy.IDEMPOTENT,
+        timeout_s=6.0,
+        max_attempts=1,
+    ),
+    stubs.make_route(
+        "stream",
+        traffic.RepeatPolicy.ONCE,
+        timeout_s=6.0,
+        max_attempts=1,
+        stream=True,
+    ),
+    stubs.make_route(
+        "resumed",
+        traffic.RepeatPolicy.RESUMABLE,
+        timeout_s=6.0,
+        max_attempts=3,
+        stream=True,
+    ),
+)
+_PATHS = tuple(f"/{route.name}/".encode() for route in _ROUTES)
+_PROMPT = (
+    b"Papayalink-Model: m",
+    b"Papayalink-Token-Usage: 100,10",
+    b"Papayalink-Prefix-Hash: own:10",
+)
+_EVENTS = 6
+# Longer than it takes to find out that a replica takes no connections, and
+# shorter than the time that the callers leave.
+_SILENCE_S = 1.3
+
+
+def _is_stream(path):
+    return path in (b"/stream/", b"/resumed/")
+
+
+class _Upstream(standing_still.Upstream):
+    """Answers in 0.3 s, and streams from the event that a call names."""
+
+    def __init__(self, name, path):
+        super().__init__(name)
+        self._streams = _is_stream(path)
+
+    def next_steps(self, request):
+        if self.script:
+            return self.script.pop(0)
+        if not self._streams:
+            return [0.3, stubs.OK]
+        _, _, rest = request.partition(b"Last-Event-Id: ")
+        first = int(rest.split(b"\r\n")[0] or 0) + 1
+        steps = [stubs.STREAM]
+        for number in range(first, _EVENTS + 1):
+            steps += [stubs.event(number), 0.05]
+        return [*steps, stubs.END]
+
+
+@pytest.fixture
+def start():
+    """Function that starts a gateway before upstreams that can stand still."""
+    started = []
+
+    def make(path, count, **fields):
+        kind = "models" if _is_stream(path) else "desk"
+        upstreams = [
+            _Upstream(f"{kind}{number}", path) for number in range(count)
+        ]
+        started.append(stubs.Gateway(upstreams, _ROUTES, **fields))
+        return started[-1]
+
+    yield make
+    for gateway in started:
+        for upstream in gateway.upstreams:
+            upstream.go_on()
+        gateway.stop()
+
+
+def _spawn_calls(gateway, path, count):
+    headers = _PROMPT if _is_stream(path) else ()
+    return [
+        gevent.spawn(gateway.call, path, headers, timeout_s=10)
+        for _ in range(count)
+    ]
+
+
+# Guards against calls that are refused, with seconds left, because no replica
+# takes connections for a moment.
+@pytest.mark.parametrize("path", _PATHS)
+def test_new_calls_wait_for_replicas_that_were_lost_just_now(start, path):
+    gateway = start(path, 3)
+    pauses = [
+        gevent.spawn(upstream.stand_still_for, _SILENCE_S)
+        for upstream in gateway.upstreams
+    ]
+    gevent.sleep(0.15)
+    calling = []
+    for _ in range(6):
+        calling += _spawn_calls(gateway, path, 1)
+        gevent.sleep(0.15)
+    gevent.joinall(pauses, raise_error=True)
+    assert [each.get(timeout=10)[0] for each in calling] == [200] * 6
+
+
+# Guards against calls that wait until their deadline for replicas that have
+# been gone for longer than a sound one stays silent.
+def test_new_calls_are_refused_once_replicas_are_lost_for_long(start):
+    gateway = start(b"/safe/", 2)
+    for upstream in gateway.upstreams:
+        upstream.stand_still()
+    assert gateway.call(b"/safe/", timeout_s=10)[0] == 503
+    gevent.sleep(1.0)
+    with gevent.Timeout(1.0):
+        assert gateway.call(b"/safe/", timeout_s=10)[0] == 503
+    assert not any(upstream.received for upstream in gateway.upstreams)
