Leave a silent replica only for one that can take the call over

What callers saw: streams cut in the middle, and 502 for calls that their replicas would have answered, 0.9 s after the last byte, when replicas stood still for a second or so.

Cause: an attempt ended as soon as its replica took no connections, whatever the call was; what could follow was decided after that. Calls that may run once, streams that have begun, calls without an attempt or without budget left gained nothing, and lost the answer. Class: a decision to end what can't be begun again, taken before it is known that it can go on.

Change: a call leaves only if it may run again, has an attempt left, its begun answer can go on elsewhere, it isn't suspected of ending replicas, another replica can be reached, and the retry budget has taken the repeat. The budget is charged with the decision, since other calls decide before the attempt has ended. Else it stays until its deadline; a replica whose machine refuses connections since has ended, and its calls end at once.

--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -56,6 +56,10 @@
         self.expected_s = 0.0
         self.first_s: float | None = None
 
+    @property
+    def call_id(self) -> str:
+        return self._call.call_id
+
     def note_choice(
         self, member: fleet_member.Member, expected_s: float
     ) -> None:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -456,9 +456,12 @@
         now = time.monotonic()
         outcome = result.outcome
         not_sent = isinstance(outcome, attempts.NotSent)
-        decision = self._attempts.decide(outcome, budget.has_room(now))
+        reserved = self._silence.use_reserved_repeat()
+        decision = self._attempts.decide(
+            outcome, reserved or budget.has_room(now)
+        )
         if isinstance(decision, attempts.TryAgain):
-            if not not_sent:
+            if not (not_sent or reserved):
                 budget.take(now)
             return True
         if not_sent and self._replica_wait.wait(
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -62,6 +62,8 @@
         """Returns: whether the replica answered recently or accepts now."""
         if time.monotonic() - member.heard_at < HEARD_RECENTLY_S:
             return True
+        if member in self._probing:
+            return False
         return self._join_check(member)
 
     def has_ended(self, member: fleet_member.Member) -> bool:
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -2,6 +2,8 @@
 
 import time
 
+import gevent
+
 from papayalink.coordination import attempts
 from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
@@ -9,6 +11,7 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import shared as shared_parts
+from papayalink.state import replicas
 from papayalink.state import traffic
 from papayalink.transport import errors
 
@@ -26,6 +29,9 @@
 class SilenceCheck:
     """Ends the attempts of one call at replicas that are silent.
 
+    A sound replica may be silent for a while and go on, and so may the path to
+    it. Only a call that can go on at another replica gains by leaving it.
+
     Args:
         call_attempts: what became of the attempts.
         stream: state of an event stream, None for any other answer.
@@ -38,6 +44,8 @@
         "_attempts",
         "_stream",
         "_record",
+        "_repeat_reserved",
+        "_noted_obstacle",
     )
 
     def __init__(
@@ -55,6 +63,8 @@
         self._attempts = call_attempts
         self._stream = stream
         self._record = record
+        self._repeat_reserved = False
+        self._noted_obstacle = ""
 
     def check(
         self,
@@ -62,33 +72,52 @@
         request: replica_choice.SelectionRequest,
         silent_s: float,
     ) -> None:
-        """End the attempt if the replica is unreachable or silent too long.
-
-        Only a call that may run again leaves a replica that is reachable but
-        silent.
+        """End the attempt if the call goes on elsewhere, or can't here.
 
         Args:
             request: what the call needs of a replica.
         Raises: errors.ConnectionLost: the attempt is to end.
         """
+        if _has_ended(member, time.monotonic() - silent_s):
+            raise errors.ConnectionLost("replica has ended")
+        obstacle = self._find_lasting_obstacle()
+        if obstacle:
+            # Other calls depend on what the check finds out.
+            gevent.spawn(self._shared.liveness.is_reachable, member)
+            self._note_stay(member, obstacle, silent_s)
+            return
         if not self._shared.liveness.is_reachable(member):
-            self._end("replica is not reachable", request)
-        if self._route.repeat is traffic.RepeatPolicy.ONCE:
+            reason = "replica is not reachable"
+        elif silent_s > self._max_silence_s():
+            reason = f"replica was silent for {silent_s:.1f} s"
+        else:
             return
-        if self._attempts.sent >= self._route.max_attempts:
+        obstacle = self._find_obstacle(request)
+        if obstacle:
+            self._note_stay(member, obstacle, silent_s)
             return
-        if silent_s > self._max_silence_s():
-            self._end(f"replica was silent for {silent_s:.1f} s", request)
+        self._repeat_reserved = True
+        self._shared.metrics.count("silent_replicas_left")
+        raise errors.ConnectionLost(reason)
+
+    def use_reserved_repeat(self) -> bool:
+        """Returns: whether the retry budget was charged for a next attempt."""
+        reserved, self._repeat_reserved = self._repeat_reserved, False
+        return reserved
 
-    def _end(
-        self, reason: str, request: replica_choice.SelectionRequest
+    def _note_stay(
+        self, member: fleet_member.Member, obstacle: str, silent_s: float
     ) -> None:
-        obstacle = self._find_obstacle(request)
-        self._shared.metrics.count(
-            "silent_replicas_left", obstacle=obstacle or "none"
-        )
-        raise errors.ConnectionLost(
-            f"{reason}; {obstacle}" if obstacle else reason
+        if obstacle == self._noted_obstacle:
+            return
+        self._noted_obstacle = obstacle
+        self._shared.metrics.count("silent_replicas_kept", obstacle=obstacle)
+        self._shared.log.failed(
+            "call_waits_for_silent_replica",
+            call=self._record.call_id,
+            replica=member.replica.replica_id,
+            obstacle=obstacle,
+            silent_ms=int(silent_s * 1000),
         )
 
     def _max_silence_s(self) -> float:
@@ -101,24 +130,54 @@
             max_silence_s = max(max_silence_s, MIN_STREAM_SILENCE_LIMIT_S)
         return max_silence_s
 
-    def _find_obstacle(self, request: replica_choice.SelectionRequest) -> str:
-        """Returns: why the call can't go on elsewhere, "" if it can."""
-        shared = self._shared
-        now = time.monotonic()
-        if self._route.repeat is traffic.RepeatPolicy.ONCE:
+    def _find_lasting_obstacle(self) -> str:
+        """Returns: why the call never goes on elsewhere, "" if it may."""
+        repeat = self._route.repeat
+        if repeat is traffic.RepeatPolicy.ONCE:
             return "may run once"
         if self._attempts.sent >= self._route.max_attempts:
             return "no attempt left"
+        begun = self._stream is not None and self._stream.begun
+        if begun and repeat is not traffic.RepeatPolicy.RESUMABLE:
+            return "stream has begun"
+        return ""
+
+    def _find_obstacle(self, request: replica_choice.SelectionRequest) -> str:
+        """Charge the retry budget if the call can go on elsewhere now.
+
+        Returns: why it can't, "" if it can.
+        """
+        shared = self._shared
+        now = time.monotonic()
         if shared.crashes.blocked_key(self._keys, True) is not None:
             return "ends replicas"
         budget = shared.budgets.for_service(request.service, now)
         if not budget.has_room(now):
             return "retry budget is used up"
-        if shared.fleet.choose(request, self._record.tried, now) is None:
+        choice = shared.fleet.choose(request, self._record.tried, now)
+        if choice is None:
             return "no other replica"
+        if not shared.liveness.is_reachable(choice.member):
+            return "other replica is not reachable"
+        # Other calls may have used the budget during the check.
+        if not budget.take(time.monotonic()):
+            return "retry budget is used up"
         return ""
 
 
+def _has_ended(member: fleet_member.Member, silent_since: float) -> bool:
+    """Returns: whether the process that runs the call has ended.
+
+    Its machine has refused a connection since the call was last heard of. One
+    that leaves may take no connections and still finish its calls.
+    """
+    leaves = (
+        member.leaving
+        or member.replica.condition is not replicas.Condition.READY
+    )
+    return member.refused_at > silent_since and not leaves
+
+
 def make_silence_check(
     shared: shared_parts.Shared,
     route: traffic.Route,
--- a/tests/roles/gateway/test_silent_replicas.py
+++ b/tests/roles/gateway/test_silent_replicas.py
@@ -71,6 +71,15 @@
         return [*steps, stubs.END]
 
 
+def _make_body(path):
+    if _is_stream(path):
+        return b"".join(
+            b"id: %d\ndata: p%d\n\n" % (number, number)
+            for number in range(1, _EVENTS + 1)
+        )
+    return b"ok"
+
+
 @pytest.fixture
 def start():
     """Function that starts a gateway before upstreams that can stand still."""
@@ -99,6 +108,42 @@
     ]
 
 
+def _stand_still(upstreams, seconds=_SILENCE_S):
+    pauses = [
+        gevent.spawn(upstream.stand_still_for, seconds)
+        for upstream in upstreams
+    ]
+    gevent.joinall(pauses, raise_error=True)
+
+
+# Guards against calls that end, and streams that are cut, although their
+# replicas answer them a second later and nobody else can.
+@pytest.mark.parametrize("path", _PATHS)
+def test_calls_outlast_the_silence_of_all_replicas(start, path):
+    gateway = start(path, 3)
+    calling = _spawn_calls(gateway, path, 6)
+    gevent.sleep(0.15)
+    _stand_still(gateway.upstreams)
+    answers = [each.get(timeout=10) for each in calling]
+    assert [(status, body) for status, _, body in answers] == [
+        (200, _make_body(path))
+    ] * 6
+
+
+# Guards against the same while another replica goes on: calls that it can't
+# take over stay, and the others are answered by either.
+@pytest.mark.parametrize("path", _PATHS)
+def test_calls_outlast_the_silence_of_one_replica(start, path):
+    gateway = start(path, 2)
+    calling = _spawn_calls(gateway, path, 6)
+    gevent.sleep(0.15)
+    _stand_still(gateway.upstreams[:1])
+    answers = [each.get(timeout=10) for each in calling]
+    assert [(status, body) for status, _, body in answers] == [
+        (200, _make_body(path))
+    ] * 6
+
+
 # Guards against calls that are refused, with seconds left, because no replica
 # takes connections for a moment.
 @pytest.mark.parametrize("path", _PATHS)
@@ -128,3 +173,49 @@
     with gevent.Timeout(1.0):
         assert gateway.call(b"/safe/", timeout_s=10)[0] == 503
     assert not any(upstream.received for upstream in gateway.upstreams)
+
+
+class _Budget:
+    """A retry budget with room for a few repeats."""
+
+    def __init__(self, room):
+        self.room = room
+
+    def for_service(self, service, now):
+        return self
+
+    def note_request(self, now):
+        pass
+
+    def has_room(self, now):
+        return self.room > 0
+
+    def take(self, now):
+        if not self.room:
+            return False
+        self.room -= 1
+        return True
+
+
+# Guards against calls that leave a silent replica for which the retry budget
+# then has no room. The replica is paused, or just takes longer than expected.
+@pytest.mark.parametrize("room", [0, 2])
+@pytest.mark.parametrize("accepts", [False, True])
+def test_no_more_calls_leave_a_silent_replica_than_may_be_repeated(
+    start, room, accepts
+):
+    gateway = start(b"/safe/", 2)
+    paused, other = gateway.upstreams
+    gateway.shared.budgets = _Budget(room)
+    paused.script = [[2.5 if accepts else 0.3, stubs.OK]] * 20
+    other.stand_still()
+    gateway.fleet.find(other.name).set_reachable(False)
+    calling = _spawn_calls(gateway, b"/safe/", 6)
+    gevent.sleep(0.15)
+    assert len(paused.received) == 6
+    other.go_on()
+    gateway.fleet.find(other.name).set_reachable(True)
+    if not accepts:
+        _stand_still([paused])
+    assert [each.get(timeout=10)[0] for each in calling] == [200] * 6
+    assert len(other.received) == room
