Read an answer that comes while its replica is checked

What callers saw: a call repeated, or given up, although its answer had come.

Cause: the check whether a silent replica takes connections lets other tasks run for up to 0.5 s, and its result was acted on without another look at the connection. Class: a look, a switch, and an act on what was seen.

Evidence: test_answer_that_comes_during_the_check_is_read failed before (the call went to a second replica).

Change: the connection is looked at again before the attempt ends.

Result: the test passes.

--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -345,7 +345,7 @@
             if time_left_s <= 0:
                 raise errors.Timeout("no answer in time")
             if time.monotonic() >= self._check_at:
-                self.on_silence(time.monotonic() - self._progress_at)
+                self._report_silence()
                 self._check_at = time.monotonic() + SILENCE_PERIOD_S
             check_in_s = self._check_at - time.monotonic()
             self._sock.settimeout(max(0.001, min(check_in_s, time_left_s)))
@@ -357,6 +357,15 @@
             except OSError as error:
                 raise errors.ConnectionLost(str(error)) from error
 
+    def _report_silence(self) -> None:
+        """Let on_silence decide, unless something arrives meanwhile."""
+        unread = readiness.has_unread_bytes(self._sock)
+        try:
+            self.on_silence(time.monotonic() - self._progress_at)
+        except errors.ConnectionLost:
+            if unread or not readiness.has_unread_bytes(self._sock):
+                raise
+
 
 def _keep_waiting(silent_s: float) -> None:
     """Keep waiting; used until the owner sets on_silence."""
--- a/tests/roles/gateway/test_silent_replicas.py
+++ b/tests/roles/gateway/test_silent_replicas.py
@@ -4,6 +4,8 @@
 import pytest
 
 from papayalink.state import traffic
+from papayalink.transport import errors
+from papayalink.transport import upstream_channels
 from tests.roles.gateway import standing_still
 from tests.roles.gateway import stubs
 
@@ -219,3 +221,27 @@
         _stand_still([paused])
     assert [each.get(timeout=10)[0] for each in calling] == [200] * 6
     assert len(other.received) == room
+
+
+# Guards against an answer that is given up because it came while it was
+# checked whether its replica takes connections.
+def test_answer_that_comes_during_the_check_is_read(start, monkeypatch):
+    gateway = start(b"/safe/", 2)
+    paused, other = gateway.upstreams
+    # The answer comes 0.2 s after the check has begun.
+    paused.script = [[upstream_channels.SILENCE_PERIOD_S + 0.2, stubs.OK]]
+    gateway.fleet.find(other.name).set_reachable(False)
+    calling = _spawn_calls(gateway, b"/safe/", 1)
+    gevent.sleep(0.15)
+    gateway.fleet.find(other.name).set_reachable(True)
+
+    def take_no_connection(channels, address):
+        if address == paused.address:
+            gevent.sleep(upstream_channels.CONNECT_TIMEOUT_S)
+            raise errors.NotConnected(address)
+
+    monkeypatch.setattr(
+        upstream_channels.Channels, "probe", take_no_connection
+    )
+    assert calling[0].get(timeout=10)[0] == 200
+    assert not other.received
