Log the calls that wait for a replica that can't be reached

What operators saw: nothing yet; the line would have come for each slow call that may run once, also at a replica that is just busy.

Change: it is written only if the replica can't be reached.

--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -84,7 +84,8 @@
         if obstacle:
             # Other calls depend on what the check finds out.
             gevent.spawn(self._shared.liveness.is_reachable, member)
-            self._note_stay(member, obstacle, silent_s)
+            if not member.reachable:
+                self._note_stay(member, obstacle, silent_s)
             return
         if not self._shared.liveness.is_reachable(member):
             reason = "replica is not reachable"
