Wait for lost replicas until a probe can have found them again

What callers saw: a replica that takes no connections for 1.9 s is reached by a probe up to 0.75 s later, when waiting calls had just been refused.

Cause: the wait ended 2 s after the loss; probes come 0.5 s apart and take up to 0.25 s.

Change: 2.75 s.

--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -18,9 +18,9 @@
 MAX_LOAD_WAIT_S = 1.5
 # A call waits for replicas that have just been lost up to this fraction of its
 # time, and until they have been lost for this long. A sound replica may take
-# no connections for a second or so.
+# no connections for 2 s, and a probe finds it again up to 0.75 s later.
 RETURN_WAIT_FRACTION = 0.5
-MAX_RETURN_S = 2.0
+MAX_RETURN_S = 2.75
 
 
 class ReplicaWait:
