--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -18,20 +18,12 @@
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
+from papayalink.roles.gateway import silence
 from papayalink.roles.gateway import take_ups
 from papayalink.state import traffic
 from papayalink.transport import errors
 from papayalink.transport import responders
 
-# A call that may run again is sent to another replica once its replica has
-# been silent for longer than both this many latency objectives and this many
-# expected times to an answer.
-SILENCE_OBJECTIVE_FACTOR = 3.0
-SILENCE_EXPECTED_FACTOR = 2.0
-# Lower bound of that silence within a stream: a replica that runs out of
-# memory preempts streams for about a second, and callers leave after 2 s or
-# more.
-MIN_STREAM_SILENCE_LIMIT_S = 1.6
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
 
@@ -57,6 +49,7 @@
         "_urgency",
         "_selection_request",
         "_replica_wait",
+        "_silence",
         "_keys",
         "_observations",
         "_lost",
@@ -110,6 +103,14 @@
             self._stream,
             self._record,
         )
+        self._silence = silence.make_silence_check(
+            shared,
+            route,
+            self._keys,
+            self._attempts,
+            self._stream,
+            self._record,
+        )
         # Whether a replica was lost with the call.
         self._lost = False
         self._suspects_version = 0
@@ -313,12 +314,16 @@
             self._responder,
             self._remaining_s,
             note_answer,
-            lambda silent_s: self._check_silence(member, silent_s),
+            lambda silent_s: self._silence.check(
+                member, self._selection_request, silent_s
+            ),
         )
         if not sending_attempt.connect():
             self._shared.liveness.note_not_reached(member)
             not_sent = attempt.Unanswered(attempts.NotSent())
             self._record.log_attempt(member, not_sent)
+            # It may be used once it is reached again.
+            self._record.withdraw_choice()
             return not_sent
         # Other greenlets ran meanwhile. From here on none does until the call
         # is sent.
@@ -415,31 +420,6 @@
             self._selection_request, software=software
         )
 
-    def _check_silence(
-        self, member: fleet_member.Member, silent_s: float
-    ) -> None:
-        """End the attempt if the replica is unreachable or silent too long.
-
-        Only a call that may run again leaves a replica that is reachable but
-        silent.
-        """
-        if not self._shared.liveness.is_reachable(member):
-            raise errors.ConnectionLost("replica is not reachable")
-        if self._route.repeat is traffic.RepeatPolicy.ONCE:
-            return
-        if self._attempts.sent >= self._route.max_attempts:
-            return
-        max_silence_s = max(
-            SILENCE_OBJECTIVE_FACTOR * self._route.objective_s,
-            SILENCE_EXPECTED_FACTOR * self._record.expected_s,
-        )
-        if self._stream is not None and self._stream.begun:
-            max_silence_s = max(max_silence_s, MIN_STREAM_SILENCE_LIMIT_S)
-        if silent_s > max_silence_s:
-            raise errors.ConnectionLost(
-                f"replica was silent for {silent_s:.1f} s"
-            )
-
     def _make_dispatch(self, member: fleet_member.Member) -> calls.Dispatch:
         version = member.weights.get(self._call.model, 0)
         last_event_id = self._call.last_event_id
@@ -475,11 +455,19 @@
         """
         now = time.monotonic()
         outcome = result.outcome
-        decision = self._attempts.decide(outcome, budget.has_room(now))
+        not_sent = isinstance(outcome, attempts.NotSent)
+        reserved = self._silence.use_reserved_repeat()
+        decision = self._attempts.decide(
+            outcome, reserved or budget.has_room(now)
+        )
         if isinstance(decision, attempts.TryAgain):
-            if not isinstance(outcome, attempts.NotSent):
+            if not (not_sent or reserved):
                 budget.take(now)
             return True
+        if not_sent and self._replica_wait.wait(
+            self._selection_request, self._record.tried
+        ):
+            return True
         self._ending.unanswered(decision, result)
         return False
 
