Wake calls that wait for replicas when the list changes

What callers saw: 503 at the end of the wait for lost replicas, although the list had named a usable one meanwhile, or the same one in a new lifetime; the same 503 only then if the list had dropped all lost replicas.

Cause: a newer list did not notify the calls that wait, and a wait that times out ends in a refusal without another look.

Evidence: both cases of test_calls_that_wait_learn_of_a_newer_list failed before (no answer within 15 s of a wait of 60 s).

Change: Fleet.update notifies.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -69,8 +69,8 @@
         rng: source of randomness for sampling candidates.
 
     Attributes:
-        changed: notified when replicas that load or have no permit may have
-            become usable.
+        changed: notified when replicas that are lost, load or have no permit
+            may have become usable, or are no longer listed.
     """
 
     __slots__ = (
@@ -145,6 +145,7 @@
             self._members[replica.replica_id] = member
             service = self._by_service.setdefault(replica.service, [])
             service.append(member)
+        self.changed.notify()
         return unavailable + list(before.values())
 
     def set_loading(self, loading: Iterable[messages.Loading]) -> None:
--- /dev/null
+++ b/tests/roles/gateway/test_waits_for_replicas.py
@@ -0,0 +1,62 @@
+"""Tests of calls that wait until a replica can be used."""
+
+import gevent
+import pytest
+
+from papayalink.roles.gateway import replica_wait
+from papayalink.state import traffic
+from tests.roles.gateway import standing_still
+from tests.roles.gateway import stubs
+
+_ROUTE = stubs.make_route(
+    "patient", traffic.RepeatPolicy.IDEMPOTENT, timeout_s=240.0
+)
+# Shorter than the time that a call with this route may wait.
+_CALL_TIMEOUT_S = 30
+
+
+@pytest.fixture
+def start(monkeypatch):
+    """Function that starts a gateway before upstreams that can stand still."""
+    monkeypatch.setattr(replica_wait, "MAX_RETURN_S", 60.0)
+    started = []
+
+    def make(count):
+        upstreams = [
+            standing_still.Upstream(f"desk{number}") for number in range(count)
+        ]
+        started.append(stubs.Gateway(upstreams, [_ROUTE]))
+        return started[-1]
+
+    yield make
+    for gateway in started:
+        for upstream in gateway.upstreams:
+            upstream.go_on()
+        gateway.stop()
+
+
+def _lose(gateway, upstream):
+    upstream.stand_still()
+    gateway.liveness.note_not_reached(gateway.fleet.find(upstream.name))
+
+
+def _spawn_call(gateway):
+    calling = gevent.spawn(
+        gateway.call, b"/patient/", timeout_s=_CALL_TIMEOUT_S
+    )
+    gevent.sleep(0.1)
+    return calling
+
+
+# Guards against calls that wait for lost replicas while the list names one
+# that they can be sent to, or none at all.
+@pytest.mark.parametrize("listed, status", [("desk1", 200), ("", 503)])
+def test_calls_that_wait_learn_of_a_newer_list(start, listed, status):
+    gateway = start(2)
+    replica = gateway.fleet.find("desk1").replica
+    gateway.fleet.update([gateway.fleet.find("desk0").replica])
+    _lose(gateway, gateway.upstreams[0])
+    calling = _spawn_call(gateway)
+    gateway.fleet.update([replica] if listed else [])
+    assert calling.get()[0] == status
+    assert not gateway.upstreams[0].received
