Send calls to replicas that are left after three failed connections

What callers saw: with three of five replicas lost at once, 503 for a call whose first three connections failed; since calls wait for lost replicas, it came only after that wait. The other replicas were idle.

Cause: the third failed connection ended the call, or made it wait for the lost replicas, before it was known whether another replica was usable.

Evidence: test_failed_connections_leave_the_other_replicas_to_a_call failed before (three attempts NotSent, then no answer within 15 s of a wait of 60 s).

Change: the call goes on as long as a replica can be chosen. Each failed connection takes its replica out of use until a probe reaches it, and the deadline ends the call as before.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -464,13 +464,22 @@
             if not (not_sent or reserved):
                 budget.take(now)
             return True
-        if not_sent and self._replica_wait.wait(
-            self._selection_request, self._record.tried
+        if not_sent and (
+            self._can_choose(now)
+            or self._replica_wait.wait(
+                self._selection_request, self._record.tried
+            )
         ):
             return True
         self._ending.unanswered(decision, result)
         return False
 
+    def _can_choose(self, now: float) -> bool:
+        choice = self._shared.fleet.choose(
+            self._selection_request, self._record.tried, now
+        )
+        return choice is not None
+
     def _urgent_objective_s(self) -> float | None:
         return self._directory.urgent_objective_s(
             self._service, self._route.rank
--- a/tests/roles/gateway/test_waits_for_replicas.py
+++ b/tests/roles/gateway/test_waits_for_replicas.py
@@ -60,3 +60,16 @@
     gateway.fleet.update([replica] if listed else [])
     assert calling.get()[0] == status
     assert not gateway.upstreams[0].received
+
+
+# Guards against calls that wait for lost replicas, and are refused, while
+# another one takes connections.
+def test_failed_connections_leave_the_other_replicas_to_a_call(start):
+    gateway = start(5)
+    *lost, other = gateway.upstreams
+    for upstream in lost:
+        upstream.stand_still()
+    for _ in range(9):
+        gateway.fleet.find(other.name).note_result(True)
+    assert _spawn_call(gateway).get()[0] == 200
+    assert len(other.received) == 1
