End the wait for lost replicas when a refusal of another one ends

What callers saw: 503 after up to 2.75 s, since some replicas of the service were lost and another had turned calls away for 0.2 s, or as long as it named.

Cause: the wait is as long as lost replicas may take to return, and nothing wakes a call when a refusal of a reachable replica ends. Before calls waited for lost replicas, they were refused at once with that time as Retry-After.

Change: a call that waits looks for a replica again once a refusal has ended.

--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -63,9 +63,14 @@
         """
         now = time.monotonic()
         until = now
+        # When the first of the replicas that have turned calls away may be
+        # used again.
+        resumes_at = float("inf")
         for member in self._fleet.members(request.service):
             if member.replica.replica_id in tried:
                 continue
+            if self._turns_calls_away(member, request, now):
+                resumes_at = min(resumes_at, now + member.avoided_s(now))
             if self._lacks_permit(member, request, now):
                 until = max(until, self._permits_until)
             if _lacks_weights(member, request):
@@ -75,7 +80,24 @@
                     member.lost_at + MAX_RETURN_S, self._returns_until
                 )
                 until = max(until, returns_until)
-        return until > now and self._fleet.changed.wait(until - now)
+        if until <= now:
+            return False
+        changed = self._fleet.changed.wait(min(until, resumes_at) - now)
+        return changed or resumes_at <= until
+
+    def _turns_calls_away(
+        self,
+        member: fleet_member.Member,
+        request: replica_choice.SelectionRequest,
+        now: float,
+    ) -> bool:
+        """Returns: whether only a refusal keeps the replica from use."""
+        return (
+            member.usable_after_load
+            and not member.loading
+            and member.avoided_s(now) > 0
+            and self._fleet.suits(member, request, now)
+        )
 
     def _lacks_permit(
         self,
--- a/tests/roles/gateway/test_waits_for_replicas.py
+++ b/tests/roles/gateway/test_waits_for_replicas.py
@@ -1,5 +1,7 @@
 """Tests of calls that wait until a replica can be used."""
 
+import time
+
 import gevent
 import pytest
 
@@ -73,3 +75,16 @@
         gateway.fleet.find(other.name).note_result(True)
     assert _spawn_call(gateway).get()[0] == 200
     assert len(other.received) == 1
+
+
+# Guards against calls that wait for lost replicas after one that has turned
+# calls away takes them again.
+def test_calls_that_wait_are_sent_once_a_refusal_has_ended(start):
+    gateway = start(2)
+    lost, other = gateway.upstreams
+    _lose(gateway, lost)
+    gateway.fleet.find(other.name).note_full(time.monotonic(), 0.5)
+    calling = _spawn_call(gateway)
+    assert not other.received
+    assert calling.get()[0] == 200
+    assert len(other.received) == 1
