Read what has arrived before silence of an upstream is reported

What callers saw: a stream or an answer repeated at another replica although its next bytes had come, when the caller read nothing, or the gateway did not run, for a second or two. Where the check ends the call, the bytes were dropped.

Cause: the time without progress also runs while nothing is read, and the check that follows came before the read. Class: a pause on the own side is taken for silence of the peer.

Evidence: test_bytes_that_wait_are_read_before_silence_is_reported failed before (on_silence was called with the bytes in the socket's buffer).

Change: bytes that wait when a check is due are read first. If they are no progress the check follows, so that a stalled stream is not kept alive by them.

--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -67,6 +67,7 @@
         "_body_bytes",
         "_progress_at",
         "_check_at",
+        "_check_deferred",
         "_skipped_answers",
         "_used",
     )
@@ -83,6 +84,8 @@
         self._body_bytes = 0
         self._progress_at = 0.0
         self._check_at = 0.0
+        # Whether bytes were read first when the check was due.
+        self._check_deferred = False
         self._skipped_answers = 0
         self._used = False
         self.on_silence: Callable[[float], None] = _keep_waiting
@@ -142,6 +145,7 @@
         """
         self._progress_at = time.monotonic()
         self._check_at = self._progress_at + SILENCE_PERIOD_S
+        self._check_deferred = False
 
     def read_head(self, remaining_s: Callable[[], float]) -> h11.Response:
         """Wait for the head of the answer.
@@ -344,9 +348,10 @@
             time_left_s = remaining_s()
             if time_left_s <= 0:
                 raise errors.Timeout("no answer in time")
-            if time.monotonic() >= self._check_at:
+            if time.monotonic() >= self._check_at and not self._defer_check():
                 self._report_silence()
                 self._check_at = time.monotonic() + SILENCE_PERIOD_S
+                self._check_deferred = False
             check_in_s = self._check_at - time.monotonic()
             self._sock.settimeout(max(0.001, min(check_in_s, time_left_s)))
             try:
@@ -357,6 +362,17 @@
             except OSError as error:
                 raise errors.ConnectionLost(str(error)) from error
 
+    def _defer_check(self) -> bool:
+        """Returns: whether bytes are to be read before silence is reported.
+
+        They may have come while this entry or the caller was busy. Bytes that
+        are no progress defer each check once.
+        """
+        if self._check_deferred:
+            return False
+        self._check_deferred = readiness.has_unread_bytes(self._sock)
+        return self._check_deferred
+
     def _report_silence(self) -> None:
         """Let on_silence decide, unless something arrives meanwhile."""
         unread = readiness.has_unread_bytes(self._sock)
--- a/tests/transport/test_upstream_channels.py
+++ b/tests/transport/test_upstream_channels.py
@@ -405,3 +405,26 @@
     finally:
         channel.close()
         server.stop()
+
+
+class _Stalled(errors.ConnectionLost):
+    pass
+
+
+# Guards against a sound upstream that is left because the entry itself, or its
+# caller, read nothing for a while.
+def test_bytes_that_wait_are_read_before_silence_is_reported(start):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+    upstream = start([head, b"late"])
+    channel = upstream_channels.make_channels().take(
+        upstream.address, lambda: 60.0
+    )
+
+    def give_up(silent_s):
+        raise _Stalled
+
+    channel.on_silence = give_up
+    channel.send(b"POST", b"/", _HEADERS, b"hi", lambda: 60.0)
+    channel.read_head(lambda: 60.0)
+    gevent.sleep(1.5 * upstream_channels.SILENCE_PERIOD_S)
+    assert channel.read_data(lambda: 60.0) == b"late"
