Check a replica that others have lost before calls leave it

What callers saw: a call that may run again is sent to a second replica after 0.4 s, although its own goes on and takes connections, when several other gateways report that they can't reach it.

Cause: calls ask no more for a check while a lost replica is probed. One that is lost to others only is taken out of use before this entry has tried it, and its first probe comes 0.5 s later. A decision taken before it is known.

Evidence: test_replica_lost_to_others_is_checked_before_calls_leave_it failed before (not reachable, with no connection tried), and so did test_lost_replica_is_not_checked_beside_its_probes (no check at all).

Change: it is checked for the calls that wait there until a check of this entry has failed. Later checks are left to the probes as before.

Result: both tests pass, and the others of test_liveness.py.

--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -41,6 +41,7 @@
         "_changed",
         "_checking",
         "_probing",
+        "_unverified",
         "_log",
     )
 
@@ -56,13 +57,15 @@
         # By record, not by id: a replica may start again under its id.
         self._checking: dict[fleet_member.Member, gevent.Greenlet] = {}
         self._probing: set[fleet_member.Member] = set()
+        # Those of them that only other entries have failed to reach.
+        self._unverified: set[fleet_member.Member] = set()
         self._log = logs.get_logger()
 
     def is_reachable(self, member: fleet_member.Member) -> bool:
         """Returns: whether the replica answered recently or accepts now."""
         if time.monotonic() - member.heard_at < HEARD_RECENTLY_S:
             return True
-        if member in self._probing:
+        if member in self._probing and member not in self._unverified:
             return False
         return self._join_check(member)
 
@@ -84,6 +87,8 @@
         entry finds out by calls of its own.
         """
         if time.monotonic() - member.reached_at > OWN_CONTACT_S:
+            if member not in self._probing:
+                self._unverified.add(member)
             self.note_not_reached(member)
         else:
             gevent.spawn(self.is_reachable, member)
@@ -123,6 +128,7 @@
             for _ in range(CONNECT_ATTEMPTS):
                 if self._connect(member):
                     return True
+            self._unverified.discard(member)
             self.note_not_reached(member)
             return False
         finally:
@@ -146,6 +152,7 @@
                     return
         finally:
             self._probing.discard(member)
+            self._unverified.discard(member)
 
     def _connect(self, member: fleet_member.Member) -> bool:
         try:
--- a/tests/roles/gateway/test_liveness.py
+++ b/tests/roles/gateway/test_liveness.py
@@ -166,3 +166,23 @@
                 gevent.sleep(0.01)
     finally:
         exchanges.kill()
+
+
+# Guards against calls that leave a sound replica because other entries can't
+# reach it.
+def test_replica_lost_to_others_is_checked_before_calls_leave_it(components):
+    member, channels, liveness = components
+    channels.reachable = True
+    liveness.note_lost_to_others(member)
+    assert not member.reachable
+    assert liveness.is_reachable(member)
+
+
+# Guards against checks of a replica that this entry knows to be lost.
+def test_lost_replica_is_not_checked_beside_its_probes(components):
+    member, channels, liveness = components
+    liveness.note_lost_to_others(member)
+    assert not liveness.is_reachable(member)
+    assert channels.probes == livenesses.CONNECT_ATTEMPTS
+    assert not liveness.is_reachable(member)
+    assert channels.probes == livenesses.CONNECT_ATTEMPTS
