Keep a replica in use when the time of a call ends while it connects

What callers saw: 503, or a longer way, for 0.5 s and more after a call with little time left could not connect within that time: its replica was held for lost, its idle connections were closed, and the other gateways were told.

Cause: a connection is given up when the call's time ends, which may be 20 ms, and that counted as a replica that takes no connection for 0.25 s. A time-out that is shorter than what a sound peer takes, read as its loss.

Evidence: test_replica_is_not_lost_when_the_time_of_a_call_ends failed before (60 ms left, a handshake of 100 ms: not reachable).

Change: if the call had less time than a connection may take, the replica is checked; only the check takes it out of use.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import msgspec
 
 from papayalink.coordination import attempts
@@ -23,6 +24,7 @@
 from papayalink.state import traffic
 from papayalink.transport import errors
 from papayalink.transport import responders
+from papayalink.transport import upstream_channels
 
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
@@ -318,8 +320,9 @@
                 member, self._selection_request, silent_s
             ),
         )
+        had_time = self._remaining_s() >= upstream_channels.CONNECT_TIMEOUT_S
         if not sending_attempt.connect():
-            self._shared.liveness.note_not_reached(member)
+            self._note_not_connected(member, had_time)
             not_sent = attempt.Unanswered(attempts.NotSent())
             self._record.log_attempt(member, not_sent)
             # It may be used once it is reached again.
@@ -360,6 +363,20 @@
                 self._observations.note_failure(member, result, now)
         return result
 
+    def _note_not_connected(
+        self, member: fleet_member.Member, had_time: bool
+    ) -> None:
+        """Record that a connection failed.
+
+        Args:
+            had_time: whether the call left as much time as it may take.
+        """
+        liveness = self._shared.liveness
+        if had_time:
+            liveness.note_not_reached(member)
+        else:
+            gevent.spawn(liveness.is_reachable, member)
+
     def _may_send(
         self,
         member: fleet_member.Member,
