Charge the retry budget once for each repeat

What callers saw: 502, or a wait at a silent replica, for calls for which the retry budget still had room.

Cause: a check charges the budget before it ends an attempt. If something arrives meanwhile the attempt goes on, and the next check charged it again.

Evidence: test_budget_is_charged_once_for_each_repeat failed before (the third check of one call found a budget of two used up).

Change: a check uses what an earlier one of the call has charged.

Result: the test passes. Open: a repeat that is charged stays charged if the call is then answered after all.

--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -153,7 +153,10 @@
         if shared.crashes.blocked_key(self._keys, True) is not None:
             return "ends replicas"
         budget = shared.budgets.for_service(request.service, now)
-        if not budget.has_room(now):
+        # An earlier check may have charged it, and the call stayed since
+        # something arrived.
+        reserved = self._repeat_reserved
+        if not (reserved or budget.has_room(now)):
             return "retry budget is used up"
         choice = shared.fleet.choose(request, self._record.tried, now)
         if choice is None:
@@ -161,7 +164,7 @@
         if not shared.liveness.is_reachable(choice.member):
             return "other replica is not reachable"
         # Other calls may have used the budget during the check.
-        if not budget.take(time.monotonic()):
+        if not (reserved or budget.take(time.monotonic())):
             return "retry budget is used up"
         return ""
 
