End calls at replicas that the list shows to have ended

What callers saw: a call that may run once waits until its deadline for a replica whose machine is gone, also after the list has dropped it or names a later run under its id.

Cause: only a refused connection counted as the end of a replica. A machine that is gone refuses none, and one that runs again takes connections.

Evidence: both cases of test_calls_end_with_a_replica_that_has_ended failed before (no answer within 30 s of a time-out of 240 s).

Change: a silent replica has ended if the list names a later run of it, or lacks it and it takes no connections. One that leaves is excepted as before: the list drops it before it has finished its calls.

Result: both cases pass. test_calls_stay_at_a_replica_that_leaves_the_list passes, as before.

--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -78,7 +78,10 @@
             request: what the call needs of a replica.
         Raises: errors.ConnectionLost: the attempt is to end.
         """
-        if _has_ended(member, time.monotonic() - silent_s):
+        silent_since = time.monotonic() - silent_s
+        if not _leaves(member) and (
+            member.refused_at > silent_since or self._is_unlisted(member)
+        ):
             raise errors.ConnectionLost("replica has ended")
         obstacle = self._find_lasting_obstacle()
         if obstacle:
@@ -101,6 +104,16 @@
         self._shared.metrics.count("silent_replicas_left")
         raise errors.ConnectionLost(reason)
 
+    def _is_unlisted(self, member: fleet_member.Member) -> bool:
+        """Returns: whether the list shows that the replica's run has ended.
+
+        A list that lacks it is no proof while it takes connections.
+        """
+        listed = self._shared.fleet.find(member.replica.replica_id)
+        if listed is None:
+            return not member.reachable
+        return listed is not member
+
     def use_reserved_repeat(self) -> bool:
         """Returns: whether the retry budget was charged for a next attempt."""
         reserved, self._repeat_reserved = self._repeat_reserved, False
@@ -169,17 +182,15 @@
         return ""
 
 
-def _has_ended(member: fleet_member.Member, silent_since: float) -> bool:
-    """Returns: whether the process that runs the call has ended.
+def _leaves(member: fleet_member.Member) -> bool:
+    """Returns: whether the replica may refuse connections and still run calls.
 
-    Its machine has refused a connection since the call was last heard of. One
-    that leaves may take no connections and still finish its calls.
+    The list drops one that leaves before it has finished its calls.
     """
-    leaves = (
+    return (
         member.leaving
         or member.replica.condition is not replicas.Condition.READY
     )
-    return member.refused_at > silent_since and not leaves
 
 
 def make_silence_check(
