Ask members again for a stream when all of them are silent

What callers saw: 503 after 0.8 s, with seconds left, for a stream that they take up at another gateway while all members stand still for about a second.

Cause: each member was asked once, for 0.4 s, and without an answer the version counted as unknown. A time-out that is shorter than the pause of a sound peer.

Change: members are asked again for up to half of the time of the call and 2.4 s if none has answered. One that is silent beside others is not waited for.

--- a/papayalink/roles/gateway/take_ups.py
+++ b/papayalink/roles/gateway/take_ups.py
@@ -19,6 +19,10 @@
 # A member answers from memory within a few ms. The caller of a stream waits
 # meanwhile, twice at most.
 ASK_TIMEOUT_S = 0.4
+# If all members are silent they are asked again up to this fraction of the
+# call's time, and no longer than this. Sound members may stand still for 2 s.
+ASK_FRACTION = 0.5
+MAX_ASK_S = 2.4
 
 
 class AnyVersion(msgspec.Struct, frozen=True):
@@ -105,12 +109,24 @@
         arrived_at = time.monotonic()
         version = self._find_here(call, route, arrived_at)
         if version is None and call.resumes:
-            leader, *others = self._members() or [""]
-            for group in ([leader], others):
-                self._ask(call.resumes, group)
+            members = self._members()
+            ask_until = arrived_at + min(
+                ASK_FRACTION * _allowed_s(call, route), MAX_ASK_S
+            )
+            silent: list[str] = []
+            for group in (members[:1], members[1:]):
+                silent += self._ask(call.resumes, group)
                 version = self._find_here(call, route, arrived_at)
                 if version is not None:
                     break
+            while (
+                version is None
+                and silent
+                and len(silent) == len(members)
+                and time.monotonic() < ask_until
+            ):
+                silent = self._ask(call.resumes, members)
+                version = self._find_here(call, route, arrived_at)
         return (
             version
             or self._only_version(route, arrived_at)
@@ -143,16 +159,20 @@
             versions.append(OnlyVersion(target.service, software))
         return versions[0] if versions else None
 
-    def _ask(self, stream: str, members: Iterable[str]) -> None:
-        """Ask members at the same time, and merge what they know."""
-        asked = [
-            gevent.spawn(self._ask_member, member, stream)
+    def _ask(self, stream: str, members: Iterable[str]) -> list[str]:
+        """Ask members at the same time, and merge what they know.
+
+        Returns: those that were silent.
+        """
+        asked = {
+            member: gevent.spawn(self._ask_member, member, stream)
             for member in members
-            if member
-        ]
-        gevent.joinall(asked)
+        }
+        gevent.joinall(asked.values())
+        return [member for member, task in asked.items() if not task.value]
 
-    def _ask_member(self, member: str, stream: str) -> None:
+    def _ask_member(self, member: str, stream: str) -> bool:
+        """Returns: whether the member has answered, or can't be asked."""
         # The reply may wait while this process stands still.
         asked_at = time.monotonic()
         try:
@@ -164,13 +184,20 @@
             )
         except errors.TransportError as error:
             self._log.debug("origin_not_read", member=member, reason=error)
-            return
+            return not isinstance(error, errors.Timeout)
         self._tables.origins.merge(reply.origins, asked_at)
         self._tables.software.merge(reply.software, asked_at, time.monotonic())
         if reply.list_age_ms >= 0:
             self._tables.software.note_listed(
                 asked_at - reply.list_age_ms / 1000
             )
+        return True
+
+
+def _allowed_s(call: calls.Call, route: traffic.Route) -> float:
+    if not call.budget_ms:
+        return route.timeout_s
+    return min(route.timeout_s, call.budget_ms / 1000)
 
 
 def make_take_ups(
--- a/tests/roles/gateway/test_take_ups.py
+++ b/tests/roles/gateway/test_take_ups.py
@@ -137,3 +137,33 @@
     found = _find(members, tables, route=route, **fields)
     assert found == take_ups.AnyVersion()
     assert not members.asked
+
+
+class _SilentMembers(_Members):
+    """Members of which each answers from the third question on."""
+
+    def call(self, address, method, message, timeout_s):
+        if self.asked.count(address) < 2:
+            self.asked.append(address)
+            raise errors.Timeout(address)
+        return super().call(address, method, message, timeout_s)
+
+
+# Guards against streams that can't be taken up, with seconds left, because
+# members are silent for a moment.
+@pytest.mark.parametrize(
+    "known", [{"a": "v1"}, {"a": "v1", "b": ""}, {"a": "", "b": "v1"}]
+)
+def test_silent_members_are_asked_again(known):
+    members = _SilentMembers(**known)
+    assert _find(members, table_exchange.make_table_set()) == _V1
+
+
+# Guards against streams that wait for one member although others have said
+# that they do not know them.
+def test_one_silent_member_is_not_waited_for():
+    members = _SilentMembers(a="v1", b="")
+    members.asked = ["b", "b"]
+    version = _find(members, table_exchange.make_table_set())
+    assert version == take_ups.UnknownVersion()
+    assert members.asked == ["b", "b", "a", "b"]
