--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -156,12 +156,15 @@
         if shared.crashes.blocked_key(self._keys, True) is not None:
             return "ends replicas"
         budget = shared.budgets.for_service(request.service, now)
-        if not budget.has_room(now):
+        # An earlier check may have charged it, and the call stayed since
+        # something arrived.
+        reserved = self._repeat_reserved
+        if not (reserved or budget.has_room(now)):
             return "retry budget is used up"
         if not self._reach_other(request):
             return "no other replica is reached"
         # Other calls may have used the budget during the check.
-        if not budget.take(time.monotonic()):
+        if not (reserved or budget.take(time.monotonic())):
             return "retry budget is used up"
         return ""
 
