Take a lack of descriptors for a connection that can't be opened

What callers saw: while a gateway had no free descriptor, calls that may be repeated ended with 500, and streams that can be resumed were cut in the middle, when their replica was silent for 0.4 s, although the replica went on. New calls ended with 500.

Cause: making the socket of a new connection raised OSError, which neither an attempt nor the check of a silent replica expects. It left the call. Class: an error in what is done beside a call ends the call.

Change: a socket that can't be made counts as a connection that wasn't opened, so that the call waits for its replica.

--- a/papayalink/transport/upstream_channels.py
+++ b/papayalink/transport/upstream_channels.py
@@ -426,7 +426,11 @@
 
     def _connect(self, address: str, timeout_s: float) -> Channel:
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            # No descriptor is left.
+            raise errors.NotConnected(f"{address}: {error}") from error
         sock.settimeout(max(0.001, timeout_s))
         try:
             # A name would be looked up, in a thread and for seconds.
