Let calls go on when what they show of a replica can't be recorded

What callers saw: nothing yet. An error in what a gateway records of a replica (its limit, its departure, its time to a first token, the loss of a call) would end a call that its replica had answered with 500, and cut a stream that could have gone on at another replica.

Cause: these records are made in the callback for the head of an answer, and after the attempt, as a part of the call. Class: an error in what is done beside a call ends the call.

No such error is known in the present code.

Change: the error is logged as call_not_recorded with its traceback, and the call goes on. The version that a begun stream needs is still a part of the call, and is now set before the records are made.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -16,6 +16,7 @@
 from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import observations
+from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import silence
@@ -299,12 +300,14 @@
 
         def note_answer(answer: calls.Answer) -> None:
             member.end_prefill(self._urgency, prefill_tokens.pop())
-            if answer.has_server_stamp and self._call.model:
-                self._shared.fleet.note_first_token(
-                    queued_tokens + int(own_tokens), time.monotonic() - now
-                )
-            self._observations.note_head(member, answer, now)
             self._note_begun(member, answer)
+            with record_faults.logged(self._call.call_id):
+                self._observations.note_head(member, answer, now)
+                if answer.has_server_stamp and self._call.model:
+                    self._shared.fleet.note_first_token(
+                        queued_tokens + int(own_tokens),
+                        time.monotonic() - now,
+                    )
 
         sending_attempt = attempt.make_attempt(
             self._shared.dialect,
@@ -345,7 +348,21 @@
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
-        took_s = time.monotonic() - now
+        if isinstance(result, attempt.Unanswered):
+            self._lost |= isinstance(result.outcome, attempts.Lost)
+        with record_faults.logged(self._call.call_id):
+            self._note_result(member, dispatch, result, now)
+        return result
+
+    def _note_result(
+        self,
+        member: fleet_member.Member,
+        dispatch: calls.Dispatch,
+        result: attempt.Answered | attempt.Unanswered,
+        sent_at: float,
+    ) -> None:
+        """Record what the end of an attempt shows."""
+        took_s = time.monotonic() - sent_at
         match result:
             case attempt.Answered(_, first_s):
                 self._note_run(first_s, took_s)
@@ -356,9 +373,7 @@
                 self._record.log_attempt(member, result)
                 if isinstance(result.outcome, attempts.Expired):
                     self._note_run(took_s, took_s)
-                self._lost |= isinstance(result.outcome, attempts.Lost)
-                self._observations.note_failure(member, result, now)
-        return result
+                self._observations.note_failure(member, result, sent_at)
 
     def _may_send(
         self,
--- a/tests/roles/gateway/test_read_requests_are_answered.py
+++ b/tests/roles/gateway/test_read_requests_are_answered.py
@@ -328,3 +328,51 @@
             gevent.sleep(0.005)
     status, _, body = calling.get(timeout=10)
     assert (status, body) == (200, _make_body(path))
+
+
+def _fail(*_, **__):
+    raise KeyError("fault in what is recorded")
+
+
+# Guards against a call that ends with 500, or a stream that is cut, because
+# what its answer shows of a replica can't be recorded.
+@pytest.mark.parametrize("path", _PATHS)
+@pytest.mark.parametrize(
+    "component, method",
+    [
+        ("fleet", "note_first_token"),
+        ("fleet", "note_memory_held"),
+        ("limits", "note_answer"),
+        ("departures", "note_answer"),
+        ("crashes", "note_whole_answer"),
+        ("run_times", "note"),
+    ],
+)
+def test_call_outlasts_a_fault_in_what_is_recorded(
+    start, path, component, method, monkeypatch
+):
+    gateway = start(path, 1)
+    owner = type(getattr(gateway.shared, component))
+    monkeypatch.setattr(owner, method, _fail)
+    status, _, body = _spawn_call(gateway, path).get(timeout=10)
+    assert (status, body) == (200, _make_body(path))
+
+
+# Guards against a call that doesn't go on elsewhere because the loss of its
+# replica can't be recorded.
+@pytest.mark.parametrize("path", [b"/safe/", b"/resumed/"])
+def test_call_outlasts_a_fault_when_its_replica_is_lost(
+    start, path, monkeypatch
+):
+    gateway = start(path, 2)
+    lost, other = gateway.upstreams
+    begun = [stubs.STREAM, stubs.event(1)] if path in _STREAMS else [0.1]
+    lost.script = [[*begun, "reset"]]
+    gateway.fleet.find(other.name).set_reachable(False)
+    monkeypatch.setattr(type(gateway.shared.crashes), "note_lost", _fail)
+    calling = _spawn_call(gateway, path)
+    while not lost.received:
+        gevent.sleep(0.001)
+    gateway.fleet.find(other.name).set_reachable(True)
+    status, _, body = calling.get(timeout=10)
+    assert (status, body) == (200, _make_body(path))
