Let calls stay when the check of their silent replica fails

What callers saw: nothing yet. An error in the check of a silent replica would end a call that its replica goes on with: 500, or a stream that is cut.

Cause: the check runs in the task of the call, which passes on any error as an end of the attempt is passed on. Class: an error in what is done beside a call ends the call.

Evidence: with a check that fails, four of eight cases failed before (the two kinds of calls that may go on elsewhere, for either part of the check).

Change: the reason to leave is found first, and the call stays, with a line in the log, if that fails. Only a reason that was found ends the attempt.

Result: the eight cases pass, with the other cases of silence of this module and of test_silent_replicas (85 tests).

--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -10,6 +10,7 @@
 from papayalink.coordination import replica_choice
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_record
+from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.state import replicas
 from papayalink.state import traffic
@@ -74,32 +75,47 @@
     ) -> None:
         """End the attempt if the call goes on elsewhere, or can't here.
 
+        After an error of the check itself the call stays.
+
         Args:
             request: what the call needs of a replica.
         Raises: errors.ConnectionLost: the attempt is to end.
         """
+        reason = ""
+        with record_faults.logged(self._record.call_id):
+            reason = self._find_reason(member, request, silent_s)
+        if reason:
+            raise errors.ConnectionLost(reason)
+
+    def _find_reason(
+        self,
+        member: fleet_member.Member,
+        request: replica_choice.SelectionRequest,
+        silent_s: float,
+    ) -> str:
+        """Returns: why the attempt ends, "" if the call stays."""
         if _has_ended(member, time.monotonic() - silent_s):
-            raise errors.ConnectionLost("replica has ended")
+            return "replica has ended"
         obstacle = self._find_lasting_obstacle()
         if obstacle:
             # Other calls depend on what the check finds out.
             gevent.spawn(self._shared.liveness.is_reachable, member)
             if not member.reachable:
                 self._note_stay(member, obstacle, silent_s)
-            return
+            return ""
         if not self._shared.liveness.is_reachable(member):
             reason = "replica is not reachable"
         elif silent_s > self._max_silence_s():
             reason = f"replica was silent for {silent_s:.1f} s"
         else:
-            return
+            return ""
         obstacle = self._find_obstacle(request)
         if obstacle:
             self._note_stay(member, obstacle, silent_s)
-            return
+            return ""
         self._repeat_reserved = True
         self._shared.metrics.count("silent_replicas_left")
-        raise errors.ConnectionLost(reason)
+        return reason
 
     def use_reserved_repeat(self) -> bool:
         """Returns: whether the retry budget was charged for a next attempt."""
--- a/tests/roles/gateway/test_read_requests_are_answered.py
+++ b/tests/roles/gateway/test_read_requests_are_answered.py
@@ -376,3 +376,17 @@
     gateway.fleet.find(other.name).set_reachable(True)
     status, _, body = calling.get(timeout=10)
     assert (status, body) == (200, _make_body(path))
+
+
+# Guards against a call that ends, or a stream that is cut, because the check
+# of its silent replica fails.
+@pytest.mark.parametrize("path", _PATHS)
+@pytest.mark.parametrize("method", ["is_reachable", "_connect"])
+def test_call_outlasts_a_fault_in_the_check_of_its_replica(
+    start, path, method, monkeypatch
+):
+    gateway = start(path, 1)
+    gateway.upstreams[0].script = [_make_silence(path, 1.0)]
+    monkeypatch.setattr(type(gateway.liveness), method, _fail)
+    status, _, body = _spawn_call(gateway, path).get(timeout=10)
+    assert (status, body) == (200, _make_body(path))
