Let agents wait for services that take no connections for a moment

What callers saw: read in the code, not seen in a run of callers: a protected call refused as "not run" (503), or 502 upstream_unreachable recorded under its key, when its service takes no connections for a second and goes on.

Cause: the time-out of a connection was 1 s, when the kernel sends a dropped SYN again, so only one try was made.

Evidence: with a service that takes no connections for 1.3 s both new tests of tests/adapters/test_service.py failed before: it counted as not reachable, and a call ended as not sent.

Change: 3.5 s, which includes the SYN that is sent after 3 s. A service that has ended refuses connections and is noticed at once, as before; one whose machine is lost is noticed 2.5 s later. Its agent has no other service to turn to.

Result: both tests pass; tests/adapters, tests/roles/test_agent_calls.py and tests/soak/test_checks.py pass.

--- a/papayalink/adapters/service.py
+++ b/papayalink/adapters/service.py
@@ -6,8 +6,9 @@
 from papayalink.adapters import errors
 from papayalink.adapters import replies
 
-# Services are in the same region; connecting takes a few milliseconds.
-CONNECT_TIMEOUT_S = 1.0
+# A sound service may take no connections for up to 2 s. A SYN that it drops
+# is sent again after 1 s and 3 s. One that has ended refuses at once.
+CONNECT_TIMEOUT_S = 3.5
 
 # A protected call that takes longer gets the outcome "unknown", which a person
 # has to resolve, so the limit is far above the usual duration of a call.
--- a/tests/adapters/test_service.py
+++ b/tests/adapters/test_service.py
@@ -7,6 +7,7 @@
 from fakes import orders as fake
 from papayalink.adapters import errors
 from papayalink.adapters import service as adapters
+from tests.adapters import silent_server
 
 
 @pytest.fixture
@@ -113,3 +114,27 @@
     outcome = adapters.OutcomeUnknown("cut")
     data = msgspec.msgpack.encode(outcome)
     assert msgspec.msgpack.decode(data, type=adapters.Outcome) == outcome
+
+
+@pytest.fixture
+def silent():
+    """A service that takes no connections for more than a second."""
+    started = silent_server.SilentServer(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    started.go_on_after(1.3)
+    yield started
+    started.stop()
+
+
+# Guards against protected calls that are refused, and whose keys are used up,
+# because a sound service takes no connections for a second.
+def test_silent_service_is_reached_once_it_goes_on(silent):
+    assert adapters.make_service(silent.address).reachable()
+
+
+def test_call_waits_for_a_silent_service(silent):
+    """Guards against calls that end with 502 for a second of silence."""
+    outcome = _charge(adapters.make_service(silent.address), amount=3)
+    assert isinstance(outcome, adapters.Answered)
+    assert len(silent.requests) == 1
