Send a call on when a sound replica is behind silent ones

What callers saw: read in the code, not seen in a run of callers: 503 with seconds left and without having been sent, beside a replica that takes connections.

Cause: after three failed connections a call was given up, or waited for one of these replicas to return, and did not look whether another one is usable.

Evidence: with three of four replicas silent, all five cases of test_call_is_sent_to_a_sound_replica_behind_silent_ones failed before with 503 after 3.0 s, 3.0 s before their deadline.

Change: a call that was not sent goes on with any replica that is usable, and waits only if there is none. Each failed connection takes its replica out of use until a probe reaches it, so a call comes to an end with the replicas, or with its deadline.

Result: the five cases pass, as do test_silent_replicas.py, test_liveness.py, test_handling.py, test_attempts.py, test_waits_in_vain.py and test_load_wait.py.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -464,13 +464,18 @@
             if not (not_sent or reserved):
                 budget.take(now)
             return True
-        if not_sent and self._replica_wait.wait(
-            self._selection_request, self._record.tried
-        ):
+        if not_sent and self._finds_replica(now):
             return True
         self._ending.unanswered(decision, result)
         return False
 
+    def _finds_replica(self, now: float) -> bool:
+        """Returns: whether a replica is usable now, or after a wait."""
+        request, tried = self._selection_request, self._record.tried
+        if self._shared.fleet.choose(request, tried, now) is not None:
+            return True
+        return self._replica_wait.wait(request, tried)
+
     def _urgent_objective_s(self) -> float | None:
         return self._directory.urgent_objective_s(
             self._service, self._route.rank
--- a/tests/roles/gateway/test_silent_replicas.py
+++ b/tests/roles/gateway/test_silent_replicas.py
@@ -247,3 +247,21 @@
     )
     assert calling[0].get(timeout=10)[0] == 200
     assert not other.received
+
+
+# Guards against calls that are refused, with seconds left, because the first
+# replicas that they were to be sent to take no connections, while others do.
+@pytest.mark.parametrize("path", _PATHS)
+def test_call_is_sent_to_a_sound_replica_behind_silent_ones(start, path):
+    gateway = start(path, 4)
+    *silent, sound = gateway.upstreams
+    gateway.fleet.find(sound.name).set_reachable(False)
+    for upstream in silent:
+        upstream.stand_still()
+    (calling,) = _spawn_calls(gateway, path, 1)
+    # The call finds out one after the other.
+    while sum(gateway.fleet.find(each.name).reachable for each in silent) > 1:
+        gevent.sleep(0.01)
+    gateway.fleet.find(sound.name).set_reachable(True)
+    assert calling.get(timeout=10)[0] == 200
+    assert len(sound.received) == 1
