--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -176,9 +176,7 @@
         choice = fleet.choose(self._selection_request, self._record.tried, now)
         if self._ends_too_late(choice):
             return False
-        if choice is None and self._replica_wait.wait(
-            self._selection_request, self._record.tried
-        ):
+        if choice is None and self._wait_for_replica():
             return True
         if choice is None:
             self._ending.without_replica("no usable replica")
@@ -496,21 +494,25 @@
             if not (not_sent or reserved):
                 budget.take(now)
             return True
-        if not_sent and (
-            self._can_choose(now)
-            or self._replica_wait.wait(
-                self._selection_request, self._record.tried
-            )
-        ):
+        if not_sent and self._finds_replica(now):
             return True
         self._ending.unanswered(decision, result)
         return False
 
-    def _can_choose(self, now: float) -> bool:
-        choice = self._shared.fleet.choose(
-            self._selection_request, self._record.tried, now
+    def _finds_replica(self, now: float) -> bool:
+        """Returns: whether a replica is usable now, or after a wait."""
+        request, tried = self._selection_request, self._record.tried
+        if self._shared.fleet.choose(request, tried, now) is not None:
+            return True
+        return self._wait_for_replica()
+
+    def _wait_for_replica(self) -> bool:
+        """Returns: whether a replica may be usable after a wait."""
+        return self._replica_wait.wait(
+            self._selection_request,
+            self._record.tried,
+            self._attempts.may_have_run,
         )
-        return choice is not None
 
     def _urgent_objective_s(self) -> float | None:
         return self._directory.urgent_objective_s(
