Sync the name of a log's folder before the log is used

A member that joins, such as one that returns with an empty disk, makes its identity durable and creates its log folder afterwards. The folder's name was synced only by a later write of another file, if any. A power loss in between took the whole log, with entries that operators had an acknowledgement for, and the member joined again as a new one. If the disk of another voter was lost at the same time, too few voters held the entries.

Evidence: the model of a power loss now loses a folder whose parent was not synced. test_power_loss_after_any_operation failed with it before (an empty log in place of four entries) and passes now.

Loading the log syncs the parent folder first. test_names_of_files_are_synced counted folder syncs; it now compares which folders are synced, and in which order, since the parent is one of them.

--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -238,7 +238,7 @@
         self._segment_due = False
         self._next_sequence = 0
         self._failed = False
-        self._folder.mkdir(parents=True, exist_ok=True)
+        self._files.make_folder(self._folder)
         self._lock_descriptor = os.open(
             self._folder / _LOCK_NAME, os.O_WRONLY | os.O_CREAT, 0o600
         )
@@ -252,6 +252,8 @@
 
     def load(self) -> log_entries.StoredLog:
         try:
+            # The name of the folder is not made durable by syncs inside it.
+            segments.sync_folder(self._files, self._folder.parent)
             for leftover in self._folder.glob("*.tmp"):
                 self._files.remove(leftover)
             snapshot = self._load_snapshot()
--- a/papayalink/state/segments.py
+++ b/papayalink/state/segments.py
@@ -22,6 +22,10 @@
 
     __slots__ = ()
 
+    def make_folder(self, path: pathlib.Path) -> None:
+        """Create a folder and its parents when they do not exist."""
+        path.mkdir(parents=True, exist_ok=True)
+
     def open(self, path: pathlib.Path, flags: int) -> int:
         """Open a file for writing, and create it when it does not exist.
 
--- a/tests/state/faulty_files.py
+++ b/tests/state/faulty_files.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import pathlib
 import stat
 
 from papayalink.state import segments
@@ -15,7 +16,7 @@
         error: error code of writes, None for no error.
         sync_error: error code of syncs, None for no error.
         writes_before_error: writes that succeed before `error` is raised.
-        folder_syncs: number of folder syncs so far.
+        synced_folders: path of the folder of each folder sync so far.
     """
 
     __slots__ = (
@@ -23,7 +24,7 @@
         "error",
         "sync_error",
         "writes_before_error",
-        "folder_syncs",
+        "synced_folders",
     )
 
     def __init__(self):
@@ -31,7 +32,7 @@
         self.error = None
         self.sync_error = None
         self.writes_before_error = 0
-        self.folder_syncs = 0
+        self.synced_folders = []
 
     def write(self, descriptor, data):
         if self.error is not None:
@@ -47,4 +48,6 @@
     def sync(self, descriptor):
         if self.sync_error is not None:
             raise OSError(self.sync_error, os.strerror(self.sync_error))
-        self.folder_syncs += stat.S_ISDIR(os.fstat(descriptor).st_mode)
+        if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+            path = os.readlink(f"/proc/self/fd/{descriptor}")
+            self.synced_folders.append(pathlib.Path(path))
--- a/tests/state/power_loss.py
+++ b/tests/state/power_loss.py
@@ -22,13 +22,21 @@
 
     Names that were created, renamed or removed since the last sync of the
     folder are kept or lost independently of each other. Of a file, what was
-    written since its last sync is missing, torn or there.
+    written since its last sync is missing, torn or there. The folder itself
+    may be lost until its parent has been synced.
 
     Attributes:
         on_operation: called after each operation that changed the disk.
     """
 
-    __slots__ = ("on_operation", "_names", "_durable", "_pending", "_opened")
+    __slots__ = (
+        "on_operation",
+        "_names",
+        "_durable",
+        "_pending",
+        "_opened",
+        "_unsynced_folder",
+    )
 
     def __init__(self, *args, **keywords):
         super().__init__(*args, **keywords)
@@ -37,6 +45,12 @@
         self._durable = {}
         self._pending = []
         self._opened = {}
+        self._unsynced_folder = None
+
+    def make_folder(self, path):
+        if not path.exists():
+            self._unsynced_folder = path
+        super().make_folder(path)
 
     def open(self, path, flags):
         descriptor = super().open(path, flags)
@@ -61,11 +75,12 @@
 
     def sync(self, descriptor):
         super().sync(descriptor)
-        if descriptor in self._opened and not os.path.isdir(
-            f"/proc/self/fd/{descriptor}"
-        ):
+        path = os.readlink(f"/proc/self/fd/{descriptor}")
+        if not os.path.isdir(path):
             file = self._opened[descriptor]
             file.synced = file.data
+        elif self._is_parent(path):
+            self._unsynced_folder = None
         else:
             self._durable = dict(self._names)
             self._pending = []
@@ -99,6 +114,8 @@
         Yields: the folder, whose content the caller may change.
         """
         states = set()
+        if self._unsynced_folder is not None:
+            states.add(())
         for kept in itertools.product(
             (False, True), repeat=len(self._pending)
         ):
@@ -120,6 +137,11 @@
                 path.unlink()
             folder.rmdir()
 
+    def _is_parent(self, path):
+        return self._unsynced_folder is not None and os.path.samefile(
+            path, self._unsynced_folder.parent
+        )
+
     def _change(self, change):
         _apply(self._names, change)
         self._pending.append(change)
--- a/tests/state/test_log_store.py
+++ b/tests/state/test_log_store.py
@@ -291,11 +291,11 @@
     """A synced file is lost in a VM crash if its name was not synced."""
     files = faulty_files.FaultyFiles()
     store, _ = _disk(tmp_path, files)
-    assert files.folder_syncs == 1
+    assert files.synced_folders == [tmp_path.parent, tmp_path]
     store.save_snapshot(1, 1, _PARTS)
-    assert files.folder_syncs == 2
+    assert files.synced_folders[2:] == [tmp_path]
     store.compact(1)
-    assert files.folder_syncs >= 3
+    assert set(files.synced_folders[3:]) == {tmp_path}
 
 
 def test_only_one_store_can_use_a_folder(tmp_path):
