Sync what a member reads of its log before it counts as durable

A process that was killed between a write and its sync left the record in the page cache. The next process read it and took it for durable: it acknowledged entries and repeated votes that no sync covered. A power loss after that took them, though a quorum had been counted with them and an operator might hold the acknowledgement.

Evidence: test_power_loss_after_a_kill_and_a_restart kills a log after each of its operations, loads it, and loses power during and after the load. It failed before, where an empty log was left of four entries that had been loaded, and passes now.

Loading syncs the last segment and the folder before anything else is written.

--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -258,6 +258,8 @@
                 self._files.remove(leftover)
             snapshot = self._load_snapshot()
             self._load_segments()
+            if self._segments:
+                self._sync_loaded()
         except OSError as error:
             raise errors.LogFailed(str(error)) from error
         except msgspec.MsgspecError as error:
@@ -388,6 +390,15 @@
                 self._next_sequence += 1
                 self._replay(_RECORD_DECODER.decode(payload), segment)
 
+    def _sync_loaded(self) -> None:
+        """Make durable what was read.
+
+        A process that was killed may have left a record or a name that it
+        had not synced yet.
+        """
+        self._segments[-1].sync()
+        segments.sync_folder(self._files, self._folder)
+
     def _replay(
         self, record: _Added | _Reset, segment: segments.Segment
     ) -> None:
--- a/tests/state/test_log_store_power_loss.py
+++ b/tests/state/test_log_store_power_loss.py
@@ -113,3 +113,59 @@
         del allowed[0]
         disk.on_operation()
     store.close()
+
+
+class _Killed(Exception):
+    """The process was killed."""
+
+
+def _kill_at(disk, number):
+    """Kill the process after an operation, counted from the call."""
+    operations = itertools.count(1)
+
+    def count():
+        if next(operations) == number:
+            raise _Killed
+
+    disk.on_operation = count
+
+
+def test_power_loss_after_a_kill_and_a_restart(tmp_path):
+    """Guards against entries and votes that were read and are not durable.
+
+    What a killed process wrote and did not sync is read by the next one,
+    which acknowledges it.
+    """
+    for number in itertools.count(1):
+        folder = tmp_path / f"log-{number}"
+        left = tmp_path / "left"
+        disk = power_loss.PowerLoss()
+        store = log_store.DiskLogStore(folder, disk)
+        _kill_at(disk, number)
+        allowed = _run_until_killed(store)
+        store.close()
+        disk.on_operation = lambda: _check(disk, left, allowed)
+        store = log_store.DiskLogStore(folder, disk)
+        loaded = store.load()
+        assert loaded in allowed
+        _check(disk, left, [loaded])
+        store.close()
+        if len(allowed) == 1:
+            return
+
+
+def _run_until_killed(store):
+    """Returns: the states that may be found, one if nothing was killed."""
+    model = log_store.MemoryLogStore()
+    allowed = [model.load()]
+    try:
+        store.load()
+        for step in full_disk_tests.STEPS:
+            step(model)
+            allowed.append(model.load())
+            step(store)
+            del allowed[0]
+    except _Killed:
+        # The kill may have come before the first step.
+        return [*allowed, allowed[-1]]
+    return allowed
