Sync the new name of a discarded log before its files are removed

A member that the group has removed renames its log folder and removes the files in it. The rename was not synced. A power loss in between could undo it and keep some of the removals: the part of a log counts as damage, and the member could not start again.

Evidence: test_log_is_removed_once_its_new_name_is_durable failed before, as the files were removed with no sync of the data folder, and passes now. The power loss itself was not played.

If the rename or its sync fails, the files are kept until the next time.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import os
+import pathlib
 import shutil
 import time
 
@@ -34,6 +35,7 @@
 from papayalink.roles.control import peers
 from papayalink.state import log_store
 from papayalink.state import machine as machines
+from papayalink.state import segments
 from papayalink.state import traffic
 from papayalink.transport import http_server
 from papayalink.transport import rpc
@@ -315,7 +317,7 @@
 
 
 def _discard_log(folder: str) -> None:
-    """Remove a log folder, so that a kill leaves all of it or none.
+    """Remove a log folder, so that a kill or a power loss leaves all or none.
 
     A part of a log counts as damage. The whole log of a former id does no
     harm: the group sends what follows it, or replaces it.
@@ -325,7 +327,10 @@
     shutil.rmtree(discarded, ignore_errors=True)
     with contextlib.suppress(OSError):
         os.rename(folder, discarded)
-    shutil.rmtree(discarded, ignore_errors=True)
+        # A power loss may undo a rename that is not synced, and not the
+        # removals that follow it.
+        segments.sync_folder(segments.Files(), pathlib.Path(folder).parent)
+        shutil.rmtree(discarded, ignore_errors=True)
 
 
 def make_process(
--- a/tests/roles/authority/test_disk_failures.py
+++ b/tests/roles/authority/test_disk_failures.py
@@ -10,6 +10,7 @@
 from papayalink.roles.authority import process
 from papayalink.state import log_entries
 from papayalink.state import log_store
+from papayalink.state import segments
 from tests.roles.authority import test_authorities as authorities
 from tests.state import faulty_files
 from tests.state import full_disk
@@ -249,3 +250,33 @@
         member.process._exit_removed()
     member.stop()
     log_store.DiskLogStore(log_folder).load()
+
+
+def test_log_is_removed_once_its_new_name_is_durable(tmp_path, monkeypatch):
+    """Guards against a power loss that brings a part of the old log back."""
+    steps = []
+    rename, rmtree = process.os.rename, process.shutil.rmtree
+
+    def record_rename(source, target):
+        rename(source, target)
+        steps.append("rename")
+
+    def record_sync(descriptor):
+        path = pathlib.Path(f"/proc/self/fd/{descriptor}").readlink()
+        steps.append(("sync", path))
+
+    def record_removal(folder, **keywords):
+        if pathlib.Path(folder).exists():
+            steps.append("remove")
+        rmtree(folder, **keywords)
+
+    log_folder = tmp_path / "log"
+    store = log_store.DiskLogStore(log_folder)
+    store.load()
+    store.close()
+    monkeypatch.setattr(process.os, "rename", record_rename)
+    monkeypatch.setattr(segments.os, "fsync", record_sync)
+    monkeypatch.setattr(process.shutil, "rmtree", record_removal)
+    process._discard_log(str(log_folder))
+    assert steps == ["rename", ("sync", tmp_path), "remove"]
+    assert list(tmp_path.iterdir()) == []
