--- a/tests/state/power_loss.py
+++ b/tests/state/power_loss.py
@@ -137,6 +137,13 @@
                 path.unlink()
             folder.rmdir()
 
+    def leave_synced(self, folder):
+        """Write what remains if all that was not synced is lost."""
+        folder.mkdir(parents=True)
+        if self._unsynced_folder is None:
+            for name, file in dict(self._durable).items():
+                (folder / name).write_bytes(file.synced)
+
     def _is_parent(self, path):
         return self._unsynced_folder is not None and os.path.samefile(
             path, self._unsynced_folder.parent
