--- a/papayalink/state/log_store.py
+++ b/papayalink/state/log_store.py
@@ -238,7 +238,7 @@
         self._segment_due = False
         self._next_sequence = 0
         self._failed = False
-        self._folder.mkdir(parents=True, exist_ok=True)
+        self._files.make_folder(self._folder)
         self._lock_descriptor = os.open(
             self._folder / _LOCK_NAME, os.O_WRONLY | os.O_CREAT, 0o600
         )
@@ -252,10 +252,14 @@
 
     def load(self) -> log_entries.StoredLog:
         try:
+            # The name of the folder is not made durable by syncs inside it.
+            segments.sync_folder(self._files, self._folder.parent)
             for leftover in self._folder.glob("*.tmp"):
                 self._files.remove(leftover)
             snapshot = self._load_snapshot()
             self._load_segments()
+            if self._segments:
+                self._sync_loaded()
         except OSError as error:
             raise errors.LogFailed(str(error)) from error
         except msgspec.MsgspecError as error:
@@ -386,6 +390,15 @@
                 self._next_sequence += 1
                 self._replay(_RECORD_DECODER.decode(payload), segment)
 
+    def _sync_loaded(self) -> None:
+        """Make durable what was read.
+
+        A process that was killed may have left a record or a name that it
+        had not synced yet.
+        """
+        self._segments[-1].sync()
+        segments.sync_folder(self._files, self._folder)
+
     def _replay(
         self, record: _Added | _Reset, segment: segments.Segment
     ) -> None:
