Tell in reports when they were made, so that late limits are older

What callers saw: two entries hear different limits of a replica one second apart. If the report with the older one waits at the member for longer than that, the older limit holds again for all entries, until the replica names its limit in another answer: too many calls, or too few.

Cause: reports carry ages, and a member counted them from when it read the report. An entry whose report was answered late had the mirror fault: it took the member's statement for as old as its own request and kept its older limit.

Change: replies carry the member's clock. An exchange bounds that clock at the caller (`member_clock`), reports carry its earliest reading when they were made, and the entry places the rows of a reply by it. A first report to a member can't tell its time. Its limits count as up to 10 s older, replace no limit in doubt, and are told again in the next report. The new fields `clock_ms` and `slack_ms` are optional. Reports of processes of an earlier version are placed by when they are read, as before, except for their first ones: what these say against a known limit waits for the entry's next report of its limits.

--- a/papayalink/coordination/named_limits.py
+++ b/papayalink/coordination/named_limits.py
@@ -21,16 +21,47 @@
 
 
 class _Statement:
-    """What a replica said last; `limit_per_s` is None for no limit."""
+    """What a replica said last.
 
-    __slots__ = ("limit_per_s", "at", "born_ms")
+    Attributes:
+        limit_per_s: None for no limit.
+        at: when it said so.
+        slack_s: time by which it may have said so earlier.
+    """
+
+    __slots__ = ("limit_per_s", "at", "born_ms", "slack_s")
 
     def __init__(
-        self, limit_per_s: float | None, at: float, born_ms: int
+        self,
+        limit_per_s: float | None,
+        at: float,
+        born_ms: int,
+        slack_s: float = 0.0,
     ) -> None:
         self.limit_per_s = limit_per_s
         self.at = at
         self.born_ms = born_ms
+        self.slack_s = slack_s
+
+    @property
+    def earliest_at(self) -> float:
+        return self.at - self.slack_s
+
+    def says_the_same(self, other: "_Statement") -> bool:
+        return (
+            self.limit_per_s == other.limit_per_s
+            and replicas.same_lifetime(self.born_ms, other.born_ms)
+        )
+
+    def replaces(self, known: "_Statement") -> bool:
+        """Whether this is newer than a known statement, or surer."""
+        if self.slack_s < known.slack_s:
+            return self.earliest_at > known.earliest_at
+        if self.says_the_same(known):
+            return self.earliest_at > known.earliest_at + _SAME_REPORT_S
+        # Two statements of uncertain times may have been made in either order;
+        # processes that know the times tell them in their next reports.
+        return self.earliest_at > known.at
 
 
 class NamedLimits:
@@ -109,27 +140,35 @@
                 -1.0 if each.limit_per_s is None else each.limit_per_s,
                 max(0, int((now - each.at) * 1000)),
                 each.born_ms,
+                int(each.slack_s * 1000),
             )
             for replica_id, each in self._statements.items()
         )
 
     def merge(
-        self, reported: Iterable[shared_tables.NamedLimit], now: float
+        self,
+        reported: Iterable[shared_tables.NamedLimit],
+        now: float,
+        slack_s: float = 0.0,
     ) -> None:
-        """Add what another process knows; the newest statement holds."""
+        """Add what another process knows; the newest statement holds.
+
+        Args:
+            now: when the rows were made.
+            slack_s: time by which they may have been made earlier.
+        """
         for each in reported:
-            at = now - each.age_ms / 1000
-            limit_per_s = None if each.limit_per_s < 0 else each.limit_per_s
+            statement = _Statement(
+                None if each.limit_per_s < 0 else each.limit_per_s,
+                now - each.age_ms / 1000,
+                each.born_ms,
+                max(slack_s, each.slack_ms / 1000),
+            )
             known = self._statements.get(each.replica_id)
-            if known is not None:
-                is_same = (
-                    limit_per_s == known.limit_per_s
-                    and replicas.same_lifetime(known.born_ms, each.born_ms)
-                )
-                if at <= known.at + (_SAME_REPORT_S if is_same else 0.0):
-                    continue
-            if now - at < KEEP_S:
-                self._set(each.replica_id, limit_per_s, at, each.born_ms)
+            if known is not None and not statement.replaces(known):
+                continue
+            if now - statement.at < KEEP_S:
+                self._put(each.replica_id, statement)
 
     def expire(self, now: float) -> None:
         """Forget replicas that have said nothing for long."""
@@ -149,8 +188,11 @@
         at: float,
         born_ms: int,
     ) -> None:
+        self._put(replica_id, _Statement(limit_per_s, at, born_ms))
+
+    def _put(self, replica_id: str, statement: _Statement) -> None:
         self._statements.pop(replica_id, None)
-        self._statements[replica_id] = _Statement(limit_per_s, at, born_ms)
+        self._statements[replica_id] = statement
         if len(self._statements) > MAX_REPLICAS:
             del self._statements[next(iter(self._statements))]
         self.version += 1
--- a/papayalink/coordination/table_exchange.py
+++ b/papayalink/coordination/table_exchange.py
@@ -5,6 +5,11 @@
 has changed at the member, so that the copies agree after one exchange of each,
 whatever the order. A member that is asked for the first time, or has
 restarted, gets whole tables.
+
+A report may wait before a member reads it. Replies therefore carry the
+member's clock, and the reports after them the earliest reading of that clock
+when they were made. The first report to a member can't, and its limits are
+told again in the next one.
 """
 
 from collections.abc import Iterable
@@ -16,12 +21,16 @@
 
 from papayalink.coordination import crash_suspects
 from papayalink.coordination import leaving_replicas
+from papayalink.coordination import member_clock
 from papayalink.coordination import named_limits
 from papayalink.coordination import software_history
 from papayalink.coordination import stream_origins
 from papayalink.coordination import weight_history
 from papayalink.protocol import shared_tables
 
+# A report whose time is unknown may have waited this long before it is read.
+MAX_REPORT_DELAY_S = 10.0
+
 
 class Table(Protocol):
     """A table whose copies are merged.
@@ -97,8 +106,19 @@
         return shared_tables.Tables(self.run, self.versions(), **rows)
 
     def merge(self, tables: shared_tables.Tables, now: float) -> None:
+        """Merge what a process told, whose report is read now."""
+        made_at, slack_s = now, MAX_REPORT_DELAY_S
+        if tables.run == self.run:
+            slack_s = 0.0
+            # Processes of earlier versions never tell when a report was made.
+            if tables.clock_ms >= 0:
+                made_at = min(now, tables.clock_ms / 1000)
         for name, table in self.by_name().items():
-            table.merge(getattr(tables, name), now)
+            rows = getattr(tables, name)
+            if table is self.limits:
+                self.limits.merge(rows, made_at, slack_s)
+            else:
+                table.merge(rows, now)
 
     def expire(self, now: float) -> None:
         for table in self.by_name().values():
@@ -113,7 +133,9 @@
         # that look later than they are would prolong the use of old weights.
         self.merge(msgspec.structs.replace(told, weights=()), now)
         known = told.versions if told.run == self.run else {}
-        return self.changes(known, now)
+        return msgspec.structs.replace(
+            self.changes(known, now), clock_ms=int(now * 1000)
+        )
 
     def answer_entry(
         self, told: shared_tables.Tables, now: float
@@ -130,7 +152,15 @@
         tables: the tables of this process.
     """
 
-    __slots__ = ("_tables", "_run", "_known", "_told", "_telling")
+    __slots__ = (
+        "_tables",
+        "_run",
+        "_known",
+        "_told",
+        "_telling",
+        "_clock",
+        "_tells_time",
+    )
 
     def __init__(self, tables: TableSet) -> None:
         self._tables = tables
@@ -140,14 +170,23 @@
         self._known: dict[str, int] = {}
         self._told: dict[str, int] = {}
         self._telling: dict[str, int] = {}
+        self._clock = member_clock.make_member_clock()
+        # Whether the last report told when it was made.
+        self._tells_time = False
 
     def report(self, now: float) -> shared_tables.Tables:
         """Returns: what the member may not know."""
         self._tables.expire(now)
         self._telling = self._tables.versions()
         changes = self._tables.changes(self._told, now)
+        clock = self._clock.earliest_reading(now)
+        self._tells_time = clock is not None
         return msgspec.structs.replace(
-            changes, run=self._run, versions=dict(self._known), weights=()
+            changes,
+            run=self._run,
+            versions=dict(self._known),
+            weights=(),
+            clock_ms=-1 if clock is None else int(clock * 1000),
         )
 
     def merge(
@@ -166,7 +205,15 @@
         # Another member than the one for which the report was made has got a
         # part of the rows only, and gets all of them next time.
         complete = reply.run == self._run or not self._told
-        self._run = reply.run
+        if reply.run != self._run:
+            self._run = reply.run
+            self._clock = member_clock.make_member_clock()
+        made_at = now
+        if reply.clock_ms >= 0:
+            clock = reply.clock_ms / 1000
+            made_at = max(now, self._clock.earliest_time(clock))
+            read_at = now if arrived_at is None else arrived_at
+            self._clock.note(clock, now, read_at)
         changed = set()
         for name, table in self._tables.by_name().items():
             rows = getattr(reply, name)
@@ -174,6 +221,8 @@
             if rows:
                 if table is self._tables.software:
                     self._tables.software.merge(rows, now, arrived_at)
+                elif table is self._tables.limits:
+                    self._tables.limits.merge(rows, made_at)
                 else:
                     table.merge(rows, now)
                 changed.add(name)
@@ -183,6 +232,8 @@
         self._known = dict(reply.versions)
         if not complete:
             self._told = {}
+        if reply.clock_ms >= 0 and not self._tells_time:
+            self._told["limits"] = 0
         return frozenset(changed)
 
 
--- a/papayalink/protocol/shared_tables.py
+++ b/papayalink/protocol/shared_tables.py
@@ -45,13 +45,16 @@
 
     Attributes:
         limit_per_s: requests a second from all entries, -1 for no limit.
+        age_ms: time since it said so.
         born_ms: start of the lifetime that said so, 0 when unknown.
+        slack_ms: time by which the age may be larger.
     """
 
     replica_id: str
     limit_per_s: float
     age_ms: int
     born_ms: int = 0
+    slack_ms: int = 0
 
 
 class LeavingReplica(msgspec.Struct, frozen=True, array_like=True):
@@ -114,6 +117,9 @@
             to, "" for none.
         versions: by table, the version of the member's copy that these rows
             lead to, or that the caller has.
+        clock_ms: from a member, its clock when it replied; to a member, the
+            earliest reading of that clock when the report was made; -1 when
+            unknown.
     """
 
     run: str = ""
@@ -124,3 +130,4 @@
     software: tuple[SoftwareSpan, ...] = ()
     leaving: tuple[LeavingReplica, ...] = ()
     weights: tuple[NewestWeights, ...] = ()
+    clock_ms: int = -1
