Leave trials of a part to calls that may clear it

A part that all prompts have was blocked, and sound calls were refused until its second trial, 20 s later.

Cause, traced then: a deadly part and a deadly request ended replicas within 1.8 s and share only that part. Any call could use its trial, and the deadly request itself did.

Change: a call whose request, or another of whose parts, may explain some of the part's crashes leaves the trial to other calls for half of its 5 s. Its Retry-After tells when the trial is open to it, so that a part whose only callers are suspected is still tried. Trials of requests are as before, and so are those of parts that were lost together each time.

--- a/papayalink/coordination/crash_suspects.py
+++ b/papayalink/coordination/crash_suspects.py
@@ -32,6 +32,8 @@
 SOUND_MEMORY_S = 30.0
 # An entry uses its permission for a trial within this time.
 TRIAL_WINDOW_S = 5.0
+# Calls that may themselves have ended a replica use what is left of it.
+DOUBTFUL_TRIAL_S = TRIAL_WINDOW_S / 2
 # What has neither ended a replica nor been refused for this long is forgotten.
 FORGET_S = 600.0
 # Refusals renew that time this often at most, since each renewal is reported.
@@ -183,6 +185,9 @@
 
     def retry_after_s(self, key: str, now: float) -> float:
         """Returns: seconds until a call with the key may be let through."""
+        permitted_until = self._trials.get(key, now)
+        if permitted_until > now:
+            return max(0.0, permitted_until - DOUBTFUL_TRIAL_S - now)
         suspect = self._suspects.get(key)
         return max(0.0, suspect.next_trial_at() - now) if suspect else 0.0
 
@@ -195,8 +200,21 @@
         }
         self._trials[key] = now + TRIAL_WINDOW_S
 
-    def take_trial(self, key: str, now: float) -> bool:
-        """Returns: whether a call with a blocked key may be sent."""
+    def take_trial(
+        self, key: str, now: float, others: Iterable[str] = ()
+    ) -> bool:
+        """Returns: whether a call with a blocked key may be sent.
+
+        A call with another key that may explain some of the crashes of the
+        blocked one would tell little of that. It has to leave the trial to
+        other calls for a time.
+
+        Args:
+            others: the other keys of the call.
+        """
+        until = self._trials.get(key, now)
+        if until - now > DOUBTFUL_TRIAL_S and self._is_doubtful(key, others):
+            return False
         return self._trials.pop(key, now) > now
 
     def grant_trials(self, refused: Iterable[str], now: float) -> list[str]:
@@ -284,6 +302,14 @@
                 changed |= _merge_trials(suspect, each, now)
         self._note_change(changed)
 
+    def _is_doubtful(self, key: str, others: Iterable[str]) -> bool:
+        crashes = self._counted.get(key, {}).keys()
+        return not call_keys.is_request_key(key) and any(
+            self._counted[other].keys() < crashes
+            for other in others
+            if other in self._counted
+        )
+
     def _clear(self, key: str, sound_at: float) -> bool:
         suspect = self._suspects.get(key)
         return suspect is not None and suspect.clear(sound_at)
--- a/papayalink/roles/gateway/crashes.py
+++ b/papayalink/roles/gateway/crashes.py
@@ -82,7 +82,8 @@
         if key is None:
             return None
         now = time.monotonic()
-        if self.suspects.take_trial(key, now):
+        others = (*keys.parts, self._request(keys))
+        if self.suspects.take_trial(key, now, others):
             self._log.info("suspect_tried", key=key)
             return None
         self._refused_at.pop(key, None)
--- a/tests/coordination/test_crash_suspects.py
+++ b/tests/coordination/test_crash_suspects.py
@@ -115,6 +115,69 @@
     assert not table.take_trial("a", 2.0 + crash_suspects.TRIAL_WINDOW_S)
 
 
+def _block_base():
+    """A part that all prompts have is blocked for two other causes."""
+    table = crash_suspects.make_crash_suspects()
+    _lose(table, 1.0, "x", "base bad")
+    _lose(table, 2.0, "y", "base bad")
+    _lose(table, 3.0, "deadly", "base sound")
+    assert set(table.blocked) == {"base"}
+    table.permit_trial("base", 8.0)
+    return table
+
+
+# Guards against the trial of a part of all prompts that is used by a call
+# which may have ended a replica by something else, so that sound calls are
+# refused for four times as long.
+@pytest.mark.parametrize(
+    "suspected", [["base", "sound", "request deadly"], ["base", "bad"]]
+)
+@pytest.mark.parametrize("delay_s", [0.0, 2.4])
+def test_trial_is_left_to_calls_that_are_not_suspected(suspected, delay_s):
+    table = _block_base()
+    now = 8.0 + delay_s
+    assert not table.take_trial("base", now, suspected)
+    # It is told when the trial is open to it.
+    assert 0 < table.retry_after_s("base", now) <= 2.5 - delay_s
+    assert table.take_trial("base", now, ["base", "other", "request z"])
+    assert not table.take_trial("base", now, ["base", "other", "request z"])
+
+
+# Guards against a part whose only callers are suspected, and that therefore
+# stays blocked.
+@pytest.mark.parametrize(
+    "suspected", [["base", "sound", "request deadly"], ["base", "bad"]]
+)
+def test_trial_that_no_other_call_uses_is_open_to_suspected_ones(suspected):
+    table = _block_base()
+    now = 8.0 + table.retry_after_s("base", 8.0)
+    assert now < 8.0 + crash_suspects.TRIAL_WINDOW_S
+    assert table.take_trial("base", now, suspected)
+
+
+# Guards against a trial that is held back for a part or a request that was
+# lost whenever the blocked one was.
+@pytest.mark.parametrize(
+    ("key", "others"),
+    [
+        ("base", ["base", "top"]),
+        ("request x", ["base", "top", "side"]),
+        ("base", ["base", "top", ""]),
+    ],
+)
+def test_trial_is_used_at_once_by_calls_that_can_clear_the_key(key, others):
+    table = crash_suspects.make_crash_suspects()
+    for at in range(3):
+        _lose(table, float(at), "x", "base top")
+        _lose(table, at + 3.0, f"{at}", "base top")
+    # The part is sound, and was lost with the request again.
+    table.note_whole_answer(["side"], 2.5)
+    _lose(table, 6.0, "x", "base top side")
+    assert key in table.blocked
+    table.permit_trial(key, 8.0)
+    assert table.take_trial(key, 8.0, others)
+
+
 def test_part_without_crashes_for_long_is_forgotten():
     table = crash_suspects.make_crash_suspects()
     for at in (0.0, 1.0, 2.0):
