--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent import event
+import msgspec
 import pytest
 
 from papayalink import metrics as metrics_module
@@ -96,6 +97,11 @@
         self.versions[name] = self.listed[name] = self._loading.pop(name)
 
 
+def _open_order(data, timeout_s):
+    order = upstreams.Order("r0", 7, "load_weights", "m@2", "v1")
+    return msgspec.msgpack.encode(upstreams.Opened(order))
+
+
 class _Leader:
     """A leader of which the test decides what passes, and when."""
 
@@ -118,7 +124,7 @@
         self.upkeep = weights.make_weight_upkeep(
             node,
             SimpleNamespace(confirm=lambda: None),
-            SimpleNamespace(is_leader=True),
+            SimpleNamespace(is_leader=True, propose=_open_order),
             SimpleNamespace(
                 numbered=SimpleNamespace(weights=self.wanted),
                 upstreams=SimpleNamespace(open_orders=()),
@@ -162,13 +168,6 @@
         weight_loads, "FIRST_RETRY_S", _PERIOD_S, raising=False
     )
 
-    def propose(self, command):
-        name = getattr(command, "upstream", "")
-        return SimpleNamespace(
-            order=upstreams.Order(name, 7, "load_weights", "m@2", "v1")
-        )
-
-    monkeypatch.setattr(weights.WeightUpkeep, "_propose", propose)
     return lambda versions: _Leader(_Platform(versions))
 
 
