--- a/tests/roles/gateway/test_silence_check.py
+++ b/tests/roles/gateway/test_silence_check.py
@@ -51,7 +51,7 @@
         None,
         attempts.make_attempts(repeat, 2),
         None,
-        SimpleNamespace(expected_s=0.0, tried=["silent"]),
+        SimpleNamespace(call_id="c1", expected_s=0.0, tried=["silent"]),
     )
     for _ in range(3):
         with pytest.raises(errors.ConnectionLost):
