Test changes that come together with a planned stop

Guards against calls that run and end without their answer when SIGTERM, and a change of the document or of the list of replicas, come together: seven changes on four kinds of routes, with a gateway process.

--- a/tests/roles/gateway/test_read_requests_are_answered.py
+++ b/tests/roles/gateway/test_read_requests_are_answered.py
@@ -3,16 +3,19 @@
 import errno
 import time
 from types import SimpleNamespace
+import zlib
 
 import gevent
 from gevent import socket
 import msgspec
 import pytest
 
+from papayalink.protocol import messages
 from papayalink.state import replicas
 from papayalink.state import traffic
 from papayalink.transport import upstream_channels
 from tests.roles.gateway import standing_still
+from tests.roles.gateway import stopped
 from tests.roles.gateway import stubs
 
 _ROUTES = (
@@ -390,3 +393,56 @@
     monkeypatch.setattr(type(gateway.liveness), method, _fail)
     status, _, body = _spawn_call(gateway, path).get(timeout=10)
     assert (status, body) == (200, _make_body(path))
+
+
+class _StoppedGateway(stopped.Gateway):
+    """A gateway process, with the parts that the changes above use."""
+
+    def __init__(self, upstreams):
+        super().__init__(4.0, upstreams, _ROUTES)
+        self.fleet = self.process._fleet
+        directory = self.process._watcher.directory
+        self.shared = SimpleNamespace(
+            watcher=SimpleNamespace(directory=directory, number=1)
+        )
+
+    def read_document(self):
+        """Let the process follow the document that was put in force."""
+        self._document = self.shared.watcher.directory.traffic
+        self.process._watcher._apply_reply(
+            messages.WatchReply(2, zlib.compress(b"{}")), "", time.monotonic()
+        )
+        assert self.process._watcher.number == 2
+
+
+# Guards against calls that run when a planned stop and a change come together,
+# and that end without their answer.
+@pytest.mark.parametrize("path", _PATHS)
+@pytest.mark.parametrize(
+    "change",
+    [
+        _remove_routes,
+        _move_routes,
+        _shorten_timeouts,
+        _shrink_limits,
+        _let_go,
+        _remove_from_list,
+        _replace_under_its_address,
+    ],
+)
+def test_running_calls_outlast_changes_beside_a_stop(path, change):
+    kind = "models1" if path in _STREAMS else "desk1"
+    gateway = _StoppedGateway([_Upstream(kind)])
+    try:
+        calling = [_spawn_call(gateway, path) for _ in range(2)]
+        _wait_until_they_run(gateway, 2)
+        stopping = gateway.begin_stop()
+        change(gateway)
+        gateway.read_document()
+        stopping.get(timeout=10)
+        answers = [each.get(timeout=10) for each in calling]
+    finally:
+        gateway.end()
+    assert [(status, body) for status, _, body in answers] == [
+        (200, _make_body(path))
+    ] * 2
