Let a limit of a later lifetime replace one of an earlier

Cause: a first report can't tell when it was made, and its limits replace none in doubt. Between two lifetimes there is no doubt.

Change: the later lifetime goes first, whatever the times are.

Result: the test failed before and passes, as do test_late_reports.py and test_named_limits.py.

--- a/papayalink/coordination/named_limits.py
+++ b/papayalink/coordination/named_limits.py
@@ -55,6 +55,8 @@
 
     def replaces(self, known: "_Statement") -> bool:
         """Whether this is newer than a known statement, or surer."""
+        if not replicas.same_lifetime(self.born_ms, known.born_ms):
+            return self.born_ms > known.born_ms
         if self.slack_s < known.slack_s:
             return self.earliest_at > known.earliest_at
         if self.says_the_same(known):
