Refuse calls at once if their replicas refuse connections

What callers saw: 503 after up to 2.75 s, or half of their time, when all replicas of a service had ended.

Cause: a refused connection and one that is not taken were the same to a call; only probes noted a refusal, 0.5 s later.

Evidence: test_calls_do_not_wait_for_replicas_that_refuse_connections failed before (no answer within 30 s of a wait of 60 s). Found by reading, in the review.

Change: a refusal is noted with the replica, and calls wait only for those that have not refused a connection since they were last heard of.

Result: the test passes, with test_silent_replicas.py, test_crashing_requests.py and test_handling.py.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -171,6 +171,9 @@
             self._channel = self._channels.take(
                 self._address, self._remaining_s
             )
+        except errors.ConnectionRefused:
+            self._member.refused_at = time.monotonic()
+            return False
         except errors.NotConnected:
             return False
         self._channel.on_silence = self._on_silence
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -131,9 +131,14 @@
         request: replica_choice.SelectionRequest,
         now: float,
     ) -> bool:
-        """Returns: whether only a lost connection keeps it from use."""
+        """Returns: whether only a lost connection keeps it from use.
+
+        One that refuses connections has ended, and another one takes its
+        place.
+        """
         return (
             not member.reachable
+            and member.refused_at <= member.heard_at
             and member.usable_if_reached(now)
             and self._fleet.suits(member, request, now)
         )
--- a/tests/roles/gateway/test_waits_for_replicas.py
+++ b/tests/roles/gateway/test_waits_for_replicas.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+import msgspec
 import pytest
 
 from papayalink.roles.gateway import replica_wait
@@ -88,3 +89,15 @@
     assert not other.received
     assert calling.get()[0] == 200
     assert len(other.received) == 1
+
+
+# Guards against calls that wait for replicas that refuse connections: these
+# have ended, and their callers can be told at once.
+def test_calls_do_not_wait_for_replicas_that_refuse_connections(start):
+    gateway = start(2)
+    gateway.fleet.update(
+        msgspec.structs.replace(member.replica, address="127.0.0.1:1")
+        for member in list(gateway.fleet.all_members())
+    )
+    for _ in range(2):
+        assert _spawn_call(gateway).get()[0] == 503
