Move the guard against calls that end replicas to a module of its own

What it knows of suspected requests and parts is a matter of its own, with three fields that nothing else used. No change of behaviour; the tests of crashing requests and parts, of outdated choices, of handling and of silent replicas pass.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -16,6 +16,7 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_record
+from papayalink.roles.gateway import crash_guard
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import replica_wait
@@ -55,9 +56,7 @@
         "_silence",
         "_keys",
         "_observations",
-        "_lost",
-        "_suspects_version",
-        "_trial",
+        "_crash_guard",
     )
 
     def __init__(
@@ -114,11 +113,9 @@
             self._stream,
             self._record,
         )
-        # Whether a replica was lost with the call.
-        self._lost = False
-        self._suspects_version = 0
-        # Blocked key for which the call may be sent once all the same.
-        self._trial: str | None = None
+        self._crash_guard = crash_guard.make_crash_guard(
+            shared.crashes, self._keys
+        )
         self._replica_wait = replica_wait.make_replica_wait(
             shared.fleet, received_at, route.objective_s, self._deadline
         )
@@ -169,7 +166,8 @@
         if self._remaining_s() < MIN_ATTEMPT_S:
             expired = attempt.Unanswered(attempts.Expired())
             return self._handle_unanswered(expired, budget)
-        if self._is_blocked():
+        if blocked := self._crash_guard.check():
+            self._ending.without_replica(blocked.reason, blocked.retry_after_s)
             return False
         fleet = self._shared.fleet
         self._shared.limits.note_call(self._service)
@@ -229,31 +227,6 @@
         run = run_times.Run(first_s, token_s)
         self._shared.run_times.note(self._route.name, run)
 
-    def _is_blocked(self) -> bool:
-        """Refuse a call that ends replicas, or a prompt with such a part.
-
-        Returns: whether it was refused.
-        """
-        crashes = self._shared.crashes
-        suspects = crashes.suspects
-        self._suspects_version = suspects.version
-        blocked = crashes.blocked_key(self._keys, self._lost)
-        if blocked is None or blocked == self._trial:
-            return False
-        key = crashes.find_blocked(self._keys, self._lost)
-        if key is None:
-            self._trial = blocked
-            return False
-        retry_after_s = max(
-            call_ending.RETRY_AFTER_S,
-            suspects.retry_after_s(key, time.monotonic()),
-        )
-        kind = "" if call_keys.is_request_key(key) else "part "
-        self._ending.without_replica(
-            f"{kind}{key} ends replicas", retry_after_s
-        )
-        return True
-
     def _shed(self, choice: replica_choice.Choice) -> bool:
         """Refuse a prompt if its expected wait is too long.
 
@@ -337,7 +310,7 @@
             self._withdraw(member, sending_attempt, permit)
             return None
         dispatch = self._make_dispatch(member)
-        self._trial = None
+        self._crash_guard.note_sending()
         self._attempts.note_sending()
         self._record.note_sending()
         memory_tokens = self._selection_request.memory_tokens
@@ -349,8 +322,9 @@
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
-        if isinstance(result, attempt.Unanswered):
-            self._lost |= isinstance(result.outcome, attempts.Lost)
+        match result:
+            case attempt.Unanswered(outcome=attempts.Lost()):
+                self._crash_guard.note_lost()
         with record_faults.logged(self._call.call_id):
             self._note_result(member, dispatch, result, now)
         return result
@@ -402,7 +376,6 @@
             address: address that the call has connected to.
             permit: permit for the call, None without one.
         """
-        crashes = self._shared.crashes
         return (
             self._remaining_s() >= MIN_ATTEMPT_S
             and member.replica.address == address
@@ -410,11 +383,7 @@
             and self._shared.fleet.is_current(
                 member, self._selection_request, time.monotonic()
             )
-            and (
-                crashes.suspects.version == self._suspects_version
-                or crashes.blocked_key(self._keys, self._lost)
-                in (None, self._trial)
-            )
+            and self._crash_guard.still_allows()
         )
 
     def _withdraw(
