Keep calls at silent replicas that the list lacks

What callers saw: a call that may run once, and a begun stream, end with 502 or in the middle when their silent replica is dropped from the list, although it goes on a second later.

Cause: took a replica that the list lacks and that takes no connections for one that has ended. A list that was not read while the replica was shown as leaving lacks a replica that is still at work, and its silence proves nothing.

Change: only a later run of the replica in the list, or a refused connection, ends its calls.

--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -99,7 +99,7 @@
         """Returns: why the attempt ends, "" if the call stays."""
         silent_since = time.monotonic() - silent_s
         if not _leaves(member) and (
-            member.refused_at > silent_since or self._is_unlisted(member)
+            member.refused_at > silent_since or self._runs_again(member)
         ):
             return "replica has ended"
         obstacle = self._find_lasting_obstacle()
@@ -123,15 +123,13 @@
         self._shared.metrics.count("silent_replicas_left")
         return reason
 
-    def _is_unlisted(self, member: fleet_member.Member) -> bool:
-        """Returns: whether the list shows that the replica's run has ended.
+    def _runs_again(self, member: fleet_member.Member) -> bool:
+        """Returns: whether the list names a later run of the replica.
 
-        A list that lacks it is no proof while it takes connections.
+        A list that lacks it is no proof: it may have missed that it leaves.
         """
         listed = self._shared.fleet.find(member.replica.replica_id)
-        if listed is None:
-            return not member.reachable
-        return listed is not member
+        return listed is not None and listed is not member
 
     def use_reserved_repeat(self) -> bool:
         """Returns: whether the retry budget was charged for a next attempt."""
