Wait at a stop for callers that have just connected

What callers saw: at the moment at which a stopping gateway closes its idle connections, a caller that had just connected was closed upon before its request arrived, and lost a try.

Cause: the stop woke every waiting connection, also one that had been accepted a moment before; only those taken from the accept queue were waited for, 50 ms.

Change: a wait that has just begun goes on for 0.25 s from its beginning.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -27,7 +27,7 @@
 _READ_BYTES = 65_536
 # Time that a stopping server waits for the request of a caller that has just
 # connected, or has just had an answer that could not announce the close.
-_LAST_REQUEST_WAIT_S = 0.05
+_LAST_REQUEST_WAIT_S = 0.25
 _INTERNAL_SERVER_ERROR = 500
 # Promises nothing: the request may have been passed on.
 _BAD_GATEWAY = 502
--- a/papayalink/transport/request_wait.py
+++ b/papayalink/transport/request_wait.py
@@ -1,5 +1,7 @@
 """Waits for the next request of a connection, until a server stops."""
 
+import time
+
 import gevent
 from gevent import event
 from gevent import server
@@ -51,8 +53,15 @@
         watcher = gevent.get_hub().loop.io(sock.fileno(), _READ_EVENT)
         watcher.start(look.set)
         self._looks.add(look)
+        began_at = time.monotonic()
         try:
             look.wait(self._last_wait_s if self._stopping else timeout_s)
+            waited_s = time.monotonic() - began_at
+            if self._stopping and waited_s < self._last_wait_s:
+                # The request may be on its way.
+                if not readiness.has_unread_bytes(sock):
+                    look.clear()
+                    look.wait(self._last_wait_s - waited_s)
         finally:
             self._looks.discard(look)
             watcher.stop()
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -288,6 +288,22 @@
     assert len(echo.requests) == 2
 
 
+# Seconds that a request takes to arrive after its connection was made.
+@pytest.mark.parametrize("transit_s", [0.01, 0.12])
+def test_stop_answers_a_caller_that_has_just_connected(
+    transit_s, server, echo
+):
+    """Guards against a connection closed while its request is on its way."""
+    with _connect(server) as sock:
+        while not len(server._waits):
+            gevent.sleep(0)
+        stopping = gevent.spawn(server.stop, 5.0)
+        gevent.sleep(transit_s)
+        sock.sendall(_GET)
+        assert b"Connection: close" in _read_until(sock, b"/a%2Fb?c=1|")
+        assert stopping.get()
+
+
 def test_stop_waits_for_a_request_that_has_arrived_in_part(server, echo):
     """Guards against a process that ends with a request half read."""
     with _connect(server) as sock:
