Announce from the start of a stop that connections close

They crossed the close of an idle connection and were not passed on; a caller that may not repeat, or has repeated, loses such a call.

Cause: answers announced the close during the last 0.4 s before idle connections were closed, so that all connections in use were still open then: 12 to 48 at a gateway. A call is on its way for up to 60 ms.

None of the gateways' logs has such a call.

Change: each answer after SIGTERM announces the close. Until the balancer has noticed, such callers come back on new connections, which costs them a round trip.

--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -157,9 +157,8 @@
         plan = stop_plan.make_stop_plan(self._node.settings.bounds.grace_s)
         self._draining = True
         self._stopping.begin(started_at + plan.answer_s)
-        gevent.sleep(plan.notice_s)
         self._server.close_after_responses()
-        gevent.sleep(plan.last_answers_s)
+        gevent.sleep(plan.notice_s + plan.last_answers_s)
         left_s = started_at + plan.answer_s - time.monotonic()
         if self._server.stop(max(0.0, left_s)):
             return
