Describe the times of a stop as they are used now

Callers see no difference. The announcement of the close begins with the signal, so that the second wait is only for calls that the balancer had sent already. The comment and the attribute said otherwise. Nothing to measure; no test.

--- a/papayalink/roles/stop_plan.py
+++ b/papayalink/roles/stop_plan.py
@@ -5,8 +5,8 @@
 # The load balancer checks readiness once a second, and sends no more calls
 # after two failed checks.
 BALANCER_NOTICE_S = 2.3
-# Callers on keep-alive connections learn from one more answer that their
-# connection closes. A call accepted later may not end before the kill.
+# Calls that were sent before the balancer turned to other entries arrive in
+# this time. A call accepted later may not end before the kill.
 LAST_ANSWERS_S = 0.4
 # Part of the grace period that is left for the last answers and the exit.
 EXIT_MARGIN_S = 0.5
@@ -26,8 +26,8 @@
 
     Attributes:
         notice_s: how long the balancer may go on sending calls.
-        last_answers_s: how long answers announce after that that their
-            connection closes, before idle connections are closed.
+        last_answers_s: time after that until idle connections are closed.
+            All answers since the signal have announced it.
         answer_s: time after the signal until which calls may be run.
         end_s: time after that for the last answers.
     """
