Count calls that are being connected as load of their replica

What callers saw: of 40 calls that arrive at once while a new connection takes a round trip, all 40 went to one of two replicas, and the other ran none. Calls that wait for lost replicas arrive at once in this way.

Cause: a call counted as load of its replica only once it had been sent, so that all calls that choose during a round trip see the same load and choose the same replica.

Change: the call, its prompt and its memory count from the choice on, while its connection is made. They don't count in the check of the choice that follows, as before.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -295,7 +295,17 @@
             ),
         )
         had_time = self._remaining_s() >= upstream_channels.CONNECT_TIMEOUT_S
-        if not sending_attempt.connect():
+        memory_tokens = self._selection_request.memory_tokens
+        # Calls that are chosen for meanwhile find it at the replica.
+        member.begin_call(self._urgency, memory_tokens)
+        member.begin_prefill(self._urgency, int(own_tokens))
+        try:
+            connected = sending_attempt.connect()
+        finally:
+            # It is no load to itself in the check of the choice.
+            member.end_prefill(self._urgency, int(own_tokens))
+            member.end_call(self._urgency, memory_tokens)
+        if not connected:
             self._note_not_connected(member, had_time)
             not_sent = attempt.Unanswered(attempts.NotSent())
             self._record.log_attempt(member, not_sent)
@@ -313,7 +323,6 @@
         self._crash_guard.note_sending()
         self._attempts.note_sending()
         self._record.note_sending()
-        memory_tokens = self._selection_request.memory_tokens
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
         try:
