Spread waiting calls over the lost replicas that return

What callers saw: of 40 calls that waited for four lost replicas, which went on at the same moment, the one that was probed first ran all 40.

Cause: each lost replica is probed every 0.5 s by itself, and the first that is reached wakes all calls that wait.

Change: a replica that is reached wakes the probes of the other lost ones, and the calls that wait are told 20 ms later, a few round trips. The replica is usable for new calls at once. A call whose wait ends within these 20 ms looks for a replica once more; that branch has no test of its own.

Evidence: tests/roles/gateway/test_returning_replicas.py. Before: 1 of 2 cases fails, with 40, 0, 0 and 0 calls; the other guards against calls that wait for replicas that stay lost, and passed before. Now both pass, in two runs.

--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -23,6 +23,10 @@
 # A replica that this entry has reached within this time is checked again, and
 # not given up, when other entries have lost it.
 OWN_CONTACT_S = 3.0
+# Once a lost replica is reached, the others are probed, since the same pause
+# may have ended for them. Calls that wait are told this much later, a few
+# round trips, so that not all of them choose the first.
+OTHERS_WAIT_S = 0.02
 
 
 class Liveness:
@@ -39,6 +43,7 @@
         "_channels",
         "_metrics",
         "_changed",
+        "_reached",
         "_checking",
         "_probing",
         "_unverified",
@@ -54,6 +59,8 @@
         self._channels = channels
         self._metrics = metrics
         self._changed = changed
+        # Wakes the probes of all lost replicas.
+        self._reached = change_signal.make_change_signal()
         # By record, not by id: a replica may start again under its id.
         self._checking: dict[fleet_member.Member, gevent.Greenlet] = {}
         self._probing: set[fleet_member.Member] = set()
@@ -142,18 +149,24 @@
         probe_until = time.monotonic() + PROBE_DURATION_S
         try:
             while time.monotonic() < probe_until:
-                gevent.sleep(PROBE_PERIOD_S)
+                self._reached.wait(PROBE_PERIOD_S)
                 if self._connect(member):
                     member.set_reachable(True)
-                    self._changed.notify()
                     self._log.info(
                         "replica_reached", replica=member.replica.replica_id
                     )
+                    gevent.spawn(self._tell_reached)
                     return
         finally:
             self._probing.discard(member)
             self._unverified.discard(member)
 
+    def _tell_reached(self) -> None:
+        """Probe the other lost replicas, then wake the calls that wait."""
+        self._reached.notify()
+        gevent.sleep(OTHERS_WAIT_S)
+        self._changed.notify()
+
     def _connect(self, member: fleet_member.Member) -> bool:
         try:
             self._channels.probe(member.replica.address)
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -96,7 +96,11 @@
         if until <= now:
             return False
         changed = self._fleet.changed.wait(min(until, resumes_at) - now)
-        return changed or resumes_at <= until
+        if changed or resumes_at <= until:
+            return True
+        # The news of one that was reached just now may be on its way.
+        now = time.monotonic()
+        return self._fleet.choose(request, tried, now) is not None
 
     def _turns_calls_away(
         self,
