Ask members again for a stream while one of them is silent

What callers saw: 503 with seconds left for a stream that they take up at another gateway, while the leader stands still for about a second and the other members answer, or while members take no connections.

Cause: origins of streams are told to the leader, and the other members ask it twice a second, but their "not known" counted although the leader was silent. Only a time-out counted as silence: a connection that was not taken in time, or that the transport gave up because it was silent, counted as the end of the member. The RPC client did not tell a refused connection from either.

Change: all members are asked again, for up to half of the time of the call and 2.4 s, while one is silent that was not for 2.4 s before. RpcConnection raises ConnectionRefused if nothing listens, which is not waited for.

test_one_silent_member_is_not_waited_for required that such a stream is refused at once, with the leader as the silent member. It is replaced: streams do not wait for a member that stays silent, whichever it is (test_member_that_stays_silent_is_not_waited_for, 6 cases), and wait for one that has just fallen silent. The members that are "down" in this module refuse connections now, since one that can't be connected to is silent.

Cost: a stream that nobody knows is refused up to 2.4 s later in the first 2.4 s of a member's silence, also if it then goes on at the only version of each of several services.

--- a/papayalink/roles/gateway/take_ups.py
+++ b/papayalink/roles/gateway/take_ups.py
@@ -19,10 +19,14 @@
 # A member answers from memory within a few ms. The caller of a stream waits
 # meanwhile, twice at most.
 ASK_TIMEOUT_S = 0.4
-# If all members are silent they are asked again up to this fraction of the
+# Members are asked again while one is silent, up to this fraction of the
 # call's time, and no longer than this. Sound members may stand still for 2 s.
 ASK_FRACTION = 0.5
 MAX_ASK_S = 2.4
+# Time between two questions to a member that can't be connected to at once.
+ASK_PERIOD_S = 0.1
+# A member that has not been asked for this long may have answered others.
+SILENCE_MEMORY_S = 10.0
 
 
 class AnyVersion(msgspec.Struct, frozen=True):
@@ -52,6 +56,16 @@
     return call.resumes or call.call_id
 
 
+class _Silence:
+    """A member's silence: when it was seen first and last."""
+
+    __slots__ = ("since", "seen_at")
+
+    def __init__(self, now: float) -> None:
+        self.since = now
+        self.seen_at = now
+
+
 class TakeUps:
     """Finds the versions that began streams which callers take up.
 
@@ -60,7 +74,14 @@
         tables: hold what this entry knows, and what it is told.
     """
 
-    __slots__ = ("_node", "_members", "_tables", "_metrics", "_log")
+    __slots__ = (
+        "_node",
+        "_members",
+        "_tables",
+        "_metrics",
+        "_silences",
+        "_log",
+    )
 
     def __init__(
         self,
@@ -73,6 +94,7 @@
         self._members = members
         self._tables = tables
         self._metrics = metrics
+        self._silences: dict[str, _Silence] = {}
         self._log = logs.get_logger()
 
     def find_version(self, call: calls.Call, route: traffic.Route) -> Version:
@@ -121,10 +143,11 @@
                     break
             while (
                 version is None
-                and silent
-                and len(silent) == len(members)
                 and time.monotonic() < ask_until
+                and self._may_know(silent, members)
             ):
+                gevent.sleep(ASK_PERIOD_S)
+                members = self._members()
                 silent = self._ask(call.resumes, members)
                 version = self._find_here(call, route, arrived_at)
         return (
@@ -159,6 +182,22 @@
             versions.append(OnlyVersion(target.service, software))
         return versions[0] if versions else None
 
+    def _may_know(self, silent: list[str], members: list[str]) -> bool:
+        """Returns: whether a silent member is worth waiting for.
+
+        Origins are told to the leader, and the others ask it for them. So what
+        these do not know, it or the leader before it may.
+        """
+        if silent and len(silent) == len(members):
+            return True
+        now = time.monotonic()
+        for member in silent:
+            silence = self._silences.get(member)
+            # One without a silence has answered another call meanwhile.
+            if silence is None or now - silence.since < MAX_ASK_S:
+                return True
+        return False
+
     def _ask(self, stream: str, members: Iterable[str]) -> list[str]:
         """Ask members at the same time, and merge what they know.
 
@@ -169,10 +208,20 @@
             for member in members
         }
         gevent.joinall(asked.values())
-        return [member for member, task in asked.items() if not task.value]
+        silent = [member for member, task in asked.items() if not task.value]
+        now = time.monotonic()
+        for member in asked:
+            known = self._silences.get(member)
+            if member not in silent:
+                self._silences.pop(member, None)
+            elif known is None or now - known.seen_at > SILENCE_MEMORY_S:
+                self._silences[member] = _Silence(now)
+            else:
+                known.seen_at = now
+        return silent
 
     def _ask_member(self, member: str, stream: str) -> bool:
-        """Returns: whether the member has answered, or can't be asked."""
+        """Returns: whether the member has answered, or has ended."""
         # The reply may wait while this process stands still.
         asked_at = time.monotonic()
         try:
@@ -184,7 +233,7 @@
             )
         except errors.TransportError as error:
             self._log.debug("origin_not_read", member=member, reason=error)
-            return not isinstance(error, errors.Timeout)
+            return not _is_silence(error)
         self._tables.origins.merge(reply.origins, asked_at)
         self._tables.software.merge(reply.software, asked_at, time.monotonic())
         if reply.list_age_ms >= 0:
@@ -194,6 +243,20 @@
         return True
 
 
+def _is_silence(error: errors.TransportError) -> bool:
+    """Returns: whether the member may stand still, and answer later."""
+    match error:
+        case errors.ConnectionRefused():
+            return False
+        case errors.Timeout() | errors.NotConnected():
+            return True
+        case errors.ConnectionLost():
+            # Connections that fall silent are given up before a call's time.
+            return True
+        case _:
+            return False
+
+
 def _allowed_s(call: calls.Call, route: traffic.Route) -> float:
     if not call.budget_ms:
         return route.timeout_s
--- a/papayalink/transport/rpc_connection.py
+++ b/papayalink/transport/rpc_connection.py
@@ -105,12 +105,16 @@
     async def connect(self, timeout_s: float) -> None:
         """Connect, unless there is a connection.
 
-        Raises: errors.NotConnected
+        Raises: errors.NotConnected, errors.ConnectionRefused among it.
         """
         try:
             protocol = await asyncio.wait_for(
                 self.channel.__connect__(), min(timeout_s, CONNECT_TIMEOUT_S)
             )
+        except ConnectionRefusedError as error:
+            raise errors.ConnectionRefused(
+                f"{self._address}: {error}"
+            ) from error
         except (OSError, TimeoutError) as error:
             raise errors.NotConnected(f"{self._address}: {error}") from error
         if self._watch is None or self._watch.done():
--- a/tests/roles/gateway/test_take_ups.py
+++ b/tests/roles/gateway/test_take_ups.py
@@ -3,6 +3,7 @@
 import time
 from types import SimpleNamespace
 
+import gevent
 import pytest
 
 from papayalink import metrics as metrics_module
@@ -21,7 +22,7 @@
 
 
 class _Members:
-    """Members that may know a stream; "down" do not answer.
+    """Members that may know a stream; "down" refuse connections.
 
     Attributes:
         software: what they know of the versions of services.
@@ -35,7 +36,7 @@
     def call(self, address, method, message, timeout_s):
         self.asked.append(address)
         if self.known[address] == "down":
-            raise errors.NotConnected(address)
+            raise errors.ConnectionRefused(address)
         tables = table_exchange.make_table_set()
         now = time.monotonic()
         if self.known[address]:
@@ -49,14 +50,17 @@
         )
 
 
-def _find(members, tables, route=_RESUMED, last_event_id="3", resumes="c1"):
-    finder = take_ups.make_take_ups(
+def _make_finder(members, tables):
+    return take_ups.make_take_ups(
         SimpleNamespace(rpc_client=members),
         lambda: list(members.known),
         tables,
         metrics_module.make_metrics(),
     )
-    call = calls.Call(
+
+
+def _make_call(last_event_id="3", resumes="c1"):
+    return calls.Call(
         call_id="c2",
         method=b"POST",
         target=b"/",
@@ -65,7 +69,11 @@
         last_event_id=last_event_id,
         resumes=resumes,
     )
-    return finder.find_version(call, route)
+
+
+def _find(members, tables, route=_RESUMED, last_event_id="3", resumes="c1"):
+    finder = _make_finder(members, tables)
+    return finder.find_version(_make_call(last_event_id, resumes), route)
 
 
 @pytest.mark.parametrize(
@@ -140,30 +148,160 @@
 
 
 class _SilentMembers(_Members):
-    """Members of which each answers from the third question on."""
+    """Members that answer from the third question on.
+
+    Attributes:
+        silent: those that do; the others answer each question.
+        error: what becomes of the other questions.
+    """
+
+    def __init__(self, silent, error=errors.Timeout, **known):
+        super().__init__(**known)
+        self.silent = silent
+        self.error = error
 
     def call(self, address, method, message, timeout_s):
-        if self.asked.count(address) < 2:
+        if address in self.silent and self.asked.count(address) < 2:
             self.asked.append(address)
-            raise errors.Timeout(address)
+            raise self.error(address)
         return super().call(address, method, message, timeout_s)
 
 
+# A connection of a silent member is given up by the transport, and a new one
+# may not be taken.
+_SILENCES = [errors.Timeout, errors.NotConnected, errors.ConnectionLost]
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Replaces the clock by one that only waits move.
+
+    Returns: function that moves it.
+    """
+    now = time.monotonic()
+
+    def sleep(seconds):
+        nonlocal now
+        now += seconds
+
+    monkeypatch.setattr(
+        take_ups, "time", SimpleNamespace(monotonic=lambda: now)
+    )
+    monkeypatch.setattr(
+        take_ups,
+        "gevent",
+        SimpleNamespace(
+            sleep=sleep, spawn=gevent.spawn, joinall=gevent.joinall
+        ),
+    )
+    return sleep
+
+
 # Guards against streams that can't be taken up, with seconds left, because
-# members are silent for a moment.
+# members are silent for a moment. "a" is the leader, which alone may know a
+# stream that began just now; a new leader does not know it at once.
+@pytest.mark.parametrize("error", _SILENCES)
 @pytest.mark.parametrize(
-    "known", [{"a": "v1"}, {"a": "v1", "b": ""}, {"a": "", "b": "v1"}]
+    ("silent", "known"),
+    [
+        ("a", {"a": "v1"}),
+        ("ab", {"a": "v1", "b": ""}),
+        ("ab", {"a": "", "b": "v1"}),
+        ("a", {"a": "v1", "b": "", "c": ""}),
+        ("a", {"a": "v1", "b": "down"}),
+        ("b", {"a": "", "b": "v1", "c": ""}),
+    ],
 )
-def test_silent_members_are_asked_again(known):
-    members = _SilentMembers(**known)
+def test_silent_members_are_asked_again(clock, silent, known, error):
+    members = _SilentMembers(silent, error, **known)
+    assert _find(members, table_exchange.make_table_set()) == _V1
+
+
+# Guards against a stream that a member comes to know while another is silent,
+# and that is refused.
+@pytest.mark.parametrize("error", _SILENCES)
+def test_members_that_answered_are_asked_again(clock, error):
+    members = _SilentMembers("a", error, a="", b="")
+    answer = members.call
+
+    def call(address, *arguments):
+        if members.asked.count("b") == 1:
+            members.known["b"] = "v1"
+        return answer(address, *arguments)
+
+    members.call = call
     assert _find(members, table_exchange.make_table_set()) == _V1
 
 
-# Guards against streams that wait for one member although others have said
-# that they do not know them.
-def test_one_silent_member_is_not_waited_for():
-    members = _SilentMembers(a="v1", b="")
-    members.asked = ["b", "b"]
-    version = _find(members, table_exchange.make_table_set())
-    assert version == take_ups.UnknownVersion()
-    assert members.asked == ["b", "b", "a", "b"]
+class _GoneMembers(_Members):
+    """Members of which some never answer.
+
+    Attributes:
+        gone: those that do not.
+        error: what becomes of their questions.
+    """
+
+    def __init__(self, gone, error, **known):
+        super().__init__(**known)
+        self.gone = gone
+        self.error = error
+
+    def call(self, address, method, message, timeout_s):
+        if address in self.gone:
+            self.asked.append(address)
+            raise self.error(address)
+        return super().call(address, method, message, timeout_s)
+
+
+# Guards against streams that wait for a member that is gone, each for seconds,
+# although the others have said that they do not know them.
+@pytest.mark.parametrize("error", _SILENCES)
+@pytest.mark.parametrize("gone", ["a", "b"])
+def test_member_that_stays_silent_is_not_waited_for(clock, gone, error):
+    members = _GoneMembers(gone, error, a="", b="")
+    finder = _make_finder(members, table_exchange.make_table_set())
+    finder.find_version(_make_call(), _RESUMED)
+    assert len(members.asked) > 2
+    clock(take_ups.MAX_ASK_S)
+    for _ in range(20):
+        members.asked.clear()
+        version = finder.find_version(_make_call(), _RESUMED)
+        assert version == take_ups.UnknownVersion()
+        assert members.asked == ["a", "b"]
+        clock(1.0)
+
+
+# Guards against a member that is not waited for because it stood still once.
+@pytest.mark.parametrize("ends_by", ["answer", "time"])
+def test_silence_ends(clock, ends_by):
+    members = _GoneMembers("a", errors.Timeout, a="", b="")
+    finder = _make_finder(members, table_exchange.make_table_set())
+    finder.find_version(_make_call(), _RESUMED)
+    clock(take_ups.MAX_ASK_S)
+    if ends_by == "answer":
+        members.gone = ""
+        finder.find_version(_make_call(), _RESUMED)
+        members.gone = "a"
+    else:
+        clock(take_ups.SILENCE_MEMORY_S)
+    members.asked.clear()
+    finder.find_version(_make_call(), _RESUMED)
+    assert len(members.asked) > 2
+
+
+# Guards against a stream that ends with an error because a member that is
+# silent for its call answers another one.
+def test_silence_that_ends_for_another_call(clock):
+    members = _GoneMembers("a", errors.Timeout, a="", b="")
+    finder = _make_finder(members, table_exchange.make_table_set())
+    answer = members.call
+
+    def call(address, *arguments):
+        if members.gone and address == "b":
+            members.gone = ""
+            finder.find_version(_make_call(resumes="c9"), _RESUMED)
+            members.known["a"] = "v1"
+        return answer(address, *arguments)
+
+    members.call = call
+    assert finder.find_version(_make_call(), _RESUMED) == _V1
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -13,6 +13,7 @@
 from papayalink.transport import auth
 from papayalink.transport import errors
 from papayalink.transport import rpc
+from tests.adapters import silent_server
 from tests.transport import sockets
 
 _KEY = b"k" * 32
@@ -191,3 +192,18 @@
             with pytest.raises(errors.TransportError):
                 _send_poll(client, address)
     _send_poll(client, address)
+
+
+@pytest.mark.parametrize("listens", [True, False])
+def test_ended_peer_is_told_from_one_that_takes_no_connections(
+    client, listens
+):
+    """Guards against a peer that stands still and counts as ended."""
+    peer = silent_server.SilentServer(b"")
+    if not listens:
+        peer.stop()
+    with pytest.raises(errors.NotConnected) as raised:
+        _send_poll(client, peer.address, 0.2)
+    peer.stop()
+    refused = isinstance(raised.value, errors.ConnectionRefused)
+    assert refused is not listens
