Hold the place of a replica that is loading although its order failed

More replicas of a model load at once than may, and loading replicas are open to calls, which they turn away.

Cause: an order that had no answer within 1 s, because the replica stood still, kept its place for 0.5 s more, and was then repeated behind all others, whose orders took the places meanwhile. A repeated order, or one after an earlier leader's, is rejected with 409 while the first is carried out; that counted as not taken, and gave the place away. Orders were closed in both cases, so that gateways sent calls to the replica.

Evidence: test_replica_that_is_loading_already_holds_its_place on the old code orders a third and a fourth of four replicas while two load (two may).

Change: a replica whose order had no answer is asked for its report after 0.5 s, again if that fails, for up to 4 s from then. If it carries out an order, or has the weights, its load is waited for; else the order is repeated as before. A replica that rejects an order while it carries out another one holds its place until it has ended that. Reports tell `busy`.

Result: the 6 cases failed before (of 26 of test_load_places.py, with the old weights.py) and pass. test_order_that_was_lost_is_repeated and test_replica_that_ends_an_older_load_is_ordered_soon passed before. A replica that stays silent after it has taken the connection holds its place for up to 5.5 s, which was 1.5 s (read). Orders still name no `precondition`: one that arrives seconds later may be carried out after newer ones.

--- a/papayalink/coordination/upstream_client.py
+++ b/papayalink/coordination/upstream_client.py
@@ -26,10 +26,12 @@
     Attributes:
         weights: weight version by model.
         orders: orders that it accepted since its start, None if unknown.
+        busy: whether it carries out an order.
     """
 
     weights: dict[str, int]
     orders: int | None = None
+    busy: bool = False
 
 
 class UpstreamClient(Protocol):
--- a/papayalink/platform/replicas.py
+++ b/papayalink/platform/replicas.py
@@ -81,6 +81,7 @@
 class _Report(msgspec.Struct):
     models: list[_Model] = []
     sequence: int | None = None
+    busy: bool = False
 
 
 class Platform:
@@ -187,6 +188,7 @@
         return upstream_client.Report(
             weights={model.name: model.version for model in report.models},
             orders=report.sequence,
+            busy=report.busy,
         )
 
     def _read_page(self, path: str) -> list_pages.Page:
--- a/papayalink/roles/authority/weights.py
+++ b/papayalink/roles/authority/weights.py
@@ -39,7 +39,8 @@
 # from their watches within about 0.05 s; calls that they sent before arrive
 # within a few ms.
 ORDER_DELAY_S = 0.15
-# An order without an answer is repeated after this with a newer fencing token.
+# The replica is asked after this whether it carries out an order without an
+# answer. If not, it is repeated after as long with a newer fencing token.
 UNANSWERED_RETRY_S = 0.5
 
 
@@ -220,7 +221,7 @@
         log = self._log.bind(
             replica=replica.replica_id, model=load.model, version=load.version
         )
-        accepted = loaded = False
+        accepted = busy = loaded = False
         try:
             order = self._open(load)
             gevent.sleep(ORDER_DELAY_S)
@@ -228,23 +229,21 @@
             self._state.confirm()
             if not self._replica.is_leader:
                 raise errors.NotLeader(None)
-            accepted = self._platform.order_weights(
-                replica,
-                load.model,
-                load.version,
-                self._node.settings.name,
-                order.fence,
-            )
+            accepted = self._order(load, order.fence)
             log.info("weights_ordered", fence=order.fence, taken=accepted)
             self._node.metrics.count("weight_orders", taken=str(accepted))
             if accepted:
                 self._failures.pop(replica.replica_id, None)
                 loaded = self._wait_loaded(load)
+            elif busy := self._platform.read_report(replica).busy:
+                # It carries out an order whose answer was lost, or one of an
+                # earlier leader.
+                loaded = self._wait_loaded(load, while_busy=True)
             self._close(order)
-            if not accepted:
+            if not accepted and not loaded:
                 self._note_failure(replica, "rejected")
         except upstream_client.ReplicaNotReached as error:
-            self._note_failure(replica, error, accepted)
+            self._note_failure(replica, error, accepted or busy)
         except (
             errors.CoordinationError,
             upstream_client.UpstreamClientError,
@@ -292,9 +291,54 @@
         # Choose the next load without waiting for the next period.
         self._inbox.put(_UpkeepDue())
 
-    def _wait_loaded(self, load: weight_loads.Load) -> bool:
+    def _order(self, load: weight_loads.Load, fence: int) -> bool:
+        """Returns: whether the replica carries out the order, or has.
+
+        Raises: upstream_client.UpstreamClientError
+        """
+        try:
+            return self._platform.order_weights(
+                load.replica,
+                load.model,
+                load.version,
+                self._node.settings.name,
+                fence,
+            )
+        except upstream_client.ReplicaNotReached:
+            raise
+        except upstream_client.UpstreamClientError:
+            # Its place is held until this is known.
+            if not self._is_under_way(load):
+                raise
+            return True
+
+    def _is_under_way(self, load: weight_loads.Load) -> bool:
+        """Find out whether a replica took an order without an answer.
+
+        Raises: upstream_client.UpstreamClientError
+        """
+        deadline = time.monotonic() + weight_loads.ORDER_REPEAT_S
+        while True:
+            # A replica that stood still reports late what it does.
+            gevent.sleep(UNANSWERED_RETRY_S)
+            try:
+                report = self._platform.read_report(load.replica)
+            except upstream_client.ReplicaEnded:
+                raise
+            except upstream_client.UpstreamClientError:
+                if time.monotonic() >= deadline:
+                    raise
+                continue
+            held = report.weights.get(load.model, 0) >= load.version
+            return report.busy or held
+
+    def _wait_loaded(
+        self, load: weight_loads.Load, while_busy: bool = False
+    ) -> bool:
         """Poll the replica until it has the weights or a repeat is due.
 
+        Args:
+            while_busy: wait only until the replica carries out no order.
         Returns: whether the replica has the weights.
         Raises: upstream_client.ReplicaEnded
         """
@@ -312,7 +356,7 @@
                     replica=replica.replica_id,
                     reason=error,
                 )
-                report = upstream_client.Report({})
+                report = upstream_client.Report({}, busy=True)
             if report.weights.get(load.model, 0) >= load.version:
                 self._known.note_report(
                     replica, report.weights, time.monotonic()
@@ -325,6 +369,8 @@
                 return True
             if report.orders == 0:
                 raise upstream_client.ReplicaEnded("a restart cleared it")
+            if while_busy and not report.busy:
+                return False
             gevent.sleep(PERIOD_S)
         return False
 
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -586,6 +586,10 @@
             upstream_client.Report({"m": 3}, 2),
         ),
         (b'{"models":[]}', upstream_client.Report({})),
+        (
+            b'{"models":[],"busy":true,"sequence":2}',
+            upstream_client.Report({}, 2, busy=True),
+        ),
     ],
 )
 def test_report_tells_weights_and_orders(body, report):
--- a/tests/roles/authority/test_load_places.py
+++ b/tests/roles/authority/test_load_places.py
@@ -35,6 +35,7 @@
         reports_answered: unset while calls for reports hang.
         list_error: error of each reading of the list.
         errors: error of each call to a replica, None for a rejected order.
+        unanswered: replicas whose answers to orders that they take are lost.
     """
 
     def __init__(self, versions):
@@ -45,6 +46,7 @@
         self.reports = []
         self.list_error = None
         self.errors = {}
+        self.unanswered = set()
         self.reports_answered = event.Event()
         self.reports_answered.set()
         self._loading = {}
@@ -74,7 +76,9 @@
         if self.errors.get(name) is not None:
             raise self.errors[name]
         return upstream_client.Report(
-            {"m": self.versions[name]}, self._order_counts.get(name, 0)
+            {"m": self.versions[name]},
+            self._order_counts.get(name, 0),
+            name in self._loading,
         )
 
     def order_weights(self, replica, model, version, holder, fence):
@@ -84,10 +88,20 @@
             if self.errors[name] is None:
                 return False
             raise self.errors[name]
+        if name in self._loading:
+            return False
         self._loading[name] = version
         self._order_counts[name] = self._order_counts.get(name, 0) + 1
+        if name in self.unanswered:
+            raise upstream_client.UpstreamClientError("no answer")
         return True
 
+    def find(self, name):
+        """Returns: a replica of the list."""
+        return next(
+            each for each in self.list_replicas() if each.replica_id == name
+        )
+
     def restart(self, name):
         """Let a replica start again under its id, with the same weights."""
         del self._loading[name]
@@ -368,3 +382,69 @@
     leader.wanted["m"] = 3
     leader.wait_for(lambda: len(platform.orders) == 3)
     assert sorted(platform.orders[1:]) == [("r0", 3), ("r1", 3)]
+
+
+@pytest.mark.parametrize("silent", [("r0",), ("r0", "r1")])
+@pytest.mark.parametrize(
+    "kind", ["answer-lost", "reports-lost", "earlier-leader"]
+)
+def test_replica_that_is_loading_already_holds_its_place(
+    make_leader, monkeypatch, kind, silent
+):
+    """Guards against more loads at once than may run.
+
+    The order of a replica that stood still, or of an earlier leader, is under
+    way, so that another one is rejected.
+    """
+    monkeypatch.setattr(weights, "UNANSWERED_RETRY_S", _PERIOD_S)
+    leader = make_leader({"r0": 1, "r1": 1, "r2": 1, "r3": 1})
+    platform = leader.platform
+    if kind == "earlier-leader":
+        for name in silent:
+            platform.order_weights(platform.find(name), "m", 2, "v0", 1)
+    else:
+        platform.unanswered = set(silent)
+    earlier = len(platform.orders)
+    leader.wait_for(lambda: len(platform.orders) >= earlier + 2)
+    if kind == "reports-lost":
+        error = upstream_client.UpstreamClientError("no answer")
+        platform.errors = dict.fromkeys(silent, error)
+        leader.pass_periods(20)
+        platform.errors = {}
+    leader.pass_periods(20)
+    assert sorted(platform.orders[earlier:]) == [("r0", 2), ("r1", 2)]
+    platform.unanswered = set()
+    platform.end_load("r0")
+    leader.wait_for(lambda: ("r2", 2) in platform.orders)
+    leader.pass_periods(20)
+    assert ("r3", 2) not in platform.orders
+    platform.end_load("r1")
+    leader.wait_for(lambda: ("r3", 2) in platform.orders)
+
+
+def test_replica_that_ends_an_older_load_is_ordered_soon(make_leader):
+    """Guards against a place that is held for a load that has ended."""
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    platform.order_weights(platform.find("r0"), "m", 2, "v0", 1)
+    leader.wanted["m"] = 3
+    leader.wait_for(lambda: ("r0", 3) in platform.orders)
+    platform.end_load("r0")
+    leader.wait_for(lambda: platform.orders.count(("r0", 3)) >= 2)
+    platform.end_load("r0")
+    assert platform.versions == {"r0": 3}
+
+
+def test_order_that_was_lost_is_repeated(make_leader, monkeypatch):
+    """Guards against a wait for a load that has never begun."""
+    monkeypatch.setattr(weights, "UNANSWERED_RETRY_S", _PERIOD_S)
+    leader = make_leader({"r0": 1})
+    platform = leader.platform
+    error = upstream_client.UpstreamClientError("no answer")
+    platform.errors = {"r0": error}
+    leader.wait_for(lambda: platform.orders)
+    platform.errors = {}
+    leader.wait_for(lambda: len(platform.orders) == 2)
+    platform.end_load("r0")
+    leader.pass_periods(10)
+    assert platform.orders == [("r0", 2)] * 2
