Wait for engines that take no connections for a second

What callers saw: a completion that is refused as "engine: not reached", with seconds left, while its engine takes no connections for 1.3 s.

Cause: agents gave an engine 1 s to take a connection, which is shorter than the pause of a sound one.

Change: completions and resumed streams wait 3.5 s, like calls to services: a dropped SYN is sent again after 1 s and 3 s. Checks of the engine, short calls and pieces still wait 1 s, so that an engine counts as down as soon as before.

Cost: a completion for an engine whose machine is dark goes on at another engine after 3.5 s, which was 1 s, if it is sent before the checks have found out (read, not measured).

No process test was run.

--- a/papayalink/adapters/engine.py
+++ b/papayalink/adapters/engine.py
@@ -17,6 +17,9 @@
 
 # An agent runs close to its engine; connecting takes a few milliseconds.
 CONNECT_TIMEOUT_S = 1.0
+# A sound engine may take no connections for up to 2 s. A SYN that it drops is
+# sent again after 1 s and 3 s. One that has ended refuses at once.
+CALL_CONNECT_TIMEOUT_S = 3.5
 
 # Engines answer short calls (load, events, pieces) within milliseconds.
 READ_TIMEOUT_S = 5.0
@@ -210,15 +213,22 @@
     status, unless their doc string says otherwise.
     """
 
-    __slots__ = ("_connector", "_read_timeout_s", "_stream_timeout_s")
+    __slots__ = (
+        "_connector",
+        "_call_connector",
+        "_read_timeout_s",
+        "_stream_timeout_s",
+    )
 
     def __init__(
         self,
         connector: connection.Connector,
+        call_connector: connection.Connector,
         read_timeout_s: float,
         stream_timeout_s: float,
     ) -> None:
         self._connector = connector
+        self._call_connector = call_connector
         self._read_timeout_s = read_timeout_s
         self._stream_timeout_s = stream_timeout_s
 
@@ -263,7 +273,7 @@
         """
         headers = [*_JSON_HEADERS, ("X-Request-Id", request_id)]
         return PendingReply(
-            self._connector.open(
+            self._call_connector.open(
                 "POST", path, self._stream_timeout_s, headers, body
             )
         )
@@ -390,7 +400,7 @@
 
     def _open_stream(self, path, headers, body):
         return EventStream(
-            self._connector.open(
+            self._call_connector.open(
                 "POST", path, self._stream_timeout_s, headers, body
             )
         )
@@ -401,18 +411,21 @@
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     read_timeout_s: float = READ_TIMEOUT_S,
     stream_timeout_s: float = STREAM_TIMEOUT_S,
+    call_connect_timeout_s: float = CALL_CONNECT_TIMEOUT_S,
 ) -> Engine:
     """Make the adapter of one engine; it connects on first use.
 
     Args:
         address: HOST:PORT of the engine.
-        connect_timeout_s: time allowed for connecting.
+        connect_timeout_s: time allowed for connecting for short calls.
         read_timeout_s: time allowed without progress in a short call.
         stream_timeout_s: time allowed without progress in a completion,
             streamed or not.
+        call_connect_timeout_s: time allowed for connecting for a completion.
     """
     return Engine(
         connection.Connector(address, connect_timeout_s),
+        connection.Connector(address, call_connect_timeout_s),
         read_timeout_s,
         stream_timeout_s,
     )
--- a/tests/adapters/test_engine.py
+++ b/tests/adapters/test_engine.py
@@ -9,6 +9,7 @@
 from fakes import weights as fake_weights
 from papayalink.adapters import engine as adapters
 from papayalink.adapters import errors
+from tests.adapters import silent_server
 
 COMPLETIONS = "/v1/completions"
 CHAT = "/v1/chat/completions"
@@ -327,3 +328,29 @@
     server.stop()
     with pytest.raises(errors.Interrupted):
         reply.result() if unstreamed else list(reply)
+
+
+@pytest.fixture
+def silent():
+    """An engine that takes no connections for more than a second."""
+    started = silent_server.SilentServer(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    started.go_on_after(1.3)
+    yield started
+    started.stop()
+
+
+# Guards against calls that are refused, with seconds left, because a sound
+# engine takes no connections for a second.
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda engine: engine.complete(COMPLETIONS, b"{}", "r1"),
+        lambda engine: engine.stream(COMPLETIONS, b"{}", "r1").close(),
+        lambda engine: engine.resume("r1", 3).close(),
+    ],
+    ids=["complete", "stream", "resume"],
+)
+def test_call_waits_for_a_silent_engine(silent, call):
+    call(adapters.make_engine(silent.address))
