Vote again soon when members that start together split their votes

Cause: members that start within a few milliseconds may all ask for votes in the same tick and split them. The short timeout of the first election, which holds until a leader is known by its own doc comment, ended with the first new term, also if nobody had won it; the next election came 0.5 to 0.95 s later.

The timeout now stays short until a leader was known, and grows with each election that nobody wins (3, 6, 9, 10 ticks at least), since votes may need longer on slow disks and links. After a leader was known it is the long one also for repeated pre-votes, which it was not if the term was that of the start.

Tests: of the 12 new cases 6 fail on the old code.

--- a/papayalink/coordination/raft/election.py
+++ b/papayalink/coordination/raft/election.py
@@ -133,6 +133,7 @@
 def _become_leader(state: node_state.NodeState) -> None:
     state.role = _Role.LEADER
     state.leader_id = state.member_id
+    state.leader_known_since_start = True
     state.election_elapsed = 0
     state.heartbeat_elapsed = 0
     state.forwarded_reads.clear()
--- a/papayalink/coordination/raft/inputs.py
+++ b/papayalink/coordination/raft/inputs.py
@@ -20,8 +20,10 @@
         entries: stored entries after the snapshot.
         election_ticks: shortest election timeout; the longest is one tick
             less than twice this.
-        first_election_ticks: shortest election timeout between the start and
-            the first message of a leader; None to use election_ticks.
+        first_election_ticks: shortest election timeout of the first election
+            after the start, as long as no leader is known; it grows by as
+            much with each further one, up to election_ticks. None to use
+            election_ticks at once.
         heartbeat_ticks: ticks between heartbeats.
         snapshot_ticks: ticks to wait for the reply to a snapshot part before
             the transfer is suspended; it resumes once the peer replies.
--- a/papayalink/coordination/raft/node_state.py
+++ b/papayalink/coordination/raft/node_state.py
@@ -88,6 +88,7 @@
         "vote",
         "role",
         "leader_id",
+        "leader_known_since_start",
         "log",
         "snapshot",
         "partial_snapshot",
@@ -120,6 +121,7 @@
         self.vote = config.hard_state.vote
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
+        self.leader_known_since_start = False
         self.snapshot = config.snapshot
         self.partial_snapshot: PartialSnapshot | None = None
         self.compact_to = 0
@@ -197,8 +199,12 @@
     def reset_election_timer(self) -> None:
         """Restart the election timer with a random timeout."""
         ticks = self.config.election_ticks
-        if self.leader_id is None and self.term == self._start_term:
-            ticks = self.config.first_election_ticks or ticks
+        first_ticks = self.config.first_election_ticks
+        if first_ticks is not None and not self.leader_known_since_start:
+            # Longer with each election that nobody won, since its votes may
+            # need longer than the timeout.
+            elections = self.term - self._start_term
+            ticks = min(ticks, first_ticks * (1 + elections))
         self.election_elapsed = 0
         self.election_timeout = self._random.randint(ticks, 2 * ticks - 1)
 
@@ -223,6 +229,8 @@
             self.reset_election_timer()
         self.role = Role.FOLLOWER
         self.leader_id = leader_id
+        if leader_id is not None:
+            self.leader_known_since_start = True
         self.progress.clear()
         self.votes.clear()
 
--- a/papayalink/coordination/replica_loading.py
+++ b/papayalink/coordination/replica_loading.py
@@ -41,8 +41,9 @@
         election_ticks: shortest election timeout; the longest is one tick
             less than twice this.
         first_election_ticks: shortest election timeout after a start, until
-            a leader is known; pre-votes keep a short one from disturbing a
-            live leader. None to use election_ticks.
+            a leader is known; it grows by as much with each election that
+            nobody wins, up to election_ticks. Pre-votes keep a short one from
+            disturbing a live leader. None to use election_ticks.
         heartbeat_ticks: ticks between heartbeats.
         snapshot_entries: applied entries after which a snapshot is taken.
         snapshot_bytes: applied bytes after which a snapshot is taken. In
--- a/tests/coordination/raft/test_core.py
+++ b/tests/coordination/raft/test_core.py
@@ -18,14 +18,14 @@
     return log_entries.Entry(index, term, _COMMAND, b"x")
 
 
-def _node(entries=(), term=0, members="abc", learners="", **options):
+def _node(entries=(), term=0, members="abc", learners="", seed=1, **options):
     every = [memberships.Member(each) for each in members]
     every += [memberships.Member(each, "", False) for each in learners]
     membership = memberships.Membership(tuple(every))
     return core.make_node(
         inputs.Config(
             member_id="a",
-            seed=1,
+            seed=seed,
             hard_state=log_entries.HardState(term),
             snapshot=messages.Snapshot(0, 0, membership, ()),
             entries=list(entries),
@@ -366,3 +366,57 @@
     assert node.role.value == "follower"
     _tick(node, 10)
     assert node.role.value == "pre-candidate"
+
+
+def _tick_until_pre_votes(node):
+    """Returns: number of ticks after which the node asks for pre-votes."""
+    for count in range(1, 100):
+        if any(isinstance(m, messages.PreVote) for m in _tick(node, 1)):
+            return count
+    raise AssertionError("no pre-votes")
+
+
+def _lose_election(node):
+    """Let the node ask for votes in the next term and get none."""
+    ready = _receive(node, messages.PreVoteReply, True, term=node.term + 1)
+    _persist(node, ready)
+    _receive(node, messages.VoteReply, False)
+    assert node.role.value == "candidate"
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_elections_after_a_start_follow_soon_until_one_is_won(seed):
+    """Guards against entries that have no document for a second.
+
+    Members that start at the same time may split their votes, and waited as
+    long as for a silent leader before they voted again.
+    """
+    node = _node(election_ticks=10, first_election_ticks=3, seed=seed)
+    assert _tick_until_pre_votes(node) in range(3, 6)
+    # Votes may need longer than the first timeout on slow disks and links.
+    for shortest in (6, 9, 10, 10):
+        _lose_election(node)
+        waited = _tick_until_pre_votes(node)
+        assert waited in range(shortest, 2 * shortest)
+
+
+@pytest.mark.parametrize("lost_elections", [0, 1])
+@pytest.mark.parametrize("wins", [False, True])
+def test_elections_wait_for_a_leader_that_was_known(lost_elections, wins):
+    """Guards against a live leader that is deposed after short silence."""
+    node = _node(term=1, election_ticks=10, first_election_ticks=3)
+    _tick_until_pre_votes(node)
+    for _ in range(lost_elections):
+        _lose_election(node)
+        _tick_until_pre_votes(node)
+    if wins:
+        ready = _receive(node, messages.PreVoteReply, True, term=node.term + 1)
+        _persist(node, ready)
+        _receive(node, messages.VoteReply, True)
+        assert node.is_leader
+        _receive(node, messages.StaleTerm, term=node.term + 1)
+    else:
+        _receive(node, messages.Append, 0, 0, (), 0)
+    assert node.role.value == "follower"
+    for _ in range(3):
+        assert _tick_until_pre_votes(node) in range(10, 20)
