Refuse requests that are half read when a gateway ends

What callers saw: a caller whose request had arrived in part when the grace period of a gateway ended lost its connection without an answer, and could not know that the call had not run.

Cause: end_requests() interrupts the handlers. A connection that still reads a head or a body has none, and was cut by the end of the process. A body that arrives in pieces, or one that its caller sends only after 100 Continue, is not bounded by the time-out of a read.

Change: the end interrupts these reads too. They are answered with 503 and Retry-After: 0, since nothing was passed on, and the connection is closed once its caller has read that.

Result: test_half_read_at_stop.py, 6 of 7 cases failed before; the seventh checks that a request whose rest comes at the end is answered once. Tests of the callers' server, of planned stops and of calls unanswered at the end pass.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -29,6 +29,7 @@
 # connected, or has just had an answer that could not announce the close.
 _LAST_REQUEST_WAIT_S = 0.25
 _INTERNAL_SERVER_ERROR = 500
+_SERVICE_UNAVAILABLE = 503
 # Promises nothing: the request may have been passed on.
 _BAD_GATEWAY = 502
 # Time within which a caller reads the last answer of a connection on which it
@@ -54,11 +55,18 @@
 
 
 class _Refused(errors.TransportError):
-    """The request is unreadable and gets an error status."""
+    """The request is unreadable and gets an error status.
 
-    def __init__(self, status: int, reason: str) -> None:
+    Args:
+        headers: headers of the answer.
+    """
+
+    def __init__(
+        self, status: int, reason: str, headers: calls.Headers = ()
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.headers = headers
 
 
 class CallerServer:
@@ -85,6 +93,7 @@
         "_server",
         "_close_announced",
         "_waits",
+        "_reading",
         "_handling",
         "_ended",
         "_tasks",
@@ -103,6 +112,8 @@
         self._limits = limits
         self._close_announced = False
         self._waits = request_wait.make_request_waits(_LAST_REQUEST_WAIT_S)
+        # Tasks whose request has arrived in part.
+        self._reading: set[gevent.Greenlet] = set()
         # Tasks whose request has been read and not answered.
         self._handling: set[gevent.Greenlet] = set()
         self._ended = False
@@ -159,17 +170,20 @@
     def end_requests(self, timeout_s: float) -> bool:
         """Interrupt all handlers, after stop(), so that they answer now.
 
+        Requests that have arrived in part are refused.
+
         Returns: whether all connections ended within the time-out.
         """
         self._ended = True
-        gevent.get_hub().loop.run_callback(self._interrupt_handlers)
+        gevent.get_hub().loop.run_callback(self._interrupt_tasks)
         return bool(self._tasks.join(timeout_s))
 
-    def _interrupt_handlers(self) -> None:
-        """Raise ServerStops in each handler; runs in the hub."""
-        for task in list(self._handling):
-            if task in self._handling:
-                task.throw(errors.ServerStops("server ends"))
+    def _interrupt_tasks(self) -> None:
+        """Raise ServerStops in each task with a request; runs in the hub."""
+        for tasks in (self._handling, self._reading):
+            for task in list(tasks):
+                if task in tasks:
+                    task.throw(errors.ServerStops("server ends"))
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -199,16 +213,20 @@
                 connection, sock, lambda: self._close_announced
             )
             try:
-                request = self._read_request(connection, sock)
+                with _noted_in(self._reading):
+                    request = self._read_request(connection, sock)
             except _Refused as refused:
                 self._refuse(sock, refused)
                 return
+            except errors.ServerStops:
+                self._refuse(sock, _make_stop_refusal())
+                return
             if request is None:
                 return
             if self._ended:
                 handler = self._reject
             try:
-                with self._count_request():
+                with _noted_in(self._handling):
                     self._run_handler(handler, request, responder, sock)
             except BaseException:
                 if _ends_with_connection(connection):
@@ -222,15 +240,6 @@
                 return
             connection.start_next_cycle()
 
-    @contextlib.contextmanager
-    def _count_request(self) -> Iterator[None]:
-        task = gevent.getcurrent()
-        self._handling.add(task)
-        try:
-            yield
-        finally:
-            self._handling.discard(task)
-
     def _run_handler(
         self,
         handler: Handler,
@@ -333,10 +342,34 @@
             "request_not_readable", status=refused.status, reason=refused
         )
         with contextlib.suppress(OSError):
-            sock.sendall(responders.encode_last_response(refused.status))
+            sock.sendall(
+                responders.encode_last_response(
+                    refused.status, refused.headers
+                )
+            )
         _linger(sock)
 
 
+def _make_stop_refusal() -> _Refused:
+    """Returns: refusal of a request that was not read; others take it now."""
+    return _Refused(
+        _SERVICE_UNAVAILABLE,
+        "server ends before the request was complete",
+        [(b"Retry-After", b"0")],
+    )
+
+
+@contextlib.contextmanager
+def _noted_in(tasks: set[gevent.Greenlet]) -> Iterator[None]:
+    """Keep the current task in a set."""
+    task = gevent.getcurrent()
+    tasks.add(task)
+    try:
+        yield
+    finally:
+        tasks.discard(task)
+
+
 def _linger(sock: socket.socket) -> None:
     """Wait until a caller that has sent more has read its last answer.
 
--- a/papayalink/transport/responders.py
+++ b/papayalink/transport/responders.py
@@ -96,10 +96,11 @@
             raise errors.CallerGone(str(error)) from error
 
 
-def encode_last_response(status: int) -> bytes:
+def encode_last_response(status: int, headers: calls.Headers = ()) -> bytes:
     """Returns: an empty answer after which the connection closes."""
     head = b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\n" % status
-    return head + b"Connection: close\r\n\r\n"
+    lines = [b"%s: %s\r\n" % header for header in headers]
+    return head + b"".join(lines) + b"Connection: close\r\n\r\n"
 
 
 def make_responder(
