Keep idle connections open within a raised idle limit

What callers saw: after an operator raised the idle limit, connections that were idle already closed at the former limit. A caller that used one within the new limit crossed the close and lost its call.

Cause: the time that a connection may wait was fixed when the wait began.

Evidence: a review of closes around planned work.

Change: when the time is over, the limit in force counts. A lowered limit holds from the next wait on, as before.

Result: test_changed_idle_limit.py, both cases failed before. Tests of the callers' server and of stops pass.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -206,9 +206,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         handler = self._handler
-        while connection.trailing_data[0] or self._waits.wait(
-            sock, self._limits().idle_timeout_s
-        ):
+        while connection.trailing_data[0] or self._wait_for_request(sock):
             responder = responders.make_responder(
                 connection, sock, lambda: self._close_announced
             )
@@ -240,6 +238,21 @@
                 return
             connection.start_next_cycle()
 
+    def _wait_for_request(self, sock: socket.socket) -> bool:
+        """Wait for as long as the limits allow that are in force at the end.
+
+        Returns: whether there is something to read.
+        """
+        idle_since = time.monotonic()
+        idle_s = 0.0
+        while idle_s < (limit_s := self._limits().idle_timeout_s):
+            if self._waits.wait(sock, limit_s - idle_s):
+                return True
+            if self._waits.stopping:
+                return False
+            idle_s = time.monotonic() - idle_since
+        return False
+
     def _run_handler(
         self,
         handler: Handler,
