Forget the number of a list when another member is asked

Callers could be sent to replicas that leave, or refused although newly listed replicas were free, at a gateway that had asked another control member for a moment: while a leader changes, or while a new member reads its stores.

Each member numbers the lists that it reads by itself. A member that has not read its stores yet answers with its list, but leaves the source of the directory as it was, so that the gateway keeps the directory of the member before. When the gateway goes back to that member, it names the source of that member with the number of the other's list. If the newest list of the first member bears the same number, the member answers that the list is unchanged; the gateway keeps the older list of the other member and counts it as just read.

The number is now forgotten whenever another member is asked, which costs one whole list.

--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -76,6 +76,7 @@
         "_departures",
         "_listing",
         "_list_number",
+        "_list_member",
         "_directory",
         "_source",
         "_number",
@@ -110,7 +111,9 @@
         self._tables = tables
         self._table_exchange = table_exchange.make_table_exchange(tables)
         self._listing = listing
+        # Number of the list in use, 0 for none, at the member asked last.
         self._list_number = 0
+        self._list_member = ""
         self._directory = directory
         self._source = ""
         self._number = 0
@@ -163,6 +166,9 @@
     def _exchange(self, address: str) -> bool:
         now = time.monotonic()
         self._note_software()
+        if address != self._list_member:
+            # Each member numbers the lists that it reads by itself.
+            self._list_member, self._list_number = address, 0
         message = messages.Parts(
             self._node.settings.name,
             self._source,
