Look at all replicas before a prompt is refused as overloaded

Callers' prompts were refused as "overloaded" while replicas were free.

A gateway samples four replicas for a prompt (two for the most urgent ones) and refuses the prompt if the best of them can't begin it in time. With one free replica of eight, half of the samples of four miss it.

If the sampled replicas don't admit a prompt, up to 32 usable ones are now looked at, and one is sampled among those that admit it; the prompt is refused only if none does.

Test: 7 of the 8 cases with a free replica failed before, all pass now; the case with fewer replicas than a sample passed before, as did the 6 in which all are busy. A bound of the work of a refusal is tested too.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -179,7 +179,8 @@
         if choice is None:
             self._ending.without_replica("no usable replica")
             return False
-        if self._shed(choice):
+        choice = self._admit(choice)
+        if choice is None:
             return False
         member = choice.member
         self._record.note_choice(member, choice.wait_s)
@@ -227,13 +228,37 @@
         run = run_times.Run(first_s, token_s)
         self._shared.run_times.note(self._route.name, run)
 
-    def _shed(self, choice: replica_choice.Choice) -> bool:
-        """Refuse a prompt if its expected wait is too long.
+    def _admit(
+        self, choice: replica_choice.Choice
+    ) -> replica_choice.Choice | None:
+        """Admit a prompt where its expected wait is short enough.
 
-        Returns: whether it was refused.
+        Returns: the choice, or a better one; None if the call was refused.
         """
         if not self._call.model or self._attempts.sent:
-            return False
+            return choice
+        decision = self._decide_on(choice)
+        if isinstance(decision, shedding.Admit):
+            return choice
+        other = self._shared.fleet.choose_admitting(
+            self._selection_request,
+            self._record.tried,
+            time.monotonic(),
+            lambda each: isinstance(self._decide_on(each), shedding.Admit),
+        )
+        if other is not None:
+            return other
+        now = time.monotonic()
+        self._overload_timer().note_shed(now)
+        self._ending.refuse(
+            decision.retry_after_s,
+            f"overloaded: first token in {choice.wait_s:.2f} s",
+        )
+        return None
+
+    def _decide_on(
+        self, choice: replica_choice.Choice
+    ) -> shedding.Admit | shedding.Shed:
         prompt = shedding.Prompt(
             wait_s=choice.wait_s,
             own_s=choice.own_s,
@@ -241,20 +266,14 @@
             left_s=self._remaining_s(),
             urgent_objective_s=self._urgent_objective_s(),
         )
-        now = time.monotonic()
-        timer = self._shared.overloads.setdefault(
+        overload_s = self._overload_timer().age_s(time.monotonic())
+        chance = self._shared.rng.random()
+        return shedding.decide(prompt, chance, overload_s)
+
+    def _overload_timer(self) -> shedding.OverloadTimer:
+        return self._shared.overloads.setdefault(
             self._service, shedding.make_overload_timer()
         )
-        chance = self._shared.rng.random()
-        match shedding.decide(prompt, chance, timer.age_s(now)):
-            case shedding.Shed(retry_after_s):
-                timer.note_shed(now)
-                self._ending.refuse(
-                    retry_after_s,
-                    f"overloaded: first token in {choice.wait_s:.2f} s",
-                )
-                return True
-        return False
 
     def _send(
         self, member: fleet_member.Member
