Bound the wait for last requests by the time of the stop

With a grace period of a second or less, one connection without a request kept a stop until its end, which was logged as calls that the stop had to end.

Cause: the wait of 0.25 s for callers that have just connected did not look at the time that is left, 0.07 s with 0.5 s of grace.

Evidence: found by a review, by the arithmetic, and shown by the test.

Change: a quarter of the time of the stop bounds the wait.

Result: test_stop_ends_in_time_beside_a_caller_that_sends_nothing, 2 of 3 cases failed before.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -164,7 +164,7 @@
                 connections=len(self._tasks),
                 in_flight=self.in_flight,
             )
-            self._waits.stop()
+            self._waits.stop(timeout_s)
         return bool(self._tasks.join(timeout_s))
 
     def end_requests(self, timeout_s: float) -> bool:
--- a/papayalink/transport/request_wait.py
+++ b/papayalink/transport/request_wait.py
@@ -11,6 +11,8 @@
 from papayalink import readiness
 
 _READ_EVENT = 1
+# Part of the time of a stop for which it waits for requests on their way.
+_LAST_WAIT_SHARE = 0.25
 
 
 class RequestWaits:
@@ -68,8 +70,15 @@
             watcher.close()
         return readiness.has_unread_bytes(sock)
 
-    def stop(self) -> None:
-        """Let each connection end that has not been sent a request."""
+    def stop(self, timeout_s: float = float("inf")) -> None:
+        """Let each connection end that has not been sent a request.
+
+        Args:
+            timeout_s: time in which the server is to have stopped.
+        """
+        self._last_wait_s = min(
+            self._last_wait_s, _LAST_WAIT_SHARE * timeout_s
+        )
         self._stopping = True
         for look in self._looks:
             look.set()
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -304,6 +304,17 @@
         assert stopping.get()
 
 
+@pytest.mark.parametrize("timeout_s", [0.07, 0.13, 5.0])
+def test_stop_ends_in_time_beside_a_caller_that_sends_nothing(
+    timeout_s, server
+):
+    """Guards against short stops that wait until their end for a request."""
+    with _connect(server):
+        while not len(server._waits):
+            gevent.sleep(0)
+        assert server.stop(timeout_s)
+
+
 def test_stop_waits_for_a_request_that_has_arrived_in_part(server, echo):
     """Guards against a process that ends with a request half read."""
     with _connect(server) as sock:
