Keep calls at replicas that have only closed their port

What callers saw: a replica that closes its port before it has finished its calls, while the list still names it as ready, lost them: plain calls got 502 after about 0.8 s, and begun streams were cut, though it was answering them.

Cause: a refused connection within a silence of 0.4 s, which any run takes, counted as the end of the replica.

Change: refusals count as its end only after a connection within the same silence that got no answer at all: a machine that was down and now runs nothing. The end of a process closes its connections too, which shows by itself.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -39,6 +39,8 @@
             infinity if it was never lost.
         refused_at: monotonic seconds at which its machine refused a connection
             last, minus infinity for never.
+        unanswered_at: monotonic seconds at which a connection to it failed
+            last without a refusal, minus infinity for never.
         limit_per_s: requests a second that it takes from all entries, None
             without a limit. Each request needs a permit while there is one.
         prefill: prompt tokens of calls without a first token, by urgency.
@@ -60,6 +62,7 @@
         "reached_at",
         "lost_at",
         "refused_at",
+        "unanswered_at",
         "limit_per_s",
         "_permits",
         "_reachable",
@@ -86,6 +89,7 @@
         self.reached_at = float("-inf")
         self.lost_at = float("-inf")
         self.refused_at = float("-inf")
+        self.unanswered_at = float("-inf")
         self.limit_per_s: float | None = None
         # When each permit was granted.
         self._permits: list[float] = []
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -175,6 +175,7 @@
             self._member.refused_at = time.monotonic()
             return False
         except errors.NotConnected:
+            self._member.unanswered_at = time.monotonic()
             return False
         self._channel.on_silence = self._on_silence
         return True
--- a/papayalink/roles/gateway/liveness.py
+++ b/papayalink/roles/gateway/liveness.py
@@ -174,6 +174,7 @@
             member.refused_at = time.monotonic()
             return False
         except errors.NotConnected:
+            member.unanswered_at = time.monotonic()
             return False
         member.heard_at = time.monotonic()
         member.reached_at = member.heard_at
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -99,7 +99,7 @@
         """Returns: why the attempt ends, "" if the call stays."""
         silent_since = time.monotonic() - silent_s
         if not _leaves(member) and (
-            member.refused_at > silent_since or self._runs_again(member)
+            _has_restarted(member, silent_since) or self._runs_again(member)
         ):
             return "replica has ended"
         obstacle = self._find_lasting_obstacle()
@@ -220,6 +220,15 @@
     )
 
 
+def _has_restarted(member: fleet_member.Member, silent_since: float) -> bool:
+    """Returns: whether its machine was silent and then refused connections.
+
+    Refusals alone are no proof: a replica may close its port before it has
+    finished its calls. The end of its process closes their connections too.
+    """
+    return member.refused_at > member.unanswered_at > silent_since
+
+
 def make_silence_check(
     shared: shared_parts.Shared,
     route: traffic.Route,
