Move the admission of prompts out of the run of a call

Evidence: the tests of prompts that find free replicas, of handling, of load and of silent replicas pass (137).

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -18,6 +18,7 @@
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import crash_guard
 from papayalink.roles.gateway import observations
+from papayalink.roles.gateway import prompt_admission
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
@@ -231,49 +232,27 @@
     def _admit(
         self, choice: replica_choice.Choice
     ) -> replica_choice.Choice | None:
-        """Admit a prompt where its expected wait is short enough.
-
-        Returns: the choice, or a better one; None if the call was refused.
-        """
+        """Returns: the choice, or a better one; None if it was refused."""
         if not self._call.model or self._attempts.sent:
             return choice
-        decision = self._decide_on(choice)
-        if isinstance(decision, shedding.Admit):
-            return choice
-        other = self._shared.fleet.choose_admitting(
-            self._selection_request,
-            self._record.tried,
-            time.monotonic(),
-            lambda each: isinstance(self._decide_on(each), shedding.Admit),
-        )
-        if other is not None:
-            return other
-        now = time.monotonic()
-        self._overload_timer().note_shed(now)
-        self._ending.refuse(
-            decision.retry_after_s,
-            f"overloaded: first token in {choice.wait_s:.2f} s",
-        )
-        return None
-
-    def _decide_on(
-        self, choice: replica_choice.Choice
-    ) -> shedding.Admit | shedding.Shed:
-        prompt = shedding.Prompt(
-            wait_s=choice.wait_s,
-            own_s=choice.own_s,
-            objective_s=self._route.objective_s,
-            left_s=self._remaining_s(),
-            urgent_objective_s=self._urgent_objective_s(),
-        )
-        overload_s = self._overload_timer().age_s(time.monotonic())
-        chance = self._shared.rng.random()
-        return shedding.decide(prompt, chance, overload_s)
-
-    def _overload_timer(self) -> shedding.OverloadTimer:
-        return self._shared.overloads.setdefault(
-            self._service, shedding.make_overload_timer()
+        admission = prompt_admission.make_prompt_admission(
+            self._shared,
+            self._service,
+            self._route.objective_s,
+            self._urgent_objective_s(),
+            self._remaining_s,
         )
+        match admission.admit(
+            choice, self._selection_request, self._record.tried
+        ):
+            case shedding.Shed(retry_after_s):
+                self._ending.refuse(
+                    retry_after_s,
+                    f"overloaded: first token in {choice.wait_s:.2f} s",
+                )
+                return None
+            case admitted:
+                return admitted
 
     def _send(
         self, member: fleet_member.Member
