Revert "Look at all replicas before a prompt is refused as overloaded"

Cause, by reading: what a gateway knows of the others' work is 0.2 s old. A sample of four keeps the gateways apart; with a look at all replicas each of them finds the same free ones, and what they send there fails at the callers' deadline, where a refusal names a time to come back. The tests of the change had one gateway.

The move of the admission into a module of its own is taken back with it.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -27,9 +27,6 @@
 # them before they learn of each other's; of four sampled replicas, too many
 # entries have the least loaded one among theirs.
 URGENT_CANDIDATES = 2
-# Replicas sampled before a prompt is refused: all of them in a fleet of usual
-# size, and few enough that a refusal costs little in a large one.
-LAST_CANDIDATES = 32
 # Fraction of a replica's memory that prompts leave free while there may be
 # more urgent ones. Urgent prompts that arrive while a long prompt runs, for
 # about a second, would otherwise preempt it, and it would be prefilled again.
@@ -246,49 +243,6 @@
 
         Without a model, all usable replicas are compared instead of a sample.
         """
-        members = self._usable_members(request, excluded, now)
-        if not members:
-            return None
-        if not request.model:
-            return replica_choice.Choice(
-                min(members, key=lambda each: self._plain_cost(each, now))
-            )
-        return self._choose_for_prompt(members, request, now)
-
-    def choose_admitting(
-        self,
-        request: replica_choice.SelectionRequest,
-        excluded: Collection[str],
-        now: float,
-        admits: Callable[[replica_choice.Choice], bool],
-    ) -> replica_choice.Choice | None:
-        """Choose for a prompt that the sampled replicas can't take in time.
-
-        Args:
-            admits: returns whether a choice is good enough.
-
-        Returns: a choice among the replicas that admit the prompt, which are
-            sampled as in `choose`, since entries that look for a free replica
-            would all find the same one; None if none of LAST_CANDIDATES does.
-        """
-        members = self._usable_members(request, excluded, now)
-        if len(members) > LAST_CANDIDATES:
-            members = self._rng.sample(members, LAST_CANDIDATES)
-        members = [
-            member
-            for member in members
-            if admits(self._priced_choice(member, request, now)[1])
-        ]
-        if not members:
-            return None
-        return self._choose_for_prompt(members, request, now)
-
-    def _usable_members(
-        self,
-        request: replica_choice.SelectionRequest,
-        excluded: Collection[str],
-        now: float,
-    ) -> list[fleet_member.Member]:
         members = [
             member
             for member in self.members(request.service)
@@ -296,35 +250,26 @@
             and member.replica.replica_id not in excluded
             and self.suits(member, request, now)
         ]
+        if not members:
+            return None
         if request.settled:
             members = [
                 member
                 for member in members
                 if member.replica.software in request.settled
             ] or members
-        return members
-
-    def _choose_for_prompt(
-        self,
-        members: list[fleet_member.Member],
-        request: replica_choice.SelectionRequest,
-        now: float,
-    ) -> replica_choice.Choice:
+        if not request.model:
+            return replica_choice.Choice(
+                min(members, key=lambda each: self._plain_cost(each, now))
+            )
         candidates = CANDIDATES if request.yields else URGENT_CANDIDATES
         if len(members) > candidates:
             members = self._rng.sample(members, candidates)
-        priced = [self._priced_choice(each, request, now) for each in members]
-        return min(priced, key=lambda each: each[0])[1]
-
-    def _priced_choice(
-        self,
-        member: fleet_member.Member,
-        request: replica_choice.SelectionRequest,
-        now: float,
-    ) -> tuple[float, replica_choice.Choice]:
-        """Returns: the cost of a replica for a prompt, and its choice."""
-        cost_s, wait_s, own_s = self._prompt_cost(member, request, now)
-        return cost_s, replica_choice.Choice(member, wait_s, own_s)
+        choices = [
+            (self._prompt_cost(each, request, now), each) for each in members
+        ]
+        (_, wait_s, own_s), member = min(choices, key=lambda each: each[0][0])
+        return replica_choice.Choice(member, wait_s, own_s)
 
     def is_current(
         self,
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -18,7 +18,6 @@
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import crash_guard
 from papayalink.roles.gateway import observations
-from papayalink.roles.gateway import prompt_admission
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
@@ -180,8 +179,7 @@
         if choice is None:
             self._ending.without_replica("no usable replica")
             return False
-        choice = self._admit(choice)
-        if choice is None:
+        if self._shed(choice):
             return False
         member = choice.member
         self._record.note_choice(member, choice.wait_s)
@@ -229,30 +227,34 @@
         run = run_times.Run(first_s, token_s)
         self._shared.run_times.note(self._route.name, run)
 
-    def _admit(
-        self, choice: replica_choice.Choice
-    ) -> replica_choice.Choice | None:
-        """Returns: the choice, or a better one; None if it was refused."""
+    def _shed(self, choice: replica_choice.Choice) -> bool:
+        """Refuse a prompt if its expected wait is too long.
+
+        Returns: whether it was refused.
+        """
         if not self._call.model or self._attempts.sent:
-            return choice
-        admission = prompt_admission.make_prompt_admission(
-            self._shared,
-            self._service,
-            self._route.objective_s,
-            self._urgent_objective_s(),
-            self._remaining_s,
+            return False
+        prompt = shedding.Prompt(
+            wait_s=choice.wait_s,
+            own_s=choice.own_s,
+            objective_s=self._route.objective_s,
+            left_s=self._remaining_s(),
+            urgent_objective_s=self._urgent_objective_s(),
         )
-        match admission.admit(
-            choice, self._selection_request, self._record.tried
-        ):
+        now = time.monotonic()
+        timer = self._shared.overloads.setdefault(
+            self._service, shedding.make_overload_timer()
+        )
+        chance = self._shared.rng.random()
+        match shedding.decide(prompt, chance, timer.age_s(now)):
             case shedding.Shed(retry_after_s):
+                timer.note_shed(now)
                 self._ending.refuse(
                     retry_after_s,
                     f"overloaded: first token in {choice.wait_s:.2f} s",
                 )
-                return None
-            case admitted:
-                return admitted
+                return True
+        return False
 
     def _send(
         self, member: fleet_member.Member
