Charge repeats until they have arrived

Cause: a repeat was charged to the retry budget when it was decided. It arrived later: after a wait for a replica or a connection, or when a replica that stood still read what its kernel had taken. Charges of more than one window arrived within one.

Change: a repeat is reserved when it is decided, counted from its arrival on, and given back if it is not sent.

The stub budget of test_silent_replicas.py is now the real one with the same room, and test_silence_check.py reads the charges from the budget itself.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -33,6 +33,7 @@
         loading: models whose weights it is to load; it refuses calls
             meanwhile.
         heard_at: monotonic seconds of the last byte received from it.
+        answered_at: monotonic seconds of the last head of an answer.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
         lost_at: monotonic seconds since which it cannot be reached, minus
@@ -59,6 +60,7 @@
         "_reported_load_at",
         "_in_flight_at_report",
         "heard_at",
+        "answered_at",
         "reached_at",
         "lost_at",
         "refused_at",
@@ -86,6 +88,7 @@
         self._reported_load_at = 0.0
         self._in_flight_at_report = 0
         self.heard_at = 0.0
+        self.answered_at = float("-inf")
         self.reached_at = float("-inf")
         self.lost_at = float("-inf")
         self.refused_at = float("-inf")
--- a/papayalink/coordination/retry.py
+++ b/papayalink/coordination/retry.py
@@ -1,5 +1,6 @@
 """Retries of failed calls, limited by budgets."""
 
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -61,9 +62,25 @@
     reason: str
 
 
+class _Held(msgspec.Struct, frozen=True):
+    """Retries that may have yet to arrive.
+
+    Attributes:
+        is_settled: returns whether all attempts have arrived or never will.
+        until: when they are taken to have arrived.
+    """
+
+    count: int
+    is_settled: Callable[[], bool]
+    until: float
+
+
 class Budget:
     """Retry budget: a fraction of recent requests plus a constant.
 
+    A retry is reserved when it is decided. It counts from then on, and for the
+    whole window after its arrival at an upstream.
+
     Args:
         ratio: retries allowed for each recent request.
         constant: retries allowed in addition; need not be whole.
@@ -71,7 +88,14 @@
             this length, at whatever moment they are looked at.
     """
 
-    __slots__ = ("constant", "_ratio", "_requests", "_spent")
+    __slots__ = (
+        "constant",
+        "_ratio",
+        "_requests",
+        "_spent",
+        "_reserved",
+        "_held",
+    )
 
     def __init__(
         self,
@@ -83,6 +107,8 @@
         self.constant = constant
         self._requests = windows.SlidingSum(2 * window_s)
         self._spent = windows.SlidingSum(2 * window_s)
+        self._reserved = 0
+        self._held: list[_Held] = []
 
     def note_request(self, now: float) -> None:
         """Count the first attempt of a request."""
@@ -91,15 +117,66 @@
     def has_room(self, now: float) -> bool:
         """Returns: whether one more retry would be allowed."""
         allowed = self._ratio * self._requests.at_least(now) + self.constant
-        return self._spent.at_most(now) + 1 <= allowed
+        return self.used(now) + 1 <= allowed
+
+    def used(self, now: float) -> float:
+        """Returns: retries of the window, and those that may still arrive."""
+        self._settle(now)
+        held = sum(each.count for each in self._held)
+        return self._spent.at_most(now) + self._reserved + held
 
     def take(self, now: float) -> bool:
-        """Returns: whether one more retry is allowed; it is then counted."""
+        """Count a retry that arrives now.
+
+        Returns: whether it is allowed.
+        """
+        if not self.reserve(now):
+            return False
+        self.spend(1, now)
+        return True
+
+    def reserve(self, now: float) -> bool:
+        """Count a retry until `spend`, `hold` or `give_back`.
+
+        Returns: whether it is allowed.
+        """
         if not self.has_room(now):
             return False
-        self._spent.add(1, now)
+        self._reserved += 1
         return True
 
+    def spend(self, count: int, now: float) -> None:
+        """Record that reserved retries arrive now."""
+        self._reserved -= count
+        self._spent.add(count, now)
+
+    def hold(
+        self, count: int, is_settled: Callable[[], bool], until: float
+    ) -> None:
+        """Count reserved retries that may arrive at any time from now on.
+
+        Args:
+            is_settled: returns whether they have arrived or never will.
+            until: time from which on they are not waited for.
+        """
+        self._reserved -= count
+        self._held.append(_Held(count, is_settled, until))
+
+    def give_back(self) -> None:
+        """Record that a reserved retry will not be sent."""
+        self._reserved -= 1
+
+    def _settle(self, now: float) -> None:
+        if not self._held:
+            return
+        waiting = []
+        for each in self._held:
+            if now < each.until and not each.is_settled():
+                waiting.append(each)
+            else:
+                self._spent.add(each.count, now)
+        self._held = waiting
+
 
 def backoff(attempts: int, rng: random.Random) -> float:
     """Delay before the next attempt, exponential with full jitter.
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -273,6 +273,7 @@
         first_s: float,
     ) -> Answered | Unanswered:
         self._member.heard_at = time.monotonic()
+        self._member.answered_at = self._member.heard_at
         self._progress = Progress.HEAD
         self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -9,7 +9,6 @@
 from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
-from papayalink.coordination import retry
 from papayalink.coordination import run_times
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
@@ -19,6 +18,7 @@
 from papayalink.roles.gateway import crash_guard
 from papayalink.roles.gateway import observations
 from papayalink.roles.gateway import record_faults
+from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import silence
@@ -54,6 +54,7 @@
         "_selection_request",
         "_replica_wait",
         "_silence",
+        "_charges",
         "_keys",
         "_observations",
         "_crash_guard",
@@ -105,11 +106,15 @@
             self._stream,
             self._record,
         )
+        self._charges = repeat_charges.make_repeat_charges(
+            shared.fleet, shared.budgets, self._service
+        )
         self._silence = silence.make_silence_check(
             shared,
             route,
             self._keys,
             self._attempts,
+            self._charges,
             self._stream,
             self._record,
         )
@@ -145,27 +150,27 @@
 
     def run(self) -> None:
         """Send the call until it is answered, refused or given up."""
-        now = time.monotonic()
-        budget = self._shared.budgets.for_service(self._service, now)
-        budget.note_request(now)
+        self._charges.note_request()
         if isinstance(self._version, take_ups.UnknownVersion):
             self._ending.without_replica("version of the stream is not known")
             return
         try:
-            while self._try_once(budget):
+            while self._try_once():
                 pass
         except errors.CallerGone:
             self._ending.record("caller_gone", 0, "caller hung up")
             raise
         except errors.ServerStops:
             self._ending.at_stop()
+        finally:
+            self._charges.close()
 
-    def _try_once(self, budget: retry.Budget) -> bool:
+    def _try_once(self) -> bool:
         """Returns: whether to try again."""
         now = time.monotonic()
         if self._remaining_s() < MIN_ATTEMPT_S:
             expired = attempt.Unanswered(attempts.Expired())
-            return self._handle_unanswered(expired, budget)
+            return self._handle_unanswered(expired)
         if blocked := self._crash_guard.check():
             self._ending.without_replica(blocked.reason, blocked.retry_after_s)
             return False
@@ -192,7 +197,7 @@
                 self._ending.record("answered", status, "")
                 return False
             case attempt.Unanswered():
-                return self._handle_unanswered(result, budget)
+                return self._handle_unanswered(result)
 
     def _ends_too_late(self, choice: replica_choice.Choice | None) -> bool:
         """Refuse a call that would outlast the planned stop of the process.
@@ -272,6 +277,7 @@
         prefill_tokens = [int(own_tokens)]
 
         def note_answer(answer: calls.Answer) -> None:
+            self._charges.note_read()
             member.end_prefill(self._urgency, prefill_tokens.pop())
             self._note_begun(member, answer)
             with record_faults.logged(self._call.call_id):
@@ -322,6 +328,7 @@
         dispatch = self._make_dispatch(member)
         self._crash_guard.note_sending()
         self._attempts.note_sending()
+        self._charges.note_sending(member)
         self._record.note_sending()
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
@@ -334,6 +341,9 @@
         match result:
             case attempt.Unanswered(outcome=attempts.Lost()):
                 self._crash_guard.note_lost()
+                if not self._charges.reserved:
+                    # The replica broke off.
+                    self._charges.note_read()
         with record_faults.logged(self._call.call_id):
             self._note_result(member, dispatch, result, now)
         return result
@@ -454,9 +464,7 @@
             save_addresses=plan.save_addresses,
         )
 
-    def _handle_unanswered(
-        self, result: attempt.Unanswered, budget: retry.Budget
-    ) -> bool:
+    def _handle_unanswered(self, result: attempt.Unanswered) -> bool:
         """Handle an attempt without an answer.
 
         Returns: whether to try again.
@@ -464,13 +472,10 @@
         now = time.monotonic()
         outcome = result.outcome
         not_sent = isinstance(outcome, attempts.NotSent)
-        reserved = self._silence.use_reserved_repeat()
-        decision = self._attempts.decide(
-            outcome, reserved or budget.has_room(now)
-        )
+        decision = self._attempts.decide(outcome, self._charges.has_room())
         if isinstance(decision, attempts.TryAgain):
-            if not (not_sent or reserved):
-                budget.take(now)
+            if not not_sent:
+                self._charges.reserve()
             return True
         if not_sent and self._finds_replica(now):
             return True
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -11,6 +11,7 @@
 from papayalink.roles.gateway import attempt
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import record_faults
+from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.state import replicas
 from papayalink.state import traffic
@@ -38,6 +39,7 @@
 
     Args:
         call_attempts: what became of the attempts.
+        charges: charges of the call to the retry budget.
         stream: state of an event stream, None for any other answer.
     """
 
@@ -46,9 +48,9 @@
         "_route",
         "_keys",
         "_attempts",
+        "_charges",
         "_stream",
         "_record",
-        "_repeat_reserved",
         "_noted_obstacle",
     )
 
@@ -58,6 +60,7 @@
         route: traffic.Route,
         keys: call_keys.CallKeys,
         call_attempts: attempts.Attempts,
+        charges: repeat_charges.RepeatCharges,
         stream: attempt.StreamState | None,
         record: call_record.CallRecord,
     ) -> None:
@@ -65,9 +68,9 @@
         self._route = route
         self._keys = keys
         self._attempts = call_attempts
+        self._charges = charges
         self._stream = stream
         self._record = record
-        self._repeat_reserved = False
         self._noted_obstacle = ""
 
     def check(
@@ -119,7 +122,6 @@
         if obstacle:
             self._note_stay(member, obstacle, silent_s)
             return ""
-        self._repeat_reserved = True
         self._shared.metrics.count("silent_replicas_left")
         return reason
 
@@ -131,11 +133,6 @@
         listed = self._shared.fleet.find(member.replica.replica_id)
         return listed is not None and listed is not member
 
-    def use_reserved_repeat(self) -> bool:
-        """Returns: whether the retry budget was charged for a next attempt."""
-        reserved, self._repeat_reserved = self._repeat_reserved, False
-        return reserved
-
     def _note_stay(
         self, member: fleet_member.Member, obstacle: str, silent_s: float
     ) -> None:
@@ -178,20 +175,16 @@
 
         Returns: why it can't, "" if it can.
         """
-        shared = self._shared
-        now = time.monotonic()
-        if shared.crashes.blocked_key(self._keys, True) is not None:
+        if self._shared.crashes.blocked_key(self._keys, True) is not None:
             return "ends replicas"
-        budget = shared.budgets.for_service(request.service, now)
-        # An earlier check may have charged it, and the call stayed since
-        # something arrived.
-        reserved = self._repeat_reserved
-        if not (reserved or budget.has_room(now)):
+        if not self._charges.has_room():
             return "retry budget is used up"
         if not self._reach_other(request):
             return "no other replica is reached"
-        # Other calls may have used the budget during the check.
-        if not (reserved or budget.take(time.monotonic())):
+        # Other calls may have used the budget during the check. An earlier
+        # check may have charged it, and the call stayed since something
+        # arrived.
+        if not self._charges.reserve():
             return "retry budget is used up"
         return ""
 
@@ -234,7 +227,10 @@
     route: traffic.Route,
     keys: call_keys.CallKeys,
     call_attempts: attempts.Attempts,
+    charges: repeat_charges.RepeatCharges,
     stream: attempt.StreamState | None,
     record: call_record.CallRecord,
 ) -> SilenceCheck:
-    return SilenceCheck(shared, route, keys, call_attempts, stream, record)
+    return SilenceCheck(
+        shared, route, keys, call_attempts, charges, stream, record
+    )
--- a/tests/roles/gateway/test_silence_check.py
+++ b/tests/roles/gateway/test_silence_check.py
@@ -8,6 +8,7 @@
 from papayalink.coordination import attempts
 from papayalink.coordination import fleet_member
 from papayalink.coordination import retry
+from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import silence
 from papayalink.state import replicas
 from papayalink.state import traffic
@@ -37,7 +38,6 @@
     shared = SimpleNamespace(
         liveness=SimpleNamespace(is_reachable=lambda member: member is other),
         crashes=SimpleNamespace(blocked_key=lambda keys, repeated: None),
-        budgets=SimpleNamespace(for_service=lambda service, now: budget),
         fleet=SimpleNamespace(
             choose=lambda request, tried, now: SimpleNamespace(member=other),
             find={"silent": silent, "other": other}.get,
@@ -45,19 +45,25 @@
         metrics=SimpleNamespace(count=lambda name, **labels: None),
     )
     repeat = traffic.RepeatPolicy.IDEMPOTENT
+    charges = repeat_charges.make_repeat_charges(
+        shared.fleet,
+        SimpleNamespace(for_service=lambda service, now: budget),
+        "desk",
+    )
     check = silence.make_silence_check(
         shared,
         stubs.make_route("safe", repeat),
         None,
         attempts.make_attempts(repeat, 2),
+        charges,
         None,
         SimpleNamespace(call_id="c1", expected_s=0.0, tried=["silent"]),
     )
     for _ in range(3):
         with pytest.raises(errors.ConnectionLost):
             check.check(silent, SimpleNamespace(service="desk"), 0.5)
-    assert check.use_reserved_repeat()
-    assert not check.use_reserved_repeat()
+    assert charges.reserved
+    assert budget.used(time.monotonic()) == 1
     now = time.monotonic()
     assert budget.take(now)
     assert not budget.take(now)
--- a/tests/roles/gateway/test_silent_replicas.py
+++ b/tests/roles/gateway/test_silent_replicas.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from papayalink.coordination import retry
 from papayalink.state import traffic
 from papayalink.transport import errors
 from papayalink.transport import upstream_channels
@@ -185,26 +186,14 @@
     assert not any(upstream.received for upstream in gateway.upstreams)
 
 
-class _Budget:
-    """A retry budget with room for a few repeats."""
+class _Budgets:
+    """Retry budgets with room for a few repeats."""
 
     def __init__(self, room):
-        self.room = room
+        self._budget = retry.Budget(ratio=0.0, constant=room)
 
     def for_service(self, service, now):
-        return self
-
-    def note_request(self, now):
-        pass
-
-    def has_room(self, now):
-        return self.room > 0
-
-    def take(self, now):
-        if not self.room:
-            return False
-        self.room -= 1
-        return True
+        return self._budget
 
 
 # Guards against calls that leave a silent replica for which the retry budget
@@ -216,7 +205,7 @@
 ):
     gateway = start(b"/safe/", 2)
     paused, other = gateway.upstreams
-    gateway.shared.budgets = _Budget(room)
+    gateway.shared.budgets = _Budgets(room)
     paused.script = [[2.5 if accepts else 0.3, stubs.OK]] * 20
     other.stand_still()
     gateway.fleet.find(other.name).set_reachable(False)
