Let the leader grant shares of the retry allowance

Cause: each gateway divided the constant part of the allowance by the number of gateways that one member had heard of lately. On each side of a cut that was the number of that side, 10 to 20 s after the cut, and any member answered, leader or not.

Two sides of two gateways each allowed themselves 160 where 80 are meant.

Change: the leader grants shares for 5 s at a time. A share grows only when a quorum confirms the leader, and only by what no other gateway may still use or has used in the window. A new leader renews what gateways hold, and lets nothing grow until every share that it may not know of is out of use.

--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -157,6 +157,10 @@
     def is_leader(self) -> bool:
         return self._stop_reason is None and self._node.is_leader
 
+    @property
+    def term(self) -> int:
+        return self._node.term
+
     @property
     def leader_id(self) -> str | None:
         return self._node.leader_id
--- a/papayalink/coordination/windows.py
+++ b/papayalink/coordination/windows.py
@@ -94,6 +94,34 @@
             self._cells.popleft()
 
 
+class SlidingMax:
+    """Largest of the values of a period that ends now.
+
+    Args:
+        period_s: length of the period.
+    """
+
+    __slots__ = ("_period_s", "_values")
+
+    def __init__(self, period_s: float) -> None:
+        self._period_s = period_s
+        # (value, when it was added last), each below the one before it.
+        self._values: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+
+    def add(self, value: float, now: float) -> None:
+        while self._values and self._values[-1][0] <= value:
+            self._values.pop()
+        self._values.append((value, now))
+
+    def at(self, now: float) -> float:
+        """Returns: the largest value, 0 without any."""
+        while self._values and now - self._values[0][1] > self._period_s:
+            self._values.popleft()
+        return self._values[0][0] if self._values else 0.0
+
+
 class Rate:
     """Amount a second, with exponential decay.
 
--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -280,7 +280,6 @@
         document: that document, compressed; empty when the process has it.
         weights: newest named weight version by model.
         members: RPC addresses of the control members.
-        watchers: number of processes that watched this member recently.
         leader: RPC address of the leader, "" when there is none.
         replaced: what the member knows of earlier weight versions.
     """
@@ -289,7 +288,6 @@
     document: bytes = b""
     weights: dict[str, int] = {}
     members: tuple[str, ...] = ()
-    watchers: int = 0
     leader: str = ""
     loading: tuple[Loading, ...] = ()
     replaced: tuple[shared_tables.NewestWeights, ...] = ()
@@ -331,6 +329,8 @@
         tables: what the member may not know of the shared tables.
         refused: blocked keys for which the entry refused calls.
         wanted: number of permits that the entry asks for, by replica.
+        retry_share: share of the constant part of the retry allowance that
+            the entry may use.
     """
 
     process: str
@@ -342,6 +342,7 @@
     tables: shared_tables.Tables = shared_tables.Tables()
     refused: tuple[str, ...] = ()
     wanted: tuple[tuple[str, int], ...] = ()
+    retry_share: float = 0.0
 
 
 class PartsReply(Message):
@@ -361,6 +362,9 @@
         tables: what the entry does not know of the shared tables.
         trials: blocked keys of which the entry may send one call each.
         granted: number of requests that the entry may send, by replica.
+        retry_share: share of the constant part of the retry allowance that
+            the entry may use from its question on, None if the member can't
+            tell.
     """
 
     source: str
@@ -377,6 +381,7 @@
     tables: shared_tables.Tables = shared_tables.Tables()
     trials: tuple[str, ...] = ()
     granted: tuple[tuple[str, int], ...] = ()
+    retry_share: float | None = None
 
 
 class ShareTables(Message):
--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -144,6 +144,13 @@
     def is_leader(self) -> bool:
         return self._replica is not None and self._replica.is_leader
 
+    @property
+    def leading_term(self) -> int | None:
+        """Term in which this member leads, None if it does not."""
+        if self._replica is None or not self._replica.is_leader:
+            return None
+        return self._replica.term
+
     def leader_address(self) -> str:
         """Returns: RPC address of the leader, "" when it is not known."""
         if self._replica is None:
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -108,6 +108,7 @@
             self._join,
             self._stores,
             self._relay,
+            settings.bounds.retry_window_s,
         )
         self._state.observe_before_naming(self._service.observe_weights)
         self._replica: replicas.Replica | None = None
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -8,9 +8,11 @@
 
 from gevent import event
 
+from papayalink import node_settings
 from papayalink.coordination import errors
 from papayalink.coordination import load_reports
 from papayalink.coordination import named_limits
+from papayalink.coordination import retry_shares
 from papayalink.coordination import table_exchange
 from papayalink.coordination.raft import messages as raft_messages
 from papayalink.protocol import messages
@@ -26,9 +28,6 @@
 # Upper limit of the wait that a watch may ask for, so that a watcher soon
 # learns that a member has lost its quorum.
 MAX_WAIT_S = 1.0
-# A process that has not watched for this long is assumed to watch another
-# member.
-WATCHER_TIMEOUT_S = 3.0
 # Level 6 takes twice as long, for a document that is 8% smaller.
 _COMPRESSION_LEVEL = 1
 # Entries that cannot reach a replica, from which on it counts as lost for all.
@@ -46,6 +45,7 @@
         join: asks this member's group upkeep to add a member.
         stores: tracks the contents of the stores.
         relay: reads the platform's list of replicas.
+        retry_window_s: window of the retry allowance.
     """
 
     __slots__ = (
@@ -55,12 +55,12 @@
         "_join",
         "_changed",
         "_compressed",
-        "_watched_at",
         "_stores",
         "_relay",
         "_load_reports",
         "_tables",
         "_permits",
+        "_retry_shares",
         "_source",
         "_durable",
         "_first_asker",
@@ -75,6 +75,7 @@
         join: Callable[[messages.Join], None],
         stores: store_watch.StoreWatch,
         relay: list_relay.ListRelay,
+        retry_window_s: float = node_settings.Bounds().retry_window_s,
     ) -> None:
         self._state = state
         self._machine = machine
@@ -82,12 +83,12 @@
         self._join = join
         self._changed = event.Event()
         self._compressed = (0, b"")
-        self._watched_at: dict[str, float] = {}
         self._stores = stores
         self._relay = relay
         self._load_reports = load_reports.make_load_reports()
         self._tables = table_exchange.make_table_set()
         self._permits = named_limits.make_permit_source(self._tables.limits)
+        self._retry_shares = retry_shares.make_retry_shares(retry_window_s)
         self._source = secrets.token_hex(4)
         self._durable = durable
         self._first_asker = ""
@@ -119,9 +120,7 @@
 
         Both answers are confirmed by a quorum.
         """
-        now = time.monotonic()
-        self._watched_at[watch.process] = now
-        until = now + min(MAX_WAIT_S, watch.wait_ms / 1000)
+        until = time.monotonic() + min(MAX_WAIT_S, watch.wait_ms / 1000)
         while not self._differs(watch):
             left_s = until - time.monotonic()
             if left_s <= 0:
@@ -188,6 +187,7 @@
             tables=tables,
             trials=tuple(trials),
             granted=self._permits.grant(message.wanted, now),
+            retry_share=self._grant_retry_share(message, now),
         )
 
     def share_tables(
@@ -254,6 +254,29 @@
         self._join(message)
         return messages.Acknowledge()
 
+    def _grant_retry_share(
+        self, message: messages.Parts, now: float
+    ) -> float | None:
+        """Returns: the entry's share, None unless this member leads."""
+        shares, held = self._retry_shares, message.retry_share
+        term = self._state.leading_term
+        if term is None:
+            return None
+        share = shares.find_share(message.process, held, term, now)
+        if share > held:
+            # A member that has lost its quorum without knowing it must not
+            # grant what the leader after it may grant to others.
+            try:
+                self._state.confirm()
+            except errors.CoordinationError:
+                return None
+            if self._state.leading_term != term:
+                return None
+            # Other entries may have been granted shares meanwhile.
+            share = shares.find_share(message.process, held, term, now)
+        shares.grant(message.process, share, now)
+        return share
+
     def _note_software(self, now: float) -> None:
         """Record the versions of the list that entries get from here."""
         if self._relay.number:
@@ -285,12 +308,6 @@
                 data = zlib.compress(numbered.content, _COMPRESSION_LEVEL)
                 self._compressed = (numbered.number, data)
             document = self._compressed[1]
-        now = time.monotonic()
-        self._watched_at = {
-            process: at
-            for process, at in self._watched_at.items()
-            if now - at < WATCHER_TIMEOUT_S
-        }
         members = self._state.replica.membership.ids
         self._book.learn_members(members)
         names = {member.partition(".")[0] for member in members}
@@ -299,10 +316,9 @@
             document=document,
             weights=numbered.weights,
             members=tuple(self._book[name] for name in sorted(names)),
-            watchers=len(self._watched_at),
             leader=self._state.leader_address(),
             loading=self._loading(),
-            replaced=self._tables.weights.encode(now),
+            replaced=self._tables.weights.encode(time.monotonic()),
         )
 
 
@@ -314,5 +330,8 @@
     join: Callable[[messages.Join], None],
     stores: store_watch.StoreWatch,
     relay: list_relay.ListRelay,
+    retry_window_s: float = node_settings.Bounds().retry_window_s,
 ) -> AuthorityService:
-    return AuthorityService(state, machine, book, durable, join, stores, relay)
+    return AuthorityService(
+        state, machine, book, durable, join, stores, relay, retry_window_s
+    )
--- a/papayalink/roles/gateway/budgets.py
+++ b/papayalink/roles/gateway/budgets.py
@@ -7,8 +7,8 @@
 from papayalink.coordination import retry
 
 # Share of the deployment's allowance that the entries use together. The rest
-# is a margin: the sliding windows of the entries are not aligned, and each
-# entry learns late how many entries there are.
+# is a margin: the sliding windows of the entries are not aligned, and an entry
+# that starts again does not know what it has spent.
 ALLOWANCE_SHARE = 0.8
 
 
@@ -17,21 +17,21 @@
 
     Args:
         bounds: retry allowance of the deployment.
-        entries: returns the number of entries that share it.
+        share: returns this entry's share of the constant part.
         started_at: monotonic seconds. An earlier run of this entry may have
             used its part of the constant shortly before.
     """
 
-    __slots__ = ("_bounds", "_entries", "_constant_from", "_by_service")
+    __slots__ = ("_bounds", "_share", "_constant_from", "_by_service")
 
     def __init__(
         self,
         bounds: node_settings.Bounds,
-        entries: Callable[[], int],
+        share: Callable[[], float],
         started_at: float,
     ) -> None:
         self._bounds = bounds
-        self._entries = entries
+        self._share = share
         self._constant_from = started_at + bounds.retry_window_s
         self._by_service: dict[str, retry.Budget] = {}
 
@@ -49,9 +49,7 @@
         # Not rounded: with many entries each one's part is below 1, and adds
         # to what its calls allow.
         budget.constant = (
-            self._bounds.retry_slack
-            * ALLOWANCE_SHARE
-            / max(1, self._entries())
+            self._bounds.retry_slack * ALLOWANCE_SHARE * self._share()
             if now >= self._constant_from
             else 0.0
         )
@@ -60,10 +58,10 @@
 
 def make_budgets(
     bounds: node_settings.Bounds,
-    entries: Callable[[], int],
+    share: Callable[[], float],
     started_at: float | None = None,
 ) -> Budgets:
     """Args: started_at: now if None."""
     if started_at is None:
         started_at = time.monotonic()
-    return Budgets(bounds, entries, started_at)
+    return Budgets(bounds, share, started_at)
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -5,9 +5,11 @@
 
 import gevent
 
+from papayalink import clock as clocks
 from papayalink import logs
 from papayalink import tasks
 from papayalink.coordination import fleet as fleets
+from papayalink.coordination import retry_shares
 from papayalink.coordination import table_exchange
 from papayalink.coordination import windows
 from papayalink.protocol import messages
@@ -83,6 +85,9 @@
         "_entries",
         "_answered_s",
         "_read_at",
+        "_retry_share",
+        "_retry_share_asked_at",
+        "_clock",
         "_log",
     )
 
@@ -122,12 +127,21 @@
         # none does, it stays as it was.
         self._answered_s = 0.0
         self._read_at = time.monotonic()
+        # Its lease goes on while this VM is paused.
+        self._clock = clocks.make_clock()
+        self._retry_share = 0.0
+        self._retry_share_asked_at = float("-inf")
         self._log = logs.get_logger()
 
     def entries(self) -> int:
         """Returns: number of entries that use the same replicas."""
         return int(self._entries.largest(self._answered_s))
 
+    def retry_share(self) -> float:
+        """Returns: share of the constant part of the retry allowance."""
+        age_s = self._clock.now() - self._retry_share_asked_at
+        return self._retry_share if age_s < retry_shares.LEASE_S else 0.0
+
     def start(self) -> None:
         tasks.spawn(self._run)
 
@@ -165,6 +179,7 @@
 
     def _exchange(self, address: str) -> bool:
         now = time.monotonic()
+        asked_at = self._clock.now()
         self._note_software()
         if address != self._list_member:
             # Each member numbers the lists that it reads by itself.
@@ -179,6 +194,7 @@
             self._table_exchange.report(now),
             self._crashes.refused_keys(),
             self._limit_keeper.wanted(),
+            self.retry_share(),
         )
         try:
             reply = self._node.rpc_client.call(
@@ -198,6 +214,9 @@
         self._number = reply.number
         self._answered_s += min(now - self._read_at, PERMITS_TIMEOUT_S)
         self._read_at = now
+        if reply.retry_share is not None:
+            self._retry_share = reply.retry_share
+            self._retry_share_asked_at = asked_at
         self._entries.raise_to(reply.entries, self._answered_s)
         self._fleet.update_other_work(reply.work, self._read_at)
         self._note_lost(reply)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -112,7 +112,7 @@
             self._watcher,
             self._fleet,
             self._channels,
-            budgets.make_budgets(settings.bounds, self._count_entries),
+            budgets.make_budgets(settings.bounds, self._parts.retry_share),
             self._placement,
             liveness,
             self._crashes,
@@ -217,11 +217,6 @@
         self._channels.close_idle(member.replica.address)
         self._crashes.note_left(member)
 
-    def _count_entries(self) -> int:
-        # Before the first exchange of reports, only the entries that watch
-        # the same control member are known.
-        return max(self._watcher.watchers, self._parts.entries())
-
     def _limits(self) -> traffic.CallerLimits:
         directory = self._watcher.directory
         if directory is None:
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -73,7 +73,6 @@
         "_number",
         "_directory",
         "_weights",
-        "_watchers",
         "_confirmed_at",
         "_leader",
         "_loading",
@@ -105,7 +104,6 @@
         self._number = 0
         self._directory: traffic.TrafficDirectory | None = None
         self._weights: dict[str, int] = {}
-        self._watchers = 1
         self._confirmed_at: float | None = None
         self._leader = ""
         self._loading: tuple[messages.Loading, ...] = ()
@@ -129,11 +127,6 @@
         """Newest named weight version by model."""
         return self._weights
 
-    @property
-    def watchers(self) -> int:
-        """Number of entries that recently watched the same member."""
-        return self._watchers
-
     def authorities(self) -> list[str]:
         """Returns: addresses of control members, the leader first."""
         others = [member for member in self._members if member != self._leader]
@@ -286,7 +279,6 @@
         self, reply: messages.WatchReply, address: str, asked_at: float
     ) -> None:
         self._confirmed_at = time.monotonic()
-        self._watchers = max(1, reply.watchers)
         self._leader = reply.leader
         if reply.members:
             known = [
--- a/soak/repeat_faults.py
+++ b/soak/repeat_faults.py
@@ -1,4 +1,4 @@
-"""Faults that let repeats of calls pile up, and gateways lose count of them."""
+"""Faults beside which repeats of calls pile up."""
 
 import random
 import time
--- a/tests/coordination/test_time_limits.py
+++ b/tests/coordination/test_time_limits.py
@@ -366,7 +366,7 @@
     )
     taken = 0
     for started_at in (_AT, _AT + 3):
-        shares = budgets.make_budgets(bounds, lambda: 1, started_at)
+        shares = budgets.make_budgets(bounds, lambda: 1.0, started_at)
         budget = shares.for_service("s", started_at)
         while budget.take(started_at):
             taken += 1
--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -292,7 +292,13 @@
     def replace_member(self):
         """Let a member without any state lead."""
         self.member = services.make_service(
-            None, None, None, True, None, _Stores(), _Relay()
+            stubs.NOT_LEADING,
+            None,
+            None,
+            True,
+            None,
+            _Stores(),
+            _Relay(),
         )
 
     def replace_entry(self):
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -49,6 +49,10 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+# State of a control member that does not lead.
+NOT_LEADING = SimpleNamespace(leading_term=None)
+
+
 class Upstream:
     """Answers each request with the next list of steps, then with OK.
 
@@ -188,7 +192,7 @@
             self.fleet,
             self.channels,
             budgets.make_budgets(
-                node_settings.Bounds(), lambda: 1, float("-inf")
+                node_settings.Bounds(), lambda: 1.0, float("-inf")
             ),
             placement,
             self.liveness,
--- a/tests/roles/gateway/test_budgets.py
+++ b/tests/roles/gateway/test_budgets.py
@@ -29,7 +29,7 @@
     bounds = node_settings.Bounds(retry_ratio=0.2, retry_slack=slack)
     total = 0
     for index in range(entries):
-        shares = budgets.make_budgets(bounds, lambda: entries, _LONG_AGO)
+        shares = budgets.make_budgets(bounds, lambda: 1 / entries, _LONG_AGO)
         budget = shares.for_service("s", 0.0)
         for _ in range(requests[index] if index < len(requests) else 0):
             budget.note_request(1.0)
@@ -41,7 +41,7 @@
 def test_share_of_many_entries_is_not_rounded_to_nothing(entries):
     """Guards against entries of a large fleet that may never retry."""
     bounds = node_settings.Bounds(retry_ratio=0.2, retry_slack=180.0)
-    shares = budgets.make_budgets(bounds, lambda: entries, _LONG_AGO)
+    shares = budgets.make_budgets(bounds, lambda: 1 / entries, _LONG_AGO)
     budget = shares.for_service("s", 0.0)
     for _ in range(10):
         budget.note_request(1.0)
@@ -53,7 +53,7 @@
     bounds = node_settings.Bounds(
         retry_ratio=0.0, retry_slack=10.0, retry_window_s=10.0
     )
-    budget = budgets.make_budgets(bounds, lambda: 1, _LONG_AGO).for_service(
+    budget = budgets.make_budgets(bounds, lambda: 1.0, _LONG_AGO).for_service(
         "s", 0.0
     )
     assert _count_retries(budget, 0.0) == 8
@@ -67,6 +67,6 @@
     bounds = node_settings.Bounds(
         retry_ratio=0.0, retry_slack=10.0, retry_window_s=10.0
     )
-    shares = budgets.make_budgets(bounds, lambda: 1, 100.0)
+    shares = budgets.make_budgets(bounds, lambda: 1.0, 100.0)
     now = 100.0 + age_s
     assert _count_retries(shares.for_service("s", now), now) == retries
--- a/tests/roles/gateway/test_lists_of_several_members.py
+++ b/tests/roles/gateway/test_lists_of_several_members.py
@@ -10,6 +10,7 @@
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
 from papayalink.state import part_directory
+from tests.roles.gateway import stubs
 from tests.roles.gateway import test_listing
 
 
@@ -45,7 +46,13 @@
             note_demand=lambda: None,
         )
         self.service = services.make_service(
-            None, None, None, True, None, self.stores, relay
+            stubs.NOT_LEADING,
+            None,
+            None,
+            True,
+            None,
+            self.stores,
+            relay,
         )
 
 
--- a/tests/roles/gateway/test_old_weights.py
+++ b/tests/roles/gateway/test_old_weights.py
@@ -41,6 +41,7 @@
             propose=self._propose,
             confirm_read=lambda timeout_s: self._index,
             is_leader=True,
+            term=1,
             leader_id="a1",
             membership=SimpleNamespace(ids=()),
         )
--- a/tests/roles/gateway/test_parts.py
+++ b/tests/roles/gateway/test_parts.py
@@ -1,15 +1,18 @@
 """Tests of the exchange of an entry with a control member."""
 
+import time
 from types import SimpleNamespace
 
 import gevent
 import pytest
 
 from papayalink import metrics as metrics_module
+from papayalink import node_settings
 from papayalink.coordination import fleet as fleets
 from papayalink.coordination import table_exchange
 from papayalink.protocol import messages
 from papayalink.roles.authority import service as services
+from papayalink.roles.gateway import budgets
 from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import limits
@@ -17,6 +20,7 @@
 from papayalink.roles.gateway import parts
 from papayalink.state import part_directory
 from papayalink.state import replicas
+from tests.roles.gateway import stubs
 
 
 class _Liveness:
@@ -56,13 +60,29 @@
         pass
 
 
+class _State:
+    """State of a member that leads until another one does."""
+
+    def __init__(self):
+        self.leading_term = 1
+
+    def confirm(self):
+        pass
+
+
 class _Member:
     """A control member that answers exchanges in the same process."""
 
-    def __init__(self):
+    def __init__(self, state=stubs.NOT_LEADING):
         self.stores = _Stores()
         self.service = services.make_service(
-            None, None, None, True, None, self.stores, _Relay()
+            state,
+            None,
+            None,
+            True,
+            None,
+            self.stores,
+            _Relay(),
         )
 
     def keep(self, key):
@@ -196,3 +216,38 @@
     entry.exchange()
     assert not entry.directory.holders("s/a")
     assert entry.directory.holders("s/b") == ["k"]
+
+
+# Guards against sides of a cut that each use the whole retry allowance: every
+# member hears some of the entries, and none leads.
+def test_sides_of_a_cut_share_one_allowance(skip_time):
+    bounds = node_settings.Bounds(retry_ratio=0.0, retry_slack=100.0)
+    leader = _Member(_State())
+    entries = [_Entry(f"e{number}", leader) for number in range(4)]
+    shares = [
+        budgets.make_budgets(bounds, entry.follower.retry_share, float("-inf"))
+        for entry in entries
+    ]
+
+    def count_allowed():
+        allowed = 0.0
+        for each in shares:
+            allowed += each.for_service("s", time.monotonic()).constant
+        return allowed
+
+    def exchange(seconds):
+        for _ in range(seconds):
+            skip_time(1.0)
+            for entry in entries:
+                entry.exchange()
+
+    exchange(20)
+    assert count_allowed() == pytest.approx(100.0 * budgets.ALLOWANCE_SHARE)
+    near, far = _Member(), _Member()
+    for entry in entries[:2]:
+        entry.members = [near]
+    for entry in entries[2:]:
+        entry.members = [far]
+    for _ in range(30):
+        exchange(1)
+        assert count_allowed() <= 100.0 * budgets.ALLOWANCE_SHARE
