--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/black --quiet $(SOURCES)
 
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --dist worksteal
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m bench.demo
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -195,6 +195,7 @@
             ),
             "document_number": lambda: self._watcher.number,
             "suspected_parts": lambda: len(self._crashes.suspects),
+            "retry_share": self._parts.retry_share,
         }
 
     def reload(self) -> None:
