--- a/soak/repeat_faults.py
+++ b/soak/repeat_faults.py
@@ -64,8 +64,7 @@
         running = []
         for kind in kinds:
             self._history.count(kind)
-            run = getattr(self, f"_run_{kind}")
-            running.append(gevent.spawn(run, until))
+            running.append(gevent.spawn(self._disturb, kind, until))
         if "cut" in kinds:
             gevent.sleep(self._rng.uniform(*CUT_LEAD_S))
         failures = [
@@ -80,7 +79,18 @@
         for failure in failures:
             failure.ended_at = time.monotonic()
 
-    def _run_cut(self, until: float) -> None:
+    def _disturb(self, kind: str, until: float) -> None:
+        match kind:
+            case "cut":
+                self._cut(until)
+            case "restarts":
+                self._restart_gateways(until)
+            case "members":
+                self._restart_members(until)
+            case "standing_still":
+                self._stop_replicas(until)
+
+    def _cut(self, until: float) -> None:
         """Cut the nodes into groups, each with one member."""
         members = [each for each in self._nodes if each.role == "authority"]
         groups = {each.name: index for index, each in enumerate(members)}
@@ -99,7 +109,7 @@
             link.mode = "pass"
         cut.ended_at = time.monotonic()
 
-    def _run_restarts(self, until: float) -> None:
+    def _restart_gateways(self, until: float) -> None:
         """Kill half of the gateways, or all, again and again."""
         gateways = [each for each in self._nodes if each.role == "gateway"]
         count = self._rng.choice(((len(gateways) + 1) // 2, len(gateways)))
@@ -107,7 +117,7 @@
             gevent.sleep(self._rng.uniform(*RESTART_PERIOD_S))
             self._restart(self._rng.sample(gateways, count))
 
-    def _run_members(self, until: float) -> None:
+    def _restart_members(self, until: float) -> None:
         """Kill members, sometimes all at once, so that leaders change."""
         members = [each for each in self._nodes if each.role == "authority"]
         while time.monotonic() < until:
@@ -117,7 +127,7 @@
             self._restart(chosen)
             gevent.sleep(self._rng.uniform(*MEMBER_PERIOD_S))
 
-    def _run_standing_still(self, until: float) -> None:
+    def _stop_replicas(self, until: float) -> None:
         """Let replicas take connections and calls, and read them later."""
         while time.monotonic() < until:
             replicas = self._rng.sample(
