Let the soak look at the lines of LOST that it left out

Cause: not known; this commit changes no program, only what the soak plays and checks.

Evidence of the gap: the soak counted requests with a part that ends replicas, not the sound ones beside it; it checked the versions of streams that are taken up and not how many go on; its calls had no bodies; an operator that got no answer left no trace.

Change: `--breaks` breaks off all streams again and again beside a part that ends replicas, with sound nodes. `stream_checks.py` holds the two lines on shares. Calls have bodies of up to 400,000 bytes in several pieces, with a length or in chunks; replicas check them, or answer before they read them. Operators use connections again, write documents in pieces, and a member that has read a request must answer it; planned work stops all authorities in series, too.

Two faults of the soak itself, each of which ended a run: a replica that had crashed and returned under its id was removed for the one that had left, and a proxy that is stopped while it fills its accept queue.

The checks have tests of what they find and what they excuse.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,7 @@
     links: bool = False,
     silences: bool = False,
     repeats: bool = False,
+    breaks: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -61,6 +62,8 @@
             faults.
         repeats: whether most calls fail at all replicas, beside cuts between
             nodes, restarts and replicas that read late, instead of faults.
+        breaks: whether streams break off again and again and a part of prompts
+            ends replicas, while all nodes are sound.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -84,6 +87,7 @@
         links,
         silences,
         repeats,
+        breaks,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -3,8 +3,10 @@
 import select
 import time
 
+import gevent
 from gevent import socket
 import h11
+import msgspec
 
 from soak import records
 
@@ -12,6 +14,27 @@
 _READ_BYTES = 65_536
 
 
+class Body(msgspec.Struct, frozen=True):
+    """Body of a request.
+
+    Attributes:
+        pieces: parts that are written one after the other.
+        pause_s: time before each of them.
+        chunked: whether the head does not tell the length.
+    """
+
+    pieces: tuple[bytes, ...] = ()
+    pause_s: float = 0.0
+    chunked: bool = False
+
+    @property
+    def framing(self) -> tuple[str, str]:
+        """Header that tells where the body ends."""
+        if self.chunked:
+            return ("Transfer-Encoding", "chunked")
+        return ("Content-Length", str(sum(len(each) for each in self.pieces)))
+
+
 class CallerConnection:
     """One connection to a gateway, used again as long as it may be.
 
@@ -41,12 +64,17 @@
             self._http = h11.Connection(h11.CLIENT)
 
     def call(
-        self, call: records.Call, method: str, path: str, headers: dict
+        self,
+        call: records.Exchange,
+        method: str,
+        path: str,
+        headers: dict,
+        body: Body = Body(),
     ) -> None:
         """Send a call, and record what comes back."""
         try:
             self.open()
-            self._exchange(call, method, path, headers)
+            self._exchange(call, method, path, headers, body)
         except (OSError, h11.RemoteProtocolError):
             # No connection, a cut or a time-out: the record tells which.
             self.close()
@@ -56,15 +84,20 @@
             self._sock.close()
             self._sock = None
 
-    def _exchange(self, call, method, path, headers) -> None:
+    def _exchange(self, call, method, path, headers, body) -> None:
         request = h11.Request(
             method=method,
             target=path,
-            headers=[*headers.items(), ("Content-Length", "0")],
-        )
-        self._sock.sendall(
-            self._http.send(request) + self._http.send(h11.EndOfMessage())
+            headers=[*headers.items(), body.framing],
         )
+        unsent = self._http.send(request)
+        for piece in body.pieces:
+            if body.pause_s:
+                self._sock.sendall(unsent)
+                unsent = b""
+                gevent.sleep(body.pause_s)
+            unsent += self._http.send(h11.Data(piece))
+        self._sock.sendall(unsent + self._http.send(h11.EndOfMessage()))
         call.written_at = time.monotonic()
         while not call.complete:
             match self._http.next_event():
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from soak import nodes
 from soak import records
 from soak import repeat_checks
+from soak import stream_checks
 from soak.platform import standins
 
 # Statuses that say that the call was not executed.
@@ -51,6 +52,11 @@
             f"{call.call_id} ({call.path_prefix}, {call.status}): {reason}"
             for reason in _check_call(call, executions, history)
         ]
+    for call in history.operator_calls:
+        violations += [
+            f"{call.method} at {call.member}: {reason}"
+            for reason in _check_operator_call(call, history)
+        ]
     known = {call.call_id for call in history.calls}
     for call_id in history.executions.by_call:
         if call_id not in known:
@@ -64,6 +70,7 @@
         *_check_delays(history),
         *_check_weights(history),
         *repeat_checks.check(history),
+        *stream_checks.check(history),
     ]
 
 
@@ -87,6 +94,8 @@
         yield "answered as not run, but ran"
     if any(execution.workspace != call.workspace for execution in executions):
         yield "ran for another workspace"
+    if any(each.body not in ("", call.sent_body) for each in executions):
+        yield "ran with another body"
     if any(execution.key_passed_on for execution in executions):
         yield "the caller's API key was passed to the replica"
     if call.status == 200 and not executions:
@@ -147,6 +156,28 @@
         yield f"cut by a planned stop, {lasted_s:.3f} s after it was sent"
 
 
+def _check_operator_call(call, history):
+    """Check that a member that has read a request answers it.
+
+    A request that crosses the close of a connection is not read.
+    """
+    lasted_s = call.ended_at - call.written_at
+    if (
+        call.complete
+        or not call.written_at
+        or lasted_s <= CROSSING_S
+        or call.timeout_s - lasted_s < OUT_OF_TIME_S
+    ):
+        return
+    kinds = {
+        each.kind
+        for each in _disturbances_around(call, history)
+        if each.target in (call.member, ALL_MEMBERS)
+    }
+    if kinds <= {"stop"}:
+        yield f"cut, {lasted_s:.3f} s after it was sent"
+
+
 def _check_silence(call, executions, history):
     """Check that nothing is refused or fails for silences alone."""
     around = _disturbances_around(call, history)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,13 +1,11 @@
 """Callers with persistent connections, and operators that retry."""
 
 import itertools
-import json
+import random
 import time
 
 import gevent
 from gevent import event
-import geventhttpclient
-from geventhttpclient import response as responses
 
 from soak import caller_connection
 from soak import nodes as node_module
@@ -23,16 +21,12 @@
 CRASHING_INTERVAL = 2
 CRASHING_REQUEST_INTERVAL = 3
 MAX_TAKE_UPS = 2
-# Longest pause of an operator between two reads.
-READ_PAUSE_S = 0.4
+# Sizes of bodies, and the pieces and longest pauses in which they are written.
+BODY_BYTES = (0, 0, 300, 40_000, 400_000)
+MAX_PIECES = 3
+MAX_PIECE_PAUSE_S = 0.1
 # Longest pause of a caller between two calls.
 PAUSE_S = 0.06
-CALL_ERRORS = (
-    OSError,
-    ValueError,
-    responses.HTTPConnectionClosed,
-    responses.HTTPParseError,
-)
 
 
 class Caller:
@@ -122,13 +116,15 @@
             if repeated and self._streams % CRASHING_REQUEST_INTERVAL == 0:
                 path = f"{path_prefix}{repeated}"
                 call.workspace = workspace = min(standins.API_KEYS)
+                call.cause = repeated
         headers = standins.make_headers(
             call_id, workspace, int(self._deadline_s * 1000)
         )
         if path_prefix == standins.STREAM:
             part = "sound"
             if self._streams % CRASHING_INTERVAL == 0:
-                part = self._history.crashing_part or part
+                if self._history.crashing_part:
+                    part = call.cause = self._history.crashing_part
             headers["Papayalink-Prefix-Hash"] = standins.make_prefix(
                 part, call_id
             )
@@ -138,10 +134,29 @@
         if resumes:
             headers["Resumes"] = resumes
             headers["Last-Event-Id"] = str(last_event)
-        connection.call(call, method, path, headers)
+        body = caller_connection.Body()
+        if method == "POST":
+            # A request that is repeated has the same body.
+            body = self._make_body(call_id if call_id in path else path)
+        call.sent_body = records.digest(b"".join(body.pieces))
+        connection.call(call, method, path, headers, body)
         call.ended_at = time.monotonic()
         return call
 
+    def _make_body(self, name: str) -> caller_connection.Body:
+        """Returns: the body that bears a name, in a random framing."""
+        size = random.Random(name).choice(BODY_BYTES)
+        content = (name.encode() * (size // len(name) + 1))[:size]
+        length = size // self._rng.randint(1, MAX_PIECES) + 1
+        return caller_connection.Body(
+            tuple(
+                content[begin : begin + length]
+                for begin in range(0, size, length)
+            ),
+            self._rng.choice((0.0, self._rng.random() * MAX_PIECE_PAUSE_S)),
+            self._rng.random() < 0.5,
+        )
+
     def run(
         self, gateways: list[node_module.Node], ended: event.Event
     ) -> None:
@@ -185,88 +200,3 @@
         except OSError:
             return False
         return True
-
-
-class Operator:
-    """Sends documents with increasing numbers, and reads them back."""
-
-    def __init__(self, history: records.History, rng) -> None:
-        self._history = history
-        self._rng = rng
-        self._numbers = itertools.count(1)
-
-    def put(self, members: list[node_module.Node], timeout_s: float) -> bool:
-        """Send the next document for `timeout_s`, or until it is accepted.
-
-        Returns: whether it was accepted.
-        """
-        number = next(self._numbers) * 3
-        change = records.Change(
-            number, self._rng.random() < 0.5, time.monotonic()
-        )
-        self._history.changes.append(change)
-        body = standins.make_document(number, change.has_optional_route)
-        until = time.monotonic() + timeout_s
-        while time.monotonic() < until:
-            member = self._rng.choice(members)
-            status, _ = _call(member, "PUT", body)
-            if status == 200:
-                change.accepted_at = time.monotonic()
-                return True
-            gevent.sleep(RETRY_INTERVAL_S)
-        return False
-
-    def name_weights(
-        self, members: list[node_module.Node], timeout_s: float
-    ) -> None:
-        """Name the next weight version, until it is accepted or given up."""
-        version = 2 + len(self._history.namings)
-        naming = records.Naming(version, time.monotonic())
-        self._history.namings.append(naming)
-        self._history.count("weights_named")
-        body = json.dumps(
-            {"model": self._history.model, "version": version}
-        ).encode()
-        until = time.monotonic() + timeout_s
-        while time.monotonic() < until:
-            member = self._rng.choice(members)
-            status, _ = _call(member, "POST", body, "/-/version-put")
-            if status == 200:
-                naming.accepted_at = time.monotonic()
-                return
-            gevent.sleep(RETRY_INTERVAL_S)
-
-    def pause(self, longest_s: float = READ_PAUSE_S) -> None:
-        gevent.sleep(self._rng.random() * longest_s)
-
-    def read(self, members: list[node_module.Node]) -> None:
-        member = self._rng.choice(members)
-        sent_at = time.monotonic()
-        status, body = _call(member, "GET")
-        if status == 200:
-            number = int(body.partition(b'"version":')[2].split(b",")[0])
-            self._history.reads.append(
-                records.Read(sent_at, member.name, number)
-            )
-
-
-def _call(
-    member: node_module.Node,
-    method: str,
-    body: bytes = b"",
-    path: str = "/-/config",
-) -> tuple[int, bytes]:
-    """Returns: status and body; status 0 when there is no answer."""
-    client = geventhttpclient.HTTPClient(
-        member.ip,
-        node_module.OPERATOR_PORT,
-        connection_timeout=1.0,
-        network_timeout=1.5,
-    )
-    try:
-        answer = client.request(method, path, body)
-        return answer.status_code, bytes(answer.read())
-    except CALL_ERRORS:
-        return 0, b""
-    finally:
-        client.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,7 +23,7 @@
 )
 # Most bytes of a head that is cut off, which is longer.
 MAX_HEAD_BYTES = 90
-REPLICA_MODES = ("busy", "failing", "mute")
+REPLICA_MODES = ("busy", "failing", "mute", "early")
 # Kinds of faults, and the weight with which each is drawn.
 KINDS = {
     "stop": 3,
@@ -50,6 +50,14 @@
     "release": 1,
     "odd_entry": 1,
 }
+# Kinds beside streams that break off and prompts that end replicas.
+KINDS_BESIDE_BREAKS = {
+    "replica": 2,
+    "silent": 2,
+    "release": 1,
+    "limited": 1,
+    "crashing": 1,
+}
 # Kinds beside weights that are named again and again.
 KINDS_BESIDE_WEIGHTS = {
     "stop": 1,
@@ -80,6 +88,8 @@
 # Resets of all replicas that use up the attempts of a stream.
 RESETS = 3
 RESET_INTERVAL_S = 0.06
+# Longest time between two breaks of all streams.
+BREAK_INTERVAL_S = 1.5
 LIMIT_PER_S = 3.0
 MAX_DURATION_S = 3.0
 # Longer than the time in which weights are to be loaded.
@@ -142,6 +152,11 @@
             self._silence_replicas(self._platform.replicas)
             gevent.sleep(self._rng.uniform(*SILENT_INTERVAL_S))
 
+    def begin_breaks(self, until: float) -> None:
+        """Break off all streams again and again, beside sound nodes."""
+        self._kinds = KINDS_BESIDE_BREAKS
+        self._greenlets.append(gevent.spawn(self._break_all, until))
+
     def begin_weights(self) -> None:
         """Disturb the loading of weights."""
         self._kinds = KINDS_BESIDE_WEIGHTS
@@ -301,12 +316,7 @@
         if frozen:
             gateway.pause(False)
         self._history.take_up_at = gateway.name
-        for _ in range(RESETS):
-            for replica_id, each in list(self._platform.proxies.items()):
-                reset = self._history.begin("reset", replica_id)
-                each.reset_all()
-                reset.ended_at = time.monotonic()
-            gevent.sleep(RESET_INTERVAL_S)
+        self._break_streams()
         gevent.sleep(self._rng.random())
         self._history.take_up_at = ""
         if not frozen:
@@ -316,6 +326,20 @@
         for each in disturbances:
             each.ended_at = time.monotonic()
 
+    def _break_all(self, until: float) -> None:
+        while time.monotonic() < until:
+            gevent.sleep(self._rng.random() * BREAK_INTERVAL_S)
+            self._break_streams()
+
+    def _break_streams(self) -> None:
+        """Reset all replicas, until streams have used up their attempts."""
+        for _ in range(RESETS):
+            for replica_id, each in list(self._platform.proxies.items()):
+                reset = self._history.begin("reset", replica_id)
+                each.reset_all()
+                reset.ended_at = time.monotonic()
+            gevent.sleep(RESET_INTERVAL_S)
+
     def _disturb_links(self, links: list[proxy.Proxy], until: float) -> None:
         """Let connections fall silent and members stand still in turn."""
         while time.monotonic() < until:
@@ -386,7 +410,7 @@
                 gevent.sleep(duration_s)
                 replica.mode = "well"
             case "leaves":
-                replica.leaving = True
+                self._platform.leave(replica)
             case "release":
                 self._platform.release(replica)
                 gevent.sleep(DRAIN_S)
--- a/soak/planned_work.py
+++ b/soak/planned_work.py
@@ -17,7 +17,7 @@
 class PlannedWork:
     """Stops all gateways one after the other, and reloads beside that.
 
-    The stops overlap. Each round also stops one authority.
+    The stops overlap. Each round also stops one authority, or all of them.
     """
 
     def __init__(
@@ -44,9 +44,11 @@
     def _stop_all(self) -> None:
         gateways = [each for each in self._nodes if each.role == "gateway"]
         members = [each for each in self._nodes if each.role == "authority"]
-        self._rng.shuffle(gateways)
-        stops = [gevent.spawn(self._stop, self._rng.choice(members))]
-        for node in gateways:
+        count = self._rng.choice((1, len(members)))
+        stopping = gateways + self._rng.sample(members, count)
+        self._rng.shuffle(stopping)
+        stops = []
+        for node in stopping:
             stops.append(gevent.spawn(self._stop, node))
             gevent.sleep(self._rng.random() * STOP_INTERVAL_S)
         gevent.joinall(stops, raise_error=True)
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -82,8 +82,8 @@
 
     Attributes:
         mode: "well" for no fault, "busy" refuses calls for a while that it
-            names, "failing" answers
-            500, "mute" runs calls and does not answer.
+            names, "failing" answers 500, "mute" runs calls and does not
+            answer, "early" answers before it reads bodies.
         address: address of the proxy, which the list names.
         software: version that the list names.
         limit: limit that its answers name, None for none.
@@ -152,6 +152,9 @@
             )
             start_response("503 Busy", headers)
             return [b""]
+        body = ""
+        if self.mode != "early":
+            body = records.digest(environ["wsgi.input"].read())
         last_event_id = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
         self.executions.record(
             call_id,
@@ -162,6 +165,7 @@
             last_event_id,
             self.leaving,
             self.weights.version if self.weights and wanted else 0,
+            body,
         )
         if self.mode == "mute":
             gevent.sleep(30)
@@ -265,6 +269,9 @@
         self.proxies[replica_id] = proxy
         replica.address = proxy.address
         self.replicas.append(replica)
+        self.history.services.append(
+            records.Service(replica_id, software, time.monotonic())
+        )
         return replica
 
     def crash(self, replica: Replica, cause: str) -> None:
@@ -290,6 +297,7 @@
             replica.limit = None
         # The address refuses connections from now on.
         self.proxies.pop(replica.replica_id).stop()
+        self._end_service(replica)
         server = self._servers.pop(replica.replica_id)
         gevent.spawn(server.stop, 0)
         if replica.weights is not None:
@@ -320,7 +328,16 @@
             f"v{self._releases + 1}",
             self._newest_weights(),
         )
+        self.leave(replica)
+
+    def leave(self, replica: Replica) -> None:
         replica.leaving = True
+        self._end_service(replica)
+
+    def _end_service(self, replica: Replica) -> None:
+        for each in self.history.services:
+            if each.replica_id == replica.replica_id:
+                each.until = min(each.until, time.monotonic())
 
     def _newest_weights(self) -> model_weights.ModelWeights | None:
         """Returns: what a new replica holds, None without a model."""
@@ -332,9 +349,12 @@
         return model_weights.ModelWeights(max(named, default=1))
 
     def remove(self, replica: Replica) -> None:
-        """End a replica that has left, with the streams that it writes."""
-        server = self._servers.pop(replica.replica_id, None)
-        if server is not None:
+        """End a replica that has left, with the streams that it writes.
+
+        One that has crashed meanwhile may have returned under the same id.
+        """
+        if replica in self.replicas and replica.replica_id in self._servers:
+            server = self._servers.pop(replica.replica_id)
             self.replicas.remove(replica)
             self.proxies.pop(replica.replica_id).stop()
             gevent.spawn(server.stop, 0)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -100,7 +100,8 @@
             filler.connect(
                 (self._server.server_host, self._server.server_port)
             )
-        except TimeoutError:
+        except (TimeoutError, ConnectionError):
+            # The queue is full, or the proxy has been stopped.
             return False
         return True
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,5 +1,6 @@
 """Observations of callers, replicas and operators."""
 
+import hashlib
 import time
 
 import msgspec
@@ -13,6 +14,8 @@
         last_event_id: number of the event after which a stream continues.
         leaving: whether the replica was leaving.
         weights: version of the replica's weights, 0 without a model.
+        body: digest of the body, "" for a replica that answers before it has
+            read it.
     """
 
     began_at: float
@@ -23,6 +26,7 @@
     last_event_id: int
     leaving: bool
     weights: int = 0
+    body: str = ""
 
 
 class CallArrival(msgspec.Struct, frozen=True):
@@ -56,18 +60,48 @@
         self.by_call.setdefault(call_id, []).append(execution)
 
 
-class Call(msgspec.Struct, eq=False):
+class Exchange(msgspec.Struct, eq=False, kw_only=True):
+    """A request and its answer, as their sender observed them.
+
+    Attributes:
+        written_at: when the whole request had been written to a connection,
+            0 if it never was.
+        status: 0 when the connection ended without the head of an answer.
+        complete: whether the answer ended cleanly.
+        server_stamp: proof of origin: replica id, a dot and the call id.
+    """
+
+    written_at: float = 0.0
+    ended_at: float = 0.0
+    status: int = 0
+    complete: bool = False
+    server_stamp: str = ""
+    body: bytes = b""
+
+
+class OperatorCall(Exchange):
+    """A request of an operator to a member.
+
+    Attributes:
+        timeout_s: seconds for which the operator waits.
+    """
+
+    member: str
+    method: str
+    sent_at: float
+    timeout_s: float
+
+
+class Call(Exchange):
     """One call and its answer, as the caller observed it.
 
     Attributes:
         path_prefix: path prefix of the route, which tells the kind of call.
         gateway: name of the gateway that the call was sent to.
         deadline_s: seconds that the caller gives the call.
-        written_at: when the whole call had been written to a connection, 0
-            if it never was.
-        status: 0 when the connection ended without the head of an answer.
-        complete: whether the answer ended cleanly.
-        server_stamp: proof of origin: replica id, a dot and the call id.
+        sent_body: digest of the body that the caller sent.
+        cause: part of its prompt, or request, that ends replicas, "" for a
+            sound call.
         resumes: first call of the stream that this call takes up, "" if none.
         last_event: number of the event after which it does.
     """
@@ -78,12 +112,8 @@
     gateway: str
     sent_at: float
     deadline_s: float = 3.0
-    written_at: float = 0.0
-    ended_at: float = 0.0
-    status: int = 0
-    complete: bool = False
-    server_stamp: str = ""
-    body: bytes = b""
+    sent_body: str = ""
+    cause: str = ""
     resumes: str = ""
     last_event: int = 0
 
@@ -136,6 +166,19 @@
     at: float
 
 
+class Service(msgspec.Struct, eq=False):
+    """A replica serves with one software version.
+
+    Attributes:
+        until: when it ended or began to leave, infinite until then.
+    """
+
+    replica_id: str
+    software: str
+    since: float
+    until: float = float("inf")
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """A replica turned a call away and named a delay."""
 
@@ -179,6 +222,8 @@
             ends replicas now, "" for none.
         arrivals: calls with such a part, and repetitions of such requests.
         crashes: parts and requests that have ended replicas, and when.
+        services: times in which replicas served.
+        operator_calls: requests of operators to members.
         model: model that streams name, "" for none.
         namings: weight versions that operators named.
         take_up_at: gateway at which callers take up broken streams, "" for
@@ -195,6 +240,8 @@
     crashing_request: str = ""
     arrivals: list[Arrival] = []
     crashes: list[tuple[str, float]] = []
+    services: list[Service] = []
+    operator_calls: list[OperatorCall] = []
     limits: list[NamedLimit] = []
     refusals: list[Refusal] = []
     model: str = ""
@@ -217,6 +264,10 @@
     return f"{call_id} answered by {replica_id}\n".encode() * 4
 
 
+def digest(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
+
+
 def make_event(call_id: str, number: int, software: str = "v1") -> bytes:
     """Returns: an event of a stream, which tells who wrote it."""
     return f"id: {number}\ndata: {call_id}/{number}/{software}\n\n".encode()
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -12,6 +12,7 @@
 from soak import clients
 from soak import faults
 from soak import nodes as node_module
+from soak import operators
 from soak import planned_work
 from soak import proxy
 from soak import records
@@ -64,6 +65,8 @@
             authorities without a disk stand still, again and again.
         silences: whether sound replicas fall silent and go on, beside nothing,
             changed documents or planned work, instead of faults.
+        breaks: whether streams break off again and again and a part of prompts
+            ends replicas, while all nodes are sound.
         repeats: whether most calls fail at all replicas, while nodes are cut
             into groups, gateways and members restart, or replicas read calls
             late, instead of faults.
@@ -84,6 +87,7 @@
     links: bool = False
     silences: bool = False
     repeats: bool = False
+    breaks: bool = False
 
 
 class Result(msgspec.Struct):
@@ -166,7 +170,7 @@
     gateways = [each for each in nodes if each.role == "gateway"]
     for node in nodes:
         node.start()
-    operator = clients.Operator(history, _make_rng(seed, "operator"))
+    operator = operators.Operator(history, _make_rng(seed, "operator"))
     if not operator.put(members, node_module.START_TIMEOUT_S):
         return Result(seed, ["the first document was not accepted"], 0, {})
     for gateway in gateways:
@@ -203,6 +207,9 @@
         injector.begin_odd_entries(until)
     if scenario.cut_offs:
         injector.begin_cut_offs(until)
+    if scenario.breaks:
+        injector.begin_breaks(until)
+        injector.begin_crashing()
     if scenario.links:
         injector.begin_links(list(links.values()), until)
     if scenario.repeats:
--- a/tests/soak/test_caller_connection.py
+++ b/tests/soak/test_caller_connection.py
@@ -1,5 +1,6 @@
 """A caller's connection tells what became of a call."""
 
+import gevent
 from gevent import server
 from gevent import socket
 import pytest
@@ -75,3 +76,21 @@
         call = _call(connection)
     assert not call.complete
     assert not call.written_at
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.01])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_whole_body_is_written(gateway, pause_s, chunked):
+    connection, answers, requests, _ = gateway
+    answers += [_ANSWER] * 4
+    body = caller_connection.Body((b"ab", b"cd"), pause_s, chunked)
+    call = records.Call("c", "/once/", "office", "g1", 100.0)
+    connection.call(call, "POST", "/once/c", {"Host": "x"}, body)
+    gevent.sleep(0.05)
+    assert call.written_at
+    sent = b"".join(requests)
+    if chunked:
+        assert sent.endswith(b"\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n")
+    else:
+        assert b"Content-Length: 4" in sent
+        assert sent.endswith(b"\r\n\r\nabcd")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -230,6 +230,10 @@
             "ran for another workspace",
             _history(_call(), [_execution(workspace="counter")]),
         ),
+        (
+            "ran with another body",
+            _history(_call(sent_body="a"), [_execution(body="b")]),
+        ),
         (
             "API key was passed to the replica",
             _history(_call(), [_execution(key_passed_on=True)]),
@@ -356,6 +360,45 @@
     assert reason in violations[0]
 
 
+def _put(lasted_s, disturbances=(), **fields):
+    """A document that a member is sent, and does not answer."""
+    history = _history(disturbances=disturbances)
+    values = {"status": 0, "complete": False, "written_at": 100.0} | fields
+    history.operator_calls.append(
+        records.OperatorCall(
+            member="m1",
+            method="PUT",
+            sent_at=100.0,
+            timeout_s=3.0,
+            ended_at=100.0 + lasted_s,
+            **values,
+        )
+    )
+    return history
+
+
+# Guards against members that end without an answer to what they have read.
+@pytest.mark.parametrize(
+    ("history", "findings"),
+    [
+        (_put(0.6, [_fault("stop", "m1")]), ["PUT at m1: cut, 0.600 s"]),
+        (_put(0.6, [_fault("kill", "m2")]), ["PUT at m1: cut, 0.600 s"]),
+        (_put(0.6, status=503, complete=True), []),
+        # It crossed the close of its connection, or was not written.
+        (_put(0.5, [_fault("stop", "m1")]), []),
+        (_put(0.6, written_at=0.0), []),
+        # The operator has given up.
+        (_put(3.0), []),
+        (_put(0.6, [_fault("stop", "m1"), _fault("kill", "m1")]), []),
+    ],
+)
+def test_operators_get_answers(history, findings):
+    violations = checks.check(history)
+    assert len(violations) == len(findings)
+    for violation, finding in zip(violations, findings):
+        assert finding in violation
+
+
 def _beside_silences(*silent, status=503, deadline_s=6.0, lasted_s=0.1):
     """A call at whose start the given replicas have been silent for 1 s."""
     call = _call(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 SILENCE_S = 8.0
 # Two of the periods in which repeats count, and the time before.
 REPEATS_S = 41.0
+BREAKS_S = 15.0
 
 
 @pytest.mark.parametrize(
@@ -55,6 +56,9 @@
             1, seed_run.Scenario(silences=True), id="silences-documents"
         ),
         pytest.param(2, seed_run.Scenario(silences=True), id="silences-stops"),
+        # Streams break off and are taken up, and sound streams come beside a
+        # part that ends replicas.
+        pytest.param(1, seed_run.Scenario(breaks=True), id="breaks"),
         # All replicas fail, and most of them stand still and read calls later.
         # Repeats that were given up arrived beside those of a later period.
         pytest.param(
@@ -87,6 +91,9 @@
         seconds += SILENCE_S
     elif scenario.repeats:
         seconds += REPEATS_S
+    elif scenario.breaks:
+        # Enough streams after five replicas have ended.
+        seconds += BREAKS_S
     result = seed_run.run_seed(seed, seconds, scenario)
     assert result.findings == []
     assert result.calls > 50
--- a/tests/soak/test_standins.py
+++ b/tests/soak/test_standins.py
@@ -51,3 +51,27 @@
                 gevent.sleep(0.01)
         kept = platform.replicas[0].replica_id == before
         assert kept is (number % 2 == 1)
+
+
+def test_replica_that_returned_outlasts_the_removal_of_the_former(platform):
+    """Guards against a run that ends when a leaving replica has crashed."""
+    former = platform.add_replica("i-1", "z", "127.0.0.1")
+    platform.leave(former)
+    platform.end(former, keeps_id=True)
+    with gevent.Timeout(10):
+        while platform.replicas == [former]:
+            gevent.sleep(0.01)
+    platform.remove(former)
+    (returned,) = platform.replicas
+    assert returned is not former
+    assert returned.replica_id in platform.proxies
+
+
+def test_time_in_which_a_replica_serves_is_recorded(platform):
+    replica = platform.add_replica("i-1", "z", "127.0.0.1", "v2")
+    (service,) = platform.history.services
+    assert (service.software, math.isinf(service.until)) == ("v2", True)
+    platform.leave(replica)
+    left_at = service.until
+    platform.remove(replica)
+    assert service.until == left_at < math.inf
