Excuse crossed closes in the soak for as long as users do

Callers whose gateway had read a request and ended without an answer 0.2 to 0.5 s later were not reported by the soak.

Cause: the check allowed 0.5 s for a request that crosses the close of its connection. The bound that users state is `lossSlackMs`, 200 ms.

Change: 0.2 s, for callers and operators. The tests of both cases use times between the two bounds.

The two changed cases failed with the bound of 0.5 s.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,7 +26,7 @@
 MAX_DELAYED_ARRIVALS = 2
 # Time that a call may cross the close of its idle connection, and time before
 # its deadline in which a call may be cut because it has run out of time.
-CROSSING_S = 0.5
+CROSSING_S = 0.2
 OUT_OF_TIME_S = 0.2
 # A sound replica that is silent for a while and goes on. It may be silent for
 # less than 2 s, so that a call with so much time left could have waited. One
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -301,7 +301,7 @@
         (
             "cut by a planned stop",
             _history(
-                _call(status=0, ended_at=100.6),
+                _call(status=0, ended_at=100.3),
                 disturbances=[_fault("stop", "g1")],
             ),
         ),
@@ -381,11 +381,11 @@
 @pytest.mark.parametrize(
     ("history", "findings"),
     [
-        (_put(0.6, [_fault("stop", "m1")]), ["PUT at m1: cut, 0.600 s"]),
+        (_put(0.3, [_fault("stop", "m1")]), ["PUT at m1: cut, 0.300 s"]),
         (_put(0.6, [_fault("kill", "m2")]), ["PUT at m1: cut, 0.600 s"]),
         (_put(0.6, status=503, complete=True), []),
         # It crossed the close of its connection, or was not written.
-        (_put(0.5, [_fault("stop", "m1")]), []),
+        (_put(0.15, [_fault("stop", "m1")]), []),
         (_put(0.6, written_at=0.0), []),
         # The operator has given up.
         (_put(3.0), []),
