Show repeats beyond the allowance after a kill of all gateways

Cause: a gateway that starts again has no constant part for one window, but gives a fresh part for its requests at once. What its earlier run has spent of that part shortly before counts in the same window.

Change: the scenario of bursts, in which calls fail for the first time 1 to 4 s before all gateways are killed; most calls of the scenario of repeats may be sent to three replicas. No program is changed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,7 @@
     silences: bool = False,
     repeats: bool = False,
     breaks: bool = False,
+    bursts: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -64,6 +65,8 @@
             nodes, restarts and replicas that read late, instead of faults.
         breaks: whether streams break off again and again and a part of prompts
             ends replicas, while all nodes are sound.
+        bursts: with `repeats`, whether all gateways are killed right after
+            calls have begun to fail.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -88,6 +91,7 @@
         silences,
         repeats,
         breaks,
+        bursts,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -21,6 +21,12 @@
 CRASHING_INTERVAL = 2
 CRASHING_REQUEST_INTERVAL = 3
 MAX_TAKE_UPS = 2
+PATH_PREFIXES = (
+    standins.ONCE,
+    standins.LOOKUP,
+    standins.STREAM,
+    standins.OPTIONAL,
+)
 # Sizes of bodies, and the pieces and longest pauses in which they are written.
 BODY_BYTES = (0, 0, 300, 40_000, 400_000)
 MAX_PIECES = 3
@@ -37,6 +43,7 @@
         kept: number of connections to each gateway that are kept open while
             the caller pauses. Without, there is one, opened with a call.
         deadline_s: deadline of each call.
+        path_prefixes: kinds of calls.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         pause_s: float = PAUSE_S,
         kept: int = 0,
         deadline_s: float = DEADLINE_S,
+        path_prefixes: tuple[str, ...] = PATH_PREFIXES,
     ) -> None:
         self._name = name
         self._history = history
@@ -54,6 +62,7 @@
         self._pause_s = pause_s
         self._kept = kept
         self._deadline_s = deadline_s
+        self._path_prefixes = path_prefixes
         self._numbers = itertools.count(1)
         self._connections: dict[
             str, list[caller_connection.CallerConnection]
@@ -62,14 +71,7 @@
 
     def call(self, gateway: node_module.Node) -> records.Call:
         """Send a call of a random kind and record its answer."""
-        path_prefix = self._rng.choice(
-            (
-                standins.ONCE,
-                standins.LOOKUP,
-                standins.STREAM,
-                standins.OPTIONAL,
-            )
-        )
+        path_prefix = self._rng.choice(self._path_prefixes)
         workspace = self._rng.choice(sorted(standins.API_KEYS))
         return self._send(gateway, path_prefix, workspace)
 
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+import zlib
 
 import gevent
 from gevent import pywsgi
@@ -24,11 +25,14 @@
 # Path prefix of each kind of call. Documents have the OPTIONAL route only
 # in some versions.
 ONCE, LOOKUP, STREAM, OPTIONAL = "/once/", "/look/", "/stream/", "/extra/"
+# Calls that may be sent to more replicas, of the scenario of repeats.
+OFTEN = "/often/"
 _ROUTE_OPTIONS = {
     ONCE: ("non_idempotent", 1, False),
     LOOKUP: ("idempotent", 2, False),
     STREAM: ("streaming", 2, True),
     OPTIONAL: ("idempotent", 2, False),
+    OFTEN: ("idempotent", 3, False),
 }
 
 
@@ -84,6 +88,7 @@
         mode: "well" for no fault, "busy" refuses calls for a while that it
             names, "failing" answers 500, "mute" runs calls and does not
             answer, "early" answers before it reads bodies.
+        failing_share: share of the calls to which "failing" applies.
         address: address of the proxy, which the list names.
         software: version that the list names.
         limit: limit that its answers name, None for none.
@@ -97,6 +102,7 @@
     platform: "Platform"
     software: str = "v1"
     mode: str = "well"
+    failing_share: float = 1.0
     leaving: bool = False
     address: str = ""
     limit: records.NamedLimit | None = None
@@ -154,7 +160,12 @@
             return [b""]
         body = ""
         if self.mode != "early":
-            body = records.digest(environ["wsgi.input"].read())
+            try:
+                body = records.digest(environ["wsgi.input"].read())
+            except OSError:
+                # Its gateway has ended.
+                start_response("400 Bad Request", headers)
+                return [b""]
         last_event_id = int(environ.get("HTTP_LAST_EVENT_ID") or 0)
         self.executions.record(
             call_id,
@@ -174,8 +185,8 @@
         )
         if not path.startswith(STREAM):
             gevent.sleep(PLAIN_ANSWER_S)
-            status = "500 Failed" if self.mode == "failing" else "200 OK"
-            start_response(status, headers)
+            fails = self.mode == "failing" and self._is_failing(call_id)
+            start_response("500 Failed" if fails else "200 OK", headers)
             return [records.make_body(call_id, self.replica_id)]
         headers.append(("Content-Type", "text/event-stream"))
         start_response("200 OK", headers)
@@ -187,6 +198,10 @@
             return self._crash(cause)
         return _events(call_id, last_event_id, self.software)
 
+    def _is_failing(self, call_id: str) -> bool:
+        drawn = zlib.crc32(f"{call_id} {self.replica_id}".encode())
+        return drawn < self.failing_share * 2**32
+
     def _crash(self, cause: str):
         """Begin an event, and end with all connections."""
         yield b"id: 1\nda"
--- a/soak/repeat_faults.py
+++ b/soak/repeat_faults.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+from gevent import event
 
 from soak import checks
 from soak import nodes as node_module
@@ -12,9 +13,11 @@
 
 # Gateways use their whole allowance once they have run for this long.
 SETTLING_S = 12.0
-# Time between the begin of a disturbance and that of the failures of
-# replicas. A cut must outlast what the sides remember of each other.
-CUT_LEAD_S = (8.0, 13.0)
+# Time between the begin of some disturbances and that of the failures of
+# replicas. A cut must outlast what the sides remember of each other, and
+# before a burst gateways must have shares of the constant part.
+LEAD_S = (8.0, 13.0)
+DISTURBANCES_WITH_LEAD = frozenset(("cut", "burst"))
 RESTART_PERIOD_S = (1.5, 8.0)
 DOWN_S = 0.5
 MEMBER_PERIOD_S = (2.0, 5.0)
@@ -33,6 +36,12 @@
     ("members", "standing_still"),
     ("standing_still",),
 )
+# Time from the begin of the failures to the kill of all gateways, in which
+# these use up their allowance.
+BURST_S = (1.0, 4.0)
+# Shares of the calls that fail. Gateways send less to replicas that answer
+# nothing else.
+FAILING_SHARES = (0.8, 1.0)
 
 
 class RepeatFaults:
@@ -42,6 +51,8 @@
 
     Args:
         links: connections between nodes.
+        bursts: whether all gateways are killed right after calls have begun
+            to fail, instead of a disturbance that is drawn.
     """
 
     def __init__(
@@ -51,28 +62,37 @@
         platform: standins.Platform,
         history: records.History,
         rng: random.Random,
+        bursts: bool,
     ) -> None:
         self._nodes = nodes
         self._links = links
         self._platform = platform
         self._history = history
         self._rng = rng
+        self._bursts = bursts
+        # Set when the replicas begin to fail.
+        self._failing = event.Event()
 
     def run(self, until: float) -> None:
-        kinds = self._rng.choice(DISTURBANCES)
+        kinds = ("burst",) if self._bursts else self._rng.choice(DISTURBANCES)
         gevent.sleep(max(0.0, min(SETTLING_S, until - time.monotonic())))
         running = []
         for kind in kinds:
             self._history.count(kind)
             running.append(gevent.spawn(self._disturb, kind, until))
-        if "cut" in kinds:
-            gevent.sleep(self._rng.uniform(*CUT_LEAD_S))
+        if DISTURBANCES_WITH_LEAD.intersection(kinds):
+            gevent.sleep(self._rng.uniform(*LEAD_S))
+        self._failing.set()
         failures = [
             self._history.begin("replica", each.replica_id)
             for each in self._platform.replicas
         ]
+        failing_share = 1.0
+        if self._bursts:
+            failing_share = self._rng.choice(FAILING_SHARES)
         for each in self._platform.replicas:
             each.mode = "failing"
+            each.failing_share = failing_share
         gevent.joinall(running, raise_error=True)
         for each in self._platform.replicas:
             each.mode = "well"
@@ -87,6 +107,8 @@
                 self._restart_gateways(until)
             case "members":
                 self._restart_members(until)
+            case "burst":
+                self._restart_after_burst(until)
             case "standing_still":
                 self._stop_replicas(until)
 
@@ -117,6 +139,14 @@
             gevent.sleep(self._rng.uniform(*RESTART_PERIOD_S))
             self._restart(self._rng.sample(gateways, count))
 
+    def _restart_after_burst(self, until: float) -> None:
+        """Kill all gateways once, right after calls have begun to fail."""
+        gateways = [each for each in self._nodes if each.role == "gateway"]
+        self._failing.wait()
+        gevent.sleep(self._rng.uniform(*BURST_S))
+        self._restart(gateways)
+        _sleep_until(until)
+
     def _restart_members(self, until: float) -> None:
         """Kill members, sometimes all at once, so that leaders change."""
         members = [each for each in self._nodes if each.role == "authority"]
@@ -170,5 +200,6 @@
     platform: standins.Platform,
     history: records.History,
     rng: random.Random,
+    bursts: bool,
 ) -> RepeatFaults:
-    return RepeatFaults(nodes, links, platform, history, rng)
+    return RepeatFaults(nodes, links, platform, history, rng, bursts)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -39,6 +39,8 @@
 # Callers of the scenario of repeats, and their longest pause.
 REPEAT_CALLERS = 24
 REPEAT_PAUSE_S = 0.5
+# Most of their calls may be repeated twice.
+REPEAT_PATH_PREFIXES = (*clients.PATH_PREFIXES, *6 * (standins.OFTEN,))
 # Longest time between two namings of weights.
 NAMING_INTERVAL_S = 3.0
 
@@ -70,6 +72,8 @@
         repeats: whether most calls fail at all replicas, while nodes are cut
             into groups, gateways and members restart, or replicas read calls
             late, instead of faults.
+        bursts: with `repeats`, whether all gateways are killed right after
+            calls have begun to fail, instead of what is drawn.
     """
 
     authorities: int = 3
@@ -88,6 +92,7 @@
     silences: bool = False
     repeats: bool = False
     breaks: bool = False
+    bursts: bool = False
 
 
 class Result(msgspec.Struct):
@@ -214,7 +219,7 @@
         injector.begin_links(list(links.values()), until)
     if scenario.repeats:
         repeat_faults.make_repeat_faults(
-            nodes, links, platform, history, rng
+            nodes, links, platform, history, rng, scenario.bursts
         ).run(until)
     elif beside:
         silencing = gevent.spawn(injector.run_silences, until)
@@ -279,7 +284,13 @@
             )
             targets = [gateways[index % len(gateways)]]
         elif scenario.repeats:
-            caller = clients.Caller(name, history, rng, REPEAT_PAUSE_S)
+            caller = clients.Caller(
+                name,
+                history,
+                rng,
+                REPEAT_PAUSE_S,
+                path_prefixes=REPEAT_PATH_PREFIXES,
+            )
             targets = gateways
         else:
             caller, targets = clients.Caller(name, history, rng), gateways
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -73,6 +73,13 @@
             seed_run.Scenario(gateways=4, repeats=True),
             id="repeats-cut",
         ),
+        # All gateways are killed right after all calls have begun to fail.
+        # Each forgot what it had spent of the part for its requests.
+        pytest.param(
+            3,
+            seed_run.Scenario(gateways=4, repeats=True, bursts=True),
+            id="repeats-burst",
+        ),
     ],
 )
 def test_guarantees_hold(seed, scenario):
