Lose a disk with the power in the soak, right after an ack

Cause: not known; no program is changed.

Evidence of the gap: the soak lost the power of all processes and never a disk with it, and its last accepted document was as old as the last faults. That was tried only by hand (docs/incidents/lost-not-reproduced.md).

Change: `--power` sends a document until it is accepted, kills all processes at once and starts them without one of the disks.

Nothing failed before: this is a look, not a fix.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,8 +48,9 @@
         losses: maximum number of authorities with a disk that are disturbed
             at the same time.
         diskless: number of additional authorities without a disk.
-        power: whether all processes lose power at the end and restart with
-            other seed addresses.
+        power: whether all processes lose power at the end, right after a
+            document was accepted, and restart without one of the disks and
+            with other seed addresses.
         limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
         crashing_request: whether one repeated request does so.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -193,14 +193,19 @@
             replica.limit = None
 
     def lose_power(self) -> None:
-        """Kill all processes and start them again.
+        """Kill all processes and start them again, without one of the disks.
 
-        If there are authorities without a disk, their addresses become the
-        seeds of all processes.
+        All authorities have been sound for as long as a lost one takes to
+        catch up. If there are authorities without a disk, their addresses
+        become the seeds of all processes.
         """
         disturbance = self._history.begin("power", checks.ALL_MEMBERS)
         for node in self._nodes:
             node.kill()
+        if self._losses:
+            self._rng.choice(
+                [each for each in self._nodes if each.durable]
+            ).wipe()
         seeds = [
             f"{each.ip}:{node_module.OPERATOR_PORT}"
             for each in self._nodes
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -52,7 +52,8 @@
         authorities: number of authorities with a disk.
         losses: maximum number of these that are disturbed at the same time.
         diskless: number of additional authorities without a disk.
-        power: whether all processes lose power at the end.
+        power: whether all processes lose power at the end, right after a
+            document was accepted, and one disk is lost with it.
         limited: whether the first replica names a limit all the time.
         crashing: whether prompts with one part end replicas all the time.
         crashing_request: whether one repeated request does so.
@@ -236,6 +237,8 @@
         injector.end_limit(replica)
     gevent.joinall([*calling, *operating], raise_error=True)
     if scenario.power:
+        # What was acknowledged just before is there again.
+        operator.put(members, node_module.START_TIMEOUT_S)
         injector.lose_power()
     gevent.sleep(RECOVERY_S)
     final_caller = clients.Caller(
