Name the times in which replicas serve, and bodies by their path

Callers saw nothing of this. Cause: reading the change as a newcomer. Evidence: the record of a serving replica was named like the services of documents, and the body of a call was named by its id or its path, by a search of one in the other. Change: `ServingPeriod`; bodies are named by the path, which a repeated request shares. Result: the tests of the soak's parts pass; no check changes, and no test failed before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -139,7 +139,7 @@
         body = caller_connection.Body()
         if method == "POST":
             # A request that is repeated has the same body.
-            body = self._make_body(call_id if call_id in path else path)
+            body = self._make_body(path)
         call.sent_body = records.digest(b"".join(body.pieces))
         connection.call(call, method, path, headers, body)
         call.ended_at = time.monotonic()
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -284,8 +284,8 @@
         self.proxies[replica_id] = proxy
         replica.address = proxy.address
         self.replicas.append(replica)
-        self.history.services.append(
-            records.Service(replica_id, software, time.monotonic())
+        self.history.serving_periods.append(
+            records.ServingPeriod(replica_id, software, time.monotonic())
         )
         return replica
 
@@ -312,7 +312,7 @@
             replica.limit = None
         # The address refuses connections from now on.
         self.proxies.pop(replica.replica_id).stop()
-        self._end_service(replica)
+        self._end_serving(replica)
         server = self._servers.pop(replica.replica_id)
         gevent.spawn(server.stop, 0)
         if replica.weights is not None:
@@ -347,10 +347,10 @@
 
     def leave(self, replica: Replica) -> None:
         replica.leaving = True
-        self._end_service(replica)
+        self._end_serving(replica)
 
-    def _end_service(self, replica: Replica) -> None:
-        for each in self.history.services:
+    def _end_serving(self, replica: Replica) -> None:
+        for each in self.history.serving_periods:
             if each.replica_id == replica.replica_id:
                 each.until = min(each.until, time.monotonic())
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -166,8 +166,8 @@
     at: float
 
 
-class Service(msgspec.Struct, eq=False):
-    """A replica serves with one software version.
+class ServingPeriod(msgspec.Struct, eq=False):
+    """Time in which a replica serves with one software version.
 
     Attributes:
         until: when it ended or began to leave, infinite until then.
@@ -222,7 +222,7 @@
             ends replicas now, "" for none.
         arrivals: calls with such a part, and repetitions of such requests.
         crashes: parts and requests that have ended replicas, and when.
-        services: times in which replicas served.
+        serving_periods: times in which replicas served.
         operator_calls: requests of operators to members.
         model: model that streams name, "" for none.
         namings: weight versions that operators named.
@@ -240,7 +240,7 @@
     crashing_request: str = ""
     arrivals: list[Arrival] = []
     crashes: list[tuple[str, float]] = []
-    services: list[Service] = []
+    serving_periods: list[ServingPeriod] = []
     operator_calls: list[OperatorCall] = []
     limits: list[NamedLimit] = []
     refusals: list[Refusal] = []
--- a/soak/stream_checks.py
+++ b/soak/stream_checks.py
@@ -124,7 +124,7 @@
         each.software in versions
         and each.since + CONTACT_S <= call.sent_at
         and each.until >= call.ended_at
-        for each in history.services
+        for each in history.serving_periods
     )
 
 
--- a/tests/soak/test_standins.py
+++ b/tests/soak/test_standins.py
@@ -69,9 +69,9 @@
 
 def test_time_in_which_a_replica_serves_is_recorded(platform):
     replica = platform.add_replica("i-1", "z", "127.0.0.1", "v2")
-    (service,) = platform.history.services
-    assert (service.software, math.isinf(service.until)) == ("v2", True)
+    (period,) = platform.history.serving_periods
+    assert (period.software, math.isinf(period.until)) == ("v2", True)
     platform.leave(replica)
-    left_at = service.until
+    left_at = period.until
     platform.remove(replica)
-    assert service.until == left_at < math.inf
+    assert period.until == left_at < math.inf
--- a/tests/soak/test_stream_checks.py
+++ b/tests/soak/test_stream_checks.py
@@ -51,8 +51,8 @@
             )
         )
     history = _history(calls)
-    history.services = [
-        records.Service(f"i{index}", software, 90.0, until)
+    history.serving_periods = [
+        records.ServingPeriod(f"i{index}", software, 90.0, until)
         for index, software in enumerate(services)
     ]
     return history
