Let the soak pause a replica that has just ended

Callers saw nothing of this: a run of the soak ended with an error.

Cause: replicas fall silent one after the other, and filling the queue of one takes time. A replica that is to follow may crash meanwhile; its proxy has no socket then.

Change: a proxy that has been stopped is not paused.

Result: the new test failed before for a full queue, with that error, and passes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -69,6 +69,8 @@
             takes_connections: whether new connections wait in the accept
                 queue. Otherwise the queue is full, and none can be made.
         """
+        if self._server.closed:
+            return
         self._going.clear()
         self._server.stop_accepting()
         if takes_connections:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -117,3 +117,12 @@
     tested_proxy.stop()
     tested_proxy.go_on()
     assert _exchange(connection) == "reset"
+
+
+@pytest.mark.parametrize("takes_connections", [True, False])
+def test_stopped_proxy_can_be_paused(proxy, takes_connections):
+    """Guards against a run that ends when a replica ends before its pause."""
+    tested_proxy, _ = proxy
+    tested_proxy.stop()
+    tested_proxy.pause(takes_connections)
+    tested_proxy.go_on()
