Limit attempts that others may follow, so that late reading does no harm

Cause: each attempt carried the whole time left of its call. The kernel of a replica takes a call, and the replica counts the time from its reading. A call that was given up after a second, and read 2.5 s late, ended 2.5 s too late.

Ruled out: a reset of the connection (what has arrived stays to be read), and a look at the connection before the next attempt (the kernel takes and acknowledges bytes for a process that stands still).

Change: an attempt gets four times the slowest recent run of its route at this gateway, two latency objectives at least, if another attempt may follow it (the call may run again, has attempts left, the retry budget has room, and another replica is usable) and that is at most half of the time left. Otherwise, and for the last attempt, all the time is handed on as before. How long the gateway itself waits is as before.

--- a/papayalink/coordination/fleet.py
+++ b/papayalink/coordination/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Iterator
 import random
 
 from papayalink.coordination import change_signal
@@ -243,13 +244,7 @@
 
         Without a model, all usable replicas are compared instead of a sample.
         """
-        members = [
-            member
-            for member in self.members(request.service)
-            if member.usable(now)
-            and member.replica.replica_id not in excluded
-            and self.suits(member, request, now)
-        ]
+        members = list(self._usable(request, excluded, now))
         if not members:
             return None
         if request.settled:
@@ -271,6 +266,29 @@
         (_, wait_s, own_s), member = min(choices, key=lambda each: each[0][0])
         return replica_choice.Choice(member, wait_s, own_s)
 
+    def has_usable(
+        self,
+        request: replica_choice.SelectionRequest,
+        excluded: Collection[str],
+        now: float,
+    ) -> bool:
+        """Returns: whether there is a replica that may be chosen now."""
+        return any(True for _ in self._usable(request, excluded, now))
+
+    def _usable(
+        self,
+        request: replica_choice.SelectionRequest,
+        excluded: Collection[str],
+        now: float,
+    ) -> Iterator[fleet_member.Member]:
+        for member in self.members(request.service):
+            if (
+                member.usable(now)
+                and member.replica.replica_id not in excluded
+                and self.suits(member, request, now)
+            ):
+                yield member
+
     def is_current(
         self,
         member: fleet_member.Member,
--- /dev/null
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -0,0 +1,91 @@
+"""Time that replicas are given for the attempts of one call."""
+
+import time
+
+from papayalink.coordination import attempt_limits
+from papayalink.coordination import attempts
+from papayalink.coordination import replica_choice
+from papayalink.protocol import calls
+from papayalink.roles.gateway import call_record
+from papayalink.roles.gateway import repeat_charges
+from papayalink.roles.gateway import shared as shared_parts
+from papayalink.state import traffic
+
+
+class AttemptTime:
+    """Limits attempts that may be followed by others.
+
+    The kernel of a replica that stands still takes calls. The replica reads
+    them when it goes on, maybe long after they were given up, and counts the
+    time that it is given from then on.
+
+    Args:
+        call_attempts: what became of the attempts.
+        charges: charges of the call to the retry budget.
+    """
+
+    __slots__ = (
+        "_shared",
+        "_call",
+        "_route",
+        "_attempts",
+        "_charges",
+        "_record",
+    )
+
+    def __init__(
+        self,
+        shared: shared_parts.Shared,
+        call: calls.Call,
+        route: traffic.Route,
+        call_attempts: attempts.Attempts,
+        charges: repeat_charges.RepeatCharges,
+        record: call_record.CallRecord,
+    ) -> None:
+        self._shared = shared
+        self._call = call
+        self._route = route
+        self._attempts = call_attempts
+        self._charges = charges
+        self._record = record
+
+    def for_next(
+        self, request: replica_choice.SelectionRequest, left_s: float
+    ) -> float:
+        """Returns: seconds that the replica of the next attempt is given.
+
+        Args:
+            request: what the call needs of a replica.
+            left_s: time until the deadline of the call.
+        """
+        slowest = self._shared.run_times.slowest(self._route.name)
+        if slowest is None or not self._may_be_followed(request):
+            return left_s
+        limit_s = attempt_limits.run_limit_s(
+            slowest, self._route.objective_s, self._call.output_tokens
+        )
+        return attempt_limits.attempt_time_s(limit_s, left_s)
+
+    def _may_be_followed(
+        self, request: replica_choice.SelectionRequest
+    ) -> bool:
+        """Returns: whether another attempt could follow, as things stand."""
+        return (
+            self._route.repeat is not traffic.RepeatPolicy.ONCE
+            and self._attempts.sent + 1 < self._route.max_attempts
+            and self._charges.has_room_beyond()
+            and self._shared.fleet.has_usable(
+                request, self._record.tried, time.monotonic()
+            )
+        )
+
+
+def make_attempt_time(
+    shared: shared_parts.Shared,
+    call: calls.Call,
+    route: traffic.Route,
+    call_attempts: attempts.Attempts,
+    charges: repeat_charges.RepeatCharges,
+    record: call_record.CallRecord,
+) -> AttemptTime:
+    return AttemptTime(shared, call, route, call_attempts, charges, record)
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -13,6 +13,7 @@
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
+from papayalink.roles.gateway import attempt_time
 from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import crash_guard
@@ -55,6 +56,7 @@
         "_replica_wait",
         "_silence",
         "_charges",
+        "_attempt_time",
         "_keys",
         "_observations",
         "_crash_guard",
@@ -109,6 +111,9 @@
         self._charges = repeat_charges.make_repeat_charges(
             shared.fleet, shared.budgets, self._service
         )
+        self._attempt_time = attempt_time.make_attempt_time(
+            shared, call, route, self._attempts, self._charges, self._record
+        )
         self._silence = silence.make_silence_check(
             shared,
             route,
@@ -443,10 +448,13 @@
         last_event_id = self._call.last_event_id
         if self._stream is not None and self._stream.begun:
             last_event_id = str(self._stream.last_event_id or "")
+        given_s = self._attempt_time.for_next(
+            self._selection_request, self._remaining_s()
+        )
         dispatch = calls.Dispatch(
             upstream=member.replica.replica_id,
             workspace=self._workspace.name if self._workspace else "",
-            remaining_ms=int(self._remaining_s() * 1000),
+            remaining_ms=int(given_s * 1000),
             urgency=self._urgency,
             weight_version=version,
             last_event_id=last_event_id,
--- a/papayalink/roles/gateway/repeat_charges.py
+++ b/papayalink/roles/gateway/repeat_charges.py
@@ -66,6 +66,10 @@
         """Returns: whether one more repeat would be allowed."""
         return self._reserved or self._budget.has_room(time.monotonic())
 
+    def has_room_beyond(self) -> bool:
+        """Returns: whether a repeat beyond a reserved one would be allowed."""
+        return self._budget.has_room(time.monotonic())
+
     def reserve(self) -> bool:
         """Charge the budget for the next attempt, unless that was done.
 
--- /dev/null
+++ b/tests/coordination/test_attempt_limits.py
@@ -0,0 +1,38 @@
+"""Tests of the time that an attempt gets of its call's."""
+
+import pytest
+
+from papayalink.coordination import attempt_limits
+from papayalink.coordination import run_times
+
+
+@pytest.mark.parametrize(
+    ("run", "objective_s", "tokens", "limit_s"),
+    [
+        # A plain call.
+        (run_times.Run(0.3), 0.4, 0, 1.2),
+        # Runs that are short beside the objective.
+        (run_times.Run(0.05), 0.4, 0, 0.8),
+        # A stream.
+        (run_times.Run(0.2, 0.01), 0.4, 50, 2.8),
+    ],
+)
+def test_limit_of_a_run(run, objective_s, tokens, limit_s):
+    found_s = attempt_limits.run_limit_s(run, objective_s, tokens)
+    assert found_s == pytest.approx(limit_s)
+
+
+@pytest.mark.parametrize(
+    ("limit_s", "left_s", "given_s"),
+    [
+        (0.8, 6.0, 0.8),
+        (3.0, 6.0, 3.0),
+        # No room for another attempt of the same kind.
+        (3.1, 6.0, 6.0),
+        (0.8, 1.0, 1.0),
+    ],
+)
+def test_attempt_is_limited_if_another_fits_behind_it(
+    limit_s, left_s, given_s
+):
+    assert attempt_limits.attempt_time_s(limit_s, left_s) == given_s
--- /dev/null
+++ b/tests/roles/gateway/test_attempt_time.py
@@ -0,0 +1,161 @@
+"""Tests of the time that replicas are given for attempts."""
+
+import gevent
+import pytest
+
+from papayalink.coordination import retry
+from papayalink.state import traffic
+from tests.roles.gateway import stubs
+
+_TIME_S = 6.0
+# Two latency objectives; runs of the stubs are much shorter.
+_LIMIT_S = 0.8
+_ROUTES = (
+    stubs.make_route(
+        "once", traffic.RepeatPolicy.ONCE, timeout_s=_TIME_S, max_attempts=3
+    ),
+    stubs.make_route(
+        "safe",
+        traffic.RepeatPolicy.IDEMPOTENT,
+        timeout_s=_TIME_S,
+        max_attempts=2,
+    ),
+    stubs.make_route(
+        "single",
+        traffic.RepeatPolicy.IDEMPOTENT,
+        timeout_s=_TIME_S,
+        max_attempts=1,
+    ),
+    stubs.make_route(
+        "resumed",
+        traffic.RepeatPolicy.RESUMABLE,
+        timeout_s=_TIME_S,
+        max_attempts=2,
+        stream=True,
+    ),
+)
+_STREAM = [stubs.STREAM, stubs.event(1), stubs.END]
+_STOPPED = stubs.ERROR.replace(b"500 No", b"504 Too late")
+
+
+class _Upstream(stubs.Upstream):
+    """Streams models' calls, and stops a run at the time that it is given."""
+
+    run_s = 0.0
+
+    def next_steps(self, request):
+        if self.script:
+            return self.script.pop(0)
+        given_s = _given_s(request)
+        if self.run_s > given_s:
+            return [given_s, _STOPPED]
+        return _STREAM if self.name.startswith("models") else [stubs.OK]
+
+
+def _given_s(request):
+    _, _, rest = request.lower().partition(b"papayalink-deadline-ms: ")
+    return int(rest.split(b"\r\n")[0]) / 1000
+
+
+@pytest.fixture
+def start():
+    """Function that starts a gateway, which has seen a run of each route."""
+    started = []
+
+    def make(count, kind="desk", learns=True):
+        upstreams = [_Upstream(f"{kind}{each}") for each in range(count)]
+        gateway = stubs.Gateway(upstreams, _ROUTES)
+        started.append(gateway)
+        if learns:
+            for route in _ROUTES:
+                if route.targets[0].service == kind:
+                    assert gateway.call(f"/{route.name}/".encode())[0] == 200
+        for upstream in upstreams:
+            upstream.received.clear()
+        return gateway
+
+    yield make
+    for gateway in started:
+        gateway.stop()
+
+
+def _given(gateway):
+    """Returns: the time that each attempt was given, in their order."""
+    return [
+        _given_s(request)
+        for upstream in gateway.upstreams
+        for request in upstream.received
+    ]
+
+
+# Guards against replicas that read a call after a pause and have the whole
+# time of its caller once more.
+@pytest.mark.parametrize(
+    ("path", "kind"), [(b"/safe/", "desk"), (b"/resumed/", "models")]
+)
+def test_attempt_that_may_be_followed_is_limited(start, path, kind):
+    gateway = start(3, kind)
+    assert gateway.call(path)[0] == 200
+    assert _given(gateway) == [pytest.approx(_LIMIT_S, abs=0.3)]
+
+
+# Guards against calls that end early although nothing could follow.
+@pytest.mark.parametrize(
+    ("path", "replicas", "learns"),
+    [
+        (b"/once/", 3, True),
+        (b"/single/", 3, True),
+        # No other replica.
+        (b"/safe/", 1, True),
+        # Nothing is known of how long runs take.
+        (b"/safe/", 3, False),
+    ],
+)
+def test_last_attempt_has_all_the_time(start, path, replicas, learns):
+    gateway = start(replicas, learns=learns)
+    assert gateway.call(path)[0] == 200
+    assert _given(gateway) == [pytest.approx(_TIME_S, abs=0.3)]
+
+
+class _NoRepeats:
+    """Retry budgets without room."""
+
+    def for_service(self, service, now):
+        return retry.Budget(ratio=0.0, constant=0)
+
+
+# Guards against the same while the retry budget is used up.
+def test_attempt_has_all_the_time_without_room_for_a_repeat(start):
+    gateway = start(3)
+    gateway.shared.budgets = _NoRepeats()
+    assert gateway.call(b"/safe/")[0] == 200
+    assert _given(gateway) == [pytest.approx(_TIME_S, abs=0.3)]
+
+
+# Guards against callers that lose an answer by the limit: a replica that stops
+# the run then is followed by one that has all the rest.
+def test_call_goes_on_elsewhere_behind_a_limited_attempt(start):
+    gateway = start(2)
+    for upstream in gateway.upstreams:
+        upstream.run_s = 1.5
+    assert gateway.call(b"/safe/", timeout_s=10)[0] == 200
+    first, second = sorted(_given(gateway))
+    assert first == pytest.approx(_LIMIT_S, abs=0.3)
+    assert second == pytest.approx(_TIME_S - first, abs=0.5)
+
+
+# Guards against a deadline that ends later than the caller's because it was
+# read late: what the replica reads after its pause ends before.
+def test_late_reading_keeps_to_the_deadline_of_the_caller(start):
+    gateway = start(2)
+    pause_s = 3.0
+    paused = gateway.upstreams[0]
+    calling = []
+    while not paused.received:
+        # Any step that waits stands for a process that reads later.
+        paused.script = [[pause_s, stubs.OK]]
+        calling.append(gevent.spawn(gateway.call, b"/safe/", timeout_s=10))
+        gevent.sleep(0.05)
+    assert all(each.get(timeout=10)[0] == 200 for each in calling)
+    late_s = _given_s(paused.received[0])
+    assert pause_s + late_s < _TIME_S
