Count the time of callers from the arrival of their requests

Cause: a gateway counted the time of a caller from its own reading of the whole request. A request that lay in the kernel, that came in pieces, or that waited behind a pipelined one had its whole time once more.

Change: the time counts from the arrival of the first bytes. TCP_INFO tells how long ago the last bytes of a connection arrived; where it does not, the time of reading counts as before. A request without time left is refused at once, and not sent.

--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -31,8 +31,12 @@
         request: caller_server.Request,
         responder: responders.Responder,
     ) -> None:
-        """Answer one request."""
-        received_at = time.monotonic()
+        """Answer one request.
+
+        The caller's time counts from the arrival of the request, which a
+        gateway that stood still reads later.
+        """
+        received_at = request.arrived_at
         call = self._shared.dialect.decode_call(
             request.method, request.target, request.headers, request.body
         )
@@ -41,8 +45,11 @@
             self.reject_late(request, responder)
             return
         if directory is None:
-            max_wait_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
-            directory = self._shared.watcher.wait_directory(max_wait_s)
+            passed_s = time.monotonic() - received_at
+            allowed_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
+            directory = self._shared.watcher.wait_directory(
+                max(0.0, allowed_s - passed_s)
+            )
         if directory is None:
             self._reject(
                 call, responder, 503, "no_document", call_ending.RETRY_AFTER_S
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -16,6 +16,7 @@
 from papayalink import readiness
 from papayalink.protocol import calls
 from papayalink.state import traffic
+from papayalink.transport import arrival_times
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
 from papayalink.transport import request_wait
@@ -42,9 +43,17 @@
 
     Attributes:
         protocol: "HTTP/1.1" or "HTTP/1.0".
+        arrived_at: monotonic seconds at which its first bytes arrived.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "protocol")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "protocol",
+        "arrived_at",
+    )
 
     def __init__(
         self,
@@ -52,13 +61,15 @@
         target: bytes,
         headers: calls.Headers,
         body: bytes,
-        protocol: str = "HTTP/1.1",
+        protocol: str,
+        arrived_at: float,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.protocol = protocol
+        self.arrived_at = arrived_at
 
 
 Handler = Callable[[Request, responders.Responder], None]
@@ -216,13 +227,14 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         handler = self._handler
+        receiver = _Receiver(sock)
         while connection.trailing_data[0] or self._wait_for_request(sock):
             responder = responders.make_responder(
                 connection, sock, lambda: self._close_announced
             )
             try:
                 with _noted_in(self._reading):
-                    request = self._read_request(connection, sock)
+                    request = self._read_request(connection, sock, receiver)
             except _Refused as refused:
                 self._refuse(sock, refused)
                 return
@@ -297,7 +309,10 @@
                 )
 
     def _read_request(
-        self, connection: h11.Connection, sock: socket.socket
+        self,
+        connection: h11.Connection,
+        sock: socket.socket,
+        receiver: "_Receiver",
     ) -> Request | None:
         """Returns: the next request, None when the caller sends no more."""
         limits = self._limits()
@@ -305,6 +320,8 @@
         head_deadline = float("inf")
         body: list[bytes] = []
         body_size = 0
+        arrived_at = receiver.arrived_at
+        begun = bool(connection.trailing_data[0])
         sock.settimeout(limits.idle_timeout_s)
         while True:
             try:
@@ -319,13 +336,16 @@
                     )
                     sock.sendall(connection.send(continue_response))
                 try:
-                    data = sock.recv(_READ_BYTES)
+                    data = receiver.receive()
                 except TimeoutError:
                     if head is None and not connection.trailing_data[0]:
                         return None
                     raise _Refused(
                         408, "time-out before the request was complete"
                     ) from None
+                if not begun:
+                    begun = True
+                    arrived_at = receiver.arrived_at
                 now = time.monotonic()
                 if head is None:
                     # Single bytes must not extend the time for the head.
@@ -355,6 +375,7 @@
                         head.headers.raw_items(),
                         b"".join(body),
                         f"HTTP/{head.http_version.decode()}",
+                        arrived_at,
                     )
                 case _:
                     return None
@@ -376,6 +397,25 @@
         _linger(sock)
 
 
+class _Receiver:
+    """Receives the bytes of one connection.
+
+    Attributes:
+        arrived_at: monotonic seconds at which the last bytes arrived.
+    """
+
+    __slots__ = ("arrived_at", "_sock")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.arrived_at = time.monotonic()
+        self._sock = sock
+
+    def receive(self) -> bytes:
+        data = self._sock.recv(_READ_BYTES)
+        self.arrived_at = arrival_times.last_arrival(self._sock)
+        return data
+
+
 def _make_stop_refusal() -> _Refused:
     """Returns: refusal of a request that was not read; others take it now."""
     return _Refused(
