Limit attempts by the usual time of runs, and at replicas with overdue calls

Cause: the limit was four times the slowest of the last 32 runs. One call that had waited for a replica that stood still, and was answered, lifted it beyond half of the time, so that there was none. And a last attempt at a replica that stands still has all the time.

Ruled out: fewer calls at replicas that stand still.

Change: the limit is five times the upper quartile of the last 32 runs, at least the latency objective. A replica from which nothing has come since one of its calls was overdue gets no more than that, also with a last attempt. The soak prints a figure for each guarantee.

--- a/papayalink/coordination/attempt_limits.py
+++ b/papayalink/coordination/attempt_limits.py
@@ -1,29 +1,39 @@
-"""How much of the time of a call an attempt gets that others may follow."""
+"""How much of the time of a call one attempt gets."""
 
 from papayalink.coordination import run_times
 
-# Multiple of the slowest recent run of the route. A run that takes longer is
+# Multiple of the usual time of a run of the route. A run that takes longer is
 # likely to end sooner at another replica.
-SLOWEST_RUN_FACTOR = 4.0
-# Lower bound, in latency objectives of the route.
-MIN_OBJECTIVES = 2.0
+USUAL_RUN_FACTOR = 5.0
+# A call is overdue once nothing has come for this many times as long as it
+# usually takes until something comes, or as expected.
+OVERDUE_FACTOR = 4.0
 # Fraction of the time left that the limit may take up. A call without room for
 # another attempt behind it gets all its time at once.
 MAX_SHARE_OF_TIME_LEFT = 0.5
 
 
 def run_limit_s(
-    slowest: run_times.Run, objective_s: float, output_tokens: int
+    usual: run_times.Run, objective_s: float, output_tokens: int
 ) -> float:
     """Returns: the time that a run at a sound replica hardly exceeds.
 
     Args:
-        slowest: longest times of the recent runs of the route.
+        usual: times that most recent runs of the route do not exceed.
         objective_s: latency objective of the route.
         output_tokens: largest number of tokens that the run may generate.
     """
-    run_s = slowest.first_s + output_tokens * slowest.token_s
-    return max(SLOWEST_RUN_FACTOR * run_s, MIN_OBJECTIVES * objective_s)
+    run_s = usual.first_s + output_tokens * usual.token_s
+    return max(USUAL_RUN_FACTOR * run_s, objective_s)
+
+
+def overdue_limit_s(usual: run_times.Run, expected_s: float) -> float:
+    """Returns: the longest silence that is expected of a sound replica.
+
+    Args:
+        expected_s: predicted time to the first token, 0 for a plain call.
+    """
+    return OVERDUE_FACTOR * max(usual.first_s, expected_s)
 
 
 def attempt_time_s(limit_s: float, left_s: float) -> float:
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -34,6 +34,9 @@
             meanwhile.
         heard_at: monotonic seconds of the last byte received from it.
         answered_at: monotonic seconds of the last head of an answer.
+        spoke_at: monotonic seconds of the last head or event of an answer,
+            minus infinity for none. Unlike a new connection, which a kernel
+            accepts, it shows that the replica's process runs.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
         lost_at: monotonic seconds since which it cannot be reached, minus
@@ -61,6 +64,8 @@
         "_in_flight_at_report",
         "heard_at",
         "answered_at",
+        "spoke_at",
+        "_overdue_at",
         "reached_at",
         "lost_at",
         "refused_at",
@@ -89,6 +94,9 @@
         self._in_flight_at_report = 0
         self.heard_at = 0.0
         self.answered_at = float("-inf")
+        self.spoke_at = float("-inf")
+        # When a call was last found to be overdue.
+        self._overdue_at = float("-inf")
         self.reached_at = float("-inf")
         self.lost_at = float("-inf")
         self.refused_at = float("-inf")
@@ -127,6 +135,11 @@
         """Whether connections to the replica can be made, as last known."""
         return self._reachable
 
+    @property
+    def overdue(self) -> bool:
+        """Whether a call was overdue and the replica has not spoken since."""
+        return self._overdue_at > self.spoke_at
+
     @property
     def usable_after_load(self) -> bool:
         """Whether nothing but loading or a refusal keeps it from use."""
@@ -218,6 +231,15 @@
         """Record the result of an attempt that reached the replica."""
         self._failures += FAILURE_ALPHA * (failed - self._failures)
 
+    def note_overdue(self, now: float, limit_s: float) -> None:
+        """Record that a call has been silent for longer than expected.
+
+        Args:
+            limit_s: seconds within which the replica would have spoken.
+        """
+        if now - self.spoke_at > limit_s:
+            self._overdue_at = now
+
     def begin_call(self, urgency: int, tokens: int = 0) -> None:
         """Count a call that is sent, and the tokens that it will hold."""
         self.calls[urgency] = self.calls.get(urgency, 0) + 1
--- a/papayalink/coordination/run_times.py
+++ b/papayalink/coordination/run_times.py
@@ -57,6 +57,22 @@
             statistics.median(run.token_s for run in runs),
         )
 
+    def usual(self, route: str) -> Run | None:
+        """Returns: times that most recent calls do not exceed, None if none.
+
+        Up to a quarter of the calls may have waited for replicas that stood
+        still.
+        """
+        runs = self._runs.get(route)
+        return runs and Run(
+            _upper_quartile([run.first_s for run in runs]),
+            _upper_quartile([run.token_s for run in runs]),
+        )
+
+
+def _upper_quartile(values: list[float]) -> float:
+    return sorted(values)[(3 * len(values) - 1) // 4]
+
 
 def make_run_times() -> RunTimes:
     return RunTimes()
--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -4,6 +4,7 @@
 
 from papayalink.coordination import attempt_limits
 from papayalink.coordination import attempts
+from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
 from papayalink.protocol import calls
 from papayalink.roles.gateway import call_record
@@ -13,12 +14,14 @@
 
 
 class AttemptTime:
-    """Limits attempts that may be followed by others.
+    """Limits attempts that may be followed by others, or be read late.
 
     The kernel of a replica that stands still takes calls. The replica reads
     them when it goes on, maybe long after they were given up, and counts the
     time that it is given from then on.
 
+    A call that may run once is sent to one replica and has all the time there.
+
     Args:
         call_attempts: what became of the attempts.
         charges: charges of the call to the retry budget.
@@ -50,7 +53,10 @@
         self._record = record
 
     def for_next(
-        self, request: replica_choice.SelectionRequest, left_s: float
+        self,
+        member: fleet_member.Member,
+        request: replica_choice.SelectionRequest,
+        left_s: float,
     ) -> float:
         """Returns: seconds that the replica of the next attempt is given.
 
@@ -58,11 +64,15 @@
             request: what the call needs of a replica.
             left_s: time until the deadline of the call.
         """
-        slowest = self._shared.run_times.slowest(self._route.name)
-        if slowest is None or not self._may_be_followed(request):
+        usual = self._shared.run_times.usual(self._route.name)
+        if (
+            usual is None
+            or self._route.repeat is traffic.RepeatPolicy.ONCE
+            or not (member.overdue or self._may_be_followed(request))
+        ):
             return left_s
         limit_s = attempt_limits.run_limit_s(
-            slowest, self._route.objective_s, self._call.output_tokens
+            usual, self._route.objective_s, self._call.output_tokens
         )
         return attempt_limits.attempt_time_s(limit_s, left_s)
 
@@ -71,8 +81,7 @@
     ) -> bool:
         """Returns: whether another attempt could follow, as things stand."""
         return (
-            self._route.repeat is not traffic.RepeatPolicy.ONCE
-            and self._attempts.sent + 1 < self._route.max_attempts
+            self._attempts.sent + 1 < self._route.max_attempts
             and self._charges.has_room_beyond()
             and self._shared.fleet.has_usable(
                 request, self._record.tried, time.monotonic()
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -449,7 +449,7 @@
         if self._stream is not None and self._stream.begun:
             last_event_id = str(self._stream.last_event_id or "")
         given_s = self._attempt_time.for_next(
-            self._selection_request, self._remaining_s()
+            member, self._selection_request, self._remaining_s()
         )
         dispatch = calls.Dispatch(
             upstream=member.replica.replica_id,
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from papayalink.coordination import attempt_limits
 from papayalink.coordination import attempts
 from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
@@ -100,6 +101,7 @@
         silent_s: float,
     ) -> str:
         """Returns: why the attempt ends, "" if the call stays."""
+        self._note_overdue(member, silent_s)
         silent_since = time.monotonic() - silent_s
         if not _leaves(member) and (
             _has_restarted(member, silent_since) or self._runs_again(member)
@@ -125,6 +127,19 @@
         self._shared.metrics.count("silent_replicas_left")
         return reason
 
+    def _note_overdue(
+        self, member: fleet_member.Member, silent_s: float
+    ) -> None:
+        """Record that the replica may stand still if this call is overdue."""
+        usual = self._shared.run_times.usual(self._route.name)
+        if usual is None:
+            return
+        limit_s = attempt_limits.overdue_limit_s(
+            usual, self._record.expected_s
+        )
+        if silent_s > limit_s:
+            member.note_overdue(time.monotonic(), limit_s)
+
     def _runs_again(self, member: fleet_member.Member) -> bool:
         """Returns: whether the list names a later run of the replica.
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,6 +36,7 @@
     breaks: bool = False,
     bursts: bool = False,
     pauses: bool = False,
+    failing: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -71,6 +72,8 @@
             calls have begun to fail.
         pauses: with `repeats`, whether half of the replicas stand still at a
             time, while nothing fails.
+        failing: with `pauses`, whether the others fail most calls meanwhile,
+            and pauses are longer.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -97,6 +100,7 @@
         breaks,
         bursts,
         pauses,
+        failing,
     )
     failed_seeds = 0
     for seed in all_seeds:
@@ -105,10 +109,12 @@
             os.makedirs(seed_folder)
         result = seed_run.run_seed(seed, seconds, scenario, seed_folder)
         failed_seeds += bool(result.findings)
+        figures = " ".join(
+            f"{name}={value}" for name, value in result.figures.items()
+        )
         print(
             f"seed={seed} calls={result.calls} faults={result.faults}"
-            f" repeats={result.repeats:.2f} late={result.late}"
-            f" too_long={result.too_long} findings={len(result.findings)}",
+            f" {figures} findings={len(result.findings)}",
             flush=True,
         )
         for finding in result.findings[:MAX_PRINTED]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -278,9 +278,13 @@
             )
 
 
-def _check_crashes(history):
-    """Check that all entries know what ends replicas after some crashes."""
+def count_known_causes(history: records.History) -> dict[str, int]:
+    """Returns: calls that arrived although they were known to end replicas.
+
+    They are counted by the part or the request that is the cause.
+    """
     calls = {call.call_id: call for call in history.calls}
+    late = {}
     for cause in {cause for cause, _ in history.crashes}:
         times = sorted(at for each, at in history.crashes if each == cause)
         is_request = "request" in cause
@@ -288,15 +292,20 @@
         if len(times) < known:
             continue
         known_at = times[known - 1] + LEAVE_S
-        late = [
-            each
-            for each in history.arrivals
-            if each.cause == cause
+        late[cause] = sum(
+            each.cause == cause
             and calls[each.call_id].sent_at > known_at
             and not _is_recovering(calls[each.call_id], history)
-        ]
-        if len(late) > MAX_LATE_ARRIVALS:
-            yield f"{len(late)} calls with {cause} after it was known"
+            for each in history.arrivals
+        )
+    return late
+
+
+def _check_crashes(history):
+    """Check that all entries know what ends replicas after some crashes."""
+    for cause, late in count_known_causes(history).items():
+        if late > MAX_LATE_ARRIVALS:
+            yield f"{late} calls with {cause} after it was known"
 
 
 def _check_limits(history):
@@ -336,8 +345,13 @@
             yield f"{stream} joins versions {', '.join(sorted(written_by))}"
 
 
-def _check_delays(history):
-    """Check that gateways wait as long as a replica has told them."""
+def count_within_delays(
+    history: records.History,
+) -> list[tuple[records.Refusal, int]]:
+    """Returns: for each named delay, calls of its gateway that came within.
+
+    Delays are left out while the gateway or the replica is disturbed.
+    """
     calls = {call.call_id: call for call in history.calls}
     arrivals = [
         (each.replica_id, calls[each.call_id], each.at)
@@ -349,26 +363,35 @@
         for execution in executions
         if call_id in calls
     ]
+    counts = []
     for refusal in history.refusals:
         call = calls[refusal.call_id]
         begin = refusal.at + DELAY_GRACE_S
         end = refusal.at + refusal.delay_s
-        excused = any(
+        if any(
             each.began_at <= end and each.ended_at + LEAVE_S >= refusal.at
             for each in history.disturbances
             if each.target == call.gateway
             or (each.target == refusal.replica_id and each.kind != "replica")
-        )
-        late = [
-            at
-            for replica_id, other, at in arrivals
-            if replica_id == refusal.replica_id
+        ):
+            continue
+        late = sum(
+            replica_id == refusal.replica_id
             and other.gateway == call.gateway
             and begin < at < end
-        ]
-        if len(late) > MAX_DELAYED_ARRIVALS and not excused:
+            for replica_id, other, at in arrivals
+        )
+        counts.append((refusal, late))
+    return counts
+
+
+def _check_delays(history):
+    """Check that gateways wait as long as a replica has told them."""
+    calls = {call.call_id: call for call in history.calls}
+    for refusal, late in count_within_delays(history):
+        if late > MAX_DELAYED_ARRIVALS:
             yield (
-                f"{len(late)} calls of {call.gateway} came to"
+                f"{late} calls of {calls[refusal.call_id].gateway} came to"
                 f" {refusal.replica_id} before its delay had ended"
             )
             return
--- /dev/null
+++ b/soak/figures.py
@@ -0,0 +1,50 @@
+"""Figures of one run for each guarantee that has a bound."""
+
+from soak import checks
+from soak import records
+from soak import repeat_checks
+from soak import stream_checks
+
+
+def measure(history: records.History) -> dict[str, str]:
+    """Returns: what was counted, by name.
+
+    repeats: in the worst period, of those allowed.
+    too_long: arrivals that were given too much time, of those that came late.
+    exceeding: calls that ran at more replicas than allowed.
+    delays: most calls within a delay that a replica named, and such delays.
+    known: most calls that were known to end replicas, of each cause.
+    cut: calls that were written and ended without an answer, of all.
+    sound: sound streams that began beside a part that ends replicas.
+    taken_up: streams that went on when they were taken up.
+    new: streams that began.
+    """
+    given = repeat_checks.count_given(history)
+    delays = checks.count_within_delays(history)
+    known = checks.count_known_causes(history)
+    written = [call for call in history.calls if call.written_at]
+    cut = [call for call in written if not call.status]
+    streams = stream_checks.streams_in_touch(history)
+    sound = [
+        stream_checks.measure_sound_streams(streams, history, part)
+        for part in sorted({cause for cause, _ in history.crashes})
+    ]
+    return {
+        "repeats": f"{repeat_checks.measure_repeats(history).share:.2f}",
+        "too_long": f"{given.too_long}/{given.late}",
+        "exceeding": str(repeat_checks.count_exceeding(history)),
+        "delays": f"{max((late for _, late in delays), default=0)}"
+        f"/{len(delays)}",
+        "known": f"{max(known.values(), default=0)}/{len(known)}",
+        "cut": f"{len(cut)}/{len(written)}",
+        "sound": _format_shares(sound),
+        "taken_up": _format_shares(
+            [stream_checks.measure_take_ups(streams, history)]
+        ),
+        "new": _format_shares([stream_checks.measure_new_streams(streams)]),
+    }
+
+
+def _format_shares(shares: list[stream_checks.Share]) -> str:
+    served = sum(share.served for share in shares)
+    return f"{served}/{sum(share.sent for share in shares)}"
--- a/soak/repeat_checks.py
+++ b/soak/repeat_checks.py
@@ -127,12 +127,18 @@
         )
 
 
-def _check_attempts(history):
-    """Check that calls don't run at more replicas than their routes allow."""
+def count_exceeding(history: records.History) -> int:
+    """Returns: calls that ran at more replicas than their routes allow."""
     exceeding = 0
     for call in history.calls:
         executions = history.executions.by_call.get(call.call_id, [])
         replicas = {each.replica_id for each in executions}
         exceeding += len(replicas) > standins.attempts_of(call.path_prefix)
+    return exceeding
+
+
+def _check_attempts(history):
+    """Check that calls don't run at more replicas than their routes allow."""
+    exceeding = count_exceeding(history)
     if exceeding > MAX_EXCEEDING:
         yield f"{exceeding} calls ran at more replicas than allowed"
--- a/soak/repeat_faults.py
+++ b/soak/repeat_faults.py
@@ -27,6 +27,10 @@
 # The same while nothing else fails: half of the replicas, then the others.
 PAUSE_S = 2.5
 PAUSE_PERIOD_S = 4.0
+# The same while the other replicas fail this share of their calls.
+LONG_PAUSE_S = 6.0
+LONG_PAUSE_PERIOD_S = 9.0
+BESIDE_PAUSES_SHARE = 0.6
 # Gateways that start in a group without a quorum take no calls, so that they
 # don't restart beside a cut.
 DISTURBANCES = (
@@ -56,8 +60,9 @@
         links: connections between nodes.
         bursts: whether all gateways are killed right after calls have begun
             to fail, instead of a disturbance that is drawn.
-        pauses: whether half of the replicas stand still at a time, instead,
-            and no calls fail.
+        pauses: whether half of the replicas stand still at a time, instead.
+        failing: with `pauses`, whether the others fail most calls meanwhile,
+            and pauses are longer. Without, no calls fail.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         rng: random.Random,
         bursts: bool,
         pauses: bool,
+        failing: bool,
     ) -> None:
         self._nodes = nodes
         self._links = links
@@ -77,6 +83,7 @@
         self._rng = rng
         self._bursts = bursts
         self._pauses = pauses
+        self._fails_beside_pauses = failing
         # Set when the replicas begin to fail.
         self._failing = event.Event()
 
@@ -181,10 +188,24 @@
         replicas = list(self._platform.replicas)
         self._rng.shuffle(replicas)
         half = len(replicas) // 2
+        halves = (replicas[:half], replicas[half:])
+        pause_s, period_s = PAUSE_S, PAUSE_PERIOD_S
+        if self._fails_beside_pauses:
+            pause_s, period_s = LONG_PAUSE_S, LONG_PAUSE_PERIOD_S
         while time.monotonic() < until:
-            for stopped in (replicas[:half], replicas[half:]):
-                self._stop(stopped, PAUSE_S)
-                gevent.sleep(PAUSE_PERIOD_S - PAUSE_S)
+            for stopped, others in (halves, halves[::-1]):
+                if self._fails_beside_pauses:
+                    self._set_failing(others, BESIDE_PAUSES_SHARE)
+                self._stop(stopped, pause_s)
+                self._set_failing(others, 0.0)
+                gevent.sleep(period_s - pause_s)
+
+    def _set_failing(
+        self, replicas: list[standins.Replica], share: float
+    ) -> None:
+        for each in replicas:
+            each.mode = "failing" if share else "well"
+            each.failing_share = share
 
     def _stop(self, replicas: list[standins.Replica], seconds: float) -> None:
         links = [self._platform.proxies[each.replica_id] for each in replicas]
@@ -223,5 +244,8 @@
     rng: random.Random,
     bursts: bool,
     pauses: bool,
+    failing: bool,
 ) -> RepeatFaults:
-    return RepeatFaults(nodes, links, platform, history, rng, bursts, pauses)
+    return RepeatFaults(
+        nodes, links, platform, history, rng, bursts, pauses, failing
+    )
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -11,12 +11,12 @@
 from soak import checks
 from soak import clients
 from soak import faults
+from soak import figures
 from soak import nodes as node_module
 from soak import operators
 from soak import planned_work
 from soak import proxy
 from soak import records
-from soak import repeat_checks
 from soak import repeat_faults
 from soak.platform import model_weights
 from soak.platform import standins
@@ -77,6 +77,8 @@
             calls have begun to fail, instead of what is drawn.
         pauses: with `repeats`, whether half of the replicas stand still at a
             time while nothing fails, instead of what is drawn.
+        failing: with `pauses`, whether the others fail most calls meanwhile,
+            and pauses are longer.
     """
 
     authorities: int = 3
@@ -97,24 +99,21 @@
     breaks: bool = False
     bursts: bool = False
     pauses: bool = False
+    failing: bool = False
 
 
 class Result(msgspec.Struct):
     """Violations and counts of one run.
 
     Attributes:
-        repeats: repeats in the worst period, of those allowed in it.
-        late: repeats that were read late.
-        too_long: those of them that were given too much time.
+        figures: see `figures.measure`.
     """
 
     seed: int
     findings: list[str]
     calls: int
     faults: dict[str, int]
-    repeats: float = 0.0
-    late: int = 0
-    too_long: int = 0
+    figures: dict[str, str] = {}
 
 
 def run_seed(
@@ -234,6 +233,7 @@
             rng,
             scenario.bursts,
             scenario.pauses,
+            scenario.failing,
         ).run(until)
     elif beside:
         silencing = gevent.spawn(injector.run_silences, until)
@@ -272,15 +272,12 @@
     for node in nodes:
         node.note_own_end()
         findings += node.failures
-    given = repeat_checks.count_given(history)
     return Result(
         seed,
         findings,
         len(history.calls),
         history.counts,
-        repeat_checks.measure_repeats(history).share,
-        given.late,
-        given.too_long,
+        figures.measure(history),
     )
 
 
--- a/soak/stream_checks.py
+++ b/soak/stream_checks.py
@@ -35,17 +35,22 @@
 
 def check(history: records.History) -> list[str]:
     """Returns: one line for each violated guarantee."""
-    streams = [
-        call
-        for call in history.calls
-        if call.path_prefix == standins.STREAM and _in_touch(call, history)
-    ]
+    streams = streams_in_touch(history)
     return [
         *_check_sound_streams(streams, history),
         *_check_take_ups(streams, history),
     ]
 
 
+def streams_in_touch(history: records.History) -> list[records.Call]:
+    """Returns: streams at gateways that were undisturbed for a while."""
+    return [
+        call
+        for call in history.calls
+        if call.path_prefix == standins.STREAM and _in_touch(call, history)
+    ]
+
+
 def measure_sound_streams(
     streams: list[records.Call], history: records.History, part: str
 ) -> Share:
@@ -67,6 +72,15 @@
     return share
 
 
+def measure_new_streams(streams: list[records.Call]) -> Share:
+    """Returns: sound streams that are not taken up."""
+    share = Share()
+    for call in streams:
+        if not call.resumes and not call.cause:
+            share.count(_begins(call))
+    return share
+
+
 def measure_take_ups(
     streams: list[records.Call], history: records.History
 ) -> Share:
@@ -102,10 +116,7 @@
 
 def _check_take_ups(streams, history):
     """Check that streams that are taken up go on as often as others begin."""
-    begun = Share()
-    for call in streams:
-        if not call.resumes and not call.cause:
-            begun.count(_begins(call))
+    begun = measure_new_streams(streams)
     share = measure_take_ups(streams, history)
     if share.sent >= MIN_TAKE_UPS and share.value < MIN_SHARE * begun.value:
         yield (
--- a/tests/coordination/test_run_times.py
+++ b/tests/coordination/test_run_times.py
@@ -35,10 +35,28 @@
     assert times.typical("r") == run_times.Run(*typical)
 
 
+@pytest.mark.parametrize(
+    ("runs", "usual"),
+    [
+        ([(0.1, 0.0)], (0.1, 0.0)),
+        ([(0.1, 0.02), (0.9, 0.01), (0.2, 0.05), (0.3, 0.03)], (0.3, 0.03)),
+        # A quarter waited for a replica that stood still.
+        ([(6.0, 1.0)] * 8 + [(0.1, 0.01)] * 24, (0.1, 0.01)),
+        ([(6.0, 1.0)] * 9 + [(0.1, 0.01)] * 23, (6.0, 1.0)),
+    ],
+)
+def test_usual_run(runs, usual):
+    """Guards against runs that count with the pause of their replica."""
+    times = run_times.make_run_times()
+    _note(times, "r", runs)
+    assert times.usual("r") == run_times.Run(*usual)
+
+
 def test_route_without_calls_has_no_times():
     times = run_times.make_run_times()
     assert times.slowest("r") is None
     assert times.typical("r") is None
+    assert times.usual("r") is None
 
 
 def test_routes_that_are_replaced_are_forgotten():
--- a/tests/roles/gateway/test_silence_check.py
+++ b/tests/roles/gateway/test_silence_check.py
@@ -8,6 +8,7 @@
 from papayalink.coordination import attempts
 from papayalink.coordination import fleet_member
 from papayalink.coordination import retry
+from papayalink.coordination import run_times
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import silence
 from papayalink.state import replicas
@@ -43,6 +44,7 @@
             find={"silent": silent, "other": other}.get,
         ),
         metrics=SimpleNamespace(count=lambda name, **labels: None),
+        run_times=run_times.make_run_times(),
     )
     repeat = traffic.RepeatPolicy.IDEMPOTENT
     charges = repeat_charges.make_repeat_charges(
