Count the time of relayed requests from their arrival at agents

What callers saw: nothing was reported.

Cause: the message tells how much time is left, and the agent counted it from its reading.

Change: the agent takes off how long the bytes have been there, as gateways do for callers.

--- a/papayalink/roles/agent/process.py
+++ b/papayalink/roles/agent/process.py
@@ -325,7 +325,7 @@
         try:
             match environ["PATH_INFO"]:
                 case relay.RELAY_PATH if self._relayer is not None:
-                    request = relay.decode_relay(body)
+                    request = read_relay_request(environ)
                     start_response("200 OK", [("Content-Type", "text/plain")])
                     return caller_watch.watch_until_first_part(
                         # Entries never half-close their connections.
@@ -356,6 +356,17 @@
         return len(self._poller.document.ranks)
 
 
+def read_relay_request(environ: dict) -> relay.RelayRequest:
+    """Returns: the request of an entry, as it stands now.
+
+    The time within which it must start counts from its arrival, which an agent
+    that stood still reads later.
+    """
+    request = relay.decode_relay(environ[http_server.BODY_KEY])
+    left_s = request.deadline_s - http_server.unread_s(environ)
+    return msgspec.structs.replace(request, deadline_s=left_s)
+
+
 def _respond(
     start_response: Callable, status: str, body: bytes
 ) -> list[bytes]:
--- a/papayalink/transport/http_server.py
+++ b/papayalink/transport/http_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+import time
 from typing import Any
 
 import gevent
@@ -13,6 +14,7 @@
 from gevent import socket
 
 from papayalink import logs
+from papayalink.transport import arrival_times
 from papayalink.transport import auth
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
@@ -213,6 +215,15 @@
     )
 
 
+def unread_s(environ: dict) -> float:
+    """Returns: seconds since the last bytes of a request arrived.
+
+    To be called once the request has been read.
+    """
+    arrived_at = arrival_times.last_arrival(environ[_SOCKET_KEY])
+    return time.monotonic() - arrived_at
+
+
 def require_signature(app: WsgiApp, signer: auth.Signer) -> WsgiApp:
     """Wrap an application so that only signed requests reach it.
 
