--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -32,6 +32,7 @@
         "_software",
         "_weights",
         "_outdated_s",
+        "_given_ms",
     )
 
     def __init__(
@@ -53,6 +54,8 @@
         self._software: list[str] = []
         self._weights: list[int] = []
         self._outdated_s = 0.0
+        # Time that the replica of the last attempt was given.
+        self._given_ms = 0
         self.expected_s = 0.0
         self.first_s: float | None = None
 
@@ -68,6 +71,7 @@
         self._software.append(member.replica.software)
         self._weights.append(member.weights.get(self._call.model, 0))
         self._outdated_s = 0.0
+        self._given_ms = 0
         self.expected_s = expected_s
 
     def withdraw_choice(self) -> None:
@@ -76,8 +80,13 @@
         self._software.pop()
         self._weights.pop()
 
-    def note_sending(self) -> None:
-        """Record how old the weights are to which the call is sent."""
+    def note_sending(self, given_ms: int) -> None:
+        """Record what the call is sent with, and how old its weights are.
+
+        Args:
+            given_ms: time that the replica is given.
+        """
+        self._given_ms = given_ms
         self._outdated_s = self._shared.fleet.outdated_s(
             self._call.model, self._weights[-1], time.monotonic()
         )
@@ -102,6 +111,7 @@
             outdated_ms=int(self._outdated_s * 1000),
             outcome=repr(outcome),
             progress=result.progress.value,
+            given_ms=self._given_ms,
             parts=self._part_ids(),
             request=self._keys.request,
             failures=round(member.failures, 2),
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -334,7 +334,7 @@
         self._crash_guard.note_sending()
         self._attempts.note_sending()
         self._charges.note_sending(member)
-        self._record.note_sending()
+        self._record.note_sending(dispatch.remaining_ms)
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
         try:
