--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,6 +37,7 @@
     bursts: bool = False,
     pauses: bool = False,
     failing: bool = False,
+    storms: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -74,6 +75,8 @@
             time, while nothing fails.
         failing: with `pauses`, whether the others fail most calls meanwhile,
             and pauses are longer.
+        storms: whether all processes lose power and one disk again and again,
+            right after many large documents.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -101,6 +104,7 @@
         bursts,
         pauses,
         failing,
+        storms,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -200,6 +200,11 @@
         become the seeds of all processes.
         """
         disturbance = self._history.begin("power", checks.ALL_MEMBERS)
+        kills = [
+            self._history.begin("kill", node.name)
+            for node in self._nodes
+            if node.role == "gateway"
+        ]
         for node in self._nodes:
             node.kill()
         if self._losses:
@@ -216,6 +221,8 @@
                 node.settings["seeds"] = seeds[:3]
             node.start()
         disturbance.ended_at = time.monotonic()
+        for kill in kills:
+            kill.ended_at = time.monotonic() + checks.LEAVE_S
 
     def _inject(self, kind: str) -> None:
         if kind == "crashing":
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -31,9 +31,16 @@
         self._numbers = itertools.count(1)
         self._connections: dict[str, caller_connection.CallerConnection] = {}
 
-    def put(self, members: list[node_module.Node], timeout_s: float) -> bool:
+    def put(
+        self,
+        members: list[node_module.Node],
+        timeout_s: float,
+        padding_routes: int = 0,
+    ) -> bool:
         """Send the next document for `timeout_s`, or until it is accepted.
 
+        Args:
+            padding_routes: routes beyond those that are called.
         Returns: whether it was accepted.
         """
         number = next(self._numbers) * 3
@@ -41,7 +48,9 @@
             number, self._rng.random() < 0.5, time.monotonic()
         )
         self._history.changes.append(change)
-        body = standins.make_document(number, change.has_optional_route)
+        body = standins.make_document(
+            number, change.has_optional_route, padding_routes
+        )
         until = time.monotonic() + timeout_s
         while time.monotonic() < until:
             member = self._rng.choice(members)
@@ -74,14 +83,17 @@
     def pause(self, longest_s: float = READ_PAUSE_S) -> None:
         gevent.sleep(self._rng.random() * longest_s)
 
-    def read(self, members: list[node_module.Node]) -> None:
+    def read(self, members: list[node_module.Node]) -> bool:
+        """Returns: whether a member returns the document."""
         member = self._rng.choice(members)
         call = self._call(member, "GET")
-        if call.status == 200 and call.complete:
+        returned = call.status == 200 and call.complete
+        if returned:
             number = int(call.body.partition(b'"version":')[2].split(b",")[0])
             self._history.reads.append(
                 records.Read(call.sent_at, member.name, number)
             )
+        return returned
 
     def _call(
         self,
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -10,6 +10,7 @@
 
 from soak import checks
 from soak import clients
+from soak import document_storms
 from soak import faults
 from soak import figures
 from soak import nodes as node_module
@@ -79,6 +80,9 @@
             time while nothing fails, instead of what is drawn.
         failing: with `pauses`, whether the others fail most calls meanwhile,
             and pauses are longer.
+        storms: whether all processes lose power again and again, and one disk,
+            right after the last of many large documents was accepted, instead
+            of faults.
     """
 
     authorities: int = 3
@@ -100,6 +104,7 @@
     bursts: bool = False
     pauses: bool = False
     failing: bool = False
+    storms: bool = False
 
 
 class Result(msgspec.Struct):
@@ -201,7 +206,7 @@
         beside = _make_rng(seed, "beside").choice(BESIDE_SILENCES)
         history.count(f"beside_{beside}")
     operating = []
-    if beside != "nothing":
+    if beside != "nothing" and not scenario.storms:
         operating.append(gevent.spawn(_operate, operator, members, ended))
     if scenario.stops:
         # Documents overlap as well.
@@ -224,7 +229,12 @@
         injector.begin_crashing()
     if scenario.links:
         injector.begin_links(list(links.values()), until)
-    if scenario.repeats:
+    storm_findings = []
+    if scenario.storms:
+        storm_findings = document_storms.make_document_storms(
+            operator, members, injector, rng
+        ).run(until)
+    elif scenario.repeats:
         repeat_faults.make_repeat_faults(
             nodes,
             links,
@@ -266,7 +276,11 @@
     reads = len(history.reads)
     for _ in range(6):
         operator.read(members)
-    findings = checks.check(history) + checks.check_recovered(always_routed)
+    findings = [
+        *storm_findings,
+        *checks.check(history),
+        *checks.check_recovered(always_routed),
+    ]
     if len(history.reads) == reads:
         findings.append("no member returns the document at the end")
     for node in nodes:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -111,3 +111,21 @@
     result = seed_run.run_seed(seed, seconds, scenario)
     assert result.findings == []
     assert result.calls > 50
+
+
+# Pauses are longer than the time of callers here, so that what was sent before
+# one is read too late whatever time it was given; see KNOWN-RED.txt. The other
+# guarantees hold all the same.
+def test_guarantees_beside_pauses_longer_than_the_time_of_callers():
+    """Guards against repeats beyond the allowance beside late readers."""
+    result = seed_run.run_seed(
+        7,
+        FAULT_INJECTION_S + REPEATS_S,
+        seed_run.Scenario(gateways=4, repeats=True),
+    )
+    findings = [
+        finding
+        for finding in result.findings
+        if "were given too much time" not in finding
+    ]
+    assert findings == []
