Count the length of streams whose tokens are not known

Cause: without `Papayalink-Token-Usage` the length of a stream was noted as that of one token, and then multiplied by no token. Only the time to its head counted.

Found by reading the arrivals of calls that took all of their 6 s.

Change: `Run.total_s` multiplies by one token at least, for the planned stop and for limits.

Result: both new cases of tests/roles/gateway/test_late_calls.py failed before (200 where 503 is expected, for a stream of 1 s in a grace period of 1 s) and pass; so does the new case of test_attempt_limits.py (0.5 s where 2 s are expected).

--- a/papayalink/coordination/attempt_limits.py
+++ b/papayalink/coordination/attempt_limits.py
@@ -23,8 +23,7 @@
         objective_s: latency objective of the route.
         output_tokens: largest number of tokens that the run may generate.
     """
-    run_s = usual.first_s + output_tokens * usual.token_s
-    return max(USUAL_RUN_FACTOR * run_s, objective_s)
+    return max(USUAL_RUN_FACTOR * usual.total_s(output_tokens), objective_s)
 
 
 def overdue_limit_s(usual: run_times.Run, expected_s: float) -> float:
--- a/papayalink/coordination/run_times.py
+++ b/papayalink/coordination/run_times.py
@@ -17,12 +17,17 @@
     Attributes:
         first_s: until the head of a stream, or until the end of any other
             answer.
-        token_s: after that, for each output token that was allowed.
+        token_s: after that, for each output token that was allowed; for the
+            whole of a stream whose tokens are not known.
     """
 
     first_s: float
     token_s: float = 0.0
 
+    def total_s(self, output_tokens: int) -> float:
+        """Returns: the time of a run with so many tokens, 0 if not known."""
+        return self.first_s + self.token_s * max(1, output_tokens)
+
 
 class RunTimes:
     """The recent calls of each route."""
--- a/papayalink/roles/gateway/stopping.py
+++ b/papayalink/roles/gateway/stopping.py
@@ -64,8 +64,8 @@
         )
         if run is None:
             return False
-        first_s = max(run.first_s, wait_s)
-        return first_s + run.token_s * output_tokens <= left_s
+        late_s = max(0.0, wait_s - run.first_s)
+        return late_s + run.total_s(output_tokens) <= left_s
 
 
 def make_stopping(times: run_times.RunTimes) -> Stopping:
--- a/tests/coordination/test_attempt_limits.py
+++ b/tests/coordination/test_attempt_limits.py
@@ -15,6 +15,8 @@
         (run_times.Run(0.02), 0.4, 0, 0.4),
         # A stream.
         (run_times.Run(0.2, 0.01), 0.4, 50, 3.5),
+        # A stream whose tokens are not known.
+        (run_times.Run(0.1, 0.3), 0.4, 0, 2.0),
     ],
 )
 def test_limit_of_a_run(run, objective_s, tokens, limit_s):
--- a/tests/roles/gateway/test_late_calls.py
+++ b/tests/roles/gateway/test_late_calls.py
@@ -161,6 +161,22 @@
         _check_refused(status, headers, received)
 
 
+@pytest.mark.parametrize("route", ["stream", "resumed"])
+@pytest.mark.parametrize(("pause_s", "served"), [(0.05, True), (1.0, False)])
+def test_stream_without_tokens_is_refused_by_its_length(
+    route, pause_s, served, start
+):
+    """Guards against a stream that is cut since only its head counted."""
+    stream = [stubs.STREAM, pause_s, stubs.event(1), stubs.END]
+    site = start(_SHORT_GRACE_S, stream, _STREAM)
+    assert site.call(route)[0] == 200
+    status, headers, received = site.stop_beside(route)
+    if served:
+        assert (status, received) == (200, 1)
+    else:
+        _check_refused(status, headers, received)
+
+
 @pytest.mark.parametrize("served", [True, False])
 def test_call_on_a_kept_connection_late_in_the_grace(served, start):
     """Guards against a kept connection whose call is begun too late."""
