Send callers on at once when a stop ends their wait for a document

What callers saw: a call that came to a gateway without a document, which then got SIGTERM, was refused with Retry-After 0.5 if its wait ended within the stop; others would have served it at once.

Cause: whether the gateway stops was looked at before the wait only.

Its wait of 1 s from the start of the gateway and its grace period of 1 s end within 0.1 s of each other; beside load the wait ended first. With a wait that ends in the middle of the stop it fails each time.

Change: the stop is looked at after the wait too. The test has both orders.

--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -41,15 +41,15 @@
             request.method, request.target, request.headers, request.body
         )
         directory = self._shared.watcher.directory
-        if directory is None and self._shared.stopping.begun:
-            self.reject_late(request, responder)
-            return
-        if directory is None:
+        if directory is None and not self._shared.stopping.begun:
             passed_s = time.monotonic() - received_at
             allowed_s = DOCUMENT_WAIT_SHARE * call.budget_ms / 1000
             directory = self._shared.watcher.wait_directory(
                 max(0.0, allowed_s - passed_s)
             )
+        if directory is None and self._shared.stopping.begun:
+            self.reject_late(request, responder)
+            return
         if directory is None:
             self._reject(
                 call, responder, 503, "no_document", call_ending.RETRY_AFTER_S
--- a/tests/roles/gateway/test_unanswered_at_stop.py
+++ b/tests/roles/gateway/test_unanswered_at_stop.py
@@ -26,9 +26,16 @@
 )
 
 
-def _stop_beside_call(upstream, route, headers=(), routes=_ROUTES):
-    """Returns: what the caller of a route got before the process ended."""
+def _stop_beside_call(
+    upstream, route, headers=(), routes=_ROUTES, started_s=0.0
+):
+    """Returns: what the caller of a route got before the process ended.
+
+    Args:
+        started_s: how long before the call the gateway has started.
+    """
     gateway = stopped.Gateway(_GRACE_S, [upstream], routes)
+    gateway.process._watcher._started_at -= started_s
     try:
         caller = gevent.spawn(
             gateway.call, b"/%s/" % route.encode(), headers, partial=True
@@ -68,11 +75,17 @@
     assert body == (b"id: 1\ndata: p1\n\n", False)
 
 
-def test_call_that_waits_for_a_document_is_refused_before_the_end():
+# The call waits for longer than the stop takes, or until half of it.
+@pytest.mark.parametrize("started_s", [-5.0, 0.5])
+def test_call_that_waits_for_a_document_is_refused_before_the_end(started_s):
     """Guards against a call that is cut while no replica has it."""
     upstream = stubs.Upstream("desk1")
     status, headers, body = _stop_beside_call(
-        upstream, "once", [b"Papayalink-Deadline-Ms: 27000"], routes=()
+        upstream,
+        "once",
+        [b"Papayalink-Deadline-Ms: 27000"],
+        routes=(),
+        started_s=started_s,
     )
     assert status == 503
     assert headers[b"retry-after"] == b"0.00"
