--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -6,7 +6,7 @@
 from papayalink.roles.gateway import call_ending
 from papayalink.roles.gateway import call_run
 from papayalink.roles.gateway import shared as shared_parts
-from papayalink.transport import caller_server
+from papayalink.transport import request_reader
 from papayalink.transport import responders
 
 # Share of the caller's time budget that its call may wait for the first
@@ -28,7 +28,7 @@
 
     def handle(
         self,
-        request: caller_server.Request,
+        request: request_reader.Request,
         responder: responders.Responder,
     ) -> None:
         """Answer one request.
@@ -80,7 +80,7 @@
 
     def reject_late(
         self,
-        request: caller_server.Request,
+        request: request_reader.Request,
         responder: responders.Responder,
     ) -> None:
         """Answer a request that arrives while the entry stops."""
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -14,11 +14,10 @@
 
 from papayalink import logs
 from papayalink import readiness
-from papayalink.protocol import calls
 from papayalink.state import traffic
-from papayalink.transport import arrival_times
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
+from papayalink.transport import request_reader
 from papayalink.transport import request_wait
 from papayalink.transport import responders
 
@@ -37,57 +36,7 @@
 # has sent more.
 _LINGERING_CLOSE_S = 2.0
 
-
-class Request:
-    """A complete request of a caller.
-
-    Attributes:
-        protocol: "HTTP/1.1" or "HTTP/1.0".
-        arrived_at: monotonic seconds at which its first bytes arrived.
-    """
-
-    __slots__ = (
-        "method",
-        "target",
-        "headers",
-        "body",
-        "protocol",
-        "arrived_at",
-    )
-
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: calls.Headers,
-        body: bytes,
-        protocol: str,
-        arrived_at: float,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.protocol = protocol
-        self.arrived_at = arrived_at
-
-
-Handler = Callable[[Request, responders.Responder], None]
-
-
-class _Refused(errors.TransportError):
-    """The request is unreadable and gets an error status.
-
-    Args:
-        headers: headers of the answer.
-    """
-
-    def __init__(
-        self, status: int, reason: str, headers: calls.Headers = ()
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.headers = headers
+Handler = Callable[[request_reader.Request, responders.Responder], None]
 
 
 class CallerServer:
@@ -222,20 +171,17 @@
             self._log.debug("caller_connection_ended", reason=error)
 
     def _serve_requests(self, sock: socket.socket) -> None:
-        limits = self._limits()
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
         handler = self._handler
-        receiver = _Receiver(sock)
-        while connection.trailing_data[0] or self._wait_for_request(sock):
+        reader = request_reader.make_request_reader(sock, self._limits)
+        connection = reader.connection
+        while reader.has_received or self._wait_for_request(sock):
             responder = responders.make_responder(
                 connection, sock, lambda: self._close_announced
             )
             try:
                 with _noted_in(self._reading):
-                    request = self._read_request(connection, sock, receiver)
-            except _Refused as refused:
+                    request = reader.read()
+            except request_reader.Refused as refused:
                 self._refuse(sock, refused)
                 return
             except errors.ServerStops:
@@ -258,7 +204,7 @@
                 return
             if connection.their_state is not h11.DONE:
                 return
-            connection.start_next_cycle()
+            reader.start_next()
 
     def _wait_for_request(self, sock: socket.socket) -> bool:
         """Wait for as long as the limits allow that are in force at the end.
@@ -278,7 +224,7 @@
     def _run_handler(
         self,
         handler: Handler,
-        request: Request,
+        request: request_reader.Request,
         responder: responders.Responder,
         sock: socket.socket,
     ) -> None:
@@ -308,79 +254,9 @@
                     _BAD_GATEWAY if lost else _INTERNAL_SERVER_ERROR
                 )
 
-    def _read_request(
-        self,
-        connection: h11.Connection,
-        sock: socket.socket,
-        receiver: "_Receiver",
-    ) -> Request | None:
-        """Returns: the next request, None when the caller sends no more."""
-        limits = self._limits()
-        head: h11.Request | None = None
-        head_deadline = float("inf")
-        body: list[bytes] = []
-        body_size = 0
-        arrived_at = receiver.arrived_at
-        begun = bool(connection.trailing_data[0])
-        sock.settimeout(limits.idle_timeout_s)
-        while True:
-            try:
-                h11_event = connection.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise _Refused(status, str(error)) from error
-            if h11_event is h11.NEED_DATA:
-                if connection.they_are_waiting_for_100_continue:
-                    continue_response = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    sock.sendall(connection.send(continue_response))
-                try:
-                    data = receiver.receive()
-                except TimeoutError:
-                    if head is None and not connection.trailing_data[0]:
-                        return None
-                    raise _Refused(
-                        408, "time-out before the request was complete"
-                    ) from None
-                if not begun:
-                    begun = True
-                    arrived_at = receiver.arrived_at
-                now = time.monotonic()
-                if head is None:
-                    # Single bytes must not extend the time for the head.
-                    head_deadline = min(
-                        head_deadline, now + limits.header_timeout_s
-                    )
-                    if now >= head_deadline:
-                        raise _Refused(408, "head is not complete in time")
-                if data:
-                    sock.settimeout(limits.header_timeout_s)
-                connection.receive_data(data)
-                continue
-            match h11_event:
-                case h11.Request():
-                    head = h11_event
-                    _check_framing(head)
-                case h11.Data(data):
-                    body_size += len(data)
-                    if body_size > limits.body_bytes:
-                        raise _Refused(413, "request body is too large")
-                    body.append(bytes(data))
-                case h11.EndOfMessage():
-                    sock.settimeout(None)
-                    return Request(
-                        head.method,
-                        head.target,
-                        head.headers.raw_items(),
-                        b"".join(body),
-                        f"HTTP/{head.http_version.decode()}",
-                        arrived_at,
-                    )
-                case _:
-                    return None
-
-    def _refuse(self, sock: socket.socket, refused: _Refused) -> None:
+    def _refuse(
+        self, sock: socket.socket, refused: request_reader.Refused
+    ) -> None:
         """Answer an unreadable request, then shut down the connection.
 
         The start of the next request cannot be found after a framing error.
@@ -397,28 +273,9 @@
         _linger(sock)
 
 
-class _Receiver:
-    """Receives the bytes of one connection.
-
-    Attributes:
-        arrived_at: monotonic seconds at which the last bytes arrived.
-    """
-
-    __slots__ = ("arrived_at", "_sock")
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.arrived_at = time.monotonic()
-        self._sock = sock
-
-    def receive(self) -> bytes:
-        data = self._sock.recv(_READ_BYTES)
-        self.arrived_at = arrival_times.last_arrival(self._sock)
-        return data
-
-
-def _make_stop_refusal() -> _Refused:
+def _make_stop_refusal() -> request_reader.Refused:
     """Returns: refusal of a request that was not read; others take it now."""
-    return _Refused(
+    return request_reader.Refused(
         _SERVICE_UNAVAILABLE,
         "server ends before the request was complete",
         [(b"Retry-After", b"0")],
@@ -463,18 +320,6 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-def _check_framing(head: h11.Request) -> None:
-    """Refuse framing that different parsers may interpret differently."""
-    names = [name for name, _ in head.headers]
-    if b"transfer-encoding" in names:
-        if b"content-length" in names:
-            raise _Refused(400, "both Transfer-Encoding and Content-Length")
-        if head.http_version < b"1.1":
-            raise _Refused(400, "Transfer-Encoding before HTTP/1.1")
-    if names.count(b"host") != 1:
-        raise _Refused(400, "Host header is missing or repeated")
-
-
 def make_caller_server(
     address: tuple[str, int],
     handler: Handler,
--- /dev/null
+++ b/papayalink/transport/request_reader.py
@@ -0,0 +1,199 @@
+"""Reads the requests of one caller's connection."""
+
+from collections.abc import Callable
+import time
+
+from gevent import socket
+import h11
+
+from papayalink.protocol import calls
+from papayalink.state import traffic
+from papayalink.transport import arrival_times
+from papayalink.transport import errors
+
+_READ_BYTES = 65_536
+
+
+class Request:
+    """A complete request of a caller.
+
+    Attributes:
+        protocol: "HTTP/1.1" or "HTTP/1.0".
+        arrived_at: monotonic seconds at which its first bytes arrived.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "protocol",
+        "arrived_at",
+    )
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: calls.Headers,
+        body: bytes,
+        protocol: str,
+        arrived_at: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.protocol = protocol
+        self.arrived_at = arrived_at
+
+
+class Refused(errors.TransportError):
+    """The request is unreadable and gets an error status.
+
+    Args:
+        headers: headers of the answer.
+    """
+
+    def __init__(
+        self, status: int, reason: str, headers: calls.Headers = ()
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.headers = headers
+
+
+class RequestReader:
+    """Reads one complete request after the other.
+
+    Args:
+        sock: the connection.
+        limits: returns the limits; called again for each request.
+    """
+
+    __slots__ = ("_sock", "_limits", "_connection", "_arrived_at")
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: Callable[[], traffic.CallerLimits],
+    ) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().header_bytes
+        )
+        # When the last bytes arrived.
+        self._arrived_at = time.monotonic()
+
+    @property
+    def connection(self) -> h11.Connection:
+        """State of the request that was read last, and of its response."""
+        return self._connection
+
+    @property
+    def has_received(self) -> bool:
+        """Whether bytes of the next request have been received."""
+        return bool(self._connection.trailing_data[0])
+
+    def start_next(self) -> None:
+        """Go on to the next request, once the last one is answered."""
+        self._connection.start_next_cycle()
+
+    def read(self) -> Request | None:
+        """Returns: the next request, None when the caller sends no more.
+
+        Raises: Refused
+        """
+        connection = self._connection
+        limits = self._limits()
+        head: h11.Request | None = None
+        head_deadline = float("inf")
+        body: list[bytes] = []
+        body_size = 0
+        arrived_at = self._arrived_at
+        begun = self.has_received
+        self._sock.settimeout(limits.idle_timeout_s)
+        while True:
+            try:
+                h11_event = connection.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise Refused(status, str(error)) from error
+            if h11_event is h11.NEED_DATA:
+                self._continue()
+                try:
+                    data = self._receive()
+                except TimeoutError:
+                    if head is None and not self.has_received:
+                        return None
+                    raise Refused(
+                        408, "time-out before the request was complete"
+                    ) from None
+                if not begun:
+                    begun = True
+                    arrived_at = self._arrived_at
+                now = time.monotonic()
+                if head is None:
+                    # Single bytes must not extend the time for the head.
+                    head_deadline = min(
+                        head_deadline, now + limits.header_timeout_s
+                    )
+                    if now >= head_deadline:
+                        raise Refused(408, "head is not complete in time")
+                if data:
+                    self._sock.settimeout(limits.header_timeout_s)
+                connection.receive_data(data)
+                continue
+            match h11_event:
+                case h11.Request():
+                    head = h11_event
+                    _check_framing(head)
+                case h11.Data(data):
+                    body_size += len(data)
+                    if body_size > limits.body_bytes:
+                        raise Refused(413, "request body is too large")
+                    body.append(bytes(data))
+                case h11.EndOfMessage():
+                    self._sock.settimeout(None)
+                    return Request(
+                        head.method,
+                        head.target,
+                        head.headers.raw_items(),
+                        b"".join(body),
+                        f"HTTP/{head.http_version.decode()}",
+                        arrived_at,
+                    )
+                case _:
+                    return None
+
+    def _continue(self) -> None:
+        """Ask for the body, if the caller waits for that."""
+        if self._connection.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            self._sock.sendall(self._connection.send(continue_response))
+
+    def _receive(self) -> bytes:
+        data = self._sock.recv(_READ_BYTES)
+        self._arrived_at = arrival_times.last_arrival(self._sock)
+        return data
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuse framing that different parsers may interpret differently."""
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names:
+        if b"content-length" in names:
+            raise Refused(400, "both Transfer-Encoding and Content-Length")
+        if head.http_version < b"1.1":
+            raise Refused(400, "Transfer-Encoding before HTTP/1.1")
+    if names.count(b"host") != 1:
+        raise Refused(400, "Host header is missing or repeated")
+
+
+def make_request_reader(
+    sock: socket.socket, limits: Callable[[], traffic.CallerLimits]
+) -> RequestReader:
+    return RequestReader(sock, limits)
