Answer a request when an error comes outside of its handler

Callers saw their connection reset, without an answer, where an error came while their request was read, before its handler began, or in the refusal of a handler that a stop had interrupted. Errors of handlers are answered.

Cause: only what a handler raises was caught. The class is an error that ends a connection without an answer.

Such a request gets 500 and the announced end of its connection, and the error is logged. A connection on which nothing has arrived closes without a word, since its caller could take an answer for that to its next request.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -173,22 +173,11 @@
     def _serve_requests(self, sock: socket.socket) -> None:
         handler = self._handler
         reader = request_reader.make_request_reader(sock, self._limits)
-        connection = reader.connection
-        while reader.has_received or self._wait_for_request(sock):
+        while (request := self._next_request(sock, reader)) is not None:
+            connection = reader.connection
             responder = responders.make_responder(
                 connection, sock, lambda: self._close_announced
             )
-            try:
-                with _noted_in(self._reading):
-                    request = reader.read()
-            except request_reader.Refused as refused:
-                self._refuse(sock, refused)
-                return
-            except errors.ServerStops:
-                self._refuse(sock, _make_stop_refusal())
-                return
-            if request is None:
-                return
             if self._ended:
                 handler = self._reject
             try:
@@ -206,6 +195,37 @@
                 return
             reader.start_next()
 
+    def _next_request(
+        self, sock: socket.socket, reader: request_reader.RequestReader
+    ) -> request_reader.Request | None:
+        """Returns: the next request, None if there is none to be handled.
+
+        One that can't be read has been refused.
+        """
+        begun = reader.has_received
+        try:
+            begun = begun or self._wait_for_request(sock)
+            if not begun:
+                return None
+            with _noted_in(self._reading):
+                return reader.read()
+        except request_reader.Refused as refused:
+            self._refuse(sock, refused)
+        except errors.ServerStops:
+            self._refuse(sock, _make_stop_refusal())
+        except OSError:
+            raise
+        except Exception:
+            self._log.exception("request_not_read")
+            if begun or readiness.has_unread_bytes(sock):
+                self._refuse(
+                    sock,
+                    request_reader.Refused(
+                        _INTERNAL_SERVER_ERROR, "reading failed"
+                    ),
+                )
+        return None
+
     def _wait_for_request(self, sock: socket.socket) -> bool:
         """Wait for as long as the limits allow that are in force at the end.
 
@@ -233,11 +253,7 @@
         )
         with watch:
             try:
-                handler(request, responder)
-            except errors.ServerStops:
-                if responder.head_sent:
-                    raise errors.ResponseAborted("server ends") from None
-                self._reject(request, responder)
+                self._handle_or_reject(handler, request, responder)
             except errors.ResponseAborted:
                 raise
             except gevent.GreenletExit:
@@ -254,6 +270,20 @@
                     _BAD_GATEWAY if lost else _INTERNAL_SERVER_ERROR
                 )
 
+    def _handle_or_reject(
+        self,
+        handler: Handler,
+        request: request_reader.Request,
+        responder: responders.Responder,
+    ) -> None:
+        """Run a handler, and reject the request if that is interrupted."""
+        try:
+            handler(request, responder)
+        except errors.ServerStops:
+            if responder.head_sent:
+                raise errors.ResponseAborted("server ends") from None
+            self._reject(request, responder)
+
     def _refuse(
         self, sock: socket.socket, refused: request_reader.Refused
     ) -> None:
--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -80,20 +80,23 @@
     ) -> None:
         self._sock = sock
         self._limits = limits
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().header_bytes
-        )
+        self._connection: h11.Connection | None = None
         # When the last bytes arrived.
         self._arrived_at = time.monotonic()
 
     @property
-    def connection(self) -> h11.Connection:
-        """State of the request that was read last, and of its response."""
+    def connection(self) -> h11.Connection | None:
+        """State of the request that was read last, and of its response.
+
+        None before the first one.
+        """
         return self._connection
 
     @property
     def has_received(self) -> bool:
         """Whether bytes of the next request have been received."""
+        if self._connection is None:
+            return False
         return bool(self._connection.trailing_data[0])
 
     def start_next(self) -> None:
@@ -105,8 +108,12 @@
 
         Raises: Refused
         """
-        connection = self._connection
         limits = self._limits()
+        if self._connection is None:
+            self._connection = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            )
+        connection = self._connection
         head: h11.Request | None = None
         head_deadline = float("inf")
         body: list[bytes] = []
