Apply a changed limit on heads to open connections

Callers that keep connections got 431 for a head that the document in force allows, if it arrived in more than one piece, for as long as they kept the connection; and a lowered limit did not hold there.

Cause: the parser of a connection was made with the limit of its opening. The class is a limit that changes while a connection is under way. Body limit, time for a head and idle limit are read again for each request; this one was not.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -193,7 +193,6 @@
                 return
             if connection.their_state is not h11.DONE:
                 return
-            reader.start_next()
 
     def _next_request(
         self, sock: socket.socket, reader: request_reader.RequestReader
--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -99,21 +99,17 @@
             return False
         return bool(self._connection.trailing_data[0])
 
-    def start_next(self) -> None:
-        """Go on to the next request, once the last one is answered."""
-        self._connection.start_next_cycle()
-
     def read(self) -> Request | None:
-        """Returns: the next request, None when the caller sends no more.
+        """Read the next request, once the last one is answered.
+
+        Returns: the request, None when the caller sends no more.
 
         Raises: Refused
         """
         limits = self._limits()
-        if self._connection is None:
-            self._connection = h11.Connection(
-                h11.SERVER, max_incomplete_event_size=limits.header_bytes
-            )
-        connection = self._connection
+        self._connection = connection = _make_next_connection(
+            self._connection, limits
+        )
         head: h11.Request | None = None
         head_deadline = float("inf")
         body: list[bytes] = []
@@ -188,6 +184,26 @@
         return data
 
 
+def _make_next_connection(
+    last: h11.Connection | None, limits: traffic.CallerLimits
+) -> h11.Connection:
+    """Make the parser of one request under the limits that are in force.
+
+    Args:
+        last: the parser of the request before, None for the first one.
+    """
+    connection = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    )
+    if last is not None:
+        unread, ended = last.trailing_data
+        if unread:
+            connection.receive_data(unread)
+        if ended:
+            connection.receive_data(b"")
+    return connection
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuse framing that different parsers may interpret differently."""
     names = [name for name, _ in head.headers]
