Judge the time for a head by its arrival

Callers that had sent all of a head in time got 408 when the gateway stood still before it read the rest: longer than the time for a head, which a document may lower while the process is busy with it.

Cause: the time for a head was judged at the reading. The bytes' arrival is known, and is compared now. A time-out with bytes to be read reads them.

--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -6,6 +6,7 @@
 from gevent import socket
 import h11
 
+from papayalink import readiness
 from papayalink.protocol import calls
 from papayalink.state import traffic
 from papayalink.transport import arrival_times
@@ -128,6 +129,9 @@
                 try:
                     data = self._receive()
                 except TimeoutError:
+                    if readiness.has_unread_bytes(self._sock):
+                        # It arrived while this process stood still.
+                        continue
                     if head is None and not self.has_received:
                         return None
                     raise Refused(
@@ -136,13 +140,13 @@
                 if not begun:
                     begun = True
                     arrived_at = self._arrived_at
-                now = time.monotonic()
                 if head is None:
                     # Single bytes must not extend the time for the head.
                     head_deadline = min(
-                        head_deadline, now + limits.header_timeout_s
+                        head_deadline,
+                        self._arrived_at + limits.header_timeout_s,
                     )
-                    if now >= head_deadline:
+                    if self._arrived_at >= head_deadline:
                         raise Refused(408, "head is not complete in time")
                 if data:
                     self._sock.settimeout(limits.header_timeout_s)
