Answer pipelined requests before a stop closes their connection

Callers that had sent requests behind another one got no answer to them when the answer to that one announced, from SIGTERM on, that its connection closes: requests that the gateway had read whole ended without an answer or a refusal.

Cause: a response announced the close whatever had come behind its request. The class is a connection that closes with requests that have been read.

The close is announced by the response behind which nothing has been sent. Requests behind it are run until idle connections close, and refused from then on, as they are on connections whose answer had announced nothing. A request that a caller sends after it could have seen the announcement is not answered, as before.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -109,7 +109,10 @@
         self._server.start()
 
     def close_after_responses(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after its next response.
+
+        Requests that the caller has sent before that are answered first.
+        """
         self._close_announced = True
 
     def stop(self, timeout_s: float) -> bool:
@@ -176,7 +179,7 @@
         while (request := self._next_request(sock, reader)) is not None:
             connection = reader.connection
             responder = responders.make_responder(
-                connection, sock, lambda: self._close_announced
+                connection, sock, lambda: self._must_close(sock, reader)
             )
             if self._ended:
                 handler = self._reject
@@ -194,6 +197,18 @@
             if connection.their_state is not h11.DONE:
                 return
 
+    def _must_close(
+        self, sock: socket.socket, reader: request_reader.RequestReader
+    ) -> bool:
+        """Returns: whether the connection closes after the response.
+
+        Not before a request has been answered that the caller has sent
+        already.
+        """
+        return self._close_announced and not (
+            reader.has_received or _has_sent_more(sock)
+        )
+
     def _next_request(
         self, sock: socket.socket, reader: request_reader.RequestReader
     ) -> request_reader.Request | None:
@@ -322,6 +337,16 @@
         tasks.discard(task)
 
 
+def _has_sent_more(sock: socket.socket) -> bool:
+    """Returns: whether there are bytes to read, and not only the end."""
+    try:
+        return readiness.has_unread_bytes(sock) and bool(
+            sock.recv(1, socket.MSG_PEEK)
+        )
+    except OSError:
+        return False
+
+
 def _linger(sock: socket.socket) -> None:
     """Wait until a caller that has sent more has read its last answer.
 
