Read a pipelined request under the limits of its arrival

Callers whose requests had arrived behind another one got 413 for those that a document, accepted while the first ran, no longer allows; what had arrived behind the refused one got no answer.

Cause: the limits were asked for when a request was begun to be parsed, which is after the answer to the one before it. The class is a limit that changes while a request is under way: one whose reading had begun kept the limits of that time, and a call keeps the document of its arrival.

The limits are those in force when the first bytes of a request were received.

--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -72,7 +72,13 @@
         limits: returns the limits; called again for each request.
     """
 
-    __slots__ = ("_sock", "_limits", "_connection", "_arrived_at")
+    __slots__ = (
+        "_sock",
+        "_limits",
+        "_connection",
+        "_arrived_at",
+        "_received_under",
+    )
 
     def __init__(
         self,
@@ -82,8 +88,9 @@
         self._sock = sock
         self._limits = limits
         self._connection: h11.Connection | None = None
-        # When the last bytes arrived.
+        # When the last bytes arrived, and the limits when they were received.
         self._arrived_at = time.monotonic()
+        self._received_under = traffic.CallerLimits()
 
     @property
     def connection(self) -> h11.Connection | None:
@@ -103,11 +110,14 @@
     def read(self) -> Request | None:
         """Read the next request, once the last one is answered.
 
+        The limits are those in force when its first bytes were received.
+
         Returns: the request, None when the caller sends no more.
 
         Raises: Refused
         """
-        limits = self._limits()
+        begun = self.has_received
+        limits = self._received_under if begun else self._limits()
         self._connection = connection = _make_next_connection(
             self._connection, limits
         )
@@ -116,7 +126,6 @@
         body: list[bytes] = []
         body_size = 0
         arrived_at = self._arrived_at
-        begun = self.has_received
         self._sock.settimeout(limits.idle_timeout_s)
         while True:
             try:
@@ -184,6 +193,7 @@
 
     def _receive(self) -> bytes:
         data = self._sock.recv(_READ_BYTES)
+        self._received_under = self._limits()
         self._arrived_at = arrival_times.last_arrival(self._sock)
         return data
 
