Split the connection to an upstream from those that are kept

Channel moves to transport/upstream_channel.py, with the constants that it alone uses; Channels stays in upstream_channels.py. Nothing else changes, so that the end of an answer can be checked in a module that stays small.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -14,6 +14,7 @@
 from papayalink.protocol import events
 from papayalink.transport import errors
 from papayalink.transport import responders
+from papayalink.transport import upstream_channel
 from papayalink.transport import upstream_channels
 
 # Largest answer that is not a stream. A larger one is an error of the service,
@@ -111,7 +112,7 @@
     Args:
         remaining_s: returns the seconds left until the call's deadline.
         note_answer: called with the head of the answer.
-        on_silence: see `upstream_channels.Channel`.
+        on_silence: see `upstream_channel.Channel`.
     """
 
     __slots__ = (
@@ -152,7 +153,7 @@
         self._note_answer = note_answer
         self._on_silence = on_silence
         self._address = ""
-        self._channel: upstream_channels.Channel | None = None
+        self._channel: upstream_channel.Channel | None = None
         self._held_bytes = 0
         self._complete = False
         self._has_id = False
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from papayalink.transport import errors
+from papayalink.transport import upstream_channel
 from papayalink.transport import upstream_channels
 
 # What sockets on both ends may hold beside what is read.
@@ -97,7 +98,7 @@
     channel.close()
     with gevent.Timeout(10):
         upstream.closed.wait()
-    allowed = upstream_channels.MAX_FRAMING_BYTES + _SOCKET_BUFFERS_BYTES
+    allowed = upstream_channel.MAX_FRAMING_BYTES + _SOCKET_BUFFERS_BYTES
     assert upstream.sent_bytes <= allowed
 
 
--- a/tests/transport/test_upstream_channels.py
+++ b/tests/transport/test_upstream_channels.py
@@ -10,6 +10,7 @@
 import pytest
 
 from papayalink.transport import errors
+from papayalink.transport import upstream_channel
 from papayalink.transport import upstream_channels
 from tests.transport import sockets
 
@@ -211,7 +212,7 @@
         while len(accepted) < len(opened):
             gevent.sleep(0.001)
     for channel in opened:
-        channel.keep(upstream_channels.DEFAULT_IDLE_TIMEOUT_S)
+        channel.keep(upstream_channel.DEFAULT_IDLE_TIMEOUT_S)
         channels.give_back(address, channel)
     yield channels, address, accepted
     server.stop()
@@ -267,8 +268,8 @@
     channels, address, _ = idle
     with socket.create_connection(_split(address)) as sock:
         high = fcntl.fcntl(sock.fileno(), fcntl.F_DUPFD, 1500)
-    channel = upstream_channels.Channel(socket.socket(fileno=high))
-    channel.keep(upstream_channels.DEFAULT_IDLE_TIMEOUT_S)
+    channel = upstream_channel.Channel(socket.socket(fileno=high))
+    channel.keep(upstream_channel.DEFAULT_IDLE_TIMEOUT_S)
     channels.give_back(address, channel)
     assert channels.take(address, _remaining_s) is channel
     channel.close()
@@ -289,7 +290,7 @@
     body = b"x" * 8_000_000
     with socket.create_connection(server.address) as sock:
         high = fcntl.fcntl(sock.fileno(), fcntl.F_DUPFD, 1500)
-    channel = upstream_channels.Channel(socket.socket(fileno=high))
+    channel = upstream_channel.Channel(socket.socket(fileno=high))
     headers = [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))]
     channel.send(b"POST", b"/", headers, body, _remaining_s)
     channel.close()
@@ -426,5 +427,5 @@
     channel.on_silence = give_up
     channel.send(b"POST", b"/", _HEADERS, b"hi", lambda: 60.0)
     channel.read_head(lambda: 60.0)
-    gevent.sleep(1.5 * upstream_channels.SILENCE_PERIOD_S)
+    gevent.sleep(1.5 * upstream_channel.SILENCE_PERIOD_S)
     assert channel.read_data(lambda: 60.0) == b"late"
