Take an answer for whole only once its request is

Callers got a part of an answer as a whole 200, or a stream that ended regularly behind a part, if the replica answered a long upload without a length or chunks, ended its sending side and reset the connection with the upload unread, at once or later.

The readers of gateways and adapters took the end of the replica's sending for the end of the answer, and looked at nothing that they had sent themselves. On Linux the end of 20,000 bytes with a reset behind it shows state CLOSE, 15,904 unacknowledged bytes and EPIPE; one without a reset CLOSE_WAIT and bytes that fall to 0 while the rest is read.

An answer that only its connection ends is now whole once the replica has acknowledged the whole request and no error is pending; it is lost after a reset, after 3 s in which nothing is acknowledged, or when the time of the call ends. What was not sent, since the answer began before, is sent then. Nothing is waited for behind a request that is all acknowledged, nor behind a length or chunks, nor for a refusal, whose head tells all. Where the system does not tell, a request of over 16 KiB waits 0.25 s for a reset.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -10,6 +10,8 @@
 from papayalink import readiness
 from papayalink.adapters import errors
 from papayalink.adapters import reply_parser
+from papayalink.transport import errors as transport_errors
+from papayalink.transport import request_delivery
 
 # Idle connections kept for each outside system. An agent makes only a few
 # short calls at a time; more connections would only hold file descriptors.
@@ -51,13 +53,19 @@
     that takes.
     """
 
-    __slots__ = ("_sock", "_left_bytes", "_deadline")
+    __slots__ = ("_sock", "_left_bytes", "_deadline", "_ended")
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        self._ended = False
         self._left_bytes = MAX_PIECE_BYTES
         self._deadline: float | None = None
 
+    @property
+    def ended(self) -> bool:
+        """Whether the peer has ended its sending side."""
+        return self._ended
+
     def allow(self, size_bytes: int, timeout_s: float | None) -> None:
         """Set the limits of what is read next."""
         self._left_bytes = size_bytes
@@ -69,6 +77,7 @@
         if self._deadline is not None and time.monotonic() > self._deadline:
             raise ReplyTooLong("reply takes too long")
         data = self._sock.recv(size)
+        self._ended = not data
         self._left_bytes -= len(data)
         if self._left_bytes < 0:
             raise ReplyTooLong("reply has too many bytes")
@@ -98,7 +107,13 @@
         method: method of the request.
     """
 
-    __slots__ = ("_sock", "_limited", "_method", "_response")
+    __slots__ = (
+        "_sock",
+        "_limited",
+        "_method",
+        "_response",
+        "_request_bytes",
+    )
 
     def __init__(
         self, sock: socket.socket, request: bytes, method: str
@@ -107,6 +122,7 @@
         self._limited = _LimitedSocket(sock)
         self._method = method
         self._response = None
+        self._request_bytes = len(request)
         try:
             sock.sendall(request)
         except BaseException:
@@ -143,6 +159,7 @@
             self.wait_for_head()
         self._limited.allow(max_bytes or MAX_REPLY_BYTES, whole_s)
         body = bytes(self._response.read())
+        self._confirm_end()
         return Reply(self.status, self.headers, body)
 
     def readline(self, separator: bytes) -> bytes:
@@ -151,7 +168,10 @@
         Returns: the bytes with the separator, b"" at the end of the body.
         """
         self._limited.allow(MAX_PIECE_BYTES, None)
-        return bytes(self._response.readline(separator))
+        line = bytes(self._response.readline(separator))
+        if not line:
+            self._confirm_end()
+        return line
 
     def read(self, length: int | None = None) -> bytes:
         """Read from the body; raises when it is truncated.
@@ -160,7 +180,32 @@
             length: maximum number of bytes to read; None reads the rest.
         """
         self._limited.allow(MAX_REPLY_BYTES, None)
-        return bytes(self._response.read(length))
+        data = bytes(self._response.read(length))
+        if not data or length is None:
+            self._confirm_end()
+        return data
+
+    def _confirm_end(self) -> None:
+        """Check an end that is only that of the connection.
+
+        Raises: OSError: the reply broke off.
+        """
+        if not self._limited.ended:
+            return
+        timeout_s = self._sock.gettimeout()
+        deadline = time.monotonic() + (
+            request_delivery.STALL_TIMEOUT_S
+            if timeout_s is None
+            else timeout_s
+        )
+        try:
+            request_delivery.confirm(
+                self._sock,
+                self._request_bytes,
+                lambda: deadline - time.monotonic(),
+            )
+        except transport_errors.TransportError as error:
+            raise ConnectionResetError(str(error)) from error
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -280,7 +280,8 @@
         self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
         if answer.not_run:
-            self._read_body()
+            self._channel.discard_body(MAX_ANSWER_BYTES, self._remaining_s)
+            self._complete = True
             return Unanswered(attempts.NotRun(answer.retry_after_s))
         if not answer.has_server_stamp:
             raise errors.ConnectionLost(
--- a/papayalink/transport/upstream_channel.py
+++ b/papayalink/transport/upstream_channel.py
@@ -10,6 +10,7 @@
 from papayalink import readiness
 from papayalink.protocol import calls
 from papayalink.transport import errors
+from papayalink.transport import request_delivery
 
 # Time without progress after which on_silence decides whether to keep waiting.
 # It is called again after each further period.
@@ -47,7 +48,9 @@
         "_connection",
         "_usable_until",
         "_method",
-        "_request_complete",
+        "_request_bytes",
+        "_unsent",
+        "_peer_ended",
         "_early_event",
         "_received_bytes",
         "_body_bytes",
@@ -63,7 +66,11 @@
         self._connection = h11.Connection(h11.CLIENT)
         self._usable_until = 0.0
         self._method = b""
-        self._request_complete = True
+        self._request_bytes = 0
+        # End of the request that was not sent, as the answer began before.
+        self._unsent = b""
+        # Whether the upstream has ended its sending side.
+        self._peer_ended = False
         # First event of an answer that came while the request was sent.
         self._early_event: object = None
         self._received_bytes = 0
@@ -120,6 +127,8 @@
         if body:
             data += connection.send(h11.Data(data=body))
         data += connection.send(h11.EndOfMessage())
+        self._request_bytes = len(data)
+        self._unsent = b""
         self._send_data(data, remaining_s)
         self.note_progress()
 
@@ -165,13 +174,11 @@
         self._skipped_answers += 1
         if self._skipped_answers > MAX_SKIPPED_ANSWERS:
             raise errors.ConnectionLost("too many answers to other calls")
-        while self.read_data(remaining_s):
-            if self._body_bytes > max_bytes:
-                raise errors.ConnectionLost("answer to another call is large")
+        self.discard_body(max_bytes, remaining_s)
         data, closed = self._connection.trailing_data
         if (
             closed
-            or not self._request_complete
+            or self._unsent
             or self._connection.their_state is not h11.DONE
         ):
             raise errors.ConnectionLost(
@@ -194,24 +201,34 @@
     ) -> bytes:
         """Read more of the body.
 
+        A body that only the end of the connection ends has ended regularly
+        once the upstream has taken in the whole request.
+
         Args:
             progress: whether the bytes count as progress. If not, the caller
                 notes what does.
         Returns: the next bytes, b"" at the regular end of the body.
         Raises: ConnectionLost, Timeout.
         """
-        while True:
-            match self._next_event(remaining_s):
-                case h11.Data(data):
-                    if data:
-                        self._body_bytes += len(data)
-                        if progress:
-                            self.note_progress()
-                        return bytes(data)
-                case h11.EndOfMessage():
-                    return b""
-                case _:
-                    raise errors.ConnectionLost("answer was truncated")
+        data = self._read_data(remaining_s, progress)
+        if not data and self._peer_ended:
+            request_delivery.confirm(
+                self._sock, self._request_bytes, remaining_s, self._unsent
+            )
+        return data
+
+    def discard_body(
+        self, max_bytes: int, remaining_s: Callable[[], float]
+    ) -> None:
+        """Read and discard the rest of an answer whose head tells enough.
+
+        Args:
+            max_bytes: limit of the size of the body.
+        Raises: ConnectionLost, Timeout.
+        """
+        while self._read_data(remaining_s, True):
+            if self._body_bytes > max_bytes:
+                raise errors.ConnectionLost("discarded answer is too large")
 
     def finish(self, keep_alive_s: float | None) -> bool:
         """Prepare for another request after a complete answer.
@@ -220,7 +237,7 @@
         """
         connection = self._connection
         if (
-            not self._request_complete
+            self._unsent
             or connection.our_state is not h11.DONE
             or connection.their_state is not h11.DONE
             or connection.trailing_data[0]
@@ -242,6 +259,22 @@
     def close(self) -> None:
         self._sock.close()
 
+    def _read_data(
+        self, remaining_s: Callable[[], float], progress: bool
+    ) -> bytes:
+        while True:
+            match self._next_event(remaining_s):
+                case h11.Data(data):
+                    if data:
+                        self._body_bytes += len(data)
+                        if progress:
+                            self.note_progress()
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    return b""
+                case _:
+                    raise errors.ConnectionLost("answer was truncated")
+
     def _send_data(
         self, data: bytes, remaining_s: Callable[[], float]
     ) -> None:
@@ -249,7 +282,7 @@
         self._sock.settimeout(0.0)
         while sent < len(data):
             if sent and self._answer_begun():
-                self._request_complete = False
+                self._unsent = data[sent:]
                 return
             try:
                 sent += self._sock.send(data[sent : sent + _SEND_BYTES])
@@ -309,6 +342,7 @@
     def _begin_answer(self) -> None:
         self._received_bytes = 0
         self._body_bytes = 0
+        self._peer_ended = False
         self.note_progress()
 
     def _receive_data(self, data: bytes) -> None:
@@ -325,6 +359,7 @@
         )
         if self._received_bytes > allowed:
             raise errors.ConnectionLost("answer has too little content")
+        self._peer_ended = not data
         self._connection.receive_data(data)
 
     def _receive(self, remaining_s: Callable[[], float]) -> bytes:
