Check the end of responses of the system's own processes too

Seen in tests only: the system's processes send lengths or chunks.

request_delivery asks for the state of the connection only beside unacknowledged bytes, so that a system that tells only some of it loses no sound answer, and makes two system calls for an answer instead of five. The tests name the end that stands still beside the others.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -10,7 +10,6 @@
 from papayalink import readiness
 from papayalink.adapters import errors
 from papayalink.adapters import reply_parser
-from papayalink.transport import errors as transport_errors
 from papayalink.transport import request_delivery
 
 # Idle connections kept for each outside system. An agent makes only a few
@@ -190,22 +189,10 @@
 
         Raises: OSError: the reply broke off.
         """
-        if not self._limited.ended:
-            return
-        timeout_s = self._sock.gettimeout()
-        deadline = time.monotonic() + (
-            request_delivery.STALL_TIMEOUT_S
-            if timeout_s is None
-            else timeout_s
-        )
-        try:
-            request_delivery.confirm(
-                self._sock,
-                self._request_bytes,
-                lambda: deadline - time.monotonic(),
+        if self._limited.ended:
+            request_delivery.confirm_within_timeout(
+                self._sock, self._request_bytes
             )
-        except transport_errors.TransportError as error:
-            raise ConnectionResetError(str(error)) from error
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/papayalink/transport/http_client.py
+++ b/papayalink/transport/http_client.py
@@ -11,6 +11,7 @@
 from papayalink import readiness
 from papayalink.transport import auth
 from papayalink.transport import errors
+from papayalink.transport import request_delivery
 
 # Longer than a round trip between regions, and short enough that a request
 # whose first VM is lost can still meet its target of 1.6 s at another one.
@@ -21,6 +22,20 @@
 _READ_BLOCK_BYTES = 65_536
 
 
+class _Socket(socket.socket):
+    """Reads the end of a peer's sending once that has the whole request.
+
+    The library takes it for the end of a response that has no other.
+    """
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        data = super().recv(size, flags)
+        if size and not data:
+            # A peer of the system has room for requests.
+            request_delivery.confirm_within_timeout(self, 0)
+        return data
+
+
 class _Pool(connectionpool.ConnectionPool):
     """Raises NotConnected when no connection can be opened.
 
@@ -34,6 +49,11 @@
         except OSError as error:
             raise errors.NotConnected(str(error)) from error
 
+    def _create_tcp_socket(
+        self, family: int, kind: int, protocol: int
+    ) -> socket.socket:
+        return _Socket(family, kind, protocol)
+
     def _is_socket_alive(self, sock: socket.socket | None) -> bool:
         if sock is None or sock.fileno() < 0:
             return False
--- a/papayalink/transport/request_delivery.py
+++ b/papayalink/transport/request_delivery.py
@@ -62,6 +62,24 @@
             sock.settimeout(timeout_s)
 
 
+def confirm_within_timeout(sock: socket.socket, size: int) -> None:
+    """The same, within the time-out of the socket.
+
+    Args:
+        size: bytes of the request.
+    Raises:
+        OSError: the connection was reset, or the peer took in too little.
+    """
+    timeout_s = sock.gettimeout()
+    if timeout_s is None:
+        timeout_s = STALL_TIMEOUT_S
+    deadline = time.monotonic() + timeout_s
+    try:
+        confirm(sock, size, lambda: deadline - time.monotonic())
+    except errors.TransportError as error:
+        raise ConnectionResetError(str(error)) from error
+
+
 def _confirm(
     sock: socket.socket,
     size: int,
@@ -71,20 +89,19 @@
     progress_at = time.monotonic()
     outstanding = None
     while True:
-        _check_open(sock)
-        try:
-            unsent = unsent[sock.send(unsent) :] if unsent else unsent
-        except BlockingIOError:
-            pass
+        if unsent:
+            try:
+                unsent = unsent[sock.send(unsent) :]
+            except BlockingIOError:
+                pass
         unacknowledged = _unacknowledged_bytes(sock)
-        now = time.monotonic()
+        _check_open(sock, unacknowledged)
         if not unsent:
             if unacknowledged == 0:
-                # A reset may have come between the two looks.
-                _check_open(sock)
                 return
             if unacknowledged is None and size <= _UNTOLD_BYTES:
                 return
+        now = time.monotonic()
         left = len(unsent) + (unacknowledged or 0)
         if outstanding is None or left < outstanding:
             outstanding = left
@@ -100,11 +117,14 @@
         gevent.sleep(min(_POLL_PERIOD_S, time_left_s))
 
 
-def _check_open(sock: socket.socket) -> None:
+def _check_open(sock: socket.socket, unacknowledged: int | None) -> None:
     """Raises: OSError: the connection was reset, or closed here."""
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
         raise OSError(error, "connection was reset")
+    if not unacknowledged:
+        return
+    # The error is told once, to whoever asked first.
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     except (OSError, AttributeError):
@@ -117,7 +137,7 @@
     """Returns: bytes sent but not acknowledged, None if it is not told."""
     try:
         answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, _OUTQ.pack(-1))
-    except OSError:
+    except (OSError, ValueError):
         return None
     (count,) = _OUTQ.unpack(answer)
     return count if count >= 0 else None
--- a/tests/adapters/test_early_replies.py
+++ b/tests/adapters/test_early_replies.py
@@ -72,27 +72,18 @@
 @pytest.mark.parametrize("limit", ["stall", "time-out"])
 def test_service_that_reads_no_more_counts_as_lost(start, monkeypatch, limit):
     """Guards against a call that waits without end."""
-    monkeypatch.setitem(
-        early_answers._ENDS,
-        "end-idle",
-        lambda sock: (sock.shutdown(1), gevent.sleep(60)),
-    )
     if limit == "stall":
         monkeypatch.setattr(request_delivery, "STALL_TIMEOUT_S", 0.2)
     outcome = service.make_service(
-        start("end-idle"), read_timeout_s=60.0 if limit == "stall" else 0.3
+        start(early_answers.STUCK),
+        read_timeout_s=60.0 if limit == "stall" else 0.3,
     ).call("POST", "/", [], b"x" * early_answers.MEDIUM)
     assert isinstance(outcome, service.OutcomeUnknown)
 
 
-def test_exchange_that_is_closed_while_it_waits_fails(start, monkeypatch):
+def test_exchange_that_is_closed_while_it_waits_fails(start):
     """Guards against an error that the callers of an exchange don't expect."""
-    monkeypatch.setitem(
-        early_answers._ENDS,
-        "end-idle",
-        lambda sock: (sock.shutdown(1), gevent.sleep(60)),
-    )
-    connector = connection.Connector(start("end-idle"), 1.0)
+    connector = connection.Connector(start(early_answers.STUCK), 1.0)
     exchange = connector.open("POST", "/", 60.0, (), b"x" * 20_000)
     gevent.spawn_later(0.2, exchange.close)
     with pytest.raises(connection.FAILURES):
--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -70,6 +70,11 @@
     _read_to_end(sock)
 
 
+def _end_and_stand_still(sock):
+    sock.shutdown(socket.SHUT_WR)
+    gevent.sleep(60)
+
+
 def _read_and_end(sock):
     sock.settimeout(0.05)
     for _ in range(4):
@@ -109,7 +114,9 @@
     "end-read-later": _end_and_read_later,
     "read-end": _read_and_end,
 }
-_ENDS = FAULTY | SOUND
+# Ends its answer and reads nothing more, without a reset.
+STUCK = "end-still"
+_ENDS = FAULTY | SOUND | {STUCK: _end_and_stand_still}
 FAULTY_CASES = [
     (size, end)
     for size in (LARGE, MEDIUM, SMALL)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -17,6 +17,7 @@
 from papayalink.transport import errors
 from papayalink.transport import http_client
 from tests import cut_answers
+from tests import early_answers
 from tests import permuted_hub
 
 BACKLOG = 4
@@ -125,6 +126,27 @@
         ), cut
 
 
+@pytest.mark.parametrize(
+    ("size", "end"), early_answers.FAULTY_CASES + early_answers.SOUND_CASES
+)
+def test_part_of_a_response_is_not_taken_for_a_whole_one(size, end):
+    """Guards against an end with a reset behind it that looks regular."""
+    server = early_answers.EarlyServer(end)
+    signer = SimpleNamespace(
+        sign_request=lambda *_: (b"s", b"n"), verify_reply=lambda *_: None
+    )
+    client = http_client.make_client(signer, 5.0)
+    try:
+        response = client.send(server.address, "POST", "/", b"x" * size)
+        body = response.read()
+    except errors.ConnectionLost:
+        body = None
+    finally:
+        client.close()
+        server.server.stop()
+    assert body == (b"part" if end in early_answers.SOUND else None)
+
+
 def test_kept_connection_with_a_high_descriptor_is_reused():
     """Guards against a connection for each call of a busy process."""
     pool = http_client._Client("127.0.0.1", 1, 1.0)._connection_pool
--- a/tests/transport/test_request_delivery.py
+++ b/tests/transport/test_request_delivery.py
@@ -84,29 +84,16 @@
             call(size, end)
 
 
-@pytest.fixture
-def stuck(monkeypatch):
-    """An upstream that ends its answer and then reads nothing."""
-    monkeypatch.setitem(
-        early_answers._ENDS,
-        "end-idle",
-        lambda sock: (sock.shutdown(1), gevent.sleep(60)),
-    )
-    return "end-idle"
-
-
 @pytest.mark.parametrize("size", [early_answers.LARGE, early_answers.MEDIUM])
-def test_upstream_that_reads_no_more_counts_as_lost(
-    call, monkeypatch, stuck, size
-):
+def test_upstream_that_reads_no_more_counts_as_lost(call, monkeypatch, size):
     """Guards against a call that waits for its whole time."""
     monkeypatch.setattr(request_delivery, "STALL_TIMEOUT_S", 0.2)
     with pytest.raises(errors.ConnectionLost):
-        call(size, stuck, lambda: 60.0)
+        call(size, early_answers.STUCK, lambda: 60.0)
 
 
 @pytest.mark.parametrize("size", [early_answers.LARGE, early_answers.MEDIUM])
-def test_wait_for_the_upload_ends_with_the_time_of_the_call(call, stuck, size):
+def test_wait_for_the_upload_ends_with_the_time_of_the_call(call, size):
     """Guards against a call that outlasts its deadline."""
     left_s = [5.0] * 3 + [0.1] * 3
 
@@ -114,12 +101,14 @@
         return left_s.pop(0) if left_s else 0.0
 
     with pytest.raises(errors.Timeout):
-        call(size, stuck, remaining_s)
+        call(size, early_answers.STUCK, remaining_s)
 
 
-def test_other_greenlets_run_and_may_end_the_wait(call, stuck):
+def test_other_greenlets_run_and_may_end_the_wait(call):
     """Guards against a wait that a caller's hang-up does not interrupt."""
-    waiting = gevent.spawn(call, early_answers.MEDIUM, stuck, lambda: 60.0)
+    waiting = gevent.spawn(
+        call, early_answers.MEDIUM, early_answers.STUCK, lambda: 60.0
+    )
     gevent.sleep(0.2)
     assert not waiting.dead
     waiting.kill(timeout=1.0)
@@ -135,7 +124,7 @@
     ],
     ids=["length", "chunked"],
 )
-def test_answer_with_an_end_of_its_own_waits_for_nothing(call, stuck, answer):
+def test_answer_with_an_end_of_its_own_waits_for_nothing(call, answer):
     """Guards against waits for replicas that read no upload."""
     size = early_answers.MEDIUM
-    assert call(size, stuck, lambda: 60.0, answer) == b"part"
+    assert call(size, early_answers.STUCK, lambda: 60.0, answer) == b"part"
