Take an answer without a valid status for none

Callers of gateways got statuses of 600 to 999 as they came from a replica, those of agents too. h11 and llhttp let three digits up to 999 pass; 000, 099, 101, and what has not three digits, were refused by the parsers alone, without a test.

RFC 9110 (15) calls what is outside 100 to 599 invalid. Such an answer is none now: 502 or an unknown outcome, and another attempt where the call may be repeated. It is no failure of the replica, since that would bear its stamp and status. The same for a peer's response; the parser of adapters names 101 and what is below 100 itself.

--- a/papayalink/adapters/reply_parser.py
+++ b/papayalink/adapters/reply_parser.py
@@ -2,7 +2,11 @@
 
 from geventhttpclient import response as responses
 
+_LOWEST_STATUS = 100
 _LOWEST_FINAL_STATUS = 200
+# A status beyond it is invalid (RFC 9110, section 15).
+_HIGHEST_STATUS = 599
+_SWITCHING_PROTOCOLS = 101
 
 
 class ReplyParser(responses.HTTPSocketResponse):
@@ -15,6 +19,9 @@
     The library also parses what follows a reply in the same segment, and
     joins its body to that of the reply. Here the reply ends with its own
     message, and its connection is not used again.
+
+    A reply with an invalid status is none, nor is one that switches to a
+    protocol that nobody asked for.
     """
 
     def __init__(self, *arguments: object, **options: object) -> None:
@@ -50,6 +57,13 @@
 
     def _on_headers_complete(self) -> int | bool | None:
         status = self.get_code()
+        if (
+            not _LOWEST_STATUS <= status <= _HIGHEST_STATUS
+            or status == _SWITCHING_PROTOCOLS
+        ):
+            raise responses.HTTPProtocolViolationError(
+                f"invalid status {status}"
+            )
         if status >= _LOWEST_FINAL_STATUS:
             self._final_status = status
         return super()._on_headers_complete()
--- a/papayalink/transport/http_client.py
+++ b/papayalink/transport/http_client.py
@@ -20,6 +20,8 @@
 # streams that one process may keep open to another.
 MAX_CONNECTIONS = 512
 _READ_BLOCK_BYTES = 65_536
+# A status beyond it is invalid (RFC 9110, section 15).
+_HIGHEST_STATUS = 599
 
 
 class _Socket(socket.socket):
@@ -161,6 +163,9 @@
         with _translated_errors():
             response = _request(client, method, path, body, all_headers)
         answer = Response(response)
+        if answer.status > _HIGHEST_STATUS:
+            answer.close()
+            raise errors.ConnectionLost(f"invalid status {answer.status}")
         try:
             self._verify_signature(answer, nonce)
         except errors.AuthenticationFailed:
--- a/papayalink/transport/upstream_channel.py
+++ b/papayalink/transport/upstream_channel.py
@@ -22,6 +22,8 @@
 # needs five.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_RATIO = 16
+# A status beyond it is invalid (RFC 9110, section 15).
+_HIGHEST_STATUS = 599
 # Answers to earlier calls that are skipped before the answer to a call.
 MAX_SKIPPED_ANSWERS = 2
 # Fraction of an upstream's idle time-out for which a connection is reused. It
@@ -150,6 +152,10 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             match self._next_event(remaining_s):
                 case h11.Response() as head:
+                    if head.status_code > _HIGHEST_STATUS:
+                        raise errors.ConnectionLost(
+                            f"invalid status {head.status_code}"
+                        )
                     self.note_progress()
                     return head
                 case h11.InformationalResponse():
