Refuse HTTP requests that do not arrive as a whole

Callers of operators' servers, entries, agents, stores and the console saw three things. A request that ended within its head was run with what had come of it, e.g. a call of a service without its body, or with a part of its key. A body in chunks was taken for an empty one by entries, operators' documents and the console. A request that was half read at the end of a stop got no answer, and one whose body did not come on held up the stop.

Cause: the library's parser takes the end of the connection for the end of the head; falcon's bounded_stream is empty without Content-Length; and the stop waited for bodies as for requests that run.

All bytes of a connection now come through one source, which raises where the connection ends, or is silent for 30 s, within a request: 400 or 408. At the end of a stop the rest gets 503 with Retry-After: 0. Contradictory lengths get 400, and operators' bodies above the limit 413.

Measured: tests/transport/test_half_read_requests.py passes (175 cases).

--- a/papayalink/console/api.py
+++ b/papayalink/console/api.py
@@ -187,12 +187,15 @@
     Raises:
         falcon.HTTPContentTooLarge: the body is longer than max_bytes.
     """
-    if (request.content_length or 0) > max_bytes:
-        raise falcon.HTTPContentTooLarge(
-            title="The request is too large",
-            description=f"Send at most {max_bytes} bytes.",
-        )
-    return request.bounded_stream.read()
+    if (request.content_length or 0) <= max_bytes:
+        # The server ends the stream with the body, whatever its framing.
+        data = request.stream.read(max_bytes + 1)
+        if len(data) <= max_bytes:
+            return data
+    raise falcon.HTTPContentTooLarge(
+        title="The request is too large",
+        description=f"Send at most {max_bytes} bytes.",
+    )
 
 
 def http_status(outcome: configuration.ApplyOutcome) -> str:
--- a/papayalink/platform/operator_api.py
+++ b/papayalink/platform/operator_api.py
@@ -17,6 +17,16 @@
     version: int
 
 
+def _read_body(request: falcon.Request) -> bytes:
+    # The server ends the stream with the body, whatever its framing.
+    data = request.stream.read(MAX_BODY_BYTES + 1)
+    if len(data) > MAX_BODY_BYTES:
+        raise falcon.HTTPContentTooLarge(
+            title=f"the body exceeds {MAX_BODY_BYTES} bytes"
+        )
+    return data
+
+
 class _Documents:
     """Stores and returns the whole document."""
 
@@ -28,7 +38,7 @@
     def on_put(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
-        data = request.bounded_stream.read(MAX_BODY_BYTES)
+        data = _read_body(request)
         try:
             traffic = document.translate(data)
         except errors.DocumentInvalid as error:
@@ -60,7 +70,7 @@
     def on_post(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
-        data = request.bounded_stream.read(MAX_BODY_BYTES)
+        data = _read_body(request)
         try:
             weights = msgspec.json.decode(data, type=_Weights)
         except (
--- a/papayalink/roles/entry/callers.py
+++ b/papayalink/roles/entry/callers.py
@@ -98,7 +98,7 @@
 def _read_body(request: falcon.Request, limit: int) -> bytes:
     if request.content_length and request.content_length > limit:
         raise _Refusal(413, "too_large", f"the body exceeds {limit} bytes")
-    data = request.bounded_stream.read(limit + 1)
+    data = request.stream.read(limit + 1)
     if len(data) > limit:
         raise _Refusal(413, "too_large", f"the body exceeds {limit} bytes")
     return data
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -19,6 +19,7 @@
 from papayalink.transport import arrival_times
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
+from papayalink.transport import lingering
 from papayalink.transport import request_wait
 from papayalink.transport import responders
 
@@ -33,9 +34,6 @@
 _SERVICE_UNAVAILABLE = 503
 # Promises nothing: the request may have been passed on.
 _BAD_GATEWAY = 502
-# Time within which a caller reads the last answer of a connection on which it
-# has sent more.
-_LINGERING_CLOSE_S = 2.0
 
 
 class Request:
@@ -212,7 +210,7 @@
             with contextlib.closing(sock):
                 self._serve_requests(sock)
                 if readiness.has_unread_bytes(sock):
-                    _linger(sock)
+                    lingering.linger(sock)
         except (
             errors.TransportError,
             errors.CallerGone,
@@ -394,7 +392,7 @@
                     refused.status, refused.headers
                 )
             )
-        _linger(sock)
+        lingering.linger(sock)
 
 
 class _Receiver:
@@ -436,19 +434,6 @@
         tasks.discard(task)
 
 
-def _linger(sock: socket.socket) -> None:
-    """Wait until a caller that has sent more has read its last answer.
-
-    With unread bytes, close() would reset the connection, and the caller might
-    lose the answer.
-    """
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(_LINGERING_CLOSE_S, False):
-            while sock.recv(_READ_BYTES):
-                pass
-
-
 def _ends_with_connection(connection: h11.Connection) -> bool:
     """Returns: whether a begun response would end by a regular close."""
     return (
--- a/papayalink/transport/errors.py
+++ b/papayalink/transport/errors.py
@@ -57,6 +57,22 @@
     """
 
 
+class RequestIncomplete(BaseException):
+    """The rest of a request does not arrive, so that it must not be run.
+
+    Like gevent.GreenletExit it is not an Exception: an application that reads
+    the request must not answer it as a failure of its own.
+
+    Args:
+        status: HTTP status for the caller.
+        reason: human-readable reason.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
 class CallerGone(BaseException):
     """The caller hung up, so nobody waits for the answer.
 
--- a/papayalink/transport/http_server.py
+++ b/papayalink/transport/http_server.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 import contextlib
+import io
 import time
 from typing import Any
 
 import gevent
-from gevent import event
 from gevent import pool
 from gevent import pywsgi
 from gevent import socket
@@ -18,7 +17,10 @@
 from papayalink.transport import auth
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
+from papayalink.transport import lingering
+from papayalink.transport import request_source
 from papayalink.transport import request_wait
+from papayalink.transport import responders
 
 WsgiApp = Callable[[dict, Callable], Iterable[bytes]]
 
@@ -30,6 +32,9 @@
 # Errors that cut off a response, so that it does not look complete. They are
 # not logged.
 _ABORT_ERRORS = (OSError, errors.ResponseAborted, errors.CallerGone)
+# Errors of a request that has not arrived as a whole, and was not run.
+_HALF_READ_ERRORS = (errors.RequestIncomplete, errors.ServerStops)
+_SERVICE_UNAVAILABLE = 503
 
 
 class _ErrorLog:
@@ -58,27 +63,50 @@
         # Head and body are written separately; without TCP_NODELAY the body
         # would wait about 40 ms for a delayed acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().__init__(sock, address, server)
+        self._source = request_source.make_request_source(
+            sock, server.requests
+        )
+        rfile = io.BufferedReader(self._source)
+        super().__init__(sock, address, server, rfile)
+
+    def handle_one_request(self) -> Any:
+        try:
+            return super().handle_one_request()
+        except _HALF_READ_ERRORS as error:
+            self._refuse(error)
+            return None
 
     def read_requestline(self) -> str:
-        if not self._has_buffered_bytes() and not self.server.waits.wait(
+        self._source.begun = self._has_buffered_bytes()
+        if not self._source.begun and not self.server.waits.wait(
             self.socket, None
         ):
             return ""
         return super().read_requestline()
 
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Read the header fields; raised errors are answered with 400."""
+        headers = super().MessageClass(*args)
+        _check_framing(headers)
+        return headers
+
     def _has_buffered_bytes(self) -> bool:
         """Returns: whether a request follows the last one without a pause."""
-        # With a time-out, peek() would wait for bytes.
-        self.socket.settimeout(0)
+        self._source.blocking = False
         try:
             return bool(self.rfile.peek(1))
         finally:
-            self.socket.settimeout(None)
+            self._source.blocking = True
 
     def handle_one_response(self) -> None:
-        with self.server.count_request():
-            super().handle_one_response()
+        if self.server.requests.ended:
+            raise errors.ServerStops("server ends")
+        self._source.answering = True
+        try:
+            with self.server.requests.answering():
+                super().handle_one_response()
+        finally:
+            self._source.answering = False
 
     def get_environ(self) -> dict:
         environ = super().get_environ()
@@ -101,12 +129,33 @@
     def handle_error(
         self, error_type: type, value: Any, traceback: Any
     ) -> None:
+        if isinstance(value, _HALF_READ_ERRORS):
+            self.close_connection = True
+            if not self.headers_sent:
+                self._refuse(value)
+            return
         if isinstance(value, _ABORT_ERRORS):
             self.close_connection = True
             self.rqst_aborted = True
             return
         super().handle_error(error_type, value, traceback)
 
+    def _refuse(
+        self, error: errors.RequestIncomplete | errors.ServerStops
+    ) -> None:
+        """Answer a request that has not arrived as a whole."""
+        status, headers = _SERVICE_UNAVAILABLE, [(b"Retry-After", b"0")]
+        if isinstance(error, errors.RequestIncomplete):
+            status, headers = error.status, []
+        logs.get_logger().info(
+            "request_not_readable", status=status, reason=error
+        )
+        with contextlib.suppress(OSError):
+            self.socket.sendall(
+                responders.encode_last_response(status, headers)
+            )
+        lingering.linger(self.socket)
+
 
 class _Server(pywsgi.WSGIServer):
     """Server whose responses announce, while it stops, that it closes."""
@@ -115,9 +164,7 @@
         self.is_stopping = False
         self.waits = request_wait.make_request_waits(_IN_TRANSIT_DELAY_S)
         self.tasks = pool.Pool()
-        self.in_flight = 0
-        self.all_answered = event.Event()
-        self.all_answered.set()
+        self.requests = request_source.make_requests()
         super().__init__(
             address,
             app,
@@ -127,17 +174,6 @@
             handler_class=_Handler,
         )
 
-    @contextlib.contextmanager
-    def count_request(self) -> Iterator[None]:
-        self.in_flight += 1
-        self.all_answered.clear()
-        try:
-            yield
-        finally:
-            self.in_flight -= 1
-            if not self.in_flight:
-                self.all_answered.set()
-
 
 class HttpServer:
     """Serves one WSGI application.
@@ -160,7 +196,7 @@
     @property
     def in_flight(self) -> int:
         """Number of requests whose response is not complete."""
-        return self._server.in_flight
+        return self._server.requests.in_flight
 
     def start(self) -> None:
         self._server.start()
@@ -171,34 +207,61 @@
         The application must already refuse new work. Requests on idle
         connections and on those in the accept queue are still answered,
         because otherwise their senders could not tell whether they were run.
+        A request of which a part is still missing at the end is refused.
 
         Args:
             timeout_s: longest wait, None to wait until all are answered.
         Returns: whether all requests were answered within the time-out.
         """
+        last_s = 0.0
+        if timeout_s is not None:
+            last_s = _LAST_REFUSALS_SHARE * timeout_s
+            timeout_s -= last_s
         with gevent.Timeout(timeout_s, False):
             self._stop()
             return True
-        return False
+        self._server.requests.end()
+        self._close_port()
+        self._server.waits.stop(last_s)
+        self._server.tasks.join(last_s)
+        return not self.in_flight
 
     def _stop(self) -> None:
         self._server.is_stopping = True
-        self._server.all_answered.wait()
-        request_wait.accept_all(self._server)
-        self._server.close()
+        self._server.requests.all_answered.wait()
+        self._close_port()
         gevent.sleep(_IN_TRANSIT_DELAY_S)
         self._server.waits.stop()
-        while not self._server.tasks.join(_HALF_READ_WAIT_S):
-            if not self._server.in_flight:
-                # Only callers are left that sent a part of a request's head.
-                break
+        if not self._server.tasks.join(_HALF_READ_WAIT_S):
+            self._server.requests.end()
+            self._server.tasks.join()
+
+    def _close_port(self) -> None:
+        if not self._server.closed:
+            request_wait.accept_all(self._server)
+            self._server.close()
 
 
 # Time for requests that were in transit when the port was closed. One-way
 # delays are little more than 1 ms; the rest allows for a busy machine.
 _IN_TRANSIT_DELAY_S = 0.3
-# Time within which a caller sends the rest of a request's head.
+# Time within which a caller sends the rest of a request.
 _HALF_READ_WAIT_S = 2.0
+# Part of the time of a stop that is kept for refusals at its end.
+_LAST_REFUSALS_SHARE = 0.1
+
+
+def _check_framing(headers: Any) -> None:
+    """Refuse framing that different parsers may interpret differently.
+
+    Raises: ValueError
+    """
+    codings = headers.get_all("transfer-encoding", [])
+    lengths = headers.get_all("content-length", [])
+    if codings and [coding.lower() for coding in codings] != ["chunked"]:
+        raise ValueError("unknown Transfer-Encoding")
+    if len(lengths) + len(codings) > 1:
+        raise ValueError("several lengths of a request")
 
 
 def make_server(address: tuple[str, int], app: WsgiApp) -> HttpServer:
