Refuse calls at their deadline that replicas only refused

Callers got 504, an unknown outcome, if each replica that had their call refused it and the deadline passed before another one got it.

Cause: Attempts counted the replicas that a call was sent to, and not whether one of them may have run it.

At the deadline such a call now gets 503 with Retry-After. One that an earlier replica may have run, or that is being sent, gets 504 as before.

--- a/papayalink/coordination/attempts.py
+++ b/papayalink/coordination/attempts.py
@@ -119,6 +119,7 @@
             budget_allows: whether the retry budget has room for another
                 attempt; this method does not charge the budget.
         """
+        may_have_run = self.may_have_run
         self._sending = False
         match outcome:
             case NotSent():
@@ -141,10 +142,8 @@
                     return TryAgain()
                 return PassOn()
             case Expired():
-                if self._sent:
-                    self._may_have_run = True
-                    return GiveUp(504)
-                return Refuse()
+                self._may_have_run = may_have_run
+                return GiveUp(504) if may_have_run else Refuse()
 
     def _can_repeat(self, budget_allows: bool) -> bool:
         return (
--- a/tests/coordination/test_attempts.py
+++ b/tests/coordination/test_attempts.py
@@ -43,6 +43,25 @@
     assert call.decide(attempts.Expired(), True) == attempts.Refuse()
 
 
+@pytest.mark.parametrize(
+    ("first", "begins_again", "expected"),
+    [
+        (attempts.NotRun(1.0), False, attempts.Refuse()),
+        (attempts.NotRun(1.0), True, attempts.GiveUp(504)),
+        (_LOST, False, attempts.GiveUp(504)),
+        (_LOST, True, attempts.GiveUp(504)),
+    ],
+)
+def test_deadline_after_a_first_attempt(first, begins_again, expected):
+    """Guards against an unknown outcome of a call that was only refused."""
+    call = attempts.make_attempts(_IDEMPOTENT, 3)
+    call.note_sending()
+    assert call.decide(first, True) == _AGAIN
+    if begins_again:
+        call.note_sending()
+    assert call.decide(attempts.Expired(), True) == expected
+
+
 def test_refusal_after_a_lost_attempt_is_not_reported_as_not_run():
     # The first upstream may have run the call; the second refused it.
     call = attempts.make_attempts(_IDEMPOTENT, 3)
