Go on with the held document if a newer one can't be used

A gateway whose version does not accept a document that the group has stored ended with exit code 70 and all its calls, again after each start; a member failed alike while it applied the document. Members check a document before they store it, so it takes members and gateways of different versions.

Cause: an error in reading the document ended the task that follows it, or the member's replica.

A gateway goes on with the document that it holds, asks for what follows the newest number that it has seen, and takes the next usable one, never an older one. It stays ready; its log (document_unusable), a gauge, its dump and the document's age tell of it. A member keeps the document, hands it out, and follows the stores of the last one that it could read.

--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -206,8 +206,16 @@
         numbered = self._machine.numbered
         if numbered.number > self._followed_number:
             self._followed_number = numbered.number
-            stores = self._translate(numbered.content).stores
-            self._stores.set_stores(stores)
+            try:
+                stores = self._translate(numbered.content).stores
+            except Exception:
+                # Members of another version may accept what this one does
+                # not. The stores of the last document are followed on.
+                self._node.log.exception(
+                    "document_unusable", number=numbered.number
+                )
+            else:
+                self._stores.set_stores(stores)
         self._service.note_applied()
 
     def _run_replica(self) -> None:
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -178,6 +178,7 @@
         return {
             "process": self._node.identity,
             "document": self._watcher.number,
+            "unusable_document": self._watcher.unusable_number,
             "document_age_s": self._watcher.age_s(),
             "weights": self._watcher.weights,
             "list_age_s": self._listing.age_s(),
@@ -194,6 +195,9 @@
                 self._channels.opened_connections
             ),
             "document_number": lambda: self._watcher.number,
+            "unusable_document_number": lambda: (
+                self._watcher.unusable_number
+            ),
             "suspected_parts": lambda: len(self._crashes.suspects),
             "retry_share": self._parts.retry_share,
         }
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -50,8 +50,9 @@
 class Watcher:
     """Holds the newest document that a control member confirmed.
 
-    The document stays in force when no member answers: an entry without a
-    connection to them continues with what it has.
+    The document stays in force when no member answers, and when a newer one
+    can't be used: an entry continues with what it has. It never goes back to
+    an older one.
 
     Args:
         translate: decodes an operator's document.
@@ -71,6 +72,7 @@
         "_applied_at",
         "_failure",
         "_number",
+        "_unusable_number",
         "_directory",
         "_weights",
         "_confirmed_at",
@@ -102,6 +104,8 @@
         self._applied_at = float("-inf")
         self._failure: object = ""
         self._number = 0
+        # Of the newest document that could not be used.
+        self._unusable_number = 0
         self._directory: traffic.TrafficDirectory | None = None
         self._weights: dict[str, int] = {}
         self._confirmed_at: float | None = None
@@ -122,6 +126,13 @@
     def number(self) -> int:
         return self._number
 
+    @property
+    def unusable_number(self) -> int:
+        """Number of a newer document that can't be used, 0 for none."""
+        if self._unusable_number > self._number:
+            return self._unusable_number
+        return 0
+
     @property
     def weights(self) -> dict[str, int]:
         """Newest named weight version by model."""
@@ -143,7 +154,7 @@
         return self._loaded
 
     def age_s(self) -> float:
-        """Returns: seconds since a member confirmed the document."""
+        """Returns: seconds since a member confirmed it as the newest."""
         if self._confirmed_at is None:
             return float("inf")
         return time.monotonic() - self._confirmed_at
@@ -208,7 +219,7 @@
     def _ask(self, address: str, wait_ms: int) -> None:
         watch = messages.Watch(
             self._node.settings.name,
-            self._number,
+            max(self._number, self._unusable_number),
             self._weights,
             wait_ms,
             self._loading,
@@ -278,7 +289,6 @@
     def _apply_reply(
         self, reply: messages.WatchReply, address: str, asked_at: float
     ) -> None:
-        self._confirmed_at = time.monotonic()
         self._leader = reply.leader
         if reply.members:
             known = [
@@ -291,13 +301,9 @@
             if address in self._members:
                 self._members.remove(address)
                 self._members.insert(0, address)
-        changed = False
-        if reply.number > self._number and reply.document:
-            document = self._translate(reply.content)
-            self._directory = traffic.make_directory(document)
-            self._number = reply.number
-            changed = True
-            self._log.info("document_in_force", number=self._number)
+        changed = self._apply_document(reply)
+        if not self.unusable_number:
+            self._confirmed_at = time.monotonic()
         for model, version in reply.weights.items():
             if version > self._weights.get(model, 0):
                 self._weights = {**self._weights, model: version}
@@ -317,6 +323,26 @@
             if self._directory is not None:
                 self._has_document.set()
 
+    def _apply_document(self, reply: messages.WatchReply) -> bool:
+        """Returns: whether a newer document has come into force."""
+        known = max(self._number, self._unusable_number)
+        if reply.number <= known or not reply.document:
+            return False
+        try:
+            document = self._translate(reply.content)
+            directory = traffic.make_directory(document)
+        except Exception:
+            # Members of another version may accept what this one does not.
+            self._unusable_number = reply.number
+            self._log.exception(
+                "document_unusable", number=reply.number, held=self._number
+            )
+            return False
+        self._directory = directory
+        self._number = reply.number
+        self._log.info("document_in_force", number=self._number)
+        return True
+
 
 def make_watcher(
     node: nodes.Node,
