--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -17,6 +17,7 @@
 from papayalink.state import traffic
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
+from papayalink.transport import lingering
 from papayalink.transport import request_reader
 from papayalink.transport import request_wait
 from papayalink.transport import responders
@@ -24,7 +25,6 @@
 # Length of the accept queue: twice the number of connections that arrive
 # within a second at one entry of a deployment of the design size.
 ACCEPT_BACKLOG = 512
-_READ_BYTES = 65_536
 # Time that a stopping server waits for the request of a caller that has just
 # connected, or has just had an answer that could not announce the close.
 _LAST_REQUEST_WAIT_S = 0.25
@@ -32,9 +32,6 @@
 _SERVICE_UNAVAILABLE = 503
 # Promises nothing: the request may have been passed on.
 _BAD_GATEWAY = 502
-# Time within which a caller reads the last answer of a connection on which it
-# has sent more.
-_LINGERING_CLOSE_S = 2.0
 
 Handler = Callable[[request_reader.Request, responders.Responder], None]
 
@@ -164,7 +161,7 @@
             with contextlib.closing(sock):
                 self._serve_requests(sock)
                 if readiness.has_unread_bytes(sock):
-                    _linger(sock)
+                    lingering.linger(sock)
         except (
             errors.TransportError,
             errors.CallerGone,
@@ -314,7 +311,7 @@
                     refused.status, refused.headers
                 )
             )
-        _linger(sock)
+        lingering.linger(sock)
 
 
 def _make_stop_refusal() -> request_reader.Refused:
@@ -347,19 +344,6 @@
         return False
 
 
-def _linger(sock: socket.socket) -> None:
-    """Wait until a caller that has sent more has read its last answer.
-
-    With unread bytes, close() would reset the connection, and the caller might
-    lose the answer.
-    """
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(_LINGERING_CLOSE_S, False):
-            while sock.recv(_READ_BYTES):
-                pass
-
-
 def _ends_with_connection(connection: h11.Connection) -> bool:
     """Returns: whether a begun response would end by a regular close."""
     return (
