Let stubs of gateways listen apart from outgoing connections

What was seen: four tests of tests/roles/gateway failed in one run beside others on the machine (load average 10 to 15), three of them in their set-up: "Address already in use: ('127.0.0.1', 0)".

Cause: the stubs asked the system for ports of 127.0.0.1, from which all connections on loopback come. /proc/net/sockstat counted 51,184 sockets in TIME_WAIT then, of 28,232 ports. On that address 117 of 200 ports that the system gave had to be of the half that it keeps for connections; on 127.0.0.2 none of 200, and none was refused.

Change: they listen on 127.0.0.2.

The fourth, test_plain_call_whose_answer_is_cut[safe-chunked-reset], failed by its check (200, b"ok", 2, False) after 108 bytes, and is not traced.

--- a/tests/roles/gateway/sites.py
+++ b/tests/roles/gateway/sites.py
@@ -62,9 +62,9 @@
         self._crashing = crashing
         self._last_words = last_words
         self._sockets = []
-        self._server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = servers.StreamServer((stubs.HOST, 0), self._serve)
         self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
+        self.address = f"{stubs.HOST}:{self._server.server_port}"
 
     def _serve(self, sock, address):
         self._sockets.append(sock)
--- a/tests/roles/gateway/standing_still.py
+++ b/tests/roles/gateway/standing_still.py
@@ -41,7 +41,7 @@
         self._going.set()
         self._fillers = []
         listener = socket.socket()
-        listener.bind(("127.0.0.1", 0))
+        listener.bind((stubs.HOST, 0))
         listener.listen(_BACKLOG)
         self.server = servers.StreamServer(listener, self._serve_unless_paused)
         self.server.start()
@@ -70,7 +70,7 @@
         self._fillers.append(filler)
         filler.settimeout(_FILL_TIMEOUT_S)
         try:
-            filler.connect(("127.0.0.1", self.server.server_port))
+            filler.connect((stubs.HOST, self.server.server_port))
         except TimeoutError:
             return False
         return True
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -28,6 +28,10 @@
 from papayalink.transport import upstream_channels
 from tests.transport import sockets
 
+# Not the address from which connections on loopback come. Those of all runs on
+# a machine may take each port of that address that the system gives out, and
+# keep them for a minute after their end.
+HOST = "127.0.0.2"
 STAMP = b"Papayalink-Server-Stamp: s\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + STAMP + b"Content-Length: 2\r\n\r\nok"
 ERROR = b"HTTP/1.1 500 No\r\n" + STAMP + b"Content-Length: 3\r\n\r\nbad"
@@ -65,12 +69,12 @@
         self.received = []
         self.hang_ups = 0
         self.connections = 0
-        self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server = servers.StreamServer((HOST, 0), self._serve)
         self.server.start()
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
+        return f"{HOST}:{self.server.server_port}"
 
     def next_steps(self, request):
         """Returns: the steps of the answer to a request."""
@@ -211,7 +215,7 @@
         )
         handler = handling.make_handler(self.shared)
         self.server = caller_server.make_caller_server(
-            ("127.0.0.1", 0),
+            (HOST, 0),
             handler.handle,
             handler.reject_late,
             lambda: document.limits,
--- a/tests/roles/gateway/test_endless_answers.py
+++ b/tests/roles/gateway/test_endless_answers.py
@@ -38,9 +38,9 @@
         self.most_sent_bytes = 0
         self._head = head
         self._block = block
-        self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server = servers.StreamServer((stubs.HOST, 0), self._serve)
         self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.address = f"{stubs.HOST}:{self.server.server_port}"
 
     def _serve(self, sock, address):
         sock.recv(65536)
