Keep calls from replicas that are silent together

Change: a replica is silent once nothing has come for twice as long as runs of a route usually take with a call that waits there, and half of the objective. A call stays while all others are overdue or have been silent for half as long. Last attempts, and those without room in the retry budget, have the limit at a replica from which nothing has come since it or another one fell silent. The time at a replica that said nothing all the while is no run; a run that fails after its limit is one.

--- a/papayalink/coordination/attempt_limits.py
+++ b/papayalink/coordination/attempt_limits.py
@@ -8,6 +8,10 @@
 # A call is overdue once nothing has come for this many times as long as it
 # usually takes until something comes, or as expected.
 OVERDUE_FACTOR = 4.0
+# A replica may stand still once nothing has come from it for both this many
+# times as long and this fraction of the latency objective, whatever waits.
+SILENCE_FACTOR = 2.0
+SILENCE_OBJECTIVE_FRACTION = 0.5
 # Fraction of the time left that the limit may take up. A call without room for
 # another attempt behind it gets all its time at once.
 MAX_SHARE_OF_TIME_LEFT = 0.5
@@ -35,6 +39,21 @@
     return OVERDUE_FACTOR * max(usual.first_s, expected_s)
 
 
+def silence_limit_s(
+    usual: run_times.Run, expected_s: float, objective_s: float
+) -> float:
+    """Returns: the silence after which a replica may stand still.
+
+    Args:
+        expected_s: predicted time to the first token, 0 for a plain call.
+        objective_s: latency objective of the route.
+    """
+    return max(
+        SILENCE_FACTOR * max(usual.first_s, expected_s),
+        SILENCE_OBJECTIVE_FRACTION * objective_s,
+    )
+
+
 def attempt_time_s(limit_s: float, left_s: float) -> float:
     """Returns: the time that a replica is given, of what the call has left."""
     if limit_s > MAX_SHARE_OF_TIME_LEFT * left_s:
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -37,6 +37,7 @@
         spoke_at: monotonic seconds of the last head or event of an answer,
             minus infinity for none. Unlike a new connection, which a kernel
             accepts, it shows that the replica's process runs.
+        sent_at: monotonic seconds of the last attempt, minus infinity if none.
         reached_at: monotonic seconds of the last new connection to it since it
             was last lost, minus infinity for none.
         lost_at: monotonic seconds since which it cannot be reached, minus
@@ -66,6 +67,9 @@
         "answered_at",
         "spoke_at",
         "_overdue_at",
+        "sent_at",
+        "_awaited",
+        "_silent_since",
         "reached_at",
         "lost_at",
         "refused_at",
@@ -97,6 +101,13 @@
         self.spoke_at = float("-inf")
         # When a call was last found to be overdue.
         self._overdue_at = float("-inf")
+        self.sent_at = float("-inf")
+        # Attempts that were sent and have not ended: when each was sent, and
+        # how long the replica may say nothing to it.
+        self._awaited: list[tuple[float, float]] = []
+        # Since when it has said nothing while an attempt waited, None if none
+        # waits and none was overdue before it was given up.
+        self._silent_since: float | None = None
         self.reached_at = float("-inf")
         self.lost_at = float("-inf")
         self.refused_at = float("-inf")
@@ -240,6 +251,57 @@
         if now - self.spoke_at > limit_s:
             self._overdue_at = now
 
+    def silent_s(self, now: float) -> float:
+        """Returns: seconds for which it has said nothing to what waits for it.
+
+        One with an overdue call stays silent until it speaks.
+        """
+        since = self._silent_since
+        return 0.0 if since is None else now - since
+
+    def is_silent(self, now: float, min_s: float = 0.0) -> bool:
+        """Returns: whether it says nothing for longer than is expected.
+
+        Args:
+            min_s: shortest silence that counts.
+        """
+        return self.overdue or any(
+            now - max(sent_at, self.spoke_at) > max(limit_s, min_s)
+            for sent_at, limit_s in self._awaited
+        )
+
+    def note_sent(self, now: float, limit_s: float) -> tuple[float, float]:
+        """Record that an attempt is sent, and waits for its answer.
+
+        Args:
+            limit_s: seconds for which the replica may say nothing to it.
+        Returns: what `note_ended` is told.
+        """
+        attempt = (now, limit_s)
+        self.sent_at = now
+        self._awaited.append(attempt)
+        if self._silent_since is None:
+            self._silent_since = now
+        return attempt
+
+    def note_spoke(self, now: float) -> None:
+        """Record the head or an event of an answer."""
+        self.spoke_at = now
+        self._silent_since = now if self._awaited else None
+
+    def note_ended(self, attempt: tuple[float, float]) -> None:
+        """Record that an attempt has ended.
+
+        What ends by itself, such as a connection that breaks, is no silence.
+        """
+        self._awaited.remove(attempt)
+        if not self._awaited and not self.overdue:
+            self._silent_since = None
+
+    def note_left(self, now: float) -> None:
+        """Record that a call was sent elsewhere since nothing came."""
+        self._overdue_at = now
+
     def begin_call(self, urgency: int, tokens: int = 0) -> None:
         """Count a call that is sent, and the tokens that it will hold."""
         self.calls[urgency] = self.calls.get(urgency, 0) + 1
--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -274,7 +274,7 @@
     ) -> Answered | Unanswered:
         self._member.heard_at = time.monotonic()
         self._member.answered_at = self._member.heard_at
-        self._member.spoke_at = self._member.heard_at
+        self._member.note_spoke(self._member.heard_at)
         self._progress = Progress.HEAD
         self._keep_alive_s = answer.keep_alive_s
         self._note_answer(answer)
@@ -342,7 +342,7 @@
                 self._progress = Progress.EVENTS
                 # Parts of an event do not show that a replica makes progress.
                 self._channel.note_progress()
-                self._member.spoke_at = self._member.heard_at
+                self._member.note_spoke(self._member.heard_at)
                 stream.note_events(self._member.heard_at)
                 self._responder.write(ready)
         if reader.partial_event:
--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -10,6 +10,7 @@
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import shared as shared_parts
+from papayalink.roles.gateway import silent_replicas
 from papayalink.state import traffic
 
 
@@ -34,6 +35,7 @@
         "_attempts",
         "_charges",
         "_record",
+        "_silent_replicas",
     )
 
     def __init__(
@@ -44,6 +46,7 @@
         call_attempts: attempts.Attempts,
         charges: repeat_charges.RepeatCharges,
         record: call_record.CallRecord,
+        silent: silent_replicas.SilentReplicas,
     ) -> None:
         self._shared = shared
         self._call = call
@@ -51,6 +54,7 @@
         self._attempts = call_attempts
         self._charges = charges
         self._record = record
+        self._silent_replicas = silent
 
     def for_next(
         self,
@@ -68,7 +72,10 @@
         if (
             usual is None
             or self._route.repeat is traffic.RepeatPolicy.ONCE
-            or not (member.overdue or self._may_be_followed(request))
+            or not (
+                self._silent_replicas.may_stand_still(member)
+                or self._may_be_followed(request)
+            )
         ):
             return left_s
         limit_s = attempt_limits.run_limit_s(
@@ -96,5 +103,8 @@
     call_attempts: attempts.Attempts,
     charges: repeat_charges.RepeatCharges,
     record: call_record.CallRecord,
+    silent: silent_replicas.SilentReplicas,
 ) -> AttemptTime:
-    return AttemptTime(shared, call, route, call_attempts, charges, record)
+    return AttemptTime(
+        shared, call, route, call_attempts, charges, record, silent
+    )
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -23,6 +23,7 @@
 from papayalink.roles.gateway import replica_wait
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import silence
+from papayalink.roles.gateway import silent_replicas
 from papayalink.roles.gateway import take_ups
 from papayalink.state import traffic
 from papayalink.transport import errors
@@ -55,6 +56,7 @@
         "_selection_request",
         "_replica_wait",
         "_silence",
+        "_silent_replicas",
         "_charges",
         "_attempt_time",
         "_keys",
@@ -111,8 +113,17 @@
         self._charges = repeat_charges.make_repeat_charges(
             shared.fleet, shared.budgets, self._service
         )
+        self._silent_replicas = silent_replicas.make_silent_replicas(
+            shared, route, self._record
+        )
         self._attempt_time = attempt_time.make_attempt_time(
-            shared, call, route, self._attempts, self._charges, self._record
+            shared,
+            call,
+            route,
+            self._attempts,
+            self._charges,
+            self._record,
+            self._silent_replicas,
         )
         self._silence = silence.make_silence_check(
             shared,
@@ -122,6 +133,7 @@
             self._charges,
             self._stream,
             self._record,
+            self._silent_replicas,
         )
         self._crash_guard = crash_guard.make_crash_guard(
             shared.crashes, self._keys
@@ -172,16 +184,16 @@
 
     def _try_once(self) -> bool:
         """Returns: whether to try again."""
-        now = time.monotonic()
         if self._remaining_s() < MIN_ATTEMPT_S:
             expired = attempt.Unanswered(attempts.Expired())
             return self._handle_unanswered(expired)
         if blocked := self._crash_guard.check():
             self._ending.without_replica(blocked.reason, blocked.retry_after_s)
             return False
-        fleet = self._shared.fleet
         self._shared.limits.note_call(self._service)
-        choice = fleet.choose(self._selection_request, self._record.tried, now)
+        choice = self._silent_replicas.choose(
+            self._selection_request, self._attempts.sent, self._silence.left
+        )
         if self._ends_too_late(choice):
             return False
         if choice is None and self._wait_for_replica():
@@ -335,11 +347,15 @@
         self._attempts.note_sending()
         self._charges.note_sending(member)
         self._record.note_sending(dispatch.remaining_ms)
+        awaited = member.note_sent(
+            time.monotonic(), self._silent_replicas.limit_s()
+        )
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
         try:
             result = sending_attempt.run(dispatch, self._stream)
         finally:
+            member.note_ended(awaited)
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
@@ -370,7 +386,9 @@
                 self._observations.note_answer(member, dispatch.salt, result)
             case attempt.Unanswered():
                 self._record.log_attempt(member, result)
-                if isinstance(result.outcome, attempts.Expired):
+                if observations.shows_run_time(
+                    member, result, sent_at, took_s, dispatch.remaining_ms
+                ):
                     self._note_run(took_s, took_s)
                 self._observations.note_failure(member, result, sent_at)
 
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -14,6 +14,7 @@
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import shared as shared_parts
+from papayalink.roles.gateway import silent_replicas
 from papayalink.state import replicas
 from papayalink.state import traffic
 from papayalink.transport import errors
@@ -52,7 +53,9 @@
         "_charges",
         "_stream",
         "_record",
+        "_silent_replicas",
         "_noted_obstacle",
+        "_left",
     )
 
     def __init__(
@@ -64,6 +67,7 @@
         charges: repeat_charges.RepeatCharges,
         stream: attempt.StreamState | None,
         record: call_record.CallRecord,
+        silent: silent_replicas.SilentReplicas,
     ) -> None:
         self._shared = shared
         self._route = route
@@ -72,7 +76,14 @@
         self._charges = charges
         self._stream = stream
         self._record = record
+        self._silent_replicas = silent
         self._noted_obstacle = ""
+        self._left = False
+
+    @property
+    def left(self) -> bool:
+        """Whether the call has left a silent replica."""
+        return self._left
 
     def check(
         self,
@@ -116,14 +127,18 @@
             return ""
         if not self._shared.liveness.is_reachable(member):
             reason = "replica is not reachable"
+            compared_s = None
         elif silent_s > self._max_silence_s():
+            compared_s = silent_s
             reason = f"replica was silent for {silent_s:.1f} s"
         else:
             return ""
-        obstacle = self._find_obstacle(request)
+        obstacle = self._find_obstacle(request, compared_s)
         if obstacle:
             self._note_stay(member, obstacle, silent_s)
             return ""
+        member.note_left(time.monotonic())
+        self._left = True
         self._shared.metrics.count("silent_replicas_left")
         return reason
 
@@ -185,16 +200,21 @@
             return "stream has begun"
         return ""
 
-    def _find_obstacle(self, request: replica_choice.SelectionRequest) -> str:
+    def _find_obstacle(
+        self, request: replica_choice.SelectionRequest, silent_s: float | None
+    ) -> str:
         """Charge the retry budget if the call can go on elsewhere now.
 
+        Args:
+            silent_s: for how long its replica has been silent, None if that
+                can't be reached.
         Returns: why it can't, "" if it can.
         """
         if self._shared.crashes.blocked_key(self._keys, True) is not None:
             return "ends replicas"
         if not self._charges.has_room():
             return "retry budget is used up"
-        if not self._reach_other(request):
+        if not self._reach_other(request, silent_s):
             return "no other replica is reached"
         # Other calls may have used the budget during the check. An earlier
         # check may have charged it, and the call stayed since something
@@ -203,16 +223,22 @@
             return "retry budget is used up"
         return ""
 
-    def _reach_other(self, request: replica_choice.SelectionRequest) -> bool:
+    def _reach_other(
+        self, request: replica_choice.SelectionRequest, silent_s: float | None
+    ) -> bool:
         """Returns: whether another replica can be used now."""
-        shared = self._shared
         for _ in range(MAX_CHECKED):
-            choice = shared.fleet.choose(
-                request, self._record.tried, time.monotonic()
-            )
+            if silent_s is None:
+                choice = self._shared.fleet.choose(
+                    request, self._record.tried, time.monotonic()
+                )
+            else:
+                choice = self._silent_replicas.choose_instead(
+                    request, silent_s
+                )
             if choice is None:
                 return False
-            if shared.liveness.is_reachable(choice.member):
+            if self._shared.liveness.is_reachable(choice.member):
                 return True
         return False
 
@@ -245,7 +271,8 @@
     charges: repeat_charges.RepeatCharges,
     stream: attempt.StreamState | None,
     record: call_record.CallRecord,
+    silent: silent_replicas.SilentReplicas,
 ) -> SilenceCheck:
     return SilenceCheck(
-        shared, route, keys, call_attempts, charges, stream, record
+        shared, route, keys, call_attempts, charges, stream, record, silent
     )
--- a/tests/roles/gateway/test_silence_check.py
+++ b/tests/roles/gateway/test_silence_check.py
@@ -11,6 +11,7 @@
 from papayalink.coordination import run_times
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import silence
+from papayalink.roles.gateway import silent_replicas
 from papayalink.state import replicas
 from papayalink.state import traffic
 from papayalink.transport import errors
@@ -42,6 +43,7 @@
         fleet=SimpleNamespace(
             choose=lambda request, tried, now: SimpleNamespace(member=other),
             find={"silent": silent, "other": other}.get,
+            members=lambda service: [silent, other],
         ),
         metrics=SimpleNamespace(count=lambda name, **labels: None),
         run_times=run_times.make_run_times(),
@@ -52,14 +54,17 @@
         SimpleNamespace(for_service=lambda service, now: budget),
         "desk",
     )
+    route = stubs.make_route("safe", repeat)
+    record = SimpleNamespace(call_id="c1", expected_s=0.0, tried=["silent"])
     check = silence.make_silence_check(
         shared,
-        stubs.make_route("safe", repeat),
+        route,
         None,
         attempts.make_attempts(repeat, 2),
         charges,
         None,
-        SimpleNamespace(call_id="c1", expected_s=0.0, tried=["silent"]),
+        record,
+        silent_replicas.make_silent_replicas(shared, route, record),
     )
     for _ in range(3):
         with pytest.raises(errors.ConnectionLost):
