Take ports of authorities from a block that no other run uses

What was seen: test_failed_command_ends_the_process failed once in its set-up, "Address already in use: ('127.0.9.1', 42613)", beside another run of the suite.

Cause: a port was chosen by a bind to port 0, given back, and bound by the members later. Whoever lets the system choose may get it meanwhile. The system gives odd ports to binds and even ones to outgoing connections (1,000 of 1,000 and 300 of 300 here), the latter at 127.0.0.1: the port in question was another listener's, not a connection's. On purpose: a listener that takes the port between choice and bind gives the same error.

Change: ports come from a reserved block below the range of the system, as those of deployments do, and the port for the state dump, the next one, is looked at too. The same holds for all tests of authorities.

--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -4,7 +4,6 @@
 import time
 
 import gevent
-from gevent import socket
 import geventhttpclient
 import pytest
 
@@ -24,6 +23,7 @@
 from papayalink.transport import auth
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import rpc
+from tests.roles.authority import ports
 
 _KEY = "ab" * 32
 _TIMEOUT_S = 20
@@ -67,12 +67,6 @@
         return True
 
 
-def _free_port(ip):
-    with socket.socket() as free:
-        free.bind((ip, 0))
-        return free.getsockname()[1]
-
-
 class _Member:
     """An authority at a loopback address."""
 
@@ -148,8 +142,8 @@
 @pytest.fixture
 def group(tmp_path):
     client = _Replicas()
-    port = _free_port("127.0.9.1")
-    operator_port = _free_port("127.0.9.1")
+    port = ports.choose("127.0.9.1")
+    operator_port = ports.choose("127.0.9.1")
     members = [
         _Member(
             f"127.0.9.{host}",
@@ -257,13 +251,13 @@
     Entries tell the leader; after a restart of all another member may lead.
     """
     client = _Replicas()
-    ports = (_free_port("127.0.9.1"), _free_port("127.0.9.1"))
+    member_ports = [ports.choose("127.0.9.1") for _ in range(2)]
 
     def start(first):
         return [
             _Member(
                 f"127.0.9.{host}",
-                *ports,
+                *member_ports,
                 tmp_path / str(host),
                 client,
                 first,
@@ -289,7 +283,7 @@
             each for each in members if each.process._state.is_leader
         )
         leader.node.rpc_client.call(
-            f"{leader.ip}:{ports[0]}",
+            f"{leader.ip}:{member_ports[0]}",
             "Parts",
             messages.Parts(
                 "e1",
@@ -325,7 +319,7 @@
 @pytest.fixture
 def seeds():
     """Function that starts seeds: s2=True starts 127.0.9.2 with a disk."""
-    port = _free_port("127.0.9.1")
+    port = ports.choose("127.0.9.1")
     servers = []
 
     def start(**durable):
@@ -365,7 +359,7 @@
     member = _Member(
         ip,
         seeds(**others),
-        _free_port(ip),
+        ports.choose(ip),
         tmp_path,
         _Replicas(),
         first_start,
@@ -396,8 +390,8 @@
 )
 def test_first_start_of_six_machines(tmp_path, durable, seeds, losses, voters):
     client = _Replicas()
-    port = _free_port("127.0.9.1")
-    operator_port = _free_port("127.0.9.1")
+    port = ports.choose("127.0.9.1")
+    operator_port = ports.choose("127.0.9.1")
     members = [
         _Member(
             f"127.0.9.{host}",
@@ -440,8 +434,8 @@
     lose power (deploy/days/core.toml, varied with seed 378891421930).
     """
     client = _Replicas()
-    port = _free_port("127.0.9.1")
-    operator_port = _free_port("127.0.9.1")
+    port = ports.choose("127.0.9.1")
+    operator_port = ports.choose("127.0.9.1")
     durable = {4, 5, 6}
 
     def start(first, seeds):
--- a/tests/roles/authority/test_disk_failures.py
+++ b/tests/roles/authority/test_disk_failures.py
@@ -11,6 +11,7 @@
 from papayalink.state import log_entries
 from papayalink.state import log_store
 from papayalink.state import segments
+from tests.roles.authority import ports
 from tests.roles.authority import test_authorities as authorities
 from tests.state import faulty_files
 from tests.state import full_disk
@@ -48,7 +49,7 @@
         self.members = {}
         self.exit_codes = []
         self._folder = folder
-        self._ports = [authorities._free_port("127.0.9.1") for _ in range(2)]
+        self._ports = [ports.choose("127.0.9.1") for _ in range(2)]
         self._client = authorities._Replicas()
         make_store = log_store.DiskLogStore
         monkeypatch.setattr(
@@ -188,7 +189,7 @@
         return authorities._Member(
             "127.0.9.1",
             port,
-            authorities._free_port("127.0.9.1"),
+            ports.choose("127.0.9.1"),
             tmp_path,
             authorities._Replicas(),
             is_first,
@@ -231,7 +232,7 @@
     member = authorities._Member(
         "127.0.9.1",
         port,
-        authorities._free_port("127.0.9.1"),
+        ports.choose("127.0.9.1"),
         tmp_path,
         authorities._Replicas(),
     )
