Listen at an address of their own in tests of early answers

What was seen: beside load, tests/transport/test_request_delivery.py ended once with "Address already in use" in the bind of its own listener.

Cause: closed connections keep a port of 127.0.0.1 in TIME_WAIT for a minute. `ss -s` showed 18,727 of them beside the tests, of 28,232 ports of the range; a bind to port 0 fails once all of them are held. That this was so at the failure is by inference, it has not been seen again.

Evidence: a trial that allows a bind to port 0 a single port, which a connection in TIME_WAIT holds, gets that error at 127.0.0.1, with SO_REUSEADDR too, and the port at 127.0.0.2.

Change: the listener binds to 127.0.0.2, to which few other sockets are bound, and stubs tell the host of their listener. The checks are the same.

Result: the tests of early answers and replies, of the HTTP client and of the delivery of requests pass.

--- a/tests/early_answers.py
+++ b/tests/early_answers.py
@@ -16,6 +16,8 @@
 LARGE, MEDIUM, SMALL = 900_000, 20_000, 100
 _LATER_S = 0.15
 _RECEIVE_BUFFER_BYTES = 4_096
+# Closed connections of other tests hold ports of 127.0.0.1 for a minute.
+_LISTEN_HOST = "127.0.0.2"
 
 
 def _reset(sock):
@@ -150,7 +152,7 @@
     listener.setsockopt(
         socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
     )
-    listener.bind(("127.0.0.1", 0))
+    listener.bind((_LISTEN_HOST, 0))
     listener.listen()
     return listener
 
@@ -166,7 +168,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
+        return f"{_LISTEN_HOST}:{self.server.server_port}"
 
     def _serve(self, sock, address):
         if read_head(sock):
--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -74,7 +74,7 @@
 
     @property
     def address(self):
-        return f"{HOST}:{self.server.server_port}"
+        return f"{self.server.server_host}:{self.server.server_port}"
 
     def next_steps(self, request):
         """Returns: the steps of the answer to a request."""
