Let other tasks run between pipelined requests

What callers saw: nothing for as long as one caller kept sending requests without waiting, to a gateway that answers them at once.

Cause: bytes of the next request that are there already are parsed without a wait, and a short answer is written without one.

Change: the task gives way before it goes on with what it has received, and looks only then whether the server stops.

The new test, with and without a stop, failed before on both: the other caller was served behind all 300 requests. Tests of the caller server, of pipelining, of changed limits and of stops pass.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -187,12 +187,16 @@
                 if _ends_with_connection(connection):
                     _reset_when_closed(sock)
                 raise
-            if self._waits.stopping:
-                handler = self._reject
             if connection.our_state is not h11.DONE:
                 return
             if connection.their_state is not h11.DONE:
                 return
+            if reader.has_received:
+                # Other greenlets run, even if the caller keeps sending
+                # requests that are answered at once.
+                gevent.sleep(0)
+            if self._waits.stopping:
+                handler = self._reject
 
     def _must_close(
         self, sock: socket.socket, reader: request_reader.RequestReader
--- a/tests/transport/test_pipelined_at_stop.py
+++ b/tests/transport/test_pipelined_at_stop.py
@@ -130,3 +130,42 @@
         assert ending.get()
     for number in range(3):
         assert b"/%d refused" % number in received
+
+
+# Guards against a process that stands still, with all of its calls and its
+# stop, while one caller keeps sending requests that are answered at once.
+@pytest.mark.parametrize("stops", [False, True])
+def test_pipelined_requests_do_not_hold_up_other_callers(stops):
+    count = 300
+    taken = []
+    others = []
+
+    def answer(request, responder):
+        taken.append(request.target)
+        if len(taken) == 1:
+            if stops:
+                stopping.append(gevent.spawn(server.stop, 5.0))
+                gevent.sleep(0.01)
+            others[0].sendall(b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n")
+        responder.respond(200, [])
+
+    stopping = []
+    server = caller_server.make_caller_server(
+        ("127.0.0.1", 0), answer, answer, lambda: _LIMITS
+    )
+    server.start()
+    with (
+        socket.create_connection(server.address, 5) as busy,
+        socket.create_connection(server.address, 5) as other,
+    ):
+        gevent.sleep(0.05)
+        others.append(other)
+        busy.sendall(_REQUEST * count)
+        assert other.recv(1000).startswith(b"HTTP/1.1 200")
+        answers = b""
+        while answers.count(b"HTTP/1.1 200") < count:
+            answers += busy.recv(65536)
+    gevent.joinall(stopping)
+    server.stop(1.0)
+    assert len(taken) == count + 1
+    assert taken[-1] == b"/"
