Play answers that break off and odd statuses in the soak

A replica's proxy answers uploads itself as a broken replica does: with a part of an answer without a length, an end and a reset behind it, at once or 0.15 s later, or with a status that is none. The modes are drawn among those of proxies, since a proxy that passes an upload on takes it in, so that no reset of a replica behind it meets an unread one. Callers must get no status outside 100 to 599; that a part is no whole answer was checked before. The modes of proxies move to the module of proxies.

The new test plays these modes alone.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -98,6 +98,8 @@
         yield "ran with another body"
     if any(execution.key_passed_on for execution in executions):
         yield "the caller's API key was passed to the replica"
+    if call.status and not 100 <= call.status <= 599:
+        yield f"answered with {call.status}, which is no status"
     if call.status == 200 and not executions:
         yield "answered but not run by any replica"
     if call.status == 200 and call.complete and not is_stream:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,14 +13,6 @@
 from soak.platform import odd_entries
 from soak.platform import standins
 
-PROXY_MODES = (
-    "delay",
-    "silent",
-    "one_way",
-    "refuse",
-    "end_head",
-    "reset_head",
-)
 # Most bytes of a head that is cut off, which is longer.
 MAX_HEAD_BYTES = 90
 REPLICA_MODES = ("busy", "failing", "mute", "early")
@@ -410,7 +402,7 @@
         duration_s = self._rng.random() * MAX_DURATION_S
         match kind:
             case "proxy":
-                link.mode = self._rng.choice(PROXY_MODES)
+                link.mode = self._rng.choice(proxy.FAULT_MODES)
                 link.delay_s = self._rng.random() * 0.3
                 link.head_bytes = self._rng.randrange(MAX_HEAD_BYTES)
                 gevent.sleep(duration_s)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,11 +7,22 @@
 from gevent import server
 from gevent import socket
 
+from soak import broken_answers
+
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 256
 # Time after which a connection was not taken, since the queue is full.
 FILL_TIMEOUT_S = 0.03
+FAULT_MODES = (
+    "delay",
+    "silent",
+    "one_way",
+    "refuse",
+    "end_head",
+    "reset_head",
+    *broken_answers.MODES,
+)
 
 
 class Proxy:
@@ -22,7 +33,7 @@
             "silent" forwards nothing, "one_way" forwards no responses,
             "refuse" resets new connections, "end_head" and "reset_head" pass
             on the first bytes of a response and then end or reset the
-            connection.
+            connection. Those of broken answers answer uploads.
         delay_s: delay of each chunk of data in mode "delay".
         head_bytes: number of these bytes.
         address: HOST:PORT of the proxy.
@@ -145,6 +156,14 @@
                     is_response and self.mode == "one_way"
                 ):
                     gevent.sleep(0.05)
+                if (
+                    not is_response
+                    and self.mode in broken_answers.MODES
+                    and broken_answers.answer(self.mode, data, source)
+                ):
+                    for each in pair:
+                        _reset(each)
+                    break
                 if self.mode == "delay":
                     gevent.sleep(self.delay_s)
                 if is_response and self.mode in ("end_head", "reset_head"):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -338,6 +338,10 @@
                 changes=[_change(3, True, 80.0), _change(6, False, 90.0)],
             ),
         ),
+        (
+            "answered with 600, which is no status",
+            _history(_call(status=600), [_execution()]),
+        ),
         (
             "404 on a route that was added",
             _history(
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -5,6 +5,7 @@
 from gevent import socket
 import pytest
 
+from soak import broken_answers
 from soak import proxy as proxies
 
 TIMEOUT_S = 0.3
@@ -43,6 +44,40 @@
         return "reset"
 
 
+@pytest.mark.parametrize(
+    ("mode", "status"),
+    [
+        ("end_reset", b" 200 "),
+        ("end_reset_later", b" 200 "),
+        ("odd_status", b" 2000 "),
+    ],
+)
+def test_uploads_are_answered_by_a_part(proxy, mode, status):
+    tested_proxy, received = proxy
+    tested_proxy.mode = mode
+    connection = _connect(tested_proxy)
+    connection.sendall(
+        b"POST /once/c HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n"
+        b"Papayalink-Request-Id: c1\r\n\r\n"
+    )
+    answer = b""
+    while data := connection.recv(1000):
+        answer += data
+    assert status in answer.partition(b"\r\n")[0]
+    assert b"broken.c1" in answer
+    gevent.sleep(0.2)
+    error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    assert error
+    assert not received
+
+
+@pytest.mark.parametrize("mode", broken_answers.MODES)
+def test_other_requests_are_passed_on_beside_broken_answers(proxy, mode):
+    tested_proxy, received = proxy
+    tested_proxy.mode = mode
+    assert _exchange(_connect(tested_proxy)) == b"hello"
+
+
 @pytest.mark.parametrize(
     ("mode", "answer", "is_received"),
     [
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from soak import broken_answers
+from soak import faults
+from soak import proxy
 from soak import seed_run
 
 FAULT_INJECTION_S = 5.0
@@ -113,6 +116,18 @@
     assert result.calls > 50
 
 
+def test_callers_get_no_part_of_a_broken_answer(monkeypatch):
+    """Guards against answers to uploads that break off and look whole.
+
+    Other faults are left out, so that there are enough of these.
+    """
+    monkeypatch.setattr(proxy, "FAULT_MODES", broken_answers.MODES)
+    monkeypatch.setattr(faults, "KINDS", {"proxy": 1})
+    result = seed_run.run_seed(1, 2 * FAULT_INJECTION_S, seed_run.Scenario())
+    assert result.findings == []
+    assert result.calls > 50
+
+
 # Pauses are longer than the time of callers here, so that what was sent before
 # one is read too late whatever time it was given; see KNOWN-RED.txt. The other
 # guarantees hold all the same.
