Wait for callers in all states before the stop of a test

test_callers_that_cling_to_a_stopping_gateway_lose_no_call stopped its gateway 0.1 s after its callers had begun. Beside other work (load average 7 to 17) none of the 12 had sent a second call by then, and the check that calls were passed on in all states failed ("12 > 12", once); no call was lost. It waits for more than two calls a caller now, for 10 s at most; what it checks is the same.

--- a/tests/roles/gateway/test_clinging_callers.py
+++ b/tests/roles/gateway/test_clinging_callers.py
@@ -91,6 +91,10 @@
     ]
     calling = [gevent.spawn(caller.run) for caller in callers]
     gevent.sleep(0.1)
+    # A busy machine takes longer until callers are in all states.
+    with gevent.Timeout(10):
+        while len(upstream.received) <= 2 * _CALLERS:
+            gevent.sleep(0.01)
     gateway.begin_stop().get()
     gevent.joinall(calling, raise_error=True)
     gateway.end()
