--- a/tests/roles/gateway/test_stubs.py
+++ b/tests/roles/gateway/test_stubs.py
@@ -1,5 +1,7 @@
 """Tests of the stubs of this folder."""
 
+import os
+
 from gevent import socket
 
 from papayalink.state import traffic
@@ -20,3 +22,11 @@
                 assert sock.getpeername()[0] != sock.getsockname()[0]
     finally:
         gateway.stop()
+
+
+# Guards against stubs that read requests of another run, meant for one that
+# had the same port before.
+def test_stubs_of_other_processes_have_other_addresses():
+    hosts = [stubs.host_of(pid) for pid in range(1, 60_000)]
+    assert len(set(hosts)) == len(hosts)
+    assert stubs.HOST == stubs.host_of(os.getpid())
