--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,7 +64,7 @@
         links: whether connections between processes fall silent, and
             authorities without a disk stand still.
         silences: whether sound replicas fall silent and go on, instead of
-            faults.
+            faults; with `stops` beside planned work.
         repeats: whether most calls fail at all replicas, beside cuts between
             nodes, restarts and replicas that read late, instead of faults.
         breaks: whether streams break off again and again and a part of prompts
--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -40,11 +40,18 @@
 
     Unlike usual HTTP clients it never sends a call twice, and it records
     when a call had been written.
+
+    Args:
+        looks: whether it sees, before it sends, that its connection has been
+            closed. Many clients don't look.
     """
 
-    def __init__(self, address: tuple[str, int], timeout_s: float) -> None:
+    def __init__(
+        self, address: tuple[str, int], timeout_s: float, looks: bool
+    ) -> None:
         self._address = address
         self._timeout_s = timeout_s
+        self._looks = looks
         self._sock: socket.socket | None = None
         self._http = h11.Connection(h11.CLIENT)
 
@@ -53,8 +60,7 @@
 
         Raises: OSError
         """
-        if self._sock is not None and _is_readable(self._sock):
-            # The gateway has closed it.
+        if self._looks and self._has_ended():
             self.close()
         if self._sock is None:
             self._sock = socket.create_connection(
@@ -79,6 +85,7 @@
         """
         try:
             self.open()
+            call.stale = self._has_ended()
             self._exchange(call, method, path, headers, body, half_closes)
         except (OSError, h11.RemoteProtocolError):
             # No connection, a cut or a time-out: the record tells which.
@@ -89,6 +96,10 @@
             self._sock.close()
             self._sock = None
 
+    def _has_ended(self) -> bool:
+        """Returns: whether the gateway has closed the connection."""
+        return self._sock is not None and _is_readable(self._sock)
+
     def _exchange(
         self, call, method, path, headers, body, half_closes
     ) -> None:
@@ -137,6 +148,6 @@
 
 
 def make_caller_connection(
-    address: tuple[str, int], timeout_s: float
+    address: tuple[str, int], timeout_s: float, looks: bool = True
 ) -> CallerConnection:
-    return CallerConnection(address, timeout_s)
+    return CallerConnection(address, timeout_s, looks)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -127,18 +127,24 @@
     yield from _check_silence(call, executions, history)
 
 
-def _check_cut(call, executions, history):
-    """Check that a call is cut only by a fault that can cut it.
+def is_cut(call: records.Call, history: records.History) -> bool:
+    """Returns: whether a call that a gateway has read has no whole answer.
 
-    A call that a gateway has read ends with an answer. One that crosses the
-    close of an idle connection was neither sent on nor read.
+    One that crosses the close of an idle connection was neither sent on nor
+    read.
     """
     lasted_s = call.ended_at - call.written_at
     left_s = call.deadline_s - lasted_s
     if call.complete or not call.written_at or left_s < OUT_OF_TIME_S:
+        return False
+    return call.call_id in history.executions.by_call or lasted_s > CROSSING_S
+
+
+def _check_cut(call, executions, history):
+    """Check that a call is cut only by a fault that can cut it."""
+    if not is_cut(call, history):
         return
-    if not executions and lasted_s <= CROSSING_S:
-        return
+    lasted_s = call.ended_at - call.written_at
     targets = {call.gateway}
     if call.status:
         # A gateway can't complete an answer whose replicas all fail, but
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -46,6 +46,7 @@
             the caller pauses. Without, there is one, opened with a call.
         deadline_s: deadline of each call.
         path_prefixes: kinds of calls.
+        looks: see `caller_connection.CallerConnection`.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         kept: int = 0,
         deadline_s: float = DEADLINE_S,
         path_prefixes: tuple[str, ...] = PATH_PREFIXES,
+        looks: bool = True,
     ) -> None:
         self._name = name
         self._history = history
@@ -65,6 +67,7 @@
         self._kept = kept
         self._deadline_s = deadline_s
         self._path_prefixes = path_prefixes
+        self._looks = looks
         self._numbers = itertools.count(1)
         self._connections: dict[
             str, list[caller_connection.CallerConnection]
@@ -174,6 +177,7 @@
         while not ended.is_set():
             gateway = self._rng.choice(gateways)
             if self._kept and not self._open(gateway):
+                self._history.count("closed_port")
                 gevent.sleep(RETRY_INTERVAL_S)
                 continue
             gevent.sleep(self._rng.random() * self._pause_s)
@@ -203,7 +207,9 @@
         self, gateway: node_module.Node
     ) -> caller_connection.CallerConnection:
         return caller_connection.make_caller_connection(
-            (gateway.ip, node_module.LISTEN_PORT), self._deadline_s + GRACE_S
+            (gateway.ip, node_module.LISTEN_PORT),
+            self._deadline_s + GRACE_S,
+            self._looks,
         )
 
     def _open(self, gateway: node_module.Node) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 from soak import nodes as node_module
 from soak import proxy
 from soak import records
+from soak import silences
 from soak.platform import model_weights
 from soak.platform import odd_entries
 from soak.platform import standins
@@ -82,9 +83,6 @@
 STANDING_STILL_S = 4.0
 # Time after connections have fallen silent in which processes must agree.
 SILENCE_INTERVAL_S = 6.0
-# Times for which a sound replica may be silent, and between two of these.
-SILENT_S = (0.6, 1.9)
-SILENT_INTERVAL_S = (1.0, 2.5)
 # Resets of all replicas that use up the attempts of a stream.
 RESETS = 3
 RESET_INTERVAL_S = 0.06
@@ -122,10 +120,17 @@
         self._rng = rng
         self._losses = losses
         self._disturbed: set[str] = set()
+        self._silences = silences.make_silences(
+            platform, history, rng, self._disturbed
+        )
         self._crash_causes = 0
         self._greenlets: list[gevent.Greenlet] = []
         self._kinds = KINDS
 
+    @property
+    def silences(self) -> silences.Silences:
+        return self._silences
+
     def run(self, until: float) -> None:
         """Inject faults until a time, then wait until all have ended."""
         while time.monotonic() < until:
@@ -146,12 +151,6 @@
         self._kinds = KINDS_BESIDE_LINKS
         self._greenlets.append(gevent.spawn(self._disturb_links, links, until))
 
-    def run_silences(self, until: float) -> None:
-        """Let one replica, or all at once, fall silent again and again."""
-        while time.monotonic() < until:
-            self._silence_replicas(self._platform.replicas)
-            gevent.sleep(self._rng.uniform(*SILENT_INTERVAL_S))
-
     def begin_breaks(self, until: float) -> None:
         """Break off all streams again and again, beside sound nodes."""
         self._kinds = KINDS_BESIDE_BREAKS
@@ -239,7 +238,7 @@
             gevent.sleep(self._rng.random() * MAX_DURATION_S)
             self._platform.odd_entries.remove(entry)
         elif kind == "silent":
-            self._silence_replicas(self._platform.replicas[1:])
+            self._silences.silence(self._platform.replicas[1:])
         elif kind in ("stop", "kill", "pause", "wipe"):
             self._disturb_node(kind)
         else:
@@ -368,34 +367,6 @@
             silence.ended_at = time.monotonic()
             gevent.sleep(SILENCE_INTERVAL_S * self._rng.uniform(0.7, 1.3))
 
-    def _silence_replicas(self, replicas: list[standins.Replica]) -> None:
-        """Let sound replicas send and take nothing, and go on."""
-        links = {
-            each.replica_id: self._platform.proxies[each.replica_id]
-            for each in replicas
-            if each.replica_id in self._platform.proxies
-            and each.replica_id not in self._disturbed
-            and not each.leaving
-        }
-        duration_s = self._rng.uniform(*SILENT_S)
-        takes_connections = self._rng.random() < 0.5
-        if links and self._rng.random() < 0.5:
-            one = self._rng.choice(sorted(links))
-            links = {one: links[one]}
-        self._disturbed |= links.keys()
-        silences = []
-        for replica_id, link in links.items():
-            silences.append(
-                self._history.begin(checks.SILENT_KIND, replica_id)
-            )
-            link.pause(takes_connections)
-        gevent.sleep(duration_s)
-        for link in links.values():
-            link.go_on()
-        for each in silences:
-            each.ended_at = time.monotonic()
-        self._disturbed -= links.keys()
-
     def _disturb_replica(self, kind: str) -> None:
         replica = self._rng.choice(self._platform.replicas[1:])
         link = self._platform.proxies.get(replica.replica_id)
--- a/soak/figures.py
+++ b/soak/figures.py
@@ -15,6 +15,13 @@
     delays: most calls within a delay that a replica named, and such delays.
     known: most calls that were known to end replicas, of each cause.
     cut: calls that were written and ended without an answer, of all.
+    refused: calls that were answered with 503, of all that were written.
+    unsent: calls that were not written whole, of all.
+    closed: how often callers found a closed port before a call, and calls
+        that were sent on a connection that had been closed.
+    crossed: calls that crossed the close of a connection that was open when
+        they were sent.
+    lost: calls that a gateway has read and that have no whole answer.
     sound: sound streams that began beside a part that ends replicas.
     taken_up: streams that went on when they were taken up.
     new: streams that began.
@@ -24,6 +31,14 @@
     known = checks.count_known_causes(history)
     written = [call for call in history.calls if call.written_at]
     cut = [call for call in written if not call.status]
+    refused = [call for call in written if call.status == 503]
+    stale = [call for call in history.calls if call.stale]
+    lost = [call for call in written if checks.is_cut(call, history)]
+    crossed = [
+        call
+        for call in cut
+        if not call.stale and not checks.is_cut(call, history)
+    ]
     streams = stream_checks.streams_in_touch(history)
     sound = [
         stream_checks.measure_sound_streams(streams, history, part)
@@ -37,6 +52,11 @@
         f"/{len(delays)}",
         "known": f"{max(known.values(), default=0)}/{len(known)}",
         "cut": f"{len(cut)}/{len(written)}",
+        "refused": f"{len(refused)}/{len(written)}",
+        "unsent": f"{len(history.calls) - len(written)}/{len(history.calls)}",
+        "closed": f"{history.counts.get('closed_port', 0)},{len(stale)}",
+        "crossed": str(len(crossed)),
+        "lost": str(len(lost)),
         "sound": _format_shares(sound),
         "taken_up": _format_shares(
             [stream_checks.measure_take_ups(streams, history)]
--- a/soak/records.py
+++ b/soak/records.py
@@ -66,6 +66,7 @@
     Attributes:
         written_at: when the whole request had been written to a connection,
             0 if it never was.
+        stale: whether it was sent on a connection that had been closed.
         status: 0 when the connection ended without the head of an answer.
         complete: whether the answer ended cleanly.
         server_stamp: proof of origin: replica id, a dot and the call id.
@@ -73,6 +74,7 @@
 
     written_at: float = 0.0
     ended_at: float = 0.0
+    stale: bool = False
     status: int = 0
     complete: bool = False
     server_stamp: str = ""
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -68,7 +68,9 @@
         links: whether the open connections between processes fall silent, and
             authorities without a disk stand still, again and again.
         silences: whether sound replicas fall silent and go on, beside nothing,
-            changed documents or planned work, instead of faults.
+            changed documents or planned work, instead of faults. With `stops`
+            it is one, half or all of them, beside planned work, and half of
+            the callers don't look whether their connections are open.
         breaks: whether streams break off again and again and a part of prompts
             ends replicas, while all nodes are sound.
         repeats: whether most calls fail at all replicas, while nodes are cut
@@ -204,6 +206,8 @@
     beside = ""
     if scenario.silences:
         beside = _make_rng(seed, "beside").choice(BESIDE_SILENCES)
+        if scenario.stops:
+            beside = "stops"
         history.count(f"beside_{beside}")
     operating = []
     if beside != "nothing" and not scenario.storms:
@@ -246,7 +250,7 @@
             scenario.failing,
         ).run(until)
     elif beside:
-        silencing = gevent.spawn(injector.run_silences, until)
+        silencing = gevent.spawn(injector.silences.run, until, scenario.stops)
         if beside == "stops":
             work.run(until)
         silencing.get()
@@ -315,7 +319,13 @@
         rng = _make_rng(seed, name)
         if keeps_open:
             caller = clients.Caller(
-                name, history, rng, STOP_PAUSE_S, STOP_CONNECTIONS, deadline_s
+                name,
+                history,
+                rng,
+                STOP_PAUSE_S,
+                STOP_CONNECTIONS,
+                deadline_s,
+                looks=not (scenario.silences and scenario.stops and index % 2),
             )
             targets = [gateways[index % len(gateways)]]
         elif scenario.repeats:
--- a/tests/soak/test_caller_connection.py
+++ b/tests/soak/test_caller_connection.py
@@ -94,3 +94,18 @@
     else:
         assert b"Content-Length: 4" in sent
         assert sent.endswith(b"\r\n\r\nabcd")
+
+
+@pytest.mark.parametrize("looks", [False, True])
+def test_closed_connection_is_used_by_callers_that_do_not_look(gateway, looks):
+    connection, answers, requests, connections = gateway
+    connection._looks = looks
+    answers += [_ANSWER, _ANSWER]
+    assert not _call(connection).stale
+    connections[0].close()
+    gevent.sleep(0.05)
+    call = _call(connection)
+    assert call.stale is not looks
+    assert call.complete is looks
+    assert len(requests) == 1 + looks
+    assert len(connections) == 1 + looks
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -56,6 +56,13 @@
             1, seed_run.Scenario(silences=True), id="silences-documents"
         ),
         pytest.param(2, seed_run.Scenario(silences=True), id="silences-stops"),
+        # One, half or all replicas fall silent beside planned stops, documents
+        # and reloads, and callers use connections that have been closed.
+        pytest.param(
+            1,
+            seed_run.Scenario(silences=True, stops=True),
+            id="silences-beside-planned-work",
+        ),
         # Streams break off and are taken up, and sound streams come beside a
         # part that ends replicas.
         pytest.param(1, seed_run.Scenario(breaks=True), id="breaks"),
