Begin no stream at a stop that may outlast the grace period

Cause: a stream that may be resumed was begun if the median of recent runs says that it ends in time. Its tokens took 33 ms each, and those of its route 28 to 40 ms, so that about half of the long ones near the bound are cut. The class is a decision by an estimate that is as often too low as too high, where one of the two errors costs the call and the other a round trip.

Streams are begun as calls that may run once are: if they would end even as slowly as the slowest of the recent ones. Plain calls that may be repeated keep the median: they are answered at the end.

--- a/papayalink/roles/gateway/stopping.py
+++ b/papayalink/roles/gateway/stopping.py
@@ -40,10 +40,11 @@
     ) -> bool:
         """Returns: whether a call can be expected to end before the process.
 
-        A call that may run once is begun only if it would end even as slowly
-        as the slowest of the recent ones. One that may be repeated goes on
-        elsewhere if it is cut, so that the median is enough. Without recent
-        calls, each takes all the time that it may take.
+        A call that may run once, or a stream, is begun only if it would end
+        even as slowly as the slowest of the recent ones: a stream whose head
+        has been sent can only be cut at the end. Any other call is answered
+        then and goes on elsewhere, so that the median is enough. Without
+        recent calls, each takes all the time that it may take.
 
         Args:
             output_tokens: largest number of tokens that it may generate.
@@ -56,10 +57,10 @@
         left_s = self._ends_at - time.monotonic()
         if allowed_s <= left_s:
             return True
-        once = route.repeat is traffic.RepeatPolicy.ONCE
+        must_end = route.stream or route.repeat is traffic.RepeatPolicy.ONCE
         run = (
             self._times.slowest(route.name)
-            if once
+            if must_end
             else self._times.typical(route.name)
         )
         if run is None:
