Put the proxy of a test before the address of its stub

Two tests of silent connections failed in each run: their proxy led to 127.0.0.1, where stubs no longer listen since. Test set-up alone; both pass again, with the same checks.

--- a/tests/transport/test_silent_connections.py
+++ b/tests/transport/test_silent_connections.py
@@ -119,7 +119,7 @@
 def keeps_alive():
     """Returns: a link to a server that answers one call after the other."""
     upstream = stubs.Upstream("desk0", *[[_ANSWER]] * 9)
-    link = proxy.make_proxy(("127.0.0.1", upstream.server.server_port))
+    link = proxy.make_proxy((stubs.HOST, upstream.server.server_port))
     yield link
     link.stop()
     upstream.server.stop()
