Keep a quorum while all members of the group are stopped in turn

Cause: an authority that is told to stop leaves the group at once, and its machine starts again only when its gateway has ended too, seconds later. From the second stop on no member leads.

Evidence: tests/processes/test_stops_of_all_members.py, real programs: three members of which the first has stopped; the second and third are told to stop 0.5 s apart. Before, both were gone and no gateway got a document.

A voter that is told to stop asks the others, five times a second, and stays within its grace period while the group has a quorum with it and none without it. Voters that began to stop earlier do not count for it, so that the earliest leaves first; of two that begin at once both stay. A second signal ends the wait. Operators are served meanwhile, but for the last part of the period.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -221,6 +221,28 @@
     first: str = ""
 
 
+class AskPresence(Message):
+    """A member that is told to stop asks a voter whether it may leave.
+
+    Attributes:
+        member_id: id of the voter that is asked.
+    """
+
+    member_id: str
+
+
+class Presence(Message):
+    """Reply to AskPresence.
+
+    Attributes:
+        takes_part: the asked member has that id and knows a leader.
+        stopping_s: seconds since it was told to stop itself, None if not.
+    """
+
+    takes_part: bool
+    stopping_s: float | None = None
+
+
 class Acknowledge(Message):
     """The message was accepted."""
 
@@ -446,6 +468,8 @@
     | Describe
     | Described
     | Join
+    | AskPresence
+    | Presence
     | Acknowledge
     | Order
     | OrderReply
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -20,6 +20,7 @@
 from papayalink.roles import reloading
 from papayalink.roles import stop_plan
 from papayalink.roles.authority import address_book
+from papayalink.roles.authority import departure
 from papayalink.roles.authority import founding
 from papayalink.roles.authority import group
 from papayalink.roles.authority import list_relay
@@ -46,6 +47,8 @@
 FIRST_ELECTION_TICKS = 3
 
 EXIT_REMOVED = 71
+# Part of the time of a stop in which operators' last calls are answered.
+OPERATORS_SHARE = 0.15
 
 MakeOperatorApp = Callable[[numbered_state.NumberedState], http_server.WsgiApp]
 
@@ -70,6 +73,7 @@
         "_followed_number",
         "_stores",
         "_relay",
+        "_departure",
     )
 
     def __init__(
@@ -111,11 +115,14 @@
             settings.bounds.retry_window_s,
         )
         self._state.observe_before_naming(self._service.observe_weights)
+        self._departure = departure.make_departure(
+            self._identity, self._state, self._peers, node.rpc_client
+        )
         self._replica: replicas.Replica | None = None
         self._group: group.GroupUpkeep | None = None
         self._rpc_server = rpc.make_server(
             (settings.ip, settings.peer_port),
-            self._service.handlers(),
+            {**self._service.handlers(), **self._departure.handlers()},
             node.signer,
             service.LIMITS,
         )
@@ -151,12 +158,20 @@
         self._reloading.start(self._node.timers)
 
     def drain(self) -> None:
+        """Leave the group once it has a quorum without this member."""
         plan = stop_plan.make_stop_plan(self._node.settings.bounds.grace_s)
-        if not self._operator_server.stop(plan.answer_s):
+        until = time.monotonic() + plan.answer_s
+        operators_s = OPERATORS_SHARE * plan.answer_s
+        self._departure.wait(plan.answer_s - operators_s, self._stop_now)
+        left_s = max(0.0, until - time.monotonic())
+        if not self._operator_server.stop(left_s):
             self._node.log.warning(
                 "operators_cut_by_stop",
                 in_flight=self._operator_server.in_flight,
             )
+        # Others may not be back yet.
+        self._departure.wait(until - time.monotonic(), self._stop_now)
+        self._departure.leave()
         self._rpc_server.stop()
         if self._replica is not None:
             self._replica.stop()
--- a/tests/roles/authority/test_authorities.py
+++ b/tests/roles/authority/test_authorities.py
@@ -4,18 +4,13 @@
 import time
 
 import gevent
-import geventhttpclient
 import pytest
 
 from papayalink import clock
-from papayalink import node_settings
 from papayalink.coordination import table_exchange
 from papayalink.coordination import upstream_client
 from papayalink.coordination.raft import membership
-from papayalink.platform import document
-from papayalink.platform import operator_api
 from papayalink.protocol import messages
-from papayalink.roles import node as nodes
 from papayalink.roles.authority import process
 from papayalink.roles.authority import tables_keeper
 from papayalink.roles.control import identity
@@ -23,11 +18,9 @@
 from papayalink.transport import auth
 from papayalink.transport import errors as transport_errors
 from papayalink.transport import rpc
+from tests.roles.authority import members as members_module
 from tests.roles.authority import ports
 
-_KEY = "ab" * 32
-_TIMEOUT_S = 20
-
 
 def _document(number, **changes):
     value = {"version": number, "routes": [], "services": []} | changes
@@ -67,85 +60,13 @@
         return True
 
 
-class _Member:
-    """An authority at a loopback address."""
-
-    def __init__(
-        self,
-        ip,
-        port,
-        operator_port,
-        folder,
-        client,
-        first=True,
-        seeds=(1, 2, 3),
-        losses=1,
-    ):
-        self.ip = ip
-        self.operator = (ip, operator_port)
-        seeds = tuple(f"127.0.9.{seed}:{operator_port}" for seed in seeds)
-        self.settings = node_settings.Authority(
-            name=f"a{ip}",
-            ip=ip,
-            zone="z",
-            region="r",
-            seeds=seeds,
-            peer_port=port,
-            platform_address="127.0.0.1:1",
-            inspect_listen=f"{ip}:{operator_port + 1}",
-            deployment_key=_KEY,
-            operator_listen=f"{ip}:{operator_port}",
-            data_folder=folder and str(folder),
-            first_start=first,
-            bounds=node_settings.Bounds(losses=losses),
-        )
-        self.node = nodes.make_node(self.settings)
-        self.process = process.make_process(
-            self.node,
-            "/nonexistent",
-            operator_api.make_application,
-            client,
-            document.translate,
-            lambda store: None,
-        )
-        self.process.start()
-
-    def call(self, method, path, body=b""):
-        client = geventhttpclient.HTTPClient(
-            *self.operator, connection_timeout=5, network_timeout=5
-        )
-        answer = client.request(method, path, body)
-        return answer.status_code, bytes(answer.read())
-
-    def put(self, body):
-        return self.call("PUT", "/-/config", body)[0]
-
-    def watch(self, **fields):
-        return self.node.rpc_client.call(
-            f"{self.ip}:{self.settings.peer_port}",
-            "Watch",
-            messages.Watch("e1", **fields),
-        )
-
-    def stop(self):
-        self.process.drain()
-        self.node.rpc_client.close()
-        self.node.timers.stop()
-
-
-def _wait_until(condition):
-    with gevent.Timeout(_TIMEOUT_S):
-        while not condition():
-            gevent.sleep(0.02)
-
-
 @pytest.fixture
 def group(tmp_path):
     client = _Replicas()
     port = ports.choose("127.0.9.1")
     operator_port = ports.choose("127.0.9.1")
     members = [
-        _Member(
+        members_module.Member(
             f"127.0.9.{host}",
             port,
             operator_port,
@@ -154,7 +75,9 @@
         )
         for host in (1, 2, 3)
     ]
-    _wait_until(lambda: all(member.process.accepting for member in members))
+    members_module.wait_until(
+        lambda: all(member.process.accepting for member in members)
+    )
     yield members, client, tmp_path
     for member in members:
         member.stop()
@@ -162,7 +85,7 @@
 
 def _put(member, body):
     """Put until the answer is not 503, as operators do."""
-    _wait_until(lambda: member.put(body) != 503)
+    members_module.wait_until(lambda: member.put(body) != 503)
     return member.put(body)
 
 
@@ -183,7 +106,7 @@
     gevent.sleep(0.1)
     assert not waiting.ready()
     assert members[2].put(_document(7)) == 200
-    reply = waiting.get(timeout=_TIMEOUT_S)
+    reply = waiting.get(timeout=members_module.TIMEOUT_S)
     assert (reply.number, reply.content) == (7, _document(7))
     assert members[1].watch(number=7, wait_ms=1).content == b""
     assert len(reply.members) == 3
@@ -192,16 +115,16 @@
 def test_weights_reach_all_replicas_even_when_an_order_is_lost(group):
     members, client, _ = group
     body = json.dumps({"model": "m", "version": 2}).encode()
-    _wait_until(
+    members_module.wait_until(
         lambda: members[0].call("POST", "/-/version-put", body)[0] == 200
     )
-    _wait_until(lambda: set(client.weights.values()) == {2})
+    members_module.wait_until(lambda: set(client.weights.values()) == {2})
     # One holder, and fencing tokens that grow at each replica.
     assert len({holder for _, _, holder, _ in client.orders}) == 1
     for name in client.weights:
         fences = [order[3] for order in client.orders if order[0] == name]
         assert fences == sorted(set(fences))
-    _wait_until(lambda: not members[0].watch(number=0).loading)
+    members_module.wait_until(lambda: not members[0].watch(number=0).loading)
 
 
 def test_member_without_quorum_answers_nothing(group):
@@ -211,7 +134,9 @@
     for member in members[1:]:
         member.process._rpc_server.stop()
         member.process._replica.stop()
-    _wait_until(lambda: members[0].call("GET", "/-/config")[0] == 503)
+    members_module.wait_until(
+        lambda: members[0].call("GET", "/-/config")[0] == 503
+    )
     with pytest.raises(transport_errors.RpcRefused):
         members[0].watch(number=3)
     assert members[0].put(_document(4)) == 503
@@ -234,7 +159,7 @@
     removed = next(member for member in members if member is not leader)
     old_id = removed.process._identity.member_id
     leader.process._replica.change_members(membership.RemoveMember(old_id))
-    _wait_until(lambda: exit_codes)
+    members_module.wait_until(lambda: exit_codes)
     old_ip = old_id.replace("-", ".")
     stored_identity = identity.make_identity(
         str(folder / old_ip.rpartition(".")[2]), old_id
@@ -255,7 +180,7 @@
 
     def start(first):
         return [
-            _Member(
+            members_module.Member(
                 f"127.0.9.{host}",
                 *member_ports,
                 tmp_path / str(host),
@@ -276,7 +201,7 @@
     entry.origins.note("c1", "models", "v1", time.monotonic())
     members = start(True)
     try:
-        _wait_until(
+        members_module.wait_until(
             lambda: any(each.process._state.is_leader for each in members)
         )
         leader = next(
@@ -292,7 +217,7 @@
                 ),
             ),
         )
-        _wait_until(
+        members_module.wait_until(
             lambda: all(blocked(each) == ["request x"] for each in members)
         )
         gevent.sleep(2 * tables_keeper.WRITE_PERIOD_S)
@@ -327,7 +252,9 @@
             server = rpc.make_server(
                 (f"127.0.9.{seed[1:]}", port),
                 _describe(has_disk),
-                auth.make_signer(bytes.fromhex(_KEY), clock.make_clock()),
+                auth.make_signer(
+                    bytes.fromhex(members_module.KEY), clock.make_clock()
+                ),
             )
             server.start()
             servers.append(server)
@@ -356,7 +283,7 @@
     tmp_path, seeds, first_start, host, others, members
 ):
     ip = f"127.0.9.{host}"
-    member = _Member(
+    member = members_module.Member(
         ip,
         seeds(**others),
         ports.choose(ip),
@@ -364,7 +291,7 @@
         _Replicas(),
         first_start,
     )
-    _wait_until(lambda: member.process._replica is not None)
+    members_module.wait_until(lambda: member.process._replica is not None)
     found = identity.make_identity(str(tmp_path), ip.replace(".", "-"))
     assert found.has_first_id is bool(members)
     assert member.process._replica.membership.ids == tuple(
@@ -393,7 +320,7 @@
     port = ports.choose("127.0.9.1")
     operator_port = ports.choose("127.0.9.1")
     members = [
-        _Member(
+        members_module.Member(
             f"127.0.9.{host}",
             port,
             operator_port,
@@ -415,7 +342,7 @@
         )
 
     try:
-        _wait_until(settled)
+        members_module.wait_until(settled)
         assert all(_voters(member) <= disks for member in members)
         # Each member serves operators and entries.
         assert _put(members[0], _document(2)) == 200
@@ -440,7 +367,7 @@
 
     def start(first, seeds):
         return [
-            _Member(
+            members_module.Member(
                 f"127.0.9.{host}",
                 port,
                 operator_port,
@@ -458,7 +385,7 @@
         for member in members:
             member.stop()
         members = start(False, (1, 2, 3))
-        _wait_until(
+        members_module.wait_until(
             lambda: all(
                 member.call("GET", "/-/config") == (200, _document(2))
                 for member in members
