Begin with a document that members hold while none can confirm it

Callers of a gateway that starts while no authority leads got 503 (no_document) until one led again, although gateways that had started before served the same calls with the document they had.

Cause: a gateway takes its first document only from a member that has confirmed it with a quorum. What it does for all later ones, to go on with what is known until a newer one comes, did not hold for the first.

Half a second after its start a gateway without a document asks all members for the state that they have applied, which is committed, and begins with the newest one. It counts as unconfirmed (infinite age, document_not_confirmed in the log), is no evidence of when weights were replaced, and gives way to the first confirmed one; it never replaces a document. What operators may no longer want is served for as long as by gateways that lost their members at that moment.

--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -294,6 +294,13 @@
     loading: tuple[Loading, ...] = ()
 
 
+class ReadHeld(Message):
+    """A process without a document asks for one that may not be the newest.
+
+    The reply is a WatchReply that no quorum has confirmed.
+    """
+
+
 class WatchReply(Message):
     """Confirmed numbered document and weight versions.
 
@@ -474,6 +481,7 @@
     | Order
     | OrderReply
     | Watch
+    | ReadHeld
     | WatchReply
     | Parts
     | PartsReply
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -101,6 +101,7 @@
     def handlers(self) -> Mapping[str, rpc.Handler]:
         return {
             "Watch": self.watch,
+            "ReadHeld": self.read_held,
             "Parts": self.parts,
             "ShareTables": self.share_tables,
             "FindOrigin": self.find_origin,
@@ -132,6 +133,18 @@
             raise self._state.make_refusal(error) from error
         return self._make_reply(watch)
 
+    def read_held(self, message: messages.ReadHeld) -> messages.WatchReply:
+        """Return the applied state, which may not be the newest.
+
+        It is for entries that start while no member can confirm one: those
+        that started before go on with what they have.
+        """
+        return messages.WatchReply(
+            number=self._machine.numbered.number,
+            document=self._compress_document(),
+            weights=self._machine.numbered.weights,
+        )
+
     def observe_weights(self) -> None:
         """Confirm the state, and note which weights are the newest.
 
@@ -304,10 +317,7 @@
         numbered = self._machine.numbered
         document = b""
         if numbered.number > watch.number:
-            if self._compressed[0] != numbered.number:
-                data = zlib.compress(numbered.content, _COMPRESSION_LEVEL)
-                self._compressed = (numbered.number, data)
-            document = self._compressed[1]
+            document = self._compress_document()
         members = self._state.replica.membership.ids
         self._book.learn_members(members)
         names = {member.partition(".")[0] for member in members}
@@ -321,6 +331,14 @@
             replaced=self._tables.weights.encode(time.monotonic()),
         )
 
+    def _compress_document(self) -> bytes:
+        """Returns: the applied document, compressed; empty for none."""
+        numbered = self._machine.numbered
+        if self._compressed[0] != numbered.number:
+            data = zlib.compress(numbered.content, _COMPRESSION_LEVEL)
+            self._compressed = (numbered.number, data)
+        return self._compressed[1]
+
 
 def make_service(
     state: numbered_state.NumberedState,
--- /dev/null
+++ b/papayalink/roles/gateway/held_document.py
@@ -0,0 +1,64 @@
+"""The first document of a gateway that no control member can confirm."""
+
+import gevent
+
+from papayalink import tasks
+from papayalink.protocol import messages
+from papayalink.roles import node as nodes
+from papayalink.roles.gateway import watching
+from papayalink.transport import errors
+
+# A group that starts with the gateway, or elects another leader, can confirm
+# the document within this time.
+CONFIRM_WAIT_S = 0.5
+ASK_PERIOD_S = 0.25
+ASK_TIMEOUT_S = 0.3
+
+
+class HeldDocument:
+    """Asks members for what they hold until the gateway has a document.
+
+    While no member leads, gateways that run go on with the document they
+    have. One that has just started would refuse all calls instead.
+    """
+
+    __slots__ = ("_node", "_watcher")
+
+    def __init__(self, node: nodes.Node, watcher: watching.Watcher) -> None:
+        self._node = node
+        self._watcher = watcher
+
+    def start(self) -> None:
+        tasks.spawn(self._run)
+
+    def _run(self) -> None:
+        gevent.sleep(CONFIRM_WAIT_S)
+        while self._watcher.directory is None:
+            self._ask_all()
+            gevent.sleep(ASK_PERIOD_S)
+
+    def _ask_all(self) -> None:
+        """Use the newest document that a member holds."""
+        replies: list[messages.WatchReply] = []
+
+        def ask(address: str) -> None:
+            try:
+                reply = self._node.rpc_client.call(
+                    address, "ReadHeld", messages.ReadHeld(), ASK_TIMEOUT_S
+                )
+            except errors.TransportError:
+                return
+            if reply.number:
+                replies.append(reply)
+
+        gevent.joinall(
+            [gevent.spawn(ask, each) for each in self._watcher.authorities()]
+        )
+        if replies:
+            self._watcher.use_held(max(replies, key=lambda each: each.number))
+
+
+def make_held_document(
+    node: nodes.Node, watcher: watching.Watcher
+) -> HeldDocument:
+    return HeldDocument(node, watcher)
--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -21,6 +21,7 @@
 from papayalink.roles.gateway import crashes
 from papayalink.roles.gateway import departures
 from papayalink.roles.gateway import handling
+from papayalink.roles.gateway import held_document
 from papayalink.roles.gateway import limits
 from papayalink.roles.gateway import listing
 from papayalink.roles.gateway import liveness as livenesses
@@ -147,6 +148,7 @@
         self._server.start()
         self._ready_server.start()
         self._watcher.start()
+        held_document.make_held_document(self._node, self._watcher).start()
         self._listing.start()
         self._parts.start()
         self._reloading.start(self._node.timers)
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import random
 import time
 
@@ -175,6 +176,21 @@
         self._started_at = time.monotonic()
         tasks.spawn(self._run)
 
+    def use_held(self, reply: messages.WatchReply) -> None:
+        """Begin with a committed document that may not be the newest.
+
+        A member that confirms a newer one replaces it; a gateway that has
+        been running goes on with what it has just the same.
+        """
+        if self._directory is not None or not self._apply_document(reply):
+            return
+        self._note_weights(reply.weights)
+        # No evidence of when other versions were replaced.
+        self._history.observe(self._weights, float("-inf"))
+        self._log.warning("document_not_confirmed", number=self._number)
+        self._on_change()
+        self._has_document.set()
+
     def add_members(self, addresses: Iterable[str]) -> None:
         """Add members from changed settings."""
         for address in addresses:
@@ -304,11 +320,7 @@
         changed = self._apply_document(reply)
         if not self.unusable_number:
             self._confirmed_at = time.monotonic()
-        for model, version in reply.weights.items():
-            if version > self._weights.get(model, 0):
-                self._weights = {**self._weights, model: version}
-                changed = True
-                self._log.info("weights_named", model=model, version=version)
+        changed = self._note_weights(reply.weights) or changed
         # The member confirms its state after the request.
         self._history.observe(self._weights, asked_at)
         self._history.merge(reply.replaced, asked_at)
@@ -323,6 +335,18 @@
             if self._directory is not None:
                 self._has_document.set()
 
+    def _note_weights(self, named: Mapping[str, int]) -> bool:
+        """Returns: whether a newer version of some weights was named."""
+        newer = {
+            model: version
+            for model, version in named.items()
+            if version > self._weights.get(model, 0)
+        }
+        self._weights = {**self._weights, **newer}
+        for model, version in newer.items():
+            self._log.info("weights_named", model=model, version=version)
+        return bool(newer)
+
     def _apply_document(self, reply: messages.WatchReply) -> bool:
         """Returns: whether a newer document has come into force."""
         known = max(self._number, self._unusable_number)
--- a/tests/processes/test_stops_of_all_members.py
+++ b/tests/processes/test_stops_of_all_members.py
@@ -114,3 +114,16 @@
     _wait_for(lambda: _has_ended(third))
     assert third.process.returncode == 0
     _wait_for(lambda: _reads(second))
+
+
+def test_gateway_begins_while_no_member_confirms_a_document(deployment):
+    """Guards against refusals for as long as no member leads."""
+    for member in deployment.members[:2]:
+        member.kill()
+    assert not _reads(deployment.members[2])
+    gateway = deployment.gateways[1]
+    gateway.start()
+    _wait_for(lambda: _document(gateway) == 3)
+    deployment.members[0].start()
+    _wait_for(lambda: _reads(deployment.members[0]))
+    assert _document(gateway) == 3
