--- a/papayalink/protocol/messages.py
+++ b/papayalink/protocol/messages.py
@@ -221,6 +221,28 @@
     first: str = ""
 
 
+class AskPresence(Message):
+    """A member that is told to stop asks a voter whether it may leave.
+
+    Attributes:
+        member_id: id of the voter that is asked.
+    """
+
+    member_id: str
+
+
+class Presence(Message):
+    """Reply to AskPresence.
+
+    Attributes:
+        takes_part: the asked member has that id and knows a leader.
+        stopping_s: seconds since it was told to stop itself, None if not.
+    """
+
+    takes_part: bool
+    stopping_s: float | None = None
+
+
 class Acknowledge(Message):
     """The message was accepted."""
 
@@ -272,6 +294,13 @@
     loading: tuple[Loading, ...] = ()
 
 
+class ReadHeld(Message):
+    """A process without a document asks for one that may not be the newest.
+
+    The reply is a WatchReply that no quorum has confirmed.
+    """
+
+
 class WatchReply(Message):
     """Confirmed numbered document and weight versions.
 
@@ -446,10 +475,13 @@
     | Describe
     | Described
     | Join
+    | AskPresence
+    | Presence
     | Acknowledge
     | Order
     | OrderReply
     | Watch
+    | ReadHeld
     | WatchReply
     | Parts
     | PartsReply
