Use the members of the tests' own module in tests of disks

Tests of failing disks took the members from another test module, which no longer has them: collection failed with an AttributeError after.

--- a/tests/roles/authority/test_disk_failures.py
+++ b/tests/roles/authority/test_disk_failures.py
@@ -11,6 +11,7 @@
 from papayalink.state import log_entries
 from papayalink.state import log_store
 from papayalink.state import segments
+from tests.roles.authority import members
 from tests.roles.authority import ports
 from tests.roles.authority import test_authorities as authorities
 from tests.state import faulty_files
@@ -61,7 +62,7 @@
         monkeypatch.setattr(tasks.logs, "close", lambda: None)
 
     def start(self, host, first_start=False):
-        self.members[host] = authorities._Member(
+        self.members[host] = members.Member(
             f"127.0.9.{host}",
             *self._ports,
             self._folder / str(host),
@@ -75,7 +76,7 @@
     def put(self, number):
         """Store a document through any member, as operators do."""
         body = authorities._document(number)
-        authorities._wait_until(
+        members.wait_until(
             lambda: any(
                 member.put(body) == 200 for member in self.members.values()
             )
@@ -85,7 +86,7 @@
         """Wait until the disk of each member holds the newest change."""
         self.wait_until(self._all_take_part)
 
-    wait_until = staticmethod(authorities._wait_until)
+    wait_until = staticmethod(members.wait_until)
 
     def _all_take_part(self):
         replicas = [self.replica(host) for host in self.members]
@@ -186,7 +187,7 @@
     port = seeds(s2=True, s3=True)
 
     def start(is_first):
-        return authorities._Member(
+        return members.Member(
             "127.0.9.1",
             port,
             ports.choose("127.0.9.1"),
@@ -199,12 +200,12 @@
         return exit_codes or member.process._replica is not None
 
     member = start(True)
-    authorities._wait_until(settled)
+    members.wait_until(settled)
     member.stop()
     exit_codes.clear()
     disk.first = None
     member = start(first_start)
-    authorities._wait_until(settled)
+    members.wait_until(settled)
     try:
         assert not exit_codes
         assert member.process._identity.has_first_id
@@ -229,14 +230,14 @@
             raise Killed
 
     port = seeds(s2=True, s3=True)
-    member = authorities._Member(
+    member = members.Member(
         "127.0.9.1",
         port,
         ports.choose("127.0.9.1"),
         tmp_path,
         authorities._Replicas(),
     )
-    authorities._wait_until(lambda: member.process._replica is not None)
+    members.wait_until(lambda: member.process._replica is not None)
     member.process._replica.stop()
     log_folder = tmp_path / "log"
     store = log_store.DiskLogStore(log_folder)
