Stay in the group while the others have no quorum, whatever the reason

Cause: a member that is told to stop left at once when the others had no quorum even with it. That is so for the time of an election, as members count only while they know a leader, and once an earlier member has ended at the end of its grace period. In a roll the others come back a moment later.

A member stays until the others have a quorum without it, or until its time is over, which also bounds how long it waits for replies: it could ask for half a second more than it may stay, of the half second that is left until the kill.

test_member_leaves_at_once_where_the_others_have_no_quorum was wrong: it took the wait for useless. It is replaced by a table of what the others say, with the same case the other way round.

--- a/papayalink/roles/authority/departure.py
+++ b/papayalink/roles/authority/departure.py
@@ -24,9 +24,10 @@
     """The planned stop of a member, as seen by its group.
 
     Machines that are stopped in turn overlap, as each goes on for its grace
-    period. A voter without which the others have no quorum stays meanwhile:
-    while none leads, no change is taken, and entries that start have no
-    document.
+    period. A voter without which the others have no quorum stays meanwhile,
+    also while none leads: a leader that stopped is followed by another one,
+    and members that were stopped come back. Without a leader no change is
+    taken, and entries that start have no document.
 
     Args:
         identity: id of this member, which may change until it takes part.
@@ -84,11 +85,13 @@
             self._began_at = now
         until = now + timeout_s
         stayed = False
-        while not stop_now.is_set() and self._is_needed():
+        while not stop_now.is_set():
             left_s = until - time.monotonic()
             if left_s <= 0:
                 self._log.warning("leaves_without_quorum")
                 return
+            if not self._is_needed(min(ASK_TIMEOUT_S, left_s)):
+                break
             if not stayed:
                 self._log.info("stays_for_quorum", left_s=round(left_s, 2))
             stayed = True
@@ -115,8 +118,8 @@
             return None
         return time.monotonic() - self._began_at
 
-    def _is_needed(self) -> bool:
-        """Returns: whether there is a quorum with this member only."""
+    def _is_needed(self, timeout_s: float) -> bool:
+        """Returns: whether there is no quorum without this member."""
         try:
             group = self._state.replica.membership
         except errors.Unavailable:
@@ -128,17 +131,16 @@
         # Taken before the others are asked, so that of two members that begin
         # to stop at once neither takes the other for the later one.
         stopping_s = self._stopping_s()
-        present = self._ask(others)
         staying = {
             voter
-            for voter, presence in present.items()
+            for voter, presence in self._ask(others, timeout_s).items()
             if presence.stopping_s is None or presence.stopping_s < stopping_s
         }
-        return group.has_quorum({*present, own}) and not group.has_quorum(
-            staying
-        )
+        return not group.has_quorum(staying)
 
-    def _ask(self, voters: Collection[str]) -> dict[str, messages.Presence]:
+    def _ask(
+        self, voters: Collection[str], timeout_s: float
+    ) -> dict[str, messages.Presence]:
         """Returns: what the voters say that take part, by member id."""
         present: dict[str, messages.Presence] = {}
 
@@ -148,7 +150,7 @@
                     self._peers.address_of(voter),
                     "AskPresence",
                     messages.AskPresence(voter),
-                    ASK_TIMEOUT_S,
+                    timeout_s,
                 )
             except transport_errors.TransportError as error:
                 self._log.debug("not_present", member=voter, reason=error)
