Play rolls of whole VMs in the soak

Callers of a planned roll got 503 (no_document) for seconds, and streams were cut at the end of stops; no scenario had VMs with two processes, or streams that last for seconds.

Cause: the scenarios stop single processes, and each starts again at once. An authority was back within two seconds of its SIGTERM, whatever its gateway did.

Findings are calls that are cut by a planned stop, by the wording that users have (a long stream that was sent in its first 3 s and that its replica still writes in the last sixth of the grace period is counted apart), and refusals for want of a document later than 1.5 s after the start of a gateway while others serve: calls wait for the first one for a second (FIRST_DOCUMENT_WAIT_S), and a group has a leader after about half a second. The reasons of refusals are read from the logs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,7 @@
     fresh: int = 0,
     seconds: float = 12.0,
     authorities: int = 3,
-    gateways: int = 3,
+    gateways: int = 0,
     losses: int = 1,
     diskless: int = 0,
     power: bool = False,
@@ -38,6 +38,9 @@
     pauses: bool = False,
     failing: bool = False,
     storms: bool = False,
+    rolls: bool = False,
+    early_reloads: bool = False,
+    callers: int = 0,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -47,7 +50,7 @@
         fresh: number of random seeds to run in addition.
         seconds: duration of the fault injection.
         authorities: number of authorities with a disk.
-        gateways: number of gateways.
+        gateways: number of gateways; 0 for 7 with `rolls` and 3 without.
         losses: maximum number of authorities with a disk that are disturbed
             at the same time.
         diskless: number of additional authorities without a disk.
@@ -77,6 +80,12 @@
             and pauses are longer.
         storms: whether all processes lose power and one disk again and again,
             right after many large documents.
+        rolls: whether all VMs, some of which have two processes, are stopped
+            and started again in series, instead of faults; with `silences`
+            half of the replicas stand still again and again.
+        early_reloads: with `rolls`, whether SIGHUP comes while processes
+            start as well.
+        callers: number of callers of `rolls`; 0 for 80.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -86,7 +95,7 @@
     all_seeds += [random_source.randrange(10**6) for _ in range(fresh)]
     scenario = seed_run.Scenario(
         authorities,
-        gateways,
+        gateways or (seed_run.ROLL_GATEWAYS if rolls else 3),
         losses,
         diskless,
         power,
@@ -105,6 +114,9 @@
         pauses,
         failing,
         storms,
+        rolls,
+        early_reloads,
+        callers or seed_run.ROLL_CALLERS,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from soak import nodes
 from soak import records
 from soak import repeat_checks
+from soak import roll_checks
 from soak import stream_checks
 from soak.platform import standins
 
@@ -71,6 +72,7 @@
         *_check_weights(history),
         *repeat_checks.check(history),
         *stream_checks.check(history),
+        *roll_checks.check(history),
     ]
 
 
@@ -83,7 +85,7 @@
 
 
 def _check_call(call, executions, history):
-    is_stream = call.path_prefix == standins.STREAM
+    is_stream = call.path_prefix in standins.STREAM_EVENTS
     if call.path_prefix == standins.ONCE and len(executions) > 1:
         yield f"ran {len(executions)} times"
     if (
@@ -161,7 +163,7 @@
     kinds.discard(SILENT_KIND)
     if not kinds:
         yield f"cut without a fault, {lasted_s:.3f} s after it was sent"
-    elif kinds == {"stop"}:
+    elif kinds == {"stop"} and not roll_checks.ends_with_grace(call, history):
         yield f"cut by a planned stop, {lasted_s:.3f} s after it was sent"
 
 
@@ -234,11 +236,10 @@
 
 def _check_stream(call):
     versions = records.versions_of(call.body)
+    count, _ = standins.STREAM_EVENTS[call.path_prefix]
     events = b"".join(
         records.make_event(call.call_id, number, min(versions, default=""))
-        for number in range(
-            call.last_event + 1, standins.EVENTS_PER_STREAM + 1
-        )
+        for number in range(call.last_event + 1, count + 1)
     )
     if len(versions) > 1:
         # Reported for the whole stream.
@@ -344,7 +345,7 @@
     """Check that each stream was written by one software version."""
     versions = {}
     for call in history.calls:
-        if call.path_prefix == standins.STREAM:
+        if call.path_prefix in standins.STREAM_EVENTS:
             stream = call.resumes or call.call_id
             versions.setdefault(stream, set()).update(
                 records.versions_of(call.body)
--- a/soak/figures.py
+++ b/soak/figures.py
@@ -1,8 +1,11 @@
 """Figures of one run for each guarantee that has a bound."""
 
+import collections
+
 from soak import checks
 from soak import records
 from soak import repeat_checks
+from soak import roll_checks
 from soak import stream_checks
 
 
@@ -22,6 +25,9 @@
     crossed: calls that crossed the close of a connection that was open when
         they were sent.
     lost: calls that a gateway has read and that have no whole answer.
+    in_answer: calls whose answer began and has no end, time-outs included.
+    excused: long streams of these that end with the grace period.
+    reasons: calls that gateways of rolls answered with 503, by reason.
     sound: sound streams that began beside a part that ends replicas.
     taken_up: streams that went on when they were taken up.
     new: streams that began.
@@ -57,6 +63,13 @@
         "closed": f"{history.counts.get('closed_port', 0)},{len(stale)}",
         "crossed": str(len(crossed)),
         "lost": str(len(lost)),
+        "in_answer": str(
+            sum(call.status > 0 and not call.complete for call in written)
+        ),
+        "excused": str(
+            sum(roll_checks.ends_with_grace(call, history) for call in lost)
+        ),
+        "reasons": _format_reasons(history),
         "sound": _format_shares(sound),
         "taken_up": _format_shares(
             [stream_checks.measure_take_ups(streams, history)]
@@ -65,6 +78,17 @@
     }
 
 
+def _format_reasons(history: records.History) -> str:
+    reasons = collections.Counter(each.reason for each in history.rejections)
+    return (
+        ",".join(
+            f"{reason.replace(' ', '_')}:{count}"
+            for reason, count in reasons.most_common()
+        )
+        or "none"
+    )
+
+
 def _format_shares(shares: list[stream_checks.Share]) -> str:
     served = sum(share.served for share in shares)
     return f"{served}/{sum(share.sent for share in shares)}"
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -109,12 +109,16 @@
         os.replace(f"{path}.new", path)
         return path
 
-    def reload(self, signals: bool) -> bool:
+    def reload(self, signals: bool, while_starting: bool = False) -> bool:
         """Change the settings of a running process, with SIGHUP or without.
 
-        Returns: False if it may not handle signals yet.
+        Args:
+            while_starting: whether it may not handle signals yet.
+        Returns: False if nothing was done, since it may not.
         """
-        if not self.running or not self._handles_signals():
+        if not self.running:
+            return False
+        if not while_starting and not self.has_started():
             return False
         seeds = self.settings["seeds"]
         self.settings["seeds"] = [*seeds[1:], seeds[0]]
@@ -123,7 +127,7 @@
             self.process.send_signal(signal.SIGHUP)
         return True
 
-    def _handles_signals(self) -> bool:
+    def has_started(self) -> bool:
         """Whether the process is known to have installed its handlers."""
         if not self.handles_signals:
             try:
@@ -138,13 +142,13 @@
     def wait_ready(self) -> None:
         """Wait until a gateway reports that it is ready."""
         deadline = time.monotonic() + START_TIMEOUT_S
-        while not self._is_ready():
+        while not self.is_ready():
             if time.monotonic() > deadline:
                 self.failures.append(f"{self.name} is not ready after a start")
                 return
             gevent.sleep(0.1)
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
         client = geventhttpclient.HTTPClient(self.ip, READY_PORT)
         try:
             return client.get("/-/ready").status_code == 200
@@ -167,7 +171,7 @@
         """Stop as the platform does: SIGTERM, then SIGKILL after GRACE_S."""
         self.note_own_end()
         # Before, the signal ends the process at once.
-        handles_signals = self._handles_signals()
+        handles_signals = self.has_started()
         self.process.terminate()
         waited_s = 0.0
         while self.process.poll() is None and waited_s < GRACE_S:
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -5,6 +5,7 @@
 import zlib
 
 import gevent
+from gevent import event
 from gevent import pywsgi
 import msgspec
 
@@ -27,12 +28,24 @@
 ONCE, LOOKUP, STREAM, OPTIONAL = "/once/", "/look/", "/stream/", "/extra/"
 # Calls that may be sent to more replicas, of the scenario of repeats.
 OFTEN = "/often/"
+# Streams of the scenario of rolls. SINGLE ones are sent to one replica only.
+SHORT, LONG, SINGLE = "/short/", "/long/", "/single/"
+# Events of each kind of stream, and seconds before each of them.
+STREAM_EVENTS = {
+    STREAM: (EVENTS_PER_STREAM, EVENT_INTERVAL_S),
+    SHORT: (8, 0.05),
+    LONG: (40, 0.05),
+    SINGLE: (40, 0.05),
+}
 _ROUTE_OPTIONS = {
     ONCE: ("non_idempotent", 1, False),
     LOOKUP: ("idempotent", 2, False),
     STREAM: ("streaming", 2, True),
     OPTIONAL: ("idempotent", 2, False),
     OFTEN: ("idempotent", 3, False),
+    SHORT: ("streaming", 2, True),
+    LONG: ("streaming", 2, True),
+    SINGLE: ("streaming", 1, False),
 }
 
 
@@ -41,6 +54,11 @@
     return _ROUTE_OPTIONS[path_prefix][1]
 
 
+def kind_of(path: str) -> str:
+    """Returns: path prefix of a call."""
+    return f"/{path.split('/')[1]}/"
+
+
 def make_document(
     number: int, has_optional_route: bool, padding_routes: int = 0
 ) -> bytes:
@@ -104,6 +122,7 @@
         limit: limit that its answers name, None for none.
         weights: weights of its model, None without a model.
         born_ms: Unix milliseconds at which its lifetime began.
+        going: cleared while it stands still and writes nothing.
     """
 
     replica_id: str
@@ -118,6 +137,7 @@
     limit: records.NamedLimit | None = None
     weights: model_weights.ModelWeights | None = None
     born_ms: int = msgspec.field(default_factory=lambda: _now_ms())
+    going: event.Event = msgspec.field(default_factory=lambda: _make_set())
 
     def answer(self, environ: dict, start_response):
         path = environ["PATH_INFO"]
@@ -193,8 +213,10 @@
         headers.append(
             ("Papayalink-Server-Stamp", f"{self.replica_id}.{call_id}")
         )
-        if not path.startswith(STREAM):
+        kind = kind_of(path)
+        if kind not in STREAM_EVENTS:
             gevent.sleep(PLAIN_ANSWER_S)
+            self.going.wait()
             fails = self.mode == "failing" and self._is_failing(call_id)
             start_response("500 Failed" if fails else "200 OK", headers)
             return [records.make_body(call_id, self.replica_id)]
@@ -206,7 +228,17 @@
                 records.Arrival(cause, call_id, time.monotonic())
             )
             return self._crash(cause)
-        return _events(call_id, last_event_id, self.software)
+        return self._write_events(call_id, last_event_id, kind)
+
+    def _write_events(self, call_id: str, last_event_id: int, kind: str):
+        count, interval_s = STREAM_EVENTS[kind]
+        try:
+            for number in range(last_event_id + 1, count + 1):
+                gevent.sleep(interval_s)
+                self.going.wait()
+                yield records.make_event(call_id, number, self.software)
+        finally:
+            self.executions.finished[call_id] = time.monotonic()
 
     def _is_failing(self, call_id: str) -> bool:
         drawn = zlib.crc32(f"{call_id} {self.replica_id}".encode())
@@ -233,10 +265,10 @@
     return history.crashing_part if history.crashing_part in part_ids else ""
 
 
-def _events(call_id: str, last_event_id: int, software: str):
-    for number in range(last_event_id + 1, EVENTS_PER_STREAM + 1):
-        gevent.sleep(EVENT_INTERVAL_S)
-        yield records.make_event(call_id, number, software)
+def _make_set() -> event.Event:
+    made = event.Event()
+    made.set()
+    return made
 
 
 class Platform:
--- a/soak/records.py
+++ b/soak/records.py
@@ -42,10 +42,16 @@
 
 
 class Executions:
-    """Executions and arrivals by call id, as the replicas recorded them."""
+    """Executions and arrivals by call id, as the replicas recorded them.
+
+    Attributes:
+        finished: when a replica wrote the last event of a stream, or saw that
+            nobody reads it any more.
+    """
 
     def __init__(self) -> None:
         self.by_call: dict[str, list[Execution]] = {}
+        self.finished: dict[str, float] = {}
         self.arrivals: dict[str, list[CallArrival]] = {}
 
     def note_arrival(
@@ -193,6 +199,19 @@
     delay_s: float
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """A gateway has logged that it answered a call with 503.
+
+    Attributes:
+        since_start_s: seconds since this process of the gateway started.
+    """
+
+    call_id: str
+    gateway: str
+    reason: str
+    since_start_s: float
+
+
 class Naming(msgspec.Struct, eq=False):
     """A weight version that an operator named.
 
@@ -229,6 +248,7 @@
         crashes: parts and requests that have ended replicas, and when.
         serving_periods: times in which replicas served.
         operator_calls: requests of operators to members.
+        rejections: calls that gateways answered with 503, of rolls only.
         model: model that streams name, "" for none.
         namings: weight versions that operators named.
         take_up_at: gateway at which callers take up broken streams, "" for
@@ -249,6 +269,7 @@
     operator_calls: list[OperatorCall] = []
     limits: list[NamedLimit] = []
     refusals: list[Refusal] = []
+    rejections: list[Rejection] = []
     model: str = ""
     namings: list[Naming] = []
     take_up_at: str = ""
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -18,7 +18,9 @@
 from soak import planned_work
 from soak import proxy
 from soak import records
+from soak import rejection_logs
 from soak import repeat_faults
+from soak import rolls
 from soak.platform import model_weights
 from soak.platform import standins
 
@@ -42,6 +44,21 @@
 REPEAT_PAUSE_S = 0.5
 # Most of their calls may be repeated twice.
 REPEAT_PATH_PREFIXES = (*clients.PATH_PREFIXES, *6 * (standins.OFTEN,))
+# Processes and callers of the scenario of rolls, the longest pause of a caller
+# and the connections that each keeps.
+ROLL_GATEWAYS = 7
+ROLL_REPLICAS = 6
+ROLL_CALLERS = 80
+ROLL_PAUSE_S = 0.3
+ROLL_CONNECTIONS = 2
+ROLL_PATH_PREFIXES = (
+    standins.ONCE,
+    standins.LOOKUP,
+    standins.OPTIONAL,
+    standins.SHORT,
+    standins.LONG,
+    standins.SINGLE,
+)
 # Longest time between two namings of weights.
 NAMING_INTERVAL_S = 3.0
 
@@ -85,6 +102,12 @@
         storms: whether all processes lose power again and again, and one disk,
             right after the last of many large documents was accepted, instead
             of faults.
+        rolls: whether VMs are stopped and started again in series, instead of
+            faults, see `rolls.Rolls`. With `silences` half of the replicas
+            stand still again and again.
+        early_reloads: with `rolls`, whether SIGHUP comes while processes start
+            as well.
+        callers: number of callers of `rolls`.
     """
 
     authorities: int = 3
@@ -107,6 +130,9 @@
     pauses: bool = False
     failing: bool = False
     storms: bool = False
+    rolls: bool = False
+    early_reloads: bool = False
+    callers: int = ROLL_CALLERS
 
 
 class Result(msgspec.Struct):
@@ -148,7 +174,7 @@
     links: node_module.Links = {}
     watching = gevent.spawn(_watch_stalls, history)
     try:
-        for index in range(REPLICAS):
+        for index in range(ROLL_REPLICAS if scenario.rolls else REPLICAS):
             platform.add_replica(
                 f"i-{seed}-{index}",
                 f"z{index % 3}",
@@ -204,7 +230,7 @@
         gevent.spawn(caller.run, targets, ended) for caller, targets in callers
     ]
     beside = ""
-    if scenario.silences:
+    if scenario.silences and not scenario.rolls:
         beside = _make_rng(seed, "beside").choice(BESIDE_SILENCES)
         if scenario.stops:
             beside = "stops"
@@ -212,7 +238,7 @@
     operating = []
     if beside != "nothing" and not scenario.storms:
         operating.append(gevent.spawn(_operate, operator, members, ended))
-    if scenario.stops:
+    if scenario.stops or scenario.rolls:
         # Documents overlap as well.
         operating.append(gevent.spawn(_operate, operator, members, ended))
     if scenario.weights:
@@ -249,6 +275,12 @@
             scenario.pauses,
             scenario.failing,
         ).run(until)
+    elif scenario.rolls:
+        if scenario.silences:
+            operating.append(gevent.spawn(injector.silences.run_halves, ended))
+        rolls.make_rolls(nodes, history, rng, scenario.early_reloads).run(
+            until
+        )
     elif beside:
         silencing = gevent.spawn(injector.silences.run, until, scenario.stops)
         if beside == "stops":
@@ -280,6 +312,9 @@
     reads = len(history.reads)
     for _ in range(6):
         operator.read(members)
+    if scenario.rolls:
+        for gateway in gateways:
+            history.rejections += rejection_logs.read(gateway)
     findings = [
         *storm_findings,
         *checks.check(history),
@@ -307,17 +342,31 @@
 def _make_callers(seed, scenario, gateways, history):
     """Returns: callers, each with the gateways that it calls."""
     callers = []
-    keeps_open = scenario.stops or scenario.silences
+    keeps_open = scenario.stops or scenario.silences or scenario.rolls
     deadline_s = clients.DEADLINE_S
-    if scenario.silences or scenario.pauses:
+    if scenario.silences or scenario.pauses or scenario.rolls:
         deadline_s = SILENCES_DEADLINE_S
     count = STOP_CALLERS if keeps_open else CALLERS
     if scenario.repeats:
         count = REPEAT_CALLERS
+    if scenario.rolls:
+        count = scenario.callers
     for index in range(count):
         name = f"{seed}-{index}"
         rng = _make_rng(seed, name)
-        if keeps_open:
+        if scenario.rolls:
+            caller = clients.Caller(
+                name,
+                history,
+                rng,
+                ROLL_PAUSE_S,
+                ROLL_CONNECTIONS,
+                deadline_s,
+                ROLL_PATH_PREFIXES,
+                looks=not index % 2,
+            )
+            targets = [gateways[index % len(gateways)]]
+        elif keeps_open:
             caller = clients.Caller(
                 name,
                 history,
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+from gevent import event
 
 from soak import checks
 from soak import records
@@ -14,6 +15,10 @@
 SILENT_INTERVAL_S = (1.0, 2.5)
 # Share of the silences of half of the replicas, where these occur.
 HALF_SHARE = 1 / 3
+# Times for which half of the replicas stand still beside rolls, each
+# HALF_PERIOD_S.
+HALF_SILENT_S = (1.0, 1.6)
+HALF_PERIOD_S = 3.0
 
 
 class Silences:
@@ -50,13 +55,30 @@
                 self.silence(replicas)
             gevent.sleep(self._rng.uniform(*SILENT_INTERVAL_S))
 
+    def run_halves(self, ended: event.Event) -> None:
+        """Let half of the replicas stand still in each period until a stop."""
+        replicas = self._platform.replicas
+        while not ended.is_set():
+            began_at = time.monotonic()
+            half = self._rng.sample(replicas, len(replicas) // 2)
+            for replica in half:
+                replica.going.clear()
+            self.silence(half, False, self._rng.uniform(*HALF_SILENT_S))
+            for replica in half:
+                replica.going.set()
+            ended.wait(began_at + HALF_PERIOD_S - time.monotonic())
+
     def silence(
-        self, replicas: list[standins.Replica], or_one: bool = True
+        self,
+        replicas: list[standins.Replica],
+        or_one: bool = True,
+        duration_s: float = 0.0,
     ) -> None:
         """Silence all of these replicas that are not disturbed otherwise.
 
         Args:
             or_one: whether one of them may fall silent alone.
+            duration_s: how long; 0 for a drawn time.
         """
         links = {
             each.replica_id: self._platform.proxies[each.replica_id]
@@ -65,7 +87,7 @@
             and each.replica_id not in self._disturbed
             and not each.leaving
         }
-        duration_s = self._rng.uniform(*SILENT_S)
+        duration_s = duration_s or self._rng.uniform(*SILENT_S)
         takes_connections = self._rng.random() < 0.5
         if or_one and links and self._rng.random() < 0.5:
             one = self._rng.choice(sorted(links))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -66,6 +66,15 @@
             seed_run.Scenario(silences=True, stops=True),
             id="silences-beside-planned-work",
         ),
+        # VMs are stopped in series while half of the replicas stand still.
+        # Gateways that started refused all calls while no authority led.
+        pytest.param(
+            3,
+            seed_run.Scenario(
+                gateways=4, rolls=True, silences=True, callers=24
+            ),
+            id="rolls",
+        ),
         # Streams break off and are taken up, and sound streams come beside a
         # part that ends replicas.
         pytest.param(1, seed_run.Scenario(breaks=True), id="breaks"),
