Give entries no document that was not confirmed since the start

A gateway that started while no authority led could serve by a document from long ago, with routes that were dropped and keys that were taken away since. No caller was seen to; found by reading.

Cause: a member answers ReadHeld with what it has applied. When all members are restarted, such a member may be the only one that a gateway reaches.

A member gives a document once its state has been confirmed since its start, which each member tries each half second, and gives it on when no member leads later.

--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -38,6 +38,7 @@
         "_client",
         "_metrics",
         "_observe_weights",
+        "_confirmed",
         "_log",
     )
 
@@ -56,6 +57,7 @@
         self._client = client
         self._metrics = metrics
         self._observe_weights: Callable[[], None] | None = None
+        self._confirmed = False
         self._log = logs.get_logger()
 
     @property
@@ -64,6 +66,11 @@
             raise errors.Unavailable("the member does not take part yet")
         return self._replica
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the state was confirmed at least once since the start."""
+        return self._confirmed
+
     def attach(
         self, replica: replicas.Replica, required_voters: int = 0
     ) -> None:
@@ -125,6 +132,7 @@
     def confirm(self) -> None:
         """Make sure that everything committed so far is applied here."""
         self.replica.confirm_read(CONFIRM_TIMEOUT_S)
+        self._confirmed = True
 
     def note_invalid(self, reason: str) -> None:
         """Record a document that was rejected before it was proposed."""
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -137,8 +137,12 @@
         """Return the applied state, which may not be the newest.
 
         It is for entries that start while no member can confirm one: those
-        that started before go on with what they have.
+        that started before go on with what they have. A member that has just
+        started itself holds its snapshot, which may be old, until it knows
+        what was committed after it.
         """
+        if not self._state.confirmed:
+            return messages.WatchReply(0)
         return messages.WatchReply(
             number=self._machine.numbered.number,
             document=self._compress_document(),
--- a/tests/processes/test_stops_of_all_members.py
+++ b/tests/processes/test_stops_of_all_members.py
@@ -133,6 +133,8 @@
 
 def test_gateway_begins_while_no_member_confirms_a_document(deployment):
     """Guards against refusals for as long as no member leads."""
+    # It knows that the document is committed.
+    _wait_for(lambda: _reads(deployment.members[2]))
     for member in deployment.members[:2]:
         member.kill()
     assert not _reads(deployment.members[2])
