Count a replica's connections for calls apart from those of checks

What was seen: test_second_copy_of_a_refusal_is_not_taken_for_the_next_call [True-misdirected-without-id] failed once at a load average of 13: the replica had one connection more than before the second call, which was answered 200.

Cause: the test counted all connections of the stub. A gateway checks a replica that is silent for 0.4 s by a connection of its own, which is what it is to do. Its own stub is that silent when the process of the test stands still.

A connection of another process looks the same; since stubs have an address for each process. Which of the two it was in that run isn't told by what was kept.

Change: the stub tells which connection carried each request.

--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -72,12 +72,17 @@
     """Answers each request with the next list of steps, then with OK.
 
     A step is bytes to send, seconds to wait, "reset" or "close".
+
+    Attributes:
+        received: requests, in their order.
+        carriers: for each of these, the number of its connection, from 1.
     """
 
     def __init__(self, name, *script):
         self.name = name
         self.script = list(script)
         self.received = []
+        self.carriers = []
         self.hang_ups = 0
         self.connections = 0
         self.server = servers.StreamServer((HOST, 0), self._serve)
@@ -93,6 +98,7 @@
 
     def _serve(self, sock, address):
         self.connections += 1
+        number = self.connections
         while True:
             data = b""
             while b"\r\n\r\n" not in data:
@@ -101,6 +107,7 @@
                     return
                 data += chunk
             self.received.append(data)
+            self.carriers.append(number)
             for step in self.next_steps(data):
                 if step == "reset":
                     gevent.sleep(0.02)
