Leave a control member that does not answer once for all calls

More generally, calls that needed the control group while its leader was lost were refused for 5 s ("no control leader accepted the request within the timeout"), although the other members had elected a new leader.

Cause: the calls of one proposer share the member that they take for the leader. Each call that failed moved on from that shared member, not from the one that it had called. Three calls that failed together moved on three times, so that all of them called the lost one of three members again, and so on until their time was over.

Change: a call moves on only if no other call has left the member that it called.

--- a/papayalink/coordination/proposer.py
+++ b/papayalink/coordination/proposer.py
@@ -73,21 +73,22 @@
             left_s = deadline - self._clock.now()
             if left_s <= 0:
                 break
+            called = self._leader
             try:
                 return self._client.call(
-                    self._leader,
+                    called,
                     method,
                     message,
                     min(left_s, _ATTEMPT_TIMEOUT_S),
                 )
             except transport_errors.RpcRefused as error:
                 may_be_committed |= error.code == "unknown"
-                self._follow_redirect(error)
+                self._follow_redirect(called, error)
             except transport_errors.NotConnected:
-                self._select_next_control()
+                self._select_next_control(called)
             except transport_errors.TransportError:
                 may_be_committed = True
-                self._select_next_control()
+                self._select_next_control(called)
             gevent.sleep(min(_RETRY_PAUSE_S, max(0.0, left_s)))
         if may_be_committed:
             raise errors.OutcomeUnknown(
@@ -97,16 +98,24 @@
             "no control leader accepted the request within the timeout"
         )
 
-    def _follow_redirect(self, error: transport_errors.RpcRefused) -> None:
-        if error.leader and error.leader != self._leader:
+    def _follow_redirect(
+        self, called: str, error: transport_errors.RpcRefused
+    ) -> None:
+        if error.leader and error.leader != called:
             self._leader = error.leader
         else:
-            self._select_next_control()
+            self._select_next_control(called)
+
+    def _select_next_control(self, called: str) -> None:
+        """Leave a member that was called, unless another call has done so.
 
-    def _select_next_control(self) -> None:
+        Calls that fail together would else go round to that member again.
+        """
+        if self._leader != called:
+            return
         position = 0
-        if self._leader in self._controls:
-            position = self._controls.index(self._leader) + 1
+        if called in self._controls:
+            position = self._controls.index(called) + 1
         self._leader = self._controls[position % len(self._controls)]
 
 
