End the probes of a stub gateway with its test

What was seen: a first form of the test of copied refusals, which counted the checks of all gateways of its process, found 2 to 4 connections a case to replicas of tests before it (5 of 5 runs of its module behind test_handling.py).

Cause: a gateway probes a lost replica for 30 s. Gateways of ended tests went on to do so, at ports that a stub of a later test of the same process may have by then. That stub counts the connection. An address for each process does not keep these apart.

Change: the channels of the stub gateways refuse probes once it is stopped, which ends the task.

Measured: test_stopped_gateways_probe_no_ports fails without the change (the port is connected to within 1.5 s) and passes with it. tests/roles/gateway: 1105 passed, 2 xpassed, 301 s with two workers, at a load average of 14 to 25.

--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -165,6 +165,21 @@
     )
 
 
+class _Channels(upstream_channels.Channels):
+    """Channels that can end the probes of lost replicas, which last 30 s.
+
+    Attributes:
+        ended: whether no replica is probed from now on.
+    """
+
+    ended = False
+
+    def probe(self, address):
+        if self.ended:
+            raise gevent.GreenletExit
+        super().probe(address)
+
+
 class Gateway:
     """A gateway in front of upstreams, without control members."""
 
@@ -182,7 +197,7 @@
         self.tables = table_exchange.make_table_set()
         self.fleet = fleets.make_fleet("z", 10.0, history=self.tables.weights)
         self.metrics = metrics_module.make_metrics()
-        self.channels = upstream_channels.make_channels()
+        self.channels = _Channels()
         self.fleet.update(
             replicas.Replica(
                 replica_id=upstream.name,
@@ -277,6 +292,7 @@
 
     def stop(self):
         self.stop_serving()
+        self.channels.ended = True
         for upstream in self.upstreams:
             upstream.server.stop()
 
--- a/tests/roles/gateway/test_stubs.py
+++ b/tests/roles/gateway/test_stubs.py
@@ -2,8 +2,11 @@
 
 import os
 
+from gevent import event
+from gevent import server as servers
 from gevent import socket
 
+from papayalink.roles.gateway import liveness
 from papayalink.state import traffic
 from tests.roles.gateway import standing_still
 from tests.roles.gateway import stubs
@@ -30,3 +33,21 @@
     hosts = [stubs.host_of(pid) for pid in range(1, 60_000)]
     assert len(set(hosts)) == len(hosts)
     assert stubs.HOST == stubs.host_of(os.getpid())
+
+
+# Guards against gateways that connect to a stub of a later test, which has the
+# port of one that had ended.
+def test_stopped_gateways_probe_no_ports():
+    route = stubs.make_route("safe", traffic.RepeatPolicy.IDEMPOTENT)
+    gone = stubs.Upstream("desk0")
+    gateway = stubs.Gateway([gone], [route])
+    gone.server.stop()
+    assert gateway.call(b"/safe/")[0] == 503
+    gateway.stop()
+    later = servers.StreamServer(gone.server.address, lambda *_: taken.set())
+    taken = event.Event()
+    later.start()
+    try:
+        assert not taken.wait(3 * liveness.PROBE_PERIOD_S)
+    finally:
+        later.stop()
