--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -72,12 +72,17 @@
     """Answers each request with the next list of steps, then with OK.
 
     A step is bytes to send, seconds to wait, "reset" or "close".
+
+    Attributes:
+        received: requests, in their order.
+        carriers: for each of these, the number of its connection, from 1.
     """
 
     def __init__(self, name, *script):
         self.name = name
         self.script = list(script)
         self.received = []
+        self.carriers = []
         self.hang_ups = 0
         self.connections = 0
         self.server = servers.StreamServer((HOST, 0), self._serve)
@@ -93,6 +98,7 @@
 
     def _serve(self, sock, address):
         self.connections += 1
+        number = self.connections
         while True:
             data = b""
             while b"\r\n\r\n" not in data:
@@ -101,6 +107,7 @@
                     return
                 data += chunk
             self.received.append(data)
+            self.carriers.append(number)
             for step in self.next_steps(data):
                 if step == "reset":
                     gevent.sleep(0.02)
@@ -158,6 +165,21 @@
     )
 
 
+class _Channels(upstream_channels.Channels):
+    """Channels that can end the probes of lost replicas, which last 30 s.
+
+    Attributes:
+        ended: whether no replica is probed from now on.
+    """
+
+    ended = False
+
+    def probe(self, address):
+        if self.ended:
+            raise gevent.GreenletExit
+        super().probe(address)
+
+
 class Gateway:
     """A gateway in front of upstreams, without control members."""
 
@@ -175,7 +197,7 @@
         self.tables = table_exchange.make_table_set()
         self.fleet = fleets.make_fleet("z", 10.0, history=self.tables.weights)
         self.metrics = metrics_module.make_metrics()
-        self.channels = upstream_channels.make_channels()
+        self.channels = _Channels()
         self.fleet.update(
             replicas.Replica(
                 replica_id=upstream.name,
@@ -270,6 +292,7 @@
 
     def stop(self):
         self.stop_serving()
+        self.channels.ended = True
         for upstream in self.upstreams:
             upstream.server.stop()
 
