Ask members for their document from the start of a gateway on

Cause: a gateway first asked half a second after its start, since a leader may confirm a document until then. By that time the last member had left.

A gateway asks from its start on, and uses the newest reply after half a second as before.

--- a/papayalink/roles/gateway/held_document.py
+++ b/papayalink/roles/gateway/held_document.py
@@ -1,5 +1,7 @@
 """The first document of a gateway that no control member can confirm."""
 
+import time
+
 import gevent
 
 from papayalink import tasks
@@ -19,27 +21,30 @@
     """Asks members for what they hold until the gateway has a document.
 
     While no member leads, gateways that run go on with the document they
-    have. One that has just started would refuse all calls instead.
+    have. One that has just started would refuse all calls instead. It asks
+    from its start on, since members that stop may be gone a moment later.
     """
 
-    __slots__ = ("_node", "_watcher")
+    __slots__ = ("_node", "_watcher", "_newest")
 
     def __init__(self, node: nodes.Node, watcher: watching.Watcher) -> None:
         self._node = node
         self._watcher = watcher
+        self._newest = messages.WatchReply(0)
 
     def start(self) -> None:
         tasks.spawn(self._run)
 
     def _run(self) -> None:
-        gevent.sleep(CONFIRM_WAIT_S)
+        use_at = time.monotonic() + CONFIRM_WAIT_S
         while self._watcher.directory is None:
             self._ask_all()
+            if self._newest.number and time.monotonic() >= use_at:
+                self._watcher.use_held(self._newest)
             gevent.sleep(ASK_PERIOD_S)
 
     def _ask_all(self) -> None:
-        """Use the newest document that a member holds."""
-        replies: list[messages.WatchReply] = []
+        """Keep the newest document that a member holds."""
 
         def ask(address: str) -> None:
             try:
@@ -48,14 +53,12 @@
                 )
             except errors.TransportError:
                 return
-            if reply.number:
-                replies.append(reply)
+            if reply.number > self._newest.number:
+                self._newest = reply
 
         gevent.joinall(
             [gevent.spawn(ask, each) for each in self._watcher.authorities()]
         )
-        if replies:
-            self._watcher.use_held(max(replies, key=lambda each: each.number))
 
 
 def make_held_document(
--- a/tests/roles/gateway/test_held_document.py
+++ b/tests/roles/gateway/test_held_document.py
@@ -21,10 +21,12 @@
 
     Attributes:
         confirm: whether they can confirm it.
+        asked: those that have told what they hold.
     """
 
     def __init__(self, *held):
         self.confirm = False
+        self.asked = set()
         self._held = {f"m{each}": number for each, number in enumerate(held)}
         self.addresses = tuple(self._held)
 
@@ -35,6 +37,8 @@
             raise errors.ConnectionLost("of the test")
         if method == "Watch" and not self.confirm:
             raise errors.RpcRefused("unavailable", "of the test")
+        if method == "ReadHeld":
+            self.asked.add(address)
         known = getattr(message, "number", 0)
         return messages.WatchReply(
             number,
@@ -98,6 +102,18 @@
     assert watcher.age_s() == float("inf")
 
 
+def test_members_that_are_gone_right_after_the_start(start, monkeypatch):
+    """Guards against refusals beside members that stop at that moment."""
+    monkeypatch.setattr(held_document, "CONFIRM_WAIT_S", 1.0)
+    members = _Members(3, 4)
+    watcher = start(members)
+    _wait_for(lambda: members.asked == set(members.addresses))
+    # One that is confirmed may still come.
+    assert watcher.directory is None
+    members._held = dict.fromkeys(members.addresses)
+    _wait_for(lambda: watcher.number == 4)
+
+
 def test_confirmed_document_replaces_the_held_one(start):
     members = _Members(3, 4)
     watcher = start(members)
