Give servers of transport tests an address of each process

Cause: the servers listened at 127.0.0.1, at ports that other processes had before. A client of another process that still knows such a port is a caller of the test's server.

Change: servers of tests/transport listen at the address of their process, which stubs of gateways use already; it has a module of its own, tests/ own_host.py. The checks are the same.

--- a/tests/roles/gateway/stubs.py
+++ b/tests/roles/gateway/stubs.py
@@ -1,6 +1,5 @@
 """Stub upstreams and a gateway without control members."""
 
-import os
 from types import SimpleNamespace
 
 import gevent
@@ -27,22 +26,10 @@
 from papayalink.transport import caller_server
 from papayalink.transport import errors
 from papayalink.transport import upstream_channels
+from tests import own_host
 from tests.transport import sockets
 
-
-def host_of(pid):
-    """Returns: loopback address of the stubs of one process.
-
-    Not the one from which connections on loopback come: those of all runs on a
-    machine may take each port of it that the system gives out, and keep them
-    for a minute after their end. Nor that of another run, whose gateways may
-    send requests to ports of stubs that have ended.
-    """
-    low, high = pid % 250 + 1, pid // 250 % 250 + 1
-    return f"127.1.{high}.{low}"
-
-
-HOST = host_of(os.getpid())
+HOST = own_host.HOST
 STAMP = b"Papayalink-Server-Stamp: s\r\n"
 OK = b"HTTP/1.1 200 OK\r\n" + STAMP + b"Content-Length: 2\r\n\r\nok"
 ERROR = b"HTTP/1.1 500 No\r\n" + STAMP + b"Content-Length: 3\r\n\r\nbad"
--- a/tests/roles/gateway/test_stubs.py
+++ b/tests/roles/gateway/test_stubs.py
@@ -8,6 +8,7 @@
 
 from papayalink.roles.gateway import liveness
 from papayalink.state import traffic
+from tests import own_host
 from tests.roles.gateway import standing_still
 from tests.roles.gateway import stubs
 
@@ -30,9 +31,9 @@
 # Guards against stubs that read requests of another run, meant for one that
 # had the same port before.
 def test_stubs_of_other_processes_have_other_addresses():
-    hosts = [stubs.host_of(pid) for pid in range(1, 60_000)]
+    hosts = [own_host.host_of(pid) for pid in range(1, 60_000)]
     assert len(set(hosts)) == len(hosts)
-    assert stubs.HOST == stubs.host_of(os.getpid())
+    assert stubs.HOST == own_host.host_of(os.getpid())
 
 
 # Guards against gateways that connect to a stub of a later test, which has the
--- a/tests/transport/test_caller_server.py
+++ b/tests/transport/test_caller_server.py
@@ -9,6 +9,7 @@
 from papayalink.transport import caller_server
 from papayalink.transport import errors
 from papayalink.transport import responders
+from tests import own_host
 
 _LIMITS = traffic.CallerLimits(
     header_bytes=4096,
@@ -48,7 +49,7 @@
 @pytest.fixture
 def server(echo):
     started = caller_server.make_caller_server(
-        ("127.0.0.1", 0), echo.handle, echo.reject, lambda: _LIMITS
+        (own_host.HOST, 0), echo.handle, echo.reject, lambda: _LIMITS
     )
     started.start()
     yield started
@@ -372,7 +373,7 @@
         raise errors.ResponseAborted("upstream broke off")
 
     server = caller_server.make_caller_server(
-        ("127.0.0.1", 0), break_off, break_off, lambda: _LIMITS
+        (own_host.HOST, 0), break_off, break_off, lambda: _LIMITS
     )
     server.start()
     try:
@@ -393,7 +394,7 @@
     def start(handler):
         started.append(
             caller_server.make_caller_server(
-                ("127.0.0.1", 0), handler, handler, lambda: _LIMITS
+                (own_host.HOST, 0), handler, handler, lambda: _LIMITS
             )
         )
         started[-1].start()
--- a/tests/transport/test_caller_watch.py
+++ b/tests/transport/test_caller_watch.py
@@ -12,6 +12,7 @@
 from papayalink.transport import errors
 from papayalink.transport import http_client
 from papayalink.transport import http_server
+from tests import own_host
 
 TIMEOUT_S = 30.0
 PIPELINED_REQUEST = b"GET /two HTTP/1.1\r\nHost: here\r\n\r\n"
@@ -33,7 +34,7 @@
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
-    server = http_server.make_server(("127.0.0.1", 0), app)
+    server = http_server.make_server((own_host.HOST, 0), app)
     server.start()
     yield server.address, release, caller_gone, paths
     release.set()
@@ -107,7 +108,7 @@
     """Guards against a connection pool exhausted by callers that hang up."""
     monkeypatch.setattr(http_client, "MAX_CONNECTIONS", 1)
     listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
+    listener.bind((own_host.HOST, 0))
     listener.listen()
     listener.settimeout(TIMEOUT_S)
     address = "{}:{}".format(*listener.getsockname())
--- a/tests/transport/test_changed_idle_limit.py
+++ b/tests/transport/test_changed_idle_limit.py
@@ -6,6 +6,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 _SHORT_S = 0.4
@@ -18,7 +19,7 @@
     def __init__(self, idle_timeout_s):
         self.idle_timeout_s = idle_timeout_s
         self.server = caller_server.make_caller_server(
-            ("127.0.0.1", 0), self._answer, self._answer, self._limits
+            (own_host.HOST, 0), self._answer, self._answer, self._limits
         )
         self.server.start()
 
--- a/tests/transport/test_changed_limits.py
+++ b/tests/transport/test_changed_limits.py
@@ -6,6 +6,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _SMALL_BYTES = 2000
 _LARGE_BYTES = 20_000
@@ -18,7 +19,7 @@
     def __init__(self, header_bytes):
         self.header_bytes = header_bytes
         self.server = caller_server.make_caller_server(
-            ("127.0.0.1", 0), self._answer, self._answer, self._limits
+            (own_host.HOST, 0), self._answer, self._answer, self._limits
         )
         self.server.start()
 
--- a/tests/transport/test_closes_beside_changes.py
+++ b/tests/transport/test_closes_beside_changes.py
@@ -7,6 +7,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _CALLERS = 10
 _RUN_S = 0.08
@@ -41,7 +42,7 @@
         self.limits = _LIMITS
         self.ran = 0
         self.server = caller_server.make_caller_server(
-            ("127.0.0.1", 0),
+            (own_host.HOST, 0),
             self._answer,
             lambda request, responder: responder.respond(503, []),
             lambda: traffic.CallerLimits(**self.limits),
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -10,6 +10,7 @@
 from papayalink.transport import errors
 from papayalink.transport import upstream_channel
 from papayalink.transport import upstream_channels
+from tests import own_host
 
 # What sockets on both ends may hold beside what is read.
 _SOCKET_BUFFERS_BYTES = 16 * 1024 * 1024
@@ -24,12 +25,12 @@
         self._block = block
         self.sent_bytes = 0
         self.closed = events.Event()
-        self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server = servers.StreamServer((own_host.HOST, 0), self._serve)
         self.server.start()
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
+        return f"{own_host.HOST}:{self.server.server_port}"
 
     def _serve(self, sock, address):
         sock.recv(65536)
@@ -136,10 +137,10 @@
             gevent.sleep(0.1)
             sock.sendall(b"x")
 
-    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server = servers.StreamServer((own_host.HOST, 0), serve)
     server.start()
     channel = upstream_channels.make_channels().take(
-        f"127.0.0.1:{server.server_port}", lambda: 60.0
+        f"{own_host.HOST}:{server.server_port}", lambda: 60.0
     )
 
     def give_up(silent_s):
--- a/tests/transport/test_errors_beside_handlers.py
+++ b/tests/transport/test_errors_beside_handlers.py
@@ -7,6 +7,7 @@
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import request_reader
+from tests import own_host
 
 _LIMITS = traffic.CallerLimits(header_timeout_s=5.0, idle_timeout_s=5.0)
 _GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -23,7 +24,7 @@
         self.limits_error = None
         self._delay_s = delay_s
         self.server = caller_server.make_caller_server(
-            ("127.0.0.1", 0), self._answer, self._reject, self._limits
+            (own_host.HOST, 0), self._answer, self._reject, self._limits
         )
         self.server.start()
 
--- a/tests/transport/test_half_closed_callers.py
+++ b/tests/transport/test_half_closed_callers.py
@@ -9,6 +9,7 @@
 from papayalink.transport import caller_server
 from papayalink.transport import caller_watch
 from papayalink.transport import errors
+from tests import own_host
 
 _TIMEOUT_S = 10.0
 _LIMITS = traffic.CallerLimits(
@@ -61,7 +62,7 @@
 @pytest.fixture
 def server(handler):
     started = caller_server.make_caller_server(
-        ("127.0.0.1", 0), handler.handle, handler.reject, lambda: _LIMITS
+        (own_host.HOST, 0), handler.handle, handler.reject, lambda: _LIMITS
     )
     started.start()
     yield started
--- a/tests/transport/test_half_read_at_stop.py
+++ b/tests/transport/test_half_read_at_stop.py
@@ -6,6 +6,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _LIMITS = traffic.CallerLimits(
     header_bytes=4096,
@@ -26,7 +27,7 @@
         responder.respond(503, [])
 
     started = caller_server.make_caller_server(
-        ("127.0.0.1", 0), answer, reject, lambda: _LIMITS
+        (own_host.HOST, 0), answer, reject, lambda: _LIMITS
     )
     started.start()
     yield started
--- a/tests/transport/test_half_read_requests.py
+++ b/tests/transport/test_half_read_requests.py
@@ -15,6 +15,7 @@
 from papayalink.transport import auth
 from papayalink.transport import http_server
 from papayalink.transport import request_source
+from tests import own_host
 from tests.console import fake_backend
 from tests.transport import sockets
 
@@ -103,7 +104,7 @@
 
 @contextlib.contextmanager
 def _serving(app):
-    server = http_server.make_server(("127.0.0.1", 0), app)
+    server = http_server.make_server((own_host.HOST, 0), app)
     server.start()
     try:
         yield server
--- a/tests/transport/test_heads_read_late.py
+++ b/tests/transport/test_heads_read_late.py
@@ -10,6 +10,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _HEADER_TIMEOUT_S = 0.3
 _LIMITS = traffic.CallerLimits(
@@ -25,7 +26,7 @@
         responder.respond(200, [], request.target + b"|" + request.body)
 
     started = caller_server.make_caller_server(
-        ("127.0.0.1", 0), answer, answer, lambda: _LIMITS
+        (own_host.HOST, 0), answer, answer, lambda: _LIMITS
     )
     started.start()
     yield started
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -18,6 +18,7 @@
 from papayalink.transport import http_client
 from tests import cut_answers
 from tests import early_answers
+from tests import own_host
 from tests import permuted_hub
 
 BACKLOG = 4
@@ -27,7 +28,7 @@
 def _closed_port():
     """An address at which nothing listens."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((own_host.HOST, 0))
         yield sock.getsockname()
 
 
@@ -36,7 +37,7 @@
     """An address that, like a lost VM, does not answer connection attempts."""
     with contextlib.ExitStack() as stack:
         sock = stack.enter_context(socket.socket())
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((own_host.HOST, 0))
         sock.listen(0)
         for _ in range(BACKLOG):
             pending = stack.enter_context(socket.socket())
@@ -49,7 +50,7 @@
 def _unresponsive_server():
     """An address that accepts connections and never answers a request."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((own_host.HOST, 0))
         sock.listen()
         yield sock.getsockname()
 
@@ -180,9 +181,9 @@
             sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
 
     def play():
-        server = servers.StreamServer(("127.0.0.1", 0), answer)
+        server = servers.StreamServer((own_host.HOST, 0), answer)
         server.start()
-        client = http_client._Client("127.0.0.1", server.server_port, 5.0)
+        client = http_client._Client(own_host.HOST, server.server_port, 5.0)
 
         def call():
             response = http_client._request(client, "GET", "/", b"", {})
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -10,6 +10,7 @@
 import pytest
 
 from papayalink.transport import http_server
+from tests import own_host
 from tests import permuted_hub
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -17,7 +18,7 @@
 
 @pytest.fixture
 def server():
-    started = http_server.make_server(("127.0.0.1", 0), _app)
+    started = http_server.make_server((own_host.HOST, 0), _app)
     started.start()
     return started
 
@@ -120,7 +121,7 @@
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
-    started = http_server.make_server(("127.0.0.1", 0), echo)
+    started = http_server.make_server((own_host.HOST, 0), echo)
     started.start()
     return started
 
@@ -177,7 +178,7 @@
     calls = _Calls()
 
     def play():
-        server = http_server.make_server(("127.0.0.1", 0), calls.app)
+        server = http_server.make_server((own_host.HOST, 0), calls.app)
         server.start()
         callers = [
             gevent.spawn(_call_until_closed, server, name, calls, rng)
@@ -203,7 +204,7 @@
         start_response("200 OK", [length] if length else [])
         yield b"done"
 
-    server = http_server.make_server(("127.0.0.1", 0), app)
+    server = http_server.make_server((own_host.HOST, 0), app)
     server.start()
     client = gevent_socket.create_connection(server.address, RECEIVE_TIMEOUT_S)
     client.sendall(REQUEST)
@@ -224,7 +225,7 @@
         yield b"first"
         may_end.wait()
 
-    server = http_server.make_server(("127.0.0.1", 0), app)
+    server = http_server.make_server((own_host.HOST, 0), app)
     server.start()
     client = gevent_socket.create_connection(server.address, RECEIVE_TIMEOUT_S)
     client.sendall(REQUEST)
--- a/tests/transport/test_pipelined_at_stop.py
+++ b/tests/transport/test_pipelined_at_stop.py
@@ -6,6 +6,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 
 _LIMITS = traffic.CallerLimits(
     header_bytes=4096,
@@ -27,7 +28,7 @@
         responder.respond(200, [], _BODY)
 
     server = caller_server.make_caller_server(
-        ("127.0.0.1", 0), handle, handle, lambda: _LIMITS
+        (own_host.HOST, 0), handle, handle, lambda: _LIMITS
     )
     server.start()
     with socket.create_connection(server.address, 5) as sock:
@@ -64,7 +65,7 @@
         responder.respond(503, [], request.target + b" refused\n")
 
     started = caller_server.make_caller_server(
-        ("127.0.0.1", 0), answer, reject, lambda: _LIMITS
+        (own_host.HOST, 0), answer, reject, lambda: _LIMITS
     )
     started.start()
     yield started
@@ -151,7 +152,7 @@
 
     stopping = []
     server = caller_server.make_caller_server(
-        ("127.0.0.1", 0), answer, answer, lambda: _LIMITS
+        (own_host.HOST, 0), answer, answer, lambda: _LIMITS
     )
     server.start()
     with (
--- a/tests/transport/test_planned_stop.py
+++ b/tests/transport/test_planned_stop.py
@@ -9,6 +9,7 @@
 
 from papayalink.state import traffic
 from papayalink.transport import caller_server
+from tests import own_host
 from tests import permuted_hub
 
 _LIMITS = traffic.CallerLimits(
@@ -50,7 +51,7 @@
 
 def _start(calls):
     server = caller_server.make_caller_server(
-        ("127.0.0.1", 0), calls.handle, calls.reject, lambda: _LIMITS
+        (own_host.HOST, 0), calls.handle, calls.reject, lambda: _LIMITS
     )
     server.start()
     return server
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -13,6 +13,7 @@
 from papayalink.transport import auth
 from papayalink.transport import errors
 from papayalink.transport import rpc
+from tests import own_host
 from tests.adapters import silent_server
 from tests.transport import sockets
 
@@ -34,7 +35,7 @@
     def start(handler, **limits):
         signer = auth.make_signer(_KEY, clocks.make_clock())
         server = rpc.make_server(
-            ("127.0.0.1", 0), {"Poll": handler}, signer, limits
+            (own_host.HOST, 0), {"Poll": handler}, signer, limits
         )
         server.start()
         started.append(server)
@@ -153,9 +154,9 @@
         else:
             sock.close()
 
-    server = servers.StreamServer(("127.0.0.1", 0), drop)
+    server = servers.StreamServer((own_host.HOST, 0), drop)
     server.start()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{own_host.HOST}:{server.server_port}"
 
     def call():
         try:
--- a/tests/transport/test_silent_connections.py
+++ b/tests/transport/test_silent_connections.py
@@ -15,6 +15,7 @@
 from papayalink.transport import rpc
 from papayalink.transport import rpc_connection
 from soak import proxy
+from tests import own_host
 from tests.roles.gateway import stubs
 
 _KEY = b"k" * 32
@@ -44,7 +45,7 @@
         found = []
         for _ in range(count):
             server = rpc.make_server(
-                ("127.0.0.1", 0), {"Poll": handler}, _make_signer()
+                (own_host.HOST, 0), {"Poll": handler}, _make_signer()
             )
             server.start()
             link = proxy.make_proxy(server.address)
--- a/tests/transport/test_stop_without_descriptors.py
+++ b/tests/transport/test_stop_without_descriptors.py
@@ -10,6 +10,7 @@
 from papayalink.state import traffic
 from papayalink.transport import caller_server
 from papayalink.transport import http_server
+from tests import own_host
 
 _LIMITS = traffic.CallerLimits(
     header_bytes=4096,
@@ -25,7 +26,7 @@
         responder.respond(200, [], b"whole")
 
     return caller_server.make_caller_server(
-        ("127.0.0.1", 0), handle, handle, lambda: _LIMITS
+        (own_host.HOST, 0), handle, handle, lambda: _LIMITS
     )
 
 
@@ -35,7 +36,7 @@
         start_response("200 OK", [("Content-Length", "5")])
         return [b"whole"]
 
-    return http_server.make_server(("127.0.0.1", 0), app)
+    return http_server.make_server((own_host.HOST, 0), app)
 
 
 def _stop(server):
--- a/tests/transport/test_upstream_channels.py
+++ b/tests/transport/test_upstream_channels.py
@@ -12,6 +12,7 @@
 from papayalink.transport import errors
 from papayalink.transport import upstream_channel
 from papayalink.transport import upstream_channels
+from tests import own_host
 from tests.transport import sockets
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -25,12 +26,12 @@
         self.script = list(script)
         self.received = []
         self.accepted = 0
-        self.server = servers.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server = servers.StreamServer((own_host.HOST, 0), self._serve)
         self.server.start()
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
+        return f"{own_host.HOST}:{self.server.server_port}"
 
     def _serve(self, sock, address):
         self.accepted += 1
@@ -186,8 +187,8 @@
 
 def test_closed_port_raises_not_connected():
     with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{unused.getsockname()[1]}"
+        unused.bind((own_host.HOST, 0))
+        address = f"{own_host.HOST}:{unused.getsockname()[1]}"
         channels = upstream_channels.make_channels()
         with pytest.raises(errors.NotConnected):
             channels.take(address, _remaining_s)
@@ -202,9 +203,9 @@
         accepted.append(sock)
         gevent.sleep(60)
 
-    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server = servers.StreamServer((own_host.HOST, 0), serve)
     server.start()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{own_host.HOST}:{server.server_port}"
     channels = upstream_channels.make_channels()
     opened = []
     for _ in range(2):
@@ -285,7 +286,7 @@
         while data := sock.recv(65536):
             received.append(len(data))
 
-    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server = servers.StreamServer((own_host.HOST, 0), serve)
     server.start()
     body = b"x" * 8_000_000
     with socket.create_connection(server.address) as sock:
@@ -351,10 +352,10 @@
         sock.sendall(refusal)
         gevent.sleep(0.1 if then == "close" else 60)
 
-    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server = servers.StreamServer((own_host.HOST, 0), serve)
     server.start()
     channels = upstream_channels.make_channels()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{own_host.HOST}:{server.server_port}"
     channel = channels.take(address, _remaining_s)
     body = b"x" * 8_000_000
     headers = [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))]
@@ -391,10 +392,10 @@
         sock.sendall(_OK)
         gevent.sleep(60)
 
-    server = servers.StreamServer(("127.0.0.1", 0), serve)
+    server = servers.StreamServer((own_host.HOST, 0), serve)
     server.start()
     channels = upstream_channels.make_channels()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{own_host.HOST}:{server.server_port}"
     channel = channels.take(address, remaining_s)
     headers = [(b"Host", b"x"), (b"Content-Length", b"%d" % len(body))]
     try:
