Count only what was written in time in a test of late readers

What was seen: test_rest_of_a_request_that_is_read_late_is_taken[head-0.1] got 408 in place of 200 once, beside eight busy processes.

Cause: the test has a thread write the rest of a request, after 0.1 s of the 0.3 s in which the head must arrive. Nothing checked when it did so. A thread that gets no processor for 0.18 s writes too late, and the refusal is right.

Change: the thread tells when it had written. An attempt in which the whole request took longer than the time allowed shows nothing and is made again, ten times at most; then the test fails. All that was written in time must be answered as before.

--- a/tests/transport/test_heads_read_late.py
+++ b/tests/transport/test_heads_read_late.py
@@ -13,6 +13,10 @@
 from tests import own_host
 
 _HEADER_TIMEOUT_S = 0.3
+# The system tells the time of arrival in steps of some milliseconds.
+_STEP_S = 0.02
+# The machine may run the thread that writes too late, though hardly each time.
+_ATTEMPTS = 10
 _LIMITS = traffic.CallerLimits(
     header_timeout_s=_HEADER_TIMEOUT_S, idle_timeout_s=5.0
 )
@@ -34,13 +38,33 @@
 
 
 def _write_within_a_pause(sock, data, after_s):
-    """Write from another thread while all greenlets stand still."""
+    """Write from another thread while all greenlets stand still.
+
+    Returns: monotonic seconds at which the data had been written.
+    """
     descriptor = os.dup(sock.fileno())
-    writing = threading.Timer(after_s, os.write, (descriptor, data))
+    written_at = []
+
+    def write():
+        os.write(descriptor, data)
+        written_at.append(time.monotonic())
+
+    writing = threading.Timer(after_s, write)
     writing.start()
     time.sleep(after_s + 2 * _HEADER_TIMEOUT_S)
     writing.join()
     os.close(descriptor)
+    return written_at[0]
+
+
+def _call_within_a_pause(server, first, rest, after_s):
+    """Returns: the answer, and the time within which all was written."""
+    with socket.create_connection(server.address, 5) as sock:
+        began_at = time.monotonic()
+        sock.sendall(first)
+        gevent.sleep(0.02)
+        written_at = _write_within_a_pause(sock, rest, after_s)
+        return sock.recv(1000), written_at - began_at
 
 
 # Guards against a request that is refused with 408, although all of it arrived
@@ -60,11 +84,12 @@
 def test_rest_of_a_request_that_is_read_late_is_taken(
     server, first, rest, after_s
 ):
-    with socket.create_connection(server.address, 5) as sock:
-        sock.sendall(first)
-        gevent.sleep(0.02)
-        _write_within_a_pause(sock, rest, after_s)
-        assert sock.recv(1000).endswith(b"/a|ab")
+    for _ in range(_ATTEMPTS):
+        answer, took_s = _call_within_a_pause(server, first, rest, after_s)
+        if took_s < _HEADER_TIMEOUT_S - _STEP_S:
+            assert answer.endswith(b"/a|ab")
+            return
+    pytest.fail(f"the rest was never written in time, at last in {took_s} s")
 
 
 @pytest.mark.parametrize("drips", [False, True])
