Count a caller's time in the soak from the head of its call

Its gateway has call_not_answered, Expired(), took_ms=6000, left_ms=0. The caller gives 6 s, which run from the head on; its body took 0.2 s to write, and the check took the time from the end of the body.

is_cut judges by when the caller began to write. Calls whose time isn't up are judged as before.

--- a/soak/caller_connection.py
+++ b/soak/caller_connection.py
@@ -108,6 +108,7 @@
             target=path,
             headers=[*headers.items(), body.framing],
         )
+        call.began_at = time.monotonic()
         unsent = self._http.send(request)
         for piece in body.pieces:
             if body.pause_s:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -136,7 +136,8 @@
     read.
     """
     lasted_s = call.ended_at - call.written_at
-    left_s = call.deadline_s - lasted_s
+    # Its time runs from the head on, the body may come later.
+    left_s = call.deadline_s - (call.ended_at - call.began_at)
     if call.complete or not call.written_at or left_s < OUT_OF_TIME_S:
         return False
     return call.call_id in history.executions.by_call or lasted_s > CROSSING_S
--- a/soak/records.py
+++ b/soak/records.py
@@ -64,6 +64,8 @@
     """A request and its answer, as their sender observed them.
 
     Attributes:
+        began_at: when the sender began to write the request, 0 if it never
+            did.
         written_at: when the whole request had been written to a connection,
             0 if it never was.
         stale: whether it was sent on a connection that had been closed.
@@ -72,6 +74,7 @@
         server_stamp: proof of origin: replica id, a dot and the call id.
     """
 
+    began_at: float = 0.0
     written_at: float = 0.0
     ended_at: float = 0.0
     stale: bool = False
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -29,6 +29,7 @@
 def _call(path_prefix=standins.ONCE, status=200, **fields):
     values = {
         "sent_at": 100.0,
+        "began_at": 100.0,
         "written_at": 100.0,
         "ended_at": 100.1,
         "complete": status != 0,
@@ -153,6 +154,18 @@
             _call(**_STREAM, body=b"", complete=False, ended_at=102.9),
             [_execution()],
         ),
+        # The same with a body that took a while to write.
+        _history(
+            _call(
+                **_STREAM,
+                body=b"",
+                complete=False,
+                written_at=100.3,
+                ended_at=103.0,
+            ),
+            [_execution()],
+            [_fault("stop", "g1")],
+        ),
         # No answer is guaranteed when the gateway is killed during its stop.
         _history(
             _call(status=0),
--- a/tests/soak/test_figures.py
+++ b/tests/soak/test_figures.py
@@ -11,6 +11,7 @@
         "workspace": "office",
         "gateway": "g1",
         "sent_at": 100.0,
+        "began_at": 100.0,
         "written_at": 100.0,
         "ended_at": 100.1,
         "status": 200,
