--- a/tests/roles/gateway/test_attempt_time.py
+++ b/tests/roles/gateway/test_attempt_time.py
@@ -146,6 +146,55 @@
     assert second == pytest.approx(_TIME_S - first, abs=0.5)
 
 
+class _Budgets:
+    """Retry budgets that can be used up."""
+
+    def __init__(self):
+        self.constant = 1
+
+    def for_service(self, service, now):
+        return retry.Budget(ratio=0.0, constant=self.constant)
+
+
+class _LongStream(_Upstream):
+    """Streams two events in a second, if it is given as much."""
+
+    def next_steps(self, request):
+        if self.script:
+            return self.script.pop(0)
+        if b"last-event-id: 1" in request.lower():
+            return [stubs.STREAM, stubs.event(2), stubs.END]
+        begin = [stubs.STREAM, 0.2, stubs.event(1)]
+        if _given_s(request) < 1.0:
+            return [*begin, 0.2, "close"]
+        return [*begin, 0.8, stubs.event(2), stubs.END]
+
+
+# Guards against a stream that is cut by its limit: its sound replica stops it
+# then, and other calls have used up the retry budget meanwhile.
+def test_stream_beyond_its_limit_is_whole_without_room_for_a_repeat():
+    upstreams = [_LongStream(f"models{each}") for each in range(2)]
+    for upstream in upstreams:
+        upstream.script = [[stubs.STREAM, stubs.END]]
+    gateway = stubs.Gateway(upstreams, _ROUTES)
+    budgets = gateway.shared.budgets = _Budgets()
+    try:
+        assert gateway.call(b"/resumed/")[0] == 200
+        for upstream in upstreams:
+            upstream.script.clear()
+            upstream.received.clear()
+        calling = gevent.spawn(gateway.call, b"/resumed/", timeout_s=10)
+        with gevent.Timeout(10):
+            while not _given(gateway):
+                gevent.sleep(0.01)
+        budgets.constant = 0
+        status, _, body = calling.get(timeout=10)
+    finally:
+        gateway.stop()
+    assert status == 200
+    assert body == b"id: 1\ndata: p1\n\nid: 2\ndata: p2\n\n"
+
+
 # Guards against a deadline that ends later than the caller's because it was
 # read late: what the replica reads after its pause ends before.
 def test_late_reading_keeps_to_the_deadline_of_the_caller(start):
