Keep signals to a process that starts or ends from ending it

What was seen: SIGHUP or SIGUSR1 while a process imports its modules ended it without a line in its log, so that a reload beside a restart took the process away until it was started again. SIGINT then printed the traceback of an import. In the last moment, after all work was done, SIGHUP, SIGUSR1 and a second SIGTERM turned exit status 0 into a death by signal.

Cause: handlers are installed after the imports, and the interpreter puts the default actions back while it ends.

When the work is done, all four are ignored. The start of the interpreter itself can't be covered.

--- a/papayalink/roles/process.py
+++ b/papayalink/roles/process.py
@@ -10,6 +10,7 @@
 from gevent import signal as gevent_signal
 
 from papayalink import inspection
+from papayalink import process_signals
 from papayalink.roles import node as nodes
 from papayalink.transport import http_server
 
@@ -64,6 +65,13 @@
 
         Returns: exit code.
         """
+        try:
+            self._serve_until_stopped()
+        finally:
+            process_signals.ignore()
+        return 0
+
+    def _serve_until_stopped(self) -> None:
         for name, read in self.gauges().items():
             self._node.metrics.gauge(name, read)
         self._node.metrics.gauge("accepting", lambda: float(self.accepting))
@@ -72,6 +80,7 @@
         gevent_signal.signal(signal.SIGINT, self._on_stop)
         gevent_signal.signal(signal.SIGUSR1, self._on_dump)
         gevent_signal.signal(signal.SIGHUP, self._on_reload)
+        process_signals.release()
         self.start()
         self._inspection.start()
         self._node.log.info("started", incarnation=self._node.incarnation)
@@ -83,7 +92,6 @@
             self._node.log.exception("stop_failed")
             raise
         self._node.log.info("stopped")
-        return 0
 
     def _on_stop(self, *_: object) -> None:
         if self._stop_requested.is_set():
