End a control member that is stopped while its console starts

What was seen: SIGTERM or SIGINT right after the start of a control member ended it with status 70 and a task_failed line instead of 0.

Cause: other greenlets run while the console's server starts, and the stop closed that server, known to it already, before its port was open.

Evidence: test_stops_that_are_repeated_until_the_end, control.

Change: a console is known once it has started, and is stopped at once if a stop came meanwhile.

--- a/papayalink/roles/control/process.py
+++ b/papayalink/roles/control/process.py
@@ -183,13 +183,18 @@
                 self._node.clock,
             ),
         )
-        self._console = http_server.make_server(
+        console = http_server.make_server(
             nodes.parse_address(settings.console_listen),
             application.make_application(
                 backend, settings.console_token, self._node.clock
             ),
         )
-        self._console.start()
+        console.start()
+        # Other greenlets run during its start, and one may stop the process.
+        if self._stopping:
+            console.stop()
+        else:
+            self._console = console
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         return {
