--- a/papayalink/coordination/replica.py
+++ b/papayalink/coordination/replica.py
@@ -99,6 +99,7 @@
         "_store",
         "_machine",
         "_applied",
+        "_stored_index",
         "_timers",
         "_send",
         "_inbox",
@@ -132,6 +133,7 @@
         self._store = store
         self._machine = machine
         self._applied = 0 if stored is None else stored.index
+        self._stored_index = self._applied
         self._timers = timer_service
         self._send = send
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
@@ -170,6 +172,11 @@
         """Whether the group has removed this member's id permanently."""
         return self._removed
 
+    @property
+    def applied_since_start(self) -> bool:
+        """Whether anything was applied beyond the stored snapshot."""
+        return self._applied > self._stored_index
+
     @property
     def membership(self) -> memberships.Membership:
         """Membership in force in the log of this member."""
--- a/papayalink/roles/authority/numbered_state.py
+++ b/papayalink/roles/authority/numbered_state.py
@@ -38,6 +38,7 @@
         "_client",
         "_metrics",
         "_observe_weights",
+        "_confirmed",
         "_log",
     )
 
@@ -56,6 +57,7 @@
         self._client = client
         self._metrics = metrics
         self._observe_weights: Callable[[], None] | None = None
+        self._confirmed = False
         self._log = logs.get_logger()
 
     @property
@@ -125,6 +127,17 @@
     def confirm(self) -> None:
         """Make sure that everything committed so far is applied here."""
         self.replica.confirm_read(CONFIRM_TIMEOUT_S)
+        self._confirmed = True
+
+    @property
+    def known_since_start(self) -> bool:
+        """Whether others have told since the start what is committed.
+
+        Until then the state is that of the stored snapshot, which may be old.
+        """
+        return self._confirmed or (
+            self._replica is not None and self._replica.applied_since_start
+        )
 
     def note_invalid(self, reason: str) -> None:
         """Record a document that was rejected before it was proposed."""
--- a/papayalink/roles/authority/service.py
+++ b/papayalink/roles/authority/service.py
@@ -138,7 +138,14 @@
 
         It is for entries that start while no member can confirm one: those
         that started before go on with what they have.
+
+        Raises: transport_errors.RpcRefused, while this member does not know
+            either what is committed.
         """
+        if not self._state.known_since_start:
+            raise transport_errors.RpcRefused(
+                "unavailable", "the member has only its stored snapshot"
+            )
         return messages.WatchReply(
             number=self._machine.numbered.number,
             document=self._compress_document(),
