Ask no member for a held document while one confirms that there is none

Operators who start a new deployment saw each gateway call every member four times a second until they put the first document, each over a connection that it would not have otherwise and that costs its receiver 0.1 MB.

Cause: a gateway asks for a held document as long as it has none, also where a member has confirmed that there is none, or that the newest can't be used, so that no answer could help it.

It asks only while it is not connected to a member that confirms its state.

test_members_that_confirm_that_there_is_none_are_not_asked failed before and passes now; tests/roles/gateway/test_held_document.py: 9 passed. The load of a deployment was not measured.

--- a/papayalink/roles/gateway/held_document.py
+++ b/papayalink/roles/gateway/held_document.py
@@ -34,7 +34,9 @@
     def _run(self) -> None:
         gevent.sleep(CONFIRM_WAIT_S)
         while self._watcher.directory is None:
-            self._ask_all()
+            # A new deployment has none: its members confirm that.
+            if not self._watcher.connected:
+                self._ask_all()
             gevent.sleep(ASK_PERIOD_S)
 
     def _ask_all(self) -> None:
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -134,6 +134,11 @@
             return self._unusable_number
         return 0
 
+    @property
+    def connected(self) -> bool:
+        """Whether a member has confirmed its state, and still answers."""
+        return self._connected
+
     @property
     def weights(self) -> dict[str, int]:
         """Newest named weight version by model."""
--- a/tests/roles/gateway/test_held_document.py
+++ b/tests/roles/gateway/test_held_document.py
@@ -21,15 +21,18 @@
 
     Attributes:
         confirm: whether they can confirm it.
+        asked: methods of the calls.
     """
 
     def __init__(self, *held):
         self.confirm = False
+        self.asked = []
         self._held = {f"m{each}": number for each, number in enumerate(held)}
         self.addresses = tuple(self._held)
 
     def call(self, address, method, message, timeout_s):
         gevent.sleep(0.001)
+        self.asked.append(method)
         number = self._held[address]
         if number is None:
             raise errors.ConnectionLost("of the test")
@@ -125,3 +128,13 @@
     watcher = start(_Members(*held))
     assert watcher.wait_directory(_FAILURE_S) is None
     assert watcher.directory is None
+
+
+def test_members_that_confirm_that_there_is_none_are_not_asked(start):
+    """Guards against load by all gateways of a new deployment."""
+    members = _Members(0, 0, 0)
+    members.confirm = True
+    start(members)
+    gevent.sleep(2 * held_document.CONFIRM_WAIT_S)
+    assert "Watch" in members.asked
+    assert "ReadHeld" not in members.asked
