Let members that are stopped at once leave one after the other

Two of three members that are told to stop at the same time, as by a parallel restart, both stayed to the end of their grace period and then left together: no member led until one of them was back, and each stop took as long as it could.

Cause: a member counts another one that stops only if that one began later. It compares its own time, taken first, with the other's, taken when the question is answered. With less than a round trip between two stops, each takes the other for the earlier one, and neither counts the other.

Members whose times differ by less than the time-out of a question go in the order of their ids. Two of them never leave for each other: what each sees of the other is late by 0 s or more, so that both can't be on the same side of the bound.

--- a/papayalink/roles/authority/departure.py
+++ b/papayalink/roles/authority/departure.py
@@ -18,6 +18,10 @@
 
 ASK_PERIOD_S = 0.2
 ASK_TIMEOUT_S = 0.5
+# Members that began to stop within this time of each other leave in the order
+# of their ids. A reply is later than the own time it is compared with, so that
+# each of them would take the other for the earlier one.
+SAME_TIME_S = 0.5
 
 
 class Departure:
@@ -128,13 +132,14 @@
         if own not in group.voters:
             return False
         others = [voter for voter in group.voters if voter != own]
-        # Taken before the others are asked, so that of two members that begin
-        # to stop at once neither takes the other for the later one.
+        # Taken before the others are asked, so that no two members take each
+        # other for the one that leaves later.
         stopping_s = self._stopping_s()
         staying = {
             voter
             for voter, presence in self._ask(others, timeout_s).items()
-            if presence.stopping_s is None or presence.stopping_s < stopping_s
+            if presence.stopping_s is None
+            or _leaves_later(voter, own, presence.stopping_s - stopping_s)
         }
         return not group.has_quorum(staying)
 
@@ -162,6 +167,13 @@
         return present
 
 
+def _leaves_later(voter: str, own: str, earlier_s: float) -> bool:
+    """Args: earlier_s: by how much the voter seems to have begun earlier."""
+    if abs(earlier_s) < SAME_TIME_S:
+        return voter > own
+    return earlier_s < 0
+
+
 def make_departure(
     identity: identities.Identity,
     state: numbered_state.NumberedState,
--- a/tests/roles/authority/test_departure.py
+++ b/tests/roles/authority/test_departure.py
@@ -73,6 +73,20 @@
         assert task.get(timeout=members_module.TIMEOUT_S) <= _GRACE_S
 
 
+def test_members_that_are_stopped_at_once_leave_one_after_the_other(
+    make_group,
+):
+    """Guards against two members that wait for each other until the end."""
+    group = make_group(3)
+    stopping = [_stop(member) for member in group.members[:2]]
+    assert stopping[0].get(timeout=members_module.TIMEOUT_S) < _GRACE_S / 2
+    assert not stopping[1].ready()
+    members_module.wait_until(
+        lambda: all(each.process.accepting for each in group.members[1:])
+    )
+    assert not stopping[1].ready()
+
+
 class _Voters:
     """Stand-in for the group and its RPC client.
 
