--- a/papayalink/roles/gateway/held_document.py
+++ b/papayalink/roles/gateway/held_document.py
@@ -38,9 +38,11 @@
     def _run(self) -> None:
         use_at = time.monotonic() + CONFIRM_WAIT_S
         while self._watcher.directory is None:
-            self._ask_all()
-            if self._newest.number and time.monotonic() >= use_at:
-                self._watcher.use_held(self._newest)
+            # A new deployment has none: its members confirm that.
+            if not self._watcher.connected:
+                self._ask_all()
+                if self._newest.number and time.monotonic() >= use_at:
+                    self._watcher.use_held(self._newest)
             gevent.sleep(ASK_PERIOD_S)
 
     def _ask_all(self) -> None:
--- a/tests/roles/gateway/test_held_document.py
+++ b/tests/roles/gateway/test_held_document.py
@@ -21,12 +21,12 @@
 
     Attributes:
         confirm: whether they can confirm it.
-        asked: those that have told what they hold.
+        asked: those that have told what they hold, once for each time.
     """
 
     def __init__(self, *held):
         self.confirm = False
-        self.asked = set()
+        self.asked = []
         self._held = {f"m{each}": number for each, number in enumerate(held)}
         self.addresses = tuple(self._held)
 
@@ -38,7 +38,7 @@
         if method == "Watch" and not self.confirm:
             raise errors.RpcRefused("unavailable", "of the test")
         if method == "ReadHeld":
-            self.asked.add(address)
+            self.asked.append(address)
         known = getattr(message, "number", 0)
         return messages.WatchReply(
             number,
@@ -107,7 +107,7 @@
     monkeypatch.setattr(held_document, "CONFIRM_WAIT_S", 1.0)
     members = _Members(3, 4)
     watcher = start(members)
-    _wait_for(lambda: members.asked == set(members.addresses))
+    _wait_for(lambda: set(members.asked) == set(members.addresses))
     # One that is confirmed may still come.
     assert watcher.directory is None
     members._held = dict.fromkeys(members.addresses)
@@ -141,3 +141,14 @@
     watcher = start(_Members(*held))
     assert watcher.wait_directory(_FAILURE_S) is None
     assert watcher.directory is None
+
+
+def test_members_that_confirm_that_there_is_none_are_not_asked_again(start):
+    """Guards against load by all gateways of a new deployment."""
+    members = _Members(0, 0, 0)
+    members.confirm = True
+    watcher = start(members)
+    _wait_for(lambda: watcher.connected)
+    members.asked.clear()
+    gevent.sleep(2 * held_document.CONFIRM_WAIT_S)
+    assert not members.asked
