Notice settings that change while a process reads them

What was seen: a settings file replaced without a signal between its reading and the installation of its watch was never noticed: the process kept old seeds until the next change.

Cause: the reloader noted the file's time when it was made, later than the settings had been read, and took the changed file for the one read.

Change: it notes no time at first, so that the first check reads the file again. Each start logs one more `reloaded changed=false`.

--- a/papayalink/roles/reloading.py
+++ b/papayalink/roles/reloading.py
@@ -47,7 +47,8 @@
         self._path = path
         self._settings = settings
         self._apply_settings = apply_settings
-        self._stamp = self._read_stamp()
+        # The file may have changed since the settings were read.
+        self._stamp: tuple[int, int] | None = None
         self._inbox = queue.Queue()
         self._log = logs.get_logger()
 
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -21,10 +21,14 @@
 class Running:
     """A process, and what it has written."""
 
-    def __init__(self, folder, role):
+    def __init__(self, folder, role, reads_pipe=False):
         self.path = folder / "settings.json"
         self.settings = _make_settings(role, folder)
-        write_settings(self.path, self.settings)
+        if reads_pipe:
+            # Whoever opens it waits for the other side.
+            os.mkfifo(self.path)
+        else:
+            write_settings(self.path, self.settings)
         self._log_path = folder / "output"
         with open(self._log_path, "wb") as log:
             self.process = subprocess.Popen(
--- a/tests/processes/test_signals_at_start.py
+++ b/tests/processes/test_signals_at_start.py
@@ -4,6 +4,7 @@
 covered: signals have their default action then.
 """
 
+import json
 import random
 import signal
 import time
@@ -28,8 +29,8 @@
 def start(tmp_path):
     running = []
 
-    def start(role):
-        running.append(programs.Running(tmp_path, role))
+    def start(role, reads_pipe=False):
+        running.append(programs.Running(tmp_path, role, reads_pipe))
         running[-1].wait_imports()
         return running[-1]
 
@@ -92,3 +93,18 @@
     running.send_until(None, number)
     assert running.wait_end() == 0, running.log
     assert "Traceback" not in running.log
+
+
+@pytest.mark.parametrize("signals", [[], [signal.SIGHUP]])
+@pytest.mark.parametrize("role", ["gateway", "authority"])
+def test_settings_that_change_while_they_are_read(start, role, signals):
+    """Guards against a change that a starting process misses."""
+    running = start(role, reads_pipe=True)
+    changed = running.settings | {"seeds": ["127.0.0.1:1", "127.0.0.1:2"]}
+    with open(running.path, "w") as pipe:
+        programs.write_settings(running.path, changed)
+        for number in signals:
+            running.process.send_signal(number)
+        json.dump(running.settings, pipe)
+    running.wait_text("event=reloaded changed=true")
+    assert running.process.poll() is None, running.log
