Let streams last as long as calls have beside silences in the soak

--long_streams spaces the events of a stream by up to 0.36 s, drawn by its call: 0.4 to 4.3 s, of the 6 s that callers have beside silences.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,7 @@
     pauses: bool = False,
     failing: bool = False,
     storms: bool = False,
+    long_streams: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -77,6 +78,8 @@
             and pauses are longer.
         storms: whether all processes lose power and one disk again and again,
             right after many large documents.
+        long_streams: with `silences` and `stops`, whether streams last for up
+            to 4.3 s.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -105,6 +108,7 @@
         pauses,
         failing,
         storms,
+        long_streams,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -14,6 +14,9 @@
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
+# Longest interval between events of long streams, which may last for about as
+# long as calls have beside silences.
+LONG_EVENT_INTERVAL_S = 0.36
 # Delay that replicas name while they refuse calls.
 REFUSAL_DELAY_S = 1.5
 # Time after which a crashed replica is back.
@@ -206,7 +209,10 @@
                 records.Arrival(cause, call_id, time.monotonic())
             )
             return self._crash(cause)
-        return _events(call_id, last_event_id, self.software)
+        interval_s = _draw_interval_s(
+            call_id, self.platform.max_event_interval_s
+        )
+        return _events(call_id, last_event_id, self.software, interval_s)
 
     def _is_failing(self, call_id: str) -> bool:
         drawn = zlib.crc32(f"{call_id} {self.replica_id}".encode())
@@ -233,9 +239,17 @@
     return history.crashing_part if history.crashing_part in part_ids else ""
 
 
-def _events(call_id: str, last_event_id: int, software: str):
+def _draw_interval_s(call_id: str, max_s: float) -> float:
+    """Returns: the time between the events of a stream, by its call."""
+    drawn = zlib.crc32(call_id.encode()) / 2**32
+    return EVENT_INTERVAL_S + drawn * (max_s - EVENT_INTERVAL_S)
+
+
+def _events(
+    call_id: str, last_event_id: int, software: str, interval_s: float
+):
     for number in range(last_event_id + 1, EVENTS_PER_STREAM + 1):
-        gevent.sleep(EVENT_INTERVAL_S)
+        gevent.sleep(interval_s)
         yield records.make_event(call_id, number, software)
 
 
@@ -247,10 +261,18 @@
         history: where the replicas record what they run.
         make_proxy: makes a proxy for the address of a replica; the list
             names the address of the proxy.
+        max_event_interval_s: longest time between two events of a stream.
     """
 
-    def __init__(self, ip: str, history: records.History, make_proxy) -> None:
+    def __init__(
+        self,
+        ip: str,
+        history: records.History,
+        make_proxy,
+        max_event_interval_s: float = EVENT_INTERVAL_S,
+    ) -> None:
         self.history = history
+        self.max_event_interval_s = max_event_interval_s
         self._make_proxy = make_proxy
         self._stopped = False
         self._releases = 0
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -71,6 +71,8 @@
             changed documents or planned work, instead of faults. With `stops`
             it is one, half or all of them, beside planned work, and half of
             the callers don't look whether their connections are open.
+        long_streams: with `silences` and `stops`, whether streams last for up
+            to 4.3 s without a silence.
         breaks: whether streams break off again and again and a part of prompts
             ends replicas, while all nodes are sound.
         repeats: whether most calls fail at all replicas, while nodes are cut
@@ -107,6 +109,7 @@
     pauses: bool = False
     failing: bool = False
     storms: bool = False
+    long_streams: bool = False
 
 
 class Result(msgspec.Struct):
@@ -143,7 +146,16 @@
     if scenario.weights:
         history.model = model_weights.MODEL
     network = node_module.Network()
-    platform = standins.Platform(network.ip(2), history, proxy.make_proxy)
+    platform = standins.Platform(
+        network.ip(2),
+        history,
+        proxy.make_proxy,
+        (
+            standins.LONG_EVENT_INTERVAL_S
+            if scenario.long_streams
+            else standins.EVENT_INTERVAL_S
+        ),
+    )
     nodes: list[node_module.Node] = []
     links: node_module.Links = {}
     watching = gevent.spawn(_watch_stalls, history)
@@ -269,7 +281,14 @@
         injector.lose_power()
     gevent.sleep(RECOVERY_S)
     final_caller = clients.Caller(
-        f"{seed}-last", history, _make_rng(seed, "last")
+        f"{seed}-last",
+        history,
+        _make_rng(seed, "last"),
+        deadline_s=(
+            SILENCES_DEADLINE_S
+            if scenario.long_streams
+            else clients.DEADLINE_S
+        ),
     )
     final_calls = [
         final_caller.call(rng.choice(gateways)) for _ in range(FINAL_CALLS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -66,6 +66,13 @@
             seed_run.Scenario(silences=True, stops=True),
             id="silences-beside-planned-work",
         ),
+        # The same with streams of up to 4.3 s. Those that began after SIGTERM
+        # and met a silence were cut at the end of the grace period.
+        pytest.param(
+            1,
+            seed_run.Scenario(silences=True, stops=True, long_streams=True),
+            id="long-streams-beside-planned-work",
+        ),
         # Streams break off and are taken up, and sound streams come beside a
         # part that ends replicas.
         pytest.param(1, seed_run.Scenario(breaks=True), id="breaks"),
