--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
     rolls: bool = False,
     early_reloads: bool = False,
     callers: int = 0,
+    long_streams: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -86,6 +87,8 @@
         early_reloads: with `rolls`, whether SIGHUP comes while processes
             start as well.
         callers: number of callers of `rolls`; 0 for 80.
+        long_streams: with `silences` and `stops`, whether streams last for up
+            to 4.3 s.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -117,6 +120,7 @@
         rolls,
         early_reloads,
         callers or seed_run.ROLL_CALLERS,
+        long_streams,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -15,6 +15,9 @@
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
+# Longest interval between events of long streams, which may last for about as
+# long as calls have beside silences.
+LONG_EVENT_INTERVAL_S = 0.36
 # Delay that replicas name while they refuse calls.
 REFUSAL_DELAY_S = 1.5
 # Time after which a crashed replica is back.
@@ -231,7 +234,9 @@
         return self._write_events(call_id, last_event_id, kind)
 
     def _write_events(self, call_id: str, last_event_id: int, kind: str):
-        count, interval_s = STREAM_EVENTS[kind]
+        count, shortest_s = STREAM_EVENTS[kind]
+        longest_s = max(shortest_s, self.platform.max_event_interval_s)
+        interval_s = _draw_interval_s(call_id, shortest_s, longest_s)
         try:
             for number in range(last_event_id + 1, count + 1):
                 gevent.sleep(interval_s)
@@ -271,6 +276,12 @@
     return made
 
 
+def _draw_interval_s(call_id: str, min_s: float, max_s: float) -> float:
+    """Returns: the time between the events of a stream, by its call."""
+    drawn = zlib.crc32(call_id.encode()) / 2**32
+    return min_s + drawn * (max_s - min_s)
+
+
 class Platform:
     """Serves the list of replicas, and the replicas.
 
@@ -279,10 +290,18 @@
         history: where the replicas record what they run.
         make_proxy: makes a proxy for the address of a replica; the list
             names the address of the proxy.
+        max_event_interval_s: longest time between two events of a stream.
     """
 
-    def __init__(self, ip: str, history: records.History, make_proxy) -> None:
+    def __init__(
+        self,
+        ip: str,
+        history: records.History,
+        make_proxy,
+        max_event_interval_s: float = EVENT_INTERVAL_S,
+    ) -> None:
         self.history = history
+        self.max_event_interval_s = max_event_interval_s
         self._make_proxy = make_proxy
         self._stopped = False
         self._releases = 0
