Reload from the first moment of a process in the soak, and excuse no SIGHUP

The soak sent SIGHUP only to processes whose handlers were known to be there, and excused a stop that ended by SIGHUP. So neither the end by SIGHUP of a process that starts nor that of one that ends was seen.

Change: a process gets SIGHUP once it imports its first compiled module; before, in the start of the interpreter, signals can't be handled. Whether it handles SIGTERM is read from the kernel (SigCgt) instead of tried by its port. A stop ends with 0, or by SIGTERM if that isn't handled yet, and with nothing else. The field handles_signals of the tests' nodes is gone with it; the cases stay, and an end by SIGHUP, a process that starts and a reload before the program are new.

--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -29,6 +29,9 @@
 START_TIMEOUT_S = 20.0
 # Time in which a member without a port for readiness has started.
 MEMBER_START_S = 4.0
+# The first compiled module that a process imports. Before, signals have their
+# default action.
+_FIRST_MODULE = b"/msgspec/"
 _DEPLOYMENT_KEY = "5a" * 32
 # Independent of the seed: concurrent runs need different networks.
 _RANDOM = random.SystemRandom()
@@ -65,7 +68,6 @@
 
     Attributes:
         list_proxy: proxy before the list of replicas that a gateway reads.
-        handles_signals: whether the running process is known to do so.
         failures: starts and ends that were not as they should be.
     """
 
@@ -76,7 +78,6 @@
     settings: dict
     process: subprocess.Popen | None = None
     list_proxy: proxy.Proxy | None = None
-    handles_signals: bool = False
     failures: list[str] = []
 
     @property
@@ -85,7 +86,6 @@
 
     def start(self) -> None:
         path = self._write_settings()
-        self.handles_signals = False
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
                 [
@@ -112,9 +112,9 @@
     def reload(self, signals: bool) -> bool:
         """Change the settings of a running process, with SIGHUP or without.
 
-        Returns: False if it may not handle signals yet.
+        Returns: False if its interpreter may still be starting.
         """
-        if not self.running or not self._handles_signals():
+        if not self._runs_program():
             return False
         seeds = self.settings["seeds"]
         self.settings["seeds"] = [*seeds[1:], seeds[0]]
@@ -123,17 +123,24 @@
             self.process.send_signal(signal.SIGHUP)
         return True
 
-    def _handles_signals(self) -> bool:
-        """Whether the process is known to have installed its handlers."""
-        if not self.handles_signals:
-            try:
-                socket.create_connection((self.ip, INSPECT_PORT), 1.0).close()
-            except OSError:
-                return False
-            # It opens the port just before.
-            gevent.sleep(0.2)
-            self.handles_signals = self.running
-        return self.handles_signals
+    def _runs_program(self) -> bool:
+        """Whether the process has begun to import its modules."""
+        return _FIRST_MODULE in self._read_kernel("maps")
+
+    def _handles(self, number: int) -> bool:
+        """Whether the process has installed a handler of a signal."""
+        for line in self._read_kernel("status").splitlines():
+            name, _, value = line.partition(b":")
+            if name == b"SigCgt":
+                return bool(int(value, 16) >> (number - 1) & 1)
+        return False
+
+    def _read_kernel(self, name: str) -> bytes:
+        """Returns: what the kernel tells of the process while it runs."""
+        if not self.running:
+            return b""
+        with open(f"/proc/{self.process.pid}/{name}", "rb") as file:
+            return file.read()
 
     def wait_ready(self) -> None:
         """Wait until a gateway reports that it is ready."""
@@ -166,8 +173,10 @@
     def terminate(self) -> None:
         """Stop as the platform does: SIGTERM, then SIGKILL after GRACE_S."""
         self.note_own_end()
-        # Before, the signal ends the process at once.
-        handles_signals = self._handles_signals()
+        statuses = [0]
+        if not self._handles(signal.SIGTERM):
+            # The signal ends the process at once.
+            statuses.append(-signal.SIGTERM)
         self.process.terminate()
         waited_s = 0.0
         while self.process.poll() is None and waited_s < GRACE_S:
@@ -175,11 +184,7 @@
             waited_s += 0.05
         if self.process.poll() is None:
             self.kill()
-        elif handles_signals and self.process.returncode not in (
-            0,
-            # It came when all calls had ended, or else their check fails.
-            -signal.SIGHUP,
-        ):
+        elif self.process.returncode not in statuses:
             self._note_failure("stopped")
 
     def note_own_end(self) -> None:
--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -1,5 +1,6 @@
 """Ends of processes that are not as they should be are noted."""
 
+import signal
 import subprocess
 import sys
 
@@ -9,7 +10,7 @@
 
 _HANDLER = """
 import signal, sys, time
-signal.signal(signal.SIGTERM, lambda *_: sys.exit({status}))
+signal.signal(signal.SIGTERM, lambda *_: {action})
 print("ready", flush=True)
 # A signal that comes right before a sleep does not end it.
 for _ in range(600):
@@ -28,7 +29,6 @@
         str(tmp_path),
         {},
         process,
-        handles_signals=True,
     )
 
 
@@ -39,12 +39,50 @@
     assert node.failures == ["g1 ended by itself with status 3"]
 
 
+_NO_HANDLER = """
+import time
+print("ready", flush=True)
+time.sleep(30)
+"""
+
+
 @pytest.mark.parametrize(
-    ("status", "failures"), [(0, []), (1, ["g1 stopped with status 1"])]
+    ("program", "failures"),
+    [
+        (_HANDLER.format(action="sys.exit(0)"), []),
+        (_HANDLER.format(action="sys.exit(1)"), ["g1 stopped with status 1"]),
+        (
+            _HANDLER.format(action="signal.raise_signal(signal.SIGHUP)"),
+            ["g1 stopped with status -1"],
+        ),
+        (_NO_HANDLER, []),
+    ],
+    ids=["done", "failed", "hung-up", "starting"],
 )
-def test_planned_stop(tmp_path, status, failures):
-    node = _make_node(tmp_path, _HANDLER.format(status=status))
+def test_planned_stop(tmp_path, program, failures):
+    node = _make_node(tmp_path, program)
     with node.process.stdout as stdout:
         stdout.readline()
         node.terminate()
     assert node.failures == failures
+
+
+def test_reload_that_ends_a_process(tmp_path):
+    """Guards against a reload that ends a process unseen."""
+    node = _make_node(tmp_path, _NO_HANDLER)
+    with node.process.stdout as stdout:
+        stdout.readline()
+        node.process.send_signal(signal.SIGHUP)
+        node.process.wait()
+        node.note_own_end()
+    assert node.failures == ["g1 ended by itself with status -1"]
+
+
+def test_reload_waits_for_the_program(tmp_path):
+    """Guards against a signal while the interpreter starts."""
+    node = _make_node(tmp_path, _NO_HANDLER)
+    with node.process.stdout as stdout:
+        stdout.readline()
+        assert not node.reload(signals=True)
+        assert node.running
+        node.kill()
