--- a/soak/rolls.py
+++ b/soak/rolls.py
@@ -125,7 +125,7 @@
                 self._history.count("reload")
 
     def _signal(self, node: node_module.Node) -> None:
-        if node.reload(signals=True, while_starting=True):
+        if node.reload(signals=True):
             self._history.count("early_reload")
 
 
