Refuse replies with a transfer coding that is not undone

What callers saw: a service's reply with Transfer-Encoding: gzip, "gzip, chunked", "chunked, gzip" or an unknown coding came to them as it is encoded, as a whole success. No request allows such codings; found by a test, not in a record.

Cause: llhttp joins chunks or reads to the end of the connection, whatever the other codings are; the adapter dropped the header and kept the bytes.

Change: such a reply is none, as at gateways, where h11 refuses it: the outcome of the call is unknown.

--- a/papayalink/adapters/reply_parser.py
+++ b/papayalink/adapters/reply_parser.py
@@ -7,6 +7,8 @@
 # A status beyond it is invalid (RFC 9110, section 15).
 _HIGHEST_STATUS = 599
 _SWITCHING_PROTOCOLS = 101
+# Transfer codings that leave a body as it is, once its chunks are joined.
+_READABLE_CODINGS = ("chunked", "identity")
 
 
 class ReplyParser(responses.HTTPSocketResponse):
@@ -21,7 +23,8 @@
     message, and its connection is not used again.
 
     A reply with an invalid status is none, nor is one that switches to a
-    protocol that nobody asked for.
+    protocol that nobody asked for, or whose body has a transfer coding that
+    is not undone here.
     """
 
     def __init__(self, *arguments: object, **options: object) -> None:
@@ -66,4 +69,13 @@
             )
         if status >= _LOWEST_FINAL_STATUS:
             self._final_status = status
-        return super()._on_headers_complete()
+        ends = super()._on_headers_complete()
+        coding = self.get("transfer-encoding", _READABLE_CODINGS[0])
+        if (
+            not isinstance(coding, str)
+            or coding.strip().lower() not in _READABLE_CODINGS
+        ):
+            raise responses.HTTPProtocolViolationError(
+                f"transfer coding {coding!r} is not supported"
+            )
+        return ends
