Bound the questions of a member that stops by their time as a whole

A member that stops could ask for half a second longer than it may stay, which is all that is left of its grace period: it would be killed before its last operators were answered. Nobody was seen to be; found by a review.

Cause: a call may take its time-out twice, once to connect and once to be answered. The same made a gateway wait twice as long for held documents.

The questions are waited for together, for their time-out as a whole; a reply that is late is not counted.

test_wait_ends_before_a_question_that_takes_too_long failed before and passes now, with test_held_document.py and the others of its module.

--- a/papayalink/roles/authority/departure.py
+++ b/papayalink/roles/authority/departure.py
@@ -163,8 +163,10 @@
             if presence.takes_part:
                 present[voter] = presence
 
-        gevent.joinall([gevent.spawn(ask, voter) for voter in voters])
-        return present
+        # A call may take its time-out twice, to connect and to be answered.
+        asking = [gevent.spawn(ask, voter) for voter in voters]
+        gevent.joinall(asking, timeout=timeout_s)
+        return dict(present)
 
 
 def _leaves_later(voter: str, own: str, earlier_s: float) -> bool:
--- a/papayalink/roles/gateway/held_document.py
+++ b/papayalink/roles/gateway/held_document.py
@@ -58,9 +58,10 @@
             if reply.number > self._newest.number:
                 self._newest = reply
 
-        gevent.joinall(
-            [gevent.spawn(ask, each) for each in self._watcher.authorities()]
-        )
+        # A call may take its time-out twice, to connect and to be answered.
+        members = self._watcher.authorities()
+        asking = [gevent.spawn(ask, each) for each in members]
+        gevent.joinall(asking, timeout=ASK_TIMEOUT_S)
 
 
 def make_held_document(
--- a/tests/roles/authority/test_departure.py
+++ b/tests/roles/authority/test_departure.py
@@ -148,6 +148,25 @@
     assert max(voters.timeouts) <= _SHORT_WAIT_S / 2
 
 
+class _SilentVoters(_Voters):
+    """Voters whose connections take longer than the time of a call."""
+
+    returned = False
+
+    def call(self, voter, method, message, timeout_s):
+        gevent.sleep(_SHORT_WAIT_S + timeout_s)
+        self.returned = True
+        raise transport_errors.Timeout(voter)
+
+
+def test_wait_ends_before_a_question_that_takes_too_long():
+    """Guards against time-outs of connecting and of calling that add up."""
+    voters = _SilentVoters({"b": None, "c": None})
+    waiting = departure.make_departure(voters, voters, voters, voters)
+    waiting.wait(_SHORT_WAIT_S / 2, event.Event())
+    assert not voters.returned
+
+
 def test_second_signal_ends_the_wait(make_group):
     group = make_group(3)
     group.members[0].stop()
