Tell once that a member leaves its group without a quorum

Operators read leaves_without_quorum in the middle of a stop, when the member only closed its port for them, and may_leave after a second signal that ended the wait. Found by a review.

The line is written when the member leaves, by the last answers of the others.

--- a/papayalink/roles/authority/departure.py
+++ b/papayalink/roles/authority/departure.py
@@ -44,6 +44,7 @@
         "_peers",
         "_client",
         "_began_at",
+        "_needed",
         "_left",
         "_log",
     )
@@ -60,6 +61,8 @@
         self._peers = peers
         self._client = client
         self._began_at: float | None = None
+        # By the last answers of the others.
+        self._needed = False
         self._left = False
         self._log = logs.get_logger()
 
@@ -92,21 +95,23 @@
         while not stop_now.is_set():
             left_s = until - time.monotonic()
             if left_s <= 0:
-                self._log.warning("leaves_without_quorum")
                 return
-            if not self._is_needed(min(ASK_TIMEOUT_S, left_s)):
+            self._needed = self._is_needed(min(ASK_TIMEOUT_S, left_s))
+            if not self._needed:
                 break
             if not stayed:
                 self._log.info("stays_for_quorum", left_s=round(left_s, 2))
             stayed = True
             stop_now.wait(min(ASK_PERIOD_S, left_s))
-        if stayed:
+        if stayed and not self._needed:
             stopping_s = time.monotonic() - self._began_at
             self._log.info("may_leave", stopping_s=round(stopping_s, 2))
 
     def leave(self) -> None:
         """Tell others from now on that this member takes no part."""
         self._left = True
+        if self._needed:
+            self._log.warning("leaves_without_quorum")
 
     def _takes_part(self, member_id: str) -> bool:
         if self._left:
--- a/papayalink/roles/authority/process.py
+++ b/papayalink/roles/authority/process.py
@@ -169,7 +169,7 @@
                 "operators_cut_by_stop",
                 in_flight=self._operator_server.in_flight,
             )
-        # Others may not be back yet.
+        # The others may not be back yet, and this member still votes.
         self._departure.wait(until - time.monotonic(), self._stop_now)
         self._departure.leave()
         self._rpc_server.stop()
--- a/papayalink/roles/gateway/stopping.py
+++ b/papayalink/roles/gateway/stopping.py
@@ -5,8 +5,8 @@
 from papayalink.coordination import run_times
 from papayalink.state import traffic
 
-# A sound replica may be silent for a second or so and go on. After twice that
-# the first callers leave their streams.
+# A sound replica may be silent for a second or so and go on. Callers leave
+# their streams after a gap of two seconds at the earliest.
 MAX_SILENCE_S = 2.0
 # Upper bound of that as a part of the stop, which may be short.
 MAX_SILENCE_SHARE = 0.3
