--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -1,5 +1,6 @@
 """Each program of a deployment alone, with settings of its own."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -7,7 +8,7 @@
 import sys
 import time
 
-from bench import deployment
+from tests import own_host
 
 _KEY = "5a" * 32
 ROLES = ("gateway", "authority", "entry", "agent", "store", "control")
@@ -16,6 +17,9 @@
 _POLL_S = 0.001
 _STORM_INTERVAL_S = 0.005
 TIMEOUT_S = 60.0
+# Below the ports that the system gives out. They come again long after their
+# process has ended.
+_ports = itertools.cycle(range(20_000, 30_000))
 
 
 class Running:
@@ -102,44 +106,44 @@
         "name": f"{role}-1",
         "zone": "z1",
         "region": "r",
-        "inspect_listen": deployment.free_address(),
+        "inspect_listen": _choose_address(),
         "deployment_key": _KEY,
     }
     # Nobody listens there: each process is alone.
-    absent = deployment.free_address()
+    absent = _choose_address()
     platform = common | {
-        "ip": deployment.HOST,
+        "ip": own_host.HOST,
         "seeds": [absent],
-        "peer_port": _free_port(),
+        "peer_port": _choose_port(),
         "platform_address": absent,
     }
     deployed = common | {"controls": {"control-1": absent}}
     match role:
         case "gateway":
             return platform | {
-                "listen": deployment.free_address(),
-                "ready_listen": deployment.free_address(),
+                "listen": _choose_address(),
+                "ready_listen": _choose_address(),
             }
         case "authority":
             return platform | {
-                "operator_listen": deployment.free_address(),
+                "operator_listen": _choose_address(),
                 "data_folder": str(folder / "data"),
                 "first_start": True,
             }
         case "entry":
             return deployed | {
-                "listen": deployment.free_address(),
+                "listen": _choose_address(),
                 "drain_delay_s": 0.0,
             }
         case "agent":
             return deployed | {
-                "listen": deployment.free_address(),
+                "listen": _choose_address(),
                 "upstream": "e1",
                 "upstream_address": absent,
             }
         case "store":
             return deployed | {
-                "listen": deployment.free_address(),
+                "listen": _choose_address(),
                 "data_folder": str(folder),
                 "memory_bytes": 1_000_000,
                 "disk_bytes": 1_000_000,
@@ -149,10 +153,15 @@
                 "controls": {"control-1": absent},
                 "rpc_listen": absent,
                 "data_folder": str(folder),
-                "console_listen": deployment.free_address(),
+                "console_listen": _choose_address(),
                 "console_token": "0123456789abcdef",
             }
 
 
-def _free_port():
-    return int(deployment.free_address().rpartition(":")[2])
+def _choose_address():
+    """Returns: address at which nothing else of this machine listens."""
+    return f"{own_host.HOST}:{_choose_port()}"
+
+
+def _choose_port():
+    return next(_ports)
