Give processes in tests of nodes the default action of SIGHUP

Their processes inherit that SIGHUP is ignored, and don't end by it.

The tests set the default action, which the processes inherit in its place.

--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -19,6 +19,14 @@
 """
 
 
+@pytest.fixture(autouse=True)
+def default_action():
+    """Give processes the default action of SIGHUP, also below nohup."""
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
 def _make_node(tmp_path, program):
     process = subprocess.Popen(
         [sys.executable, "-c", program], stdout=subprocess.PIPE
