--- a/tests/processes/test_signals_at_start.py
+++ b/tests/processes/test_signals_at_start.py
@@ -21,6 +21,7 @@
     for earliest_s in (0.03, 0.06, 0.12, 0.24, 0.48)
 ]
 _STARTED = "started"
+_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT)
 # What a process writes.
 _ANSWERS = {signal.SIGHUP: "event=reload", signal.SIGUSR1: '"process":'}
 
@@ -28,6 +29,14 @@
 @pytest.fixture
 def start(tmp_path):
     running = []
+    # Programs inherit signals that are ignored, as in a job of a shell.
+    ignored = [
+        number
+        for number in _SIGNALS
+        if signal.getsignal(number) is signal.SIG_IGN
+    ]
+    for number in ignored:
+        signal.signal(number, signal.SIG_DFL)
 
     def start(role, reads_pipe=False):
         running.append(programs.Running(tmp_path, role, reads_pipe))
@@ -35,6 +44,8 @@
         return running[-1]
 
     yield start
+    for number in ignored:
+        signal.signal(number, signal.SIG_IGN)
     for each in running:
         each.close()
 
