Send calls of unequal length on one route in the soak

Callers whose prompts differ in length lose sound answers while nothing is disturbed. Nothing in the soak showed it: all runs of a route are alike there, and its replicas go on beyond the time that they are given.

Each call without a whole answer is a finding, since callers wait for 6 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,6 +42,8 @@
     early_reloads: bool = False,
     callers: int = 0,
     long_streams: bool = False,
+    uneven: float = 0.0,
+    documents: bool = False,
     folder: str = "",
 ) -> None:
     """Run seeds, and print the violations that each of them found.
@@ -51,7 +53,8 @@
         fresh: number of random seeds to run in addition.
         seconds: duration of the fault injection.
         authorities: number of authorities with a disk.
-        gateways: number of gateways; 0 for 7 with `rolls` and 3 without.
+        gateways: number of gateways; 0 for 7 with `rolls` or `uneven` and 3
+            without.
         losses: maximum number of authorities with a disk that are disturbed
             at the same time.
         diskless: number of additional authorities without a disk.
@@ -89,6 +92,9 @@
         callers: number of callers of `rolls`; 0 for 80.
         long_streams: with `silences` and `stops`, whether streams last for up
             to 4.3 s.
+        uneven: share of the calls that run for long on routes of which the
+            others are short, 0 for none; 7 gateways, nothing else happens.
+        documents: with `uneven`, whether a document comes each half second.
         folder: where to keep logs and data of each seed.
     """
     # SystemExit runs the clean-up code, so that no process is left running.
@@ -98,7 +104,7 @@
     all_seeds += [random_source.randrange(10**6) for _ in range(fresh)]
     scenario = seed_run.Scenario(
         authorities,
-        gateways or (seed_run.ROLL_GATEWAYS if rolls else 3),
+        gateways or (seed_run.ROLL_GATEWAYS if rolls or uneven else 3),
         losses,
         diskless,
         power,
@@ -121,6 +127,8 @@
         early_reloads,
         callers or seed_run.ROLL_CALLERS,
         long_streams,
+        uneven,
+        documents,
     )
     failed_seeds = 0
     for seed in all_seeds:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from soak import repeat_checks
 from soak import roll_checks
 from soak import stream_checks
+from soak import uneven_runs
 from soak.platform import standins
 
 # Statuses that say that the call was not executed.
@@ -73,6 +74,7 @@
         *repeat_checks.check(history),
         *stream_checks.check(history),
         *roll_checks.check(history),
+        *uneven_runs.check(history),
     ]
 
 
@@ -109,7 +111,7 @@
         if call.body != records.make_body(call.call_id, replica_id):
             yield "body is not the complete answer of the replica"
     if is_stream and call.body:
-        yield from _check_stream(call)
+        yield from _check_stream(call, history.long_share)
     if call.status == 500 and not call.server_stamp:
         yield "the gateway itself failed"
     if (
@@ -234,9 +236,9 @@
     return joined
 
 
-def _check_stream(call):
+def _check_stream(call, long_share):
     versions = records.versions_of(call.body)
-    count, _ = standins.STREAM_EVENTS[call.path_prefix]
+    count = standins.count_events(call.path_prefix, call.call_id, long_share)
     events = b"".join(
         records.make_event(call.call_id, number, min(versions, default=""))
         for number in range(call.last_event + 1, count + 1)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -117,7 +117,7 @@
         connections = self._connections_to(gateway)
         connection = connections.pop(0)
         connections.append(connection)
-        method = "GET" if path_prefix == standins.LOOKUP else "POST"
+        method = "GET" if path_prefix in standins.BODILESS else "POST"
         path = f"{path_prefix}{call_id}"
         if path_prefix == standins.STREAM and not resumes:
             self._streams += 1
--- a/soak/figures.py
+++ b/soak/figures.py
@@ -7,6 +7,7 @@
 from soak import repeat_checks
 from soak import roll_checks
 from soak import stream_checks
+from soak import uneven_runs
 
 
 def measure(history: records.History) -> dict[str, str]:
@@ -31,6 +32,10 @@
     sound: sound streams that began beside a part that ends replicas.
     taken_up: streams that went on when they were taken up.
     new: streams that began.
+    uneven: long plain calls, long streams and short calls of routes with
+        calls of unequal length that had no whole answer, of all of them.
+    stopped: runs of these that were stopped before the end of their caller's
+        time, repeats, and the median time of a long plain call in seconds.
     """
     given = repeat_checks.count_given(history)
     delays = checks.count_within_delays(history)
@@ -50,6 +55,8 @@
         stream_checks.measure_sound_streams(streams, history, part)
         for part in sorted({cause for cause, _ in history.crashes})
     ]
+    uneven = uneven_runs.measure(history)
+    uneven_shares = (uneven.long_calls, uneven.long_streams, uneven.short)
     return {
         "repeats": f"{repeat_checks.measure_repeats(history).share:.2f}",
         "too_long": f"{given.too_long}/{given.late}",
@@ -75,6 +82,8 @@
             [stream_checks.measure_take_ups(streams, history)]
         ),
         "new": _format_shares([stream_checks.measure_new_streams(streams)]),
+        "uneven": ",".join(f"{lost}/{all_}" for lost, all_ in uneven_shares),
+        "stopped": f"{uneven.stopped},{uneven.repeats},{uneven.median_s:.2f}",
     }
 
 
--- a/soak/platform/standins.py
+++ b/soak/platform/standins.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform: list of replicas, replicas, documents."""
 
+import errno
 import json
 import time
 import zlib
@@ -33,12 +34,19 @@
 OFTEN = "/often/"
 # Streams of the scenario of rolls. SINGLE ones are sent to one replica only.
 SHORT, LONG, SINGLE = "/short/", "/long/", "/single/"
+# Calls of unequal length, whose replicas stop them at the time they are given.
+UNEVEN, UNEVEN_STREAM = "/uneven/", "/uneven-stream/"
+SHORT_RUN_S, LONG_RUN_S = 0.3, 2.6
+UNEVEN_INTERVAL_S = 0.1
+# Calls without a body.
+BODILESS = frozenset((LOOKUP, UNEVEN, UNEVEN_STREAM))
 # Events of each kind of stream, and seconds before each of them.
 STREAM_EVENTS = {
     STREAM: (EVENTS_PER_STREAM, EVENT_INTERVAL_S),
     SHORT: (8, 0.05),
     LONG: (40, 0.05),
     SINGLE: (40, 0.05),
+    UNEVEN_STREAM: (3, UNEVEN_INTERVAL_S),
 }
 _ROUTE_OPTIONS = {
     ONCE: ("non_idempotent", 1, False),
@@ -49,6 +57,8 @@
     SHORT: ("streaming", 2, True),
     LONG: ("streaming", 2, True),
     SINGLE: ("streaming", 1, False),
+    UNEVEN: ("idempotent", 2, False),
+    UNEVEN_STREAM: ("streaming", 2, True),
 }
 
 
@@ -57,6 +67,18 @@
     return _ROUTE_OPTIONS[path_prefix][1]
 
 
+def is_long(call_id: str, long_share: float) -> bool:
+    """Returns: whether a call of unequal length runs for long."""
+    return zlib.crc32(f"long {call_id}".encode()) < long_share * 2**32
+
+
+def count_events(path_prefix: str, call_id: str, long_share: float) -> int:
+    """Returns: number of events of a stream."""
+    if path_prefix == UNEVEN_STREAM and is_long(call_id, long_share):
+        return round(LONG_RUN_S / UNEVEN_INTERVAL_S)
+    return STREAM_EVENTS[path_prefix][0]
+
+
 def kind_of(path: str) -> str:
     """Returns: path prefix of a call."""
     return f"/{path.split('/')[1]}/"
@@ -217,6 +239,11 @@
             ("Papayalink-Server-Stamp", f"{self.replica_id}.{call_id}")
         )
         kind = kind_of(path)
+        given_s = float(environ.get("HTTP_PAPAYALINK_DEADLINE_MS", 0)) / 1000
+        if kind == UNEVEN:
+            status = self._run_for(call_id, given_s)
+            start_response(status, headers)
+            return [records.make_body(call_id, self.replica_id)]
         if kind not in STREAM_EVENTS:
             gevent.sleep(PLAIN_ANSWER_S)
             self.going.wait()
@@ -231,15 +258,39 @@
                 records.Arrival(cause, call_id, time.monotonic())
             )
             return self._crash(cause)
-        return self._write_events(call_id, last_event_id, kind)
-
-    def _write_events(self, call_id: str, last_event_id: int, kind: str):
-        count, shortest_s = STREAM_EVENTS[kind]
-        longest_s = max(shortest_s, self.platform.max_event_interval_s)
+        until = float("inf")
+        if kind == UNEVEN_STREAM:
+            until = time.monotonic() + given_s
+        return self._write_events(call_id, last_event_id, kind, until)
+
+    def _run_for(self, call_id: str, given_s: float) -> str:
+        """Returns: the status once the run has ended, or was stopped."""
+        is_long_run = is_long(call_id, self.platform.history.long_share)
+        run_s = LONG_RUN_S if is_long_run else SHORT_RUN_S
+        gevent.sleep(min(run_s, given_s))
+        self.going.wait()
+        if run_s <= given_s:
+            return "200 OK"
+        self.executions.note_stopped(call_id)
+        return "504 Too Late"
+
+    def _write_events(
+        self, call_id: str, last_event_id: int, kind: str, until: float
+    ):
+        """Args: until: when the stream breaks off."""
+        count = count_events(kind, call_id, self.platform.history.long_share)
+        shortest_s = longest_s = STREAM_EVENTS[kind][1]
+        if kind != UNEVEN_STREAM:
+            longest_s = max(shortest_s, self.platform.max_event_interval_s)
         interval_s = _draw_interval_s(call_id, shortest_s, longest_s)
         try:
             for number in range(last_event_id + 1, count + 1):
-                gevent.sleep(interval_s)
+                left_s = until - time.monotonic()
+                gevent.sleep(max(0.0, min(interval_s, left_s)))
+                if left_s < interval_s:
+                    self.executions.note_stopped(call_id)
+                    # The server closes the connection without a chunk.
+                    raise BrokenPipeError(errno.EPIPE, "out of time")
                 self.going.wait()
                 yield records.make_event(call_id, number, self.software)
         finally:
--- a/soak/records.py
+++ b/soak/records.py
@@ -47,11 +47,13 @@
     Attributes:
         finished: when a replica wrote the last event of a stream, or saw that
             nobody reads it any more.
+        stopped: when replicas stopped a run at the time they were given.
     """
 
     def __init__(self) -> None:
         self.by_call: dict[str, list[Execution]] = {}
         self.finished: dict[str, float] = {}
+        self.stopped: dict[str, list[float]] = {}
         self.arrivals: dict[str, list[CallArrival]] = {}
 
     def note_arrival(
@@ -61,6 +63,9 @@
         arrival = CallArrival(time.monotonic(), replica_id, left_s)
         self.arrivals.setdefault(call_id, []).append(arrival)
 
+    def note_stopped(self, call_id: str) -> None:
+        self.stopped.setdefault(call_id, []).append(time.monotonic())
+
     def record(self, call_id: str, *observed: object) -> None:
         execution = Execution(time.monotonic(), *observed)
         self.by_call.setdefault(call_id, []).append(execution)
@@ -253,6 +258,7 @@
         namings: weight versions that operators named.
         take_up_at: gateway at which callers take up broken streams, "" for
             any.
+        long_share: share of the calls of unequal length that run for long.
         counts: number of faults and planned work by kind.
     """
 
@@ -273,6 +279,7 @@
     model: str = ""
     namings: list[Naming] = []
     take_up_at: str = ""
+    long_share: float = 0.0
     counts: dict[str, int] = {}
 
     def begin(self, kind: str, target: str) -> Disturbance:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -21,6 +21,7 @@
 from soak import rejection_logs
 from soak import repeat_faults
 from soak import rolls
+from soak import uneven_runs
 from soak.platform import model_weights
 from soak.platform import standins
 
@@ -59,6 +60,9 @@
     standins.LONG,
     standins.SINGLE,
 )
+# Callers of the scenario of unequal calls, and their longest pause.
+UNEVEN_CALLERS = 60
+UNEVEN_PAUSE_S = 0.4
 # Longest time between two namings of weights.
 NAMING_INTERVAL_S = 3.0
 
@@ -110,6 +114,10 @@
         early_reloads: with `rolls`, whether SIGHUP comes while processes start
             as well.
         callers: number of callers of `rolls`.
+        uneven: share of the calls of a route that run for long, while the
+            others are short; 0 for no such calls. Nothing else happens, but
+            for one replica after the other that stands still with `silences`,
+            and a document after the other with `documents`.
     """
 
     authorities: int = 3
@@ -136,6 +144,8 @@
     early_reloads: bool = False
     callers: int = ROLL_CALLERS
     long_streams: bool = False
+    uneven: float = 0.0
+    documents: bool = False
 
 
 class Result(msgspec.Struct):
@@ -171,6 +181,7 @@
     history = records.History(records.Executions())
     if scenario.weights:
         history.model = model_weights.MODEL
+    history.long_share = scenario.uneven
     network = node_module.Network()
     platform = standins.Platform(
         network.ip(2),
@@ -186,7 +197,8 @@
     links: node_module.Links = {}
     watching = gevent.spawn(_watch_stalls, history)
     try:
-        for index in range(ROLL_REPLICAS if scenario.rolls else REPLICAS):
+        many = scenario.rolls or scenario.uneven
+        for index in range(ROLL_REPLICAS if many else REPLICAS):
             platform.add_replica(
                 f"i-{seed}-{index}",
                 f"z{index % 3}",
@@ -251,7 +263,9 @@
         gevent.spawn(caller.run, targets, ended) for caller, targets in callers
     ]
     beside = ""
-    if scenario.silences and not scenario.rolls:
+    if scenario.uneven:
+        beside = "nothing"
+    elif scenario.silences and not scenario.rolls:
         beside = _make_rng(seed, "beside").choice(BESIDE_SILENCES)
         if scenario.stops:
             beside = "stops"
@@ -296,6 +310,14 @@
             scenario.pauses,
             scenario.failing,
         ).run(until)
+    elif scenario.uneven:
+        uneven_runs.make_uneven_runs(
+            platform,
+            rng,
+            injector.silences if scenario.silences else None,
+            operator if scenario.documents else None,
+            members,
+        ).run(until)
     elif scenario.rolls:
         if scenario.silences:
             operating.append(gevent.spawn(injector.silences.run_halves, ended))
@@ -380,17 +402,35 @@
     callers = []
     keeps_open = scenario.stops or scenario.silences or scenario.rolls
     deadline_s = clients.DEADLINE_S
-    if scenario.silences or scenario.pauses or scenario.rolls:
+    if (
+        scenario.silences
+        or scenario.pauses
+        or scenario.rolls
+        or scenario.uneven
+    ):
         deadline_s = SILENCES_DEADLINE_S
     count = STOP_CALLERS if keeps_open else CALLERS
     if scenario.repeats:
         count = REPEAT_CALLERS
     if scenario.rolls:
         count = scenario.callers
+    if scenario.uneven:
+        count = UNEVEN_CALLERS
     for index in range(count):
         name = f"{seed}-{index}"
         rng = _make_rng(seed, name)
-        if scenario.rolls:
+        if scenario.uneven:
+            caller = clients.Caller(
+                name,
+                history,
+                rng,
+                UNEVEN_PAUSE_S,
+                1,
+                deadline_s,
+                uneven_runs.PATH_PREFIXES,
+            )
+            targets = [gateways[index % len(gateways)]]
+        elif scenario.rolls:
             caller = clients.Caller(
                 name,
                 history,
--- a/tests/soak/test_figures.py
+++ b/tests/soak/test_figures.py
@@ -76,4 +76,6 @@
         "sound": "0/0",
         "taken_up": "0/0",
         "new": "1/3",
+        "uneven": "0/0,0/0,0/0",
+        "stopped": "0,0,0.00",
     }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -115,12 +115,27 @@
             seed_run.Scenario(gateways=4, repeats=True, pauses=True),
             id="repeats-pauses",
         ),
+        # One call in seven of each route runs for nine times as long as the
+        # others, without any disturbance. Sound replicas were told to stop
+        # them, and calls ended with 504.
+        pytest.param(
+            1, seed_run.Scenario(gateways=4, uneven=0.15), id="uneven"
+        ),
+        # The same while one replica after the other stands still.
+        pytest.param(
+            1,
+            seed_run.Scenario(gateways=4, uneven=0.15, silences=True),
+            id="uneven-silences",
+        ),
     ],
 )
 def test_guarantees_hold(tmp_path, seed, scenario):
     seconds = FAULT_INJECTION_S
     learning = (
-        scenario.crashing or scenario.crashing_request or scenario.limited
+        scenario.crashing
+        or scenario.crashing_request
+        or scenario.limited
+        or scenario.uneven
     )
     if learning:
         # These show only after the time that entries have to learn of them.
