Limit attempts only where the next one is certain, by the longest run

Cause: runs of a route were taken to be alike, known by their upper quartile. It gave an attempt its time, marked replicas as silent, and let calls leave replicas that worked on them. The room for the attempt behind a limited one was looked at when that began and taken when it ended, so that the repeats that limits caused used it up.

Now the longest run of the last minute counts too, if its replica said something to any call meanwhile or stopped it at the time that it was given. A limit holds the room for its repeat from its beginning. Where nothing may follow, there is one only at a replica that may stand still, on a route of which enough is known. A call that left a silent replica goes to one that has spoken since, and a replica that answers others is left later. A stopped call without another replica goes back to the one that stopped it.

Two tests of an attempt that nothing may follow expected a limit at a gateway that had seen one run; that was a part of the fault. They now have both cases: all the time after one run, and the same limit as before after enough of them.

--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from papayalink.coordination import awaited
 from papayalink.protocol import calls
 from papayalink.protocol import messages
 from papayalink.state import part_directory
@@ -102,9 +103,7 @@
         # When a call was last found to be overdue.
         self._overdue_at = float("-inf")
         self.sent_at = float("-inf")
-        # Attempts that were sent and have not ended: when each was sent, and
-        # how long the replica may say nothing to it.
-        self._awaited: list[tuple[float, float]] = []
+        self._awaited: list[awaited.Awaited] = []
         # Since when it has said nothing while an attempt waited, None if none
         # waits and none was overdue before it was given up.
         self._silent_since: float | None = None
@@ -266,18 +265,18 @@
             min_s: shortest silence that counts.
         """
         return self.overdue or any(
-            now - max(sent_at, self.spoke_at) > max(limit_s, min_s)
-            for sent_at, limit_s in self._awaited
+            each.silent_s(now) > max(each.limit_s, min_s)
+            for each in self._awaited
         )
 
-    def note_sent(self, now: float, limit_s: float) -> tuple[float, float]:
+    def note_sent(self, now: float, limit_s: float) -> awaited.Awaited:
         """Record that an attempt is sent, and waits for its answer.
 
         Args:
             limit_s: seconds for which the replica may say nothing to it.
         Returns: what `note_ended` is told.
         """
-        attempt = (now, limit_s)
+        attempt = awaited.make_awaited(now, limit_s)
         self.sent_at = now
         self._awaited.append(attempt)
         if self._silent_since is None:
@@ -288,8 +287,10 @@
         """Record the head or an event of an answer."""
         self.spoke_at = now
         self._silent_since = now if self._awaited else None
+        for attempt in self._awaited:
+            attempt.note_spoke(now)
 
-    def note_ended(self, attempt: tuple[float, float]) -> None:
+    def note_ended(self, attempt: awaited.Awaited) -> None:
         """Record that an attempt has ended.
 
         What ends by itself, such as a connection that breaks, is no silence.
--- a/papayalink/coordination/run_times.py
+++ b/papayalink/coordination/run_times.py
@@ -5,10 +5,14 @@
 
 import msgspec
 
+from papayalink.coordination import windows
+
 # Calls of one route that are remembered.
 MAX_RUNS = 32
 # Routes that are remembered; operators replace routes by others.
 MAX_ROUTES = 1024
+# How long the longest run of a route is remembered, whatever comes after it.
+LONGEST_PERIOD_S = 60.0
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -29,13 +33,24 @@
         return self.first_s + self.token_s * max(1, output_tokens)
 
 
+class _Longest:
+    """Longest times of the runs of one route that were no silences."""
+
+    __slots__ = ("first_s", "token_s")
+
+    def __init__(self) -> None:
+        self.first_s = windows.SlidingMax(LONGEST_PERIOD_S)
+        self.token_s = windows.SlidingMax(LONGEST_PERIOD_S)
+
+
 class RunTimes:
     """The recent calls of each route."""
 
-    __slots__ = ("_runs",)
+    __slots__ = ("_runs", "_longest")
 
     def __init__(self) -> None:
         self._runs: dict[str, collections.deque[Run]] = {}
+        self._longest: dict[str, _Longest] = {}
 
     def note(self, route: str, run: Run) -> None:
         """Remember a call that has ended."""
@@ -46,6 +61,31 @@
             runs = self._runs[route] = collections.deque(maxlen=MAX_RUNS)
         runs.append(run)
 
+    def note_at_work(self, route: str, run: Run, now: float) -> None:
+        """Remember for how long a replica is known to have worked on a call.
+
+        Unlike `note`, a call that lay at a replica that stood still is left
+        out, and one that was stopped counts up to its stop.
+        """
+        longest = self._longest.get(route)
+        if longest is None:
+            if len(self._longest) >= MAX_ROUTES:
+                self._longest.pop(next(iter(self._longest)))
+            longest = self._longest[route] = _Longest()
+        longest.first_s.add(run.first_s, now)
+        longest.token_s.add(run.token_s, now)
+
+    def is_established(self, route: str) -> bool:
+        """Returns: whether enough runs are known to tell a long one."""
+        return len(self._runs.get(route, ())) == MAX_RUNS
+
+    def longest(self, route: str, now: float) -> Run:
+        """Returns: the longest times of recent work, zeros without any."""
+        longest = self._longest.get(route)
+        if longest is None:
+            return Run(0.0)
+        return Run(longest.first_s.at(now), longest.token_s.at(now))
+
     def slowest(self, route: str, min_runs: int = 1) -> Run | None:
         """Returns: the longest times of the recent calls.
 
--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -69,30 +69,43 @@
             left_s: time until the deadline of the call.
         """
         usual = self._shared.run_times.usual(self._route.name)
-        if (
-            usual is None
-            or self._route.repeat is traffic.RepeatPolicy.ONCE
-            or not (
-                self._silent_replicas.may_stand_still(member)
-                or self._may_be_followed(request)
-            )
-        ):
+        if usual is None or self._route.repeat is traffic.RepeatPolicy.ONCE:
             return left_s
         limit_s = attempt_limits.run_limit_s(
-            usual, self._route.objective_s, self._call.output_tokens
+            usual,
+            self._shared.run_times.longest(self._route.name, time.monotonic()),
+            self._route.objective_s,
+            self._call.output_tokens,
         )
-        return attempt_limits.attempt_time_s(limit_s, left_s)
+        given_s = attempt_limits.attempt_time_s(limit_s, left_s)
+        if given_s == left_s or self._secure_repeat(request):
+            return given_s
+        if self._may_be_long():
+            return left_s
+        if self._silent_replicas.may_stand_still(member):
+            return given_s
+        return left_s
 
-    def _may_be_followed(
-        self, request: replica_choice.SelectionRequest
-    ) -> bool:
-        """Returns: whether another attempt could follow, as things stand."""
+    def _may_be_long(self) -> bool:
+        """Returns: whether the call may take longer than others of its route.
+
+        A sound replica has stopped it before, or few others are known.
+        """
+        return bool(
+            self._record.stopped_at
+        ) or not self._shared.run_times.is_established(self._route.name)
+
+    def _secure_repeat(self, request: replica_choice.SelectionRequest) -> bool:
+        """Returns: whether another attempt will follow if this one is stopped.
+
+        The retry budget keeps room for it.
+        """
         return (
             self._attempts.sent + 1 < self._route.max_attempts
-            and self._charges.has_room_beyond()
             and self._shared.fleet.has_usable(
                 request, self._record.tried, time.monotonic()
             )
+            and self._charges.secure()
         )
 
 
--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -17,12 +17,15 @@
         tried: replicas to which the call was assigned.
         expected_s: predicted time to the first token, 0 for a plain call.
         first_s: time to the head of the answer, None before it.
+        stopped_at: replica that stopped the call at the time that it was
+            given, "" without one.
     """
 
     __slots__ = (
         "tried",
         "expected_s",
         "first_s",
+        "stopped_at",
         "_shared",
         "_call",
         "_keys",
@@ -58,6 +61,7 @@
         self._given_ms = 0
         self.expected_s = 0.0
         self.first_s: float | None = None
+        self.stopped_at = ""
 
     @property
     def call_id(self) -> str:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from papayalink.coordination import attempts
+from papayalink.coordination import awaited
 from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
-from papayalink.coordination import run_times
 from papayalink.coordination import shedding
 from papayalink.protocol import calls
 from papayalink.roles.gateway import attempt
@@ -21,6 +21,7 @@
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import replica_wait
+from papayalink.roles.gateway import run_notes
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.roles.gateway import silence
 from papayalink.roles.gateway import silent_replicas
@@ -61,6 +62,7 @@
         "_attempt_time",
         "_keys",
         "_observations",
+        "_run_notes",
         "_crash_guard",
     )
 
@@ -146,6 +148,9 @@
         self._observations = observations.make_observations(
             shared, call, self._keys, service and service.engine
         )
+        self._run_notes = run_notes.make_run_notes(
+            shared.run_times, call, route
+        )
         self._selection_request = replica_choice.make_selection_request(
             call,
             self._service,
@@ -235,20 +240,6 @@
         )
         return True
 
-    def _note_run(self, first_s: float, took_s: float) -> None:
-        """Remember how long the call ran at a replica."""
-        if self._call.last_event_id:
-            # The allowed tokens are those of the whole stream.
-            return
-        token_s = 0.0
-        if self._stream is None:
-            first_s = took_s
-        else:
-            tokens = max(1, self._call.output_tokens)
-            token_s = (took_s - first_s) / tokens
-        run = run_times.Run(first_s, token_s)
-        self._shared.run_times.note(self._route.name, run)
-
     def _shed(self, choice: replica_choice.Choice) -> bool:
         """Refuse a prompt if its expected wait is too long.
 
@@ -347,7 +338,7 @@
         self._attempts.note_sending()
         self._charges.note_sending(member)
         self._record.note_sending(dispatch.remaining_ms)
-        awaited = member.note_sent(
+        waiting = member.note_sent(
             time.monotonic(), self._silent_replicas.limit_s()
         )
         member.begin_call(self._urgency, memory_tokens)
@@ -355,7 +346,7 @@
         try:
             result = sending_attempt.run(dispatch, self._stream)
         finally:
-            member.note_ended(awaited)
+            member.note_ended(waiting)
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
@@ -366,7 +357,7 @@
                     # The replica broke off.
                     self._charges.note_read()
         with record_faults.logged(self._call.call_id):
-            self._note_result(member, dispatch, result, now)
+            self._note_result(member, dispatch, result, now, waiting)
         return result
 
     def _note_result(
@@ -375,21 +366,23 @@
         dispatch: calls.Dispatch,
         result: attempt.Answered | attempt.Unanswered,
         sent_at: float,
+        waiting: awaited.Awaited,
     ) -> None:
         """Record what the end of an attempt shows."""
-        took_s = time.monotonic() - sent_at
         match result:
             case attempt.Answered(_, first_s):
-                self._note_run(first_s, took_s)
+                took_s = time.monotonic() - sent_at
+                self._run_notes.note_answered(first_s, took_s, waiting)
                 fleet = self._shared.fleet
                 fleet.note_memory_held(self._selection_request, took_s)
                 self._observations.note_answer(member, dispatch.salt, result)
             case attempt.Unanswered():
                 self._record.log_attempt(member, result)
-                if observations.shows_run_time(
-                    member, result, sent_at, took_s, dispatch.remaining_ms
+                if self._run_notes.note_unanswered(
+                    member, result, sent_at, dispatch.remaining_ms, waiting
                 ):
-                    self._note_run(took_s, took_s)
+                    self._record.stopped_at = member.replica.replica_id
+                    self._shared.metrics.count("runs_stopped")
                 self._observations.note_failure(member, result, sent_at)
 
     def _note_not_connected(
--- a/papayalink/roles/gateway/observations.py
+++ b/papayalink/roles/gateway/observations.py
@@ -150,29 +150,6 @@
             )
 
 
-def shows_run_time(
-    member: fleet_member.Member,
-    result: attempt.Unanswered,
-    sent_at: float,
-    took_s: float,
-    given_ms: int,
-) -> bool:
-    """Returns: whether a run takes at least as long as an attempt took.
-
-    The time at a replica that has been silent all the while says nothing of
-    its runs.
-
-    Args:
-        given_ms: time that the replica was given.
-    """
-    match result.outcome:
-        case attempts.Expired():
-            return member.spoke_at > sent_at
-        case attempts.Failed():
-            return 1000 * took_s >= given_ms
-    return False
-
-
 def make_observations(
     shared: shared_components.Shared,
     call: calls.Call,
--- a/papayalink/roles/gateway/repeat_charges.py
+++ b/papayalink/roles/gateway/repeat_charges.py
@@ -25,6 +25,7 @@
         "_budgets",
         "_service",
         "_reserved",
+        "_secured",
         "_sent",
         "_current",
         "_unread",
@@ -41,6 +42,8 @@
         self._service = service
         # Whether a repeat is decided and not yet sent.
         self._reserved = False
+        # Whether room is held for a repeat that is not decided.
+        self._secured = False
         # Repeats that were sent and are not known to have arrived.
         self._sent = 0
         # Replica of the present attempt, None once it has read it.
@@ -64,18 +67,29 @@
 
     def has_room(self) -> bool:
         """Returns: whether one more repeat would be allowed."""
-        return self._reserved or self._budget.has_room(time.monotonic())
+        return (
+            self._reserved
+            or self._secured
+            or self._budget.has_room(time.monotonic())
+        )
+
+    def secure(self) -> bool:
+        """Hold room for a repeat, until it is decided or the call ends.
 
-    def has_room_beyond(self) -> bool:
-        """Returns: whether a repeat beyond a reserved one would be allowed."""
-        return self._budget.has_room(time.monotonic())
+        Returns: whether there is room.
+        """
+        if not self._secured:
+            self._secured = self._budget.reserve(time.monotonic())
+        return self._secured
 
     def reserve(self) -> bool:
         """Charge the budget for the next attempt, unless that was done.
 
         Returns: whether the attempt is allowed.
         """
-        if not self._reserved:
+        if not self._reserved and self._secured:
+            self._reserved, self._secured = True, False
+        elif not self._reserved:
             self._reserved = self._budget.reserve(time.monotonic())
         return self._reserved
 
@@ -97,9 +111,10 @@
     def close(self) -> None:
         """Settle the charges at the end of the call."""
         self._leave_current()
-        if self._reserved:
-            self._budget.give_back()
-            self._reserved = False
+        for held in (self._reserved, self._secured):
+            if held:
+                self._budget.give_back()
+        self._reserved = self._secured = False
         if not self._sent:
             return
         if self._unread:
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -128,7 +128,7 @@
         if not self._shared.liveness.is_reachable(member):
             reason = "replica is not reachable"
             compared_s = None
-        elif silent_s > self._max_silence_s():
+        elif silent_s > self._max_silence_s(member.spoke_at > silent_since):
             compared_s = silent_s
             reason = f"replica was silent for {silent_s:.1f} s"
         else:
@@ -150,7 +150,7 @@
         if usual is None:
             return
         limit_s = attempt_limits.overdue_limit_s(
-            usual, self._record.expected_s
+            usual, self._silent_replicas.longest_s(), self._record.expected_s
         )
         if silent_s > limit_s:
             member.note_overdue(time.monotonic(), limit_s)
@@ -178,14 +178,23 @@
             silent_ms=int(silent_s * 1000),
         )
 
-    def _max_silence_s(self) -> float:
-        """Returns: how long a replica that can be reached may be silent."""
+    def _max_silence_s(self, spoke: bool) -> float:
+        """Returns: how long a replica that can be reached may be silent.
+
+        Args:
+            spoke: whether it has answered other calls meanwhile. It may work
+                on this one, as long as it has worked on others.
+        """
         max_silence_s = max(
             SILENCE_OBJECTIVE_FACTOR * self._route.objective_s,
             SILENCE_EXPECTED_FACTOR * self._record.expected_s,
         )
         if self._stream is not None and self._stream.begun:
-            max_silence_s = max(max_silence_s, MIN_STREAM_SILENCE_LIMIT_S)
+            return max(max_silence_s, MIN_STREAM_SILENCE_LIMIT_S)
+        if spoke:
+            longest_s = self._silent_replicas.longest_s()
+            longest_s *= attempt_limits.LONGEST_WAIT_FACTOR
+            max_silence_s = max(max_silence_s, longest_s)
         return max_silence_s
 
     def _find_lasting_obstacle(self) -> str:
--- a/papayalink/roles/gateway/silent_replicas.py
+++ b/papayalink/roles/gateway/silent_replicas.py
@@ -46,19 +46,31 @@
         if usual is None:
             return float("inf")
         return attempt_limits.silence_limit_s(
-            usual, self._record.expected_s, self._route.objective_s
+            usual,
+            self.longest_s(),
+            self._record.expected_s,
+            self._route.objective_s,
         )
 
+    def longest_s(self) -> float:
+        """Returns: longest recent time until something came of the route.
+
+        0 for a stream whose first token is predicted.
+        """
+        if self._route.stream and self._record.expected_s:
+            return 0.0
+        return self._shared.run_times.longest(
+            self._route.name, time.monotonic()
+        ).first_s
+
     def may_stand_still(self, member: fleet_member.Member) -> bool:
         """Returns: whether a replica may read a call late.
 
         It is silent, or hasn't spoken since another one fell silent.
         """
         now = time.monotonic()
-        return any(
-            each.is_silent(now) and now - member.spoke_at >= each.silent_s(now)
-            for each in self._shared.fleet.members(member.replica.service)
-        )
+        silence_s = self._shortest_silence_s(member.replica.service, now)
+        return now - member.spoke_at >= silence_s
 
     def choose(
         self,
@@ -78,10 +90,26 @@
         if not attempts_sent:
             choice = self._choose_speaking(request)
         elif left_silent:
-            choice = self.choose_instead(request, 0.0)
-        return choice or self._shared.fleet.choose(
+            choice = self._choose_heard(request) or self.choose_instead(
+                request, 0.0
+            )
+        choice = choice or self._shared.fleet.choose(
             request, self._record.tried, time.monotonic()
         )
+        if choice is None and self._record.stopped_at:
+            choice = self._choose_again(request)
+        return choice
+
+    def _choose_again(
+        self, request: replica_choice.SelectionRequest
+    ) -> replica_choice.Choice | None:
+        """Choose the replica that stopped the call at the time it was given.
+
+        It is sound, and the call may need more time only.
+        """
+        tried = set(self._record.tried)
+        tried.discard(self._record.stopped_at)
+        return self._shared.fleet.choose(request, tried, time.monotonic())
 
     def choose_instead(
         self, request: replica_choice.SelectionRequest, silent_s: float
@@ -98,6 +126,27 @@
             request, lambda member: member.is_silent(now, min_s)
         )
 
+    def _choose_heard(
+        self, request: replica_choice.SelectionRequest
+    ) -> replica_choice.Choice | None:
+        """Choose a replica that has spoken since another one fell silent."""
+        now = time.monotonic()
+        silence_s = self._shortest_silence_s(request.service, now)
+        return self._choose_except(
+            request, lambda member: now - member.spoke_at >= silence_s
+        )
+
+    def _shortest_silence_s(self, service: str, now: float) -> float:
+        """Returns: seconds since a replica fell silent, infinite if none."""
+        return min(
+            (
+                member.silent_s(now)
+                for member in self._shared.fleet.members(service)
+                if member.is_silent(now)
+            ),
+            default=float("inf"),
+        )
+
     def _choose_speaking(
         self, request: replica_choice.SelectionRequest
     ) -> replica_choice.Choice | None:
--- a/tests/coordination/test_run_times.py
+++ b/tests/coordination/test_run_times.py
@@ -74,3 +74,46 @@
         _note(times, f"r{number}", [(0.1, 0.0)])
     assert times.slowest("r0") is None
     assert times.slowest("r1") == run_times.Run(0.1, 0.0)
+
+
+# Guards against long runs that are forgotten among many short ones, and
+# against a route that is taken for a slow one for good.
+@pytest.mark.parametrize(
+    ("runs", "now", "longest"),
+    [
+        ([], 0.0, (0.0, 0.0)),
+        ([(0.0, 0.3, 0.0), (1.0, 2.6, 0.0)], 2.0, (2.6, 0.0)),
+        ([(1.0, 2.6, 0.0)] + [(2.0, 0.3, 0.0)] * 300, 3.0, (2.6, 0.0)),
+        ([(0.0, 0.1, 0.5), (1.0, 0.9, 0.1)], 2.0, (0.9, 0.5)),
+        (
+            [(0.0, 2.6, 0.0), (50.0, 0.3, 0.0)],
+            run_times.LONGEST_PERIOD_S + 1.0,
+            (0.3, 0.0),
+        ),
+    ],
+)
+def test_longest_run(runs, now, longest):
+    times = run_times.make_run_times()
+    for at, first_s, token_s in runs:
+        times.note_at_work("r", run_times.Run(first_s, token_s), at)
+    times.note_at_work("other", run_times.Run(9.0), 0.0)
+    assert times.longest("r", now) == run_times.Run(*longest)
+
+
+def test_longest_runs_of_replaced_routes_are_forgotten():
+    """Guards against memory that grows with each change of the routes."""
+    times = run_times.make_run_times()
+    for number in range(run_times.MAX_ROUTES + 1):
+        times.note_at_work(f"r{number}", run_times.Run(0.1), 0.0)
+    assert times.longest("r0", 0.0) == run_times.Run(0.0)
+    assert times.longest("r1", 0.0) == run_times.Run(0.1)
+
+
+@pytest.mark.parametrize(
+    ("count", "established"),
+    [(0, False), (run_times.MAX_RUNS - 1, False), (run_times.MAX_RUNS, True)],
+)
+def test_route_is_established_by_enough_runs(count, established):
+    times = run_times.make_run_times()
+    _note(times, "r", [(0.1, 0.01)] * count)
+    assert times.is_established("r") is established
--- a/tests/roles/gateway/test_attempt_time.py
+++ b/tests/roles/gateway/test_attempt_time.py
@@ -6,6 +6,7 @@
 import pytest
 
 from papayalink.coordination import retry
+from papayalink.coordination import run_times
 from papayalink.state import traffic
 from tests.roles.gateway import stubs
 
@@ -28,6 +29,12 @@
         timeout_s=_TIME_S,
         max_attempts=1,
     ),
+    stubs.make_route(
+        "short",
+        traffic.RepeatPolicy.IDEMPOTENT,
+        timeout_s=1.0,
+        max_attempts=1,
+    ),
     stubs.make_route(
         "resumed",
         traffic.RepeatPolicy.RESUMABLE,
@@ -61,17 +68,19 @@
 
 @pytest.fixture
 def start():
-    """Function that starts a gateway, which has seen a run of each route."""
+    """Function that starts a gateway, which has seen runs of each route.
+
+    Args of that: runs: how many of each.
+    """
     started = []
 
-    def make(count, kind="desk", learns=True):
+    def make(count, kind="desk", runs=1):
         upstreams = [_Upstream(f"{kind}{each}") for each in range(count)]
         gateway = stubs.Gateway(upstreams, _ROUTES)
         started.append(gateway)
-        if learns:
-            for route in _ROUTES:
-                if route.targets[0].service == kind:
-                    assert gateway.call(f"/{route.name}/".encode())[0] == 200
+        for route in _ROUTES * runs:
+            if route.targets[0].service == kind:
+                assert gateway.call(f"/{route.name}/".encode())[0] == 200
         for upstream in upstreams:
             upstream.received.clear()
         return gateway
@@ -103,18 +112,18 @@
 
 # Guards against calls that end early although nothing could follow.
 @pytest.mark.parametrize(
-    ("path", "replicas", "learns"),
+    ("path", "replicas", "runs"),
     [
-        (b"/once/", 3, True),
-        (b"/single/", 3, True),
+        (b"/once/", 3, 1),
+        (b"/single/", 3, 1),
         # No other replica.
-        (b"/safe/", 1, True),
+        (b"/safe/", 1, 1),
         # Nothing is known of how long runs take.
-        (b"/safe/", 3, False),
+        (b"/safe/", 3, 0),
     ],
 )
-def test_last_attempt_has_all_the_time(start, path, replicas, learns):
-    gateway = start(replicas, learns=learns)
+def test_last_attempt_has_all_the_time(start, path, replicas, runs):
+    gateway = start(replicas, runs=runs)
     assert gateway.call(path)[0] == 200
     assert _given(gateway) == [pytest.approx(_TIME_S, abs=0.3)]
 
@@ -213,9 +222,15 @@
 
 
 # Guards against a last attempt that is read late with all the time, where no
-# other replica can take the call.
-def test_attempt_at_a_replica_with_an_overdue_call_is_limited(start):
-    gateway = start(1)
+# other replica can take the call. Against a long call that loses its answer as
+# well, where it isn't known yet that there are such.
+@pytest.mark.parametrize(
+    ("runs", "limit_s"), [(run_times.MAX_RUNS, _LIMIT_S), (1, _TIME_S)]
+)
+def test_attempt_at_a_replica_with_an_overdue_call_is_limited(
+    start, runs, limit_s
+):
+    gateway = start(1, runs=runs)
     (upstream,) = gateway.upstreams
     (member,) = gateway.fleet.members("desk")
     upstream.script = [[1.2, stubs.OK]]
@@ -230,7 +245,7 @@
     assert waiting.get(timeout=10)[0] == 200
     assert _given(gateway) == [
         pytest.approx(given_s, abs=0.3)
-        for given_s in (_TIME_S, _LIMIT_S, _TIME_S)
+        for given_s in (_TIME_S, limit_s, _TIME_S)
     ]
 
 
@@ -242,3 +257,106 @@
     assert member.overdue
     assert gateway.call(b"/once/")[0] == 200
     assert _given(gateway) == [pytest.approx(_TIME_S, abs=0.3)]
+
+
+# Guards against sound calls that end early on a route where most are short:
+# its longest run counts, at a replica that answered others meanwhile.
+@pytest.mark.parametrize("path", [b"/safe/", b"/resumed/"])
+def test_long_calls_have_all_the_time_once_one_has_run(start, path):
+    gateway = start(2, "models" if path == b"/resumed/" else "desk")
+    route = path.strip(b"/").decode()
+    gateway.shared.run_times.note_at_work(
+        route, run_times.Run(0.1, 2.0), time.monotonic()
+    )
+    gateway.shared.run_times.note_at_work(
+        route, run_times.Run(2.1), time.monotonic()
+    )
+    assert gateway.call(path)[0] == 200
+    assert _given(gateway) == [pytest.approx(_TIME_S, abs=0.3)]
+
+
+# Guards against a long run that isn't known by its length, and a pause that
+# is: a replica that answers others meanwhile works.
+@pytest.mark.parametrize("answers_others", [True, False])
+def test_run_beside_answers_to_others_is_known_by_its_length(
+    start, answers_others
+):
+    gateway = start(1)
+    (upstream,) = gateway.upstreams
+    upstream.script = [[1.0, stubs.OK]]
+    waiting = gevent.spawn(gateway.call, b"/safe/", timeout_s=10)
+    with gevent.Timeout(10):
+        while not upstream.received:
+            gevent.sleep(0.01)
+    while answers_others and not waiting.ready():
+        assert gateway.call(b"/single/")[0] == 200
+        gevent.sleep(0.1)
+    waiting.get(timeout=10)
+    longest = gateway.shared.run_times.longest("safe", time.monotonic())
+    assert (longest.first_s > 0.8) is answers_others
+
+
+# Guards against calls that are stopped again and again: a replica that stops a
+# run at the time that it was given has read it at once.
+def test_time_grows_with_each_run_that_is_stopped(start):
+    gateway = start(2, runs=8)
+    for upstream in gateway.upstreams:
+        upstream.run_s = 1.5
+    firsts = []
+    for _ in range(3):
+        for upstream in gateway.upstreams:
+            upstream.received.clear()
+        assert gateway.call(b"/safe/", timeout_s=10)[0] == 200
+        firsts.append(min(_given(gateway)))
+    assert firsts == [
+        pytest.approx(_LIMIT_S, abs=0.1),
+        pytest.approx(2 * _LIMIT_S, abs=0.2),
+        pytest.approx(4 * _LIMIT_S, abs=0.4),
+    ]
+
+
+# Guards against a call that is stopped for another attempt and refused then,
+# since no other replica is left: the one that stopped it is sound.
+def test_stopped_call_goes_back_if_no_other_replica_is_left(start):
+    gateway = start(2)
+    for upstream in gateway.upstreams:
+        upstream.run_s = 1.5
+    calling = gevent.spawn(gateway.call, b"/safe/", timeout_s=10)
+    with gevent.Timeout(10):
+        while not _given(gateway):
+            gevent.sleep(0.01)
+    for upstream in gateway.upstreams:
+        if not upstream.received:
+            member = gateway.fleet.find(upstream.name)
+            member.note_full(time.monotonic(), 10.0)
+    assert calling.get(timeout=10)[0] == 200
+    assert _given(gateway) == [
+        pytest.approx(_LIMIT_S, abs=0.3),
+        pytest.approx(_TIME_S - _LIMIT_S, abs=0.5),
+    ]
+
+
+# Guards against a long call that leaves a replica which works on it: what it
+# answers to others shows that it reads.
+@pytest.mark.parametrize(("speaks", "left"), [(True, False), (False, True)])
+def test_long_call_stays_at_a_replica_that_answers_others(start, speaks, left):
+    gateway = start(2)
+    gateway.shared.run_times.note_at_work(
+        "safe", run_times.Run(2.1), time.monotonic()
+    )
+    calling = gevent.spawn(gateway.call, b"/safe/", timeout_s=10)
+    for upstream in gateway.upstreams:
+        upstream.script = [[2.0, stubs.OK]]
+    with gevent.Timeout(10):
+        while not _given(gateway):
+            gevent.sleep(0.01)
+    working, other = sorted(
+        gateway.upstreams, key=lambda each: len(each.received), reverse=True
+    )
+    other.script.clear()
+    member = gateway.fleet.find(working.name)
+    while speaks and not calling.ready():
+        member.note_spoke(time.monotonic())
+        gevent.sleep(0.1)
+    assert calling.get(timeout=10)[0] == 200
+    assert bool(other.received) is left
--- a/tests/roles/gateway/test_avoided_silences.py
+++ b/tests/roles/gateway/test_avoided_silences.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from papayalink.coordination import run_times
 from papayalink.state import traffic
 from tests.roles.gateway import stubs
 
@@ -45,15 +46,18 @@
 
 @pytest.fixture
 def start():
-    """Function that starts a gateway, which has seen a run of each route."""
+    """Function that starts a gateway, which has seen runs of each route.
+
+    Args of that: runs: how many of each.
+    """
     started = []
 
-    def make(count):
+    def make(count, runs=1):
         upstreams = [stubs.Upstream(f"desk{each}") for each in range(count)]
         gateway = stubs.Gateway(upstreams, _ROUTES)
         started.append(gateway)
-        for route in _ROUTES:
-            assert gateway.call(f"/{route.name}/".encode())[0] == 200
+        for path in [f"/{each.name}/".encode() for each in _ROUTES] * runs:
+            assert gateway.call(path)[0] == 200
         for upstream in upstreams:
             upstream.received.clear()
         return gateway
@@ -135,11 +139,16 @@
 
 
 # Guards against a last attempt that is read late with all the time: whatever
-# made one replica silent may have done so to others.
+# made one replica silent may have done so to others. Against a long call that
+# loses its answer as well, where it isn't known yet that there are such.
+@pytest.mark.parametrize(
+    ("runs", "first_given_s"),
+    [(run_times.MAX_RUNS, _OBJECTIVE_S), (1, _TIME_S)],
+)
 def test_attempt_is_limited_where_nothing_came_since_another_fell_silent(
-    start,
+    start, runs, first_given_s
 ):
-    gateway = start(2)
+    gateway = start(2, runs)
     paused, other = gateway.upstreams
     waiting = _pause(gateway, paused)
     gevent.sleep(_SILENT_S)
@@ -147,7 +156,7 @@
         assert gateway.call(b"/single/")[0] == 200
     # The first answer has shown that the other one goes on.
     assert [_given_s(each) for each in other.received] == [
-        pytest.approx(given_s, abs=0.3) for given_s in (_OBJECTIVE_S, _TIME_S)
+        pytest.approx(given_s, abs=0.3) for given_s in (first_given_s, _TIME_S)
     ]
     assert waiting.get(timeout=10)[0] == 200
 
--- a/tests/roles/gateway/test_repeat_charges.py
+++ b/tests/roles/gateway/test_repeat_charges.py
@@ -159,3 +159,41 @@
     charges.note_sending(fleet["a"])
     assert charges.reserve() and charges.reserve()
     assert fleet.budget.used(clock.now) == 1
+
+
+# Guards against an attempt that is stopped so that another one follows, while
+# other calls use up the budget: what is held is there when it is needed.
+@pytest.mark.parametrize(
+    ("is_needed", "used"),
+    [(True, 1), (False, 0)],
+    ids=["needed", "not needed"],
+)
+def test_secured_repeat(clock, is_needed, used):
+    fleet = _Fleet()
+    charges = fleet.make_charges()
+    assert charges.secure()
+    assert charges.secure()
+    assert fleet.budget.used(clock.now) == 1
+    charges.note_sending(fleet["a"])
+    while fleet.budget.take(clock.now):
+        pass
+    assert charges.has_room()
+    others = fleet.budget.used(clock.now) - 1
+    if is_needed:
+        assert charges.reserve()
+        charges.note_sending(fleet["b"])
+    charges.note_read()
+    charges.close()
+    assert fleet.budget.used(clock.now) == others + used
+
+
+# Guards against room that stays held after the calls that it was held for.
+def test_secured_repeats_are_given_back(clock):
+    fleet = _Fleet()
+    charges = [fleet.make_charges() for _ in range(11)]
+    assert [each.secure() for each in charges] == [True] * 10 + [False]
+    assert not charges[-1].reserve()
+    for each in charges:
+        each.close()
+    assert fleet.budget.used(clock.now) == 0
+    assert charges[-1].secure()
