Skip empty lines before the requests of callers

Callers that end a body with an empty line, or send one before a request, got 400, and the connection closed: h11 takes the line for a request line. RFC 9112, section 2.2, asks servers to ignore at least one.

The answer before it did not announce that the connection closes, and the line was refused when the connection had to close.

Now the reader drops empty lines, whole or in parts, before it gives bytes to the parser. A connection on which nothing else has come is an idle one: it ends without an answer at the limit of the document, which such lines do not extend, and is closed at a stop. The time of a call counts from the first bytes of its own request. Other bytes before a request, such as a single CR or LF, still get 400.

The servers of operators, agents and stores still answer 400.

--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -28,6 +28,8 @@
 # Time that a stopping server waits for the request of a caller that has just
 # connected, or has just had an answer that could not announce the close.
 _LAST_REQUEST_WAIT_S = 0.25
+# Bytes in which a further request is looked for behind empty lines.
+_PEEK_BYTES = 4096
 _INTERNAL_SERVER_ERROR = 500
 _SERVICE_UNAVAILABLE = 503
 # Promises nothing: the request may have been passed on.
@@ -218,12 +220,14 @@
         One that can't be read has been refused.
         """
         begun = reader.has_received
+        idle_since = time.monotonic()
         try:
-            begun = begun or self._wait_for_request(sock)
-            if not begun:
-                return None
-            with _noted_in(self._reading):
-                return reader.read()
+            while begun := begun or self._wait_for_request(sock, idle_since):
+                with _noted_in(self._reading):
+                    request = reader.read()
+                if not reader.only_empty_lines:
+                    return request
+                begun = False
         except request_reader.Refused as refused:
             self._refuse(sock, refused)
         except errors.ServerStops:
@@ -241,13 +245,16 @@
                 )
         return None
 
-    def _wait_for_request(self, sock: socket.socket) -> bool:
+    def _wait_for_request(
+        self, sock: socket.socket, idle_since: float
+    ) -> bool:
         """Wait for as long as the limits allow that are in force at the end.
 
+        Args:
+            idle_since: monotonic seconds.
         Returns: whether there is something to read.
         """
-        idle_since = time.monotonic()
-        idle_s = 0.0
+        idle_s = time.monotonic() - idle_since
         while idle_s < (limit_s := self._limits().idle_timeout_s):
             if self._waits.wait(sock, limit_s - idle_s):
                 return True
@@ -339,10 +346,12 @@
 
 
 def _has_sent_more(sock: socket.socket) -> bool:
-    """Returns: whether there are bytes to read, and not only the end."""
+    """Returns: whether there are bytes of a request to read."""
     try:
         return readiness.has_unread_bytes(sock) and bool(
-            sock.recv(1, socket.MSG_PEEK)
+            request_reader.skip_empty_lines(
+                sock.recv(_PEEK_BYTES, socket.MSG_PEEK)
+            )
         )
     except OSError:
         return False
--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -13,6 +13,7 @@
 from papayalink.transport import errors
 
 _READ_BYTES = 65_536
+_EMPTY_LINE = b"\r\n"
 
 
 class Request:
@@ -67,6 +68,9 @@
 class RequestReader:
     """Reads one complete request after the other.
 
+    Empty lines before a request are skipped (RFC 9112, section 2.2); some
+    clients send one behind a body.
+
     Args:
         sock: the connection.
         limits: returns the limits; called again for each request.
@@ -78,6 +82,8 @@
         "_connection",
         "_arrived_at",
         "_received_under",
+        "_line_part",
+        "_only_empty_lines",
     )
 
     def __init__(
@@ -91,6 +97,9 @@
         # When the last bytes arrived, and the limits when they were received.
         self._arrived_at = time.monotonic()
         self._received_under = traffic.CallerLimits()
+        # Received part of an empty line before a request.
+        self._line_part = b""
+        self._only_empty_lines = False
 
     @property
     def connection(self) -> h11.Connection | None:
@@ -105,22 +114,27 @@
         """Whether bytes of the next request have been received."""
         if self._connection is None:
             return False
-        return bool(self._connection.trailing_data[0])
+        return bool(skip_empty_lines(self._connection.trailing_data[0]))
+
+    @property
+    def only_empty_lines(self) -> bool:
+        """Whether `read` has met no request, and the caller may send one."""
+        return self._only_empty_lines
 
     def read(self) -> Request | None:
         """Read the next request, once the last one is answered.
 
         The limits are those in force when its first bytes were received.
 
-        Returns: the request, None when the caller sends no more.
+        Returns: the request, None when the caller sends no more, or has sent
+            only empty lines.
 
         Raises: Refused
         """
+        self._only_empty_lines = False
         begun = self.has_received
         limits = self._received_under if begun else self._limits()
-        self._connection = connection = _make_next_connection(
-            self._connection, limits
-        )
+        self._connection = connection = self._make_next_connection(limits)
         head: h11.Request | None = None
         head_deadline = float("inf")
         body: list[bytes] = []
@@ -146,7 +160,11 @@
                     raise Refused(
                         408, "time-out before the request was complete"
                     ) from None
-                if not begun:
+                if data and not begun:
+                    data = self._skip_empty_lines(data)
+                    if not data:
+                        self._only_empty_lines = True
+                        return None
                     begun = True
                     arrived_at = self._arrived_at
                 if head is None:
@@ -183,6 +201,33 @@
                 case _:
                     return None
 
+    def _make_next_connection(
+        self, limits: traffic.CallerLimits
+    ) -> h11.Connection:
+        """Make the parser of one request under the limits in force."""
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        if self._connection is not None:
+            received, ended = self._connection.trailing_data
+            unread = self._skip_empty_lines(received)
+            if unread:
+                connection.receive_data(unread)
+            if ended:
+                connection.receive_data(b"")
+        return connection
+
+    def _skip_empty_lines(self, data: bytes) -> bytes:
+        """Returns: the bytes that belong to a request.
+
+        A part of an empty line is kept until the next bytes.
+        """
+        data = self._line_part + data
+        rest = skip_empty_lines(data)
+        part = not rest and data.endswith(_EMPTY_LINE[:1])
+        self._line_part = _EMPTY_LINE[:1] if part else b""
+        return rest
+
     def _continue(self) -> None:
         """Ask for the body, if the caller waits for that."""
         if self._connection.they_are_waiting_for_100_continue:
@@ -198,24 +243,16 @@
         return data
 
 
-def _make_next_connection(
-    last: h11.Connection | None, limits: traffic.CallerLimits
-) -> h11.Connection:
-    """Make the parser of one request under the limits that are in force.
+def skip_empty_lines(data: bytes) -> bytes:
+    """Returns: the bytes behind the empty lines that data begins with.
 
-    Args:
-        last: the parser of the request before, None for the first one.
+    A part of an empty line counts as one if nothing follows it.
     """
-    connection = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=limits.header_bytes
-    )
-    if last is not None:
-        unread, ended = last.trailing_data
-        if unread:
-            connection.receive_data(unread)
-        if ended:
-            connection.receive_data(b"")
-    return connection
+    start = 0
+    while data.startswith(_EMPTY_LINE, start):
+        start += len(_EMPTY_LINE)
+    rest = data[start:]
+    return b"" if _EMPTY_LINE.startswith(rest) else rest
 
 
 def _check_framing(head: h11.Request) -> None:
