Refuse a signed request whose time is not a number

A holder of the key could send a request with NaN for its time, and it was accepted: no comparison with NaN holds, so neither limit of its age applied. Its nonce is forgotten after 60 s, and nothing refused the same bytes from then on (read, not run). Found while giving the two sides of the limit their own texts; no process of the system sends one.

Such a request is refused. The new case of test_request_with_a_distant_time_is_refused failed before ("DID NOT RAISE"). All 9 tests of the module pass after.

--- a/papayalink/transport/auth.py
+++ b/papayalink/transport/auth.py
@@ -3,6 +3,7 @@
 import collections
 import hashlib
 import hmac
+import math
 import os
 import struct
 
@@ -73,6 +74,8 @@
         if not hmac.compare_digest(expected, signature):
             raise errors.AuthenticationFailed("wrong signature")
         received_at = self._clock.wall()
+        if math.isnan(sent_at):
+            raise errors.AuthenticationFailed("request has no time")
         age_s = received_at - sent_at
         if age_s > MAX_CLOCK_SKEW_S:
             raise errors.AuthenticationFailed("request is too old")
--- a/tests/transport/test_auth.py
+++ b/tests/transport/test_auth.py
@@ -48,7 +48,11 @@
 
 @pytest.mark.parametrize(
     "age_s, reason",
-    [(31.0, "too old"), (-31.0, "from the future")],
+    [
+        (31.0, "too old"),
+        (-31.0, "from the future"),
+        (float("nan"), "no time"),
+    ],
 )
 def test_request_with_a_distant_time_is_refused(clock, signer, age_s, reason):
     """Guards against replays after the nonce was discarded."""
