Remove attributes that nothing reads

Of its other names, Channel.used, TwoWindows.raise_to and TwoWindows.largest have callers today, and Replica has one method _start_read that is called before and after a step.

test_every_private_attribute_is_read looks at each module of the folder: 2 of its cases failed before, all pass after.

--- a/papayalink/coordination/links.py
+++ b/papayalink/coordination/links.py
@@ -33,16 +33,9 @@
         assumed_bytes_per_s: rate before the first transfer.
     """
 
-    __slots__ = (
-        "_rate",
-        "_slow_rates",
-        "_is_measured",
-        "_updated_at",
-        "_assumed",
-    )
+    __slots__ = ("_rate", "_slow_rates", "_is_measured", "_updated_at")
 
     def __init__(self, assumed_bytes_per_s: float) -> None:
-        self._assumed = assumed_bytes_per_s
         self._rate = assumed_bytes_per_s
         self._slow_rates: list[float] = []
         self._is_measured = False
--- a/papayalink/coordination/protected.py
+++ b/papayalink/coordination/protected.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from papayalink import clock as clocks
-from papayalink import logs
 from papayalink.coordination import errors
 from papayalink.coordination import proposer as proposers
 from papayalink.protocol import relay
@@ -56,14 +55,13 @@
     the ledger has voided it.
     """
 
-    __slots__ = ("_proposer", "_clock", "_log")
+    __slots__ = ("_proposer", "_clock")
 
     def __init__(
         self, proposer: proposers.Proposer, clock: clocks.Clock
     ) -> None:
         self._proposer = proposer
         self._clock = clock
-        self._log = logs.get_logger()
 
     def run(self, request: relay.CallRequest, send: Send) -> Outcome:
         """Run a call, or return the outcome of an earlier request for it.
