Limit the length and the time of RPC messages

Members, gateways and other processes of a deployment read an RPC message whole before they verify its signature, whatever length its prefix names, up to 4 GB, and for as long as its sender likes. Anyone who reaches the port of a process, without the key, could so fill its memory, and take the places of a method whose calls are limited. A client read replies in the same way until its time-out; an address may have been given to a stranger.

A message may have 32 MB, twice the largest document, and is refused by its prefix. A request has 30 s to become whole, as one over HTTP has.

A message of a holder of the key is still decompressed whole, and what several connections hold together has no limit.

--- a/papayalink/transport/rpc.py
+++ b/papayalink/transport/rpc.py
@@ -20,6 +20,7 @@
 from papayalink.transport import errors
 from papayalink.transport import event_loop
 from papayalink.transport import rpc_connection
+from papayalink.transport import rpc_messages
 
 Handler = Callable[[messages.Message], messages.Message]
 
@@ -121,7 +122,7 @@
         }
 
     async def _serve(self) -> None:
-        self._server = grpclib.server.Server(
+        self._server = rpc_messages.LimitedServer(
             [self],
             codec=_BytesCodec(),
             config=grpclib.config.Configuration(
@@ -148,7 +149,7 @@
         in_flight = 0
 
         async def run(stream: grpclib.server.Stream) -> None:
-            data = await stream.recv_message()
+            data = await rpc_messages.receive(stream)
             reply = await self._loop.run_in_greenlet(
                 lambda data: self._handle(name, handler, data), data
             )
--- a/papayalink/transport/rpc_connection.py
+++ b/papayalink/transport/rpc_connection.py
@@ -11,9 +11,9 @@
 
 import grpclib.client
 import grpclib.encoding.base
-import grpclib.protocol
 
 from papayalink.transport import errors
+from papayalink.transport import rpc_messages
 
 CONNECT_TIMEOUT_S = 1.0
 # Time without any byte during a call after which the peer is pinged.
@@ -23,7 +23,7 @@
 _PING = b"papayaln"
 
 
-class _Protocol(grpclib.protocol.H2Protocol):
+class _Protocol(rpc_messages.LimitedProtocol):
     """Records when bytes of the peer arrive."""
 
     received_at = float("-inf")
