Limit the heads of responses between own processes

The HTTP client of entries, agents and control members reads a response's head until it is complete, and verifies the peer by its signature only then. Whoever answers at the address of a peer, such as a replica that has been given it, could send a head without end, or one byte now and then, and the caller kept all of it. Roles that a platform does not run are affected only.

A head and the interim responses before it have 64 KB, and four times the time allowed without data. The body that follows a verified head has no such limits, as before.

--- a/papayalink/transport/http_client.py
+++ b/papayalink/transport/http_client.py
@@ -1,6 +1,7 @@
 """HTTP calls to the system's own processes."""
 
 from collections.abc import Mapping
+import time
 
 import gevent
 from gevent import socket
@@ -20,18 +21,51 @@
 # streams that one process may keep open to another.
 MAX_CONNECTIONS = 512
 _READ_BLOCK_BYTES = 65_536
+# Largest head of a response, with the responses before it that announce it.
+MAX_HEAD_BYTES = 64 * 1024
+# A head ends within this many times the time allowed without data, so that
+# single bytes do not keep a call alive.
+MAX_TIMEOUTS = 4
 # A status beyond it is invalid (RFC 9110, section 15).
 _HIGHEST_STATUS = 599
 
 
+class _HeadTooLong(OSError):
+    """The head has more bytes, or takes longer, than any sound one."""
+
+
 class _Socket(socket.socket):
     """Reads the end of a peer's sending once that has the whole request.
 
     The library takes it for the end of a response that has no other.
+
+    Limits what is read between a request and `end_head`: the library reads
+    until a head is complete, and a head is verified only then.
     """
 
+    _is_in_head = False
+    _head_bytes = 0
+    _head_until = 0.0
+
+    def sendall(self, data: bytes, flags: int = 0) -> None:
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._head_until = time.monotonic() + MAX_TIMEOUTS * self.gettimeout()
+        super().sendall(data, flags)
+
+    def end_head(self) -> None:
+        """Read the rest of the response without these limits."""
+        self._is_in_head = False
+
     def recv(self, size: int, flags: int = 0) -> bytes:
+        if self._is_in_head:
+            size = min(size, MAX_HEAD_BYTES - self._head_bytes)
+            if size <= 0:
+                raise _HeadTooLong("head of a response has too many bytes")
+            if time.monotonic() > self._head_until:
+                raise _HeadTooLong("head of a response takes too long")
         data = super().recv(size, flags)
+        self._head_bytes += len(data)
         if size and not data:
             # A peer of the system has room for requests.
             request_delivery.confirm_within_timeout(self, 0)
@@ -94,6 +128,12 @@
         """Returns: the value of a header, or "" if it is missing."""
         return self._response.get(name) or ""
 
+    def end_head(self) -> None:
+        """Read the body without the limits of the head."""
+        sock = self._response._sock
+        if sock is not None:
+            sock.end_head()
+
     def read(self) -> bytes:
         """Read the complete body.
 
@@ -163,6 +203,7 @@
         with _translated_errors():
             response = _request(client, method, path, body, all_headers)
         answer = Response(response)
+        answer.end_head()
         if answer.status > _HIGHEST_STATUS:
             answer.close()
             raise errors.ConnectionLost(f"invalid status {answer.status}")
