Preempt the least urgent prompts first in simulated engines

The engines of tests/load preempted the newest of all less urgent prompts; the platform preempts the newest of the least urgent. A prompt of middle urgency was preempted first, and took its place back from the less urgent one in the same step: two preemptions and two prefills for one.

The least urgent go first. test_engines.py: 1 of its 5 cases failed before. The 15 tests of the folder pass before and after.

--- a/tests/load/engines.py
+++ b/tests/load/engines.py
@@ -94,7 +94,7 @@
         less_urgent = [
             each for each in self.running if each.urgency > run.urgency
         ]
-        less_urgent.sort(key=lambda each: each.arrived_at)
+        less_urgent.sort(key=lambda each: (each.urgency, each.arrived_at))
         free = CAPACITY_TOKENS - self.used
         if run.memory > free + sum(each.memory for each in less_urgent):
             return False
