Let a long call wait for a pause if another run has no time

Cause, from the logs of both: the call left its replica, which had worked on it for more than two seconds, as soon as that was not reachable (given_ms 5995, then 2515), and the 2.5 s that were left are too few for a run of 2.6 s. The replica went on within 1.4 s.

Now such a call stays for a pause of up to 2 s if less is left than the longest recent run of its route took; then it leaves as before. The new test fails without the change in the case of a long run and passes with it.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -136,6 +136,7 @@
             self._stream,
             self._record,
             self._silent_replicas,
+            self._remaining_s,
         )
         self._crash_guard = crash_guard.make_crash_guard(
             shared.crashes, self._keys
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -1,5 +1,6 @@
 """Decides whether a call leaves a replica that is silent."""
 
+from collections.abc import Callable
 import time
 
 import gevent
@@ -28,6 +29,8 @@
 # memory preempts streams for about a second, and callers leave after 2 s or
 # more.
 MIN_STREAM_SILENCE_LIMIT_S = 1.6
+# A sound replica goes on within this time.
+MAX_PAUSE_S = 2.0
 # Replicas that are checked in a row to find one that can be reached; a failed
 # check takes up to 0.5 s.
 MAX_CHECKED = 2
@@ -43,6 +46,7 @@
         call_attempts: what became of the attempts.
         charges: charges of the call to the retry budget.
         stream: state of an event stream, None for any other answer.
+        remaining_s: returns the seconds left until the call's deadline.
     """
 
     __slots__ = (
@@ -54,6 +58,7 @@
         "_stream",
         "_record",
         "_silent_replicas",
+        "_remaining_s",
         "_noted_obstacle",
         "_left",
     )
@@ -68,6 +73,7 @@
         stream: attempt.StreamState | None,
         record: call_record.CallRecord,
         silent: silent_replicas.SilentReplicas,
+        remaining_s: Callable[[], float],
     ) -> None:
         self._shared = shared
         self._route = route
@@ -77,6 +83,7 @@
         self._stream = stream
         self._record = record
         self._silent_replicas = silent
+        self._remaining_s = remaining_s
         self._noted_obstacle = ""
         self._left = False
 
@@ -133,7 +140,10 @@
             reason = f"replica was silent for {silent_s:.1f} s"
         else:
             return ""
-        obstacle = self._find_obstacle(request, compared_s)
+        obstacle = ""
+        if self._gains_by_waiting(member, silent_s):
+            obstacle = "no time for another run"
+        obstacle = obstacle or self._find_obstacle(request, compared_s)
         if obstacle:
             self._note_stay(member, obstacle, silent_s)
             return ""
@@ -197,6 +207,21 @@
             max_silence_s = max(max_silence_s, longest_s)
         return max_silence_s
 
+    def _gains_by_waiting(
+        self, member: fleet_member.Member, silent_s: float
+    ) -> bool:
+        """Returns: whether the call can't end elsewhere, but may do so here.
+
+        Its replica may have worked on it before a pause, which ends.
+        """
+        if self._stream is not None and self._stream.begun:
+            return False
+        paused_s = min(silent_s, time.monotonic() - member.spoke_at)
+        return (
+            paused_s < MAX_PAUSE_S
+            and self._remaining_s() < self._silent_replicas.longest_s()
+        )
+
     def _find_lasting_obstacle(self) -> str:
         """Returns: why the call never goes on elsewhere, "" if it may."""
         repeat = self._route.repeat
@@ -281,7 +306,16 @@
     stream: attempt.StreamState | None,
     record: call_record.CallRecord,
     silent: silent_replicas.SilentReplicas,
+    remaining_s: Callable[[], float],
 ) -> SilenceCheck:
     return SilenceCheck(
-        shared, route, keys, call_attempts, charges, stream, record, silent
+        shared,
+        route,
+        keys,
+        call_attempts,
+        charges,
+        stream,
+        record,
+        silent,
+        remaining_s,
     )
--- a/tests/roles/gateway/test_attempt_time.py
+++ b/tests/roles/gateway/test_attempt_time.py
@@ -360,3 +360,37 @@
         gevent.sleep(0.1)
     assert calling.get(timeout=10)[0] == 200
     assert bool(other.received) is left
+
+
+# Guards against a long call that leaves a replica in its pause with too little
+# time left for another run, although that had worked on it before.
+@pytest.mark.parametrize(("longest_s", "left"), [(5.0, False), (0.3, True)])
+def test_call_waits_for_a_pause_where_another_run_has_no_time(
+    start, longest_s, left, monkeypatch
+):
+    gateway = start(2)
+    gateway.shared.run_times.note_at_work(
+        "safe", run_times.Run(longest_s), time.monotonic()
+    )
+    calling = gevent.spawn(gateway.call, b"/safe/", timeout_s=10)
+    for upstream in gateway.upstreams:
+        upstream.script = [[2.5, stubs.OK]]
+    with gevent.Timeout(10):
+        while not _given(gateway):
+            gevent.sleep(0.01)
+    working, other = sorted(
+        gateway.upstreams, key=lambda each: len(each.received), reverse=True
+    )
+    other.script.clear()
+    member = gateway.fleet.find(working.name)
+    for _ in range(15):
+        member.note_spoke(time.monotonic())
+        gevent.sleep(0.1)
+    # From here on it says nothing and takes no connections.
+    monkeypatch.setattr(
+        type(gateway.liveness),
+        "is_reachable",
+        lambda _, other: other is not member,
+    )
+    assert calling.get(timeout=10)[0] == 200
+    assert bool(other.received) is left
--- a/tests/roles/gateway/test_silence_check.py
+++ b/tests/roles/gateway/test_silence_check.py
@@ -65,6 +65,7 @@
         None,
         record,
         silent_replicas.make_silent_replicas(shared, route, record),
+        lambda: 5.0,
     )
     for _ in range(3):
         with pytest.raises(errors.ConnectionLost):
