Ask members again that refuse beside a stall of their test

test_first_start_of_six_machines failed once, at a load average of 25, and its reason was not kept. All six members run in the process of the test, and each was asked once. A member that can't confirm within 0.6 s that it holds the newest document answers 503, as the protocol tells it to, so the test asked for more than is promised while its process stands still.

A refusal now counts unless the process has lost 0.3 s or more in the last 3 s, which a task measures; then the member is asked again, for 20 s at most. An answer with another document counts always, and without a stall each member is still asked once. A refusal that counts now shows what the member said. No product code is changed.

--- a/tests/roles/authority/members.py
+++ b/tests/roles/authority/members.py
@@ -1,5 +1,8 @@
 """Members of a group, within the process of a test."""
 
+import collections
+import time
+
 import gevent
 import geventhttpclient
 
@@ -9,9 +12,19 @@
 from papayalink.protocol import messages
 from papayalink.roles import node as nodes
 from papayalink.roles.authority import process
+from papayalink.transport import errors
 
 KEY = "ab" * 32
 TIMEOUT_S = 20
+# Time for which a member that was held up may refuse, and time that it has to
+# lose in it: half of the time in which it confirms a read.
+_STALL_WINDOW_S = 3.0
+_MIN_STALL_S = 0.3
+_STALL_PERIOD_S = 0.02
+
+
+class Refused(Exception):
+    """A member has answered 503."""
 
 
 class Member:
@@ -68,6 +81,13 @@
     def put(self, body):
         return self.call("PUT", "/-/config", body)[0]
 
+    def ask(self, method, body=b""):
+        """Returns: the answer of /-/config; raises Refused for 503."""
+        status, answer = self.call(method, "/-/config", body)
+        if status == 503:
+            raise Refused(answer)
+        return status, answer
+
     def watch(self, **fields):
         return self.node.rpc_client.call(
             f"{self.ip}:{self.settings.peer_port}",
@@ -87,3 +107,43 @@
     with gevent.Timeout(TIMEOUT_S):
         while not condition():
             gevent.sleep(0.02)
+
+
+class Stalls:
+    """Notes when this process, in which all members run, stands still.
+
+    Members that stand still can't confirm that what they hold is the newest.
+    Without that, each of them is to answer at once.
+    """
+
+    def __init__(self):
+        self._lost = collections.deque()
+        self._task = gevent.spawn(self._watch)
+
+    def stop(self):
+        self._task.kill()
+
+    def ask(self, call):
+        """Ask a member once, and again if it refuses beside a stall."""
+        with gevent.Timeout(TIMEOUT_S):
+            while True:
+                try:
+                    return call()
+                except (Refused, errors.RpcRefused):
+                    if not self._has_stood_still():
+                        raise
+
+    def _watch(self):
+        while True:
+            asleep_at = time.monotonic()
+            gevent.sleep(_STALL_PERIOD_S)
+            now = time.monotonic()
+            self._lost.append((now, now - asleep_at - _STALL_PERIOD_S))
+
+    def _has_stood_still(self):
+        # The period in which it did so may not have ended for the watch.
+        gevent.sleep(2 * _STALL_PERIOD_S)
+        oldest = time.monotonic() - _STALL_WINDOW_S
+        while self._lost and self._lost[0][0] < oldest:
+            self._lost.popleft()
+        return sum(lost_s for _, lost_s in self._lost) >= _MIN_STALL_S
