--- a/tests/roles/authority/members.py
+++ b/tests/roles/authority/members.py
@@ -1,12 +1,14 @@
 """Members of a group, within the process of a test."""
 
 import collections
+import contextlib
 import time
 
 import gevent
 import geventhttpclient
 
 from papayalink import node_settings
+from papayalink import tasks
 from papayalink.platform import document
 from papayalink.platform import operator_api
 from papayalink.protocol import messages
@@ -109,6 +111,28 @@
             gevent.sleep(0.02)
 
 
+@contextlib.contextmanager
+def ending_tasks():
+    """End the tasks of members that are started within.
+
+    Members that have been stopped leave tasks, which end with their process
+    otherwise. Gives the list of tasks.
+    """
+    spawned = []
+    spawn = tasks.spawn
+
+    def record(*arguments):
+        spawned.append(spawn(*arguments))
+        return spawned[-1]
+
+    tasks.spawn = record
+    try:
+        yield spawned
+    finally:
+        tasks.spawn = spawn
+        gevent.killall(spawned)
+
+
 class Stalls:
     """Notes when this process, in which all members run, stands still.
 
--- a/tests/roles/authority/test_disk_failures.py
+++ b/tests/roles/authority/test_disk_failures.py
@@ -3,7 +3,6 @@
 import errno
 import pathlib
 
-import gevent
 import pytest
 
 from papayalink import tasks
@@ -21,21 +20,6 @@
 _COMMAND = log_entries.EntryKind.COMMAND
 
 
-@pytest.fixture(autouse=True)
-def end_tasks(monkeypatch):
-    """End the tasks of members, which end with their process otherwise."""
-    spawned = []
-    spawn = tasks.spawn
-
-    def record(*arguments):
-        spawned.append(spawn(*arguments))
-        return spawned[-1]
-
-    monkeypatch.setattr(tasks, "spawn", record)
-    yield
-    gevent.killall(spawned)
-
-
 class Group:
     """Three authorities whose file operations a test can make fail.
 
--- a/tests/roles/authority/test_members.py
+++ b/tests/roles/authority/test_members.py
@@ -7,6 +7,7 @@
 
 from papayalink.transport import errors
 from tests.roles.authority import members
+from tests.roles.authority import ports
 
 
 class _Answers:
@@ -61,3 +62,17 @@
     time.sleep(0.4)
     answers = _Answers(True, "wrong", "right")
     assert stalls.ask(answers.next) == "wrong"
+
+
+# Guards against tests that are disturbed by the tasks of earlier ones.
+def test_tasks_of_a_member_end(tmp_path):
+    port = ports.choose("127.0.9.1")
+    operator_port = ports.choose("127.0.9.1")
+    with members.ending_tasks() as spawned:
+        member = members.Member(
+            "127.0.9.1", port, operator_port, tmp_path, None, seeds=(1,)
+        )
+        members.wait_until(lambda: member.process.accepting)
+        member.stop()
+        assert not all(task.dead for task in spawned)
+    assert all(task.dead for task in spawned)
