Tell in the soak which calls were not served after the last fault

The finding tells them now, by gateway, kind of call and status.

test_calls_that_are_not_served_are_told checks it. No product code is changed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,7 @@
 """Checks the guarantees on what was observed from outside."""
 
+import collections
+
 from soak import nodes
 from soak import records
 from soak import repeat_checks
@@ -81,7 +83,15 @@
     served = sum(call.status == 200 and call.complete for call in calls)
     if calls and served >= MIN_SERVED_FRACTION * len(calls):
         return []
-    return [f"{served} of {len(calls)} calls served after the last fault"]
+    answers = collections.Counter(
+        f"{call.gateway} {call.path_prefix} {call.status}"
+        for call in calls
+        if call.status != 200 or not call.complete
+    )
+    told = ", ".join(f"{key} x{n}" for key, n in sorted(answers.items()))
+    return [
+        f"{served} of {len(calls)} calls served after the last fault: {told}"
+    ]
 
 
 def _check_call(call, executions, history):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -511,6 +511,15 @@
     assert len(checks.check_recovered([])) == 1
 
 
+def test_calls_that_are_not_served_are_told():
+    """Guards against a failed run that leaves no trace of its reason."""
+    calls = [_call(), _call(status=503), _call(status=503), _call(status=0)]
+    assert checks.check_recovered(calls) == [
+        "1 of 4 calls served after the last fault:"
+        " g1 /once/ 0 x1, g1 /once/ 503 x2"
+    ]
+
+
 def _weights_history(weights, began_at, namings, disturbances=()):
     history = _history(
         _call(sent_at=began_at - 0.05, ended_at=began_at + 0.05),
