Pass on a replica's own failure when no other replica answers

The end of a call keeps the last failure that a replica has answered with, up to 64 KiB of its body, and passes it on where the gateway would answer 502 or 504 on its own. A refusal, which says that the call has not run, still never follows a failure.

--- a/papayalink/roles/gateway/call_ending.py
+++ b/papayalink/roles/gateway/call_ending.py
@@ -15,6 +15,8 @@
 RETRY_AFTER_S = 0.5
 # Delay for callers whose entry stops: the others may serve them at once.
 STOPPING_RETRY_AFTER_S = 0.0
+# Largest body of a replica's failure that is kept while another one is tried.
+MAX_KEPT_BODY_BYTES = 64 * 1024
 
 
 class CallEnding:
@@ -35,6 +37,7 @@
         "_attempts",
         "_stream",
         "_record",
+        "_failure",
     )
 
     def __init__(
@@ -56,6 +59,15 @@
         self._attempts = call_attempts
         self._stream = stream
         self._record = record
+        # The failure that a replica has answered with, for a caller that
+        # gets no other answer.
+        self._failure: attempt.Unanswered | None = None
+
+    def keep_failure(self, result: attempt.Unanswered) -> None:
+        """Keep the failure of a replica while the call goes on elsewhere."""
+        if result.answer is not None:
+            if len(result.body) <= MAX_KEPT_BODY_BYTES:
+                self._failure = result
 
     def record(self, outcome: str, status: int, reason: str) -> None:
         """Record the end of the call."""
@@ -82,16 +94,12 @@
             raise errors.ResponseAborted("upstream broke off the stream")
         match decision:
             case attempts.PassOn():
-                self.record("failed_upstream", result.answer.status, reason)
-                self._responder.respond(
-                    result.answer.status, result.answer.headers, result.body
-                )
+                self._pass_on(result, reason)
             case attempts.Refuse():
                 # The delay that a replica names is for calls to itself.
                 self.refuse(None, reason)
             case attempts.GiveUp(status):
-                self.record("given_up", status, reason)
-                self._respond(status)
+                self._give_up(status, reason)
 
     def at_stop(self) -> None:
         """End the call, since the process ends before its answer does.
@@ -105,8 +113,7 @@
             self.record("stream_broken" if broken else "given_up", 0, reason)
             raise errors.ResponseAborted(reason)
         if self._attempts.may_have_run:
-            self.record("given_up", 504, reason)
-            self._respond(504)
+            self._give_up(504, reason)
         else:
             self.refuse(STOPPING_RETRY_AFTER_S, reason)
 
@@ -134,6 +141,24 @@
         self.record("refused", 503, reason)
         self._respond(503, retry_after_s)
 
+    def _give_up(self, status: int, reason: str) -> None:
+        """Answer with a failure, one of a replica if there was one.
+
+        Args:
+            status: own failure, without one of a replica.
+        """
+        if self._failure is not None:
+            self._pass_on(self._failure, reason)
+            return
+        self.record("given_up", status, reason)
+        self._respond(status)
+
+    def _pass_on(self, failed: attempt.Unanswered, reason: str) -> None:
+        """Answer with the failure of a replica."""
+        answer = failed.answer
+        self.record("failed_upstream", answer.status, reason)
+        self._responder.respond(answer.status, answer.headers, failed.body)
+
     def _respond(
         self, status: int, retry_after_s: float | None = None
     ) -> None:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -499,6 +499,7 @@
         not_sent = isinstance(outcome, attempts.NotSent)
         decision = self._attempts.decide(outcome, self._charges.has_room())
         if isinstance(decision, attempts.TryAgain):
+            self._ending.keep_failure(result)
             if not not_sent:
                 self._charges.reserve()
             return True
