Let begun answers go on until a stopping gateway exits

The rule of planned stops excuses a stream whose replica is at work in the last sixth of the grace period, not one whose replica has finished and whose events a silence of a second holds up.

Cause: the end of the grace period interrupts all handlers at once, so that those without an answer have time to refuse or give up. An answer that has begun can only be cut, and needs none of that time.

--- a/papayalink/roles/gateway/process.py
+++ b/papayalink/roles/gateway/process.py
@@ -169,12 +169,14 @@
             in_flight=self._server.in_flight,
             connections=self._server.connections,
         )
-        if not self._server.end_requests(plan.end_s):
-            self._node.log.warning(
-                "calls_cut_by_stop",
-                in_flight=self._server.in_flight,
-                connections=self._server.connections,
-            )
+        if self._server.end_requests(plan.end_s):
+            return
+        self._node.log.warning(
+            "calls_cut_by_stop",
+            in_flight=self._server.in_flight,
+            connections=self._server.connections,
+        )
+        self._server.cut_responses(plan.cut_s)
 
     def dump(self) -> dict:
         return {
--- a/papayalink/roles/stop_plan.py
+++ b/papayalink/roles/stop_plan.py
@@ -17,8 +17,11 @@
 LAST_ANSWERS_SHARE = 0.15
 # A replica may be at work until the last sixth of the grace period.
 EXIT_MARGIN_SHARE = 0.125
-# Part of the margin for the answers to calls that no replica has answered.
-END_SHARE = 0.6
+# Part of the margin for the answers to calls that no replica has answered, and
+# for the rest of answers that have begun.
+END_SHARE = 0.7
+# Part of the margin for the end of the connections that are left then.
+CUT_SHARE = 0.1
 
 
 class StopPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,12 +33,14 @@
             All answers since the signal have announced it.
         answer_s: time after the signal until which calls may be run.
         end_s: time after that for the last answers.
+        cut_s: time after that for the end of answers that are cut.
     """
 
     notice_s: float
     last_answers_s: float
     answer_s: float
     end_s: float
+    cut_s: float
 
 
 def make_stop_plan(grace_s: float) -> StopPlan:
@@ -47,4 +52,5 @@
         last_answers_s=min(LAST_ANSWERS_S, LAST_ANSWERS_SHARE * answer_s),
         answer_s=answer_s,
         end_s=END_SHARE * margin_s,
+        cut_s=CUT_SHARE * margin_s,
     )
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -1,6 +1,7 @@
 """Strict HTTP/1.1 server for calls of any content, based on h11."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
 import struct
@@ -83,8 +84,8 @@
         self._waits = request_wait.make_request_waits(_LAST_REQUEST_WAIT_S)
         # Tasks whose request has arrived in part.
         self._reading: set[gevent.Greenlet] = set()
-        # Tasks whose request has been read and not answered.
-        self._handling: set[gevent.Greenlet] = set()
+        # Responders of the tasks whose request is read and not answered.
+        self._handling: dict[gevent.Greenlet, responders.Responder] = {}
         self._ended = False
         self._tasks = pool.Pool()
         self._log = logs.get_logger()
@@ -140,22 +141,40 @@
         return bool(self._tasks.join(timeout_s))
 
     def end_requests(self, timeout_s: float) -> bool:
-        """Interrupt all handlers, after stop(), so that they answer now.
+        """Interrupt handlers, after stop(), so that they answer now.
 
-        Requests that have arrived in part are refused.
+        Requests that have arrived in part are refused. A response that has
+        begun could only be cut, so that it may go on meanwhile.
 
         Returns: whether all connections ended within the time-out.
         """
         self._ended = True
-        gevent.get_hub().loop.run_callback(self._interrupt_tasks)
+        gevent.get_hub().loop.run_callback(self._interrupt_unanswered)
         return bool(self._tasks.join(timeout_s))
 
-    def _interrupt_tasks(self) -> None:
-        """Raise ServerStops in each task with a request; runs in the hub."""
-        for tasks in (self._handling, self._reading):
-            for task in list(tasks):
-                if task in tasks:
-                    task.throw(errors.ServerStops("server ends"))
+    def cut_responses(self, timeout_s: float) -> bool:
+        """Interrupt the handlers that are left after end_requests().
+
+        Returns: whether all connections ended within the time-out.
+        """
+        gevent.get_hub().loop.run_callback(self._interrupt, self._handling)
+        return bool(self._tasks.join(timeout_s))
+
+    def _interrupt_unanswered(self) -> None:
+        self._interrupt(
+            {
+                task: responder
+                for task, responder in self._handling.items()
+                if not responder.head_sent
+            }
+        )
+        self._interrupt(self._reading)
+
+    def _interrupt(self, tasks: Collection[gevent.Greenlet]) -> None:
+        """Raise ServerStops in tasks with a request; runs in the hub."""
+        for task in list(tasks):
+            if task in self._handling or task in self._reading:
+                task.throw(errors.ServerStops("server ends"))
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -183,7 +202,7 @@
             if self._ended:
                 handler = self._reject
             try:
-                with _noted_in(self._handling):
+                with self._noted_as_handling(responder):
                     self._run_handler(handler, request, responder, sock)
             except BaseException:
                 if _ends_with_connection(connection):
@@ -200,6 +219,18 @@
             if self._waits.stopping:
                 handler = self._reject
 
+    @contextlib.contextmanager
+    def _noted_as_handling(
+        self, responder: responders.Responder
+    ) -> Iterator[None]:
+        """Note that the current task handles a request."""
+        task = gevent.getcurrent()
+        self._handling[task] = responder
+        try:
+            yield
+        finally:
+            self._handling.pop(task, None)
+
     def _must_close(
         self, sock: socket.socket, reader: request_reader.RequestReader
     ) -> bool:
--- a/tests/roles/gateway/test_stop_waits.py
+++ b/tests/roles/gateway/test_stop_waits.py
@@ -37,6 +37,11 @@
         self.pass_time(timeout_s)
         return False
 
+    def cut_responses(self, timeout_s):
+        self.begun_at["cut"] = self.now
+        self.pass_time(timeout_s)
+        return False
+
 
 def _drain(grace_s, monkeypatch):
     """Returns: seconds after SIGTERM at which each step began."""
@@ -60,7 +65,8 @@
         # before the last sixth.
         assert 0 <= begun_at["announce"] < begun_at["stop"]
         assert begun_at["stop"] < begun_at["end"]
-        assert grace_s * 5 / 6 <= begun_at["end"] < begun_at["exit"]
+        assert grace_s * 5 / 6 <= begun_at["end"] < begun_at["cut"]
+        assert begun_at["cut"] < begun_at["exit"]
 
 
 @pytest.mark.parametrize("grace_s", [4.0, 8.0, 60.0])
