Go on with calls that left a silent replica and are turned away

Callers of resumable streams had them cut, and callers of calls that may run again got 502, although a sound replica worked on them: a call that leaves a replica that is silent for 1.6 s, or takes no connections, ended if the next replica refused it with Papayalink-Not-Executed, or closed its port meanwhile. With two attempts the refusal was the last one; with more, the call ended as soon as each replica had been tried, or named the shortest delay.

Cause: a refusal counts as an attempt, though the limit of a route is one of replicas at which a call has run, and each replica is excluded once it was tried. A call that has run can't be refused, so that each of these was an end.

Now refusals behind a replica that was left don't count, up to six; such a call, and any other that may have run, waits for a replica that turns calls away for up to a second; and after three refusals, or without any other replica, it goes back to the one that it left. A stream goes on there behind its last event. Each of these sendings still needs room in the retry budget, and no call runs more often than its route allows. Calls that have left no silent replica are decided on as before.

Remains: without room in the retry budget for the second sending such a call still ends.

--- a/papayalink/coordination/attempts.py
+++ b/papayalink/coordination/attempts.py
@@ -7,6 +7,9 @@
 # Failed connections after which a call is given up. They do not count against
 # the maximum of attempts, since nothing of the call was sent.
 MAX_NOT_SENT = 3
+# Refusals that don't count against the maximum of attempts, of a call that has
+# left an upstream which may be sound: it can't be refused any more.
+MAX_TURNED_AWAY = 6
 
 
 class NotSent(msgspec.Struct, frozen=True):
@@ -84,6 +87,8 @@
         "_not_sent",
         "_may_have_run",
         "_sending",
+        "_left",
+        "_turned_away",
     )
 
     def __init__(
@@ -95,6 +100,8 @@
         self._not_sent = 0
         self._may_have_run = False
         self._sending = False
+        self._left: list[str] = []
+        self._turned_away = 0
 
     @property
     def sent(self) -> int:
@@ -106,6 +113,20 @@
         """Whether an upstream that the call was sent to may have run it."""
         return self._may_have_run or self._sending
 
+    @property
+    def left(self) -> list[str]:
+        """Names of upstreams that were silent, and may go on."""
+        return self._left
+
+    @property
+    def turned_away(self) -> int:
+        """Number of refusals since it has left an upstream."""
+        return self._turned_away
+
+    def note_left(self, upstream: str) -> None:
+        """Record that the present attempt leaves a silent upstream."""
+        self._left.append(upstream)
+
     def note_sending(self) -> None:
         """Count an attempt whose sending begins; from now on it may run."""
         self._sent += 1
@@ -128,7 +149,13 @@
                     return TryAgain()
                 return self._refusal(None)
             case NotRun(retry_after_s):
-                if self._sent < self._max_attempts and budget_allows:
+                self._turned_away += bool(self._left)
+                counted = self._sent - self._turned_away
+                if (
+                    counted < self._max_attempts
+                    and self._turned_away <= MAX_TURNED_AWAY
+                    and budget_allows
+                ):
                     return TryAgain()
                 return self._refusal(retry_after_s)
             case Lost():
@@ -148,7 +175,7 @@
     def _can_repeat(self, budget_allows: bool) -> bool:
         return (
             self._repeat is not traffic.RepeatPolicy.ONCE
-            and self._sent < self._max_attempts
+            and self._sent - self._turned_away < self._max_attempts
             and budget_allows
         )
 
--- a/papayalink/roles/gateway/call_record.py
+++ b/papayalink/roles/gateway/call_record.py
@@ -15,6 +15,8 @@
 
     Attributes:
         tried: replicas to which the call was assigned.
+        turned_away: those of them that have refused it since it left a silent
+            one, and may take it later.
         expected_s: predicted time to the first token, 0 for a plain call.
         first_s: time to the head of the answer, None before it.
         stopped_at: replica that stopped the call at the time that it was
@@ -23,6 +25,7 @@
 
     __slots__ = (
         "tried",
+        "turned_away",
         "expected_s",
         "first_s",
         "stopped_at",
@@ -54,6 +57,7 @@
         self._workspace = workspace
         self._received_at = received_at
         self.tried: list[str] = []
+        self.turned_away: set[str] = set()
         self._software: list[str] = []
         self._weights: list[int] = []
         self._outdated_s = 0.0
@@ -70,7 +74,11 @@
         One that stopped it at the time that it was given is sound, and the
         call may need more time only.
         """
-        return [each for each in self.tried if each != self.stopped_at]
+        return [
+            each
+            for each in self.tried
+            if each != self.stopped_at and each not in self.turned_away
+        ]
 
     @property
     def call_id(self) -> str:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -33,6 +33,8 @@
 
 # An attempt needs at least this long: a round trip and a short run.
 MIN_ATTEMPT_S = 0.02
+# Refusals after which a call returns to a replica that it has left.
+MAX_REFUSALS_BEFORE_RETURN = 3
 
 
 class CallRun:
@@ -64,6 +66,7 @@
         "_observations",
         "_run_notes",
         "_crash_guard",
+        "_returns",
     )
 
     def __init__(
@@ -141,6 +144,8 @@
         self._crash_guard = crash_guard.make_crash_guard(
             shared.crashes, self._keys
         )
+        # Whether the call goes back to the silent replicas that it has left.
+        self._returns = False
         self._replica_wait = replica_wait.make_replica_wait(
             shared.fleet, received_at, route.objective_s, self._deadline
         )
@@ -197,12 +202,10 @@
             self._ending.without_replica(blocked.reason, blocked.retry_after_s)
             return False
         self._shared.limits.note_call(self._service)
-        choice = self._silent_replicas.choose(
-            self._selection_request, self._attempts.sent, self._silence.left
-        )
+        choice = self._choose()
         if self._ends_too_late(choice):
             return False
-        if choice is None and self._wait_for_replica():
+        if choice is None and (self._wait_for_replica() or self._return()):
             return True
         if choice is None:
             self._ending.without_replica("no usable replica")
@@ -222,6 +225,17 @@
             case attempt.Unanswered():
                 return self._handle_unanswered(result)
 
+    def _choose(self) -> replica_choice.Choice | None:
+        if self._returns:
+            return self._shared.fleet.choose(
+                self._selection_request,
+                self._find_excluded(),
+                time.monotonic(),
+            )
+        return self._silent_replicas.choose(
+            self._selection_request, self._attempts.sent, self._silence.left
+        )
+
     def _ends_too_late(self, choice: replica_choice.Choice | None) -> bool:
         """Refuse a call that would outlast the planned stop of the process.
 
@@ -357,6 +371,9 @@
                 if not self._charges.reserved:
                     # The replica broke off.
                     self._charges.note_read()
+            case attempt.Unanswered(outcome=attempts.NotRun()):
+                if self._attempts.left:
+                    self._record.turned_away.add(member.replica.replica_id)
         with record_faults.logged(self._call.call_id):
             self._note_result(member, dispatch, result, now, waiting)
         return result
@@ -502,6 +519,8 @@
             self._ending.keep_failure(result)
             if not not_sent:
                 self._charges.reserve()
+            if self._attempts.turned_away >= MAX_REFUSALS_BEFORE_RETURN:
+                self._return()
             return True
         if not_sent and self._finds_replica(now):
             return True
@@ -510,19 +529,40 @@
 
     def _finds_replica(self, now: float) -> bool:
         """Returns: whether a replica is usable now, or after a wait."""
-        request, excluded = self._selection_request, self._record.excluded
+        request, excluded = self._selection_request, self._find_excluded()
         if self._shared.fleet.choose(request, excluded, now) is not None:
             return True
-        return self._wait_for_replica()
+        return self._wait_for_replica() or self._return()
 
     def _wait_for_replica(self) -> bool:
         """Returns: whether a replica may be usable after a wait."""
         return self._replica_wait.wait(
             self._selection_request,
-            self._record.excluded,
+            self._find_excluded(),
             self._attempts.may_have_run,
         )
 
+    def _return(self) -> bool:
+        """Go back to the silent replicas that the call has left.
+
+        They may be sound, and the others don't take it.
+
+        Returns: whether the call begins to do so.
+        """
+        begins = bool(self._attempts.left) and not self._returns
+        self._returns = self._returns or begins
+        return begins
+
+    def _find_excluded(self) -> list[str]:
+        """Returns: replicas to which the call is not sent."""
+        if not self._returns:
+            return self._record.excluded
+        return [
+            member.replica.replica_id
+            for member in self._shared.fleet.members(self._service)
+            if member.replica.replica_id not in self._attempts.left
+        ]
+
     def _urgent_objective_s(self) -> float | None:
         return self._directory.urgent_objective_s(
             self._service, self._route.rank
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -22,6 +22,9 @@
 # finds it again up to 0.75 s later.
 RETURN_WAIT_FRACTION = 0.5
 MAX_RETURN_S = 2.75
+# A call that may have run waits for this long for a replica that turns calls
+# away. Callers leave their streams after a gap of two seconds at the earliest.
+MAX_TURNED_AWAY_S = 1.0
 
 
 class ReplicaWait:
@@ -83,7 +86,10 @@
             if member.replica.replica_id in tried:
                 continue
             if self._turns_calls_away(member, request, now):
-                resumes_at = min(resumes_at, now + member.avoided_s(now))
+                avoided_s = member.avoided_s(now)
+                resumes_at = min(resumes_at, now + avoided_s)
+                if may_have_run and avoided_s <= MAX_TURNED_AWAY_S:
+                    until = max(until, min(resumes_at, self._deadline))
             if self._lacks_permit(member, request, now):
                 until = max(until, self._permits_until)
             if _lacks_weights(member, request):
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -60,7 +60,6 @@
         "_silent_replicas",
         "_remaining_s",
         "_noted_obstacle",
-        "_left",
     )
 
     def __init__(
@@ -85,12 +84,11 @@
         self._silent_replicas = silent
         self._remaining_s = remaining_s
         self._noted_obstacle = ""
-        self._left = False
 
     @property
     def left(self) -> bool:
         """Whether the call has left a silent replica."""
-        return self._left
+        return bool(self._attempts.left)
 
     def check(
         self,
@@ -148,7 +146,7 @@
             self._note_stay(member, obstacle, silent_s)
             return ""
         member.note_left(time.monotonic())
-        self._left = True
+        self._attempts.note_left(member.replica.replica_id)
         self._shared.metrics.count("silent_replicas_left")
         return reason
 
