--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -47,7 +47,6 @@
         "_workspace",
         "_directory",
         "_responder",
-        "_received_at",
         "_deadline",
         "_attempts",
         "_stream",
@@ -86,7 +85,6 @@
         self._workspace = workspace
         self._directory = directory
         self._responder = responder
-        self._received_at = received_at
         allowed_s = route.timeout_s
         if call.budget_ms:
             allowed_s = min(allowed_s, call.budget_ms / 1000)
