Log each connection that ends while its call is handled, with the call's id

A connection that ended because the caller left, an answer was aborted, a stop was over, or the handler had not answered, left a line at debug level alone, which no gateway writes, without the request. `call_cut` stood for one way only, a task that was ended, and named the target but no id. What callers see, a closed connection, could not be found in the logs.

Now each end of a connection before the whole answer of a handled call leaves one line: `call_cut` with a reason if the gateway ends it, `caller_left` if the caller does. Both have the call's id, which the gateway's handler tells the responder once it has decoded the call. Lines on callers that leave are limited in number as those of failed calls are; a sound call costs no line. A handler that returns without a whole answer counts as an aborted answer; before, its connection was closed in silence.

--- a/papayalink/roles/gateway/handling.py
+++ b/papayalink/roles/gateway/handling.py
@@ -40,6 +40,7 @@
         call = self._shared.dialect.decode_call(
             request.method, request.target, request.headers, request.body
         )
+        responder.call_id = call.call_id
         directory = self._shared.watcher.directory
         if directory is None and not self._shared.stopping.begun:
             passed_s = time.monotonic() - received_at
@@ -87,6 +88,7 @@
         call = self._shared.dialect.decode_call(
             request.method, request.target, request.headers, request.body
         )
+        responder.call_id = call.call_id
         self._reject(
             call,
             responder,
--- a/papayalink/transport/caller_server.py
+++ b/papayalink/transport/caller_server.py
@@ -68,6 +68,7 @@
         "_ended",
         "_tasks",
         "_log",
+        "_call_log",
     )
 
     def __init__(
@@ -89,6 +90,7 @@
         self._ended = False
         self._tasks = pool.Pool()
         self._log = logs.get_logger()
+        self._call_log = logs.get_call_log()
         self._server = server.StreamServer(
             address, self._serve, backlog=ACCEPT_BACKLOG, spawn=self._tasks
         )
@@ -204,7 +206,10 @@
             try:
                 with self._noted_as_handling(responder):
                     self._run_handler(handler, request, responder, sock)
-            except BaseException:
+                if _is_unanswered(connection):
+                    raise errors.ResponseAborted("handler has not answered")
+            except BaseException as error:
+                self._note_cut(request, responder, error)
                 if _ends_with_connection(connection):
                     _reset_when_closed(sock)
                 raise
@@ -219,6 +224,24 @@
             if self._waits.stopping:
                 handler = self._reject
 
+    def _note_cut(
+        self,
+        request: request_reader.Request,
+        responder: responders.Responder,
+        error: BaseException,
+    ) -> None:
+        """Log that a connection ends while its request is handled."""
+        fields = {
+            "call": responder.call_id,
+            "target": request.target,
+            "head_sent": responder.head_sent,
+            "reason": repr(error),
+        }
+        if isinstance(error, errors.CallerGone):
+            self._call_log.failed("caller_left", **fields)
+        else:
+            self._log.warning("call_cut", **fields)
+
     @contextlib.contextmanager
     def _noted_as_handling(
         self, responder: responders.Responder
@@ -309,13 +332,6 @@
                 self._handle_or_reject(handler, request, responder)
             except errors.ResponseAborted:
                 raise
-            except gevent.GreenletExit:
-                self._log.warning(
-                    "call_cut",
-                    target=request.target,
-                    head_sent=responder.head_sent,
-                )
-                raise
             except Exception as error:
                 self._log.exception("call_failed", target=request.target)
                 lost = isinstance(error, errors.TransportError)
@@ -388,6 +404,11 @@
         return False
 
 
+def _is_unanswered(connection: h11.Connection) -> bool:
+    """Returns: whether the response hasn't begun, or isn't complete."""
+    return connection.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+
+
 def _ends_with_connection(connection: h11.Connection) -> bool:
     """Returns: whether a begun response would end by a regular close."""
     return (
--- a/papayalink/transport/responders.py
+++ b/papayalink/transport/responders.py
@@ -13,6 +13,9 @@
     """Writes the response to one request.
 
     Each method that sends raises CallerGone when writing to the caller fails.
+
+    Attributes:
+        call_id: what the handler calls the request in the logs, "" until then.
     """
 
     __slots__ = (
@@ -21,6 +24,7 @@
         "_must_close",
         "_head_sent",
         "_writes",
+        "call_id",
     )
 
     def __init__(
@@ -34,6 +38,7 @@
         self._must_close = must_close
         self._head_sent = False
         self._writes = 0
+        self.call_id = ""
 
     @property
     def writes(self) -> int:
