Bound what all replies of lists and stores hold together

Nothing was seen by callers yet. A member whose stores all send without end read up to 32 MB from each of them at once: with 11 stores 384 MB, where a process may have 128 MB, so it would have ended and taken its part of the service with it.

Cause: the limit was one for each reply. A reply that failed also kept its bytes for as long as its error was handled, which is 0.5 s for a store.

Now all replies that are read whole share 48 MB. When they hold more, the largest one is ended, and others read on once its bytes are free. A reply of less than an equal share is thus read to its end, beside any number of endless ones, and nobody waits for one that stalls. Each may hold 256 KB in any case.

--- a/papayalink/adapters/connection.py
+++ b/papayalink/adapters/connection.py
@@ -9,6 +9,7 @@
 
 from papayalink import readiness
 from papayalink.adapters import errors
+from papayalink.adapters import reply_budget
 from papayalink.adapters import reply_parser
 from papayalink.transport import request_delivery
 
@@ -24,6 +25,10 @@
 # less. The list of a store's parts is the largest one, with about 100 bytes
 # for each of 60,000 parts.
 MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Bytes that all replies which are read whole may hold together, and what each
+# may hold in any case. Many peers may send without end at once.
+MAX_HELD_BYTES = 48 * 1024 * 1024
+OWN_HELD_BYTES = 256 * 1024
 # Largest head, and largest event of a stream.
 MAX_PIECE_BYTES = 1024 * 1024
 # A reply that is read whole ends within this many times the time allowed
@@ -37,6 +42,8 @@
 
 FAILURES = (OSError, http_client.HTTPException)
 
+_budget = reply_budget.make_reply_budget(MAX_HELD_BYTES, OWN_HELD_BYTES)
+
 _HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -52,13 +59,14 @@
     that takes.
     """
 
-    __slots__ = ("_sock", "_left_bytes", "_deadline", "_ended")
+    __slots__ = ("_sock", "_left_bytes", "_deadline", "_ended", "_held")
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._ended = False
         self._left_bytes = MAX_PIECE_BYTES
         self._deadline: float | None = None
+        self._held: reply_budget.HeldReply | None = None
 
     @property
     def ended(self) -> bool:
@@ -72,6 +80,10 @@
             None if timeout_s is None else time.monotonic() + timeout_s
         )
 
+    def hold(self, held: reply_budget.HeldReply | None) -> None:
+        """Count what is read next for this reply."""
+        self._held = held
+
     def recv(self, size: int) -> bytes:
         if self._deadline is not None and time.monotonic() > self._deadline:
             raise ReplyTooLong("reply takes too long")
@@ -80,6 +92,8 @@
         self._left_bytes -= len(data)
         if self._left_bytes < 0:
             raise ReplyTooLong("reply has too many bytes")
+        if self._held is not None and not self._held.add(len(data)):
+            raise ReplyTooLong("replies have too many bytes together")
         return data
 
     def close(self) -> None:
@@ -157,7 +171,17 @@
             self._limited.allow(MAX_PIECE_BYTES, whole_s)
             self.wait_for_head()
         self._limited.allow(max_bytes or MAX_REPLY_BYTES, whole_s)
-        body = bytes(self._response.read())
+        held = _budget.open(self.close)
+        self._limited.hold(held)
+        try:
+            body = bytes(self._response.read())
+        except BaseException:
+            # The error keeps the response for as long as it is handled.
+            self._response.discard_body()
+            raise
+        finally:
+            self._limited.hold(None)
+            held.close()
         self._confirm_end()
         return Reply(self.status, self.headers, body)
 
--- a/papayalink/adapters/reply_parser.py
+++ b/papayalink/adapters/reply_parser.py
@@ -42,6 +42,10 @@
     def release(self) -> None:
         """Keep the socket."""
 
+    def discard_body(self) -> None:
+        """Free what was read of the body."""
+        self._body_buffer.clear()
+
     def feed(self, data: bytes) -> None:
         try:
             super().feed(data)
