Keep connections under limits of 0 or below

Nothing was seen by callers yet. A document with idleTimeoutMs of 0 or below, or of a few ms, closed each connection without an answer; with headerTimeoutMs so each request that came in pieces got 408, and with maxHeaderBytes below about its head 431. The platform's pages don't call such a document invalid, so it comes into force, and was taken at its word.

Now the gateway waits for at least 1 s and reads heads of at least 8,000 bytes (RFC 9112, section 3, recommends that for the request line alone), whatever the document says. The document itself is kept and read back as it was sent. A limit of bodies of 0 or below still allows requests without a body.

--- a/papayalink/platform/document.py
+++ b/papayalink/platform/document.py
@@ -7,6 +7,10 @@
 
 # Processes exchange numbers of at most 64 bits.
 MAX_VERSION = 2**63 - 1
+# Limits that a document sets lower would end the connections of all callers.
+# RFC 9112, section 3, recommends 8,000 bytes for the request line alone.
+MIN_HEADER_BYTES = 8_000
+MIN_TIMEOUT_S = 1.0
 
 _REPEAT_BY_ROUTE_TYPE = {
     "idempotent": traffic.RepeatPolicy.IDEMPOTENT,
@@ -135,12 +139,16 @@
             )
             for tenant in document.tenants
         ),
-        limits=traffic.CallerLimits(
-            header_bytes=document.limits.max_header_bytes,
-            body_bytes=document.limits.max_body_bytes,
-            header_timeout_s=document.limits.header_timeout_ms / 1000,
-            idle_timeout_s=document.limits.idle_timeout_ms / 1000,
-        ),
+        limits=_translate_limits(document.limits),
+    )
+
+
+def _translate_limits(limits: _Limits) -> traffic.CallerLimits:
+    return traffic.CallerLimits(
+        header_bytes=max(MIN_HEADER_BYTES, limits.max_header_bytes),
+        body_bytes=limits.max_body_bytes,
+        header_timeout_s=max(MIN_TIMEOUT_S, limits.header_timeout_ms / 1000),
+        idle_timeout_s=max(MIN_TIMEOUT_S, limits.idle_timeout_ms / 1000),
     )
 
 
