Choose among targets whose weights exceed any float

Nothing was seen by callers yet. A document with a weight of over 1.8e308, or weights that add up to more, is valid and comes into force. Each call of such a route then got 500: the choice among its targets adds the weights up as floats, and raised OverflowError.

Now each weight counts as its share of the sum, which is a float in any case, and the proportions stay as the document says.

tests/roles/gateway/test_odd_numbers.py: 3 of the 4 cases of test_calls_are_answered_under_odd_weights failed on the code before, all pass now. test_calls_are_answered_under_odd_numbers tries other numbers of routes, services and engines, and passed before as well.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -536,7 +536,9 @@
                 return service
         if len(targets) == 1:
             return targets[0].service
-        weights = [target.weight for target in targets]
+        # As shares, since the weights may exceed any float.
+        total = sum(target.weight for target in targets)
+        weights = [target.weight / total for target in targets]
         return self._shared.rng.choices(targets, weights)[0].service
 
     def _remaining_s(self) -> float:
