Serve prompts beside a store whose size exceeds any float

Nothing was seen by callers yet. The document that names such a store is valid.

Now the size counts as 0 at least and 2**53 at most. The document is kept and read back as it was sent.

--- a/papayalink/platform/document.py
+++ b/papayalink/platform/document.py
@@ -11,6 +11,8 @@
 # RFC 9112, section 3, recommends 8,000 bytes for the request line alone.
 MIN_HEADER_BYTES = 8_000
 MIN_TIMEOUT_S = 1.0
+# No store is as large. Shares of its size are floats.
+MAX_STORE_TOKENS = 2**53
 
 _REPEAT_BY_ROUTE_TYPE = {
     "idempotent": traffic.RepeatPolicy.IDEMPOTENT,
@@ -215,7 +217,7 @@
         name=service.name,
         address=service.kv_store_addr,
         zone=service.zone,
-        capacity_tokens=service.kv_capacity,
+        capacity_tokens=max(0, min(MAX_STORE_TOKENS, service.kv_capacity)),
         link_mbps=service.bandwidth_mbps,
         first_ms=service.first_ms,
         max_calls=service.max_inflight,
--- a/tests/roles/gateway/test_odd_numbers.py
+++ b/tests/roles/gateway/test_odd_numbers.py
@@ -139,3 +139,40 @@
     gateway.shared.watcher.directory = _make_directory(_weigh(*weights))
     for path in (b"/safe/", b"/once/"):
         assert gateway.call(path)[0] == 200
+
+
+# Guards against calls that fail when the size of a store is looked at.
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("kvCapacity", _HUGE),
+        ("kvCapacity", -_HUGE),
+        ("bandwidthMbps", 1e308),
+        ("bandwidthMbps", -1e308),
+        ("first_ms", 1e308),
+        ("first_ms", -1e308),
+        ("maxInflight", _HUGE),
+        ("maxInflight", -_HUGE),
+    ],
+    ids=lambda value: str(value)[:20],
+)
+def test_prompts_are_answered_beside_odd_stores(gateway, name, value):
+    store = {
+        "name": "k1",
+        "kvStoreAddr": "127.0.0.1:1",
+        "zone": "z",
+        "kvCapacity": 107036,
+        "bandwidthMbps": 1e5,
+        "first_ms": 0.5,
+    }
+    odd = {**store, "name": "k2", name: value}
+    directory = _make_directory(stores=[store, odd])
+    gateway.shared.watcher.directory = directory
+    gateway.shared.placement.set_stores(directory.traffic.stores)
+    parts = [
+        b"Papayalink-Model: m",
+        b"Papayalink-Token-Usage: 4100,10",
+        b"Papayalink-Prefix-Hash: shared:4000,own:100",
+    ]
+    status, _, body = gateway.call(b"/stream/", parts)
+    assert (status, bool(body)) == (200, True)
