Apply the limit of heads to those that come in one piece

A head beyond maxHeaderBytes was refused with 431 only if it arrived in pieces; one that came in one read, up to 64 KB, passed. The parser compares the limit with what it holds of an incomplete event, never with a whole one.

Now the size of each whole head is compared with the limit as well, whatever stands before or behind it in the same read, so that the answer doesn't depend on how the network cuts a request. A head of exactly the limit passes, as before.

--- a/papayalink/transport/request_reader.py
+++ b/papayalink/transport/request_reader.py
@@ -135,6 +135,8 @@
         begun = self.has_received
         limits = self._received_under if begun else self._limits()
         self._connection = connection = self._make_next_connection(limits)
+        # Bytes from the start of the request on.
+        received_bytes = len(connection.trailing_data[0])
         head: h11.Request | None = None
         head_deadline = float("inf")
         body: list[bytes] = []
@@ -178,10 +180,15 @@
                 if data:
                     self._sock.settimeout(limits.header_timeout_s)
                 connection.receive_data(data)
+                received_bytes += len(data)
                 continue
             match h11_event:
                 case h11.Request():
                     head = h11_event
+                    if received_bytes > limits.header_bytes:
+                        # The parser limits only heads that are incomplete.
+                        rest, _ = connection.trailing_data
+                        _check_size(received_bytes - len(rest), limits)
                     _check_framing(head)
                 case h11.Data(data):
                     body_size += len(data)
@@ -255,6 +262,11 @@
     return b"" if _EMPTY_LINE.startswith(rest) else rest
 
 
+def _check_size(head_bytes: int, limits: traffic.CallerLimits) -> None:
+    if head_bytes > limits.header_bytes:
+        raise Refused(431, "request head is too large")
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuse framing that different parsers may interpret differently."""
     names = [name for name, _ in head.headers]
