Don't count refusals behind a silence against the attempts of a call

Callers of calls that may run again got 504 at the end of their time, although a sound replica was free: with three attempts a call left a silent replica, was turned away by a second one, and stayed at a third one that was silent too.

Cause: the check of silences, and the time that a replica is given, still count a refusal behind a silence as an attempt, though the decision on the next attempt doesn't any more ("no attempt left" after two runs of three).

Now all three count the same, by Attempts.counted. No call runs more often than its route allows: the decision is as before.

Evidence: tests/roles/gateway/test_calls_behind_refusals.py, 504 after 8.0 s before, 200 now.

--- a/papayalink/coordination/attempts.py
+++ b/papayalink/coordination/attempts.py
@@ -108,6 +108,11 @@
         """Number of upstreams that the call was sent to."""
         return self._sent
 
+    @property
+    def counted(self) -> int:
+        """Number of attempts that count against the maximum."""
+        return self._sent - self._turned_away
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream that the call was sent to may have run it."""
@@ -150,9 +155,8 @@
                 return self._refusal(None)
             case NotRun(retry_after_s):
                 self._turned_away += bool(self._left)
-                counted = self._sent - self._turned_away
                 if (
-                    counted < self._max_attempts
+                    self.counted < self._max_attempts
                     and self._turned_away <= MAX_TURNED_AWAY
                     and budget_allows
                 ):
@@ -175,7 +179,7 @@
     def _can_repeat(self, budget_allows: bool) -> bool:
         return (
             self._repeat is not traffic.RepeatPolicy.ONCE
-            and self._sent - self._turned_away < self._max_attempts
+            and self.counted < self._max_attempts
             and budget_allows
         )
 
--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -103,7 +103,7 @@
         The retry budget keeps room for it.
         """
         return (
-            self._attempts.sent + 1 < self._route.max_attempts
+            self._attempts.counted + 1 < self._route.max_attempts
             and self._shared.fleet.has_usable(
                 request, self._record.tried, time.monotonic()
             )
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -228,7 +228,7 @@
         repeat = self._route.repeat
         if repeat is traffic.RepeatPolicy.ONCE:
             return "may run once"
-        if self._attempts.sent >= self._route.max_attempts:
+        if self._attempts.counted >= self._route.max_attempts:
             return "no attempt left"
         begun = self._stream is not None and self._stream.begun
         if begun and repeat is not traffic.RepeatPolicy.RESUMABLE:
