Let calls that return to a replica that has ended go on elsewhere

Callers of calls that may run again got 502, 1.2 s after they came and with 6.8 s left, although a replica that they were never sent to was free; and 504 at the end of their time where the replica to which they had returned stayed silent.

Cause: a call that was turned away three times behind a silence goes back to the replica that it has left, and from then on to no other one. If that one has ended, no replica is left to choose. With six attempts this was answered before.

Now a replica that was left comes first, and those that the call was never sent to come next; replicas that turned it away are still not asked again then. Once it has left a replica again, others come first as before its return.

Evidence: tests/roles/gateway/test_calls_behind_refusals.py: three of its four cases failed before (502, 502, 504), none does now; on the case with six attempts passes. tests/coordination/test_attempts.py, test_turned_away.py and tests/roles/gateway/test_turned_away_calls.py, test_kept_failures.py, test_waits_behind_the_deadline.py pass with it (68 cases with these).

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -224,15 +224,18 @@
                 return self._handle_unanswered(result)
 
     def _choose(self) -> replica_choice.Choice | None:
-        if self._returns:
-            return self._shared.fleet.choose(
+        if not self._returns:
+            return self._silent_replicas.choose(
                 self._selection_request,
-                self._find_excluded(),
-                time.monotonic(),
+                self._attempts.sent,
+                self._silence.left,
             )
-        return self._silent_replicas.choose(
-            self._selection_request, self._attempts.sent, self._silence.left
-        )
+        choice = None
+        for excluded in (self._find_others(), self._find_excluded()):
+            choice = choice or self._shared.fleet.choose(
+                self._selection_request, excluded, time.monotonic()
+            )
+        return choice
 
     def _ends_too_late(self, choice: replica_choice.Choice | None) -> bool:
         """Refuse a call that would outlast the planned stop of the process.
@@ -517,7 +520,10 @@
             self._ending.keep_failure(result)
             if not not_sent:
                 self._charges.reserve()
-            if self._attempts.turned_away >= MAX_REFUSALS_BEFORE_RETURN:
+            if isinstance(outcome, attempts.Lost):
+                # One that it returned to, and left again, is no better now.
+                self._returns = False
+            elif self._attempts.turned_away >= MAX_REFUSALS_BEFORE_RETURN:
                 self._return()
             return True
         if not_sent and self._finds_replica(now):
@@ -543,7 +549,8 @@
     def _return(self) -> bool:
         """Go back to the silent replicas that the call has left.
 
-        They may be sound, and the others don't take it.
+        They may be sound, and the others don't take it. If none of them can
+        be used, it goes on at one that it was not sent to.
 
         Returns: whether the call begins to do so.
         """
@@ -555,6 +562,11 @@
         """Returns: replicas to which the call is not sent."""
         if not self._returns:
             return self._record.excluded
+        left = self._attempts.left
+        return [each for each in self._record.tried if each not in left]
+
+    def _find_others(self) -> list[str]:
+        """Returns: replicas other than those that the call has left."""
         return [
             member.replica.replica_id
             for member in self._shared.fleet.members(self._service)
--- a/tests/roles/gateway/test_calls_behind_refusals.py
+++ b/tests/roles/gateway/test_calls_behind_refusals.py
@@ -1,6 +1,9 @@
 """Tests of calls that have left a silent replica and were turned away."""
 
+import contextlib
+
 import gevent
+from gevent import socket
 import pytest
 
 from papayalink.state import traffic
@@ -21,6 +24,36 @@
     )
 
 
+class _Ending(stubs.Upstream):
+    """Is silent, and ends when it is told to."""
+
+    def __init__(self, name):
+        super().__init__(name, [_SILENCE_S], [_SILENCE_S])
+        self._socks = []
+
+    def _serve(self, sock, address):
+        self._socks.append(sock)
+        super()._serve(sock, address)
+
+    def end(self):
+        self.server.close()
+        for sock in self._socks:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class _Refusing(stubs.Upstream):
+    """Turns calls away, and notes that."""
+
+    def __init__(self, name, note_refusal):
+        super().__init__(name)
+        self._note_refusal = note_refusal
+
+    def next_steps(self, request):
+        self._note_refusal()
+        return [stubs.BUSY]
+
+
 @pytest.fixture
 def start():
     """Function that starts a gateway before upstreams."""
@@ -47,6 +80,31 @@
     return calling
 
 
+# Guards against calls that end with 502 although a replica would take them,
+# since they go back to the one that they have left, which has ended.
+@pytest.mark.parametrize("max_attempts", [2, 6])
+def test_call_goes_on_if_the_replica_that_it_left_has_ended(
+    start, max_attempts
+):
+    refusals = []
+
+    def note_refusal():
+        refusals.append(1)
+        if len(refusals) == len(refusing):
+            upstreams[0].end()
+            gateway.fleet.find("desk9").set_reachable(True)
+
+    refusing = [_Refusing(f"desk{n}", note_refusal) for n in (2, 3, 4)]
+    upstreams = [_Ending("desk1"), *refusing, stubs.Upstream("desk9")]
+    gateway = start(upstreams, max_attempts)
+    calling = _spawn_call(gateway)
+    for other in refusing:
+        gateway.fleet.find(other.name).set_reachable(True)
+    status, _, body = calling.get(timeout=15)
+    assert len(refusals) >= len(refusing)
+    assert (status, body) == (200, b"ok")
+
+
 # Guards against calls that stay at a second silent replica until their time
 # has passed, since a refusal counts as the attempt that they have left.
 def test_refusals_leave_a_call_its_attempts(start):
@@ -71,3 +129,22 @@
     status, _, body = calling.get(timeout=15)
     assert [bool(each.received) for each in upstreams] == [True] * 4
     assert (status, body) == (200, b"ok")
+
+
+# Guards against calls that use up their attempts at the replica that they have
+# left, while it stays silent and another one would take them.
+def test_call_leaves_the_replica_that_it_returned_to(start):
+    sound = stubs.Upstream("desk9")
+    refusing = [_Refusing(f"desk{n}", lambda: None) for n in (2, 3, 4)]
+    upstreams = [stubs.Upstream("desk1", *[[_SILENCE_S]] * 9), *refusing]
+    gateway = start([*upstreams, sound], 3)
+    calling = _spawn_call(gateway)
+    for other in refusing:
+        gateway.fleet.find(other.name).set_reachable(True)
+    with gevent.Timeout(10):
+        while len(upstreams[0].received) < 2:
+            gevent.sleep(0.005)
+    gateway.fleet.find(sound.name).set_reachable(True)
+    status, _, body = calling.get(timeout=15)
+    assert (status, body) == (200, b"ok")
+    assert len(upstreams[0].received) == 2
