Don't let calls wait for replicas that turn them away beyond their time

Callers got a replica's own failure at the end of their time only (after 8.01 s of 8.0 s), when many have hung up, although nothing could change before: the other replica turned calls away for longer than the call had left.

Cause: a call that may have run waits for a replica that turns calls away for up to a second; where less time is left, it waits until its deadline, in vain. Before it ended at once.

Now it waits only if the replica takes calls again before the deadline.

Evidence: tests/roles/gateway/test_waits_behind_the_deadline.py: one of its two cases failed before, none does now.

--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -88,8 +88,12 @@
             if self._turns_calls_away(member, request, now):
                 avoided_s = member.avoided_s(now)
                 resumes_at = min(resumes_at, now + avoided_s)
-                if may_have_run and avoided_s <= MAX_TURNED_AWAY_S:
-                    until = max(until, min(resumes_at, self._deadline))
+                if (
+                    may_have_run
+                    and avoided_s <= MAX_TURNED_AWAY_S
+                    and now + avoided_s < self._deadline
+                ):
+                    until = max(until, resumes_at)
             if self._lacks_permit(member, request, now):
                 until = max(until, self._permits_until)
             if _lacks_weights(member, request):
