Send a change again in the test of a foreign process

Nothing was seen by callers. The test failed once, OutcomeUnknown after 5 s, at a load average of about 34.

The change behind the stranger's was sent once, and its outcome was awaited for 5 s. While two of the three members stand still there is none, as there should be. Shown on purpose, with members held by SIGSTOP when that change is sent: one for 3 or 6 s, or two for 2 or 4 s: passed; two for 6 s: failed with the same error.

Now the change is sent again, unchanged and under the same id, until its outcome is known, as operators do, and must be accepted on the version that held before the stranger came. What the stranger gets is checked as before.

--- a/tests/processes/test_control.py
+++ b/tests/processes/test_control.py
@@ -1,5 +1,6 @@
 """Configuration and the control group under failure."""
 
+import contextlib
 import shutil
 import signal
 
@@ -11,6 +12,7 @@
 from bench import control
 from bench import deployment as deployments
 from bench import fleet as fleets
+from papayalink.coordination import errors
 from papayalink.state import configuration
 from papayalink.state import document as documents
 from tests.processes import helpers
@@ -35,6 +37,28 @@
     return answer.status
 
 
+def _apply_until_known(fleet, request_id):
+    """Send a change again, as it was, until its outcome is known.
+
+    A group that stands still gives no outcome.
+    """
+    outcomes = []
+
+    def has_outcome():
+        with contextlib.suppress(
+            errors.OutcomeUnknown, errors.ControlUnavailable
+        ):
+            outcomes.append(
+                control.apply(
+                    fleet.proposer, fleet.document, fleet.version, request_id
+                )
+            )
+        return outcomes
+
+    helpers.wait_until(has_outcome, "an outcome")
+    return outcomes[0]
+
+
 def _restart(fleet, name):
     fleet.deployment.restart(name)
     fleet.deployment.wait_accepting([name])
@@ -190,4 +214,6 @@
             ),
             1.0,
         )
-    assert isinstance(fleet.apply(), configuration.Accepted)
+    outcome = _apply_until_known(fleet, "behind-the-stranger")
+    assert isinstance(outcome, configuration.Accepted)
+    fleet.version = outcome.version
