Let two tests of old orders run without those before them

test_order_of_an_old_leader_is_refused and test_old_order_is_refused_after_a_restart_of_the_agent failed when they ran alone: the agent answered "done", not "stale". They send an order with fence 1 and relied on orders with higher ones from tests before them; a fresh agent has seen none, and one order is not enough, as it has fence 1 itself.

A fixture now has two versions rolled out unless that has happened. The checks are the same. Each passes alone, where it failed before, and the whole module passes (14 tests).

--- a/tests/processes/test_upstreams.py
+++ b/tests/processes/test_upstreams.py
@@ -1,5 +1,6 @@
 """Weight swaps, fencing, leaving upstreams and planned stops."""
 
+import itertools
 import json
 import signal
 
@@ -55,6 +56,19 @@
     )
 
 
+@pytest.fixture
+def ordered(fleet):
+    """Each engine has carried out two orders, of this test or before."""
+    versions = ("v1", "v2", "v3")
+    for previous, version in itertools.pairwise(versions):
+        ordered = [
+            order["weight_version"] for order in _orders(fleet, "engine-1")
+        ]
+        if version not in ordered:
+            _set_version(fleet, version, previous)
+            helpers.wait_until(lambda: _all_serve(fleet, version), "rollout")
+
+
 def test_swap_under_traffic(fleet, caller):
     """Guards against answers of mixed weights, and refusals during a swap."""
     long_answer = gevent.spawn(
@@ -109,8 +123,13 @@
         assert versions == ["v2", "v3"]
 
 
+@pytest.mark.usefixtures("ordered")
 def test_order_of_an_old_leader_is_refused(fleet):
     """Guards against an outdated order at an engine without fencing."""
+    _check_old_order_is_refused(fleet)
+
+
+def _check_old_order_is_refused(fleet):
     agent = fleet.document.upstreams[0].agent
     signer = auth.make_signer(
         bytes.fromhex(fleet.deployment.key), clocks.make_clock()
@@ -124,12 +143,13 @@
     assert _orders(fleet, "engine-1") == before
 
 
+@pytest.mark.usefixtures("ordered")
 def test_old_order_is_refused_after_a_restart_of_the_agent(fleet):
     """Guards against an agent that loses fencing tokens in a restart."""
     fleet.deployment.programs["agent-engine-1"].kill()
     fleet.deployment.restart("agent-engine-1")
     fleet.deployment.wait_accepting(["agent-engine-1"])
-    test_order_of_an_old_leader_is_refused(fleet)
+    _check_old_order_is_refused(fleet)
 
 
 def test_order_is_resumed_by_the_next_leader(fleet):
