Keep a gateway running when what it follows can't be used

All callers of a gateway would lose their calls at once, each connection closed without an answer, if a reply of a control member, a list, or settings that are read beside a SIGHUP, led to an error that nobody has foreseen: the tasks that follow them are essential, and an essential task that fails ends the process with os._exit.

Now these tasks of a gateway (document, held document, parts, list) and the one that reads settings begin again half a second after an error, with `task_begins_again` and the traceback, and the process goes on with the document and list that it has, as it does without any member. An error in one call to a member counts as its failure (`reply_unusable`). Errors of other tasks still end their process.

--- a/papayalink/roles/gateway/held_document.py
+++ b/papayalink/roles/gateway/held_document.py
@@ -33,7 +33,7 @@
         self._newest = messages.WatchReply(0)
 
     def start(self) -> None:
-        tasks.spawn(self._run)
+        tasks.spawn_again(self._run)
 
     def _run(self) -> None:
         use_at = time.monotonic() + CONFIRM_WAIT_S
--- a/papayalink/roles/gateway/listing.py
+++ b/papayalink/roles/gateway/listing.py
@@ -63,7 +63,7 @@
         return time.monotonic() - self._read_at
 
     def start(self) -> None:
-        tasks.spawn(self._run)
+        tasks.spawn_again(self._run)
 
     @property
     def relayed(self) -> bool:
--- a/papayalink/roles/gateway/parts.py
+++ b/papayalink/roles/gateway/parts.py
@@ -143,7 +143,7 @@
         return self._retry_share if age_s < retry_shares.LEASE_S else 0.0
 
     def start(self) -> None:
-        tasks.spawn(self._run)
+        tasks.spawn_again(self._run)
 
     def _run(self) -> None:
         while True:
--- a/papayalink/roles/gateway/watching.py
+++ b/papayalink/roles/gateway/watching.py
@@ -179,7 +179,7 @@
 
     def start(self) -> None:
         self._started_at = time.monotonic()
-        tasks.spawn(self._run)
+        tasks.spawn_again(self._run)
 
     def use_held(self, reply: messages.WatchReply) -> None:
         """Begin with a committed document that may not be the newest.
@@ -256,6 +256,9 @@
             )
         except errors.TransportError as error:
             reply = error
+        except Exception as error:
+            self._log.exception("reply_unusable", member=address)
+            reply = errors.ConnectionLost(f"{address}: {error!r}")
         self._answers.put(_Answer(address, asked_at, reply))
 
     def _wait_for_reply(
--- a/papayalink/roles/reloading.py
+++ b/papayalink/roles/reloading.py
@@ -54,7 +54,7 @@
 
     def start(self, timer_service: timers.TimerService) -> None:
         timer_service.every(CHECK_PERIOD_S, self._inbox, _CheckDue())
-        tasks.spawn(self._run)
+        tasks.spawn_again(self._run)
 
     def check(self) -> None:
         """Read the file and apply its settings if they differ."""
--- a/papayalink/tasks.py
+++ b/papayalink/tasks.py
@@ -10,6 +10,8 @@
 from papayalink import logs
 
 EXIT_TASK_FAILED = 70
+# Time after which a task begins again.
+RESTART_DELAY_S = 0.5
 
 
 def spawn(function: Callable, *arguments: object) -> gevent.Greenlet:
@@ -23,6 +25,27 @@
     return task
 
 
+def spawn_again(function: Callable, *arguments: object) -> gevent.Greenlet:
+    """Start an essential task that begins again when it fails.
+
+    For tasks that follow files and other processes. What these say must not
+    end the calls of this process, which goes on with what it has.
+    """
+
+    def run() -> None:
+        while True:
+            try:
+                function(*arguments)
+                return
+            except Exception:
+                logs.get_logger().exception(
+                    "task_begins_again", task=function.__qualname__
+                )
+                gevent.sleep(RESTART_DELAY_S)
+
+    return spawn(run)
+
+
 def _end_process(task: gevent.Greenlet) -> None:
     try:
         lines = traceback.format_exception(*task.exc_info)
