Go on with calls that their replica stopped in time and others turn away

Callers of resumable streams had them cut, and callers of calls that may run again got 502, seconds before the end of their time, although a sound replica had worked on them: it stopped the run at the time that the gateway had given it, which is less than the caller's while few runs of the route are known, and the next replica refused the call with Papayalink-Not-Executed.

Cause: with two attempts that refusal is the last one, as it was for calls that had left a silent replica. A run that is stopped at its time shows a sound replica, and the call had already been let back to it, but only for lack of any other replica.

Now such a replica counts as one that the call has left: refusals behind it don't count, up to six, and the call goes back to it after three, or without any other. No call runs at more replicas than its route allows, and each sending still needs room in the retry budget.

--- a/papayalink/coordination/attempts.py
+++ b/papayalink/coordination/attempts.py
@@ -115,7 +115,10 @@
 
     @property
     def left(self) -> list[str]:
-        """Names of upstreams that were silent, and may go on."""
+        """Names of upstreams that may be sound.
+
+        They were silent, or stopped the call at the time that it was given.
+        """
         return self._left
 
     @property
@@ -124,7 +127,7 @@
         return self._turned_away
 
     def note_left(self, upstream: str) -> None:
-        """Record that the present attempt leaves a silent upstream."""
+        """Record that the present attempt ends at an upstream in `left`."""
         self._left.append(upstream)
 
     def note_sending(self) -> None:
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -405,6 +405,7 @@
                     self._charges.reserved,
                 ):
                     self._record.stopped_at = member.replica.replica_id
+                    self._attempts.note_left(member.replica.replica_id)
                     self._shared.metrics.count("runs_stopped")
                 self._observations.note_failure(member, result, sent_at)
 
@@ -543,7 +544,7 @@
         )
 
     def _return(self) -> bool:
-        """Go back to the silent replicas that the call has left.
+        """Go back to the replicas that the call has left, or that stopped it.
 
         They may be sound, and the others don't take it.
 
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -87,7 +87,7 @@
 
     @property
     def left(self) -> bool:
-        """Whether the call has left a silent replica."""
+        """Whether the call has left a replica that may be sound."""
         return bool(self._attempts.left)
 
     def check(
