Let a stopped call wait for the replica that stopped it

An idempotent call that its replica had stopped at the time that it was given got 502, with more than five seconds of its six left, if all replicas turned calls away for a moment then (0.3 s in the test).

A call waits for lost replicas, weights and permits, and not for a refusal to end, since its caller can try elsewhere. The caller of one that was stopped can't, and the replica that stopped it is sound.

A call that a sound replica has stopped now waits for the first refusal that ends before its deadline. Other calls wait as before.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -520,6 +520,7 @@
             self._selection_request,
             self._record.excluded,
             self._attempts.may_have_run,
+            bool(self._record.stopped_at),
         )
 
     def _urgent_objective_s(self) -> float | None:
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -65,6 +65,7 @@
         request: replica_choice.SelectionRequest,
         tried: Collection[str],
         may_have_run: bool = False,
+        was_stopped: bool = False,
     ) -> bool:
         """Wait for what keeps replicas from being used, if it ends in time.
 
@@ -72,6 +73,8 @@
             tried: replicas that the call is not sent to again.
             may_have_run: whether a replica may have run the call. Its caller
                 can't try elsewhere.
+            was_stopped: whether a sound replica has stopped the call, which
+                needs more time there. It waits for a refusal to end.
         Returns: whether a replica may be usable now.
         """
         now = time.monotonic()
@@ -93,6 +96,8 @@
                     self._deadline if may_have_run else self._returns_until
                 )
                 until = max(until, min(member.lost_at + MAX_RETURN_S, latest))
+        if was_stopped and resumes_at < self._deadline:
+            until = max(until, resumes_at)
         if until <= now:
             return False
         changed = self._fleet.changed.wait(min(until, resumes_at) - now)
