Limit attempts at quiet replicas beside long runs

Replicas that read calls after standing still got the whole time of their callers once more, on each route of which a long run was known: half of the time left is less than twice the longest run, so that attempts have all the time, also at a replica from which nothing had come for seconds.

Whether a replica may stand still was asked only where the limit is short, and by a silence of one and a half times the longest run.

Each attempt now also knows the silence that is usual of its route, its longest runs left aside. A replica that has said nothing to any call for longer, or not since another one of its service has, gets the limit of a usual run, if the retry budget holds room for a repeat, another replica is usable, and a run that is stopped leaves time for the longest one known. A replica that speaks, or for which nothing waits, gets what it got before.

--- a/papayalink/coordination/awaited.py
+++ b/papayalink/coordination/awaited.py
@@ -7,13 +7,21 @@
     Attributes:
         sent_at: monotonic seconds.
         limit_s: seconds for which the replica may say nothing.
+        usual_s: seconds for which it usually says nothing at most.
     """
 
-    __slots__ = ("sent_at", "limit_s", "_spoke_at", "_longest_gap_s")
+    __slots__ = (
+        "sent_at",
+        "limit_s",
+        "usual_s",
+        "_spoke_at",
+        "_longest_gap_s",
+    )
 
-    def __init__(self, sent_at: float, limit_s: float) -> None:
+    def __init__(self, sent_at: float, limit_s: float, usual_s: float) -> None:
         self.sent_at = sent_at
         self.limit_s = limit_s
+        self.usual_s = usual_s
         self._spoke_at = sent_at
         self._longest_gap_s = 0.0
 
@@ -31,5 +39,7 @@
         return max(self._longest_gap_s, now - self._spoke_at)
 
 
-def make_awaited(sent_at: float, limit_s: float) -> Awaited:
-    return Awaited(sent_at, limit_s)
+def make_awaited(
+    sent_at: float, limit_s: float, usual_s: float = float("inf")
+) -> Awaited:
+    return Awaited(sent_at, limit_s, usual_s)
--- a/papayalink/coordination/fleet_member.py
+++ b/papayalink/coordination/fleet_member.py
@@ -269,14 +269,23 @@
             for each in self._awaited
         )
 
-    def note_sent(self, now: float, limit_s: float) -> awaited.Awaited:
+    def is_quiet(self, now: float) -> bool:
+        """Returns: whether it says nothing for longer than usual."""
+        return self.overdue or any(
+            each.silent_s(now) > each.usual_s for each in self._awaited
+        )
+
+    def note_sent(
+        self, now: float, limit_s: float, usual_s: float = float("inf")
+    ) -> awaited.Awaited:
         """Record that an attempt is sent, and waits for its answer.
 
         Args:
             limit_s: seconds for which the replica may say nothing to it.
+            usual_s: seconds for which it usually says nothing at most.
         Returns: what `note_ended` is told.
         """
-        attempt = awaited.make_awaited(now, limit_s)
+        attempt = awaited.make_awaited(now, limit_s, usual_s)
         self.sent_at = now
         self._awaited.append(attempt)
         if self._silent_since is None:
--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -6,6 +6,7 @@
 from papayalink.coordination import attempts
 from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
+from papayalink.coordination import run_times
 from papayalink.protocol import calls
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import repeat_charges
@@ -71,14 +72,18 @@
         usual = self._shared.run_times.usual(self._route.name)
         if usual is None or self._route.repeat is traffic.RepeatPolicy.ONCE:
             return left_s
-        limit_s = attempt_limits.run_limit_s(
-            usual,
-            self._shared.run_times.longest_s(
-                self._route.name, time.monotonic()
-            ),
-            self._route.objective_s,
-            self._call.output_tokens,
+        longest_s = self._shared.run_times.longest_s(
+            self._route.name, time.monotonic()
         )
+        usual_limit_s = self._limit_s(usual, 0.0)
+        if (
+            usual_limit_s + longest_s <= left_s
+            and self._silent_replicas.may_read_late(member)
+            and self._secure_repeat(request)
+        ):
+            # A long run that is stopped has time for another one.
+            return attempt_limits.attempt_time_s(usual_limit_s, left_s)
+        limit_s = self._limit_s(usual, longest_s)
         given_s = attempt_limits.attempt_time_s(limit_s, left_s)
         if given_s == left_s or self._secure_repeat(request):
             return given_s
@@ -88,6 +93,14 @@
             return given_s
         return left_s
 
+    def _limit_s(self, usual: run_times.Run, longest_s: float) -> float:
+        return attempt_limits.run_limit_s(
+            usual,
+            longest_s,
+            self._route.objective_s,
+            self._call.output_tokens,
+        )
+
     def _may_be_long(self) -> bool:
         """Returns: whether the call may take longer than others of its route.
 
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -340,7 +340,9 @@
         self._charges.note_sending(member)
         self._record.note_sending(dispatch.remaining_ms)
         waiting = member.note_sent(
-            time.monotonic(), self._silent_replicas.limit_s()
+            time.monotonic(),
+            self._silent_replicas.limit_s(),
+            self._silent_replicas.usual_limit_s(),
         )
         member.begin_call(self._urgency, memory_tokens)
         member.begin_prefill(self._urgency, int(own_tokens))
--- a/papayalink/roles/gateway/silent_replicas.py
+++ b/papayalink/roles/gateway/silent_replicas.py
@@ -42,12 +42,19 @@
 
     def limit_s(self) -> float:
         """Returns: longest silence that is expected, infinite if not known."""
+        return self._silence_limit_s(self.longest_s())
+
+    def usual_limit_s(self) -> float:
+        """Returns: longest silence that is usual, infinite if not known."""
+        return self._silence_limit_s(0.0)
+
+    def _silence_limit_s(self, longest_s: float) -> float:
         usual = self._shared.run_times.usual(self._route.name)
         if usual is None:
             return float("inf")
         return attempt_limits.silence_limit_s(
             usual,
-            self.longest_s(),
+            longest_s,
             self._record.expected_s,
             self._route.objective_s,
         )
@@ -72,6 +79,23 @@
         silence_s = self._shortest_silence_s(member.replica.service, now)
         return silence_s is not None and now - member.spoke_at >= silence_s
 
+    def may_read_late(self, member: fleet_member.Member) -> bool:
+        """Returns: whether a replica may stand still, or run long calls.
+
+        It has said nothing for longer than usual, or hasn't spoken since
+        another one has said nothing for so long.
+        """
+        now = time.monotonic()
+        quiet_s = min(
+            (
+                each.silent_s(now)
+                for each in self._shared.fleet.members(member.replica.service)
+                if each.is_quiet(now)
+            ),
+            default=None,
+        )
+        return quiet_s is not None and now - member.spoke_at >= quiet_s
+
     def choose(
         self,
         request: replica_choice.SelectionRequest,
--- a/tests/roles/gateway/test_attempt_time.py
+++ b/tests/roles/gateway/test_attempt_time.py
@@ -387,3 +387,57 @@
     )
     assert calling.get(timeout=10)[0] == 200
     assert bool(other.received) is left
+
+
+# Guards against a call that a replica reads late with all the time, on a route
+# where a long run is known: nothing has come for longer than runs usually
+# take, or since another replica fell quiet. Against long calls that are
+# stopped there with too little time for another run as well.
+@pytest.mark.parametrize(
+    ("longest_s", "quiet", "speaks", "given_s"),
+    [
+        (2.6, "itself", False, _LIMIT_S),
+        (2.6, "itself", True, _TIME_S),
+        (2.6, "other", False, _LIMIT_S),
+        (2.6, "other", True, _TIME_S),
+        (2.6, "", False, _TIME_S),
+        (5.8, "itself", False, _TIME_S),
+    ],
+)
+def test_attempt_at_a_quiet_replica_is_limited_beside_long_runs(
+    start, longest_s, quiet, speaks, given_s
+):
+    gateway = start(2, runs=run_times.MAX_RUNS // 4)
+    first, other = gateway.fleet.members("desk")
+    now = time.monotonic()
+    gateway.shared.run_times.note_at_work("safe", longest_s, longest_s, now)
+    waiting = []
+    for upstream in gateway.upstreams:
+        # The other one can be used by a repeat, and isn't chosen at first.
+        upstream.script = [[1.0, stubs.OK]]
+    if quiet:
+        member = first if quiet == "itself" else other
+        last = other if quiet == "itself" else first
+        last.note_full(now, 0.2)
+        waiting.append(gevent.spawn(gateway.call, b"/safe/", timeout_s=10))
+        gevent.sleep(0.5)
+        assert member.in_flight == 1
+    for upstream in gateway.upstreams:
+        upstream.script = [[0.05, stubs.OK]]
+        upstream.received.clear()
+    if speaks:
+        first.note_spoke(time.monotonic())
+    # The other one is loaded, and is there for a repeat.
+    for _ in range(20):
+        other.begin_call(0)
+    assert gateway.call(b"/safe/", timeout_s=10)[0] == 200
+    (upstream,) = [
+        each
+        for each in gateway.upstreams
+        if each.name == first.replica.replica_id
+    ]
+    assert [_given_s(each) for each in upstream.received] == [
+        pytest.approx(given_s, abs=0.3)
+    ]
+    for each in waiting:
+        assert each.get(timeout=10)[0] == 200
