Tell elections by a stall from those by a healed member in a test

A leader that stands still for longer than an election timeout, 0.5 s at least, loses its lead whatever heals, and the test took that for an election by the healed member.

Now the test asks all members for their state all the time from the cut on. A new term after the heal fails as before if each of them, and the test, went on within 0.25 s; if not, it cuts and heals again, and fails after six such elections. It also checks that the isolated member has not raised its own term.

--- a/tests/processes/test_partition.py
+++ b/tests/processes/test_partition.py
@@ -1,6 +1,9 @@
 """A control member that is isolated by a silent network partition."""
 
+import time
+
 import gevent
+from gevent import event
 import msgspec
 import pytest
 
@@ -14,6 +17,10 @@
 from tests.processes import helpers
 
 LEASE_S = 3.0
+# Half of the shortest time after which members elect another leader.
+MAX_GAP_S = 0.25
+WATCH_PERIOD_S = 0.05
+MAX_ROUNDS = 6
 
 
 class Partition:
@@ -61,6 +68,26 @@
     def term(self, name):
         return self.deployment.dump(name)["replica"]["term"]
 
+    def find_longest_gap_s(self, stopped):
+        """Watch how long a member takes to answer, or this process does.
+
+        Args:
+            stopped: event that ends the watch.
+        """
+
+        def watch(name):
+            longest_s = 0.0
+            while not stopped.is_set():
+                asked_at = time.monotonic()
+                self.term(name)
+                gevent.sleep(WATCH_PERIOD_S)
+                longest_s = max(longest_s, time.monotonic() - asked_at)
+            return longest_s
+
+        tasks = [gevent.spawn(watch, name) for name in self.controls]
+        gevent.joinall(tasks, raise_error=True)
+        return max(task.value for task in tasks)
+
     def _make_link(self, name):
         link = network.make_link(self.controls[name])
         self.links.append(link)
@@ -138,12 +165,27 @@
     assert dump["lease_left_s"] == 0
     assert status(far) == 503
     helpers.wait_until(lambda: status(near) == 200)
-    # The partition lasts for several election timeouts.
-    gevent.sleep(3.0)
-    term = partition.term("control-1")
-    partition.heal()
-    helpers.wait_until(
-        lambda: deployment.dump("entry-far")["version"] == second.version
-        and status(far) == 200
-    )
-    assert partition.term("control-1") == term
+    # An election is repeated only if a member has stood still, which ends
+    # its lead whatever heals.
+    for _ in range(MAX_ROUNDS):
+        stopped = event.Event()
+        gap = gevent.spawn(partition.find_longest_gap_s, stopped)
+        # The partition lasts for several election timeouts.
+        gevent.sleep(3.0)
+        term = partition.term("control-1")
+        assert partition.term("control-3") <= term
+        partition.heal()
+        helpers.wait_until(
+            lambda: deployment.dump("entry-far")["version"] == second.version
+            and status(far) == 200
+        )
+        term_after = partition.term("control-1")
+        stopped.set()
+        if term_after == term:
+            return
+        assert gap.get() >= MAX_GAP_S, "an election though nobody stood still"
+        partition.cut()
+        helpers.wait_until(
+            lambda: deployment.dump("entry-far")["lease_left_s"] == 0
+        )
+    pytest.fail("an election each time")
