Give calls that left a replica which speaks all their time elsewhere

Long calls got 504 with half of their time left: they had left a replica that answered others all the while, after three objectives, and their last attempt was limited to a usual run where another long call waited.

Such a call may be long, and has all the time in its last attempt, as one that a sound replica has stopped.

test_call_that_left_a_speaking_replica_has_all_the_time, True failed on.

--- a/papayalink/roles/gateway/attempt_time.py
+++ b/papayalink/roles/gateway/attempt_time.py
@@ -104,11 +104,14 @@
     def _may_be_long(self) -> bool:
         """Returns: whether the call may take longer than others of its route.
 
-        A sound replica has stopped it before, or few others are known.
+        A sound replica has stopped it before, or it has left one that spoke
+        to others, or few others are known.
         """
-        return bool(
-            self._record.stopped_at
-        ) or not self._shared.run_times.is_established(self._route.name)
+        return (
+            bool(self._record.stopped_at)
+            or self._silent_replicas.left_speaking
+            or not self._shared.run_times.is_established(self._route.name)
+        )
 
     def _secure_repeat(self, request: replica_choice.SelectionRequest) -> bool:
         """Returns: whether another attempt will follow if this one is stopped.
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -145,6 +145,7 @@
         if obstacle:
             self._note_stay(member, obstacle, silent_s)
             return ""
+        self._silent_replicas.note_left(member)
         member.note_left(time.monotonic())
         self._attempts.note_left(member.replica.replica_id)
         self._shared.metrics.count("silent_replicas_left")
--- a/papayalink/roles/gateway/silent_replicas.py
+++ b/papayalink/roles/gateway/silent_replicas.py
@@ -28,7 +28,7 @@
     from how long others of their routes took.
     """
 
-    __slots__ = ("_shared", "_route", "_record")
+    __slots__ = ("_shared", "_route", "_record", "_left_speaking")
 
     def __init__(
         self,
@@ -39,6 +39,16 @@
         self._shared = shared
         self._route = route
         self._record = record
+        self._left_speaking = False
+
+    @property
+    def left_speaking(self) -> bool:
+        """Whether the call has left a replica that spoke to others."""
+        return self._left_speaking
+
+    def note_left(self, member: fleet_member.Member) -> None:
+        """Record that the call leaves a replica."""
+        self._left_speaking = self.speaks(member)
 
     def limit_s(self) -> float:
         """Returns: longest silence that is expected, infinite if not known."""
@@ -70,6 +80,13 @@
             self._route.name, time.monotonic()
         )
 
+    def speaks(self, member: fleet_member.Member) -> bool:
+        """Returns: whether a replica has said something as lately as usual."""
+        limit_s = self.usual_limit_s()
+        if limit_s == float("inf"):
+            return False
+        return time.monotonic() - member.spoke_at <= limit_s
+
     def may_stand_still(self, member: fleet_member.Member) -> bool:
         """Returns: whether a replica may read a call late.
 
--- a/tests/roles/gateway/test_unequal_runs.py
+++ b/tests/roles/gateway/test_unequal_runs.py
@@ -130,6 +130,33 @@
     assert calling.get()[0] == 200
 
 
+# Guards against a call that leaves a replica which speaks to others, so that
+# it may be long, and is limited at the next one, where another one waits.
+@pytest.mark.parametrize(("speaks", "given_s"), [(True, 4.8), (False, 0.4)])
+def test_call_that_left_a_speaking_replica_has_all_the_time(
+    start, speaks, given_s
+):
+    gateway = start()
+    for upstream in gateway.upstreams:
+        upstream.script = [[3.0, stubs.OK], [0.05, stubs.OK]]
+    calling = gevent.spawn(gateway.call, b"/safe/", timeout_s=10)
+    left, other = _wait_for_arrival(gateway)
+    member = gateway.fleet.find(left.name)
+    waiting = None
+    for step in range(30):
+        if speaks:
+            member.note_spoke(time.monotonic())
+        if step == 8:
+            member.note_full(time.monotonic(), 0.3)
+            waiting = gevent.spawn(gateway.call, b"/single/", timeout_s=10)
+        gevent.sleep(0.1)
+    assert calling.get(timeout=10)[0] == 200
+    assert waiting.get(timeout=10)[0] == 200
+    assert [_given_s(each) for each in other.received[1:]] == [
+        pytest.approx(given_s, abs=0.3)
+    ]
+
+
 # Guards against a long call whose only attempt is limited although no replica
 # is silent: one that has not been called yet isn't.
 @pytest.mark.parametrize("speaks", [True, False])
