--- a/tests/roles/gateway/test_changed_documents.py
+++ b/tests/roles/gateway/test_changed_documents.py
@@ -240,6 +240,25 @@
     return calling
 
 
+def _change_while_it_is_turned_away(gateway, change):
+    """Let the replica refuse that follows a silent one."""
+    gateway.use_only(1)
+    gateway.upstreams[1].script = [[stubs.BUSY]]
+    return _change_while_it_leaves_a_silent_replica(gateway, change)
+
+
+def _change_beside_a_silence_and_a_stop(gateway, change):
+    gateway.use_only(1)
+    calling = gateway.spawn_call()
+    gateway.wait_until_it_runs()
+    gateway.begin_stop()
+    pause = gevent.spawn(gateway.upstreams[0].stand_still_for, _SILENCE_S)
+    gevent.sleep(0.1)
+    change()
+    pause.get()
+    return calling
+
+
 def _change_beside_a_stop(gateway, change):
     calling = gateway.spawn_call()
     gateway.wait_until_it_runs()
@@ -283,7 +302,9 @@
     _change_before_it_is_sent_again,
     _change_while_its_replica_is_silent,
     _change_while_it_leaves_a_silent_replica,
+    _change_while_it_is_turned_away,
     _change_beside_a_stop,
+    _change_beside_a_silence_and_a_stop,
     _change_beside_a_reload,
 )
 
--- a/tests/roles/gateway/test_errors_beside_calls.py
+++ b/tests/roles/gateway/test_errors_beside_calls.py
@@ -7,8 +7,10 @@
 import pytest
 
 from papayalink import tasks
+from papayalink.coordination import upstream_client
 from papayalink.protocol import messages
 from papayalink.state import traffic
+from papayalink.transport import errors
 from tests.roles.gateway import stopped
 from tests.roles.gateway import stubs
 
@@ -46,6 +48,8 @@
         gevent.sleep(0.02)
         if self.failures < 3:
             self.failures += 1
+            if isinstance(self.fault, errors.TransportError) and not method:
+                raise upstream_client.UpstreamClientError(str(self.fault))
             if isinstance(self.fault, Exception):
                 raise self.fault
             return self.fault
@@ -94,7 +98,15 @@
 )
 @pytest.mark.parametrize(
     "fault",
-    [KeyError("x"), MemoryError("x"), RecursionError("x"), None, 7],
+    [
+        KeyError("x"),
+        MemoryError("x"),
+        RecursionError("x"),
+        errors.NotConnected("x"),
+        errors.Timeout("x"),
+        None,
+        7,
+    ],
     ids=repr,
 )
 def test_calls_outlast_replies_that_cannot_be_used(exits, follow, fault, path):
