--- a/tests/roles/gateway/test_errors_beside_calls.py
+++ b/tests/roles/gateway/test_errors_beside_calls.py
@@ -194,3 +194,31 @@
         gateway.end()
     assert not exits
     assert len(checks) >= 3
+
+
+# Guards against the same when the process stops meanwhile.
+@pytest.mark.parametrize("path", _ANSWERS)
+@pytest.mark.parametrize(
+    "fault", [KeyError("x"), errors.Timeout("x")], ids=repr
+)
+def test_calls_outlast_lost_members_within_a_stop(exits, fault, path):
+    name, steps = _ANSWERS[path]
+    gateway = stopped.Gateway(4.0, [stubs.Upstream(name, steps)], _ROUTES)
+    members = _Members(fault)
+    members.failures = float("-inf")
+    try:
+        headers = _PROMPT if path == b"/stream/" else ()
+        calling = gevent.spawn(gateway.call, path, headers)
+        while not gateway.upstreams[0].received:
+            gevent.sleep(0.005)
+        gateway._node.rpc_client = members
+        gateway.process._listing._client = members
+        for follow in (_follow_document, _follow_parts, _follow_list):
+            follow(gateway)
+        stopping = gateway.begin_stop()
+        status, _, body = calling.get(timeout=10)
+        stopping.get(timeout=10)
+    finally:
+        gateway.end()
+    assert not exits and members.asked
+    assert status == 200 and body is not None
