Wait in a test until its calls are read before the document changes

test_waiting_calls_outlast_new_documents[_move_keys-/stream/] failed once, at a load average of about 29: both calls got 401. The test gave them 0.1 s to arrive and then took their key away; they arrived after that, and 401 is right for them. It now waits until the gateway handles both calls, and 0.1 s more as before. What it asks for is the same. 56 cases of both tests with such a wait passed at a load average of about 29.

--- a/tests/roles/gateway/test_read_requests_are_answered.py
+++ b/tests/roles/gateway/test_read_requests_are_answered.py
@@ -95,6 +95,12 @@
     gevent.sleep(0.1)
 
 
+def _wait_until_they_are_read(gateway, count):
+    while gateway.server.in_flight < count:
+        gevent.sleep(0.005)
+    gevent.sleep(0.1)
+
+
 def _put_in_force(gateway, **fields):
     """Let a document with these fields come into force."""
     watcher = gateway.shared.watcher
@@ -253,7 +259,7 @@
     member.set_reachable(False)
     member.lost_at = time.monotonic()
     calling = [_spawn_call(gateway, path) for _ in range(2)]
-    gevent.sleep(0.1)
+    _wait_until_they_are_read(gateway, 2)
     change(gateway)
     gevent.sleep(0.1)
     assert not gateway.upstreams[0].received
@@ -277,7 +283,7 @@
     member.set_reachable(False)
     member.lost_at = time.monotonic()
     calling = [_spawn_call(gateway, path) for _ in range(2)]
-    gevent.sleep(0.1)
+    _wait_until_they_are_read(gateway, 2)
     change(gateway)
     member.set_reachable(True)
     gateway.fleet.changed.notify()
