Let uploads in tests of documents wait for the change, not for a time

The upload of test_upload_is_answered_whichever_field_changes paused for 0.6 s, and the document changed 0.3 s after its begin; on a busy machine its head could arrive behind the change, under whose limits it would rightly be refused. It now goes on once the document has changed, and that changes once the head is half read. 12 cases passed.

--- a/tests/roles/gateway/document_plays.py
+++ b/tests/roles/gateway/document_plays.py
@@ -4,6 +4,7 @@
 import zlib
 
 import gevent
+from gevent import event
 from gevent import socket
 import msgspec
 
@@ -96,6 +97,7 @@
             node_settings.Bounds(), lambda: 1.0, float("-inf")
         )
         self._number = 0
+        self._rest = event.Event()
         self.put_in_force(DOCUMENT)
 
     def put_in_force(self, document):
@@ -116,14 +118,17 @@
                 member.lost_at = time.monotonic()
         self.fleet.changed.notify()
 
-    def spawn_call(self, pause_s=None):
-        """Args: pause_s: pause within the body."""
-        return gevent.spawn(self._send, pause_s)
+    def spawn_call(self, pauses=False):
+        """Args: pauses: whether the rest of its body waits for `send_rest`."""
+        return gevent.spawn(self._send, pauses)
 
-    def _send(self, pause_s):
+    def send_rest(self):
+        self._rest.set()
+
+    def _send(self, pauses):
         headers = HEADERS[self.path]
         path = b"/%s/x" % self.path.encode()
-        if pause_s is None:
+        if not pauses:
             return self.call(path, headers, timeout_s=15)
         head = b"\r\n".join(
             [
@@ -137,10 +142,15 @@
         )
         with socket.create_connection(self.server.address, 15) as sock:
             sock.sendall(head + b"\r\n\r\nabc")
-            gevent.sleep(pause_s)
+            self._rest.wait()
             sock.sendall(b"def")
             return stubs._read(sock, False)
 
+    def wait_until_it_is_half_read(self):
+        with gevent.Timeout(10):
+            while not self.server._reading:
+                gevent.sleep(0.005)
+
     def wait_until_it_is_read(self):
         with gevent.Timeout(10):
             while not self.server.in_flight:
--- a/tests/roles/gateway/test_changed_documents.py
+++ b/tests/roles/gateway/test_changed_documents.py
@@ -202,10 +202,10 @@
 @pytest.mark.parametrize("path", document_plays.PATHS)
 def test_upload_is_answered_whichever_field_changes(path):
     def change_while_it_uploads(gateway, change):
-        calling = gateway.spawn_call(pause_s=0.6)
-        gevent.sleep(0.3)
-        assert not gateway.server.in_flight
+        calling = gateway.spawn_call(pauses=True)
+        gateway.wait_until_it_is_half_read()
         change()
+        gateway.send_rest()
         return calling
 
     documents = {
