Let a third of the replicas read calls late beside calls of unequal length

Nothing showed the time that replicas are given for what they read late on routes of which long runs are known: calls of unequal length came beside pauses of 1.4 s at most, and long pauses beside calls that are alike.

Calls beside such a pause needn't be answered; the bound of time that is read late holds.

--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -119,7 +119,8 @@
         uneven: share of the calls of a route that run for long, while the
             others are short; 0 for no such calls. Nothing else happens, but
             for one replica after the other that stands still with `silences`,
-            and a document after the other with `documents`.
+            a third of them at a time for as long as callers wait with
+            `pauses`, and a document after the other with `documents`.
     """
 
     authorities: int = 3
@@ -332,6 +333,7 @@
             injector.silences if scenario.silences else None,
             operator if scenario.documents else None,
             members,
+            history if scenario.pauses else None,
         ).run(until)
     elif scenario.rolls:
         if scenario.silences:
--- a/soak/uneven_runs.py
+++ b/soak/uneven_runs.py
@@ -16,6 +16,13 @@
 SILENT_S = (1.0, 1.4)
 SILENT_PERIOD_S = 3.0
 DOCUMENT_PERIOD_S = 0.5
+# A third of the replicas take calls and read none for as long as callers wait,
+# once gateways know long runs.
+SETTLING_S = 8.0
+PAUSE_S = 6.0
+PAUSE_PERIOD_S = 8.0
+PAUSED_SHARE = 1 / 3
+PAUSE_KIND = "standing_still"
 PATH_PREFIXES = (standins.UNEVEN, standins.UNEVEN_STREAM)
 
 
@@ -43,6 +50,7 @@
 
     Args:
         silences: None if no replica stands still.
+        history: where long pauses are recorded, None if there are none.
         operator: sends documents all the time, None for none.
     """
 
@@ -53,7 +61,9 @@
         silences: silences_module.Silences | None,
         operator: operators.Operator | None,
         members: list,
+        history: records.History | None,
     ) -> None:
+        self._history = history
         self._platform = platform
         self._rng = rng
         self._silences = silences
@@ -64,6 +74,8 @@
         tasks = []
         if self._silences is not None:
             tasks.append(gevent.spawn(self._silence_in_turn, until))
+        if self._history is not None:
+            tasks.append(gevent.spawn(self._pause_in_turn, until))
         if self._operator is not None:
             tasks.append(gevent.spawn(self._send_documents, until))
         gevent.sleep(max(0.0, until - time.monotonic()))
@@ -79,6 +91,31 @@
             replica.going.set()
             _sleep_until(began_at + SILENT_PERIOD_S)
 
+    def _pause_in_turn(self, until: float) -> None:
+        replicas = self._platform.replicas
+        gevent.sleep(SETTLING_S)
+        while time.monotonic() + PAUSE_S < until:
+            began_at = time.monotonic()
+            paused = self._rng.sample(
+                replicas, round(PAUSED_SHARE * len(replicas))
+            )
+            pauses = [
+                self._history.begin(PAUSE_KIND, each.replica_id)
+                for each in paused
+            ]
+            for each in paused:
+                each.going.clear()
+                self._platform.proxies[each.replica_id].pause(
+                    takes_connections=True
+                )
+            gevent.sleep(PAUSE_S)
+            for each in paused:
+                self._platform.proxies[each.replica_id].go_on()
+                each.going.set()
+            for each in pauses:
+                each.ended_at = time.monotonic()
+            _sleep_until(began_at + PAUSE_PERIOD_S)
+
     def _send_documents(self, until: float) -> None:
         while time.monotonic() < until:
             began_at = time.monotonic()
@@ -125,13 +162,20 @@
 def check(history: records.History) -> list[str]:
     """Returns: one line for each call whose time was enough for its answer.
 
-    Callers wait for more than twice as long as the longest run takes.
+    Callers wait for more than twice as long as the longest run takes. Those
+    beside replicas that stand still for as long as callers wait are left out.
     """
+    pauses = [each for each in history.disturbances if each.kind == PAUSE_KIND]
     return [
         f"{call.call_id} ({call.path_prefix}, {call.status}): not answered,"
         f" run {len(history.executions.by_call.get(call.call_id, []))} times"
         for call in history.calls
-        if _is_uneven(call) and not _is_answered(call)
+        if _is_uneven(call)
+        and not _is_answered(call)
+        and not any(
+            each.began_at < call.ended_at and call.sent_at < each.ended_at
+            for each in pauses
+        )
     ]
 
 
@@ -153,5 +197,6 @@
     silences: silences_module.Silences | None,
     operator: operators.Operator | None,
     members: list,
+    history: records.History | None = None,
 ) -> UnevenRuns:
-    return UnevenRuns(platform, rng, silences, operator, members)
+    return UnevenRuns(platform, rng, silences, operator, members, history)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
 SILENCE_S = 8.0
 # Two of the periods in which repeats count, and the time before.
 REPEATS_S = 41.0
+UNEVEN_PAUSES_S = 24.0
 BREAKS_S = 15.0
 
 
@@ -127,6 +128,14 @@
             seed_run.Scenario(gateways=4, uneven=0.15, silences=True),
             id="uneven-silences",
         ),
+        # The same while a third of them stand still for as long as callers
+        # wait, once gateways know long runs. What was sent there was read with
+        # the whole time of its caller.
+        pytest.param(
+            1,
+            seed_run.Scenario(uneven=0.15, gateways=7, pauses=True),
+            id="uneven-pauses",
+        ),
     ],
 )
 def test_guarantees_hold(tmp_path, seed, scenario):
@@ -140,6 +149,8 @@
     if learning:
         # These show only after the time that entries have to learn of them.
         seconds += LEARNING_S
+        if scenario.pauses:
+            seconds += UNEVEN_PAUSES_S
     elif scenario.weights:
         # Longer than old weights may be used.
         seconds += OLD_WEIGHTS_S
--- a/tests/soak/test_uneven_runs.py
+++ b/tests/soak/test_uneven_runs.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from soak import checks
 from soak import proxy
 from soak import records
 from soak import uneven_runs
@@ -123,3 +124,26 @@
     assert [each.split(" ")[0] for each in found] == [
         history.calls[number].call_id for number in (1, 2, 4)
     ]
+
+
+# Guards against a check that looks away for longer than a pause lasts that is
+# as long as callers wait, or beside a shorter one.
+@pytest.mark.parametrize(
+    ("kind", "began_at", "ended_at", "found"),
+    [
+        (uneven_runs.PAUSE_KIND, 9.0, 15.0, 0),
+        (uneven_runs.PAUSE_KIND, 12.5, 18.5, 0),
+        (uneven_runs.PAUSE_KIND, 13.5, 19.5, 1),
+        (uneven_runs.PAUSE_KIND, 3.0, 9.0, 1),
+        (checks.SILENT_KIND, 9.0, 15.0, 1),
+    ],
+)
+def test_calls_beside_long_pauses_are_left_out(
+    kind, began_at, ended_at, found
+):
+    history = records.History(records.Executions(), long_share=_SHARE)
+    history.calls = [_make_call(1, standins.UNEVEN, True, status=504)]
+    history.disturbances.append(
+        records.Disturbance(kind, "i-1", began_at, ended_at)
+    )
+    assert len(uneven_runs.check(history)) == found
