End the tasks that a test of errors beside calls has started

Nothing was seen by callers. Cause: the tasks of the test's gateways went on after it, for the last cases with members that fail for ever; each failure raised the same error object again, whose traceback grew, and logged it. The log had ten million lines, and the process no time for other tests.

The tasks end with the test, and each failure raises an error of its own. What the test asserts is as before: 48 cases pass; they print 3,632 lines, 620,476 before.

--- a/tests/roles/gateway/test_errors_beside_calls.py
+++ b/tests/roles/gateway/test_errors_beside_calls.py
@@ -51,7 +51,8 @@
             if isinstance(self.fault, errors.TransportError) and not method:
                 raise upstream_client.UpstreamClientError(str(self.fault))
             if isinstance(self.fault, Exception):
-                raise self.fault
+                # One that is raised again keeps all its former tracebacks.
+                raise type(self.fault)(*self.fault.args)
             return self.fault
         match message:
             case messages.Watch():
@@ -68,9 +69,18 @@
 def exits(monkeypatch):
     """Tasks whose failure would have ended the process."""
     failed = []
+    started = []
+    spawn = tasks.spawn
+
+    def spawn_noted(function, *arguments):
+        started.append(spawn(function, *arguments))
+        return started[-1]
+
+    monkeypatch.setattr(tasks, "spawn", spawn_noted)
     monkeypatch.setattr(tasks, "_end_process", failed.append)
     monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.05)
-    return failed
+    yield failed
+    gevent.killall(started)
 
 
 def _follow_document(gateway):
