Bound the receive buffer of the proxies of the soak

Cause: the proxy of a replica had answered the upload itself, with a part of an answer that it ends and resets 0.15 s later. The soak takes a sender to be able to tell that, since the buffers of the connection can't take in an upload of 300,000 bytes that nobody reads. On a connection that has carried uploads before, the kernel has widened the receive buffer, and takes in all of it: the peer has acknowledged the whole request and ended its answer, as a sound one does, and the reset comes later.

Change: the proxies' connections have a receive buffer of a fixed size. The check of the soak stays as it was.

--- a/soak/broken_answers.py
+++ b/soak/broken_answers.py
@@ -9,8 +9,8 @@
 # How a connection is ended behind a part of an answer, and what stands where
 # a status is due.
 MODES = ("end_reset", "end_reset_later", "odd_status")
-# Uploads of this size are not read to their end by buffers alone, so that
-# their sender can tell that an answer is a part.
+# Uploads of this size are not taken in whole by the buffers of a proxy, so
+# that their sender can tell that an answer is a part.
 MIN_UPLOAD_BYTES = 300_000
 _LATER_S = 0.15
 _STATUSES = (b"000", b"099", b"600", b"999", b"20", b"2000")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -12,6 +12,9 @@
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 256
+# A connection that has carried uploads gets more room for the next one, which
+# would then be taken in whole although its answer breaks off.
+RECEIVE_BUFFER_BYTES = 65_536
 # Time after which a connection was not taken, since the queue is full.
 FILL_TIMEOUT_S = 0.03
 FAULT_MODES = (
@@ -55,6 +58,10 @@
             listen or (target[0], 0), self._serve, backlog=BACKLOG
         )
         self._server.start()
+        # Accepted connections have what their listener has.
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.address = f"{target[0]}:{self._server.server_port}"
 
     def reset_all(self) -> None:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -5,10 +5,13 @@
 from gevent import socket
 import pytest
 
+from papayalink.transport import errors
+from papayalink.transport import request_delivery
 from soak import broken_answers
 from soak import proxy as proxies
 
 TIMEOUT_S = 0.3
+UPLOAD_BYTES = 400_000
 
 
 @pytest.fixture
@@ -16,7 +19,7 @@
     received = []
 
     def echo(connection, _):
-        while data := connection.recv(100):
+        while data := connection.recv(100_000):
             received.append(data)
             connection.sendall(data)
 
@@ -71,6 +74,33 @@
     assert not received
 
 
+@pytest.mark.parametrize("uploads", [0, 1, 5])
+def test_used_connection_takes_in_no_whole_upload(proxy, uploads):
+    """Guards against a part of an answer that no sender can tell."""
+    tested_proxy, received = proxy
+    connection = _connect(tested_proxy)
+    connection.settimeout(5.0)
+    for _ in range(uploads):
+        sender = gevent.spawn(connection.sendall, bytes(UPLOAD_BYTES))
+        echoed = 0
+        while echoed < UPLOAD_BYTES:
+            echoed += len(connection.recv(100_000))
+        sender.get()
+    tested_proxy.mode = "end_reset_later"
+    upload = (
+        b"POST /once/c HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n"
+        b"Papayalink-Request-Id: c1\r\n\r\n"
+    ) + bytes(UPLOAD_BYTES)
+    first = upload[:10_000]
+    connection.sendall(first)
+    while connection.recv(1000):
+        pass
+    with pytest.raises(errors.ConnectionLost):
+        request_delivery.confirm(
+            connection, len(upload), lambda: 5.0, upload[len(first) :]
+        )
+
+
 @pytest.mark.parametrize("mode", broken_answers.MODES)
 def test_other_requests_are_passed_on_beside_broken_answers(proxy, mode):
     tested_proxy, received = proxy
