Keep the connection to a silent replica until another one takes the call

The replica that it had left went on 0.4 to 0.8 s later.

Cause: to leave a replica closed its connection, so that the only way back was to send the call once more, which the budget did not allow.

Now a call that leaves a silent replica while it waits for the head, or for more of a stream, keeps that attempt (paused_attempts.py). Once another replica answers with its stamp and no failure of its own, it is given up; also after 2 s, within which sound replicas go on, or when the call is sent to the same replica again. If the call would end otherwise, as it was turned away or lost without room for a sending, or finds no usable replica, it waits on there. Nothing is sent for that: the budget and what it is charged are as before. A failure that a replica itself answers with is passed on as before.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -131,6 +131,15 @@
         "_has_id",
         "_keep_alive_s",
         "_progress",
+        "_started_at",
+        "_first_s",
+        "_status",
+        "_may_pause",
+        "_paused",
+        "_reader",
+        "_needs_ids",
+        "_stream_bytes",
+        "_ends_with_connection",
     )
 
     def __init__(
@@ -159,12 +168,28 @@
         self._has_id = False
         self._keep_alive_s: float | None = None
         self._progress = Progress.NONE
+        self._started_at = 0.0
+        self._first_s = 0.0
+        self._status = 0
+        # Whether it waits where the wait may be taken up again.
+        self._may_pause = False
+        self._paused = False
+        # Reads the events of its answer, None before they begin.
+        self._reader: events.EventReader | None = None
+        self._needs_ids = False
+        self._stream_bytes = 0
+        self._ends_with_connection = False
 
     @property
     def address(self) -> str:
         """Address that it has connected to."""
         return self._address
 
+    @property
+    def paused(self) -> bool:
+        """Whether the call has left the replica, and may `go_on` there."""
+        return self._paused
+
     def connect(self) -> bool:
         """Returns: whether there is a connection to send the call on."""
         self._address = self._member.replica.address
@@ -200,18 +225,46 @@
         Args:
             stream: state of an event stream, None for any other answer.
         """
-        started_at = time.monotonic()
+        self._started_at = time.monotonic()
+        return self._carry_out(dispatch, stream)
+
+    def go_on(self, stream: StreamState | None) -> Answered | Unanswered:
+        """Wait on for the answer of a replica that the call has left.
+
+        Nothing is sent. The caller must have got nothing of another answer
+        since.
+        """
+        self._paused = False
+        return self._carry_out(None, stream)
+
+    def abandon(self) -> None:
+        """Give up an attempt that is paused."""
+        self._paused = False
+        self._channel.close()
+
+    def _carry_out(
+        self, dispatch: calls.Dispatch | None, stream: StreamState | None
+    ) -> Answered | Unanswered:
+        """Args: dispatch: None if the call has been sent."""
         try:
-            self._channel.send(
-                self._call.method,
-                self._call.target,
-                self._dialect.encode_call(self._call, dispatch),
-                self._call.body,
-                self._remaining_s,
-            )
-            head, answer = self._read_own_head()
-            first_s = time.monotonic() - started_at
-            result = self._relay(head, answer, stream, first_s)
+            if dispatch is not None:
+                self._channel.send(
+                    self._call.method,
+                    self._call.target,
+                    self._dialect.encode_call(self._call, dispatch),
+                    self._call.body,
+                    self._remaining_s,
+                )
+            if self._reader is None:
+                head, answer = self._read_own_head()
+                self._first_s = time.monotonic() - self._started_at
+                result = self._relay(head, answer, stream)
+            else:
+                result = self._relay_events(stream)
+        except errors.UpstreamLeft as error:
+            self._paused = self._may_pause
+            lost = attempts.Lost(str(error))
+            return Unanswered(lost, progress=self._progress)
         except errors.Timeout:
             if self._channel.used and self._progress is Progress.NONE:
                 # What has made it silent may have done so to all of them.
@@ -226,7 +279,8 @@
         finally:
             self._channels.held.give_back(self._held_bytes)
             self._held_bytes = 0
-            self._release_channel()
+            if not self._paused:
+                self._release_channel()
         return result
 
     def _release_channel(self) -> None:
@@ -256,7 +310,10 @@
         call.
         """
         while True:
+            # A call may not leave the replica within an earlier answer.
+            self._may_pause = True
             head = self._channel.read_head(self._remaining_s)
+            self._may_pause = False
             answer = self._dialect.decode_answer(
                 head.status_code, head.headers.raw_items()
             )
@@ -271,7 +328,6 @@
         head: h11.Response,
         answer: calls.Answer,
         stream: StreamState | None,
-        first_s: float,
     ) -> Answered | Unanswered:
         self._member.heard_at = time.monotonic()
         self._member.answered_at = self._member.heard_at
@@ -293,15 +349,26 @@
             body = self._read_body()
             if answer.status < 500 and not begun:
                 self._responder.respond(answer.status, answer.headers, body)
-                return Answered(answer.status, first_s)
+                return Answered(answer.status, self._first_s)
             failed = attempts.Failed(answer.status)
             return Unanswered(failed, answer, body)
-        if stream is None:
-            body = self._read_body()
-            self._responder.respond(answer.status, answer.headers, body)
-        else:
-            self._relay_events(answer, stream, _ends_with_connection(head))
-        return Answered(answer.status, first_s, _ends_with_connection(head))
+        self._status = answer.status
+        self._ends_with_connection = _ends_with_connection(head)
+        if stream is not None:
+            self._reader = events.make_event_reader()
+            self._needs_ids = stream.last_event_id > 0
+            if not stream.begun:
+                stream.note_begun(answer)
+                self._responder.begin(answer.status, answer.headers)
+            return self._relay_events(stream)
+        body = self._read_body()
+        self._responder.respond(answer.status, answer.headers, body)
+        return self._answered()
+
+    def _answered(self) -> Answered:
+        return Answered(
+            self._status, self._first_s, self._ends_with_connection
+        )
 
     def _read_body(self) -> bytes:
         chunks = []
@@ -315,31 +382,23 @@
         self._complete = True
         return b"".join(chunks)
 
-    def _relay_events(
-        self,
-        answer: calls.Answer,
-        stream: StreamState,
-        ends_with_connection: bool,
-    ) -> None:
+    def _relay_events(self, stream: StreamState) -> Answered:
         """Pass on whole events as they arrive.
 
         The caller gets no part of an incomplete event, so that another
         replica can continue after the last whole one. A stream that may end
         with its connection, and does so before an event, has broken off.
         """
-        reader = events.make_event_reader()
-        needs_ids = stream.last_event_id > 0
-        if not stream.begun:
-            stream.note_begun(answer)
-            self._responder.begin(answer.status, answer.headers)
-        stream_bytes = 0
+        self._may_pause = True
         while data := self._channel.read_data(self._remaining_s, False):
             self._member.heard_at = time.monotonic()
-            stream_bytes += len(data)
-            if stream_bytes > MAX_STREAM_BYTES:
+            self._stream_bytes += len(data)
+            if self._stream_bytes > MAX_STREAM_BYTES:
                 raise errors.ConnectionLost("stream is too large")
-            arrived = reader.feed(data)
-            ready = b"".join(self._accept_events(arrived, stream, needs_ids))
+            arrived = self._reader.feed(data)
+            ready = b"".join(
+                self._accept_events(arrived, stream, self._needs_ids)
+            )
             if ready:
                 self._progress = Progress.EVENTS
                 # Parts of an event do not show that a replica makes progress.
@@ -347,12 +406,16 @@
                 self._member.note_spoke(self._member.heard_at)
                 stream.note_events(self._member.heard_at)
                 self._responder.write(ready)
-        if reader.partial_event:
+        if self._reader.partial_event:
             raise errors.ConnectionLost("stream ends within an event")
-        if ends_with_connection and self._progress is not Progress.EVENTS:
+        if (
+            self._ends_with_connection
+            and self._progress is not Progress.EVENTS
+        ):
             raise errors.ConnectionLost("stream has no event")
         self._complete = True
         self._responder.end()
+        return self._answered()
 
     def _accept_events(
         self,
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from papayalink.coordination import attempts
-from papayalink.coordination import awaited
 from papayalink.coordination import call_keys
 from papayalink.coordination import fleet_member
 from papayalink.coordination import replica_choice
@@ -18,6 +17,7 @@
 from papayalink.roles.gateway import call_record
 from papayalink.roles.gateway import crash_guard
 from papayalink.roles.gateway import observations
+from papayalink.roles.gateway import paused_attempts
 from papayalink.roles.gateway import record_faults
 from papayalink.roles.gateway import repeat_charges
 from papayalink.roles.gateway import replica_wait
@@ -66,6 +66,7 @@
         "_run_notes",
         "_crash_guard",
         "_returns",
+        "_paused",
     )
 
     def __init__(
@@ -144,6 +145,7 @@
         )
         # Whether the call goes back to the silent replicas that it has left.
         self._returns = False
+        self._paused = paused_attempts.make_paused_attempts()
         self._replica_wait = replica_wait.make_replica_wait(
             shared.fleet, received_at, route.objective_s, self._deadline
         )
@@ -189,6 +191,7 @@
         except errors.ServerStops:
             self._ending.at_stop()
         finally:
+            self._paused.abandon()
             self._charges.close()
 
     def _try_once(self) -> bool:
@@ -197,8 +200,7 @@
             expired = attempt.Unanswered(attempts.Expired())
             return self._handle_unanswered(expired)
         if blocked := self._crash_guard.check():
-            self._ending.without_replica(blocked.reason, blocked.retry_after_s)
-            return False
+            return self._without_replica(blocked.reason, blocked.retry_after_s)
         self._shared.limits.note_call(self._service)
         choice = self._choose()
         if self._ends_too_late(choice):
@@ -206,13 +208,17 @@
         if choice is None and (self._wait_for_replica() or self._return()):
             return True
         if choice is None:
-            self._ending.without_replica("no usable replica")
-            return False
+            return self._without_replica("no usable replica")
         if self._shed(choice):
             return False
         member = choice.member
         self._record.note_choice(member, choice.wait_s)
-        result = self._send(member)
+        return self._handle_result(self._send(member))
+
+    def _handle_result(
+        self, result: attempt.Answered | attempt.Unanswered | None
+    ) -> bool:
+        """Returns: whether to try again."""
         match result:
             case None:
                 return True
@@ -298,11 +304,14 @@
                 member, self._selection_request, now
             )
         # Emptied once the head of the answer ends the prefill.
-        prefill_tokens = [int(own_tokens)]
+        prefill_tokens: list[int] = []
 
         def note_answer(answer: calls.Answer) -> None:
             self._charges.note_read()
-            member.end_prefill(self._urgency, prefill_tokens.pop())
+            if prefill_tokens:
+                member.end_prefill(self._urgency, prefill_tokens.pop())
+            if _takes_call(answer):
+                self._paused.abandon()
             self._note_begun(member, answer)
             with record_faults.logged(self._call.call_id):
                 self._observations.note_head(member, answer, now)
@@ -320,9 +329,7 @@
             self._responder,
             self._remaining_s,
             note_answer,
-            lambda silent_s: self._silence.check(
-                member, self._selection_request, silent_s
-            ),
+            lambda silent_s: self._check_silence(member, silent_s),
         )
         had_time = self._remaining_s() >= upstream_channels.CONNECT_TIMEOUT_S
         memory_tokens = self._selection_request.memory_tokens
@@ -349,6 +356,8 @@
         if not self._may_send(member, sending_attempt.address, permit):
             self._withdraw(member, sending_attempt, permit)
             return None
+        # It need not run twice there.
+        self._paused.abandon_at(member)
         dispatch = self._make_dispatch(member)
         self._crash_guard.note_sending()
         self._attempts.note_sending()
@@ -359,7 +368,11 @@
             self._silent_replicas.limit_s(),
             self._silent_replicas.usual_limit_s(),
         )
+        sent = paused_attempts.Sent(
+            member, sending_attempt, dispatch, now, waiting
+        )
         member.begin_call(self._urgency, memory_tokens)
+        prefill_tokens.append(int(own_tokens))
         member.begin_prefill(self._urgency, int(own_tokens))
         try:
             result = sending_attempt.run(dispatch, self._stream)
@@ -368,6 +381,35 @@
             member.end_call(self._urgency, memory_tokens)
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
+        self._note_end(sent, result)
+        return result
+
+    def _go_on(self) -> bool:
+        """Wait on at the replica that the call has left last.
+
+        Returns: whether to try again.
+        """
+        sent = self._paused.take()
+        member = sent.member
+        self._record.note_choice(member, self._record.expected_s)
+        self._shared.metrics.count("silent_replicas_returned_to")
+        memory_tokens = self._selection_request.memory_tokens
+        member.begin_call(self._urgency, memory_tokens)
+        try:
+            result = sent.attempt.go_on(self._stream)
+        finally:
+            member.end_call(self._urgency, memory_tokens)
+        self._note_end(sent, result)
+        return self._handle_result(result)
+
+    def _note_end(
+        self,
+        sent: paused_attempts.Sent,
+        result: attempt.Answered | attempt.Unanswered,
+    ) -> None:
+        """Record that an attempt has ended, or is paused."""
+        if sent.attempt.paused:
+            self._paused.add(sent)
         match result:
             case attempt.Unanswered(outcome=attempts.Lost()):
                 self._crash_guard.note_lost()
@@ -376,41 +418,48 @@
                     self._charges.note_read()
             case attempt.Unanswered(outcome=attempts.NotRun()):
                 if self._attempts.left:
-                    self._record.turned_away.add(member.replica.replica_id)
+                    self._record.turned_away.add(
+                        sent.member.replica.replica_id
+                    )
         with record_faults.logged(self._call.call_id):
-            self._note_result(member, dispatch, result, now, waiting)
-        return result
+            self._note_result(sent, result)
+
+    def _check_silence(
+        self, member: fleet_member.Member, silent_s: float
+    ) -> None:
+        self._paused.abandon_old()
+        self._silence.check(member, self._selection_request, silent_s)
 
     def _note_result(
         self,
-        member: fleet_member.Member,
-        dispatch: calls.Dispatch,
+        sent: paused_attempts.Sent,
         result: attempt.Answered | attempt.Unanswered,
-        sent_at: float,
-        waiting: awaited.Awaited,
     ) -> None:
         """Record what the end of an attempt shows."""
+        member = sent.member
         match result:
             case attempt.Answered(_, first_s):
-                took_s = time.monotonic() - sent_at
-                self._run_notes.note_answered(first_s, took_s, waiting)
+                took_s = time.monotonic() - sent.sent_at
+                self._run_notes.note_answered(first_s, took_s, sent.waiting)
                 fleet = self._shared.fleet
                 fleet.note_memory_held(self._selection_request, took_s)
-                self._observations.note_answer(member, dispatch.salt, result)
+                self._observations.note_answer(
+                    member, sent.dispatch.salt, result
+                )
             case attempt.Unanswered():
                 self._record.log_attempt(member, result)
                 if self._run_notes.note_unanswered(
                     member,
                     result,
-                    sent_at,
-                    dispatch.remaining_ms,
-                    waiting,
+                    sent.sent_at,
+                    sent.dispatch.remaining_ms,
+                    sent.waiting,
                     self._charges.reserved,
                 ):
                     self._record.stopped_at = member.replica.replica_id
                     self._attempts.note_left(member.replica.replica_id)
                     self._shared.metrics.count("runs_stopped")
-                self._observations.note_failure(member, result, sent_at)
+                self._observations.note_failure(member, result, sent.sent_at)
 
     def _note_not_connected(
         self, member: fleet_member.Member, had_time: bool
@@ -531,9 +580,32 @@
             return True
         if not_sent and self._finds_replica(now):
             return True
+        if self._paused and self._may_go_on(decision, outcome):
+            return self._go_on()
         self._ending.unanswered(decision, result)
         return False
 
+    def _may_go_on(
+        self, decision: attempts.Decision, outcome: attempts.Outcome
+    ) -> bool:
+        """Returns: whether a replica that was left may give a better end."""
+        if isinstance(outcome, attempts.Expired):
+            return False
+        begun = self._stream is not None and self._stream.begun
+        return begun or not isinstance(decision, attempts.PassOn)
+
+    def _without_replica(
+        self, reason: str, retry_after_s: float | None = None
+    ) -> bool:
+        """Go on where the call was left, or end it.
+
+        Returns: whether to try again.
+        """
+        if self._paused:
+            return self._go_on()
+        self._ending.without_replica(reason, retry_after_s)
+        return False
+
     def _finds_replica(self, now: float) -> bool:
         """Returns: whether a replica is usable now, or after a wait."""
         request, excluded = self._selection_request, self._find_excluded()
@@ -600,6 +672,13 @@
         return self._deadline - time.monotonic()
 
 
+def _takes_call(answer: calls.Answer) -> bool:
+    """Returns: whether a replica shows that it serves the call."""
+    return (
+        answer.has_server_stamp and not answer.not_run and answer.status < 500
+    )
+
+
 def make_call_run(
     shared: shared_parts.Shared,
     call: calls.Call,
--- a/papayalink/roles/gateway/silence.py
+++ b/papayalink/roles/gateway/silence.py
@@ -34,6 +34,7 @@
 # Replicas that are checked in a row to find one that can be reached; a failed
 # check takes up to 0.5 s.
 MAX_CHECKED = 2
+_HAS_ENDED = "replica has ended"
 
 
 class SilenceCheck:
@@ -102,13 +103,17 @@
 
         Args:
             request: what the call needs of a replica.
-        Raises: errors.ConnectionLost: the attempt is to end.
+        Raises:
+            errors.UpstreamLeft: the call leaves the replica, which may go on.
+            errors.ConnectionLost: the replica has ended.
         """
         reason = ""
         with record_faults.logged(self._record.call_id):
             reason = self._find_reason(member, request, silent_s)
-        if reason:
+        if reason == _HAS_ENDED:
             raise errors.ConnectionLost(reason)
+        if reason:
+            raise errors.UpstreamLeft(reason)
 
     def _find_reason(
         self,
@@ -122,7 +127,7 @@
         if not _leaves(member) and (
             _has_restarted(member, silent_since) or self._runs_again(member)
         ):
-            return "replica has ended"
+            return _HAS_ENDED
         obstacle = self._find_lasting_obstacle()
         if obstacle:
             # Other calls depend on what the check finds out.
--- a/papayalink/transport/errors.py
+++ b/papayalink/transport/errors.py
@@ -17,6 +17,10 @@
     """The connection broke after the request may have been sent."""
 
 
+class UpstreamLeft(ConnectionLost):
+    """The call leaves an upstream that is silent and may go on."""
+
+
 class Timeout(TransportError):
     """No answer arrived in time; the request may have been carried out."""
 
