Count kept failures of replicas as held bytes

A call whose replica has failed keeps that answer, up to 64 KiB, while it looks for another replica. Nothing bounded these together: they were outside of the 64 MB that all answers may hold. A machine with 150 MB and 4,100 descriptors has room for over 2,000 calls at once; only the retry budget kept them from 128 MB of failures. That a process ended by it was not seen.

Now they are counted as held until the call ends. One over 4 KiB is kept only while there is room, so that all of them are within the bound; without room its caller gets what it would get without a kept failure. A smaller one is kept in any case.

tests/roles/gateway/test_kept_failures.py: two of three new cases failed before (0 bytes counted for 12 kept failures of 64 KiB; a failure kept without room); the third, a small failure beside a full budget, passed before and does now.

--- a/papayalink/roles/gateway/call_ending.py
+++ b/papayalink/roles/gateway/call_ending.py
@@ -9,6 +9,7 @@
 from papayalink.roles.gateway import shared as shared_parts
 from papayalink.transport import errors
 from papayalink.transport import responders
+from papayalink.transport import upstream_channels
 
 # Delay given to refused callers by default. They retry after a third of their
 # time at most; a fleet that is full stays full for at least this long.
@@ -17,6 +18,8 @@
 STOPPING_RETRY_AFTER_S = 0.0
 # Largest body of a replica's failure that is kept while another one is tried.
 MAX_KEPT_BODY_BYTES = 64 * 1024
+# A body up to this size is kept even if answers hold all memory that they may.
+MAX_SMALL_BODY_BYTES = 4 * 1024
 
 
 class CallEnding:
@@ -64,10 +67,22 @@
         self._failure: attempt.Unanswered | None = None
 
     def keep_failure(self, result: attempt.Unanswered) -> None:
-        """Keep the failure of a replica while the call goes on elsewhere."""
-        if result.answer is not None:
-            if len(result.body) <= MAX_KEPT_BODY_BYTES:
-                self._failure = result
+        """Keep the failure of a replica while the call goes on elsewhere.
+
+        It counts as held until `close`.
+        """
+        if result.answer is None or len(result.body) > MAX_KEPT_BODY_BYTES:
+            return
+        own_bytes = upstream_channels.OWN_HELD_BYTES - MAX_SMALL_BODY_BYTES
+        if self._shared.channels.held.take(len(result.body), own_bytes):
+            self.close()
+            self._failure = result
+
+    def close(self) -> None:
+        """Free what is kept."""
+        if self._failure is not None:
+            self._shared.channels.held.give_back(len(self._failure.body))
+            self._failure = None
 
     def record(self, outcome: str, status: int, reason: str) -> None:
         """Record the end of the call."""
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -193,6 +193,7 @@
         finally:
             self._paused.abandon()
             self._charges.close()
+            self._ending.close()
 
     def _try_once(self) -> bool:
         """Returns: whether to try again."""
--- a/tests/roles/gateway/test_kept_failures.py
+++ b/tests/roles/gateway/test_kept_failures.py
@@ -1,8 +1,11 @@
 """Tests of calls that fail at one replica and get no answer from another."""
 
+import gevent
 import pytest
 
+from papayalink.roles.gateway import call_ending
 from papayalink.state import traffic
+from papayalink.transport import upstream_channels
 from tests.roles.gateway import stubs
 
 _ROUTES = (
@@ -106,3 +109,84 @@
     status, headers, _, _ = call(b"/safe/", [stubs.ERROR], [stubs.BUSY])
     assert status == 500
     assert b"papayalink-not-executed" not in headers
+
+
+_KEPT = b"y" * call_ending.MAX_KEPT_BODY_BYTES
+_KEPT_ERROR = (
+    b"HTTP/1.1 500 No\r\n%sContent-Length: %d\r\n\r\n"
+    % (stubs.STAMP, len(_KEPT))
+    + _KEPT
+)
+_CALLS_AT_ONCE = 12
+
+
+class _Failing(stubs.Upstream):
+    """Fails each call that comes to it first, and is silent to the others.
+
+    Attributes:
+        failed: ids of calls that have failed, which all upstreams share.
+        error: answer to a call that fails.
+    """
+
+    failed: set
+    error = _KEPT_ERROR
+
+    def next_steps(self, request):
+        _, _, rest = request.partition(b"Papayalink-Request-Id: ")
+        call_id, _, _ = rest.partition(b"\r\n")
+        if call_id in self.failed:
+            return [1]
+        self.failed.add(call_id)
+        return [self.error]
+
+
+@pytest.fixture
+def failing():
+    """A gateway before replicas that fail each call once."""
+    upstreams = [_Failing(f"desk{index}") for index in range(2)]
+    failed = set()
+    for upstream in upstreams:
+        upstream.failed = failed
+    gateway = stubs.Gateway(upstreams, _ROUTES)
+    yield gateway
+    gateway.stop()
+
+
+def _call_all(gateway):
+    """Returns: the answers, and the bytes held beside those at the start."""
+    held = gateway.channels.held
+    before = held.taken_bytes
+    calls = [
+        gevent.spawn(
+            gateway.call, b"/safe/", [b"Papayalink-Request-Id: c%d" % number]
+        )
+        for number in range(_CALLS_AT_ONCE)
+    ]
+    most_bytes = 0
+    while not all(call.ready() for call in calls):
+        most_bytes = max(most_bytes, held.taken_bytes - before)
+        gevent.sleep(0.005)
+    assert held.taken_bytes == before
+    return [call.get() for call in calls], most_bytes
+
+
+# Guards against failures of many calls that fill the memory beside answers.
+def test_kept_failures_count_as_held(failing):
+    answers, most_bytes = _call_all(failing)
+    kept = [body for status, _, body in answers if status == 500]
+    assert kept == [_KEPT] * _CALLS_AT_ONCE
+    assert most_bytes >= len(kept) * len(_KEPT)
+
+
+# Guards against a small failure that is dropped beside them.
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [(_KEPT_ERROR, 504), (stubs.ERROR, 500)],
+    ids=["large", "small"],
+)
+def test_failures_without_room(failing, monkeypatch, error, status):
+    monkeypatch.setattr(_Failing, "error", error)
+    held = failing.channels.held
+    assert held.take(upstream_channels.MAX_HELD_BYTES, 0)
+    answers, _ = _call_all(failing)
+    assert {each for each, _, _ in answers} == {status}
