Let tests of closes beside changes wait for what they rely on

Two tests of the table failed once each beside load: in one, a caller had read nothing when the test ended; in the other, callers found the port closed and none had been accepted at the stop.

Both come from the clock of the test. Its callers and its server run in one process. A caller gave up after 0.48 s without bytes, also if the process had stood still for that time and the server had not run. And the change came 0.06 s after the callers were spawned, whether they had connected or not.

A caller now gives up after 48 turns of 0.01 s without bytes. A standstill is one turn, so that the server gets the same time as before. The change waits until the server has begun to read a request of each connection, besides the time before it. What is asserted stays.

--- a/tests/transport/test_closes_beside_changes.py
+++ b/tests/transport/test_closes_beside_changes.py
@@ -13,6 +13,9 @@
 _RUN_S = 0.08
 _PAUSE_S = 0.03
 _TIMEOUT_S = 5.0
+# Turns of the loop without anything to read after which no more is expected.
+_TURN_S = 0.01
+_SILENT_TURNS = round(6 * _RUN_S / _TURN_S)
 _LIMITS = {
     "header_bytes": 4096,
     "body_bytes": 1000,
@@ -36,11 +39,17 @@
 
 
 class _Server:
-    """A server whose limits change, and that counts what it runs."""
+    """A server whose limits change, and that counts what it runs.
+
+    Attributes:
+        ran: number of requests that were run.
+        served: tasks of the connections of which a request was run.
+    """
 
     def __init__(self):
         self.limits = _LIMITS
         self.ran = 0
+        self.served = set()
         self.server = caller_server.make_caller_server(
             (own_host.HOST, 0),
             self._answer,
@@ -51,9 +60,16 @@
 
     def _answer(self, request, responder):
         self.ran += 1
+        self.served.add(gevent.getcurrent())
         gevent.sleep(_RUN_S)
         responder.respond(200, [], request.body)
 
+    def wait_until_read(self, connections):
+        """Wait until it has begun to read a request of each connection."""
+        with gevent.Timeout(_TIMEOUT_S):
+            while len(self.served | self.server._reading) < connections:
+                gevent.sleep(0.001)
+
 
 @pytest.fixture
 def changing():
@@ -134,14 +150,24 @@
 
 
 def _read_all(sock):
-    """Returns: what comes until the end, or nothing comes for a while."""
+    """Returns: what comes until the end, or nothing comes for a while.
+
+    The server runs in this process. A time in which both stand still is one
+    turn, however long it is.
+    """
     received = b""
-    sock.settimeout(6 * _RUN_S)
-    try:
-        while data := sock.recv(65536):
-            received += data
-    except TimeoutError:
-        pass
+    sock.settimeout(_TURN_S)
+    silent_turns = 0
+    while silent_turns < _SILENT_TURNS:
+        try:
+            data = sock.recv(65536)
+        except TimeoutError:
+            silent_turns += 1
+            continue
+        if not data:
+            break
+        received += data
+        silent_turns = 0
     return received
 
 
@@ -166,6 +192,7 @@
     changed = event.Event()
     calling = [gevent.spawn(call, index) for index in range(_CALLERS)]
     gevent.sleep(2 * _PAUSE_S)
+    changing.wait_until_read(_CALLERS)
     change(changing)
     changed.set()
     for each in calling:
