End the check of a silent replica with the time of its call

Cause: while a call waits for a silent replica, its gateway checks each 0.4 s whether that one and others can be reached. A check may wait for 0.5 s a replica, whatever the call has left; and the wait for bytes behind it went by the time left from before it.

Change: a check ends with the time of the call, and the time left is read again behind it.

--- a/papayalink/transport/upstream_channel.py
+++ b/papayalink/transport/upstream_channel.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import time
 
+import gevent
 from gevent import select
 from gevent import socket
 import h11
@@ -42,6 +43,7 @@
     Attributes:
         on_silence: called during the wait for an answer with the number of
             seconds without progress; it may end the call by raising an error.
+            It may wait itself, and is ended at the end of the call's time.
     """
 
     __slots__ = (
@@ -376,9 +378,10 @@
             if time_left_s <= 0:
                 raise errors.Timeout("no answer in time")
             if time.monotonic() >= self._check_at and not self._defer_check():
-                self._report_silence()
+                self._report_silence(time_left_s)
                 self._check_at = time.monotonic() + SILENCE_PERIOD_S
                 self._check_deferred = False
+                continue
             check_in_s = self._check_at - time.monotonic()
             self._sock.settimeout(max(0.001, min(check_in_s, time_left_s)))
             try:
@@ -400,11 +403,16 @@
         self._check_deferred = readiness.has_unread_bytes(self._sock)
         return self._check_deferred
 
-    def _report_silence(self) -> None:
-        """Let on_silence decide, unless something arrives meanwhile."""
+    def _report_silence(self, time_left_s: float) -> None:
+        """Let on_silence decide, unless something arrives meanwhile.
+
+        Args:
+            time_left_s: time after which its decision comes too late.
+        """
         unread = readiness.has_unread_bytes(self._sock)
         try:
-            self.on_silence(time.monotonic() - self._progress_at)
+            with gevent.Timeout(time_left_s, False):
+                self.on_silence(time.monotonic() - self._progress_at)
         except errors.ConnectionLost:
             if unread or not readiness.has_unread_bytes(self._sock):
                 raise
