Let both entries know the agent before they are sent one key

test_same_key_through_two_entries_runs_once failed once beside load: 503 "no upstream for service orders" from one entry.

The test before it ends the agent and starts it again, and waits until the second entry serves its calls. Entries learn that from their polls, apart from each other. One that has not yet refuses calls as not run, which is true and what its caller should get, and the test allows only 200, 409 and 504.

Without a hold too the test relied on the second entry alone.

The test now waits until a call with another key is served by each entry.

--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -1,5 +1,6 @@
 """Protected calls under failure run at most once, and "not run" is true."""
 
+import itertools
 import signal
 
 import gevent
@@ -41,6 +42,22 @@
         return None
 
 
+def _wait_until_served(callers):
+    """Wait until each entry has learnt that the agent takes calls.
+
+    Entries learn it apart, and one that has not refuses calls as not run.
+    """
+    keys = (f"known-{number}" for number in itertools.count())
+
+    def are_served():
+        answers = [
+            caller.confirm(next(keys), item="known") for caller in callers
+        ]
+        return all(answer.status == 200 for answer in answers)
+
+    helpers.wait_until(are_served)
+
+
 def test_answer_lost_after_the_run_is_unknown(fleet, callers):
     """Guards against a second run of a call whose answer was lost."""
     fleets.request(fleet.orders, "PUT", "/faults", b'{"drops": 1}')
@@ -86,6 +103,7 @@
 
 def test_same_key_through_two_entries_runs_once(fleet, callers):
     """Guards against one call dispatched by two entries."""
+    _wait_until_served(callers)
     calls = [
         gevent.spawn(caller.confirm, "twice", item="twice")
         for caller in callers * 3
