Look whether replicas that a call has left have gone on

Callers got 502, or a cut stream, although the replica that their call had left had answered: the answer lay unread while another replica had the call silently, was thrown away 2 s after the call had left, and the other one broke off. Others waited for seconds while their call was sent on and on, and ran again at the replica whose answer lay there.

Cause: whether a paused attempt goes on was looked at only when the call had no other way left. A timer alone decided that its replica had not gone on.

Before each choice the call now goes on at the replica that it left last if something has come of it, once for each sending, since parts of events may come without end. Attempts of which something has come are not given up after 2 s.

--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -190,6 +190,11 @@
         """Whether the call has left the replica, and may `go_on` there."""
         return self._paused
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether something has come of a replica that the call has left."""
+        return self._channel.has_unread
+
     def connect(self) -> bool:
         """Returns: whether there is a connection to send the call on."""
         self._address = self._member.replica.address
--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -200,6 +200,8 @@
         if self._remaining_s() < MIN_ATTEMPT_S:
             expired = attempt.Unanswered(attempts.Expired())
             return self._handle_unanswered(expired)
+        if self._paused.note_arrived():
+            return self._go_on()
         if blocked := self._crash_guard.check():
             return self._without_replica(blocked.reason, blocked.retry_after_s)
         self._shared.limits.note_call(self._service)
--- a/papayalink/roles/gateway/paused_attempts.py
+++ b/papayalink/roles/gateway/paused_attempts.py
@@ -20,6 +20,7 @@
     Attributes:
         sent_at: monotonic seconds.
         waiting: what its replica said until the call left it.
+        looked_at: whether the call went on here since something had come.
     """
 
     member: fleet_member.Member
@@ -27,6 +28,7 @@
     dispatch: calls.Dispatch
     sent_at: float
     waiting: awaited.Awaited
+    looked_at: bool = False
 
 
 class PausedAttempts:
@@ -53,10 +55,31 @@
         sent, _ = self._paused.pop()
         return sent
 
+    def note_arrived(self) -> bool:
+        """Look whether something has come of the replica that was left last.
+
+        Parts of events may come without end, so each is looked at once.
+
+        Returns: whether the call is to go on there.
+        """
+        if not self._paused:
+            return False
+        sent, _ = self._paused[-1]
+        if sent.looked_at or not sent.attempt.has_unread:
+            return False
+        sent.looked_at = True
+        return True
+
     def abandon_old(self) -> None:
-        """Give up those whose replicas would have gone on if they could."""
+        """Give up those whose replicas would have gone on if they could.
+
+        What has gone on is kept.
+        """
         min_left_at = time.monotonic() - MAX_PAUSED_S
-        self._abandon(lambda sent, left_at: left_at < min_left_at)
+        self._abandon(
+            lambda sent, left_at: left_at < min_left_at
+            and not sent.attempt.has_unread
+        )
 
     def abandon_at(self, member: fleet_member.Member) -> None:
         """Give up those at a replica to which the call is sent again."""
--- a/papayalink/transport/upstream_channel.py
+++ b/papayalink/transport/upstream_channel.py
@@ -90,6 +90,11 @@
         """Whether the connection has carried a whole answer before."""
         return self._used
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived, or the upstream has ended."""
+        return readiness.has_unread_bytes(self._sock)
+
     @property
     def usable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -97,7 +102,7 @@
             return False
         # The socket is readable when the upstream closed the connection or
         # sent bytes that belong to no request.
-        return not readiness.has_unread_bytes(self._sock)
+        return not self.has_unread
 
     def send(
         self,
--- /dev/null
+++ b/tests/roles/gateway/test_arrived_at_paused.py
@@ -0,0 +1,97 @@
+"""Tests of answers of replicas that a call has left, before others answer."""
+
+import gevent
+import pytest
+
+from papayalink.coordination import retry
+from papayalink.state import traffic
+from tests.roles.gateway import stubs
+
+_ROUTES = (
+    stubs.make_route("safe", traffic.RepeatPolicy.IDEMPOTENT, timeout_s=8.0),
+    stubs.make_route(
+        "resumed",
+        traffic.RepeatPolicy.RESUMABLE,
+        timeout_s=8.0,
+        stream=True,
+        max_attempts=3,
+    ),
+)
+# Longer than calls stay at a silent replica.
+_SILENCE_S = 2.0
+_BUSY_FOR_1_S = (
+    b"HTTP/1.1 503 Busy\r\nPapayalink-Not-Executed: 1\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+_WHOLE = {
+    b"/safe/": b"ok",
+    b"/resumed/": b"id: 1\ndata: p1\n\nid: 2\ndata: p2\n\n",
+}
+_KINDS = {b"/safe/": "desk", b"/resumed/": "models"}
+
+
+class _Silent(stubs.Upstream):
+    """Is silent within its answers, and goes on."""
+
+    def next_steps(self, request):
+        if b" /safe/ " in request:
+            return [_SILENCE_S, stubs.OK]
+        if b"\r\nlast-event-id: 1\r\n" in request.lower():
+            return [stubs.STREAM, stubs.event(2), stubs.END]
+        begin = [stubs.STREAM, stubs.event(1)]
+        return [*begin, _SILENCE_S, stubs.event(2), stubs.END]
+
+
+class _Budgets:
+    """Retry budgets with room for a number of repeats in all."""
+
+    def __init__(self, repeats):
+        self._budget = retry.Budget(ratio=0.0, constant=repeats)
+
+    def for_service(self, service, now):
+        return self._budget
+
+
+@pytest.fixture
+def call():
+    """Function that calls; begins at a silent replica, goes to another."""
+    started = []
+
+    def make(path, steps, repeats):
+        kind = _KINDS[path]
+        silent = _Silent(f"{kind}1")
+        other = stubs.Upstream(f"{kind}2", *[steps] * 9)
+        gateway = stubs.Gateway([silent, other], _ROUTES)
+        started.append(gateway)
+        gateway.shared.budgets = _Budgets(repeats)
+        member = gateway.fleet.find(other.name)
+        member.set_reachable(False)
+        calling = gevent.spawn(gateway.call, path, timeout_s=10)
+        with gevent.Timeout(10):
+            while not silent.received:
+                gevent.sleep(0.005)
+        gevent.sleep(0.1)
+        member.set_reachable(True)
+        status, _, body = calling.get(timeout=15)
+        sent = [len(each.received) for each in gateway.upstreams]
+        return (status, body), sent
+
+    yield make
+    for gateway in started:
+        gateway.stop()
+
+
+# Guards against an answer that is thrown away unread after a while, as
+# another replica has the call, which then breaks off.
+@pytest.mark.parametrize("path", _WHOLE)
+def test_answer_that_has_come_is_kept(call, path):
+    answer, _ = call(path, [3.0, "reset"], 1)
+    assert answer == (200, _WHOLE[path])
+
+
+# Guards against calls that run twice at a replica that has answered.
+@pytest.mark.parametrize("path", _WHOLE)
+def test_answer_that_has_come_is_no_reason_to_send(call, path):
+    answer, sent = call(path, [_BUSY_FOR_1_S], 9)
+    assert answer == (200, _WHOLE[path])
+    assert sent == [1, 1]
