Keep the connection to a silent replica if another one lacks the stream

A stream was cut although the replica that it had left went on 0.4 s later: the other one, which did not know the stream, had answered 404.

Cause: any stamped answer below 500 counted as one that takes the call, and ended the connection to the first replica. Once a stream has begun, such an answer is a failure, and is not passed on.

Only an answer that may be the rest of a begun stream takes it now.

test_stream_that_another_replica_does_not_know failed on, and passes now.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -313,7 +313,7 @@
             self._charges.note_read()
             if prefill_tokens:
                 member.end_prefill(self._urgency, prefill_tokens.pop())
-            if _takes_call(answer):
+            if _takes_call(answer, self._stream):
                 self._paused.abandon()
             self._note_begun(member, answer)
             with record_faults.logged(self._call.call_id):
@@ -675,11 +675,20 @@
         return self._deadline - time.monotonic()
 
 
-def _takes_call(answer: calls.Answer) -> bool:
-    """Returns: whether a replica shows that it serves the call."""
-    return (
-        answer.has_server_stamp and not answer.not_run and answer.status < 500
-    )
+def _takes_call(
+    answer: calls.Answer, stream: attempt.StreamState | None
+) -> bool:
+    """Returns: whether a replica shows that it serves the call.
+
+    Args:
+        stream: state of an event stream. What has begun goes on with the rest
+            only, not with another status.
+    """
+    if not answer.has_server_stamp or answer.not_run:
+        return False
+    if stream is not None and stream.begun:
+        return 200 <= answer.status < 300 and stream.goes_on_with(answer)
+    return answer.status < 500
 
 
 def make_call_run(
--- a/tests/roles/gateway/test_arrived_at_paused.py
+++ b/tests/roles/gateway/test_arrived_at_paused.py
@@ -23,6 +23,9 @@
     b"HTTP/1.1 503 Busy\r\nPapayalink-Not-Executed: 1\r\nRetry-After: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+_NOT_FOUND = (
+    b"HTTP/1.1 404 No\r\n" + stubs.STAMP + b"Content-Length: 0\r\n\r\n"
+)
 _WHOLE = {
     b"/safe/": b"ok",
     b"/resumed/": b"id: 1\ndata: p1\n\nid: 2\ndata: p2\n\n",
@@ -95,3 +98,10 @@
     answer, sent = call(path, [_BUSY_FOR_1_S], 9)
     assert answer == (200, _WHOLE[path])
     assert sent == [1, 1]
+
+
+# Guards against a stream that is cut, though its replica goes on, since
+# another one does not know it.
+def test_stream_that_another_replica_does_not_know(call):
+    answer, _ = call(b"/resumed/", [_NOT_FOUND], 1)
+    assert answer == (200, _WHOLE[b"/resumed/"])
