End waits for replicas once one that the call has left goes on

A caller got 504 while the answer to its call had been there for a second: the call had left a silent replica, another one turned it away, and it waited for a lost one until its deadline. Others got theirs late, at the end of such a wait.

Cause: a call that waits for a replica to be usable looks at the fleet only, not at the connections that it has kept.

A call that has left a replica looks each 50 ms whether something has come of that one, which ends the wait. Calls that have left none wait as before.

--- a/papayalink/roles/gateway/call_run.py
+++ b/papayalink/roles/gateway/call_run.py
@@ -623,6 +623,7 @@
             self._find_excluded(),
             self._attempts.may_have_run,
             bool(self._record.stopped_at),
+            self._paused.has_arrived if self._paused else None,
         )
 
     def _return(self) -> bool:
--- a/papayalink/roles/gateway/paused_attempts.py
+++ b/papayalink/roles/gateway/paused_attempts.py
@@ -55,20 +55,23 @@
         sent, _ = self._paused.pop()
         return sent
 
-    def note_arrived(self) -> bool:
-        """Look whether something has come of the replica that was left last.
+    def has_arrived(self) -> bool:
+        """Returns: whether something has come of the one that was left last.
 
         Parts of events may come without end, so each is looked at once.
-
-        Returns: whether the call is to go on there.
         """
         if not self._paused:
             return False
         sent, _ = self._paused[-1]
-        if sent.looked_at or not sent.attempt.has_unread:
-            return False
-        sent.looked_at = True
-        return True
+        return not sent.looked_at and sent.attempt.has_unread
+
+    def note_arrived(self) -> bool:
+        """Returns: whether the call is to go on where something has come."""
+        arrived = self.has_arrived()
+        if arrived:
+            sent, _ = self._paused[-1]
+            sent.looked_at = True
+        return arrived
 
     def abandon_old(self) -> None:
         """Give up those whose replicas would have gone on if they could.
--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -1,5 +1,6 @@
 """Waits of a call for which no replica is usable at the moment."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 import time
 
@@ -25,6 +26,8 @@
 # A call that may have run waits for this long for a replica that turns calls
 # away. Callers leave their streams after a gap of two seconds at the earliest.
 MAX_TURNED_AWAY_S = 1.0
+# A call that waits looks so often whether one that it has left goes on.
+_LOOK_PERIOD_S = 0.05
 
 
 class ReplicaWait:
@@ -69,6 +72,7 @@
         tried: Collection[str],
         may_have_run: bool = False,
         was_stopped: bool = False,
+        has_come: Callable[[], bool] | None = None,
     ) -> bool:
         """Wait for what keeps replicas from being used, if it ends in time.
 
@@ -78,6 +82,8 @@
                 can't try elsewhere.
             was_stopped: whether a sound replica has stopped the call, which
                 needs more time there. It waits for a refusal to end.
+            has_come: returns whether something has come of a replica that the
+                call has left, which ends the wait. None without one.
         Returns: whether a replica may be usable now.
         """
         now = time.monotonic()
@@ -110,13 +116,26 @@
             until = max(until, resumes_at)
         if until <= now:
             return False
-        changed = self._fleet.changed.wait(min(until, resumes_at) - now)
+        changed = self._wait_for_change(min(until, resumes_at), has_come)
         if changed or resumes_at <= until:
             return True
         # The news of one that was reached just now may be on its way.
         now = time.monotonic()
         return self._fleet.choose(request, tried, now) is not None
 
+    def _wait_for_change(
+        self, until: float, has_come: Callable[[], bool] | None
+    ) -> bool:
+        """Returns: whether something changed or has come before a time."""
+        if has_come is None:
+            return self._fleet.changed.wait(until - time.monotonic())
+        while (left_s := until - time.monotonic()) > 0:
+            if self._fleet.changed.wait(min(left_s, _LOOK_PERIOD_S)):
+                return True
+            if has_come():
+                return True
+        return False
+
     def _turns_calls_away(
         self,
         member: fleet_member.Member,
--- a/tests/roles/gateway/test_arrived_at_paused.py
+++ b/tests/roles/gateway/test_arrived_at_paused.py
@@ -1,9 +1,12 @@
 """Tests of answers of replicas that a call has left, before others answer."""
 
+import time
+
 import gevent
 import pytest
 
 from papayalink.coordination import retry
+from papayalink.roles.gateway import replica_wait
 from papayalink.state import traffic
 from tests.roles.gateway import stubs
 
@@ -16,11 +19,14 @@
         stream=True,
         max_attempts=3,
     ),
+    stubs.make_route(
+        "short", traffic.RepeatPolicy.IDEMPOTENT, timeout_s=3.0, max_attempts=3
+    ),
 )
 # Longer than calls stay at a silent replica.
 _SILENCE_S = 2.0
-_BUSY_FOR_1_S = (
-    b"HTTP/1.1 503 Busy\r\nPapayalink-Not-Executed: 1\r\nRetry-After: 1\r\n"
+_BUSY = (
+    b"HTTP/1.1 503 Busy\r\nPapayalink-Not-Executed: 1\r\nRetry-After: %d\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
 _NOT_FOUND = (
@@ -95,7 +101,7 @@
 # Guards against calls that run twice at a replica that has answered.
 @pytest.mark.parametrize("path", _WHOLE)
 def test_answer_that_has_come_is_no_reason_to_send(call, path):
-    answer, sent = call(path, [_BUSY_FOR_1_S], 9)
+    answer, sent = call(path, [_BUSY % 1], 9)
     assert answer == (200, _WHOLE[path])
     assert sent == [1, 1]
 
@@ -105,3 +111,29 @@
 def test_stream_that_another_replica_does_not_know(call):
     answer, _ = call(b"/resumed/", [_NOT_FOUND], 1)
     assert answer == (200, _WHOLE[b"/resumed/"])
+
+
+# Guards against calls that wait for lost replicas until their deadline, while
+# the answer of the one that they have left is there.
+def test_wait_for_lost_replica_ends_with_an_answer(monkeypatch):
+    monkeypatch.setattr(replica_wait, "MAX_RETURN_S", 60.0)
+    silent = _Silent("desk1")
+    silent.next_steps = lambda request: [_SILENCE_S, stubs.OK]
+    busy, lost = stubs.Upstream("desk2", [_BUSY % 9]), stubs.Upstream("desk3")
+    gateway = stubs.Gateway([silent, busy, lost], _ROUTES)
+    members = [gateway.fleet.find(each.name) for each in (busy, lost)]
+    for member in members:
+        member.set_reachable(False)
+    try:
+        calling = gevent.spawn(gateway.call, b"/short/", timeout_s=10)
+        with gevent.Timeout(10):
+            while not silent.received:
+                gevent.sleep(0.005)
+            gevent.sleep(0.1)
+        members[1].lost_at = time.monotonic()
+        members[0].set_reachable(True)
+        status, _, body = calling.get(timeout=15)
+    finally:
+        gateway.stop()
+    assert (status, body) == (200, b"ok")
+    assert [len(each.received) for each in gateway.upstreams] == [1, 1, 0]
