Give no negative time-out to waits for replicas

The time left is read a second time before the wait, and may have passed by then. No test failed before.

--- a/papayalink/roles/gateway/replica_wait.py
+++ b/papayalink/roles/gateway/replica_wait.py
@@ -128,7 +128,7 @@
     ) -> bool:
         """Returns: whether something changed or has come before a time."""
         if has_come is None:
-            return self._fleet.changed.wait(until - time.monotonic())
+            return self._fleet.changed.wait(max(0.0, until - time.monotonic()))
         while (left_s := until - time.monotonic()) > 0:
             if self._fleet.changed.wait(min(left_s, _LOOK_PERIOD_S)):
                 return True
