Show that a second silent replica hides the answer of the first

A caller gets 504 although the replica that its call has left answers 0.8 s later: by then another replica has the call, is silent until the deadline, and the retry budget has no room for a third sending. Nothing looks at the connection that is kept.

Not mended here: the call would have to leave the second replica for the first, which changes what is charged for it and the order of what is kept.

--- a/tests/roles/gateway/test_arrived_at_paused.py
+++ b/tests/roles/gateway/test_arrived_at_paused.py
@@ -137,3 +137,10 @@
         gateway.stop()
     assert (status, body) == (200, b"ok")
     assert [len(each.received) for each in gateway.upstreams] == [1, 1, 0]
+
+
+# Guards against calls that wait to their deadline at a silent replica, while
+# the answer of the one that they have left is there.
+def test_answer_that_has_come_ends_the_wait_at_another_replica(call):
+    answer, _ = call(b"/safe/", [9.0, stubs.OK], 1)
+    assert answer == (200, b"ok")
