--- a/papayalink/roles/gateway/attempt.py
+++ b/papayalink/roles/gateway/attempt.py
@@ -315,7 +315,7 @@
         call.
         """
         while True:
-            # A call may not leave the replica within an earlier answer.
+            # A wait within an earlier answer can't be taken up again.
             self._may_pause = True
             head = self._channel.read_head(self._remaining_s)
             self._may_pause = False
